Lay out the workspace, HTTP guards and the interfaces to the outside

The codecs of monoio-http decode from a buffer that base fills under byte limits and deadlines, so that the library's unbounded reads are not used.

--- /dev/null
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -0,0 +1,294 @@
+//! The client's side: a connection that is used for one exchange at a time.
+
+use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::{HeaderMap, Method, StatusCode};
+use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
+
+use super::wire::{Remaining, Wire, framing};
+use super::{Fault, Response};
+
+/// Bytes that a response's head may have.
+const HEAD_BYTES: usize = 64 * 1024;
+/// Bytes that one chunk of a response may have.
+const PIECE_BYTES: usize = 8 * 1024 * 1024;
+
+/// A request to be sent.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub target: String,
+    /// Headers besides `Host` and `Content-Length`.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Outgoing {
+    /// A request without headers or body.
+    pub fn new(method: Method, target: impl Into<String>) -> Self {
+        Self {
+            method,
+            target: target.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// A `GET` request.
+    pub fn get(target: impl Into<String>) -> Self {
+        Self::new(Method::GET, target)
+    }
+
+    /// Replaces the body by JSON.
+    #[must_use]
+    pub fn json<T: serde::Serialize>(mut self, value: &T) -> Self {
+        self.body = serde_json::to_vec(value).unwrap_or_default().into();
+        self.with("content-type", "application/json")
+    }
+
+    /// Replaces the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Adds a header; a value that is not allowed in a header is left out.
+    #[must_use]
+    pub fn with(mut self, name: &'static str, value: &str) -> Self {
+        if let Ok(value) = http::HeaderValue::from_str(value) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    fn encode(&self, address: SocketAddr) -> Bytes {
+        let mut out = BytesMut::with_capacity(512 + self.body.len());
+        out.put_slice(self.method.as_str().as_bytes());
+        out.put_slice(b" ");
+        out.put_slice(self.target.as_bytes());
+        out.put_slice(format!(" HTTP/1.1\r\nhost: {address}\r\n").as_bytes());
+        out.put_slice(format!("content-length: {}\r\n", self.body.len()).as_bytes());
+        for (name, value) in &self.headers {
+            out.put_slice(name.as_str().as_bytes());
+            out.put_slice(b": ");
+            out.put_slice(value.as_bytes());
+            out.put_slice(b"\r\n");
+        }
+        out.put_slice(b"\r\n");
+        out.put_slice(&self.body);
+        out.freeze()
+    }
+}
+
+/// The head of a response whose body is still to be read.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+}
+
+/// How a connection is opened.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectOptions {
+    /// Time for the connection to be made.
+    pub timeout: Duration,
+    /// Time after which the kernel gives up unacknowledged bytes.
+    pub user_timeout: Option<Duration>,
+    /// Whether closing drops what was not yet sent.
+    pub linger_zero: bool,
+}
+
+impl Default for ConnectOptions {
+    fn default() -> Self {
+        Self {
+            timeout: Duration::from_millis(250),
+            user_timeout: None,
+            linger_zero: false,
+        }
+    }
+}
+
+/// A connection to a server.
+pub struct Connection {
+    wire: Wire,
+    address: SocketAddr,
+    remaining: Remaining,
+    written: bool,
+    clean: bool,
+    keep: bool,
+    used: Instant,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr, options: ConnectOptions) -> Result<Self, Fault> {
+        let stream = crate::net::connect(address, options.timeout)
+            .await
+            .map_err(Fault::Connect)?;
+        set_options(&stream, options).map_err(Fault::Connect)?;
+        Ok(Self {
+            wire: Wire::new(stream),
+            address,
+            remaining: Remaining::None,
+            written: false,
+            clean: true,
+            keep: true,
+            used: Instant::now(),
+        })
+    }
+
+    /// The server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether a byte of the current request may have reached the server.
+    pub fn written(&self) -> bool {
+        self.written
+    }
+
+    /// Whether another request may use this connection.
+    pub fn reusable(&self) -> bool {
+        self.clean && self.keep && self.wire.buf.is_empty()
+    }
+
+    /// Time since the last exchange ended.
+    pub fn idle(&self) -> Duration {
+        self.used.elapsed()
+    }
+
+    /// Sends a request.
+    pub async fn send(&mut self, request: &Outgoing, deadline: Instant) -> Result<(), Fault> {
+        self.send_if(request, deadline, || true).await
+    }
+
+    /// Sends a request if `allowed` still holds directly before the write.
+    pub async fn send_if(
+        &mut self,
+        request: &Outgoing,
+        deadline: Instant,
+        allowed: impl FnOnce() -> bool,
+    ) -> Result<(), Fault> {
+        let bytes = request.encode(self.address);
+        self.written = false;
+        if !allowed() {
+            return Err(Fault::Timeout);
+        }
+        self.clean = false;
+        self.written = true;
+        self.wire.write(bytes, deadline).await
+    }
+
+    /// Reads the head of the response.
+    pub async fn head(&mut self, deadline: Instant) -> Result<Incoming, Fault> {
+        loop {
+            let head = self
+                .wire
+                .head(&mut ResponseHeadDecoder, HEAD_BYTES, deadline)
+                .await?
+                .ok_or(Fault::Closed)?;
+            if head.status.is_informational() {
+                continue;
+            }
+            let close = |value: &http::HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
+            let headers = &head.headers;
+            self.keep = !headers.get(http::header::CONNECTION).is_some_and(close);
+            self.remaining = response_framing(head.status, headers)?;
+            return Ok(Incoming {
+                status: head.status,
+                headers: head.headers,
+            });
+        }
+    }
+
+    /// Reads the next piece of the body; `None` at its end.
+    pub async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, Fault> {
+        let piece = self
+            .wire
+            .piece(&mut self.remaining, PIECE_BYTES, deadline)
+            .await?;
+        if piece.is_none() {
+            self.clean = true;
+            self.used = Instant::now();
+        }
+        Ok(piece)
+    }
+
+    /// Reads the whole body, of at most `limit` bytes.
+    pub async fn body(&mut self, limit: usize, deadline: Instant) -> Result<Bytes, Fault> {
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.next(deadline).await? {
+            body.extend_from_slice(&piece);
+            if body.len() > limit {
+                return Err(Fault::BodyTooLarge);
+            }
+        }
+        Ok(body.freeze())
+    }
+
+    /// Sends a request and reads the whole response.
+    pub async fn exchange(
+        &mut self,
+        request: &Outgoing,
+        deadline: Instant,
+    ) -> Result<Response, Fault> {
+        self.send(request, deadline).await?;
+        self.answer(deadline).await
+    }
+
+    /// Reads the whole response to a request that was sent.
+    pub async fn answer(&mut self, deadline: Instant) -> Result<Response, Fault> {
+        let head = self.head(deadline).await?;
+        let body = self.body(PIECE_BYTES, deadline).await?;
+        Ok(Response {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
+/// Sends a request on a fresh connection and reads the whole response.
+pub async fn call(
+    address: SocketAddr,
+    request: &Outgoing,
+    timeout: Duration,
+) -> Result<Response, Fault> {
+    let deadline = Instant::now() + timeout;
+    let options = ConnectOptions {
+        timeout: timeout.min(ConnectOptions::default().timeout),
+        ..ConnectOptions::default()
+    };
+    let mut connection = Connection::open(address, options).await?;
+    connection.exchange(request, deadline).await
+}
+
+/// A response without a length is refused: its end can't be told from a cut.
+fn response_framing(status: StatusCode, headers: &HeaderMap) -> Result<Remaining, Fault> {
+    if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+        return Ok(Remaining::None);
+    }
+    framing(headers)?.ok_or(Fault::Malformed("a response without a length"))
+}
+
+fn set_options(stream: &monoio::net::TcpStream, options: ConnectOptions) -> std::io::Result<()> {
+    // SAFETY: the descriptor is open for as long as `stream` is borrowed.
+    let fd = unsafe { std::os::fd::BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let socket = socket2::SockRef::from(&fd);
+    if options.linger_zero {
+        socket.set_linger(Some(Duration::ZERO))?;
+    }
+    if options.user_timeout.is_some() {
+        socket.set_tcp_user_timeout(options.user_timeout)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pomeloridge_base/src/id.rs
@@ -0,0 +1,133 @@
+//! Identifiers: names kept as bytes until text is needed, and numbers.
+
+use std::fmt;
+use std::str::FromStr;
+
+use bytes::Bytes;
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// A name of a client account, model, data centre, backend server or node.
+#[derive(Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Name(Bytes);
+
+impl Name {
+    /// The name's bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Whether the name has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The name as text; bytes that are not UTF-8 give an empty text.
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Self(Bytes::copy_from_slice(text.as_bytes()))
+    }
+}
+
+impl From<String> for Name {
+    fn from(text: String) -> Self {
+        Self(Bytes::from(text))
+    }
+}
+
+impl FromStr for Name {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self::from(text))
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", self.as_str())
+    }
+}
+
+impl Serialize for Name {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.as_str())
+    }
+}
+
+impl<'de> Deserialize<'de> for Name {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer).map(Self::from)
+    }
+}
+
+/// A revision of the object service; a greater one is newer.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// A fencing number: the count of a lease's holders so far.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+/// One start of a node; a restart under the same name has a greater one.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    From,
+    Into,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
--- /dev/null
+++ b/crates/pomeloridge_base/src/settings.rs
@@ -0,0 +1,1 @@
+//! Node settings.
--- /dev/null
+++ b/crates/pomeloridge_standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
