--- a/crates/pomeloridge_base/src/lib.rs
+++ b/crates/pomeloridge_base/src/lib.rs
@@ -2,6 +2,7 @@
 //! list of error kinds, node settings and HTTP over `monoio`.
 
 pub mod clock;
+pub mod config;
 pub mod error;
 pub mod http;
 pub mod id;
--- a/crates/pomeloridge_base/src/settings.rs
+++ b/crates/pomeloridge_base/src/settings.rs
@@ -1,1 +1,11 @@
-//! Node settings.
+//! Node settings, read from an INI file and checked as a whole.
+//!
+//! Every setting is a row of [`SETTINGS`]: its section, key, default and what it
+//! does. The reference in `docs/SETTINGS.md` is made from the same rows.
+
+mod check;
+mod reader;
+mod table;
+
+pub use check::{Problem, Settings, load, parse};
+pub use table::{SETTINGS, Setting, SettingKind};
--- /dev/null
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -0,0 +1,317 @@
+//! Checks all settings at once and gives them their types.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use super::reader::{Value, Values, read};
+use super::table::{SETTINGS, Setting, SettingKind};
+use crate::id::Name;
+use crate::secret::KeyHash;
+
+/// Bytes that a fleet secret must have.
+const SECRET_BYTES: usize = 16;
+
+/// A fault in the settings: where it is, what it is and how to mend it.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("line {line}: [{section}] {key}: {fault}; {fix}")]
+pub struct Problem {
+    /// Section of the INI file.
+    pub section: String,
+    /// Key in the section.
+    pub key: String,
+    /// Line, from 1; 0 if the key is missing.
+    pub line: usize,
+    /// What is wrong.
+    pub fault: String,
+    /// What to do.
+    pub fix: String,
+}
+
+/// The checked settings of a node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node's name.
+    pub name: Name,
+    /// The VM's data centre.
+    pub data_centre: Name,
+    /// The fleet secret.
+    pub secret: Secret,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where nodes connect.
+    pub node: SocketAddr,
+    /// Where operators connect.
+    pub operator: SocketAddr,
+    /// The platform's service.
+    pub platform: SocketAddr,
+    /// Operators' names and the hashes of their tokens.
+    pub tokens: Vec<(Name, KeyHash)>,
+    /// Nodes to ask first.
+    pub seeds: Vec<SocketAddr>,
+    values: Vec<(&'static Setting, String)>,
+}
+
+/// A secret that is never shown.
+#[derive(Clone)]
+pub struct Secret(pub Vec<u8>);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl Settings {
+    /// The value of a setting that is a time; the key must be one of the table.
+    pub fn time(&self, section: &str, key: &str) -> Duration {
+        Duration::from_millis(self.number(section, key))
+    }
+
+    /// The value of a setting that is a number; the key must be one of the table.
+    pub fn number(&self, section: &str, key: &str) -> u64 {
+        let parsed = self.text(section, key).parse();
+        parsed.expect("checked when the settings were loaded")
+    }
+
+    /// The value of a setting as text; the key must be one of the table.
+    pub fn text(&self, section: &str, key: &str) -> &str {
+        let found = self
+            .values
+            .iter()
+            .find(|(setting, _)| setting.section == section && setting.key == key);
+        &found.expect("the setting is in the table").1
+    }
+}
+
+/// Reads and checks a file.
+pub fn load(path: &Path) -> Result<Settings, Vec<Problem>> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => parse(&text),
+        Err(error) => Err(vec![Problem {
+            section: String::new(),
+            key: path.display().to_string(),
+            line: 0,
+            fault: format!("the file cannot be read: {error}"),
+            fix: "give the path of a readable INI file".to_owned(),
+        }]),
+    }
+}
+
+/// Checks an INI text and reports every fault in it.
+pub fn parse(text: &str) -> Result<Settings, Vec<Problem>> {
+    let given = read(text).map_err(|(line, fault)| {
+        vec![Problem {
+            section: String::new(),
+            key: String::new(),
+            line,
+            fault,
+            fix: "write `[section]` or `key = value`".to_owned(),
+        }]
+    })?;
+    let mut problems = unknown_keys(&given);
+    let mut values = Vec::new();
+    for setting in SETTINGS {
+        match value_of(setting, &given) {
+            Ok(value) => values.push((setting, value)),
+            Err(problem) => problems.push(problem),
+        }
+    }
+    if problems.is_empty() {
+        problems = clashes(&values, &given);
+    }
+    problems.sort_by_key(|problem| problem.line);
+    if problems.is_empty() {
+        Ok(typed(values))
+    } else {
+        Err(problems)
+    }
+}
+
+fn unknown_keys(given: &Values) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for ((section, key), value) in &given.values {
+        let known = SETTINGS
+            .iter()
+            .any(|setting| setting.section == section && setting.key == key);
+        if !known {
+            problems.push(Problem {
+                section: section.clone(),
+                key: key.clone(),
+                line: value.line,
+                fault: "unknown key".to_owned(),
+                fix: nearest(section, key),
+            });
+        }
+    }
+    for (section, key, line) in &given.repeated {
+        problems.push(Problem {
+            section: section.clone(),
+            key: key.clone(),
+            line: *line,
+            fault: "the key is set twice".to_owned(),
+            fix: "remove one of the lines".to_owned(),
+        });
+    }
+    problems
+}
+
+/// Names the section that has the key, or the keys that the section has.
+fn nearest(section: &str, key: &str) -> String {
+    if let Some(setting) = SETTINGS.iter().find(|setting| setting.key == key) {
+        return format!("move it to [{}]", setting.section);
+    }
+    let keys: Vec<_> = SETTINGS
+        .iter()
+        .filter(|setting| setting.section == section)
+        .map(|setting| setting.key)
+        .collect();
+    if keys.is_empty() {
+        "remove it: there is no such section".to_owned()
+    } else {
+        format!("remove it or use one of: {}", keys.join(", "))
+    }
+}
+
+fn value_of(setting: &'static Setting, given: &Values) -> Result<String, Problem> {
+    let place = (setting.section.to_owned(), setting.key.to_owned());
+    let Some(value) = given.values.get(&place) else {
+        return match setting.default {
+            Some(default) => Ok(default.to_owned()),
+            None => Err(problem(setting, 0, "the key is missing".to_owned())),
+        };
+    };
+    match fault_of(setting.kind, &value.text) {
+        None => Ok(value.text.clone()),
+        Some(fault) => Err(problem(setting, value.line, fault)),
+    }
+}
+
+fn problem(setting: &Setting, line: usize, fault: String) -> Problem {
+    Problem {
+        section: setting.section.to_owned(),
+        key: setting.key.to_owned(),
+        line,
+        fault,
+        fix: format!("write for example `{} = {}`", setting.key, setting.example),
+    }
+}
+
+fn fault_of(kind: SettingKind, text: &str) -> Option<String> {
+    match kind {
+        SettingKind::Text => text.is_empty().then(|| "the value is empty".to_owned()),
+        SettingKind::Address => match text.parse::<SocketAddr>() {
+            Ok(_) => None,
+            Err(_) => Some(format!("`{text}` is not IP:PORT")),
+        },
+        SettingKind::Addresses => {
+            let wrong = list(text).find(|part| part.parse::<SocketAddr>().is_err());
+            wrong.map(|part| format!("`{part}` is not IP:PORT"))
+        }
+        SettingKind::Millis | SettingKind::Count | SettingKind::Bytes => {
+            match text.parse::<u64>() {
+                Ok(1..) => None,
+                _ => Some(format!("`{text}` is not a whole number of at least 1")),
+            }
+        }
+        SettingKind::Choice(words) => {
+            let known = words.contains(&text);
+            (!known).then(|| format!("`{text}` is not one of: {}", words.join(", ")))
+        }
+        SettingKind::Secret => {
+            let short = text.len() < SECRET_BYTES;
+            short.then(|| format!("the secret has fewer than {SECRET_BYTES} bytes"))
+        }
+        SettingKind::Tokens => {
+            let wrong = list(text).any(|part| token(part).is_none());
+            wrong.then(|| "a token is not NAME:SHA256".to_owned())
+        }
+    }
+}
+
+/// Faults that only show when settings are held against each other.
+fn clashes(values: &[(&'static Setting, String)], given: &Values) -> Vec<Problem> {
+    let number = |section: &str, key: &str| {
+        let found = values
+            .iter()
+            .find(|(setting, _)| setting.section == section && setting.key == key);
+        found.and_then(|(setting, text)| Some((*setting, text.parse::<u64>().ok()?)))
+    };
+    let line = |setting: &Setting| {
+        let place = (setting.section.to_owned(), setting.key.to_owned());
+        given
+            .values
+            .get(&place)
+            .map_or(0, |value: &Value| value.line)
+    };
+    let mut problems = Vec::new();
+    let mut less = |low: (&str, &str), high: (&str, &str), times: u64| {
+        let (Some((small, a)), Some((great, b))) = (number(low.0, low.1), number(high.0, high.1))
+        else {
+            return;
+        };
+        if a.saturating_mul(times) > b {
+            problems.push(Problem {
+                section: great.section.to_owned(),
+                key: great.key.to_owned(),
+                line: line(great),
+                fault: format!(
+                    "{b} is under {times} times [{}] {} ({a})",
+                    small.section, small.key
+                ),
+                fix: format!("raise it to {} or lower the other", a.saturating_mul(times)),
+            });
+        }
+    };
+    less(
+        ("node_link", "heartbeat_ms"),
+        ("node_link", "suspect_ms"),
+        3,
+    );
+    less(("platform", "timeout_ms"), ("lease", "term_ms"), 2);
+    less(("node_link", "suspect_ms"), ("node_link", "cut_off_ms"), 1);
+    less(("admission", "account_queue"), ("admission", "queue"), 1);
+    problems
+}
+
+fn typed(values: Vec<(&'static Setting, String)>) -> Settings {
+    let text = |section: &str, key: &str| {
+        let found = values
+            .iter()
+            .find(|(setting, _)| setting.section == section && setting.key == key);
+        found.map(|(_, text)| text.clone()).unwrap_or_default()
+    };
+    let address = |section: &str, key: &str| {
+        let parsed = text(section, key).parse();
+        parsed.expect("checked as an address")
+    };
+    Settings {
+        name: Name::from(text("node", "name")),
+        data_centre: Name::from(text("node", "data_centre")),
+        secret: Secret(text("node", "secret").into_bytes()),
+        caller: address("listen", "caller"),
+        node: address("listen", "node"),
+        operator: address("listen", "operator"),
+        platform: address("platform", "address"),
+        tokens: list(&text("operator", "tokens"))
+            .filter_map(token)
+            .collect(),
+        seeds: list(&text("node_link", "seeds"))
+            .filter_map(|part| part.parse().ok())
+            .collect(),
+        values,
+    }
+}
+
+fn list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+}
+
+fn token(part: &str) -> Option<(Name, KeyHash)> {
+    let (name, hash) = part.split_once(':')?;
+    Some((Name::from(name), KeyHash::from_hex(hash)?))
+}
