--- /dev/null
+++ b/crates/pomeloridge_backend/src/engine.rs
@@ -0,0 +1,138 @@
+//! Text generation on a model engine.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing};
+
+use crate::BackendError;
+use crate::event_stream::EventStream;
+use crate::wire::{WireEvent, WireGenerate};
+
+/// A generation to be run.
+#[derive(Clone, Debug)]
+pub struct Generate {
+    /// Identifier that the engine echoes in every event.
+    pub id: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Texts of the tokens that the caller already has.
+    pub resume: Vec<String>,
+    /// Tokens of the whole generation at most.
+    pub max_tokens: u32,
+    /// Greater goes first.
+    pub priority: i32,
+}
+
+/// An event of a running generation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The next token.
+    Token {
+        /// Index in the whole generation, from 0.
+        index: u32,
+        /// Text.
+        text: String,
+    },
+    /// The end of the generation.
+    Done {
+        /// Tokens of the prompt.
+        prompt_tokens: u64,
+        /// Tokens made in this run.
+        output_tokens: u64,
+        /// Prompt tokens found in the engine's cache.
+        cached_tokens: u64,
+    },
+}
+
+/// A generation that runs on an engine; dropping it cancels the stream.
+pub struct Generation {
+    connection: Connection,
+    events: EventStream,
+    id: String,
+    next_index: u32,
+    last_index: u32,
+}
+
+impl Generation {
+    /// Sends the request and waits for the head of the answer.
+    pub async fn start(
+        address: SocketAddr,
+        request: &Generate,
+        connect: Duration,
+        deadline: Instant,
+    ) -> Result<Self, BackendError> {
+        let options = ConnectOptions {
+            timeout: connect,
+            ..ConnectOptions::default()
+        };
+        let mut connection = Connection::open(address, options).await?;
+        let body = WireGenerate {
+            request_id: &request.id,
+            prompt: &request.prompt,
+            resume: &request.resume,
+            max_tokens: request.max_tokens,
+            priority: request.priority,
+        };
+        let message = Outgoing::new(http::Method::POST, "/generate")
+            .with("x-request-id", &request.id)
+            .json(&body);
+        connection.send(&message, deadline).await?;
+        let head = connection.head(deadline).await?;
+        match head.status.as_u16() {
+            200 => {}
+            429 | 503 => return Err(BackendError::Refused),
+            400..500 => return Err(BackendError::Rejected),
+            _ => return Err(BackendError::Broken),
+        }
+        let echoed = head.headers.get("x-request-id");
+        if echoed.is_some_and(|id| id.as_bytes() != request.id.as_bytes()) {
+            return Err(BackendError::Crossed);
+        }
+        Ok(Self {
+            connection,
+            events: EventStream::default(),
+            id: request.id.clone(),
+            next_index: request.resume.len() as u32,
+            last_index: request.max_tokens,
+        })
+    }
+
+    /// Waits for the next event.
+    ///
+    /// A stream that ends without [`Event::Done`] is lost, never complete, and
+    /// an index other than the one expected is a broken answer.
+    pub async fn next(&mut self, deadline: Instant) -> Result<Event, BackendError> {
+        loop {
+            if let Some(data) = self.events.next() {
+                return self.read_event(&data);
+            }
+            match self.connection.next(deadline).await? {
+                Some(piece) => self.events.push(&piece)?,
+                None if self.events.is_partial() => return Err(BackendError::Broken),
+                None => return Err(BackendError::Lost),
+            }
+        }
+    }
+
+    fn read_event(&mut self, data: &[u8]) -> Result<Event, BackendError> {
+        let event: WireEvent = serde_json::from_slice(data).map_err(|_| BackendError::Broken)?;
+        if event.request_id != self.id {
+            return Err(BackendError::Crossed);
+        }
+        if event.done {
+            return Ok(Event::Done {
+                prompt_tokens: event.prompt_tokens,
+                output_tokens: event.output_tokens,
+                cached_tokens: event.cached_tokens,
+            });
+        }
+        match (event.index, event.text) {
+            (Some(index), Some(text)) if index == self.next_index && index < self.last_index => {
+                self.next_index += 1;
+                Ok(Event::Token { index, text })
+            }
+            _ => Err(BackendError::Broken),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_backend/src/error.rs
@@ -0,0 +1,54 @@
+//! What can go wrong with a backend server, by what it says of the request.
+
+use displaydoc::Display;
+use pomeloridge_base::http::Fault;
+
+/// A failed call to a backend server.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum BackendError {
+    /// the server could not be connected to; nothing was written
+    Connect,
+    /// the server refused the request before any work
+    Refused,
+    /// the connection was lost after the request had been written
+    Lost,
+    /// the server sent nothing until the deadline
+    Silent,
+    /// the answer belongs to another request
+    Crossed,
+    /// the answer is malformed
+    Broken,
+    /// the server rejected the request as wrong
+    Rejected,
+}
+
+impl BackendError {
+    /// Whether no work can have been done for the request.
+    pub fn not_run(self) -> bool {
+        match self {
+            Self::Connect | Self::Refused => true,
+            Self::Lost | Self::Silent | Self::Crossed | Self::Broken | Self::Rejected => false,
+        }
+    }
+
+    /// Whether the server itself seems to have gone.
+    pub fn server_gone(self) -> bool {
+        match self {
+            Self::Connect | Self::Lost | Self::Silent => true,
+            Self::Refused | Self::Crossed | Self::Broken | Self::Rejected => false,
+        }
+    }
+}
+
+impl std::error::Error for BackendError {}
+
+impl From<Fault> for BackendError {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::Connect(_) => Self::Connect,
+            Fault::Timeout => Self::Silent,
+            Fault::Closed | Fault::Io(_) => Self::Lost,
+            Fault::Malformed(_) | Fault::HeadTooLarge | Fault::BodyTooLarge => Self::Broken,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_backend/src/load.rs
@@ -0,0 +1,97 @@
+//! Load reports of backend servers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use pomeloridge_base::http::{Outgoing, call};
+use pomeloridge_base::id::{Epoch, Name};
+
+use crate::BackendError;
+use crate::wire::WireLoad;
+
+/// What an engine is set up for.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash)]
+pub enum Role {
+    /// Reads prompts faster, makes tokens slower.
+    #[display("prefill")]
+    Prefill,
+    /// Makes tokens faster, reads prompts slower.
+    #[display("decode")]
+    Decode,
+    /// Does both.
+    #[default]
+    #[display("mixed")]
+    Mixed,
+}
+
+impl Role {
+    /// Reads a role; `None` for a word that is none.
+    pub fn from_word(word: &str) -> Option<Self> {
+        match word {
+            "prefill" => Some(Self::Prefill),
+            "decode" => Some(Self::Decode),
+            "mixed" => Some(Self::Mixed),
+            _ => None,
+        }
+    }
+
+    /// The word for the role.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+            Self::Mixed => "mixed",
+        }
+    }
+}
+
+/// A load report; it lags behind the server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// When it was true, in ms since the Unix epoch on the server's clock.
+    pub at: u64,
+    /// Role of an engine.
+    pub role: Role,
+    /// Models that are loaded.
+    pub models: Vec<Name>,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Prompt tokens that wait.
+    pub prefill_tokens: u64,
+    /// Requests that can run at once.
+    pub slots: u32,
+    /// Whether the server is about to leave.
+    pub leaving: bool,
+    /// Greatest fencing number seen.
+    pub fence: Option<Epoch>,
+}
+
+impl From<WireLoad> for Load {
+    fn from(wire: WireLoad) -> Self {
+        let role = wire.role.as_deref().and_then(Role::from_word);
+        Self {
+            at: wire.at,
+            role: role.unwrap_or_default(),
+            models: wire.models,
+            running: wire.running,
+            queued: wire.queued,
+            prefill_tokens: wire.prefill_tokens,
+            slots: wire.slots,
+            leaving: wire.leaving,
+            fence: wire.fence,
+        }
+    }
+}
+
+/// Reads a server's load report.
+pub async fn read_load(address: SocketAddr, timeout: Duration) -> Result<Load, BackendError> {
+    let answer = call(address, &Outgoing::get("/load"), timeout).await?;
+    if answer.status.as_u16() != 200 {
+        return Err(BackendError::Broken);
+    }
+    let wire: WireLoad = serde_json::from_slice(&answer.body).map_err(|_| BackendError::Broken)?;
+    Ok(wire.into())
+}
--- /dev/null
+++ b/crates/pomeloridge_backend/src/service.rs
@@ -0,0 +1,93 @@
+//! Calls to plain services.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response};
+
+use crate::BackendError;
+
+/// Bytes that a service's answer may have.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Identifier that the service echoes.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub target: String,
+    /// Headers to pass on, without those that belong to one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Time until the head of the answer.
+    pub first_byte: Duration,
+    /// Time between two pieces of the answer.
+    pub gap: Duration,
+}
+
+/// Sends the call on a fresh connection and reads the whole answer.
+///
+/// A pooled connection may have been closed by its peer, and then nobody could
+/// say whether the call ran; a fresh one costs one round trip.
+pub async fn forward(
+    address: SocketAddr,
+    call: &Call,
+    connect: Duration,
+    deadline: Instant,
+) -> Result<Response, BackendError> {
+    let options = ConnectOptions {
+        timeout: connect,
+        ..ConnectOptions::default()
+    };
+    let mut connection = Connection::open(address, options).await?;
+    let mut message =
+        Outgoing::new(call.method.clone(), call.target.clone()).body(call.body.clone());
+    message.headers = call.headers.clone();
+    let message = message.with("x-request-id", &call.id);
+    let head_deadline = deadline.min(Instant::now() + call.first_byte);
+    connection.send(&message, head_deadline).await?;
+    let head = connection.head(head_deadline).await?;
+    if is_refusal(head.status.as_u16(), &head.headers) {
+        return Err(BackendError::Refused);
+    }
+    let echoed = head.headers.get("x-request-id");
+    if echoed.is_some_and(|id| id.as_bytes() != call.id.as_bytes()) {
+        return Err(BackendError::Crossed);
+    }
+    let body = read_body(&mut connection, call.gap, deadline).await?;
+    Ok(Response {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+async fn read_body(
+    connection: &mut Connection,
+    gap: Duration,
+    deadline: Instant,
+) -> Result<Bytes, BackendError> {
+    let mut body = bytes::BytesMut::new();
+    loop {
+        let piece = connection.next(deadline.min(Instant::now() + gap)).await?;
+        let Some(piece) = piece else {
+            return Ok(body.freeze());
+        };
+        body.extend_from_slice(&piece);
+        if body.len() > ANSWER_BYTES {
+            return Err(BackendError::Broken);
+        }
+    }
+}
+
+/// Whether the service says that it did no work.
+fn is_refusal(status: u16, headers: &HeaderMap) -> bool {
+    let not_run = headers.get("x-not-run").map(http::HeaderValue::as_bytes);
+    status == 429 || (status == 503 && not_run == Some(b"true"))
+}
--- /dev/null
+++ b/crates/pomeloridge_base/tests/support/mod.rs
@@ -0,0 +1,62 @@
+//! A server and raw clients on loopback in one runtime.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::net::TcpStream;
+use pomeloridge_base::http::{Fault, Limits, Request, Responder, Server};
+
+/// Runs a future on a runtime of its own.
+pub fn run<F: Future>(future: F) -> F::Output {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(future)
+}
+
+/// Limits small enough for tests to reach.
+pub fn small_limits() -> Limits {
+    Limits {
+        head_bytes: 1024,
+        body_bytes: 4096,
+        head_time: Duration::from_millis(300),
+        body_time: Duration::from_millis(300),
+        ..Limits::default()
+    }
+}
+
+/// Starts a server and gives its address.
+pub fn start<H>(limits: Limits, handler: H) -> SocketAddr
+where
+    H: AsyncFn(Result<Request, Fault>, &mut Responder) + 'static,
+{
+    let listener = pomeloridge_base::net::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Rc::new(Server {
+        limits,
+        handler,
+        stopping: || false,
+    });
+    monoio::spawn(server.run(listener));
+    address
+}
+
+/// Sends raw bytes and reads until the server closes or `enough` bytes came.
+pub async fn raw(address: SocketAddr, bytes: Vec<u8>, enough: usize) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let (result, _) = stream.write_all(bytes).await;
+    result.unwrap();
+    let mut text = Vec::new();
+    while text.len() < enough {
+        let (result, piece) = stream.read(Vec::with_capacity(4096)).await;
+        match result {
+            Ok(0) | Err(_) => break,
+            Ok(_) => text.extend_from_slice(&piece),
+        }
+    }
+    String::from_utf8(text).unwrap()
+}
