--- /dev/null
+++ b/crates/pomeloridge/src/args.rs
@@ -0,0 +1,33 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+
+/// Serves language models and booking services on a limited fleet.
+#[derive(Debug, Parser)]
+#[command(name = "pomeloridge", version)]
+pub(crate) struct Args {
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Runs a node until SIGTERM.
+    ///
+    /// The first line on standard output is a JSON object with the addresses
+    /// that the node listens on.
+    Serve {
+        /// INI file with the node's settings.
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// Checks a settings file without serving; exit code 2 if there are faults.
+    Check {
+        /// INI file with the node's settings.
+        #[arg(long)]
+        settings: PathBuf,
+    },
+}
--- /dev/null
+++ b/crates/pomeloridge/src/logging.rs
@@ -0,0 +1,98 @@
+//! Log lines by `log` and `fern`, written by a thread of their own.
+//!
+//! Writing may block, and one thread carries every request; lines go over a
+//! channel to a writer, which is flushed when the process ends.
+
+use std::io::Write;
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::LevelFilter;
+use pomeloridge_base::settings::Settings;
+
+/// Lines that may wait for the writer; beyond them lines are dropped, not waited for.
+const WAITING_LINES: usize = 16 * 1024;
+
+/// Ends the writer when dropped, after its last line.
+pub(crate) struct Writer {
+    lines: SyncSender<Option<String>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        let _ = self.lines.send(None);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts logging to standard error in the form that the settings name.
+pub(crate) fn start(settings: &Settings) -> Result<Writer, String> {
+    let (lines, waiting) = sync_channel::<Option<String>>(WAITING_LINES);
+    let thread = std::thread::spawn(move || {
+        let mut out = std::io::stderr().lock();
+        while let Ok(Some(line)) = waiting.recv() {
+            let _ = out.write_all(line.as_bytes());
+        }
+        let _ = out.flush();
+    });
+    let json = settings.text("log", "format") == "json";
+    let node = settings.name.to_string();
+    let sink = lines.clone();
+    fern::Dispatch::new()
+        .level(level(settings.text("log", "level")))
+        .chain(fern::Output::call(move |record| {
+            let line = if json {
+                json_line(&node, record)
+            } else {
+                text_line(&node, record)
+            };
+            // A full channel means that the writer can't keep up; the request
+            // path must not wait for it.
+            if let Err(TrySendError::Disconnected(_)) = sink.try_send(Some(line)) {}
+        }))
+        .apply()
+        .map_err(|error| error.to_string())?;
+    Ok(Writer {
+        lines,
+        thread: Some(thread),
+    })
+}
+
+fn level(word: &str) -> LevelFilter {
+    match word {
+        "error" => LevelFilter::Error,
+        "warn" => LevelFilter::Warn,
+        "debug" => LevelFilter::Debug,
+        _ => LevelFilter::Info,
+    }
+}
+
+fn unix_ms() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis()
+}
+
+fn text_line(node: &str, record: &log::Record<'_>) -> String {
+    format!(
+        "{} {} {node} {} {}\n",
+        unix_ms(),
+        record.level(),
+        record.target(),
+        record.args()
+    )
+}
+
+fn json_line(node: &str, record: &log::Record<'_>) -> String {
+    let line = serde_json::json!({
+        "at": unix_ms() as u64,
+        "level": record.level().as_str(),
+        "node": node,
+        "target": record.target(),
+        "message": record.args().to_string(),
+    });
+    format!("{line}\n")
+}
--- a/crates/pomeloridge/src/main.rs
+++ b/crates/pomeloridge/src/main.rs
@@ -1,2 +1,20 @@
-//! Placeholder.
-fn main() {}
+//! The one binary: a node, and the command line for operators.
+
+mod args;
+mod commands;
+mod logging;
+mod metrics;
+mod serve;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use args::{Args, Command};
+
+fn main() -> ExitCode {
+    match Args::parse().command {
+        Command::Serve { settings } => commands::serve::run(&settings),
+        Command::Check { settings } => commands::check::run(&settings),
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_standin/src/engine.rs
@@ -0,0 +1,281 @@
+//! A model engine: event streams at a set pace, a prefix cache, roles and orders.
+
+mod batch;
+mod cache;
+mod control;
+mod generate;
+mod orders;
+mod report;
+mod role;
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clap::{ArgAction, Args};
+use http::Method;
+use pomeloridge_base::clock::{SharedClock, SystemClock};
+use pomeloridge_base::http::{Fault, Request, Responder, Response};
+use serde_json::json;
+
+use crate::history::History;
+use crate::listen::{Refused, error, query_number, read_json, serve, unreadable};
+use crate::signal::Signal;
+use batch::{Batch, Rates};
+use cache::Cache;
+pub use cache::{BLOCK_BYTES, blocks};
+use control::Faults;
+use orders::{Action, OrderBody, OrderState, Orders, Taken};
+use report::Reports;
+use role::Role;
+
+/// Exit code of a crash that a test asked for.
+const CRASH_CODE: i32 = 70;
+/// Time between two steps of the batch.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Command line of the engine.
+#[derive(Clone, Debug, Args)]
+pub struct EngineArgs {
+    /// Address to listen on; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Name in logs and histories.
+    #[arg(long, default_value = "engine")]
+    pub id: String,
+    /// Model that is loaded.
+    #[arg(long, default_value = "model")]
+    pub model: String,
+    /// Prompt tokens a second.
+    #[arg(long, default_value_t = 4000.0)]
+    pub prefill_rate: f64,
+    /// Output tokens a second of all streams together.
+    #[arg(long, default_value_t = 400.0)]
+    pub decode_rate: f64,
+    /// Output tokens a second of one stream at most.
+    #[arg(long, default_value_t = 40.0)]
+    pub stream_rate: f64,
+    /// Streams that run at once.
+    #[arg(long, default_value_t = 16)]
+    pub slots: usize,
+    /// Streams that wait for a slot; further ones are refused with 429.
+    #[arg(long, default_value_t = 16)]
+    pub queue: usize,
+    /// Tokens that the key-value cache can hold.
+    #[arg(long, default_value_t = 200_000)]
+    pub kv_total: u64,
+    /// Time by which load reports and cache events lag, in ms.
+    #[arg(long, default_value_t = 0)]
+    pub report_lag_ms: u64,
+    /// Whether orders with an old fencing number are refused.
+    #[arg(long, default_value_t = true, action = ArgAction::Set)]
+    pub checks_fence: bool,
+    /// Role at the start.
+    #[arg(long, value_enum, default_value_t)]
+    pub role: Role,
+    /// Time that a change of role or the loading of a model takes, in ms.
+    #[arg(long, default_value_t = 2000)]
+    pub role_change_ms: u64,
+    /// Blocks that the prefix cache can hold.
+    #[arg(long, default_value_t = 1024)]
+    pub cache_blocks: usize,
+    /// Factor by which all durations are divided.
+    #[arg(long, default_value_t = 1.0)]
+    pub time_scale: f64,
+    /// File to which the history is appended too; it outlives a crash.
+    #[arg(long)]
+    pub history: Option<PathBuf>,
+}
+
+pub(crate) struct Engine {
+    args: EngineArgs,
+    clock: SharedClock,
+    history: History,
+    batch: RefCell<Batch>,
+    cache: RefCell<Cache>,
+    orders: RefCell<Orders>,
+    faults: RefCell<Faults>,
+    reports: RefCell<Reports>,
+    wake: Signal,
+}
+
+/// Serves the engine.
+pub(crate) async fn run(args: EngineArgs) -> io::Result<()> {
+    if !(args.time_scale.is_finite() && args.time_scale > 0.0) {
+        return Err(io::Error::other("--time-scale is not a positive number"));
+    }
+    let clock: SharedClock = Rc::new(SystemClock);
+    let orders = Orders::new(args.checks_fence, args.role, vec![args.model.clone()]);
+    let engine = Rc::new(Engine {
+        history: History::new(Rc::clone(&clock), args.history.as_deref())?,
+        clock,
+        batch: RefCell::new(Batch::new(args.slots, args.queue)),
+        cache: RefCell::new(Cache::new(args.cache_blocks)),
+        orders: RefCell::new(orders),
+        faults: RefCell::default(),
+        reports: RefCell::default(),
+        wake: Signal::default(),
+        args,
+    });
+    monoio::spawn(Rc::clone(&engine).tick());
+    monoio::spawn(Rc::clone(&engine).sample());
+    let listen = engine.args.listen;
+    serve(listen, async move |request, responder: &mut Responder| {
+        if let Err(fault) = engine.handle(request, responder).await {
+            log::debug!("an answer could not be written: {fault}");
+        }
+    })
+    .await
+}
+
+impl Engine {
+    async fn handle(
+        self: &Rc<Self>,
+        request: Result<Request, Fault>,
+        responder: &mut Responder,
+    ) -> Result<(), Fault> {
+        let request = match request {
+            Ok(request) => request,
+            Err(fault) => return responder.send(unreadable(&fault)).await,
+        };
+        match (&request.method, request.path()) {
+            (&Method::GET, "/history") => return responder.send(self.history.answer()).await,
+            (&Method::POST, "/control") => {
+                let answer = control::control(self, &request);
+                return responder.send(answer.unwrap_or_else(Response::from)).await;
+            }
+            _ => {}
+        }
+        if self.faults.borrow().silent {
+            responder.gone().await;
+            return Ok(());
+        }
+        let answer = match (&request.method, request.path()) {
+            (&Method::POST, "/generate") => {
+                return generate::generate(self, &request, responder).await;
+            }
+            (&Method::GET, "/load") => Ok(self.load()),
+            (&Method::GET, "/state") => Ok(self.state()),
+            (&Method::GET, "/events") => self.events(&request),
+            (&Method::POST, "/orders") => self.order(&request),
+            _ => Err(error(404, "no such call").into()),
+        };
+        responder.send(answer.unwrap_or_else(Response::from)).await
+    }
+
+    /// Advances the batch for as long as there is work.
+    async fn tick(self: Rc<Self>) {
+        loop {
+            let seen = self.wake.count();
+            if self.batch.borrow().is_idle() {
+                self.wake.wait(seen).await;
+            }
+            let before = self.clock.now();
+            monoio::time::sleep(TICK).await;
+            let passed = self.clock.now().saturating_duration_since(before);
+            let passed = passed.mul_f64(self.args.time_scale);
+            let made = self.batch.borrow_mut().advance(passed, self.rates());
+            self.count_to_crash(made as u64);
+        }
+    }
+
+    fn rates(&self) -> Rates {
+        let role = self.orders.borrow().role;
+        Rates {
+            prefill: self.args.prefill_rate * role.prefill_factor(),
+            decode: self.args.decode_rate * role.decode_factor(),
+            stream: self.args.stream_rate,
+        }
+    }
+
+    fn count_to_crash(&self, made: u64) {
+        let mut faults = self.faults.borrow_mut();
+        let Some(left) = faults.crash_after_tokens else {
+            return;
+        };
+        if made >= left {
+            self.crash("crash_after_tokens");
+        }
+        faults.crash_after_tokens = Some(left - made);
+    }
+
+    /// Ends the process at once, as a crash would.
+    fn crash(&self, why: &str) -> ! {
+        let running = self.batch.borrow().counts().running;
+        let fields = json!({ "why": why, "running": running });
+        self.history.record("crashed", fields);
+        std::process::exit(CRASH_CODE)
+    }
+
+    fn scaled(&self, ms: u64) -> Duration {
+        Duration::from_millis(ms).div_f64(self.args.time_scale)
+    }
+
+    fn state(&self) -> Response {
+        let orders = self.orders.borrow();
+        let state = json!({
+            "role": orders.role,
+            "models": orders.models,
+            "order": orders.running(),
+            "fence": orders.fence,
+        });
+        Response::json(200, &state)
+    }
+
+    fn events(&self, request: &Request) -> Result<Response, Refused> {
+        let after = query_number(request, "after")?.unwrap_or(0);
+        let lag = self.scaled(self.args.report_lag_ms).as_millis() as u64;
+        let until = self.clock.unix_ms().saturating_sub(lag);
+        let cache = self.cache.borrow();
+        let (next, events) = cache.events(after, until);
+        let body = json!({ "next": next, "events": events });
+        Ok(Response::json(200, &body))
+    }
+
+    fn order(self: &Rc<Self>, request: &Request) -> Result<Response, Refused> {
+        let order: OrderBody = read_json(request)?;
+        let taken = self.orders.borrow_mut().take(&order);
+        let mut fields = json!(order);
+        fields["engine"] = json!(self.args.id);
+        fields["applied"] = json!(taken == Taken::New);
+        fields["refused"] = json!(!matches!(taken, Taken::New | Taken::Repeated(_)));
+        self.history.record("order", fields);
+        let id = order.order_id.clone();
+        let (repeated, state) = match taken {
+            Taken::New => {
+                monoio::spawn(Rc::clone(self).carry_out(order));
+                (false, OrderState::Running)
+            }
+            Taken::Repeated(state) => (true, state),
+            Taken::Stale(fence) => {
+                return Err(Response::json(409, &json!({ "fence": fence })).into());
+            }
+            Taken::Busy(other) => return Err(Response::json(409, &json!({ "busy": other })).into()),
+            Taken::Incomplete => return Err(error(400, "the order lacks its role or model").into()),
+        };
+        let body = json!({ "order_id": id, "repeated": repeated, "state": state });
+        Ok(Response::json(200, &body))
+    }
+
+    /// Carries an order out; a role change waits for the streams that run.
+    async fn carry_out(self: Rc<Self>, order: OrderBody) {
+        let same_role = order.role == Some(self.orders.borrow().role);
+        match order.action {
+            Action::Role if !same_role => {
+                self.orders.borrow_mut().away = true;
+                while !self.batch.borrow().is_idle() {
+                    monoio::time::sleep(TICK).await;
+                }
+                monoio::time::sleep(self.scaled(self.args.role_change_ms)).await;
+            }
+            Action::Load => monoio::time::sleep(self.scaled(self.args.role_change_ms)).await,
+            Action::Role | Action::Drain | Action::ResumeService => {}
+        }
+        self.orders.borrow_mut().finish(&order);
+        let fields = json!({ "order_id": order.order_id, "fence": order.fence });
+        self.history.record("order_done", fields);
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_standin/src/platform.rs
@@ -0,0 +1,214 @@
+//! The platform: versioned objects, VMs, backend servers, orders and usage.
+
+mod calls;
+mod control;
+mod objects;
+mod orders;
+mod servers;
+mod usage;
+mod vms;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use clap::Args;
+use http::Method;
+use pomeloridge_base::clock::{SharedClock, SystemClock};
+use pomeloridge_base::http::{Fault, Request, Responder, Response};
+use serde_json::json;
+
+use crate::history::History;
+use crate::listen::{error, serve, take_one, unreadable};
+use crate::signal::Signal;
+use calls::Call;
+
+/// Command line of the platform.
+#[derive(Clone, Debug, Args)]
+pub struct PlatformArgs {
+    /// Address to listen on; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Time from an order to a ready backend server, in ms.
+    #[arg(long, default_value_t = 1000)]
+    pub delivery_ms: u64,
+    /// Time from a release to the backend server's end, in ms.
+    #[arg(long, default_value_t = 1000)]
+    pub release_ms: u64,
+    /// Time from the reclaim of a data centre to the end of its cheap servers, in ms.
+    #[arg(long, default_value_t = 1000)]
+    pub reclaim_ms: u64,
+    /// Time by which the list of VMs lags, in ms.
+    #[arg(long, default_value_t = 0)]
+    pub vms_lag_ms: u64,
+    /// Addresses for ordered backend servers: `POOL=IP:PORT,...`; may be repeated.
+    #[arg(long = "spare", value_parser = parse_spare)]
+    pub spares: Vec<(String, Vec<String>)>,
+    /// File to which the history is appended too.
+    #[arg(long)]
+    pub history: Option<PathBuf>,
+}
+
+fn parse_spare(text: &str) -> Result<(String, Vec<String>), String> {
+    let (pool, list) = text.split_once('=').ok_or("write POOL=IP:PORT,...")?;
+    Ok((
+        pool.to_owned(),
+        list.split(',').map(str::to_owned).collect(),
+    ))
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: objects::Objects,
+    servers: servers::Servers,
+    orders: orders::Orders,
+    usage: usage::Usage,
+    vms: vms::Vms,
+    faults: control::Faults,
+    calls: BTreeMap<&'static str, u64>,
+}
+
+struct Platform {
+    args: PlatformArgs,
+    clock: SharedClock,
+    history: History,
+    state: RefCell<State>,
+    changed: Signal,
+}
+
+/// Serves the platform.
+pub(crate) async fn run(args: PlatformArgs) -> io::Result<()> {
+    let clock: SharedClock = Rc::new(SystemClock);
+    let history = History::new(Rc::clone(&clock), args.history.as_deref())?;
+    let mut state = State::default();
+    let mut spares = BTreeMap::<String, Vec<String>>::new();
+    for (pool, list) in &args.spares {
+        spares.entry(pool.clone()).or_default().extend(list.clone());
+    }
+    state.servers.set_spares(spares);
+    let platform = Platform {
+        clock,
+        history,
+        state: RefCell::new(state),
+        changed: Signal::default(),
+        args,
+    };
+    let listen = platform.args.listen;
+    serve(listen, async move |request, responder: &mut Responder| {
+        platform.handle(request, responder).await;
+    })
+    .await
+}
+
+impl Platform {
+    async fn handle(&self, request: Result<Request, Fault>, responder: &mut Responder) {
+        let response = match request {
+            Ok(request) => self.answer(&request, responder).await,
+            Err(fault) => Some(unreadable(&fault)),
+        };
+        // Without an answer the server closes the connection.
+        if let Some(response) = response
+            && let Err(fault) = responder.send(response).await
+        {
+            log::debug!("an answer could not be written: {fault}");
+        }
+    }
+
+    async fn answer(&self, request: &Request, responder: &mut Responder) -> Option<Response> {
+        match (&request.method, request.path()) {
+            (&Method::GET, "/history") => return Some(self.history.answer()),
+            (&Method::GET, "/calls") => return Some(self.calls()),
+            (&Method::POST, "/control") => {
+                return Some(control::control(self, request).unwrap_or_else(Response::from));
+            }
+            _ => {}
+        }
+        let Some(call) = Call::of(request) else {
+            return Some(error(404, "no such call"));
+        };
+        self.counted(&call, request, responder).await
+    }
+
+    /// Answers a call that is counted and that failures apply to.
+    async fn counted(
+        &self,
+        call: &Call,
+        request: &Request,
+        responder: &mut Responder,
+    ) -> Option<Response> {
+        let arrived = self.clock.unix_ms();
+        *self
+            .state
+            .borrow_mut()
+            .calls
+            .entry(call.name())
+            .or_default() += 1;
+        let slow_ms = self.state.borrow().faults.slow_ms;
+        if slow_ms > 0 {
+            monoio::time::sleep(Duration::from_millis(slow_ms)).await;
+        }
+        let outage = self.state.borrow().faults.outage;
+        let response = if outage {
+            error(503, "outage")
+        } else {
+            let answer = calls::answer(self, call, request, responder).await?;
+            answer.unwrap_or_else(Response::from)
+        };
+        if !call.is_write() {
+            return Some(response);
+        }
+        let lost = response.status.is_success() && self.loses_answer();
+        self.record(call, request, &response, arrived, lost);
+        (!lost).then_some(response)
+    }
+
+    fn record(
+        &self,
+        call: &Call,
+        request: &Request,
+        response: &Response,
+        arrived: u64,
+        lost: bool,
+    ) {
+        let mut fields = call.shown(request);
+        fields["status"] = json!(response.status.as_u16());
+        fields["lost"] = json!(lost);
+        fields["effect_at"] = json!(self.clock.unix_ms());
+        if let Ok(answer) = serde_json::from_slice(&response.body) {
+            fields["answer"] = answer;
+        }
+        self.history.record_at(arrived, call.name(), fields);
+    }
+
+    fn loses_answer(&self) -> bool {
+        take_one(&mut self.state.borrow_mut().faults.lose_answers)
+    }
+
+    fn calls(&self) -> Response {
+        let state = self.state.borrow();
+        let total: u64 = state.calls.values().sum();
+        let mut calls = json!(state.calls);
+        calls["total"] = json!(total);
+        Response::json(200, &calls)
+    }
+
+    fn terms(&self) -> orders::Terms {
+        orders::Terms {
+            delivery_ms: self.args.delivery_ms,
+            release_ms: self.args.release_ms,
+        }
+    }
+
+    /// Brings servers and waiting orders up to now.
+    fn settle(&self) {
+        let now = self.clock.unix_ms();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        state.servers.settle(now);
+        state.orders.deliver(&mut state.servers, self.terms(), now);
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_standin/tests/blocks.rs
@@ -0,0 +1,27 @@
+//! Block hashes of prompts, by which readers match cache events.
+
+use pomeloridge_standin::{BLOCK_BYTES, blocks};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn prompts_share_blocks_exactly_as_far_as_they_are_equal(
+        start in "[ab]{0,700}",
+        one in "[ab]{0,700}",
+        other in "[ab]{0,700}",
+    ) {
+        let one = format!("{start}{one}");
+        let other = format!("{start}{other}");
+        let equal = one.bytes().zip(other.bytes()).take_while(|(a, b)| a == b).count();
+        let (one, other) = (blocks(&one), blocks(&other));
+        let shared = one.iter().zip(&other).take_while(|(a, b)| a == b).count();
+        prop_assert_eq!(shared, equal / BLOCK_BYTES);
+    }
+}
