--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -1,5 +1,6 @@
 //! The server's side: one task a connection, one request at a time.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -41,20 +42,35 @@
     H: AsyncFn(Result<Request, Fault>, &mut Responder) + 'static,
     S: Fn() -> bool + 'static,
 {
-    /// Accepts connections until the listener fails or the task is dropped.
+    /// Accepts connections until the server is stopping, and returns once every
+    /// connection has ended.
+    ///
+    /// Connections that the kernel has accepted already are still served: closing
+    /// the listener under them would cut their requests.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        let open = Rc::new(Cell::new(0_usize));
         loop {
-            match crate::net::accept(&listener).await {
-                Ok((stream, peer)) => {
+            match monoio::time::timeout(STOP_CHECK, crate::net::accept(&listener)).await {
+                Ok(Ok((stream, peer))) => {
                     let server = Rc::clone(&self);
-                    monoio::spawn(async move { server.connection(stream, peer).await });
+                    let guard = OpenConnection::new(&open);
+                    monoio::spawn(async move {
+                        server.connection(stream, peer).await;
+                        drop(guard);
+                    });
                 }
-                Err(error) => {
+                Ok(Err(error)) => {
                     log::warn!("accepting a connection failed: {error}");
                     monoio::time::sleep(STOP_CHECK).await;
                 }
+                Err(_) if (self.stopping)() => break,
+                Err(_) => {}
             }
         }
+        drop(listener);
+        while open.get() > 0 {
+            monoio::time::sleep(STOP_CHECK).await;
+        }
     }
 
     /// Serves one connection to its end.
@@ -136,6 +152,22 @@
     }
 }
 
+/// Counts a connection until it is dropped.
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 fn asks_to_close(head: &RequestHead) -> bool {
     let close = |value: &http::HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
     head.version != Version::HTTP_11 || head.headers.get(CONNECTION).is_some_and(close)
--- a/crates/pomeloridge_base/src/lib.rs
+++ b/crates/pomeloridge_base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod http;
 pub mod id;
+pub mod meter;
 pub mod net;
 pub mod secret;
 pub mod settings;
--- /dev/null
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -0,0 +1,99 @@
+//! What a node counts and times; the binary hands both to the metrics library.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+macro_rules! metrics {
+    ($(#[doc = $doc:literal])* $kind:ident { $($name:ident: $text:literal, $what:literal;)* }) => {
+        $(#[doc = $doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum $kind {
+            $(#[doc = $what] $name,)*
+        }
+
+        impl $kind {
+            /// Every one, in the order of the list.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Name for the metrics library.
+            pub fn name(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+
+            /// What it says.
+            pub fn what(self) -> &'static str {
+                match self { $(Self::$name => $what,)* }
+            }
+        }
+    };
+}
+
+metrics! {
+    /// Something that is counted.
+    Counter {
+        Requests: "pomeloridge_requests", "Requests that reached this node.";
+        Answered: "pomeloridge_answered", "Requests answered whole.";
+        Refused: "pomeloridge_refused", "Requests refused as not run.";
+        Failed: "pomeloridge_failed", "Requests that ended in an error after they were sent.";
+        Cancelled: "pomeloridge_cancelled", "Requests whose caller went away.";
+        Retries: "pomeloridge_retries", "Attempts after the first one.";
+        Resumed: "pomeloridge_resumed", "Generations continued on another engine.";
+        Tokens: "pomeloridge_output_tokens", "Output tokens sent to callers.";
+        Ejections: "pomeloridge_ejections", "Backend servers taken out of routing after a failure.";
+        RoleChanges: "pomeloridge_role_changes", "Role changes ordered.";
+        ServerOrders: "pomeloridge_server_orders", "Orders for backend servers given to the platform.";
+        Unreplicated: "pomeloridge_usage_unreplicated", "Usage lines that no peer acknowledged in time.";
+    }
+}
+
+metrics! {
+    /// Something that is timed.
+    Timer {
+        FirstToken: "pomeloridge_first_token_seconds", "Time from a request's arrival to its first token.";
+        Gap: "pomeloridge_token_gap_seconds", "Time between two tokens of a stream.";
+        Wait: "pomeloridge_admission_wait_seconds", "Time a request waited for its turn.";
+    }
+}
+
+type Count = dyn Fn(Counter, u64);
+type Time = dyn Fn(Timer, Duration);
+
+/// Where counts and times go.
+#[derive(Clone)]
+pub struct Meter {
+    count: Rc<Count>,
+    time: Rc<Time>,
+}
+
+impl Meter {
+    /// A meter that hands everything to two closures.
+    pub fn new(
+        count: impl Fn(Counter, u64) + 'static,
+        time: impl Fn(Timer, Duration) + 'static,
+    ) -> Self {
+        Self {
+            count: Rc::new(count),
+            time: Rc::new(time),
+        }
+    }
+
+    /// A meter that keeps nothing.
+    pub fn none() -> Self {
+        Self::new(|_, _| {}, |_, _| {})
+    }
+
+    /// Counts one.
+    pub fn one(&self, counter: Counter) {
+        (self.count)(counter, 1);
+    }
+
+    /// Counts several.
+    pub fn add(&self, counter: Counter, by: u64) {
+        (self.count)(counter, by);
+    }
+
+    /// Records a time.
+    pub fn time(&self, timer: Timer, time: Duration) {
+        (self.time)(timer, time);
+    }
+}
