--- /dev/null
+++ b/crates/pomeloridge_policy/src/counter.rs
@@ -0,0 +1,128 @@
+//! Virtual token counters: how much service each client account has had.
+//!
+//! A counter holds tokens divided by weight. The account with the least counter
+//! is served next. The floor is the counter of the account served last; an
+//! account that returns starts there, so that being idle earns no credit.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+
+/// Virtual tokens over the floor that are held against a returning account.
+///
+/// Service taken while nobody else wanted it should not be paid back for long.
+pub const DEBT_LIMIT: f64 = 100_000.0;
+/// Accounts after which those that hold nothing over the floor are forgotten.
+const ACCOUNTS_KEPT: usize = 65_536;
+
+/// The counters of one pool.
+#[derive(Debug, Default)]
+pub struct Counters {
+    accounts: HashMap<Name, Counter>,
+    floor: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Counter {
+    /// Virtual tokens, raised to the floor on return.
+    value: f64,
+    /// Virtual tokens expected of requests in flight.
+    reserved: f64,
+    /// Virtual tokens served by this node since its start.
+    served: f64,
+    /// When `served` last changed.
+    changed: Option<Instant>,
+    /// Requests that wait or run.
+    active: u32,
+}
+
+impl Counters {
+    /// The counter that an account is ordered by.
+    pub fn value(&self, account: &Name) -> f64 {
+        let counter = self.accounts.get(account);
+        counter.map_or(self.floor, |counter| counter.value + counter.reserved)
+    }
+
+    /// The counter at which a returning account starts.
+    pub fn floor(&self) -> f64 {
+        self.floor
+    }
+
+    /// Notes a request that arrives; `returns` if the account had none waiting.
+    pub(crate) fn enter(&mut self, account: &Name, returns: bool) {
+        self.make_room();
+        let floor = self.floor;
+        let counter = self.entry(account);
+        counter.active += 1;
+        if returns {
+            let low = floor - counter.reserved;
+            counter.value = counter.value.clamp(low, low + DEBT_LIMIT);
+        }
+    }
+
+    /// Notes that a request has ended or was never run.
+    pub(crate) fn leave(&mut self, account: &Name) {
+        if let Some(counter) = self.accounts.get_mut(account) {
+            counter.active = counter.active.saturating_sub(1);
+        }
+    }
+
+    /// Raises the floor to the account that is served next.
+    pub(crate) fn serve(&mut self, account: &Name) {
+        self.floor = self.floor.max(self.value(account));
+    }
+
+    /// Adds service by this node.
+    pub(crate) fn charge(&mut self, account: &Name, tokens: f64, now: Instant) {
+        let counter = self.entry(account);
+        counter.value += tokens;
+        counter.served += tokens;
+        counter.changed = Some(now);
+    }
+
+    /// Adds to what requests in flight are expected to use; negative to take back.
+    pub(crate) fn reserve(&mut self, account: &Name, tokens: f64) {
+        let counter = self.entry(account);
+        counter.reserved = (counter.reserved + tokens).max(0.0);
+    }
+
+    /// Adds service by a peer.
+    pub(crate) fn add(&mut self, account: &Name, tokens: f64) {
+        self.make_room();
+        self.entry(account).value += tokens;
+    }
+
+    /// Virtual tokens served by this node, of accounts served within a time.
+    pub(crate) fn served(
+        &self,
+        within: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = (&Name, f64)> {
+        let recent = move |at: Instant| now.saturating_duration_since(at) <= within;
+        let changed = move |counter: &Counter| counter.changed.is_some_and(recent);
+        let accounts = self.accounts.iter();
+        accounts
+            .filter(move |(_, counter)| changed(counter))
+            .map(|(name, c)| (name, c.served))
+    }
+
+    fn entry(&mut self, account: &Name) -> &mut Counter {
+        let floor = self.floor;
+        self.accounts.entry(account.clone()).or_insert(Counter {
+            value: floor,
+            reserved: 0.0,
+            served: 0.0,
+            changed: None,
+            active: 0,
+        })
+    }
+
+    fn make_room(&mut self) {
+        if self.accounts.len() >= ACCOUNTS_KEPT {
+            let floor = self.floor;
+            self.accounts
+                .retain(|_, counter| counter.active > 0 || counter.value > floor);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/src/fleet.rs
@@ -0,0 +1,227 @@
+//! The node's view of all backend servers: the platform's list joined with load
+//! reports, requests in flight, peers' shares and failures seen.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+use slotmap::SlotMap;
+
+use crate::eject::{PROBE_FIRST, ZoneFailures};
+use crate::load::{Expected, Rates};
+use crate::server::{Dispatch, DispatchKey, LoadReport, Role, Server, ServerInfo, ServerKey};
+
+/// What the view needs to know of its node.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Data centre of this node.
+    pub data_centre: Name,
+    /// Pause before an ejected server's first probe.
+    pub probe: Duration,
+    /// Whether failures seen by this node eject servers.
+    pub care: bool,
+}
+
+impl FleetSettings {
+    /// The default settings in a data centre.
+    pub fn new(data_centre: Name) -> Self {
+        Self {
+            data_centre,
+            probe: PROBE_FIRST,
+            care: true,
+        }
+    }
+}
+
+/// The view of all backend servers.
+#[derive(Debug)]
+pub struct Fleet {
+    settings: FleetSettings,
+    pub(crate) servers: SlotMap<ServerKey, Server>,
+    pub(crate) ids: HashMap<Name, ServerKey>,
+    pools: HashMap<Name, Vec<ServerKey>>,
+    pub(crate) dispatches: SlotMap<DispatchKey, Dispatch>,
+    zones: HashMap<Name, ZoneFailures>,
+    drained: HashSet<Name>,
+    expected: HashMap<Name, Expected>,
+}
+
+impl Fleet {
+    /// A view without servers.
+    pub fn new(settings: FleetSettings) -> Self {
+        Self {
+            settings,
+            servers: SlotMap::with_key(),
+            ids: HashMap::new(),
+            pools: HashMap::new(),
+            dispatches: SlotMap::with_key(),
+            zones: HashMap::new(),
+            drained: HashSet::new(),
+            expected: HashMap::new(),
+        }
+    }
+
+    /// Sets the speeds expected of a pool's servers that are added from now on.
+    pub fn expect(&mut self, pool: Name, expected: Expected) {
+        self.expected.insert(pool, expected);
+    }
+
+    /// Sets the servers that operators' exceptions drain.
+    pub fn drain(&mut self, targets: impl IntoIterator<Item = Name>) {
+        self.drained = targets.into_iter().collect();
+        for server in self.servers.values_mut() {
+            server.drained = self.drained.contains(&server.info.id);
+        }
+    }
+
+    /// Applies the platform's list; returns the keys of servers that are gone.
+    ///
+    /// A known server keeps its state unless its address or pool changed: then
+    /// it is another process.
+    pub fn sync(&mut self, list: Vec<ServerInfo>) -> Vec<ServerKey> {
+        let mut listed = HashMap::new();
+        for info in list {
+            let id = info.id.clone();
+            let key = self.upsert(info);
+            listed.insert(id, key);
+        }
+        self.ids = listed;
+        let is_gone =
+            |(key, server): &(ServerKey, &Server)| self.ids.get(&server.info.id) != Some(key);
+        let gone = self.servers.iter().filter(is_gone);
+        let gone: Vec<ServerKey> = gone.map(|(key, _)| key).collect();
+        for key in &gone {
+            self.servers.remove(*key);
+        }
+        self.index_pools();
+        self.settle_zones();
+        gone
+    }
+
+    /// Updates a server that is still the same process, or adds one.
+    fn upsert(&mut self, info: ServerInfo) -> ServerKey {
+        let key = self.ids.get(&info.id).copied();
+        if let Some(key) = key
+            && let Some(server) = self.servers.get_mut(key)
+            && server.info.address == info.address
+            && server.info.pool == info.pool
+        {
+            server.info = info;
+            return key;
+        }
+        let expected = self.expected.get(&info.pool).copied().unwrap_or_default();
+        let mut server = Server::new(info, Rates::new(expected, Role::Mixed));
+        server.drained = self.drained.contains(&server.info.id);
+        self.servers.insert(server)
+    }
+
+    /// Ends the caution with data centres where no ejected server is left to probe.
+    fn settle_zones(&mut self) {
+        let ejected = self.servers.values().filter(|s| s.ejection.is_ejected());
+        let troubled: HashSet<&Name> = ejected.map(|s| &s.info.data_centre).collect();
+        self.zones
+            .retain(|data_centre, _| troubled.contains(data_centre));
+    }
+
+    fn index_pools(&mut self) {
+        self.pools.clear();
+        let mut servers: Vec<_> = self.servers.iter().collect();
+        servers.sort_by(|(_, a), (_, b)| a.info.id.cmp(&b.info.id));
+        for (key, server) in servers {
+            let pool = self.pools.entry(server.info.pool.clone()).or_default();
+            pool.push(key);
+        }
+    }
+
+    /// The settings of the view.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.settings
+    }
+
+    /// One server.
+    pub fn server(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// The key of a listed server.
+    pub fn key_of(&self, id: &Name) -> Option<ServerKey> {
+        self.ids.get(id).copied()
+    }
+
+    /// Every server.
+    pub fn servers(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter()
+    }
+
+    /// The servers of a pool, in the order of their ids.
+    pub fn pool(&self, pool: &Name) -> &[ServerKey] {
+        self.pools.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes a load report unless a newer one is known; says whether it was taken.
+    pub fn report(&mut self, key: ServerKey, report: LoadReport, now: Instant) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        let at = report.at.min(now);
+        if server.report.as_ref().is_some_and(|known| known.at > at) {
+            return false;
+        }
+        server.ended.retain(|ended| ended.at > at);
+        server.rates.set_role(report.role);
+        server.report = Some(LoadReport { at, ..report });
+        true
+    }
+
+    /// Ejects a server that could not be reached.
+    ///
+    /// Returns whether its data centre became suspect by this failure.
+    pub fn fail(&mut self, key: ServerKey, now: Instant) -> bool {
+        if !self.settings.care {
+            return false;
+        }
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        let id = &server.info.id;
+        if server.ejection.eject(self.settings.probe, now) {
+            log::info!("decision=eject server={id} reason=unreachable");
+        }
+        let data_centre = &server.info.data_centre;
+        let zone = self.zones.entry(data_centre.clone()).or_default();
+        let became = zone.fail(key, now);
+        if became {
+            log::info!("decision=cheap_last data_centre={data_centre} reason=several_unreachable");
+        }
+        became
+    }
+
+    /// Takes a server back that was reached; says whether it had been ejected.
+    pub fn succeed(&mut self, key: ServerKey) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        if !server.ejection.clear() {
+            return false;
+        }
+        log::info!("decision=restore server={} reason=reached", server.info.id);
+        if let Some(zone) = self.zones.get_mut(&server.info.data_centre) {
+            zone.clear();
+        }
+        true
+    }
+
+    /// The ejected servers that are to be probed now; the next call returns
+    /// each of them after a longer pause.
+    pub fn due_probes(&mut self, now: Instant) -> Vec<ServerKey> {
+        let servers = self.servers.iter_mut();
+        let due = servers.filter_map(|(key, server)| server.ejection.probe(now).then_some(key));
+        due.collect()
+    }
+
+    /// Whether several servers of a data centre failed and none was reached since.
+    pub fn is_suspect(&self, data_centre: &Name) -> bool {
+        let zone = self.zones.get(data_centre);
+        zone.is_some_and(ZoneFailures::is_suspect)
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/src/suspicion.rs
@@ -0,0 +1,229 @@
+//! Requests that may have crashed an engine.
+//!
+//! When an engine is lost, each request in flight there becomes a suspect. A
+//! suspect runs again alone on an engine: an innocent one is cleared by its
+//! answer, and one that loses a second engine alone is quarantined for a time.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use pomeloridge_base::id::Name;
+use sha2::{Digest, Sha256};
+
+/// Time after which a suspicion ends by itself.
+pub const SUSPECT_TTL: Duration = Duration::from_mins(2);
+/// Time for which a request is quarantined.
+pub const QUARANTINE_TTL: Duration = Duration::from_mins(10);
+/// Difference of age below which a peer's entry is the one already known.
+const MERGE_SLACK: Duration = Duration::from_secs(1);
+/// Entries kept; the oldest go first.
+const ENTRIES_KEPT: usize = 4096;
+
+/// What makes two requests the same: account, route and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(pub [u8; 32]);
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(account: &Name, route: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [account.as_bytes(), route.as_bytes(), body] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self(hash.finalize().into())
+    }
+}
+
+/// What is thought of a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Standing {
+    /// It was answered after it had been a suspect.
+    #[display("cleared")]
+    Cleared,
+    /// An engine was lost while it ran there.
+    #[display("suspect")]
+    Suspect,
+    /// A second engine was lost while it ran there alone.
+    #[display("quarantined")]
+    Quarantined,
+}
+
+/// How a request may be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Treatment {
+    /// Like any other.
+    Normal,
+    /// Alone on an engine.
+    Alone,
+    /// Not at all, for this time.
+    Refuse(Duration),
+}
+
+/// An entry as it is told to peers; ages need no common clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedSuspicion {
+    /// Request.
+    pub fingerprint: Fingerprint,
+    /// What is thought of it.
+    pub standing: Standing,
+    /// Time since that was found.
+    pub age: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    standing: Standing,
+    at: Instant,
+}
+
+impl Entry {
+    fn ttl(self) -> Duration {
+        match self.standing {
+            Standing::Cleared | Standing::Suspect => SUSPECT_TTL,
+            Standing::Quarantined => QUARANTINE_TTL,
+        }
+    }
+
+    fn left(self, now: Instant) -> Duration {
+        let age = now.saturating_duration_since(self.at);
+        self.ttl().saturating_sub(age)
+    }
+}
+
+/// The suspects known to a node.
+#[derive(Debug, Default)]
+pub struct Suspicions {
+    entries: HashMap<Fingerprint, Entry>,
+}
+
+impl Suspicions {
+    /// How a request may be run.
+    pub fn treatment(&self, fingerprint: &Fingerprint, now: Instant) -> Treatment {
+        let Some(entry) = self.live(fingerprint, now) else {
+            return Treatment::Normal;
+        };
+        match entry.standing {
+            Standing::Cleared => Treatment::Normal,
+            Standing::Suspect => Treatment::Alone,
+            Standing::Quarantined => Treatment::Refuse(entry.left(now)),
+        }
+    }
+
+    /// Whether a request may run only alone on an engine.
+    pub fn must_run_alone(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
+        self.treatment(fingerprint, now) == Treatment::Alone
+    }
+
+    /// Notes that an engine was lost while these requests ran there.
+    ///
+    /// `alone` says that the engine had been kept for the one request.
+    pub fn engine_lost(&mut self, in_flight: &[Fingerprint], alone: bool, now: Instant) {
+        for fingerprint in in_flight {
+            let standing = match self.treatment(fingerprint, now) {
+                Treatment::Alone if alone && in_flight.len() == 1 => Standing::Quarantined,
+                Treatment::Normal | Treatment::Alone => Standing::Suspect,
+                Treatment::Refuse(_) => continue,
+            };
+            self.insert(*fingerprint, Entry { standing, at: now }, now);
+        }
+    }
+
+    /// Clears a request that was answered whole; says whether it was a suspect.
+    pub fn clear(&mut self, fingerprint: &Fingerprint, now: Instant) -> bool {
+        if !self.must_run_alone(fingerprint, now) {
+            return false;
+        }
+        let entry = Entry {
+            standing: Standing::Cleared,
+            at: now,
+        };
+        self.insert(*fingerprint, entry, now);
+        true
+    }
+
+    /// What peers should know.
+    pub fn export(&self, now: Instant) -> Vec<SharedSuspicion> {
+        let live = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.left(now).is_zero());
+        let shared = live.map(|(fingerprint, entry)| SharedSuspicion {
+            fingerprint: *fingerprint,
+            standing: entry.standing,
+            age: now.saturating_duration_since(entry.at),
+        });
+        shared.collect()
+    }
+
+    /// Takes what a peer knows.
+    pub fn merge(&mut self, shared: &[SharedSuspicion], now: Instant) {
+        for peer in shared {
+            let Some(at) = now.checked_sub(peer.age) else {
+                continue;
+            };
+            let entry = Entry {
+                standing: peer.standing,
+                at,
+            };
+            let known = self.live(&peer.fingerprint, now);
+            // An entry that expired here a moment earlier than at the peer must
+            // not come back from there.
+            let lasts = entry.left(now) > MERGE_SLACK;
+            if lasts && known.is_none_or(|known| replaces(entry, known)) {
+                self.insert(peer.fingerprint, entry, now);
+            }
+        }
+    }
+
+    /// Entries that have not expired.
+    pub fn len(&self, now: Instant) -> usize {
+        let entries = self.entries.values();
+        entries.filter(|entry| !entry.left(now).is_zero()).count()
+    }
+
+    /// Whether nothing is known of any request.
+    pub fn is_empty(&self, now: Instant) -> bool {
+        self.len(now) == 0
+    }
+
+    fn live(&self, fingerprint: &Fingerprint, now: Instant) -> Option<Entry> {
+        let entry = self.entries.get(fingerprint).copied()?;
+        (!entry.left(now).is_zero()).then_some(entry)
+    }
+
+    fn insert(&mut self, fingerprint: Fingerprint, entry: Entry, now: Instant) {
+        if self.entries.len() >= ENTRIES_KEPT && !self.entries.contains_key(&fingerprint) {
+            self.make_room(now);
+        }
+        self.entries.insert(fingerprint, entry);
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        self.entries.retain(|_, entry| !entry.left(now).is_zero());
+        if self.entries.len() < ENTRIES_KEPT {
+            return;
+        }
+        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.left(now));
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.remove(&fingerprint);
+        }
+    }
+}
+
+/// Whether a peer's entry takes the place of the known one.
+///
+/// A quarantine outlasts what else is said of the request. Of equal standings
+/// the later one counts, but not one that is later only by the time of the
+/// message: entries would never grow old between two nodes.
+fn replaces(new: Entry, known: Entry) -> bool {
+    match (new.standing, known.standing) {
+        (Standing::Quarantined, Standing::Cleared | Standing::Suspect) => true,
+        (Standing::Cleared | Standing::Suspect, Standing::Quarantined) => false,
+        (new_standing, known_standing) if new_standing == known_standing => {
+            new.at > known.at + MERGE_SLACK
+        }
+        (_, _) => new.at > known.at,
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/fleet.rs
@@ -0,0 +1,254 @@
+//! The view of backend servers: lists, reports, ejection, capacity.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_policy::capacity::Capacity;
+use pomeloridge_policy::fleet::{Fleet, FleetSettings};
+use pomeloridge_policy::in_flight::OwnShare;
+use pomeloridge_policy::server::{LoadReport, ServerInfo};
+use proptest::prelude::*;
+use yare::parameterized;
+
+use crate::support::{CASES, POOL, config, engine, fleet, fleet_of, key, ms, name, report, work};
+
+fn share(id: &str, running: u32) -> OwnShare {
+    OwnShare {
+        id: name(id),
+        running,
+        prefill_tokens: 0,
+        occupied: false,
+    }
+}
+
+#[test]
+fn sync_keeps_the_state_of_known_servers() {
+    let now = Instant::now();
+    let mut fleet = fleet(3);
+    let kept = key(&fleet, "e1");
+    fleet.dispatch(kept, work(10, 10), now);
+    fleet.fail(kept, now);
+    let moved = ServerInfo {
+        address: ([127, 0, 0, 1], 1).into(),
+        ..engine(2)
+    };
+    let old = key(&fleet, "e2");
+    let gone = fleet.sync(vec![engine(1), moved, engine(5)]);
+    assert_eq!(gone.len(), 2, "e0, and e2 at its old address");
+    assert!(gone.contains(&old));
+    assert_eq!(key(&fleet, "e1"), kept);
+    let server = fleet.server(kept).expect("it is listed");
+    assert!(server.ejection.is_ejected());
+    assert_eq!(server.own_open(), 1);
+    assert_eq!(fleet.pool(&name(POOL)).len(), 3);
+}
+
+#[test]
+fn a_request_outlives_its_server_in_the_list() {
+    let now = Instant::now();
+    let mut fleet = fleet(1);
+    let dispatch = fleet.dispatch(key(&fleet, "e0"), work(10, 10), now);
+    fleet.sync(Vec::new());
+    fleet.first_token(dispatch, now);
+    fleet.finish(dispatch, Some(10), now);
+    assert!(fleet.own_shares().is_empty());
+}
+
+#[test]
+fn an_older_report_is_not_taken() {
+    let now = Instant::now();
+    let mut fleet = fleet(1);
+    let e0 = key(&fleet, "e0");
+    let later = now + ms(1);
+    assert!(fleet.report(e0, report(later, 5), later));
+    assert!(!fleet.report(e0, report(now, 9), later));
+    assert_eq!(fleet.load(e0, later).in_flight, 5);
+}
+
+#[test]
+fn a_late_report_is_corrected_by_own_requests() {
+    let start = Instant::now();
+    let mut fleet = fleet(1);
+    let e0 = key(&fleet, "e0");
+    let covered = fleet.dispatch(e0, work(100, 10), start);
+    let at = start + ms(100);
+    fleet.dispatch(e0, work(700, 10), start + ms(200));
+    fleet.finish(covered, Some(10), start + ms(300));
+    let now = start + ms(400);
+    fleet.report(e0, report(at, 7), now);
+    let load = fleet.load(e0, now);
+    assert_eq!(load.in_flight, 7, "7 reported, 1 sent since, 1 ended since");
+    assert!((load.prefill_tokens - 700.0).abs() < 1e-6);
+}
+
+#[test]
+fn peers_in_flight_count_until_they_are_old() {
+    let now = Instant::now();
+    let mut fleet = fleet(1);
+    let e0 = key(&fleet, "e0");
+    fleet.report(e0, report(now, 1), now);
+    fleet.peer_shares(&name("vm-2"), &[share("e0", 4)], now);
+    fleet.peer_shares(&name("vm-3"), &[share("e0", 2)], now);
+    assert_eq!(fleet.load(e0, now).in_flight, 6);
+    fleet.peer_shares(&name("vm-3"), &[], now);
+    assert_eq!(fleet.load(e0, now).in_flight, 4);
+    assert_eq!(fleet.load(e0, now + ms(3_001)).in_flight, 1);
+}
+
+#[test]
+fn probes_double_up_to_half_a_minute() {
+    let start = Instant::now();
+    let mut fleet = fleet(1);
+    let e0 = key(&fleet, "e0");
+    fleet.fail(e0, start);
+    let mut times = Vec::new();
+    for second in 0..100 {
+        let now = start + Duration::from_secs(second);
+        if fleet.due_probes(now) == [e0] {
+            times.push(second);
+            fleet.fail(e0, now);
+        }
+    }
+    assert_eq!(times, [1, 3, 7, 15, 31, 61, 91]);
+    assert!(fleet.succeed(e0));
+    assert!(!fleet.succeed(e0));
+    assert!(fleet.due_probes(start + ms(500_000)).is_empty());
+}
+
+#[parameterized(
+    together = { "e0", "e2", 900, true },
+    apart = { "e0", "e2", 1_100, false },
+    elsewhere = { "e0", "e1", 100, false },
+    the_same_twice = { "e0", "e0", 100, false },
+)]
+fn failures_make_a_data_centre_suspect(first: &str, second: &str, gap: u64, suspect: bool) {
+    let now = Instant::now();
+    let mut fleet = fleet(4);
+    assert!(!fleet.fail(key(&fleet, first), now));
+    assert_eq!(fleet.fail(key(&fleet, second), now + ms(gap)), suspect);
+    assert_eq!(fleet.is_suspect(&name("tln-a")), suspect);
+    fleet.succeed(key(&fleet, first));
+    assert!(!fleet.is_suspect(&name("tln-a")));
+}
+
+#[test]
+fn a_data_centre_is_not_suspect_once_its_failed_servers_are_gone() {
+    let now = Instant::now();
+    let mut fleet = fleet(6);
+    fleet.fail(key(&fleet, "e0"), now);
+    fleet.fail(key(&fleet, "e2"), now);
+    fleet.sync((3..6).map(engine).collect());
+    assert!(!fleet.is_suspect(&name("tln-a")));
+}
+
+#[test]
+fn without_care_nothing_is_ejected() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(FleetSettings {
+        care: false,
+        ..FleetSettings::new(name("tln-a"))
+    });
+    fleet.sync((0..4).map(engine).collect());
+    fleet.fail(key(&fleet, "e0"), now);
+    fleet.fail(key(&fleet, "e2"), now);
+    assert!(fleet.due_probes(now + ms(60_000)).is_empty());
+    assert!(!fleet.is_suspect(&name("tln-a")));
+}
+
+#[test]
+fn capacity_counts_servers_that_take_work() {
+    let now = Instant::now();
+    let mut fleet = fleet(5);
+    for id in ["e0", "e1", "e2", "e3", "e4"] {
+        fleet.report(key(&fleet, id), report(now, 0), now);
+    }
+    let leaving = LoadReport {
+        leaving: true,
+        ..report(now, 0)
+    };
+    fleet.report(key(&fleet, "e0"), leaving, now);
+    fleet.drain([name("e1")]);
+    fleet.fail(key(&fleet, "e2"), now);
+    assert!(fleet.occupy(key(&fleet, "e3"), now));
+    fleet.peer_shares(&name("vm-2"), &[share("e4", 3)], now);
+    let expected = Capacity {
+        slots: 17,
+        peers: 3,
+    };
+    assert_eq!(fleet.capacity(&name(POOL), now), expected);
+}
+
+#[test]
+fn an_ejected_server_is_the_capacity_of_last_resort() {
+    let now = Instant::now();
+    let mut fleet = fleet(1);
+    fleet.fail(key(&fleet, "e0"), now);
+    assert!(fleet.capacity(&name(POOL), now).slots > 0);
+    fleet.drain([name("e0")]);
+    assert_eq!(fleet.capacity(&name(POOL), now).slots, 0);
+}
+
+#[test]
+fn few_servers_are_kept_for_suspects() {
+    let now = Instant::now();
+    let mut fleet = fleet(8);
+    let taken = |fleet: &mut Fleet, id: &str| fleet.occupy(key(fleet, id), now);
+    assert!(taken(&mut fleet, "e0"));
+    assert!(!taken(&mut fleet, "e0"), "one suspect an engine");
+    let peer = OwnShare {
+        occupied: true,
+        ..share("e1", 0)
+    };
+    fleet.peer_shares(&name("vm-2"), &[peer], now);
+    assert!(!taken(&mut fleet, "e2"), "a quarter of 8 are kept");
+    fleet.vacate(key(&fleet, "e0"));
+    assert!(taken(&mut fleet, "e2"));
+}
+
+#[test]
+fn speeds_are_learned_from_answers() {
+    let mut now = Instant::now();
+    let mut fleet = fleet_of(vec![engine(0)]);
+    let e0 = key(&fleet, "e0");
+    for _ in 0..40 {
+        let dispatch = fleet.dispatch(e0, work(2_000, 50), now);
+        now += ms(1_000);
+        fleet.first_token(dispatch, now);
+        now += ms(2_000);
+        fleet.finish(dispatch, Some(50), now);
+    }
+    let rates = fleet.server(e0).expect("it is listed").rates;
+    assert!((rates.prefill - 2_000.0).abs() < 50.0, "{rates:?}");
+    assert!((rates.stream - 25.0).abs() < 1.0, "{rates:?}");
+    assert!((rates.service - 3.0).abs() < 0.1, "{rates:?}");
+    assert!(
+        rates.decode >= 400.0,
+        "a lone stream shows no less: {rates:?}"
+    );
+}
+
+proptest! {
+    #![proptest_config(config(CASES))]
+
+    /// Whatever is sent and ended, nothing stays in flight at the end.
+    #[test]
+    fn in_flight_returns_to_zero(ops in proptest::collection::vec((0_u16..4, any::<bool>()), 0..60)) {
+        let start = Instant::now();
+        let mut fleet = fleet(4);
+        let mut open = Vec::new();
+        for (step, (server, send)) in ops.into_iter().enumerate() {
+            let now = start + ms(step as u64);
+            let server = key(&fleet, &format!("e{server}"));
+            if send {
+                open.push(fleet.dispatch(server, work(10, 10), now));
+            } else if let Some(dispatch) = open.pop() {
+                fleet.finish(dispatch, None, now);
+            }
+            let total: u32 = fleet.own_shares().iter().map(|share| share.running).sum();
+            prop_assert_eq!(total as usize, open.len());
+        }
+        for dispatch in open {
+            fleet.finish(dispatch, None, start + ms(100));
+        }
+        prop_assert!(fleet.own_shares().is_empty());
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/prefix.rs
@@ -0,0 +1,49 @@
+//! Hints of which server holds which blocks.
+
+use pomeloridge_policy::prefix::{BLOCK_TOKENS, Block, PrefixHints, blocks};
+use proptest::prelude::*;
+
+use crate::support::{CASES, config, fleet, key};
+
+#[test]
+fn a_block_stands_for_all_before_it() {
+    let shared = [b'a'; 512];
+    let first = blocks(&[&shared[..], &[b'b'; 256]].concat());
+    let second = blocks(&[&shared[..], &[b'c'; 300]].concat());
+    assert_eq!(first.len(), 3);
+    assert_eq!(second.len(), 3, "a piece of a block is left out");
+    assert_eq!(first[..2], second[..2]);
+    assert_ne!(first[2], second[2]);
+    assert_ne!(first[0], first[1], "the same text at another place");
+}
+
+#[test]
+fn a_lost_event_costs_only_a_miss() {
+    let fleet = fleet(2);
+    let (e0, e1) = (key(&fleet, "e0"), key(&fleet, "e1"));
+    let prompt = blocks(&[b'a'; 1024]);
+    let mut hints = PrefixHints::new(100);
+    hints.add_all(e0, &prompt);
+    hints.add(e1, prompt[0]);
+    hints.add(e1, prompt[2]);
+    assert_eq!(hints.cached_tokens(e0, &prompt), 4 * BLOCK_TOKENS);
+    assert_eq!(hints.cached_tokens(e1, &prompt), BLOCK_TOKENS);
+    hints.remove(e0, prompt[1]);
+    assert_eq!(hints.cached_tokens(e0, &prompt), BLOCK_TOKENS);
+    hints.forget(e0);
+    assert_eq!(hints.cached_tokens(e0, &prompt), 0);
+}
+
+proptest! {
+    #![proptest_config(config(CASES))]
+
+    #[test]
+    fn memory_is_bounded(added in proptest::collection::vec(any::<u64>(), 0..200), limit in 1_usize..50) {
+        let fleet = fleet(1);
+        let mut hints = PrefixHints::new(limit);
+        for block in added {
+            hints.add(key(&fleet, "e0"), Block(block));
+            prop_assert!(hints.len() <= limit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/retry.rs
@@ -0,0 +1,86 @@
+//! When a failed request is sent again.
+
+use std::time::Instant;
+
+use pomeloridge_policy::retry::{Attempt, Progress, RetryBudget, RetryVerdict};
+use proptest::prelude::*;
+use yare::parameterized;
+
+use crate::support::{CASES, config, ms};
+
+fn attempt(now: Instant) -> Attempt {
+    Attempt {
+        idempotent: true,
+        progress: Progress::Written,
+        attempts: 1,
+        deadline: now + ms(1_000),
+    }
+}
+
+#[parameterized(
+    idempotent_unsent = { true, Progress::Unsent, RetryVerdict::Retry },
+    idempotent_refused = { true, Progress::Refused, RetryVerdict::Retry },
+    idempotent_written = { true, Progress::Written, RetryVerdict::Retry },
+    other_unsent = { false, Progress::Unsent, RetryVerdict::Retry },
+    other_refused = { false, Progress::Refused, RetryVerdict::Retry },
+    other_written = { false, Progress::Written, RetryVerdict::NotIdempotent },
+)]
+fn what_may_run_again(idempotent: bool, progress: Progress, verdict: RetryVerdict) {
+    let now = Instant::now();
+    let failed = Attempt {
+        idempotent,
+        progress,
+        ..attempt(now)
+    };
+    assert_eq!(RetryBudget::new(10, now).may_retry(failed, now), verdict);
+}
+
+#[parameterized(
+    first = { 1, 1_000, RetryVerdict::Retry },
+    third = { 3, 1_000, RetryVerdict::Retry },
+    fourth = { 4, 1_000, RetryVerdict::AttemptsSpent },
+    late = { 1, 0, RetryVerdict::DeadlinePassed },
+)]
+fn attempts_and_deadline_bound(attempts: u32, left: u64, verdict: RetryVerdict) {
+    let now = Instant::now();
+    let failed = Attempt {
+        attempts,
+        deadline: now + ms(left),
+        ..attempt(now)
+    };
+    assert_eq!(RetryBudget::new(10, now).may_retry(failed, now), verdict);
+}
+
+#[test]
+fn a_quiet_node_may_retry_a_little() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(10, now);
+    let mut retry = |at: Instant| budget.may_retry(attempt(at), at);
+    for _ in 0..3 {
+        assert_eq!(retry(now), RetryVerdict::Retry);
+    }
+    assert_eq!(retry(now), RetryVerdict::BudgetSpent);
+    assert_eq!(retry(now + ms(1_000)), RetryVerdict::Retry);
+    assert_eq!(retry(now + ms(1_000)), RetryVerdict::BudgetSpent);
+}
+
+proptest! {
+    #![proptest_config(config(CASES))]
+
+    /// Retries stay within the part of successes, but for the floor.
+    #[test]
+    fn retries_follow_successes(answers in proptest::collection::vec(any::<bool>(), 0..2_000)) {
+        let now = Instant::now();
+        let mut budget = RetryBudget::new(10, now);
+        let (mut successes, mut retries) = (0_u32, 0_u32);
+        for success in answers {
+            if success {
+                budget.succeed();
+                successes += 1;
+            } else if budget.may_retry(attempt(now), now) == RetryVerdict::Retry {
+                retries += 1;
+            }
+            prop_assert!(retries <= 3 + successes / 10 + 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/routing.rs
@@ -0,0 +1,325 @@
+//! The choice of a backend server.
+
+use std::collections::HashSet;
+use std::time::Instant;
+
+use pomeloridge_base::error::ErrorKind;
+use pomeloridge_policy::candidate::{RouteRequest, affinity};
+use pomeloridge_policy::fleet::Fleet;
+use pomeloridge_policy::prefix::{PrefixHints, blocks};
+use pomeloridge_policy::routing::{Decision, Reason, Router, RoutingPolicy};
+use pomeloridge_policy::server::{LoadReport, ServerInfo, ServerKey, ServerState};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use yare::parameterized;
+
+use crate::support::{CASES, POOL, config, engine, fleet, fleet_of, key, ms, name, report, work};
+
+const SEED: u64 = 17;
+
+fn request<'a>() -> RouteRequest<'a> {
+    RouteRequest {
+        pool: name(POOL),
+        work: work(1_000, 100),
+        ..RouteRequest::default()
+    }
+}
+
+fn route(fleet: &Fleet, request: &RouteRequest, now: Instant) -> Result<Decision, ErrorKind> {
+    route_by(RoutingPolicy::Estimated, fleet, request, now, SEED)
+}
+
+fn route_by(
+    policy: RoutingPolicy,
+    fleet: &Fleet,
+    request: &RouteRequest,
+    now: Instant,
+    seed: u64,
+) -> Result<Decision, ErrorKind> {
+    let hints = PrefixHints::new(100);
+    let mut rng = StdRng::seed_from_u64(seed);
+    Router::new(policy).route(fleet, &hints, request, &mut rng, now)
+}
+
+/// Makes `e0` unfit in one way; `e1` is left.
+fn spoil(fleet: &mut Fleet, how: &str, now: Instant) {
+    let e0 = key(fleet, "e0");
+    let list = |info: ServerInfo| vec![info, engine(1)];
+    match how {
+        "listed leaving" => {
+            let state = ServerState::Leaving;
+            fleet.sync(list(ServerInfo { state, ..engine(0) }));
+        }
+        "starting" => {
+            let state = ServerState::Starting;
+            fleet.sync(list(ServerInfo { state, ..engine(0) }));
+        }
+        "reported leaving" => {
+            let leaving = LoadReport {
+                leaving: true,
+                ..report(now, 0)
+            };
+            fleet.report(e0, leaving, now);
+        }
+        "another model" => {
+            let models = vec![name("other")];
+            fleet.report(
+                e0,
+                LoadReport {
+                    models,
+                    ..report(now, 0)
+                },
+                now,
+            );
+        }
+        "another pool" => {
+            let pool = name("filings");
+            fleet.sync(list(ServerInfo { pool, ..engine(0) }));
+        }
+        "drained" => fleet.drain([name("e0")]),
+        "ejected" => drop(fleet.fail(e0, now)),
+        "occupied" => assert!(fleet.occupy(e0, now)),
+        other => panic!("no such fault: {other}"),
+    }
+}
+
+#[parameterized(
+    listed_leaving = { "listed leaving" },
+    starting = { "starting" },
+    reported_leaving = { "reported leaving" },
+    another_model = { "another model" },
+    another_pool = { "another pool" },
+    drained = { "drained" },
+    ejected = { "ejected" },
+    occupied = { "occupied" },
+)]
+fn an_unfit_server_gets_nothing(how: &str) {
+    let now = Instant::now();
+    let mut fleet = fleet(2);
+    spoil(&mut fleet, how, now);
+    for policy in [
+        RoutingPolicy::Estimated,
+        RoutingPolicy::RoundRobin,
+        RoutingPolicy::LeastReported,
+    ] {
+        for seed in 0..20 {
+            let decision = route_by(policy, &fleet, &request(), now, seed).expect("e1 is left");
+            assert_eq!(decision.id, name("e1"), "seed {seed}");
+            assert_eq!(decision.reason, Reason::Only);
+        }
+    }
+}
+
+#[test]
+fn a_tried_server_is_not_tried_again() {
+    let now = Instant::now();
+    let fleet = fleet(2);
+    let (e0, e1) = (key(&fleet, "e0"), key(&fleet, "e1"));
+    let retry = RouteRequest {
+        excluded: &[e0],
+        ..request()
+    };
+    assert_eq!(route(&fleet, &retry, now).map(|d| d.chosen), Ok(e1));
+    let spent = RouteRequest {
+        excluded: &[e0, e1],
+        ..request()
+    };
+    assert_eq!(route(&fleet, &spent, now), Err(ErrorKind::NoServer));
+}
+
+#[test]
+fn the_longest_ejected_is_tried_when_none_is_left() {
+    let now = Instant::now();
+    let mut fleet = fleet(3);
+    for (delay, id) in [(0, "e2"), (10, "e0"), (20, "e1")] {
+        fleet.fail(key(&fleet, id), now + ms(delay));
+    }
+    let decision = route(&fleet, &request(), now + ms(30)).expect("one is tried");
+    assert_eq!(decision.id, name("e2"));
+    assert_eq!(decision.reason, Reason::LongestEjected);
+}
+
+#[test]
+fn cheap_servers_of_a_suspect_data_centre_come_last() {
+    let now = Instant::now();
+    let cheap = |number| ServerInfo {
+        cheap: true,
+        ..engine(number)
+    };
+    let mut fleet = fleet_of(vec![cheap(0), cheap(2), cheap(4), cheap(1)]);
+    fleet.fail(key(&fleet, "e0"), now);
+    fleet.fail(key(&fleet, "e2"), now);
+    let first = route(&fleet, &request(), now).expect("e1 is up");
+    assert_eq!((first.id, first.reason), (name("e1"), Reason::Only));
+    fleet.fail(key(&fleet, "e1"), now);
+    let last = route(&fleet, &request(), now).expect("e4 is up");
+    assert_eq!((last.id, last.reason), (name("e4"), Reason::SuspectZone));
+}
+
+#[test]
+fn the_shorter_estimated_wait_wins() {
+    let now = Instant::now();
+    let mut fleet = fleet(2);
+    let waiting = LoadReport {
+        prefill_tokens: 8_000,
+        ..report(now, 1)
+    };
+    fleet.report(key(&fleet, "e0"), waiting, now);
+    fleet.report(key(&fleet, "e1"), report(now, 4), now);
+    let decision = route(&fleet, &request(), now).expect("both are up");
+    assert_eq!(decision.id, name("e1"), "{decision}");
+    let counted = route_by(RoutingPolicy::LeastReported, &fleet, &request(), now, SEED);
+    assert_eq!(counted.map(|d| d.id), Ok(name("e0")));
+}
+
+#[test]
+fn the_near_one_of_equals_wins() {
+    let decision = route(&fleet(2), &request(), Instant::now()).expect("both are up");
+    assert_eq!(decision.id, name("e0"), "{decision}");
+}
+
+#[test]
+fn the_holder_of_the_prefix_wins() {
+    let now = Instant::now();
+    let fleet = fleet(2);
+    let prompt = blocks(&[b'x'; 4096]);
+    let mut hints = PrefixHints::new(100);
+    hints.add_all(key(&fleet, "e1"), &prompt);
+    let request = RouteRequest {
+        blocks: &prompt,
+        ..request()
+    };
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut router = Router::default();
+    let decision = router.route(&fleet, &hints, &request, &mut rng, now);
+    let decision = decision.expect("both are up");
+    assert_eq!(decision.id, name("e1"), "{decision}");
+    assert_eq!(decision.cached, 1_000, "no more than the prompt has");
+}
+
+#[test]
+fn own_requests_spread_though_the_reports_stand_still() {
+    let now = Instant::now();
+    let mut fleet = fleet(4);
+    for number in 0..4 {
+        let server = key(&fleet, &format!("e{number}"));
+        fleet.report(server, report(now, 0), now);
+    }
+    for seed in 0..40 {
+        let later = now + ms(seed + 1);
+        let policy = RoutingPolicy::Estimated;
+        let decision = route_by(policy, &fleet, &request(), later, seed).expect("all are up");
+        fleet.dispatch(decision.chosen, work(1_000, 100), later);
+    }
+    let most = fleet.own_shares().iter().map(|share| share.running).max();
+    assert!(most <= Some(14), "{:?}", fleet.own_shares());
+}
+
+#[test]
+fn a_session_stays_until_its_server_is_loaded() {
+    let now = Instant::now();
+    let mut fleet = fleet(6);
+    let keys: Vec<ServerKey> = fleet.pool(&name(POOL)).to_vec();
+    let session = RouteRequest {
+        session: Some(b"s-17"),
+        ..request()
+    };
+    let home = affinity(&fleet, &session, &keys, now).expect("one is bound");
+    assert_eq!(affinity(&fleet, &session, &keys, now), Some(home));
+    let others: Vec<ServerKey> = keys.iter().copied().filter(|key| *key != home).collect();
+    let without = &others[1..];
+    assert!(affinity(&fleet, &session, without, now).is_some_and(|key| key != home));
+    fleet.dispatch(home, work(1_000, 100), now);
+    assert_ne!(affinity(&fleet, &session, &keys, now), Some(home));
+    for other in others {
+        fleet.dispatch(other, work(1_000, 100), now);
+    }
+    assert_eq!(affinity(&fleet, &session, &keys, now), Some(home));
+    assert_eq!(affinity(&fleet, &request(), &keys, now), None);
+}
+
+#[test]
+fn round_robin_takes_turns() {
+    let now = Instant::now();
+    let fleet = fleet(5);
+    let hints = PrefixHints::new(1);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut router = Router::new(RoutingPolicy::RoundRobin);
+    let chosen: HashSet<ServerKey> = (0..5)
+        .filter_map(|_| router.route(&fleet, &hints, &request(), &mut rng, now).ok())
+        .map(|decision| decision.chosen)
+        .collect();
+    assert_eq!(chosen.len(), 5);
+}
+
+#[test]
+fn a_suspect_goes_to_the_emptiest_server() {
+    let now = Instant::now();
+    let mut fleet = fleet(3);
+    for id in ["e0", "e2"] {
+        fleet.dispatch(key(&fleet, id), work(10, 10), now);
+    }
+    let suspect = RouteRequest {
+        alone: true,
+        ..request()
+    };
+    let decision = route(&fleet, &suspect, now).expect("all are up");
+    assert_eq!((decision.id, decision.reason), (name("e1"), Reason::Alone));
+}
+
+#[test]
+fn a_decision_reads_as_a_log_line() {
+    let now = Instant::now();
+    let decision = route(&fleet(1), &request(), now).expect("e0 is up");
+    let line = decision.to_string();
+    assert!(
+        line.starts_with("server=e0 reason=only candidates=e0:"),
+        "{line}"
+    );
+    assert!(line.ends_with(" cached=0"), "{line}");
+}
+
+proptest! {
+    #![proptest_config(config(CASES))]
+
+    /// Whatever the state of the fleet, the choice is one that may be chosen.
+    #[test]
+    fn the_choice_is_always_allowed(
+        faults in proptest::collection::vec(0_u8..6, 1..12),
+        seed in any::<u64>(),
+        session in proptest::option::of(any::<[u8; 4]>()),
+    ) {
+        let now = Instant::now();
+        let mut fleet = fleet(faults.len() as u16);
+        let mut excluded = Vec::new();
+        for (number, fault) in faults.iter().enumerate() {
+            let server = key(&fleet, &format!("e{number}"));
+            match fault {
+                0 => drop(fleet.fail(server, now)),
+                1 => { fleet.report(server, LoadReport { leaving: true, ..report(now, 0) }, now); }
+                2 => excluded.push(server),
+                _ => { fleet.report(server, report(now, u32::from(*fault)), now); }
+            }
+        }
+        let request = RouteRequest {
+            session: session.as_ref().map(<[u8; 4]>::as_slice),
+            excluded: &excluded,
+            ..request()
+        };
+        let usable = faults.iter().any(|fault| *fault > 2);
+        let ejected = faults.contains(&0);
+        match route_by(RoutingPolicy::Estimated, &fleet, &request, now, seed) {
+            Ok(decision) => {
+                let server = fleet.server(decision.chosen).expect("it is listed");
+                prop_assert!(!server.is_leaving());
+                prop_assert!(!excluded.contains(&decision.chosen));
+                prop_assert_eq!(server.ejection.is_ejected(), !usable);
+            }
+            Err(kind) => {
+                prop_assert_eq!(kind, ErrorKind::NoServer);
+                prop_assert!(!usable && !ejected);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/suspicion.rs
@@ -0,0 +1,125 @@
+//! Requests that may have crashed an engine.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_policy::suspicion::{
+    Fingerprint, QUARANTINE_TTL, SUSPECT_TTL, Standing, Suspicions, Treatment,
+};
+use proptest::prelude::*;
+
+use crate::support::{CASES, config, ms, name};
+
+fn print(body: &str) -> Fingerprint {
+    Fingerprint::of(&name("surveyors"), "/v1/completions", body.as_bytes())
+}
+
+#[test]
+fn a_fingerprint_tells_its_parts_apart() {
+    let of = |account: &str, route: &str, body: &str| {
+        Fingerprint::of(&name(account), route, body.as_bytes())
+    };
+    assert_eq!(of("a", "/r", "b"), of("a", "/r", "b"));
+    assert_ne!(of("a", "/r", "b"), of("a", "/rb", ""));
+    assert_ne!(of("a", "/r", "b"), of("b", "/r", "b"));
+}
+
+#[test]
+fn innocents_clear_and_the_poison_is_quarantined() {
+    let now = Instant::now();
+    let mut known = Suspicions::default();
+    let all = [print("a"), print("b"), print("poison")];
+    known.engine_lost(&all, false, now);
+    assert!(all.iter().all(|print| known.must_run_alone(print, now)));
+    assert!(known.clear(&all[0], now));
+    assert_eq!(known.treatment(&all[0], now), Treatment::Normal);
+    known.engine_lost(&all[1..], false, now);
+    assert!(known.must_run_alone(&all[2], now), "it was not alone");
+    known.engine_lost(&all[2..], true, now);
+    let refused = Treatment::Refuse(QUARANTINE_TTL);
+    assert_eq!(known.treatment(&all[2], now), refused);
+    assert!(!known.clear(&all[2], now));
+    let later = now + QUARANTINE_TTL;
+    assert_eq!(known.treatment(&all[2], later), Treatment::Normal);
+}
+
+#[test]
+fn the_first_loss_alone_is_only_a_suspicion() {
+    let now = Instant::now();
+    let mut known = Suspicions::default();
+    known.engine_lost(&[print("a")], true, now);
+    assert!(known.must_run_alone(&print("a"), now));
+    assert!(!known.must_run_alone(&print("a"), now + SUSPECT_TTL));
+    assert!(known.is_empty(now + SUSPECT_TTL));
+}
+
+#[test]
+fn peers_learn_of_suspects_and_of_cleared_ones() {
+    let now = Instant::now();
+    let (mut here, mut there) = (Suspicions::default(), Suspicions::default());
+    here.engine_lost(&[print("a")], false, now);
+    there.merge(&here.export(now), now);
+    assert!(there.must_run_alone(&print("a"), now));
+    there.clear(&print("a"), now + ms(500));
+    here.merge(&there.export(now + ms(600)), now + ms(600));
+    assert!(!here.must_run_alone(&print("a"), now + ms(600)));
+}
+
+#[test]
+fn a_late_message_does_not_undo() {
+    let now = Instant::now();
+    let (mut here, mut there) = (Suspicions::default(), Suspicions::default());
+    here.engine_lost(&[print("a")], false, now);
+    let suspect = here.export(now);
+    here.engine_lost(&[print("a")], true, now + ms(100));
+    there.merge(&here.export(now + ms(200)), now + ms(200));
+    there.merge(&suspect, now + ms(300));
+    let refused = matches!(
+        there.treatment(&print("a"), now + ms(300)),
+        Treatment::Refuse(_)
+    );
+    assert!(refused);
+}
+
+#[test]
+fn an_entry_told_to_and_fro_still_expires() {
+    let start = Instant::now();
+    let (mut here, mut there) = (Suspicions::default(), Suspicions::default());
+    here.engine_lost(&[print("a")], false, start);
+    let delay = ms(50);
+    let mut now = start;
+    while now < start + SUSPECT_TTL + Duration::from_secs(2) {
+        let told = here.export(now);
+        now += delay;
+        there.merge(&told, now);
+        let told = there.export(now);
+        now += delay;
+        here.merge(&told, now);
+    }
+    assert!(here.is_empty(now) && there.is_empty(now));
+}
+
+proptest! {
+    #![proptest_config(config(CASES))]
+
+    /// The order of messages does not matter to a quarantine.
+    #[test]
+    fn a_quarantine_wins_in_any_order(order in Just(vec![0_usize, 1, 2]).prop_shuffle()) {
+        let now = Instant::now();
+        let shared = |standing, age| pomeloridge_policy::suspicion::SharedSuspicion {
+            fingerprint: print("a"),
+            standing,
+            age: ms(age),
+        };
+        let told = [
+            shared(Standing::Suspect, 10),
+            shared(Standing::Quarantined, 900),
+            shared(Standing::Cleared, 500),
+        ];
+        let later = now + ms(2_000);
+        let mut known = Suspicions::default();
+        for n in order {
+            known.merge(&told[n..=n], later);
+        }
+        prop_assert!(matches!(known.treatment(&print("a"), later), Treatment::Refuse(_)));
+    }
+}
