--- /dev/null
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -0,0 +1,278 @@
+//! The calls to the platform, each on a fresh connection and under a deadline.
+//!
+//! A fresh connection makes it certain whether a byte of a call was written,
+//! and can't have gone silent while it was idle.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use pomeloridge_base::clock::SharedClock;
+use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Outgoing, Response};
+use pomeloridge_base::id::Revision;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::call::{CallCounts, CallKind};
+use crate::error::PlatformError;
+use crate::fleet::{BackendServer, Vm};
+use crate::object::{Expect, Object, Watched};
+use crate::order::OrderStatus;
+use crate::wire::{
+    ListWire, ObjectWire, OrdersWire, ServersWire, VersionWire, VmsWire, WatchWire, convert_list,
+};
+
+/// Shortest timeout that is given to the kernel, which takes 0 for none.
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(1);
+
+/// The platform, as one node calls it; a clone shares the counts.
+#[derive(Clone)]
+pub struct Client {
+    address: SocketAddr,
+    timeout: Duration,
+    clock: SharedClock,
+    counts: Rc<CallCounts>,
+}
+
+impl Client {
+    /// A client of the platform at `address`, whose calls take at most `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration, clock: SharedClock) -> Self {
+        Self {
+            address,
+            timeout,
+            clock,
+            counts: Rc::default(),
+        }
+    }
+
+    /// The clock that decisions about leases are made by.
+    pub fn clock(&self) -> &SharedClock {
+        &self.clock
+    }
+
+    /// Longest time that a call takes, but for the wait of a watch.
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
+    /// The same client with calls that take at most `timeout`, if that is shorter.
+    #[must_use]
+    pub fn within(&self, timeout: Duration) -> Self {
+        Self {
+            timeout: self.timeout.min(timeout),
+            ..self.clone()
+        }
+    }
+
+    /// Number of calls by kind.
+    pub fn calls(&self) -> &CallCounts {
+        &self.counts
+    }
+
+    /// Reads an object; `None` if there is none.
+    pub async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let target = format!("/objects/{}", checked(key)?);
+        let response = self.call(CallKind::Get, Outgoing::get(target)).await;
+        match response.and_then(|response| decode::<ObjectWire>(&response)) {
+            Ok(wire) => Ok(Some(wire.into())),
+            Err(PlatformError::NotFound) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes an object if it is as expected; gives its new version.
+    pub async fn put(
+        &self,
+        key: &str,
+        value: &Value,
+        expect: Expect,
+    ) -> Result<Revision, PlatformError> {
+        self.put_if(key, value, expect, || true).await
+    }
+
+    /// As [`Self::put`], if `allowed` holds directly before the write.
+    pub(crate) async fn put_if(
+        &self,
+        key: &str,
+        value: &Value,
+        expect: Expect,
+        allowed: impl FnOnce() -> bool,
+    ) -> Result<Revision, PlatformError> {
+        let request = Outgoing::new(Method::PUT, conditional(key, expect)?).json(value);
+        let response = self
+            .write(CallKind::Put, request, self.timeout, allowed)
+            .await?;
+        Ok(decode::<VersionWire>(&response)?.version)
+    }
+
+    /// Deletes an object if it is as expected; gives the revision of the deletion.
+    pub async fn delete(&self, key: &str, expect: Expect) -> Result<Revision, PlatformError> {
+        let request = Outgoing::new(Method::DELETE, conditional(key, expect)?);
+        let response = self
+            .write(CallKind::Delete, request, self.timeout, || true)
+            .await?;
+        Ok(decode::<VersionWire>(&response)?.version)
+    }
+
+    /// Reads every object under a prefix, with the revision at which they were read.
+    pub async fn list(&self, prefix: &str) -> Result<(Revision, Vec<Object>), PlatformError> {
+        let target = format!("/list?prefix={}", checked(prefix)?);
+        let response = self.call(CallKind::List, Outgoing::get(target)).await?;
+        Ok(decode::<ListWire>(&response)?.into())
+    }
+
+    /// Waits up to `wait` for changes under a prefix after a revision.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Watched, PlatformError> {
+        let prefix = checked(prefix)?;
+        let wait_ms = wait.as_millis();
+        let target = format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let deadline = Instant::now() + wait + self.timeout;
+        let kind = CallKind::Watch;
+        let response = self.call_by(kind, Outgoing::get(target), deadline).await?;
+        Ok(decode::<WatchWire>(&response)?.into())
+    }
+
+    /// Lists the VMs; the list lags.
+    pub async fn vms(&self) -> Result<Vec<Vm>, PlatformError> {
+        let response = self.call(CallKind::Vms, Outgoing::get("/vms")).await?;
+        Ok(convert_list(decode::<VmsWire>(&response)?.vms))
+    }
+
+    /// Lists the backend servers.
+    pub async fn servers(&self) -> Result<Vec<BackendServer>, PlatformError> {
+        let request = Outgoing::get("/backends");
+        let response = self.call(CallKind::Servers, request).await?;
+        Ok(convert_list(decode::<ServersWire>(&response)?.servers))
+    }
+
+    /// Lists the orders that the platform keeps.
+    pub async fn orders(&self) -> Result<Vec<OrderStatus>, PlatformError> {
+        let request = Outgoing::get("/orders");
+        let response = self.call(CallKind::Orders, request).await?;
+        let wires = decode::<OrdersWire>(&response)?.orders;
+        Ok(wires.into_iter().map(OrderStatus::from).collect())
+    }
+
+    async fn call(&self, kind: CallKind, request: Outgoing) -> Result<Response, PlatformError> {
+        self.call_by(kind, request, Instant::now() + self.timeout)
+            .await
+    }
+
+    async fn call_by(
+        &self,
+        kind: CallKind,
+        request: Outgoing,
+        deadline: Instant,
+    ) -> Result<Response, PlatformError> {
+        let mut options = ConnectOptions::default();
+        options.timeout = options.timeout.min(self.timeout);
+        // A call's future is large, and callers hold several of them.
+        Box::pin(self.exchange(kind, request, options, deadline, || true)).await
+    }
+
+    /// Sends a request that changes something, if `allowed` holds directly before the write.
+    ///
+    /// The call ends within `time`, and so does whatever the kernel still holds
+    /// of it: nothing arrives after a partition has healed.
+    pub(crate) async fn write(
+        &self,
+        kind: CallKind,
+        request: Outgoing,
+        time: Duration,
+        allowed: impl FnOnce() -> bool,
+    ) -> Result<Response, PlatformError> {
+        let deadline = Instant::now() + time;
+        let options = write_options(time);
+        Box::pin(self.exchange(kind, request, options, deadline, allowed)).await
+    }
+
+    async fn exchange(
+        &self,
+        kind: CallKind,
+        request: Outgoing,
+        options: ConnectOptions,
+        deadline: Instant,
+        allowed: impl FnOnce() -> bool,
+    ) -> Result<Response, PlatformError> {
+        self.counts.add(kind);
+        let mut connection = Connection::open(self.address, options)
+            .await
+            .map_err(PlatformError::Unreachable)?;
+        let sent = connection.send_if(&request, deadline, allowed).await;
+        if !connection.written() {
+            return Err(PlatformError::Lapsed);
+        }
+        sent.map_err(PlatformError::Unconfirmed)?;
+        let answer = connection.answer(deadline).await;
+        accept(answer.map_err(PlatformError::Unconfirmed)?)
+    }
+}
+
+/// Sorts an answer by its status; 409 is left to the call that knows its meaning.
+fn accept(response: Response) -> Result<Response, PlatformError> {
+    match response.status {
+        StatusCode::NOT_FOUND => Err(PlatformError::NotFound),
+        StatusCode::CONFLICT => Err(conflict(&response)),
+        StatusCode::GONE => Err(PlatformError::TooOld),
+        StatusCode::SERVICE_UNAVAILABLE => Err(PlatformError::Outage),
+        // Another server error does not say whether the call took effect.
+        status if status.is_server_error() => {
+            let fault = Fault::Malformed("the platform failed while it ran the call");
+            Err(PlatformError::Unconfirmed(fault))
+        }
+        status if status.is_success() => Ok(response),
+        status => Err(PlatformError::Refused(status.as_u16())),
+    }
+}
+
+/// The conflict that a 409 tells of; the version stands only in answers about objects.
+fn conflict(response: &Response) -> PlatformError {
+    let wire = decode::<VersionWire>(response);
+    PlatformError::Conflict {
+        current: wire.map(|wire| wire.version).unwrap_or_default(),
+    }
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(response: &Response) -> Result<T, PlatformError> {
+    let body: &Bytes = &response.body;
+    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
+/// Connection options of a write that must have ended, also in the kernel, within `time`.
+///
+/// The kernel counts its time from the last acknowledged byte, which is at most
+/// the connect timeout after the start; both together stay below `time`.
+pub fn write_options(time: Duration) -> ConnectOptions {
+    let connect = ConnectOptions::default().timeout.min(time / 4);
+    ConnectOptions {
+        timeout: connect,
+        user_timeout: Some((time / 2).max(SHORTEST_TIMEOUT)),
+        linger_zero: true,
+    }
+}
+
+fn conditional(key: &str, expect: Expect) -> Result<String, PlatformError> {
+    let key = checked(key)?;
+    Ok(match expect {
+        Expect::Any => format!("/objects/{key}"),
+        Expect::Absent => format!("/objects/{key}?expect=0"),
+        Expect::Version(version) => format!("/objects/{key}?expect={version}"),
+    })
+}
+
+/// Refuses keys that would not arrive as they are, or would change the request line.
+fn checked(key: &str) -> Result<&str, PlatformError> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~/:@".contains(&byte);
+    if key.bytes().all(plain) {
+        Ok(key)
+    } else {
+        Err(PlatformError::BadKey(key.to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_platform/src/lease.rs
@@ -0,0 +1,111 @@
+//! Leases: one object for each duty, and the decisions about it.
+//!
+//! No clock is compared between VMs. A holder counts its own term; another
+//! node takes the lease over after it has seen the same version of the object,
+//! unchanged, for the term and a margin on its own clock.
+
+use std::time::Duration;
+
+use pomeloridge_base::clock::Stamp;
+use pomeloridge_base::id::{Epoch, Incarnation, Name};
+
+/// A lease renews once this part of its term has passed.
+const RENEWALS_PER_TERM: u32 = 3;
+
+/// The content of a lease object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Node that holds the lease; empty if it was given up.
+    pub holder: Name,
+    /// Start of that node.
+    pub incarnation: Incarnation,
+    /// Count of the takings so far.
+    pub epoch: Epoch,
+    /// Time that each renewal lasts.
+    pub term: Duration,
+    /// Tells this write from every other.
+    pub nonce: String,
+}
+
+/// What a node brings to a duty.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// Name of the duty.
+    pub duty: Name,
+    /// Name of this node.
+    pub holder: Name,
+    /// Start of this node.
+    pub incarnation: Incarnation,
+    /// Time that a renewal lasts.
+    pub term: Duration,
+    /// Time that is waited on top of another holder's term.
+    pub margin: Duration,
+}
+
+impl Claim {
+    /// Key of the lease object.
+    pub fn key(&self) -> String {
+        format!("lease/{}", self.duty)
+    }
+
+    pub(crate) fn lease(&self, epoch: Epoch, nonce: String) -> Lease {
+        Lease {
+            holder: self.holder.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            term: self.term,
+            nonce,
+        }
+    }
+}
+
+/// A write of a lease whose outcome may be unknown.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// Nonce of the write.
+    pub nonce: String,
+    /// Taken before the write was sent.
+    pub stamp: Stamp,
+    /// Term of the lease before the write.
+    pub old_term: Duration,
+}
+
+/// Whose a lease object is.
+#[derive(Clone, Debug)]
+pub enum Standing {
+    /// This node's, by the write that is given if it is still known.
+    Mine(Option<Sent>),
+    /// Nobody's, or another node's.
+    Other,
+}
+
+/// Decides whose a lease is that was read.
+///
+/// An earlier start of the same node counts as another node: it may still run.
+pub fn standing(lease: &Lease, claim: &Claim, sent: &[Sent]) -> Standing {
+    if lease.holder != claim.holder || lease.incarnation != claim.incarnation {
+        return Standing::Other;
+    }
+    let known = sent.iter().find(|sent| sent.nonce == lease.nonce);
+    Standing::Mine(known.cloned())
+}
+
+/// Decides whether a lease may be taken over that has been seen unchanged for `seen_for`.
+///
+/// A lease that was given up is free at once. One without an object may have
+/// been deleted under its holder, so that this node's own term is waited for.
+pub fn may_take(lease: Option<&Lease>, claim: &Claim, seen_for: Duration) -> bool {
+    let term = lease.map_or(claim.term, |lease| lease.term);
+    let given_up = lease.is_some_and(|lease| lease.holder.is_empty());
+    given_up || seen_for >= term.saturating_add(claim.margin)
+}
+
+/// Decides whether a lease must be renewed that was renewed `elapsed` ago.
+pub fn renew_due(elapsed: Duration, term: Duration) -> bool {
+    elapsed >= term / RENEWALS_PER_TERM
+}
+
+/// The epoch of the next taking, given the highest that this node has seen.
+pub fn next_epoch(highest: Epoch) -> Epoch {
+    Epoch(highest.0 + 1)
+}
--- /dev/null
+++ b/crates/pomeloridge_platform/src/stored.rs
@@ -0,0 +1,122 @@
+//! The forms of the objects that the nodes themselves keep in the service.
+
+use std::time::Duration;
+
+use pomeloridge_base::id::{Epoch, Incarnation, Name};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::error::PlatformError;
+use crate::intent::{Intent, IntentState};
+use crate::lease::Lease;
+use crate::usage::Seal;
+
+#[derive(Serialize, Deserialize)]
+pub(crate) struct LeaseWire {
+    holder: Name,
+    incarnation: Incarnation,
+    epoch: Epoch,
+    term_ms: u64,
+    nonce: String,
+}
+
+impl From<&Lease> for LeaseWire {
+    fn from(lease: &Lease) -> Self {
+        Self {
+            holder: lease.holder.clone(),
+            incarnation: lease.incarnation,
+            epoch: lease.epoch,
+            term_ms: millis(lease.term),
+            nonce: lease.nonce.clone(),
+        }
+    }
+}
+
+impl From<LeaseWire> for Lease {
+    fn from(wire: LeaseWire) -> Self {
+        Self {
+            holder: wire.holder,
+            incarnation: wire.incarnation,
+            epoch: wire.epoch,
+            term: Duration::from_millis(wire.term_ms),
+            nonce: wire.nonce,
+        }
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+pub(crate) struct IntentWire<A> {
+    order_id: String,
+    count: u64,
+    epoch: Epoch,
+    order: A,
+    state: IntentState,
+    deadline_ms: u64,
+    nonce: String,
+}
+
+impl<A: Clone> IntentWire<A> {
+    pub(crate) fn new(intent: &Intent<A>, nonce: String) -> Self {
+        Self {
+            order_id: intent.order_id.clone(),
+            count: intent.count,
+            epoch: intent.epoch,
+            order: intent.order.clone(),
+            state: intent.state,
+            deadline_ms: millis(intent.deadline),
+            nonce,
+        }
+    }
+}
+
+impl<A> From<IntentWire<A>> for Intent<A> {
+    fn from(wire: IntentWire<A>) -> Self {
+        Self {
+            order_id: wire.order_id,
+            count: wire.count,
+            epoch: wire.epoch,
+            order: wire.order,
+            state: wire.state,
+            deadline: Duration::from_millis(wire.deadline_ms),
+        }
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+pub(crate) struct SealWire {
+    accounts: Value,
+    #[serde(default)]
+    included: Value,
+    nonce: String,
+}
+
+impl SealWire {
+    pub(crate) fn new(seal: &Seal, nonce: String) -> Self {
+        Self {
+            accounts: seal.accounts.clone(),
+            included: seal.included.clone(),
+            nonce,
+        }
+    }
+
+    pub(crate) fn into_seal(self, window: &str) -> Seal {
+        Seal {
+            window: window.to_owned(),
+            accounts: self.accounts,
+            included: self.included,
+        }
+    }
+}
+
+pub(crate) fn encode<T: Serialize>(form: &T) -> Result<Value, PlatformError> {
+    serde_json::to_value(form).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
+pub(crate) fn parse<T: DeserializeOwned>(value: &Value) -> Result<T, PlatformError> {
+    T::deserialize(value).map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis().try_into().unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/pomeloridge_platform/src/usage.rs
@@ -0,0 +1,131 @@
+//! Usage windows: sealed once, and reported only as they were sealed.
+
+use std::collections::BTreeMap;
+
+use pomeloridge_base::http::Outgoing;
+use pomeloridge_base::id::Name;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::authority::Permit;
+use crate::call::CallKind;
+use crate::client::{Client, decode};
+use crate::error::PlatformError;
+use crate::object::{Expect, Object};
+use crate::put::{PutOutcome, new_nonce};
+use crate::stored::{SealWire, encode, parse};
+use crate::wire::{UsageReceiptWire, UsageWire};
+
+/// Prefix of the sealed windows.
+pub const USAGE_PREFIX: &str = "usage/";
+
+/// What a client account used in a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Requests that were run.
+    pub requests: u64,
+    /// Prompt tokens read.
+    pub prompt_tokens: u64,
+    /// Output tokens made.
+    pub output_tokens: u64,
+}
+
+/// A sealed window; its content is sent as it was sealed, whatever it holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seal {
+    /// Identifier of the window.
+    pub window: String,
+    /// Figures by client account.
+    pub accounts: Value,
+    /// What was counted, in the sealing holder's form.
+    pub included: Value,
+}
+
+impl Seal {
+    /// A window that is ready to be sealed.
+    pub fn new(
+        window: impl Into<String>,
+        accounts: &BTreeMap<Name, Figures>,
+        included: Value,
+    ) -> Result<Self, PlatformError> {
+        Ok(Self {
+            window: window.into(),
+            accounts: encode(accounts)?,
+            included,
+        })
+    }
+
+    /// The figures by client account.
+    pub fn figures(&self) -> Result<BTreeMap<Name, Figures>, PlatformError> {
+        parse(&self.accounts)
+    }
+}
+
+/// The platform's confirmation of a usage report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageReceipt {
+    /// Identifier of the window.
+    pub window: String,
+    /// Whether the platform knew the report already.
+    pub repeated: bool,
+}
+
+/// Seals a window, and gives the seal that stands: an earlier one, if there is one.
+///
+/// [`PlatformError::Unconfirmed`] or any other error means that nothing may be
+/// reported yet; the call may be repeated.
+pub async fn seal(client: &Client, permit: &Permit, seal: Seal) -> Result<Seal, PlatformError> {
+    let key = format!("{USAGE_PREFIX}{}", seal.window);
+    let value = encode(&SealWire::new(&seal, new_nonce()))?;
+    let put = client.put_confirmed_if(&key, value, Expect::Absent, || permit.allowed());
+    match put.await? {
+        PutOutcome::Written(_) => {
+            log::info!("usage window={} choice=seal", seal.window);
+            Ok(seal)
+        }
+        // The object never changes, so whatever stands there is the seal.
+        PutOutcome::Conflict(Some(object)) | PutOutcome::Unconfirmed(Some(object)) => {
+            log::info!("usage window={} choice=keep_earlier_seal", seal.window);
+            read_seal(&object)
+        }
+        PutOutcome::Conflict(None) => Err(PlatformError::NotFound),
+        PutOutcome::Unconfirmed(None) => Err(PlatformError::Unconfirmed(
+            pomeloridge_base::http::Fault::Closed,
+        )),
+    }
+}
+
+/// Reads every sealed window.
+pub async fn read_seals(client: &Client) -> Result<Vec<Seal>, PlatformError> {
+    let (_, objects) = client.list(USAGE_PREFIX).await?;
+    objects.iter().map(read_seal).collect()
+}
+
+fn read_seal(object: &Object) -> Result<Seal, PlatformError> {
+    let window = object.key.strip_prefix(USAGE_PREFIX).unwrap_or_default();
+    Ok(parse::<SealWire>(&object.value)?.into_seal(window))
+}
+
+impl Client {
+    /// Reports a sealed window, if the permit holds directly before the write.
+    ///
+    /// [`PlatformError::Differs`] means that the platform has other figures for it.
+    pub async fn report_usage(
+        &self,
+        seal: &Seal,
+        permit: &Permit,
+    ) -> Result<UsageReceipt, PlatformError> {
+        let wire = UsageWire {
+            window: &seal.window,
+            fence: permit.epoch(),
+            accounts: &seal.accounts,
+        };
+        let request = Outgoing::new(http::Method::POST, "/usage").json(&wire);
+        let response = self.write_by(CallKind::Usage, request, permit).await;
+        let response = response.map_err(|error| match error {
+            PlatformError::Conflict { .. } => PlatformError::Differs,
+            other => other,
+        })?;
+        Ok(decode::<UsageReceiptWire>(&response)?.into())
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_platform/src/wire.rs
@@ -0,0 +1,290 @@
+//! The forms on the wire, and their conversion into domain types.
+
+use std::net::SocketAddr;
+use std::time::{Duration, UNIX_EPOCH};
+
+use pomeloridge_base::id::{Epoch, Name, Revision};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::error::PlatformError;
+use crate::fleet::{BackendServer, ServerKind, ServerState, Vm};
+use crate::object::{Event, Object, Watched};
+use crate::order::{Order, OrderAction, OrderReceipt, OrderStatus};
+use crate::usage::UsageReceipt;
+
+#[derive(Deserialize)]
+pub(crate) struct ObjectWire {
+    key: String,
+    version: Revision,
+    value: Value,
+}
+
+impl From<ObjectWire> for Object {
+    fn from(wire: ObjectWire) -> Self {
+        Self {
+            key: wire.key,
+            version: wire.version,
+            value: wire.value,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct VersionWire {
+    pub(crate) version: Revision,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ListWire {
+    revision: Revision,
+    objects: Vec<ObjectWire>,
+}
+
+impl From<ListWire> for (Revision, Vec<Object>) {
+    fn from(wire: ListWire) -> Self {
+        let objects = wire.objects.into_iter().map(Object::from);
+        (wire.revision, objects.collect())
+    }
+}
+
+#[derive(Deserialize)]
+struct EventWire {
+    key: String,
+    version: Revision,
+    value: Option<Value>,
+}
+
+impl From<EventWire> for Event {
+    fn from(wire: EventWire) -> Self {
+        Self {
+            key: wire.key,
+            version: wire.version,
+            value: wire.value,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct WatchWire {
+    revision: Revision,
+    events: Vec<EventWire>,
+}
+
+impl From<WatchWire> for Watched {
+    fn from(wire: WatchWire) -> Self {
+        Self {
+            revision: wire.revision,
+            events: wire.events.into_iter().map(Event::from).collect(),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct VmWire {
+    name: Name,
+    address: String,
+    data_centre: Name,
+    state: String,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct VmsWire {
+    pub(crate) vms: Vec<VmWire>,
+}
+
+impl TryFrom<VmWire> for Vm {
+    type Error = PlatformError;
+
+    fn try_from(wire: VmWire) -> Result<Self, Self::Error> {
+        let leaving = match wire.state.as_str() {
+            "live" => false,
+            "leaving" => true,
+            other => return Err(unknown("VM state", other)),
+        };
+        Ok(Self {
+            address: address(&wire.address)?,
+            name: wire.name,
+            data_centre: wire.data_centre,
+            leaving,
+        })
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ServerWire {
+    id: Name,
+    address: String,
+    data_centre: Name,
+    pool: Name,
+    kind: String,
+    #[serde(default)]
+    cheap: bool,
+    #[serde(default)]
+    price: f64,
+    #[serde(default)]
+    checks_fence: bool,
+    state: String,
+    #[serde(default)]
+    leave_at: Option<u64>,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ServersWire {
+    pub(crate) servers: Vec<ServerWire>,
+}
+
+impl TryFrom<ServerWire> for BackendServer {
+    type Error = PlatformError;
+
+    fn try_from(wire: ServerWire) -> Result<Self, Self::Error> {
+        let kind = match wire.kind.as_str() {
+            "engine" => ServerKind::Engine,
+            "service" => ServerKind::Service,
+            other => return Err(unknown("kind of backend server", other)),
+        };
+        let state = match wire.state.as_str() {
+            "starting" => ServerState::Starting,
+            "ready" => ServerState::Ready,
+            "leaving" => ServerState::Leaving,
+            other => return Err(unknown("state of a backend server", other)),
+        };
+        let since_epoch = wire.leave_at.map(Duration::from_millis);
+        Ok(Self {
+            address: address(&wire.address)?,
+            id: wire.id,
+            data_centre: wire.data_centre,
+            pool: wire.pool,
+            kind,
+            cheap: wire.cheap,
+            price: wire.price,
+            checks_fence: wire.checks_fence,
+            state,
+            leave_at: since_epoch.and_then(|time| UNIX_EPOCH.checked_add(time)),
+        })
+    }
+}
+
+#[derive(Serialize)]
+pub(crate) struct OrderWire<'a> {
+    order_id: &'a str,
+    fence: Epoch,
+    action: &'static str,
+    data_centre: &'a Name,
+    pool: &'a Name,
+    cheap: bool,
+    server: Option<&'a Name>,
+}
+
+impl<'a> From<&'a Order> for OrderWire<'a> {
+    fn from(order: &'a Order) -> Self {
+        let (action, data_centre, pool, cheap, server) = match &order.action {
+            OrderAction::Add {
+                data_centre,
+                pool,
+                cheap,
+            } => ("add", data_centre, pool, *cheap, None),
+            OrderAction::Release {
+                server,
+                data_centre,
+                pool,
+            } => ("release", data_centre, pool, false, Some(server)),
+        };
+        Self {
+            order_id: &order.id,
+            fence: order.fence,
+            action,
+            data_centre,
+            pool,
+            cheap,
+            server,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct ReceiptWire {
+    order_id: String,
+    repeated: bool,
+}
+
+impl From<ReceiptWire> for OrderReceipt {
+    fn from(wire: ReceiptWire) -> Self {
+        Self {
+            id: wire.order_id,
+            repeated: wire.repeated,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct StatusWire {
+    order_id: String,
+    action: Name,
+    #[serde(default)]
+    server: Option<Name>,
+    state: Name,
+}
+
+impl From<StatusWire> for OrderStatus {
+    fn from(wire: StatusWire) -> Self {
+        Self {
+            id: wire.order_id,
+            action: wire.action,
+            server: wire.server.filter(|server| !server.is_empty()),
+            state: wire.state,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+pub(crate) struct OrdersWire {
+    pub(crate) orders: Vec<StatusWire>,
+}
+
+#[derive(Serialize)]
+pub(crate) struct UsageWire<'a> {
+    pub(crate) window: &'a str,
+    pub(crate) fence: Epoch,
+    pub(crate) accounts: &'a Value,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct UsageReceiptWire {
+    window: String,
+    repeated: bool,
+}
+
+impl From<UsageReceiptWire> for UsageReceipt {
+    fn from(wire: UsageReceiptWire) -> Self {
+        Self {
+            window: wire.window,
+            repeated: wire.repeated,
+        }
+    }
+}
+
+/// Converts the entries of a list; one that can't be read is left out.
+///
+/// A single bad entry must not hide the rest of the fleet.
+pub(crate) fn convert_list<W, T>(wires: Vec<W>) -> Vec<T>
+where
+    T: TryFrom<W, Error = PlatformError>,
+{
+    let readable = |wire| match T::try_from(wire) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            log::warn!("an entry of the platform's list is left out: {error}");
+            None
+        }
+    };
+    wires.into_iter().filter_map(readable).collect()
+}
+
+fn address(text: &str) -> Result<SocketAddr, PlatformError> {
+    text.parse().map_err(|_| unknown("address", text))
+}
+
+fn unknown(what: &str, value: &str) -> PlatformError {
+    PlatformError::Malformed(format!("{what} {value:?}"))
+}
--- /dev/null
+++ b/crates/pomeloridge_platform/tests/client.rs
@@ -0,0 +1,148 @@
+//! Calls, their outcomes and their counts.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use pomeloridge_base::clock::ManualClock;
+use pomeloridge_base::http::Response;
+use pomeloridge_base::id::Revision;
+use pomeloridge_platform::{CallKind, Client, Expect, PlatformError, ServerKind, ServerState};
+use serde_json::json;
+use support::{Loss, client, run};
+use yare::parameterized;
+
+fn fresh() -> Rc<ManualClock> {
+    Rc::new(ManualClock::new())
+}
+
+#[test]
+fn objects_round_trip() {
+    run(async |fake, address| {
+        let client = client(address, &fresh());
+        assert_eq!(client.get("config/fleet").await.unwrap(), None);
+        let value = json!({"a": 1});
+        let version = client.put("config/fleet", &value, Expect::Absent).await;
+        let version = version.unwrap();
+        let found = client.get("config/fleet").await.unwrap().unwrap();
+        assert_eq!((found.version, found.value), (version, value.clone()));
+        let again = client.put("config/fleet", &value, Expect::Absent).await;
+        assert!(matches!(again, Err(PlatformError::Conflict { current }) if current == version));
+        let (revision, objects) = client.list("config/").await.unwrap();
+        assert_eq!((revision, objects.len()), (Revision(1), 1));
+        let wait = Duration::from_millis(1);
+        let watched = client.watch("config/", Revision(0), wait).await.unwrap();
+        assert_eq!(watched.events[0].value, Some(value));
+        client
+            .delete("config/fleet", Expect::Version(version))
+            .await
+            .unwrap();
+        assert_eq!(fake.objects.borrow().len(), 0);
+        assert_eq!(client.calls().of(CallKind::Put), 2);
+        assert_eq!(client.calls().of(CallKind::Get), 2);
+    });
+}
+
+#[parameterized(
+    not_found = { 404, "", "NotFound" },
+    conflict = { 409, r#"{"version":9}"#, "Conflict { current: Revision(9) }" },
+    conflict_without_version = { 409, "", "Conflict { current: Revision(0) }" },
+    gone = { 410, "", "TooOld" },
+    outage = { 503, "", "Outage" },
+    failed_while_running = { 500, "", "Unconfirmed(Malformed(\"the platform failed while it ran the call\"))" },
+    refused = { 413, "", "Refused(413)" },
+    no_json = { 200, "x", "Malformed(\"expected value at line 1 column 1\")" },
+)]
+fn statuses(status: u16, body: &'static str, expected: &str) {
+    run(async |fake, address| {
+        *fake.fixed.borrow_mut() = Some(Response::new(status, body));
+        let client = client(address, &fresh());
+        let error = client.delete("k", Expect::Any).await.unwrap_err();
+        assert_eq!(format!("{error:?}"), expected);
+    });
+}
+
+#[test]
+fn a_refused_connection_wrote_nothing() {
+    run(async |_fake, _address| {
+        let listener = pomeloridge_base::net::listen(([127, 0, 0, 1], 0).into()).unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let error = client(address, &fresh()).vms().await.unwrap_err();
+        assert!(matches!(error, PlatformError::Unreachable(_)), "{error:?}");
+    });
+}
+
+#[test]
+fn a_lost_answer_is_an_unknown_outcome() {
+    run(async |fake, address| {
+        fake.loss.set(Some(Loss::Answer));
+        let client = client(address, &fresh());
+        let error = client.put("k", &json!(1), Expect::Any).await.unwrap_err();
+        assert!(error.is_unknown(), "{error:?}");
+        assert_eq!(fake.value("k"), json!(1));
+    });
+}
+
+#[test]
+fn a_silent_platform_does_not_hold_a_call() {
+    run(async |fake, address| {
+        fake.silent.set(true);
+        let client = Client::new(address, Duration::from_millis(50), fresh());
+        assert!(client.vms().await.is_err());
+        let wait = Duration::from_millis(10);
+        let watched = client.watch("config/", Revision(0), wait).await;
+        assert!(watched.is_err());
+    });
+}
+
+#[parameterized(
+    space = { "a b" },
+    query = { "a?expect=1" },
+    line_break = { "a\r\nx: y" },
+    fragment = { "e1#2" },
+    percent = { "a%20b" },
+)]
+fn keys_that_would_change_the_request_are_refused(key: &str) {
+    run(async |fake, address| {
+        let client = client(address, &fresh());
+        let error = client.put(key, &json!(1), Expect::Any).await.unwrap_err();
+        assert!(matches!(error, PlatformError::BadKey(_)), "{error:?}");
+        assert_eq!(fake.writes.get(), 0);
+    });
+}
+
+#[test]
+fn lists_leave_out_what_cannot_be_read() {
+    run(async |fake, address| {
+        let server = |id: &str, kind: &str, state: &str| {
+            json!({"id": id, "address": "127.0.0.1:9", "data_centre": "d1", "pool": "m",
+                "kind": kind, "cheap": true, "price": 2.5, "checks_fence": true,
+                "state": state, "leave_at": 5000})
+        };
+        let servers = [
+            server("e1", "engine", "leaving"),
+            server("e2", "toaster", "ready"),
+            server("s1", "service", "ready"),
+        ];
+        let vm = |address: &str, state: &str| json!({"name": "n1", "address": address, "data_centre": "d1", "state": state});
+        let vms = [
+            vm("127.0.0.1:7", "leaving"),
+            vm("nowhere", "live"),
+            vm("127.0.0.1:7", "asleep"),
+        ];
+        let body = json!({"servers": servers, "vms": vms});
+        *fake.fixed.borrow_mut() = Some(Response::json(200, &body));
+        let client = client(address, &fresh());
+        let servers = client.servers().await.unwrap();
+        assert_eq!(servers.len(), 2);
+        assert_eq!(servers[0].kind, ServerKind::Engine);
+        assert_eq!(servers[0].state, ServerState::Leaving);
+        assert!(servers[0].checks_fence && servers[0].leave_at.is_some());
+        assert_eq!(servers[1].kind, ServerKind::Service);
+        let vms = client.vms().await.unwrap();
+        assert_eq!(vms.len(), 1);
+        assert!(vms[0].leaving);
+    });
+}
--- /dev/null
+++ b/crates/pomeloridge_platform/tests/support/mod.rs
@@ -0,0 +1,295 @@
+//! A small platform for tests, with lost, late and slow writes, and its clocks.
+
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pomeloridge_base::clock::ManualClock;
+use pomeloridge_base::http::{Limits, Request, Responder, Response, Server};
+use pomeloridge_base::id::{Incarnation, Name, Revision};
+use pomeloridge_platform::lease::Claim;
+use pomeloridge_platform::{Client, Keeper};
+use serde_json::{Value, json};
+
+/// Long, so that the calls' deadlines, which are parts of it in real time, never pass.
+pub const TERM: Duration = Duration::from_mins(1);
+pub const MARGIN: Duration = Duration::from_secs(20);
+/// Real time for one call; no test waits for it to pass.
+const CALL_TIME: Duration = Duration::from_secs(20);
+
+/// What happens to the next write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It takes effect and its answer is cut.
+    Answer,
+    /// It never takes effect and gets no answer.
+    Write,
+    /// It gets no answer and takes effect only when [`Fake::deliver`] is called.
+    Late,
+}
+
+/// Holds one call back while others go on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Gate {
+    #[default]
+    Open,
+    /// The next call will be held.
+    Armed,
+    /// A call is held: a read before it is run, a write after it took effect.
+    Closed,
+}
+
+#[derive(Default)]
+pub struct Fake {
+    pub objects: RefCell<BTreeMap<String, (u64, Value)>>,
+    pub revision: Cell<u64>,
+    pub outage: Cell<bool>,
+    pub loss: Cell<Option<Loss>>,
+    pub lose_reads: Cell<u32>,
+    pub gate: Cell<Gate>,
+    /// Answers that are given whatever is asked.
+    pub fixed: RefCell<Option<Response>>,
+    /// Whether calls get no answer at all.
+    pub silent: Cell<bool>,
+    /// Bodies of `POST` calls with their path.
+    pub posts: RefCell<Vec<(String, Value)>>,
+    pub writes: Cell<u32>,
+    late: RefCell<Vec<Request>>,
+    clocks: RefCell<Vec<Rc<ManualClock>>>,
+}
+
+impl Fake {
+    /// Starts serving; gives the address.
+    pub fn start() -> (Rc<Self>, SocketAddr) {
+        let fake = Rc::new(Self::default());
+        let listener = pomeloridge_base::net::listen(([127, 0, 0, 1], 0).into()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared = Rc::clone(&fake);
+        let server = Rc::new(Server {
+            limits: Limits::default(),
+            handler: async move |request, responder: &mut Responder| {
+                let Ok::<Request, _>(request) = request else {
+                    return;
+                };
+                if shared.silent.get() {
+                    monoio::time::sleep(Duration::from_hours(1)).await;
+                }
+                let (held, read) = (shared.close_gate(), request.method == "GET");
+                if held && read {
+                    shared.wait_for(Gate::Open).await;
+                }
+                let answer = shared.answer(request);
+                if held && !read {
+                    shared.wait_for(Gate::Open).await;
+                }
+                if let Some(response) = answer {
+                    let _ = responder.send(response).await;
+                }
+            },
+            stopping: || false,
+        });
+        monoio::spawn(server.run(listener));
+        (fake, address)
+    }
+
+    /// A clock that passes together with every other clock of this platform.
+    pub fn clock(&self) -> Rc<ManualClock> {
+        let clock = Rc::new(ManualClock::new());
+        self.clocks.borrow_mut().push(Rc::clone(&clock));
+        clock
+    }
+
+    pub fn advance(&self, by: Duration) {
+        for clock in self.clocks.borrow().iter() {
+            clock.advance(by);
+        }
+    }
+
+    /// Lets the late writes arrive.
+    pub fn deliver(&self) {
+        for request in self.late.take() {
+            self.change(&request);
+        }
+    }
+
+    pub fn value(&self, key: &str) -> Value {
+        let objects = self.objects.borrow();
+        objects.get(key).map_or(Value::Null, |kept| kept.1.clone())
+    }
+
+    pub fn set(&self, key: &str, value: Value) -> Revision {
+        self.revision.set(self.revision.get() + 1);
+        let version = self.revision.get();
+        let mut objects = self.objects.borrow_mut();
+        objects.insert(key.to_owned(), (version, value));
+        Revision(version)
+    }
+
+    fn close_gate(&self) -> bool {
+        let armed = self.gate.get() == Gate::Armed;
+        if armed {
+            self.gate.set(Gate::Closed);
+        }
+        armed
+    }
+
+    async fn wait_for(&self, gate: Gate) {
+        while self.gate.get() != gate {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Runs `call`, and `meanwhile` while the platform holds the first call of it.
+    pub async fn overtake(&self, call: impl Future, meanwhile: impl Future) {
+        self.gate.set(Gate::Armed);
+        let called = async {
+            call.await;
+            self.gate.set(Gate::Open);
+        };
+        let overtaking = async {
+            while self.gate.get() == Gate::Armed {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+            if self.gate.get() == Gate::Closed {
+                meanwhile.await;
+                self.gate.set(Gate::Open);
+            }
+        };
+        monoio::join!(called, overtaking);
+    }
+
+    fn answer(&self, request: Request) -> Option<Response> {
+        if let Some(response) = self.fixed.borrow().clone() {
+            return Some(response);
+        }
+        if self.outage.get() {
+            return Some(Response::new(503, ""));
+        }
+        match request.method.as_str() {
+            "GET" => self.read(&request),
+            "POST" => {
+                let body = serde_json::from_slice(&request.body).unwrap();
+                let path = request.path().to_owned();
+                self.posts.borrow_mut().push((path, body));
+                let receipt = json!({"order_id": "x", "window": "w", "repeated": false});
+                Some(Response::json(200, &receipt))
+            }
+            _ => self.write(request),
+        }
+    }
+
+    fn read(&self, request: &Request) -> Option<Response> {
+        if self.lose_reads.get() > 0 {
+            self.lose_reads.set(self.lose_reads.get() - 1);
+            return None;
+        }
+        let objects = self.objects.borrow();
+        let form = |(key, kept): (&String, &(u64, Value))| json!({"key": key, "version": kept.0, "value": kept.1});
+        if let Some(key) = request.path().strip_prefix("/objects/") {
+            let object = objects.get_key_value(key).map(form);
+            return Some(object.map_or(Response::new(404, ""), |form| Response::json(200, &form)));
+        }
+        let prefix = request.query("prefix").unwrap_or_default();
+        let fits = objects.iter().filter(|(key, _)| key.starts_with(prefix));
+        let list: Vec<Value> = fits.map(form).collect();
+        let body = json!({"revision": self.revision.get(), "objects": list, "events": list});
+        Some(Response::json(200, &body))
+    }
+
+    fn write(&self, request: Request) -> Option<Response> {
+        self.writes.set(self.writes.get() + 1);
+        let loss = self.loss.take();
+        let answer = match loss {
+            Some(Loss::Write) => return None,
+            Some(Loss::Late) => {
+                self.late.borrow_mut().push(request);
+                return None;
+            }
+            Some(Loss::Answer) | None => self.change(&request),
+        };
+        loss.is_none().then_some(answer)
+    }
+
+    fn change(&self, request: &Request) -> Response {
+        let key = request.path().strip_prefix("/objects/").unwrap().to_owned();
+        let current = self.objects.borrow().get(&key).map_or(0, |kept| kept.0);
+        let expect = request.query("expect").map(|text| text.parse().unwrap());
+        if expect.is_some_and(|expect: u64| expect != current) {
+            return Response::json(409, &json!({"version": current}));
+        }
+        if request.method == "DELETE" {
+            self.objects.borrow_mut().remove(&key);
+            self.revision.set(self.revision.get() + 1);
+            return Response::json(200, &json!({"version": self.revision.get()}));
+        }
+        let version = self.set(&key, serde_json::from_slice(&request.body).unwrap());
+        Response::json(200, &json!({"version": version}))
+    }
+}
+
+/// Runs a test with its own platform.
+pub fn run<F: Future>(test: impl FnOnce(Rc<Fake>, SocketAddr) -> F) -> F::Output {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let (fake, address) = Fake::start();
+        test(fake, address).await
+    })
+}
+
+pub fn client(address: SocketAddr, clock: &Rc<ManualClock>) -> Client {
+    Client::new(address, CALL_TIME, Rc::clone(clock) as _)
+}
+
+pub fn claim(holder: &str) -> Claim {
+    Claim {
+        duty: Name::from("placement"),
+        holder: Name::from(holder),
+        incarnation: Incarnation(1),
+        term: TERM,
+        margin: MARGIN,
+    }
+}
+
+/// A node that competes for the duty.
+pub struct Node {
+    pub clock: Rc<ManualClock>,
+    pub client: Client,
+    pub keeper: Keeper,
+}
+
+impl Node {
+    pub fn new(fake: &Fake, address: SocketAddr, name: &str) -> Self {
+        let clock = fake.clock();
+        let client = client(address, &clock);
+        let keeper = Keeper::new(&client, claim(name));
+        Self {
+            clock,
+            client,
+            keeper,
+        }
+    }
+
+    pub fn holds(&self) -> bool {
+        self.keeper.authority().holds()
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.keeper.authority().epoch().0
+    }
+
+    /// Takes a lease that nobody holds.
+    pub async fn take(&mut self, fake: &Fake) {
+        self.keeper.step().await;
+        fake.advance(TERM + MARGIN);
+        self.keeper.step().await;
+        assert!(self.holds(), "the lease was free and was not taken");
+    }
+}
