--- /dev/null
+++ b/crates/pomeloridge_node/src/channel.rs
@@ -0,0 +1,82 @@
+//! The calling end of a link: HTTP/2 over one connection.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use http::{Request, Response, Uri};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{Builder, SendRequest};
+use monoio::io::IntoPollIo;
+use monoio_compat::hyper::{MonoioExecutor, MonoioIo, MonoioTimer};
+use pomeloridge_base::net;
+use tonic::Status;
+use tonic::body::Body;
+use tower::Service;
+
+use crate::error::LinkError;
+
+/// One connection to another node, cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Channel {
+    sender: SendRequest<Body>,
+}
+
+impl Channel {
+    /// Connects within `limit`; a silent connection is ended by pings after as long.
+    pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> Result<Self, LinkError> {
+        let stream = net::connect(address, limit).await?.into_poll_io()?;
+        let handshake = Builder::new(MonoioExecutor)
+            .timer(MonoioTimer)
+            .keep_alive_interval(limit)
+            .keep_alive_timeout(limit)
+            .keep_alive_while_idle(true)
+            .handshake(MonoioIo::new(stream));
+        let (sender, connection) = timed(limit, handshake).await??;
+        monoio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("link address={address} state=closed reason={error}");
+            }
+        });
+        Ok(Self { sender })
+    }
+
+    /// Whether the connection has ended.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Service<Request<Body>> for Channel {
+    type Response = Response<Incoming>;
+    type Error = hyper::Error;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.sender.poll_ready(context)
+    }
+
+    fn call(&mut self, request: Request<Body>) -> Self::Future {
+        Box::pin(self.sender.send_request(request))
+    }
+}
+
+/// The origin in the calls' addresses, which no node looks at.
+pub(crate) fn origin() -> Uri {
+    Uri::from_static("http://node")
+}
+
+/// Waits for a call's reply for at most `limit`.
+pub(crate) async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<tonic::Response<T>, Status>>,
+) -> Result<T, LinkError> {
+    Ok(timed(limit, call).await??.into_inner())
+}
+
+async fn timed<T>(limit: Duration, future: impl Future<Output = T>) -> Result<T, LinkError> {
+    let result = monoio::time::timeout(limit, future).await;
+    result.map_err(|_| LinkError::Deadline)
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/config_spread.rs
@@ -0,0 +1,14 @@
+//! What two nodes must tell each other to have the same configuration.
+
+use std::collections::BTreeMap;
+
+use pomeloridge_base::id::Revision;
+
+/// Keys of which the other node has a higher revision.
+pub fn missing(own: &[(String, Revision)], other: &[(String, Revision)]) -> Vec<String> {
+    let own: BTreeMap<_, _> = own.iter().map(|(key, revision)| (key, *revision)).collect();
+    let newer = other
+        .iter()
+        .filter(|(key, revision)| *revision > own.get(key).copied().unwrap_or_default());
+    newer.map(|(key, _)| key.clone()).collect()
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/mesh_usage.rs
@@ -0,0 +1,90 @@
+//! Usage batches on this node and on others.
+
+use pomeloridge_base::id::{Incarnation, Name};
+
+use crate::error::LinkError;
+use crate::member::MemberState;
+use crate::mesh::Mesh;
+use crate::peer_link::PeerLink;
+use crate::usage::{UsageBatch, UsagePart, UsageSpan};
+use crate::usage_store::Kept;
+
+impl Mesh {
+    /// Keeps a usage batch, of this node or of another.
+    pub fn keep_usage(&self, batch: UsageBatch) -> Kept {
+        self.0.usage.borrow_mut().keep(batch)
+    }
+
+    /// Which usage batches a node keeps.
+    pub async fn list_usage(&self, peer: &Name) -> Result<Vec<UsageSpan>, LinkError> {
+        if *peer == self.name() {
+            return Ok(self.usage_spans());
+        }
+        self.link(peer).await?.list_usage().await
+    }
+
+    /// The usage batches that `peer` keeps of one start of `node`, from a number on.
+    pub async fn get_usage(
+        &self,
+        peer: &Name,
+        node: &Name,
+        incarnation: Incarnation,
+        from: u64,
+    ) -> Result<UsagePart, LinkError> {
+        if *peer == self.name() {
+            return Ok(self.read_usage(node, incarnation, from));
+        }
+        let link = self.link(peer).await?;
+        link.get_usage(node, incarnation, from).await
+    }
+
+    /// Has `peer` drop the usage batches of one start of `node` up to a sealed number.
+    pub async fn drop_usage(
+        &self,
+        peer: &Name,
+        node: &Name,
+        incarnation: Incarnation,
+        up_to: u64,
+    ) -> Result<(), LinkError> {
+        if *peer == self.name() {
+            self.drop_sealed(node, incarnation, up_to);
+            return Ok(());
+        }
+        let link = self.link(peer).await?;
+        link.drop_usage(node, incarnation, up_to).await
+    }
+
+    pub(crate) fn usage_spans(&self) -> Vec<UsageSpan> {
+        self.0.usage.borrow().spans()
+    }
+
+    pub(crate) fn read_usage(&self, node: &Name, incarnation: Incarnation, from: u64) -> UsagePart {
+        self.0.usage.borrow().read(node, incarnation, from)
+    }
+
+    pub(crate) fn drop_sealed(&self, node: &Name, incarnation: Incarnation, up_to: u64) {
+        let mut usage = self.0.usage.borrow_mut();
+        usage.drop_sealed(node, incarnation, up_to);
+    }
+
+    /// Open links in the order in which they are to keep a usage batch: those in
+    /// another data centre first, and those that stay before those that leave.
+    pub(crate) fn usage_peers(&self, number: u64) -> Vec<PeerLink> {
+        let own = self.view(|membership| membership.own().data_centre.clone());
+        let mut ranked: Vec<_> = (self.links().into_iter())
+            .filter_map(|link| {
+                let member = self.view(|membership| membership.member(&link.name))?;
+                let near = member.data_centre == own;
+                (member.state.is_heard())
+                    .then_some(((near, member.state == MemberState::Leaving), link))
+            })
+            .collect();
+        if !ranked.is_empty() {
+            // Batches go to the peers in turn.
+            let turn = number as usize % ranked.len();
+            ranked.rotate_left(turn);
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, link)| link).collect()
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/peer.rs
@@ -0,0 +1,86 @@
+//! The task of one peer: keeps a link open, sends heartbeats and mends the
+//! configuration of both ends.
+
+use std::net::SocketAddr;
+
+use std::time::Duration;
+
+use crate::config_spread::missing;
+use crate::error::LinkError;
+use crate::mesh::Mesh;
+use crate::peer_link::PeerLink;
+
+/// Longest pause between two tries to open a link.
+const RETRY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Removes the peer when its task ends.
+struct PeerGuard {
+    mesh: Mesh,
+    address: SocketAddr,
+}
+
+impl Drop for PeerGuard {
+    fn drop(&mut self) {
+        self.mesh.end_peer(self.address);
+    }
+}
+
+/// Keeps a link to an address for as long as it is wanted.
+pub(crate) async fn keep(mesh: Mesh, address: SocketAddr) {
+    let _guard = PeerGuard {
+        mesh: mesh.clone(),
+        address,
+    };
+    let first = mesh.options().link.heartbeat.min(RETRY_LIMIT);
+    let mut pause = first;
+    while mesh.wants(address) {
+        match mesh.open(address).await {
+            Ok(link) => {
+                pause = first;
+                log::info!("link peer={} address={address} state=open", link.name);
+                mesh.set_link(address, Some(link.clone()));
+                let ended = beat(&mesh, address, &link).await;
+                mesh.set_link(address, None);
+                match ended {
+                    Ok(()) => log::info!("link peer={} state=closed reason=unwanted", link.name),
+                    Err(error) => log::info!("link peer={} state=closed reason={error}", link.name),
+                }
+            }
+            Err(error) => log::debug!("link address={address} state=not_open reason={error}"),
+        }
+        monoio::time::sleep(pause).await;
+        pause = (pause * 2).min(RETRY_LIMIT);
+    }
+}
+
+/// Sends heartbeats until the link fails or is no longer wanted.
+async fn beat(mesh: &Mesh, address: SocketAddr, link: &PeerLink) -> Result<(), LinkError> {
+    while mesh.wants(address) {
+        exchange(mesh, link).await?;
+        monoio::time::sleep(mesh.options().link.heartbeat).await;
+    }
+    Ok(())
+}
+
+async fn exchange(mesh: &Mesh, link: &PeerLink) -> Result<(), LinkError> {
+    let own = mesh.heartbeat();
+    let digests = own.payload.digests.clone();
+    let other = link.heartbeat(own).await?;
+    if other.sender.name != link.name {
+        return Err(LinkError::Unknown);
+    }
+    let others = other.payload.digests.clone();
+    if !mesh.absorb(other) {
+        return Err(LinkError::Unknown);
+    }
+    let wanted = missing(&digests, &others);
+    if false && !wanted.is_empty() {
+        let objects = link.get_config(wanted).await?;
+        mesh.take_config(objects, &link.name);
+    }
+    let offered = missing(&others, &digests);
+    if !offered.is_empty() {
+        link.push_config(mesh.config_objects(&offered)).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/relay.rs
@@ -0,0 +1,70 @@
+//! The choice of the nodes that hold the platform's watches.
+//!
+//! Each call of the platform counts, a waiting watch too. Two nodes of a data
+//! centre hold watches and spread what they learn; the others read the service
+//! themselves only when nothing has come to them for some seconds.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+
+use crate::member::MemberState;
+use crate::membership::Membership;
+use crate::rendezvous::weight;
+
+/// Nodes of a data centre that hold watches.
+const RELAYS: usize = 2;
+/// Silence of every relay after which a node reads the service itself.
+const CONFIG_SILENCE: Duration = Duration::from_secs(3);
+
+impl Membership {
+    /// The nodes of a data centre that hold watches: by rendezvous hash over
+    /// its live nodes, those that reach the platform first.
+    pub fn relays(&self, data_centre: &Name) -> Vec<Name> {
+        let own = (!self.own_marked).then(|| self.own.clone());
+        let mut live: Vec<_> = (self.members().chain(own))
+            .filter(|member| member.state == MemberState::Live)
+            .filter(|member| member.data_centre == *data_centre)
+            .map(|member| {
+                let weight = weight(data_centre.as_bytes(), member.name.as_bytes());
+                (member.platform, weight, member.name)
+            })
+            .collect();
+        live.sort_by(|a, b| b.cmp(a));
+        live.truncate(RELAYS);
+        live.into_iter().map(|(_, _, name)| name).collect()
+    }
+
+    /// Whether this node holds watches.
+    pub fn am_relay(&self) -> bool {
+        self.relays(&self.own.data_centre).contains(&self.own.name)
+    }
+
+    /// Whether this node must read the configuration from the service itself,
+    /// because no relay has been heard for some seconds.
+    pub fn must_read_directly(&self) -> bool {
+        let silence = (self.timeline.now()).saturating_duration_since(self.config_heard);
+        silence > CONFIG_SILENCE && !self.am_relay()
+    }
+
+    /// Notes that configuration was pushed to this node.
+    pub fn note_push(&mut self) {
+        self.config_heard = self.timeline.now();
+    }
+
+    /// Notes the relays, and that a relay which reaches the platform counts as
+    /// news: its digests say that nothing else is new.
+    pub(crate) fn watch_relays(&mut self, now: Instant) {
+        let relays = self.relays(&self.own.data_centre);
+        let mut others = relays.iter().filter_map(|name| self.records.get(name));
+        if others.any(|record| record.member.platform) {
+            self.config_heard = now;
+        }
+        if relays != self.own_relays {
+            let names: Vec<_> = relays.iter().map(Name::as_str).collect();
+            let (names, centre) = (names.join(","), &self.own.data_centre);
+            log::info!("relays={names} data_centre={centre} reason=rendezvous_of_live");
+            self.own_relays = relays;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/server.rs
@@ -0,0 +1,99 @@
+//! Listens for other nodes, one task per connection.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http2::Builder;
+use hyper::service::{Service, service_fn};
+use hyper_util::service::TowerToHyperService;
+use monoio::io::IntoPollIo;
+use monoio::net::{TcpListener, TcpStream};
+use monoio_compat::hyper::{MonoioExecutor, MonoioIo, MonoioTimer};
+use pomeloridge_base::net;
+use tonic::service::Routes;
+
+use crate::error::LinkError;
+use crate::generated::link_server::{self, LinkServer};
+use crate::generated::node_server::NodeServer;
+use crate::mesh::Mesh;
+use crate::peer_link::MESSAGE_BYTES;
+use crate::served_link::{LinkGuard, LinkKey, find, unproved};
+use crate::service::LinkService;
+
+/// Limit on a message of a link that has proved nothing, in bytes.
+const GREETING_BYTES: usize = 4096;
+/// Calls of one link that may run at once.
+const LINK_CALLS: u32 = 64;
+/// Pause after a connection could not be accepted, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves other nodes for as long as the process lives.
+pub(crate) async fn serve(mesh: Mesh, listener: TcpListener) {
+    loop {
+        match net::accept(&listener).await {
+            Ok((stream, address)) => {
+                monoio::spawn(serve_link(mesh.clone(), stream, address));
+            }
+            Err(error) => {
+                log::warn!("link state=not_accepted reason={error}");
+                monoio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(mesh: Mesh, stream: TcpStream, address: SocketAddr) {
+    let limit = mesh.call_time();
+    let Some(link) = LinkGuard::new(mesh) else {
+        log::warn!("link address={address} state=refused reason=too_many_unproved");
+        return;
+    };
+    if let Err(error) = run_link(link.key(), stream, limit).await {
+        log::debug!("link address={address} state=closed reason={error}");
+    }
+}
+
+async fn run_link(key: LinkKey, stream: TcpStream, limit: Duration) -> Result<(), LinkError> {
+    let routes = TowerToHyperService::new(routes(key));
+    let gate = service_fn(move |request: Request<Incoming>| {
+        let routes = routes.clone();
+        async move {
+            // Refused before the message is read: its size is not bounded as a greeting's.
+            if may_call(key, request.uri().path()) {
+                routes.call(request).await
+            } else {
+                Ok(unproved().into_http())
+            }
+        }
+    });
+    let connection = Builder::new(MonoioExecutor)
+        .timer(MonoioTimer)
+        .keep_alive_interval(limit)
+        .keep_alive_timeout(limit)
+        .max_concurrent_streams(LINK_CALLS)
+        .serve_connection(MonoioIo::new(stream.into_poll_io()?), gate);
+    let mut connection = pin!(connection);
+    if let Ok(ended) = monoio::time::timeout(limit, &mut connection).await {
+        return Ok(ended?);
+    }
+    if find(key).is_ok_and(|link| link.proved().is_some()) {
+        Ok(connection.await?)
+    } else {
+        Err(LinkError::Unproved)
+    }
+}
+
+fn routes(key: LinkKey) -> Routes {
+    let link = LinkServer::new(LinkService(key)).max_decoding_message_size(GREETING_BYTES);
+    let node = NodeServer::new(LinkService(key)).max_decoding_message_size(MESSAGE_BYTES);
+    Routes::new(link).add_service(node)
+}
+
+fn may_call(key: LinkKey, path: &str) -> bool {
+    let service = path.trim_start_matches('/').split('/').next();
+    service == Some(link_server::SERVICE_NAME)
+        || find(key).is_ok_and(|link| link.proved().is_some())
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/timeline.rs
@@ -0,0 +1,38 @@
+//! Time that goes on while a VM is suspended.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::clock::{SharedClock, Stamp};
+
+/// Time that moves by the greater step of the monotonic and the wall clock and
+/// never back, so that silence during a suspension counts as silence.
+pub(crate) struct Timeline {
+    clock: SharedClock,
+    last: Cell<Stamp>,
+    now: Cell<Instant>,
+    start: Instant,
+}
+
+impl Timeline {
+    pub(crate) fn new(clock: SharedClock) -> Self {
+        let stamp = clock.stamp();
+        Self {
+            clock,
+            last: Cell::new(stamp),
+            now: Cell::new(stamp.mono),
+            start: stamp.mono,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        let step = self.clock.elapsed(self.last.get());
+        self.last.set(self.clock.stamp());
+        self.now.set(self.now.get() + step);
+        self.now.get()
+    }
+
+    pub(crate) fn since_start(&self) -> Duration {
+        self.now().duration_since(self.start)
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/usage_sender.rs
@@ -0,0 +1,186 @@
+//! Numbers a node's usage and has it kept by another node before answers end.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use derive_more::Display;
+use local_sync::oneshot;
+use pomeloridge_base::id::{Incarnation, Name};
+
+use crate::mesh::Mesh;
+use crate::usage::{UsageBatch, UsageLine};
+
+/// Peers that are asked, one after the other.
+const ACK_TRIES: usize = 2;
+/// Lines of one batch at most; more are sent at once in batches of their own.
+const BATCH_LINES: usize = 1024;
+
+/// Times of a sender.
+#[derive(Clone, Copy, Debug)]
+pub struct UsageTimes {
+    /// Time for which lines are gathered into one batch.
+    pub gather: Duration,
+    /// Time that one peer has to acknowledge a batch.
+    pub ack: Duration,
+}
+
+impl Default for UsageTimes {
+    fn default() -> Self {
+        Self {
+            gather: Duration::from_millis(5),
+            ack: Duration::from_millis(50),
+        }
+    }
+}
+
+/// Whether usage survives the loss of this node.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Replication {
+    /// Another node keeps it.
+    #[display("replicated")]
+    Replicated,
+    /// Only this node keeps it.
+    #[display("unreplicated")]
+    Unreplicated,
+}
+
+/// Gathers usage lines into numbered batches; clones are the same sender.
+#[derive(Clone)]
+pub struct UsageSender(Rc<Inner>);
+
+struct Inner {
+    mesh: Mesh,
+    node: Name,
+    incarnation: Incarnation,
+    times: UsageTimes,
+    open: RefCell<Open>,
+}
+
+/// The batch that is being gathered, and the counts so far.
+#[derive(Default)]
+struct Open {
+    lines: Vec<UsageLine>,
+    waiting: Vec<oneshot::Sender<Replication>>,
+    number: u64,
+    /// Lines of the batches that only this node keeps, by number.
+    alone: BTreeMap<u64, usize>,
+}
+
+impl UsageSender {
+    /// A sender for the usage of the mesh's own node.
+    pub fn new(mesh: Mesh, times: UsageTimes) -> Self {
+        let own = mesh.view(|membership| membership.own().clone());
+        Self(Rc::new(Inner {
+            mesh,
+            node: own.name,
+            incarnation: own.incarnation,
+            times,
+            open: RefCell::default(),
+        }))
+    }
+
+    /// Records what a request used. Returns within a bounded time, once another
+    /// node keeps the line or it is given up to have it kept there.
+    pub async fn record(&self, line: UsageLine) -> Replication {
+        let (sender, receiver) = oneshot::channel();
+        let lines = {
+            let mut open = self.0.open.borrow_mut();
+            open.lines.push(line);
+            open.waiting.push(sender);
+            open.lines.len()
+        };
+        if lines == 1 {
+            let this = self.clone();
+            monoio::spawn(async move {
+                monoio::time::sleep(this.0.times.gather).await;
+                this.flush().await;
+            });
+        } else if lines == BATCH_LINES {
+            let this = self.clone();
+            monoio::spawn(async move { this.flush().await });
+        }
+        receiver.await.unwrap_or(Replication::Unreplicated)
+    }
+
+    /// Lines that only this node keeps.
+    pub fn unreplicated(&self) -> usize {
+        self.0.open.borrow().alone.values().sum()
+    }
+
+    /// Tries again to have the batches kept elsewhere that only this node keeps;
+    /// says whether none is left.
+    pub async fn retry(&self) -> bool {
+        let alone: Vec<_> = self.0.open.borrow().alone.keys().copied().collect();
+        for number in alone {
+            let kept = (self.0.mesh).read_usage(&self.0.node, self.0.incarnation, number);
+            let batch = kept.batches.into_iter().next();
+            // A batch that is not kept any more has been sealed.
+            if let Some(batch) = batch.filter(|batch| batch.number == number)
+                && self.send(batch).await == Replication::Unreplicated
+            {
+                return false;
+            }
+            self.0.open.borrow_mut().alone.remove(&number);
+        }
+        true
+    }
+
+    /// The number of the last batch; 0 if there was none.
+    pub fn last(&self) -> u64 {
+        self.0.open.borrow().number
+    }
+
+    async fn flush(&self) {
+        let Some((batch, waiting)) = self.close() else {
+            return;
+        };
+        let (number, lines) = (batch.number, batch.lines.len());
+        // The own copy comes first: the numbers that this node keeps have no gaps.
+        let kept = self.0.mesh.keep_usage(batch.clone());
+        if !kept.is_safe() {
+            log::error!("usage batch={number} state=not_kept reason={kept}");
+        }
+        let outcome = self.send(batch).await;
+        if outcome == Replication::Unreplicated {
+            log::warn!("usage batch={number} lines={lines} state=unreplicated");
+            self.0.open.borrow_mut().alone.insert(number, lines);
+        }
+        for sender in waiting {
+            // A caller that went away needs no answer.
+            let _ = sender.send(outcome);
+        }
+    }
+
+    fn close(&self) -> Option<(UsageBatch, Vec<oneshot::Sender<Replication>>)> {
+        let mut open = self.0.open.borrow_mut();
+        if open.lines.is_empty() {
+            return None;
+        }
+        open.number += 1;
+        let batch = UsageBatch {
+            node: self.0.node.clone(),
+            incarnation: self.0.incarnation,
+            number: open.number,
+            lines: std::mem::take(&mut open.lines),
+        };
+        Some((batch, std::mem::take(&mut open.waiting)))
+    }
+
+    async fn send(&self, batch: UsageBatch) -> Replication {
+        let number = batch.number;
+        for link in self.0.mesh.usage_peers(number).iter().take(ACK_TRIES) {
+            match link.ack_usage(batch.clone(), self.0.times.ack).await {
+                Ok(()) => return Replication::Replicated,
+                Err(error) => {
+                    let peer = &link.name;
+                    log::warn!(
+                        "usage batch={number} peer={peer} state=unacknowledged reason={error}"
+                    );
+                }
+            }
+        }
+        Replication::Unreplicated
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/usage_store.rs
@@ -0,0 +1,157 @@
+//! Usage batches kept in memory, a node's own and those of its peers.
+//!
+//! What is kept was acknowledged, so it is dropped only when the usage duty
+//! says that it is sealed. When the store is full it refuses new batches, and
+//! their senders count them as unreplicated.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use pomeloridge_base::id::{Incarnation, Name};
+
+use crate::usage::{UsageBatch, UsagePart, UsageSpan};
+
+/// Lines returned at once at most; one batch is returned whole in any case.
+const PART_LINES: usize = 10_000;
+
+/// Starts of nodes that are remembered at most when nothing of them is kept.
+const EMPTY_STARTS: usize = 10_000;
+
+/// What became of a batch that was to be kept.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Kept {
+    /// It is kept from now on.
+    #[display("new")]
+    New,
+    /// It was kept or sealed before.
+    #[display("repeated")]
+    Repeated,
+    /// Another batch has its number; it is not kept.
+    #[display("conflict")]
+    Conflict,
+    /// There is no room; it is not kept.
+    #[display("full")]
+    Full,
+}
+
+impl Kept {
+    /// Whether the batch may be acknowledged.
+    pub fn is_safe(self) -> bool {
+        match self {
+            Self::New | Self::Repeated => true,
+            Self::Conflict | Self::Full => false,
+        }
+    }
+}
+
+/// Usage batches by node, incarnation and number.
+#[derive(Debug)]
+pub struct UsageStore {
+    starts: BTreeMap<(Name, Incarnation), Start>,
+    lines: usize,
+    limit: usize,
+}
+
+/// The batches of one start of a node.
+#[derive(Debug, Default)]
+struct Start {
+    batches: BTreeMap<u64, UsageBatch>,
+    sealed: u64,
+}
+
+impl UsageStore {
+    /// An empty store for at most `limit` lines.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            starts: BTreeMap::new(),
+            lines: 0,
+            limit,
+        }
+    }
+
+    /// Lines kept.
+    pub fn lines(&self) -> usize {
+        self.lines
+    }
+
+    /// Keeps a batch; a repeated one changes nothing.
+    pub fn keep(&mut self, batch: UsageBatch) -> Kept {
+        let key = (batch.node.clone(), batch.incarnation);
+        let start = self.starts.get(&key);
+        if start.is_some_and(|start| batch.number <= start.sealed) {
+            return Kept::Repeated;
+        }
+        if let Some(kept) = start.and_then(|start| start.batches.get(&batch.number)) {
+            return if *kept == batch {
+                Kept::Repeated
+            } else {
+                Kept::Conflict
+            };
+        }
+        if self.lines + batch.lines.len() > self.limit {
+            return Kept::Full;
+        }
+        self.lines += batch.lines.len();
+        let start = self.starts.entry(key).or_default();
+        start.batches.insert(batch.number, batch);
+        Kept::New
+    }
+
+    /// The batches kept of one start of a node, from a number on.
+    pub fn read(&self, node: &Name, incarnation: Incarnation, from: u64) -> UsagePart {
+        let mut part = UsagePart::default();
+        let Some(start) = self.starts.get(&(node.clone(), incarnation)) else {
+            return part;
+        };
+        let mut lines = 0;
+        for batch in start.batches.range(from..).map(|(_, batch)| batch) {
+            lines += batch.lines.len();
+            if lines > PART_LINES && !part.batches.is_empty() {
+                part.more = true;
+                break;
+            }
+            part.batches.push(batch.clone());
+        }
+        part
+    }
+
+    /// Which batches are kept.
+    pub fn spans(&self) -> Vec<UsageSpan> {
+        let starts = self.starts.iter();
+        let span = starts.filter_map(|((node, incarnation), start)| {
+            Some(UsageSpan {
+                node: node.clone(),
+                incarnation: *incarnation,
+                first: *start.batches.first_key_value()?.0,
+                last: *start.batches.last_key_value()?.0,
+            })
+        });
+        span.collect()
+    }
+
+    /// Drops the batches up to a number that is sealed; those numbers are not kept again.
+    pub fn drop_sealed(&mut self, node: &Name, incarnation: Incarnation, up_to: u64) {
+        let key = (node.clone(), incarnation);
+        let start = self.starts.entry(key).or_default();
+        start.sealed = start.sealed.max(up_to);
+        let rest = start.batches.split_off(&start.sealed.saturating_add(1));
+        let dropped = std::mem::replace(&mut start.batches, rest);
+        self.lines -= dropped
+            .values()
+            .map(|batch| batch.lines.len())
+            .sum::<usize>();
+        self.prune();
+    }
+
+    /// Forgets the oldest start of which nothing is kept, if there are too many.
+    fn prune(&mut self) {
+        if self.starts.len() <= EMPTY_STARTS {
+            return;
+        }
+        let empty = (self.starts.iter()).filter(|(_, start)| start.batches.is_empty());
+        let oldest = empty.min_by_key(|((_, incarnation), _)| *incarnation);
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.starts.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_node/src/wire.rs
@@ -0,0 +1,316 @@
+//! Conversion between what nodes send and what the rest of the program uses.
+
+use bytes::Bytes;
+use pomeloridge_base::config::ConfigObject;
+use pomeloridge_base::id::{Incarnation, Name, Revision};
+
+use crate::error::WireFault;
+use crate::generated::{
+    ConfigMessage, DigestMessage, GetUsageReply, HeartbeatMessage, MemberMessage, ServiceMessage,
+    ShareMessage, StateMessage, SuspicionMessage, SuspicionState as SuspicionStateMessage,
+    UsageBatchMessage, UsageLineMessage, UsageSpanMessage,
+};
+use crate::heartbeat::{
+    Heartbeat, HeartbeatPayload, ServiceLine, ShareLine, Suspicion, SuspicionState,
+};
+use crate::member::{Member, MemberState};
+use crate::usage::{UsageBatch, UsageLine, UsagePart, UsageSpan};
+
+/// Converts each item of a list.
+pub(crate) fn each<A, B: From<A>>(items: Vec<A>) -> Vec<B> {
+    items.into_iter().map(B::from).collect()
+}
+
+/// Converts each item of a list, or says what is wrong with one of them.
+pub(crate) fn try_each<A, B: TryFrom<A, Error = WireFault>>(
+    items: Vec<A>,
+) -> Result<Vec<B>, WireFault> {
+    items.into_iter().map(B::try_from).collect()
+}
+
+impl From<MemberState> for StateMessage {
+    fn from(state: MemberState) -> Self {
+        match state {
+            MemberState::Live => Self::Live,
+            MemberState::Leaving => Self::Leaving,
+            MemberState::Suspect => Self::Suspect,
+            MemberState::Down => Self::Down,
+        }
+    }
+}
+
+impl TryFrom<StateMessage> for MemberState {
+    type Error = WireFault;
+
+    fn try_from(state: StateMessage) -> Result<Self, WireFault> {
+        match state {
+            StateMessage::Unspecified => Err(WireFault::State),
+            StateMessage::Live => Ok(Self::Live),
+            StateMessage::Leaving => Ok(Self::Leaving),
+            StateMessage::Suspect => Ok(Self::Suspect),
+            StateMessage::Down => Ok(Self::Down),
+        }
+    }
+}
+
+impl From<Member> for MemberMessage {
+    fn from(member: Member) -> Self {
+        Self {
+            name: member.name.to_string(),
+            address: member.address.to_string(),
+            data_centre: member.data_centre.to_string(),
+            incarnation: member.incarnation.into(),
+            state: StateMessage::from(member.state).into(),
+            counter: member.counter,
+            platform: member.platform,
+        }
+    }
+}
+
+impl TryFrom<MemberMessage> for Member {
+    type Error = WireFault;
+
+    fn try_from(message: MemberMessage) -> Result<Self, WireFault> {
+        Ok(Self {
+            address: message.address.parse().map_err(|_| WireFault::Address)?,
+            state: message.state().try_into()?,
+            name: Name::from(message.name),
+            data_centre: Name::from(message.data_centre),
+            incarnation: Incarnation(message.incarnation),
+            counter: message.counter,
+            platform: message.platform,
+        })
+    }
+}
+
+impl From<(String, Revision)> for DigestMessage {
+    fn from((key, revision): (String, Revision)) -> Self {
+        Self {
+            key,
+            revision: revision.into(),
+        }
+    }
+}
+
+impl From<DigestMessage> for (String, Revision) {
+    fn from(message: DigestMessage) -> Self {
+        (message.key, Revision(message.revision))
+    }
+}
+
+impl From<ServiceLine> for ServiceMessage {
+    fn from(line: ServiceLine) -> Self {
+        Self {
+            account: line.account.to_string(),
+            pool: line.pool.to_string(),
+            amount: line.amount,
+        }
+    }
+}
+
+impl TryFrom<ServiceMessage> for ServiceLine {
+    type Error = WireFault;
+
+    fn try_from(message: ServiceMessage) -> Result<Self, WireFault> {
+        if !message.amount.is_finite() || message.amount < 0.0 {
+            return Err(WireFault::Figure);
+        }
+        Ok(Self {
+            account: Name::from(message.account),
+            pool: Name::from(message.pool),
+            amount: message.amount,
+        })
+    }
+}
+
+impl From<ShareLine> for ShareMessage {
+    fn from(line: ShareLine) -> Self {
+        Self {
+            server: line.server.to_string(),
+            requests: line.requests,
+            prompt_tokens: line.prompt_tokens,
+        }
+    }
+}
+
+impl From<ShareMessage> for ShareLine {
+    fn from(message: ShareMessage) -> Self {
+        Self {
+            server: Name::from(message.server),
+            requests: message.requests,
+            prompt_tokens: message.prompt_tokens,
+        }
+    }
+}
+
+impl From<Suspicion> for SuspicionMessage {
+    fn from(suspicion: Suspicion) -> Self {
+        let state = match suspicion.state {
+            SuspicionState::Suspect => SuspicionStateMessage::Suspect,
+            SuspicionState::Quarantined => SuspicionStateMessage::Quarantined,
+            SuspicionState::Cleared => SuspicionStateMessage::Cleared,
+        };
+        Self {
+            fingerprint: suspicion.fingerprint,
+            count: suspicion.count,
+            state: state.into(),
+        }
+    }
+}
+
+impl TryFrom<SuspicionMessage> for Suspicion {
+    type Error = WireFault;
+
+    fn try_from(message: SuspicionMessage) -> Result<Self, WireFault> {
+        let state = match message.state() {
+            SuspicionStateMessage::Unspecified => return Err(WireFault::State),
+            SuspicionStateMessage::Suspect => SuspicionState::Suspect,
+            SuspicionStateMessage::Quarantined => SuspicionState::Quarantined,
+            SuspicionStateMessage::Cleared => SuspicionState::Cleared,
+        };
+        Ok(Self {
+            fingerprint: message.fingerprint,
+            count: message.count,
+            state,
+        })
+    }
+}
+
+impl From<Heartbeat> for HeartbeatMessage {
+    fn from(heartbeat: Heartbeat) -> Self {
+        let payload = heartbeat.payload;
+        Self {
+            sender: Some(heartbeat.sender.into()),
+            digests: each(payload.digests),
+            service: each(payload.service),
+            shares: each(payload.shares),
+            suspicions: each(payload.suspicions),
+            members: each(heartbeat.members),
+        }
+    }
+}
+
+impl TryFrom<HeartbeatMessage> for Heartbeat {
+    type Error = WireFault;
+
+    fn try_from(message: HeartbeatMessage) -> Result<Self, WireFault> {
+        let sender = message.sender.ok_or(WireFault::Member)?;
+        Ok(Self {
+            payload: HeartbeatPayload {
+                platform: sender.platform,
+                digests: each(message.digests),
+                service: try_each(message.service)?,
+                shares: each(message.shares),
+                suspicions: try_each(message.suspicions)?,
+            },
+            sender: sender.try_into()?,
+            members: try_each(message.members)?,
+        })
+    }
+}
+
+impl From<ConfigObject> for ConfigMessage {
+    fn from(object: ConfigObject) -> Self {
+        Self {
+            key: object.key,
+            revision: object.revision.into(),
+            json: Bytes::from(object.value.to_string()),
+        }
+    }
+}
+
+impl TryFrom<ConfigMessage> for ConfigObject {
+    type Error = WireFault;
+
+    fn try_from(message: ConfigMessage) -> Result<Self, WireFault> {
+        Ok(Self {
+            value: serde_json::from_slice(&message.json).map_err(|_| WireFault::Json)?,
+            key: message.key,
+            revision: Revision(message.revision),
+        })
+    }
+}
+
+impl From<UsageLine> for UsageLineMessage {
+    fn from(line: UsageLine) -> Self {
+        Self {
+            request_id: line.request_id,
+            account: line.account.to_string(),
+            prompt_tokens: line.prompt_tokens,
+            output_tokens: line.output_tokens,
+        }
+    }
+}
+
+impl From<UsageLineMessage> for UsageLine {
+    fn from(message: UsageLineMessage) -> Self {
+        Self {
+            request_id: message.request_id,
+            account: Name::from(message.account),
+            prompt_tokens: message.prompt_tokens,
+            output_tokens: message.output_tokens,
+        }
+    }
+}
+
+impl From<UsageBatch> for UsageBatchMessage {
+    fn from(batch: UsageBatch) -> Self {
+        Self {
+            node: batch.node.to_string(),
+            incarnation: batch.incarnation.into(),
+            number: batch.number,
+            lines: each(batch.lines),
+        }
+    }
+}
+
+impl From<UsageBatchMessage> for UsageBatch {
+    fn from(message: UsageBatchMessage) -> Self {
+        Self {
+            node: Name::from(message.node),
+            incarnation: Incarnation(message.incarnation),
+            number: message.number,
+            lines: each(message.lines),
+        }
+    }
+}
+
+impl From<UsagePart> for GetUsageReply {
+    fn from(part: UsagePart) -> Self {
+        Self {
+            batches: each(part.batches),
+            more: part.more,
+        }
+    }
+}
+
+impl From<GetUsageReply> for UsagePart {
+    fn from(reply: GetUsageReply) -> Self {
+        Self {
+            batches: each(reply.batches),
+            more: reply.more,
+        }
+    }
+}
+
+impl From<UsageSpan> for UsageSpanMessage {
+    fn from(span: UsageSpan) -> Self {
+        Self {
+            node: span.node.to_string(),
+            incarnation: span.incarnation.into(),
+            first: span.first,
+            last: span.last,
+        }
+    }
+}
+
+impl From<UsageSpanMessage> for UsageSpan {
+    fn from(message: UsageSpanMessage) -> Self {
+        Self {
+            node: Name::from(message.node),
+            incarnation: Incarnation(message.incarnation),
+            first: message.first,
+            last: message.last,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_node/tests/fan_out.rs
@@ -0,0 +1,195 @@
+//! Peers and relays: bounded, deterministic and spread.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{OPTIONS, listed, member, membership, ms};
+use pomeloridge_base::id::Name;
+use pomeloridge_node::member::{Member, MemberState};
+use yare::parameterized;
+
+const CENTRES: [&str; 4] = ["tln-a", "tln-b", "tartu-a", "narva-a"];
+
+/// A node's name and data centre by its number.
+fn node(number: usize) -> (String, &'static str) {
+    (format!("vm-{number}"), CENTRES[number % CENTRES.len()])
+}
+
+fn peers_of(number: usize, count: usize) -> Vec<Member> {
+    let (name, data_centre) = node(number);
+    let (mut view, _clock) = membership(&name, data_centre);
+    for other in (0..count).filter(|other| *other != number) {
+        let (name, data_centre) = node(other);
+        view.heard(&member(&name, data_centre, 1));
+    }
+    view.peers()
+}
+
+#[parameterized(
+    alone = { 1, 0 },
+    small = { 7, 6 },
+    full_mesh = { 9, 8 },
+    over = { 10, 8 },
+    large = { 2400, 8 },
+)]
+fn peers_are_bounded(count: usize, expected: usize) {
+    let peers = peers_of(3 % count, count);
+    assert_eq!(peers.len(), expected);
+    let names: BTreeSet<_> = peers.iter().map(|peer| peer.name.clone()).collect();
+    assert_eq!(names.len(), expected, "a peer was chosen twice");
+    assert_eq!(peers_of(3 % count, count), peers, "the choice changed");
+}
+
+#[test]
+fn a_large_fleet_is_connected_and_reaches_every_data_centre() {
+    let count = 240;
+    let mut links = BTreeMap::new();
+    for number in 0..count {
+        let peers = peers_of(number, count);
+        let centres: BTreeSet<_> = peers.iter().map(|peer| peer.data_centre.clone()).collect();
+        let others = CENTRES.iter().filter(|centre| **centre != node(number).1);
+        for centre in others {
+            assert!(centres.contains(&Name::from(*centre)), "vm-{number}");
+        }
+        let names: Vec<_> = peers.into_iter().map(|peer| peer.name).collect();
+        links.insert(Name::from(node(number).0), names);
+    }
+    let mut met = BTreeSet::from([Name::from("vm-0")]);
+    let mut rest = vec![Name::from("vm-0")];
+    while let Some(name) = rest.pop() {
+        rest.extend(
+            links[&name]
+                .iter()
+                .filter(|peer| met.insert((*peer).clone()))
+                .cloned(),
+        );
+    }
+    assert_eq!(met.len(), count);
+}
+
+#[test]
+fn one_place_is_kept_for_nodes_that_are_down_in_turn() {
+    let (mut view, clock) = membership("a", "x");
+    let names: Vec<_> = (0..20).map(|number| format!("n{number}")).collect();
+    view.list(
+        &names
+            .iter()
+            .map(|name| listed(name, "x"))
+            .collect::<Vec<_>>(),
+    );
+    clock.advance(ms(5000));
+    for name in &names[..15] {
+        view.heard(&member(name, "x", 1));
+    }
+    let mut tried = BTreeSet::new();
+    for turn in 0..200 {
+        clock.advance(ms(2000));
+        for name in &names[..15] {
+            view.heard(&member(name, "x", turn + 2));
+        }
+        let peers = view.peers();
+        assert_eq!(peers.len(), OPTIONS.fan_out);
+        let down = peers
+            .into_iter()
+            .filter(|peer| peer.state == MemberState::Down);
+        let down: Vec<_> = down.map(|peer| peer.name).collect();
+        assert_eq!(down.len(), 1);
+        tried.extend(down);
+    }
+    assert_eq!(tried.len(), 5);
+}
+
+#[test]
+fn nodes_agree_on_two_relays_and_replace_a_lost_one() {
+    let names = ["a", "b", "c", "d", "e"];
+    let choices: BTreeSet<_> = names
+        .iter()
+        .map(|own| {
+            let (mut view, _clock) = membership(own, "x");
+            for other in names.iter().filter(|other| *other != own) {
+                view.heard(&member(other, "x", 1));
+            }
+            view.heard(&member("far", "y", 1));
+            let relays = view.relays(&Name::from("x"));
+            assert_eq!(view.am_relay(), relays.contains(&Name::from(*own)));
+            relays
+        })
+        .collect();
+    assert_eq!(choices.len(), 1);
+    let relays = choices.into_iter().next().expect("there is one choice");
+    assert_eq!(relays.len(), 2);
+
+    let (mut view, clock) = membership("far", "y");
+    for name in names {
+        view.heard(&member(name, "x", 1));
+    }
+    assert_eq!(view.relays(&Name::from("x")), relays);
+    clock.advance(ms(1501));
+    for name in names.iter().filter(|name| Name::from(**name) != relays[0]) {
+        view.heard(&member(name, "x", 2));
+    }
+    let after = view.relays(&Name::from("x"));
+    assert_eq!(after.len(), 2);
+    assert_eq!(after[0], relays[1]);
+}
+
+#[test]
+fn nodes_that_reach_the_platform_are_relays_first() {
+    let (mut view, _clock) = membership("far", "y");
+    for name in ["a", "b", "c", "d"] {
+        let platform = name == "c" || name == "d";
+        view.heard(&Member {
+            platform,
+            ..member(name, "x", 1)
+        });
+    }
+    let relays: BTreeSet<_> = view.relays(&Name::from("x")).into_iter().collect();
+    assert_eq!(relays, BTreeSet::from([Name::from("c"), Name::from("d")]));
+}
+
+#[test]
+fn the_last_node_of_a_data_centre_becomes_its_relay() {
+    let (mut view, clock) = membership("own", "x");
+    let relay = |name, counter| Member {
+        platform: true,
+        ..member(name, "x", counter)
+    };
+    for counter in 1..10 {
+        view.heard(&relay("a", counter));
+        view.heard(&relay("b", counter));
+        view.watch();
+        assert!(!view.am_relay());
+        assert!(!view.must_read_directly());
+        clock.advance(ms(1000));
+    }
+    clock.advance(ms(501));
+    view.heard(&member("far", "y", 1));
+    assert_eq!(view.relays(&Name::from("x")), [Name::from("own")]);
+    assert!(view.am_relay());
+}
+
+#[test]
+fn relays_without_the_platform_bring_no_news() {
+    let names = ["a", "b", "c", "d", "e"];
+    let (name, mut view, clock) = names
+        .iter()
+        .find_map(|own| {
+            let (mut view, clock) = membership(own, "x");
+            for other in names.iter().filter(|other| *other != own) {
+                view.heard(&member(other, "x", 1));
+            }
+            (!view.am_relay()).then_some((*own, view, clock))
+        })
+        .expect("three of five are not relays");
+    for counter in 2..6 {
+        clock.advance(ms(1000));
+        for other in names.iter().filter(|other| **other != name) {
+            view.heard(&member(other, "x", counter));
+        }
+        view.watch();
+    }
+    assert!(view.must_read_directly());
+    view.note_push();
+    assert!(!view.must_read_directly());
+}
--- /dev/null
+++ b/crates/pomeloridge_node/tests/links/main.rs
@@ -0,0 +1,6 @@
+//! Real links over loopback, all nodes of a test on one thread.
+
+mod mesh;
+mod node;
+mod proof;
+mod relay;
--- /dev/null
+++ b/crates/pomeloridge_node/tests/links/node.rs
@@ -0,0 +1,171 @@
+//! A node with nothing behind its links but a configuration view.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::clock::SystemClock;
+use pomeloridge_base::config::{ConfigObject, ConfigView, FLEET_KEY};
+use pomeloridge_base::id::{Incarnation, Name, Revision};
+use pomeloridge_base::net;
+use pomeloridge_node::heartbeat::HeartbeatPayload;
+use pomeloridge_node::member::{LinkOptions, Listed, Member, MemberState};
+use pomeloridge_node::mesh::{Hooks, Mesh, MeshOptions};
+
+/// Time within which what is waited for must come about.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Settings of every node.
+pub const OPTIONS: LinkOptions = LinkOptions {
+    heartbeat: Duration::from_millis(50),
+    suspect: Duration::from_secs(10),
+    fan_out: 8,
+    cut_off: Duration::from_secs(10),
+};
+/// The secret of nodes that belong together.
+pub const SECRET: &[u8] = b"a secret of the fleet";
+
+/// A node that runs in the test's own runtime.
+pub struct TestNode {
+    pub mesh: Mesh,
+    pub address: SocketAddr,
+    pub config: Rc<RefCell<ConfigView>>,
+    pub payload: Rc<RefCell<HeartbeatPayload>>,
+    pub absorbed: Rc<RefCell<Vec<(Name, HeartbeatPayload)>>>,
+    pub adopted: Rc<Cell<usize>>,
+}
+
+impl TestNode {
+    /// Starts a node that knows `seeds`.
+    pub fn start(name: &str, data_centre: &str, secret: &[u8], seeds: &[SocketAddr]) -> Self {
+        Self::begin(name, data_centre, secret, seeds, OPTIONS, |address| address)
+    }
+
+    /// Starts a node that others find at the address that `front` gives.
+    pub fn begin(
+        name: &str,
+        data_centre: &str,
+        secret: &[u8],
+        seeds: &[SocketAddr],
+        link: LinkOptions,
+        front: impl FnOnce(SocketAddr) -> SocketAddr,
+    ) -> Self {
+        let listener = net::listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+        let address = front(listener.local_addr().expect("the listener is bound"));
+        let own = Member {
+            name: Name::from(name),
+            address,
+            data_centre: Name::from(data_centre),
+            incarnation: Incarnation(1),
+            state: MemberState::Live,
+            counter: 0,
+            platform: false,
+        };
+        let options = MeshOptions {
+            secret: secret.to_vec(),
+            seeds: seeds.to_vec(),
+            link,
+        };
+        let config = Rc::new(RefCell::new(ConfigView::default()));
+        let payload = Rc::new(RefCell::new(HeartbeatPayload::default()));
+        let absorbed = Rc::new(RefCell::new(Vec::new()));
+        let adopted = Rc::new(Cell::new(0));
+        let hooks = hooks(&config, &payload, &absorbed, &adopted);
+        let mesh = Mesh::new(own, options, Rc::new(SystemClock), hooks);
+        let (serving, running) = (mesh.clone(), mesh.clone());
+        monoio::spawn(async move { serving.serve(listener).await });
+        monoio::spawn(async move { running.run().await });
+        Self {
+            mesh,
+            address,
+            config,
+            payload,
+            absorbed,
+            adopted,
+        }
+    }
+
+    pub fn listed(&self) -> Listed {
+        let own = self.mesh.view(|membership| membership.own().clone());
+        Listed {
+            name: own.name,
+            address: self.address,
+            data_centre: own.data_centre,
+            leaving: false,
+        }
+    }
+
+    pub fn revision(&self) -> Revision {
+        self.config.borrow().revision(FLEET_KEY)
+    }
+
+    /// Adopts the fleet's object at a revision, as if it came from the service.
+    pub fn adopt(&self, revision: u64) -> ConfigObject {
+        let object = fleet(revision);
+        assert!(self.config.borrow_mut().adopt(object.clone()));
+        object
+    }
+}
+
+/// The fleet's object at a revision.
+pub fn fleet(revision: u64) -> ConfigObject {
+    ConfigObject {
+        key: FLEET_KEY.to_owned(),
+        revision: Revision(revision),
+        value: serde_json::json!({}),
+    }
+}
+
+fn hooks(
+    config: &Rc<RefCell<ConfigView>>,
+    payload: &Rc<RefCell<HeartbeatPayload>>,
+    absorbed: &Rc<RefCell<Vec<(Name, HeartbeatPayload)>>>,
+    adopted: &Rc<Cell<usize>>,
+) -> Hooks {
+    let (read, digests, adopting) = (config.clone(), config.clone(), config.clone());
+    let (payload, absorbed, adopted) = (payload.clone(), absorbed.clone(), adopted.clone());
+    Hooks {
+        snapshot: Box::new(move || {
+            let view = digests.borrow();
+            let objects = view.objects();
+            HeartbeatPayload {
+                digests: objects
+                    .map(|object| (object.key.clone(), object.revision))
+                    .collect(),
+                ..payload.borrow().clone()
+            }
+        }),
+        absorb: Box::new(move |from, payload| {
+            absorbed.borrow_mut().push((from.name.clone(), payload));
+        }),
+        config_objects: Box::new(move |keys| {
+            let view = read.borrow();
+            let wanted = view
+                .objects()
+                .filter(|object| keys.is_empty() || keys.contains(&object.key));
+            wanted.cloned().collect()
+        }),
+        adopt_config: Box::new(move |object| {
+            let taken = adopting.borrow_mut().adopt(object);
+            adopted.set(adopted.get() + usize::from(taken));
+            taken
+        }),
+    }
+}
+
+/// Runs a test on one thread, as a node runs.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    let builder = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new();
+    let mut runtime = builder.enable_all().build().expect("epoll is there");
+    runtime.block_on(test)
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "in vain waited until {what}");
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_node/tests/links/relay.rs
@@ -0,0 +1,107 @@
+//! Links that go silent without being closed.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
+use monoio::net::TcpStream;
+use pomeloridge_base::id::Name;
+use pomeloridge_base::net;
+use pomeloridge_node::error::LinkError;
+use pomeloridge_node::member::LinkOptions;
+use pomeloridge_node::peer_link::PeerLink;
+
+use crate::node::{OPTIONS, SECRET, TestNode, run, until};
+
+const LIMIT: Duration = Duration::from_millis(300);
+
+/// Passes bytes on to `target` until it is cut; then it is silent.
+fn relay(target: SocketAddr) -> (SocketAddr, Rc<Cell<bool>>) {
+    let listener = net::listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let cut = Rc::new(Cell::new(false));
+    let shared = cut.clone();
+    monoio::spawn(async move {
+        while let Ok((near, _)) = net::accept(&listener).await {
+            let Ok(far) = net::connect(target, OPTIONS.suspect).await else {
+                continue;
+            };
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            monoio::spawn(pass(near_read, far_write, shared.clone()));
+            monoio::spawn(pass(far_read, near_write, shared.clone()));
+        }
+    });
+    (address, cut)
+}
+
+type ReadHalf = monoio::io::OwnedReadHalf<TcpStream>;
+type WriteHalf = monoio::io::OwnedWriteHalf<TcpStream>;
+
+async fn pass(mut from: ReadHalf, mut to: WriteHalf, cut: Rc<Cell<bool>>) {
+    let mut buffer = vec![0; 4096];
+    loop {
+        let (read, bytes) = from.read(buffer).await;
+        let Ok(count @ 1..) = read else {
+            if cut.get() {
+                // The end of one side is not passed on to the other.
+                std::future::pending::<()>().await;
+            }
+            return;
+        };
+        buffer = bytes;
+        if !cut.get() && to.write_all(buffer[..count].to_vec()).await.0.is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_node_that_never_answers_is_given_up() {
+    run(async {
+        let listener = net::listen(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        let link = PeerLink::open(address, &Name::from("b"), SECRET, LIMIT).await;
+        assert!(matches!(link, Err(LinkError::Deadline)), "{link:?}");
+    });
+}
+
+#[test]
+fn an_idle_link_that_goes_silent_is_found_by_pings() {
+    run(async {
+        let a = TestNode::start("a", "x", SECRET, &[]);
+        let (address, cut) = relay(a.address);
+        let link = PeerLink::open(address, &Name::from("b"), SECRET, Duration::from_secs(1)).await;
+        let link = link.expect("the relay passes on");
+        assert!(!link.is_closed());
+        cut.set(true);
+        // Nothing is called: only the pings tell.
+        until("the silence is found", || link.is_closed()).await;
+    });
+}
+
+#[test]
+fn a_link_that_was_cut_is_opened_again() {
+    run(async {
+        let mut cut = None;
+        let b = TestNode::begin("b", "y", SECRET, &[], OPTIONS, |address| {
+            let (front, switch) = relay(address);
+            cut = Some(switch);
+            front
+        });
+        let cut = cut.expect("the relay was started");
+        let quick = LinkOptions {
+            suspect: Duration::from_secs(1),
+            ..OPTIONS
+        };
+        let a = TestNode::begin("a", "x", SECRET, &[], quick, |address| address);
+        a.mesh.list(&[b.listed()]);
+        until("the link is open", || a.mesh.links().len() == 1).await;
+        cut.set(true);
+        until("the link is given up", || a.mesh.links().is_empty()).await;
+        cut.set(false);
+        until("the link is open again", || a.mesh.links().len() == 1).await;
+    });
+}
--- /dev/null
+++ b/crates/pomeloridge_node/tests/membership.rs
@@ -0,0 +1,172 @@
+//! States of members over time.
+
+mod common;
+
+use common::{listed, member, membership, ms};
+use pomeloridge_base::id::{Incarnation, Name};
+use pomeloridge_node::member::{Listed, Member, MemberState};
+use yare::parameterized;
+
+fn b() -> Name {
+    Name::from("b")
+}
+
+#[parameterized(
+    at_once = { 0, MemberState::Live },
+    within = { 1500, MemberState::Live },
+    silent = { 1501, MemberState::Suspect },
+    long_silent = { 4500, MemberState::Suspect },
+    gone = { 4501, MemberState::Down },
+)]
+fn silence_decides(silence: u64, state: MemberState) {
+    let (mut view, clock) = membership("a", "x");
+    assert!(view.heard(&member("b", "x", 1)));
+    clock.advance(ms(silence));
+    assert_eq!(view.state(&b()), Some(state));
+}
+
+#[test]
+fn suspension_of_the_own_vm_counts_as_silence() {
+    let (mut view, clock) = membership("a", "x");
+    view.heard(&member("b", "x", 1));
+    clock.advance_wall(ms(5000));
+    assert_eq!(view.state(&b()), Some(MemberState::Down));
+    view.heard(&member("b", "x", 2));
+    assert_eq!(view.state(&b()), Some(MemberState::Live));
+}
+
+#[test]
+fn gossip_keeps_a_node_alive_that_is_not_heard_directly() {
+    let (mut view, clock) = membership("a", "x");
+    view.heard(&member("b", "x", 1));
+    for counter in 2..20 {
+        clock.advance(ms(1000));
+        view.gossip(&[member("b", "x", counter)]);
+        assert_eq!(view.state(&b()), Some(MemberState::Live), "{counter}");
+    }
+    // The same counter again is no sign of life.
+    clock.advance(ms(1000));
+    view.gossip(&[member("b", "x", 19)]);
+    clock.advance(ms(501));
+    view.gossip(&[member("b", "x", 19)]);
+    assert_eq!(view.state(&b()), Some(MemberState::Suspect));
+}
+
+#[parameterized(
+    older_counter = { 4, MemberState::Live },
+    same_counter = { 5, MemberState::Down },
+)]
+fn told_silence_counts_only_if_it_is_as_new(counter: u64, state: MemberState) {
+    let (mut view, _clock) = membership("a", "x");
+    view.heard(&member("b", "x", 5));
+    let told = Member {
+        state: MemberState::Down,
+        ..member("b", "x", counter)
+    };
+    view.gossip(&[told]);
+    assert_eq!(view.state(&b()), Some(state));
+    view.gossip(&[member("b", "x", 6)]);
+    assert_eq!(view.state(&b()), Some(MemberState::Live));
+}
+
+#[test]
+fn a_lower_incarnation_is_ignored() {
+    let (mut view, clock) = membership("a", "x");
+    let start = |incarnation, counter| Member {
+        incarnation: Incarnation(incarnation),
+        ..member("b", "x", counter)
+    };
+    assert!(view.heard(&start(7, 1)));
+    clock.advance(ms(1000));
+    assert!(!view.heard(&start(6, 900)));
+    view.gossip(&[start(6, 901)]);
+    clock.advance(ms(501));
+    assert_eq!(view.state(&b()), Some(MemberState::Suspect));
+    assert!(view.heard(&start(8, 1)));
+    let known = view.member(&b()).expect("it was heard");
+    assert_eq!((known.incarnation, known.counter), (Incarnation(8), 1));
+    assert_eq!(known.state, MemberState::Live);
+}
+
+#[test]
+fn leaving_is_not_taken_back_by_late_words() {
+    let (mut view, clock) = membership("a", "x");
+    let leaving = Member {
+        state: MemberState::Leaving,
+        ..member("b", "x", 9)
+    };
+    view.heard(&leaving);
+    view.heard(&member("b", "x", 8));
+    view.gossip(&[member("b", "x", 10)]);
+    assert_eq!(view.state(&b()), Some(MemberState::Leaving));
+    clock.advance(ms(1501));
+    assert_eq!(view.state(&b()), Some(MemberState::Suspect));
+}
+
+#[test]
+fn the_platforms_mark_makes_a_node_leaving_and_may_be_taken_back() {
+    let (mut view, _clock) = membership("a", "x");
+    view.list(&[listed("b", "x")]);
+    assert_eq!(view.state(&b()), Some(MemberState::Suspect));
+    view.heard(&member("b", "x", 1));
+    let marked = Listed {
+        leaving: true,
+        ..listed("b", "x")
+    };
+    view.list(&[marked]);
+    assert_eq!(view.state(&b()), Some(MemberState::Leaving));
+    assert_eq!(view.told()[0].state, MemberState::Live);
+    view.list(&[listed("b", "x")]);
+    assert_eq!(view.state(&b()), Some(MemberState::Live));
+}
+
+#[parameterized(
+    unlisted_and_silent = { false, 60_000, false },
+    unlisted_and_heard_of = { false, 59_999, true },
+    listed_and_silent = { true, 60_000, true },
+)]
+fn silent_nodes_are_forgotten(is_listed: bool, silence: u64, known: bool) {
+    let (mut view, clock) = membership("a", "x");
+    view.list(&[listed("b", "x")]);
+    view.heard(&member("b", "x", 1));
+    if !is_listed {
+        view.list(&[]);
+    }
+    clock.advance(ms(silence));
+    view.forget();
+    assert_eq!(view.state(&b()).is_some(), known);
+    // What others still hold of a forgotten node does not bring it back.
+    let told = Member {
+        state: MemberState::Down,
+        ..member("b", "x", 1)
+    };
+    view.gossip(&[told]);
+    assert_eq!(view.state(&b()).is_some(), known);
+}
+
+#[test]
+fn news_is_told_first_and_everyone_in_turn() {
+    let (mut view, clock) = membership("a", "x");
+    let names: Vec<_> = (0..400).map(|n| format!("n{n:04}")).collect();
+    for name in &names {
+        view.heard(&member(name, "x", 1));
+    }
+    clock.advance(ms(10_000));
+    for name in names.iter().filter(|name| *name != "n0399") {
+        view.heard(&member(name, "x", 2));
+    }
+    clock.advance(ms(1500));
+    view.watch();
+    let silent = |told: &Member| told.name == Name::from("n0399");
+    let mut seen = std::collections::BTreeSet::new();
+    for _ in 0..8 {
+        let told = view.told();
+        assert!(told.len() <= 128);
+        assert!(
+            told.iter()
+                .any(|told| silent(told) && !told.state.is_heard())
+        );
+        seen.extend(told.into_iter().map(|told| told.name));
+    }
+    assert_eq!(seen.len(), names.len());
+}
