--- /dev/null
+++ b/crates/pomeloridge_operator/src/cli/command.rs
@@ -0,0 +1,211 @@
+//! The operator commands and their arguments.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use clap::{Args, Subcommand};
+
+/// An operator's token; it is never shown.
+#[derive(Clone)]
+pub struct Token(pub(crate) String);
+
+impl FromStr for Token {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl std::fmt::Debug for Token {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Token(..)")
+    }
+}
+
+/// Which node is asked, as whom, and the form of the output.
+#[derive(Args, Clone, Debug)]
+pub struct Connect {
+    /// Operator port of any node, as IP:PORT.
+    #[arg(long, global = true, value_name = "IP:PORT")]
+    pub node: Option<SocketAddr>,
+    /// Operator's token; taken from `POMELORIDGE_TOKEN` if left out.
+    #[arg(long, global = true)]
+    pub token: Option<Token>,
+    /// Shows the node's answer as JSON.
+    #[arg(long, global = true)]
+    pub json: bool,
+}
+
+/// The commands of an operator.
+#[derive(Clone, Debug, Subcommand)]
+pub enum OperatorCommand {
+    /// Reads or replaces the fleet's configuration.
+    Config {
+        /// Which node is asked, and as whom.
+        #[command(flatten)]
+        connect: Connect,
+        /// What is done.
+        #[command(subcommand)]
+        command: ConfigCommand,
+    },
+    /// Adds, lists or removes exceptions from the fleet's defaults.
+    Exception {
+        /// Which node is asked, and as whom.
+        #[command(flatten)]
+        connect: Connect,
+        /// What is done.
+        #[command(subcommand)]
+        command: ExceptionCommand,
+    },
+    /// Adds or lists client accounts.
+    Account {
+        /// Which node is asked, and as whom.
+        #[command(flatten)]
+        connect: Connect,
+        /// What is done.
+        #[command(subcommand)]
+        command: AccountCommand,
+    },
+    /// Issues or withdraws keys of client accounts.
+    Key {
+        /// Which node is asked, and as whom.
+        #[command(flatten)]
+        connect: Connect,
+        /// What is done.
+        #[command(subcommand)]
+        command: KeyCommand,
+    },
+    /// Shows nodes, backend servers, leases, revisions in force and exceptions.
+    Status {
+        /// Which node is asked, and as whom.
+        #[command(flatten)]
+        connect: Connect,
+    },
+    /// Shows the decisions that were made for a request.
+    Explain {
+        /// Which node is asked, and as whom.
+        #[command(flatten)]
+        connect: Connect,
+        /// Request id, as the caller was given it.
+        id: String,
+    },
+    /// Shows the usage of client accounts.
+    Usage {
+        /// Which node is asked, and as whom.
+        #[command(flatten)]
+        connect: Connect,
+    },
+}
+
+impl OperatorCommand {
+    /// Which node is asked, and as whom.
+    pub fn connect(&self) -> &Connect {
+        match self {
+            Self::Config { connect, .. }
+            | Self::Exception { connect, .. }
+            | Self::Account { connect, .. }
+            | Self::Key { connect, .. }
+            | Self::Status { connect }
+            | Self::Explain { connect, .. }
+            | Self::Usage { connect } => connect,
+        }
+    }
+}
+
+/// Commands on the fleet's configuration.
+#[derive(Clone, Debug, Subcommand)]
+pub enum ConfigCommand {
+    /// Shows the configuration with its revision.
+    Get {
+        /// File that the configuration is written to, ready to be applied.
+        #[arg(long)]
+        output: Option<PathBuf>,
+    },
+    /// Replaces the configuration by a JSON file.
+    Apply {
+        /// JSON file with the whole configuration.
+        file: PathBuf,
+        /// Revision that the file was made from; 0 if there was none.
+        #[arg(long, value_name = "REV")]
+        expect: u64,
+        /// Why; kept in the history.
+        #[arg(long)]
+        reason: Option<String>,
+    },
+    /// Shows who changed what, and why.
+    History,
+}
+
+/// Commands on exceptions.
+#[derive(Clone, Debug, Subcommand)]
+pub enum ExceptionCommand {
+    /// Adds an exception.
+    Add {
+        /// Identifier of the new exception.
+        id: String,
+        /// `pin`, `hold`, `drain`, `floor` or `ceiling`.
+        kind: String,
+        /// Pool or backend server.
+        target: String,
+        /// Role for `pin`, number for `floor` and `ceiling`.
+        #[arg(long, default_value = "")]
+        value: String,
+        /// Why; must not be empty.
+        #[arg(long)]
+        reason: String,
+    },
+    /// Lists the exceptions with their reasons.
+    List,
+    /// Removes an exception.
+    Remove {
+        /// Identifier of the exception.
+        id: String,
+        /// Why; must not be empty.
+        #[arg(long)]
+        reason: String,
+    },
+}
+
+/// Commands on client accounts.
+#[derive(Clone, Debug, Subcommand)]
+pub enum AccountCommand {
+    /// Adds a client account.
+    Add {
+        /// Name of the new account.
+        name: String,
+        /// Share of service against other accounts.
+        #[arg(long, default_value_t = 1.0)]
+        weight: f64,
+        /// Why; kept in the history.
+        #[arg(long, default_value = "")]
+        reason: String,
+    },
+    /// Lists the client accounts and the identifiers of their keys.
+    List,
+}
+
+/// Commands on keys.
+#[derive(Clone, Debug, Subcommand)]
+pub enum KeyCommand {
+    /// Makes a new key and shows it once.
+    Issue {
+        /// Client account.
+        account: String,
+        /// Why; kept in the history.
+        #[arg(long, default_value = "")]
+        reason: String,
+    },
+    /// Withdraws a key.
+    Withdraw {
+        /// Client account.
+        account: String,
+        /// Identifier of the key.
+        id: String,
+        /// Why; kept in the history.
+        #[arg(long, default_value = "")]
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/pomeloridge_operator/src/cli/plan.rs
@@ -0,0 +1,137 @@
+//! What each command sends, and how its answer is shown.
+
+use std::path::Path;
+
+use http::Method;
+use pomeloridge_base::http::Outgoing;
+use serde_json::{Value, json};
+
+use super::command::{
+    AccountCommand, ConfigCommand, ExceptionCommand, KeyCommand, OperatorCommand,
+};
+use super::render::{
+    render_accounts, render_change, render_config, render_exceptions, render_history,
+    render_issued, render_report, render_usage,
+};
+use crate::percent::encode;
+
+/// A request with the way to show its answer.
+pub(super) struct Plan {
+    pub(super) request: Outgoing,
+    pub(super) render: fn(&Value) -> String,
+}
+
+impl Plan {
+    fn get(target: impl Into<String>, render: fn(&Value) -> String) -> Self {
+        Self {
+            request: Outgoing::get(target),
+            render,
+        }
+    }
+
+    fn change(method: Method, target: String) -> Self {
+        Self {
+            request: Outgoing::new(method, target),
+            render: render_change,
+        }
+    }
+
+    fn json(mut self, value: &Value) -> Self {
+        self.request = self.request.json(value);
+        self
+    }
+}
+
+/// Plans a command; `Err` says what is wrong with its input file.
+pub(super) fn plan(command: &OperatorCommand) -> Result<Plan, String> {
+    Ok(match command {
+        OperatorCommand::Config { command, .. } => return config(command),
+        OperatorCommand::Exception { command, .. } => exception(command),
+        OperatorCommand::Account { command, .. } => account(command),
+        OperatorCommand::Key { command, .. } => key(command),
+        OperatorCommand::Status { .. } => Plan::get("/status", render_report),
+        OperatorCommand::Explain { id, .. } => {
+            Plan::get(format!("/explain/{}", encode(id)), render_report)
+        }
+        OperatorCommand::Usage { .. } => Plan::get("/usage", render_usage),
+    })
+}
+
+fn config(command: &ConfigCommand) -> Result<Plan, String> {
+    match command {
+        ConfigCommand::Get { .. } => Ok(Plan::get("/config", render_config)),
+        ConfigCommand::History => Ok(Plan::get("/config/history", render_history)),
+        ConfigCommand::Apply {
+            file,
+            expect,
+            reason,
+        } => {
+            let body = read_json(file)?;
+            let reason = encode(reason.as_deref().unwrap_or_default());
+            let target = format!("/config?expect={expect}&reason={reason}");
+            let mut plan = Plan::change(Method::PUT, target);
+            // The file's own bytes are sent, so that the node sees keys that are given twice.
+            plan.request = plan.request.body(body);
+            Ok(plan)
+        }
+    }
+}
+
+fn exception(command: &ExceptionCommand) -> Plan {
+    match command {
+        ExceptionCommand::List => Plan::get("/exceptions", render_exceptions),
+        ExceptionCommand::Remove { id, reason } => {
+            let target = format!("/exceptions/{}?reason={}", encode(id), encode(reason));
+            Plan::change(Method::DELETE, target)
+        }
+        ExceptionCommand::Add {
+            id,
+            kind,
+            target,
+            value,
+            reason,
+        } => Plan::change(Method::POST, "/exceptions".to_owned()).json(&json!({
+            "id": id, "kind": kind, "target": target, "value": value, "reason": reason,
+        })),
+    }
+}
+
+fn account(command: &AccountCommand) -> Plan {
+    match command {
+        AccountCommand::List => Plan::get("/accounts", render_accounts),
+        AccountCommand::Add {
+            name,
+            weight,
+            reason,
+        } => Plan::change(Method::POST, "/accounts".to_owned())
+            .json(&json!({"name": name, "weight": weight, "reason": reason})),
+    }
+}
+
+fn key(command: &KeyCommand) -> Plan {
+    match command {
+        KeyCommand::Issue { account, reason } => {
+            let target = format!("/accounts/{}/keys", encode(account));
+            let plan = Plan::change(Method::POST, target).json(&json!({ "reason": reason }));
+            Plan {
+                render: render_issued,
+                ..plan
+            }
+        }
+        KeyCommand::Withdraw {
+            account,
+            id,
+            reason,
+        } => {
+            let target = format!("/accounts/{}/keys/{}/withdraw", encode(account), encode(id));
+            Plan::change(Method::POST, target).json(&json!({ "reason": reason }))
+        }
+    }
+}
+
+fn read_json(file: &Path) -> Result<Vec<u8>, String> {
+    let place = file.display();
+    let body = std::fs::read(file).map_err(|error| format!("{place}: {error}"))?;
+    serde_json::from_slice::<Value>(&body).map_err(|error| format!("{place}: {error}"))?;
+    Ok(body)
+}
