--- a/crates/pomeloridge_backend/src/engine.rs
+++ b/crates/pomeloridge_backend/src/engine.rs
@@ -109,8 +109,8 @@
             }
             match self.connection.next(deadline).await? {
                 Some(piece) => self.events.push(&piece)?,
-                None if self.events.is_partial() => return Err(BackendError::Broken),
-                None => return Err(BackendError::Lost),
+                // The server ended the body itself, so it still runs.
+                None => return Err(BackendError::Broken),
             }
         }
     }
--- a/crates/pomeloridge_backend/src/event_stream.rs
+++ b/crates/pomeloridge_backend/src/event_stream.rs
@@ -35,9 +35,4 @@
             }
         }
     }
-
-    /// Whether a part of an event is left.
-    pub(crate) fn is_partial(&self) -> bool {
-        !self.buf.is_empty()
-    }
 }
--- /dev/null
+++ b/crates/pomeloridge_caller/src/in_flight.rs
@@ -0,0 +1,140 @@
+//! A request that runs on a backend server.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use pomeloridge_backend::BackendError;
+use pomeloridge_base::clock::SharedClock;
+use pomeloridge_base::meter::{Counter, Meter};
+use pomeloridge_policy::server::{DispatchKey, ServerKey, Work};
+use pomeloridge_policy::suspicion::Fingerprint;
+
+use crate::front::{Front, Policy};
+
+/// The requests that run on each server.
+#[derive(Default)]
+pub struct Running(RefCell<HashMap<ServerKey, Vec<Fingerprint>>>);
+
+impl Running {
+    fn add(&self, server: ServerKey, fingerprint: Fingerprint) {
+        let mut running = self.0.borrow_mut();
+        running.entry(server).or_default().push(fingerprint);
+    }
+
+    fn remove(&self, server: ServerKey, fingerprint: Fingerprint) {
+        let mut running = self.0.borrow_mut();
+        let Some(own) = running.get_mut(&server) else {
+            return;
+        };
+        if let Some(at) = own.iter().position(|other| *other == fingerprint) {
+            own.swap_remove(at);
+        }
+        if own.is_empty() {
+            running.remove(&server);
+        }
+    }
+
+    fn on(&self, server: ServerKey) -> Vec<Fingerprint> {
+        let running = self.0.borrow();
+        running.get(&server).cloned().unwrap_or_default()
+    }
+}
+
+/// Keeps a request counted on its server until it is dropped.
+pub(crate) struct InFlight {
+    policy: Rc<Policy>,
+    clock: SharedClock,
+    meter: Meter,
+    server: ServerKey,
+    dispatch: DispatchKey,
+    fingerprint: Fingerprint,
+    alone: bool,
+    answered: Option<u64>,
+}
+
+impl InFlight {
+    /// Counts a request on a server that it is about to be sent to.
+    pub(crate) fn start(
+        front: &Front,
+        server: ServerKey,
+        work: Work,
+        fingerprint: Fingerprint,
+        alone: bool,
+    ) -> Self {
+        let now = front.clock.now();
+        let dispatch = front.policy.fleet.borrow_mut().dispatch(server, work, now);
+        front.policy.running.add(server, fingerprint);
+        Self {
+            policy: Rc::clone(&front.policy),
+            clock: Rc::clone(&front.clock),
+            meter: front.meter.clone(),
+            server,
+            dispatch,
+            fingerprint,
+            alone,
+            answered: None,
+        }
+    }
+
+    /// Notes the first piece of the answer.
+    pub(crate) fn first_piece(&self) {
+        let now = self.clock.now();
+        let mut fleet = self.policy.fleet.borrow_mut();
+        fleet.first_token(self.dispatch, now);
+        fleet.succeed(self.server);
+    }
+
+    /// Notes that the answer was whole.
+    pub(crate) fn answered(&mut self, tokens: u64) {
+        let now = self.clock.now();
+        self.answered = Some(tokens);
+        self.policy.budget.borrow_mut().succeed();
+        let mut suspicions = self.policy.suspicions.borrow_mut();
+        if suspicions.clear(&self.fingerprint, now) {
+            log::info!(target: "decision", "suspect=cleared");
+        }
+    }
+
+    /// Notes a failure: what it says of the server, and of the requests that run there.
+    pub(crate) fn failed(&self, error: BackendError) {
+        let now = self.clock.now();
+        if error.server_gone() {
+            let mut fleet = self.policy.fleet.borrow_mut();
+            let suspect_zone = fleet.fail(self.server, now);
+            let server = fleet.server(self.server).map(|server| &server.info);
+            if let Some(info) = server {
+                self.meter.one(Counter::Ejections);
+                log::info!(
+                    target: "decision",
+                    "ejected server={} data_centre={} reason=\"{error}\" zone_suspect={suspect_zone}",
+                    info.id,
+                    info.data_centre
+                );
+            }
+        }
+        if error == BackendError::Lost {
+            let lost = self.policy.running.on(self.server);
+            let mut suspicions = self.policy.suspicions.borrow_mut();
+            suspicions.engine_lost(&lost, self.alone, now);
+            log::info!(
+                target: "decision",
+                "suspects={} alone={} reason=\"engine lost while they ran there\"",
+                lost.len(),
+                self.alone
+            );
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        self.policy.running.remove(self.server, self.fingerprint);
+        let mut fleet = self.policy.fleet.borrow_mut();
+        fleet.finish(self.dispatch, self.answered, now);
+        if self.alone {
+            fleet.vacate(self.server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_caller/src/request_id.rs
@@ -0,0 +1,58 @@
+//! Request identifiers that any node can check.
+//!
+//! An identifier names the node's start and a count, and carries a code under
+//! the fleet secret over the client account and the request's fingerprint. A
+//! caller that reconnects with it can resume only its own request, and another
+//! node bills the request under the same identifier.
+
+use std::cell::Cell;
+
+use pomeloridge_base::id::{Incarnation, Name};
+use pomeloridge_base::secret::sign;
+
+/// Bytes of the code that an identifier carries.
+const CODE_BYTES: usize = 8;
+
+/// Makes the identifiers of one start of a node.
+pub struct IdMaker {
+    prefix: String,
+    secret: Vec<u8>,
+    count: Cell<u64>,
+}
+
+impl IdMaker {
+    /// An identifier's prefix is a code of the node's name and incarnation, so
+    /// that it tells a caller nothing of either.
+    pub fn new(node: &Name, incarnation: Incarnation, secret: &[u8]) -> Self {
+        let start = format!("{node}/{incarnation}");
+        let code = sign(secret, start.as_bytes());
+        Self {
+            prefix: hex::encode(&code[..CODE_BYTES]),
+            secret: secret.to_vec(),
+            count: Cell::new(0),
+        }
+    }
+
+    /// A new identifier for a request of `account` with `fingerprint`.
+    pub fn next(&self, account: &Name, fingerprint: &[u8]) -> String {
+        self.count.set(self.count.get() + 1);
+        let serial = format!("{}{:x}", self.prefix, self.count.get());
+        let code = self.code(&serial, account, fingerprint);
+        format!("r-{serial}-{code}")
+    }
+
+    /// Whether an identifier was made by any node for this account and fingerprint.
+    pub fn is_own(&self, id: &str, account: &Name, fingerprint: &[u8]) -> bool {
+        let parts = id.strip_prefix("r-").and_then(|rest| rest.split_once('-'));
+        parts.is_some_and(|(serial, code)| code == self.code(serial, account, fingerprint))
+    }
+
+    fn code(&self, serial: &str, account: &Name, fingerprint: &[u8]) -> String {
+        let mut message = serial.as_bytes().to_vec();
+        message.push(0);
+        message.extend_from_slice(account.as_bytes());
+        message.push(0);
+        message.extend_from_slice(fingerprint);
+        hex::encode(&sign(&self.secret, &message)[..CODE_BYTES])
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_caller/src/service.rs
@@ -0,0 +1,279 @@
+//! Runs a call to a plain service.
+//!
+//! A call that may not be repeated is sent again only if no byte of it was
+//! written, or if the service said that it had done nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pomeloridge_backend::{BackendError, Call, forward};
+use pomeloridge_base::error::{ErrorKind, Run};
+use pomeloridge_base::http::{Responder, Response};
+use pomeloridge_base::id::Name;
+use pomeloridge_base::meter::Counter;
+use pomeloridge_policy::retry::{Attempt, Progress, RetryVerdict};
+use pomeloridge_policy::server::{ServerKey, Work};
+use pomeloridge_policy::suspicion::{Fingerprint, Treatment};
+
+use crate::answer::Refusal;
+use crate::auth::shared_headers;
+use crate::choice;
+use crate::claim::{Claimed, Subject, claim};
+use crate::front::{Accepted, Front, Usage};
+use crate::in_flight::InFlight;
+use crate::turn::Turn;
+
+/// The work that one call counts as.
+const CALL_WORK: Work = Work {
+    prompt: 1,
+    output: 1,
+};
+
+/// Answers a call to a plain service.
+pub(crate) async fn serve(front: &Front, accepted: &Accepted, responder: &mut Responder) {
+    let fingerprint = fingerprint(accepted);
+    let call = ServiceCall {
+        front,
+        accepted,
+        pool: &accepted.route.pool,
+        id: front.ids.next(&accepted.account, &fingerprint.0),
+        fingerprint,
+    };
+    let turn = monoio::select! {
+        turn = call.turn() => turn,
+        () = responder.gone() => {
+            front.meter.one(Counter::Cancelled);
+            return;
+        }
+    };
+    // From here on the call is run to its end even if its caller goes away, so
+    // that its outcome is known to a repeat.
+    let outcome = match turn {
+        Ok(mut turn) => call.run_claimed(&mut turn).await,
+        Err(refusal) => Err(refusal),
+    };
+    match outcome {
+        Ok(response) => {
+            front.meter.one(Counter::Answered);
+            let status = response.status.as_u16();
+            front.note(&call.id, format!("outcome=answered status={status}"));
+            let _ = responder.send(response).await;
+        }
+        Err(refusal) => front.refuse(&refusal, Some(&call.id), responder).await,
+    }
+}
+
+fn fingerprint(accepted: &Accepted) -> Fingerprint {
+    let request = &accepted.request;
+    let target = request.uri.to_string();
+    let parts = [
+        request.method.as_str().as_bytes(),
+        b" ",
+        target.as_bytes(),
+        b"\0",
+        &request.body,
+    ];
+    Fingerprint::of(&accepted.account, &accepted.route.path, &parts.concat())
+}
+
+/// A call that is being run.
+struct ServiceCall<'a> {
+    front: &'a Front,
+    accepted: &'a Accepted,
+    pool: &'a Name,
+    id: String,
+    fingerprint: Fingerprint,
+}
+
+impl ServiceCall<'_> {
+    async fn turn(&self) -> Result<Turn, Refusal> {
+        let now = self.front.clock.now();
+        let treatment = {
+            let suspicions = self.front.policy.suspicions.borrow();
+            suspicions.treatment(&self.fingerprint, now)
+        };
+        if let Treatment::Refuse(left) = treatment {
+            return Err(Refusal {
+                retry: Some(left),
+                ..Refusal::from(ErrorKind::Quarantined)
+            });
+        }
+        Turn::wait(self.front, self.accepted, &self.id, self.pool, CALL_WORK).await
+    }
+
+    fn is_idempotent(&self) -> bool {
+        let method = self.accepted.request.method.as_str();
+        self.accepted.route.is_idempotent(method)
+    }
+
+    /// Runs the call, under a claim if it came with an idempotency key.
+    async fn run_claimed(&self, turn: &mut Turn) -> Result<Response, Refusal> {
+        let key = self.accepted.request.header("idempotency-key");
+        let Some(key) = key.filter(|_| !self.is_idempotent()) else {
+            return self.run(turn).await;
+        };
+        let now_ms = self.front.clock.unix_ms();
+        let subject = Subject {
+            account: &self.accepted.account,
+            key,
+            fingerprint: &self.fingerprint.0,
+            request_id: &self.id,
+            now_ms,
+            until_ms: now_ms + self.accepted.route.deadline_ms,
+        };
+        let claim = match claim(&self.front.claims, &subject).await? {
+            Claimed::Run(claim) => claim,
+            Claimed::Answer(response) => {
+                self.front
+                    .note(&self.id, "claim=repeat stored answer given".to_owned());
+                return Ok(response);
+            }
+        };
+        let outcome = self.run(turn).await;
+        match &outcome {
+            Ok(response) => claim.done(response).await,
+            Err(refusal) => match refusal.run() {
+                Run::NotRun => claim.release().await,
+                Run::Ran | Run::Unknown => claim.unknown().await,
+            },
+        }
+        outcome
+    }
+
+    async fn run(&self, turn: &mut Turn) -> Result<Response, Refusal> {
+        let front = self.front;
+        let mut tried = Vec::new();
+        let mut attempts = 0;
+        let mut written = false;
+        loop {
+            attempts += 1;
+            let (server, address) = self.choose(&tried, written)?;
+            let mut in_flight = InFlight::start(front, server, CALL_WORK, self.fingerprint, false);
+            match self.attempt(address).await {
+                Ok(response) => {
+                    in_flight.first_piece();
+                    in_flight.answered(1);
+                    turn.charge(1);
+                    turn.answered();
+                    front.policy.admission.borrow_mut().accepted(self.pool);
+                    self.bill().await;
+                    return Ok(self.answer(response));
+                }
+                Err(error) => {
+                    in_flight.failed(error);
+                    drop(in_flight);
+                    tried.push(server);
+                    written |= !error.not_run();
+                    self.after_failure(error, attempts, written)?;
+                }
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        tried: &[ServerKey],
+        written: bool,
+    ) -> Result<(ServerKey, SocketAddr), Refusal> {
+        let wanted = choice::Wanted {
+            pool: self.pool,
+            session: None,
+            blocks: &[],
+            work: CALL_WORK,
+            tried,
+            alone: false,
+        };
+        choice::choose(self.front, &self.id, &wanted).map_err(|kind| Refusal {
+            run: written.then_some(Run::Unknown),
+            ..Refusal::from(kind)
+        })
+    }
+
+    async fn attempt(&self, address: SocketAddr) -> Result<Response, BackendError> {
+        let route = &self.accepted.route;
+        let request = &self.accepted.request;
+        let target = request.uri.path_and_query();
+        let call = Call {
+            id: self.id.clone(),
+            method: request.method.clone(),
+            target: target.map_or_else(|| "/".to_owned(), ToString::to_string),
+            headers: shared_headers(&request.headers),
+            body: request.body.clone(),
+            first_byte: Duration::from_millis(route.first_byte_ms),
+            gap: Duration::from_millis(route.gap_ms),
+        };
+        forward(address, &call, self.front.connect, self.accepted.deadline).await
+    }
+
+    /// Decides whether the call is sent again; an error is the final answer.
+    fn after_failure(
+        &self,
+        error: BackendError,
+        attempts: u32,
+        written: bool,
+    ) -> Result<(), Refusal> {
+        let front = self.front;
+        let now = front.clock.now();
+        if error == BackendError::Refused {
+            front.policy.admission.borrow_mut().refused(self.pool, now);
+        }
+        let attempt = Attempt {
+            idempotent: self.is_idempotent(),
+            progress: match error {
+                BackendError::Connect => Progress::Unsent,
+                BackendError::Refused => Progress::Refused,
+                BackendError::Lost
+                | BackendError::Silent
+                | BackendError::Crossed
+                | BackendError::Broken
+                | BackendError::Rejected => Progress::Written,
+            },
+            attempts,
+            deadline: self.accepted.deadline,
+        };
+        let verdict = front.policy.budget.borrow_mut().may_retry(attempt, now);
+        let text = format!("attempt={attempts} failed=\"{error}\" verdict={verdict}");
+        front.note(&self.id, text);
+        if verdict == RetryVerdict::Retry {
+            front.meter.one(Counter::Retries);
+            return Ok(());
+        }
+        Err(final_refusal(error, written))
+    }
+
+    async fn bill(&self) {
+        let usage = Usage {
+            request: self.id.clone(),
+            account: self.accepted.account.clone(),
+            prompt: 0,
+            output: 0,
+        };
+        (self.front.bill)(usage).await;
+    }
+
+    fn answer(&self, response: Response) -> Response {
+        Response {
+            headers: shared_headers(&response.headers),
+            ..response
+        }
+        .with("x-request-id", &self.id)
+    }
+}
+
+/// The final answer after the last attempt.
+fn final_refusal(error: BackendError, written: bool) -> Refusal {
+    let kind = match error {
+        BackendError::Connect if !written => ErrorKind::NoServer,
+        BackendError::Refused if !written => ErrorKind::Overloaded,
+        BackendError::Connect | BackendError::Refused | BackendError::Lost => ErrorKind::ServerLost,
+        BackendError::Silent => ErrorKind::DeadlinePassed,
+        // A crossed or broken answer says nothing of the call itself.
+        BackendError::Crossed | BackendError::Broken | BackendError::Rejected => {
+            return Refusal {
+                run: Some(Run::Unknown),
+                ..Refusal::from(ErrorKind::ServerFault)
+            };
+        }
+    };
+    kind.into()
+}
--- /dev/null
+++ b/crates/pomeloridge_caller/src/turn.rs
@@ -0,0 +1,164 @@
+//! Waiting for a turn, and giving it back.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use local_sync::oneshot;
+use pomeloridge_base::clock::SharedClock;
+use pomeloridge_base::error::ErrorKind;
+use pomeloridge_base::id::Name;
+use pomeloridge_base::meter::Timer;
+use pomeloridge_policy::server::Work;
+use pomeloridge_policy::ticket::{self, AdmissionRequest, Admit, TicketKey};
+
+use crate::answer::Refusal;
+use crate::front::{Accepted, Front, Policy};
+
+type Outcome = Result<(), ticket::Refusal>;
+
+/// The requests that wait, by their tickets.
+#[derive(Default)]
+pub struct Waiting(RefCell<HashMap<TicketKey, oneshot::Sender<Outcome>>>);
+
+impl Waiting {
+    fn add(&self, ticket: TicketKey) -> oneshot::Receiver<Outcome> {
+        let (sender, receiver) = oneshot::channel();
+        self.0.borrow_mut().insert(ticket, sender);
+        receiver
+    }
+
+    fn tell(&self, ticket: TicketKey, outcome: Outcome) {
+        if let Some(sender) = self.0.borrow_mut().remove(&ticket) {
+            // The request may have been given up in the meantime.
+            let _ = sender.send(outcome);
+        }
+    }
+
+    fn forget(&self, ticket: TicketKey) {
+        self.0.borrow_mut().remove(&ticket);
+    }
+}
+
+impl Policy {
+    /// Starts the requests that have room now and refuses those that would be late.
+    pub fn pump(&self, clock: &SharedClock) {
+        let now = clock.now();
+        for expired in self.admission.borrow_mut().expire(now) {
+            self.waiting.tell(expired.ticket, Err(expired.refusal));
+        }
+        loop {
+            let next = self.admission.borrow_mut().next(now);
+            let Some(ticket) = next else { return };
+            self.waiting.tell(ticket, Ok(()));
+        }
+    }
+}
+
+/// A request's turn; dropping it lets the next one start.
+pub(crate) struct Turn {
+    ticket: TicketKey,
+    policy: Rc<Policy>,
+    clock: SharedClock,
+    answered: bool,
+}
+
+impl Turn {
+    /// Waits for a turn in a pool, or gives the refusal at once when there can be none in time.
+    pub(crate) async fn wait(
+        front: &Front,
+        accepted: &Accepted,
+        id: &str,
+        pool: &Name,
+        work: Work,
+    ) -> Result<Self, Refusal> {
+        let patience = std::time::Duration::from_millis(accepted.route.first_byte_ms);
+        let request = AdmissionRequest {
+            account: accepted.account.clone(),
+            pool: pool.clone(),
+            work,
+            account_weight: accepted.weight,
+            kind_weight: accepted.route.weight,
+            deadline: accepted.deadline.min(accepted.arrived + patience),
+        };
+        let now = front.clock.now();
+        let admit = front.policy.admission.borrow_mut().arrive(&request, now);
+        let turn = |ticket| Self {
+            ticket,
+            policy: Rc::clone(&front.policy),
+            clock: Rc::clone(&front.clock),
+            answered: false,
+        };
+        match admit {
+            Admit::Now(ticket) => {
+                front.note(id, format!("admission=now pool={pool}"));
+                Ok(turn(ticket))
+            }
+            Admit::Refuse(refusal) => Err(refusal.into()),
+            Admit::Wait(ticket) => {
+                front.note(id, format!("admission=wait pool={pool}"));
+                let turn = turn(ticket);
+                turn.granted().await?;
+                let waited = front.clock.now().saturating_duration_since(now);
+                front.meter.time(Timer::Wait, waited);
+                front.note(
+                    id,
+                    format!("admission=granted waited_ms={}", waited.as_millis()),
+                );
+                Ok(turn)
+            }
+        }
+    }
+
+    /// Gives the turn back without an answer and waits for another one.
+    pub(crate) async fn again(&self) -> Result<(), Refusal> {
+        self.policy.admission.borrow_mut().requeue(self.ticket);
+        self.granted().await
+    }
+
+    async fn granted(&self) -> Result<(), Refusal> {
+        let receiver = self.policy.waiting.add(self.ticket);
+        self.policy.pump(&self.clock);
+        match receiver.await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(refusal)) => Err(refusal.into()),
+            Err(_) => Err(ErrorKind::Overloaded.into()),
+        }
+    }
+
+    /// Charges output tokens to the client account.
+    pub(crate) fn charge(&self, tokens: u64) {
+        let now = self.clock.now();
+        let mut admission = self.policy.admission.borrow_mut();
+        admission.charge_output(self.ticket, tokens, now);
+    }
+
+    /// Marks the request as answered, so that its duration is learned.
+    pub(crate) fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.policy.waiting.forget(self.ticket);
+        {
+            let mut admission = self.policy.admission.borrow_mut();
+            if self.answered {
+                admission.finish(self.ticket, self.clock.now());
+            } else {
+                admission.cancel(self.ticket);
+            }
+        }
+        self.policy.pump(&self.clock);
+    }
+}
+
+impl From<ticket::Refusal> for Refusal {
+    fn from(refusal: ticket::Refusal) -> Self {
+        Self {
+            retry: Some(refusal.retry),
+            ..Self::from(refusal.kind)
+        }
+    }
+}
