--- a/crates/pomeloridge/src/args.rs
+++ b/crates/pomeloridge/src/args.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
+use pomeloridge_operator::cli::OperatorCommand;
 
 /// Serves language models and booking services on a limited fleet.
 #[derive(Debug, Parser)]
@@ -30,4 +31,7 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Commands for operators, sent to any node.
+    #[command(flatten)]
+    Operator(OperatorCommand),
 }
--- a/crates/pomeloridge/src/commands/mod.rs
+++ b/crates/pomeloridge/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One module a command.
 
 pub(crate) mod check;
+pub(crate) mod operator;
 pub(crate) mod serve;
 
 /// Exit code for faults in settings or arguments.
--- a/crates/pomeloridge/src/main.rs
+++ b/crates/pomeloridge/src/main.rs
@@ -16,5 +16,6 @@
     match Args::parse().command {
         Command::Serve { settings } => commands::serve::run(&settings),
         Command::Check { settings } => commands::check::run(&settings),
+        Command::Operator(command) => commands::operator::run(&command),
     }
 }
--- a/crates/pomeloridge/src/metrics.rs
+++ b/crates/pomeloridge/src/metrics.rs
@@ -27,7 +27,7 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
-            .without_scope_info()
+            .without_target_info()
             .build()
             .map_err(|error| error.to_string())?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
--- /dev/null
+++ b/crates/pomeloridge/src/serve/front.rs
@@ -0,0 +1,131 @@
+//! The callers' port.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::net::TcpListener;
+use pomeloridge_base::error::ErrorKind;
+use pomeloridge_base::http::{Fault, Limits, Request, Responder, Server};
+use pomeloridge_base::id::Name;
+use pomeloridge_base::meter::Counter;
+use pomeloridge_caller::{Front, IdMaker, LocalFuture, Usage};
+use pomeloridge_node::member::{Member, MemberState};
+use pomeloridge_node::reach::Standing;
+use pomeloridge_node::usage::UsageLine;
+use pomeloridge_node::usage_sender::Replication;
+
+use super::life::Phase;
+use super::state::State;
+use super::store;
+
+/// Pause between two looks at who may start.
+const PUMP_PAUSE: Duration = Duration::from_millis(20);
+/// Bytes of the largest body that any route may take.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Serves callers until the node has stopped and the last request has ended.
+pub(crate) async fn serve(state: Rc<State>, listener: TcpListener) {
+    let front = Rc::new(front(&state));
+    let life = state.life.clone();
+    let draining = state.life.clone();
+    let server = Server {
+        limits: limits(&state),
+        handler: async move |request: Result<Request, Fault>, responder: &mut Responder| {
+            if draining.is_leaving() {
+                responder.close_after();
+            }
+            front.handle(request, responder).await;
+        },
+        stopping: move || life.phase() == Phase::Closing,
+    };
+    Rc::new(server).run(listener).await;
+}
+
+/// Keeps the capacities of the pools current, and starts requests that wait.
+pub(crate) async fn pump(state: Rc<State>) {
+    loop {
+        set_capacities(&state);
+        state.policy.pump(&state.clock);
+        monoio::time::sleep(PUMP_PAUSE).await;
+    }
+}
+
+/// Tells admission how much each pool can take now.
+pub(crate) fn set_capacities(state: &State) {
+    let now = state.clock.now();
+    let live = |member: &&Member| member.state == MemberState::Live;
+    let nodes = state.mesh.members().iter().filter(live).count() as u32 + 1;
+    let fleet = state.policy.fleet.borrow();
+    let mut admission = state.policy.admission.borrow_mut();
+    for pool in pools(state) {
+        admission.set_capacity(&pool, fleet.capacity(&pool, now), nodes);
+    }
+}
+
+/// Every model and service that the configuration names.
+fn pools(state: &State) -> Vec<Name> {
+    let config = state.config.borrow();
+    let routes = config.fleet().routes.iter().map(|route| &route.pool);
+    let services = routes.filter(|pool| !pool.is_empty());
+    let mut pools: Vec<_> = config
+        .fleet()
+        .models
+        .keys()
+        .chain(services)
+        .cloned()
+        .collect();
+    pools.sort();
+    pools.dedup();
+    pools
+}
+
+fn limits(state: &State) -> Limits {
+    Limits {
+        head_bytes: state.settings.number("caller", "head_bytes") as usize,
+        head_time: state.settings.time("caller", "head_ms"),
+        body_time: state.settings.time("caller", "body_ms"),
+        body_bytes: BODY_BYTES,
+        ..Limits::default()
+    }
+}
+
+fn front(state: &Rc<State>) -> Front {
+    let settings = &state.settings;
+    let secret = &settings.secret.0;
+    let [gate, bill] = std::array::from_fn(|_| Rc::clone(state));
+    Front {
+        clock: Rc::clone(&state.clock),
+        config: Rc::clone(&state.config),
+        policy: Rc::clone(&state.policy),
+        ids: IdMaker::new(&settings.name, state.incarnation, secret),
+        connect: settings.time("backend", "connect_ms"),
+        gate: Box::new(move || takes_work(&gate)),
+        bill: Box::new(move |usage| record_usage(&bill, usage)),
+        claims: store::claims(state),
+        meter: state.metrics.meter.clone(),
+    }
+}
+
+/// A node that is cut off can't know of withdrawn keys, and takes no new work.
+pub(crate) fn takes_work(state: &State) -> Result<(), ErrorKind> {
+    match state.mesh.standing(state.reached.silence()) {
+        Standing::Connected | Standing::ThroughPeers | Standing::Outage => Ok(()),
+        Standing::CutOff => Err(ErrorKind::CutOff),
+    }
+}
+
+/// Hands a line of usage to a peer, within a bounded time.
+fn record_usage(state: &Rc<State>, usage: Usage) -> LocalFuture<()> {
+    let state = Rc::clone(state);
+    Box::pin(async move {
+        let line = UsageLine {
+            request_id: usage.request.into(),
+            account: usage.account,
+            prompt_tokens: usage.prompt,
+            output_tokens: usage.output,
+        };
+        if state.usage.record(line).await == Replication::Unreplicated {
+            state.metrics.meter.one(Counter::Unreplicated);
+        }
+    })
+}
--- /dev/null
+++ b/crates/pomeloridge/src/serve/mesh.rs
@@ -0,0 +1,160 @@
+//! Joins the links between nodes to the node's state.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pomeloridge_base::clock::SharedClock;
+use pomeloridge_base::config::ConfigView;
+use pomeloridge_base::id::{Incarnation, Name, Revision};
+use pomeloridge_base::settings::Settings;
+use pomeloridge_caller::Policy;
+use pomeloridge_node::heartbeat::{HeartbeatPayload, ServiceLine, ShareLine};
+use pomeloridge_node::member::{Member, MemberState};
+use pomeloridge_node::mesh::{Hooks, Mesh, MeshOptions};
+use pomeloridge_policy::in_flight::OwnShare;
+use pomeloridge_policy::ledger::ServiceTotal;
+
+use super::state::{Reached, adopt};
+
+/// Silence of the object service after which a node says that it does not reach it.
+const PLATFORM_SILENCE: Duration = Duration::from_secs(2);
+/// Age up to which totals of service are told; older ones are known to all.
+const SERVICE_AGE: Duration = Duration::from_secs(30);
+
+/// The parts of the state that the links need.
+pub(crate) struct Parts {
+    pub(crate) clock: SharedClock,
+    pub(crate) config: Rc<RefCell<ConfigView>>,
+    pub(crate) policy: Rc<Policy>,
+    pub(crate) reached: Reached,
+    pub(crate) revisions: Rc<RefCell<PeerRevisions>>,
+}
+
+/// The revisions that each peer has in force, as its last heartbeat said.
+#[derive(Default)]
+pub(crate) struct PeerRevisions(HashMap<Name, HashMap<String, Revision>>);
+
+impl PeerRevisions {
+    /// Whether a peer has an object in force at a revision or a later one.
+    pub(crate) fn has(&self, peer: &Name, key: &str, revision: Revision) -> bool {
+        let own = self.0.get(peer).and_then(|own| own.get(key));
+        own.is_some_and(|own| *own >= revision)
+    }
+}
+
+/// Builds the links of this node.
+pub(crate) fn build(
+    settings: &Settings,
+    address: SocketAddr,
+    incarnation: Incarnation,
+    parts: Parts,
+) -> Mesh {
+    let own = Member {
+        name: settings.name.clone(),
+        address,
+        data_centre: settings.data_centre.clone(),
+        incarnation,
+        state: MemberState::Live,
+        counter: 0,
+        platform: false,
+    };
+    let clock = Rc::clone(&parts.clock);
+    Mesh::new(
+        own,
+        MeshOptions::from(settings),
+        clock,
+        hooks(&Rc::new(parts)),
+    )
+}
+
+fn hooks(parts: &Rc<Parts>) -> Hooks {
+    let [told, heard, asked, given] = std::array::from_fn(|_| Rc::clone(parts));
+    Hooks {
+        snapshot: Box::new(move || snapshot(&told)),
+        absorb: Box::new(move |sender, payload| absorb(&heard, sender, &payload)),
+        config_objects: Box::new(move |keys| {
+            let config = asked.config.borrow();
+            let wanted = |key: &String| keys.is_empty() || keys.contains(key);
+            let objects = config.objects().filter(|object| wanted(&object.key));
+            objects.cloned().collect()
+        }),
+        adopt_config: Box::new(move |object| adopt(&given.config, &given.policy, object)),
+    }
+}
+
+/// What this node says in a heartbeat.
+fn snapshot(parts: &Parts) -> HeartbeatPayload {
+    let now = parts.clock.now();
+    let policy = &parts.policy;
+    let config = parts.config.borrow();
+    let digests = config
+        .objects()
+        .map(|object| (object.key.clone(), object.revision));
+    let totals = policy.admission.borrow().export(SERVICE_AGE, now);
+    HeartbeatPayload {
+        platform: parts.reached.silence() < PLATFORM_SILENCE,
+        digests: digests.collect(),
+        service: totals.into_iter().map(service_line).collect(),
+        shares: policy
+            .fleet
+            .borrow()
+            .own_shares()
+            .into_iter()
+            .map(share_line)
+            .collect(),
+        suspicions: Vec::new(),
+    }
+}
+
+/// Takes in what another node said.
+fn absorb(parts: &Parts, sender: &Member, payload: &HeartbeatPayload) {
+    let now = parts.clock.now();
+    let digests = payload.digests.iter().cloned().collect();
+    let mut revisions = parts.revisions.borrow_mut();
+    revisions.0.insert(sender.name.clone(), digests);
+    let policy = &parts.policy;
+    let totals: Vec<_> = payload.service.iter().map(service_total).collect();
+    policy
+        .admission
+        .borrow_mut()
+        .merge(&sender.name, sender.incarnation, &totals);
+    let shares: Vec<_> = payload.shares.iter().map(own_share).collect();
+    let mut fleet = policy.fleet.borrow_mut();
+    fleet.peer_shares(&sender.name, &shares, now);
+}
+
+fn service_line(total: ServiceTotal) -> ServiceLine {
+    ServiceLine {
+        account: total.account,
+        pool: total.pool,
+        amount: total.total,
+    }
+}
+
+fn service_total(line: &ServiceLine) -> ServiceTotal {
+    ServiceTotal {
+        pool: line.pool.clone(),
+        account: line.account.clone(),
+        total: line.amount,
+    }
+}
+
+fn share_line(share: OwnShare) -> ShareLine {
+    ShareLine {
+        server: share.id,
+        requests: share.running,
+        prompt_tokens: share.prefill_tokens,
+    }
+}
+
+fn own_share(line: &ShareLine) -> OwnShare {
+    OwnShare {
+        id: line.server.clone(),
+        running: line.requests,
+        prefill_tokens: line.prompt_tokens,
+        occupied: false,
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge/src/serve/reports.rs
@@ -0,0 +1,102 @@
+//! What the node says of itself to operators.
+
+use pomeloridge_base::config::ConfigObject;
+use pomeloridge_base::id::{Name, Revision};
+use pomeloridge_node::member::{Member, MemberState};
+use pomeloridge_policy::server::Server;
+use serde_json::{Value, json};
+
+use super::front::takes_work;
+use super::state::State;
+
+/// Whether the balancer may send requests here, or why not.
+pub(crate) fn ready(state: &State) -> Result<(), String> {
+    if state.life.is_leaving() {
+        return Err("the node is stopping".to_owned());
+    }
+    takes_work(state).map_err(|kind| kind.answer().text.to_owned())?;
+    let loaded = state.config.borrow().objects().next().is_some();
+    if !loaded {
+        return Err("no configuration has arrived yet".to_owned());
+    }
+    if !state.listed.get() {
+        return Err("the list of backend servers has not arrived yet".to_owned());
+    }
+    Ok(())
+}
+
+/// Nodes, backend servers, pools, revisions in force and exceptions.
+pub(crate) fn status(state: &State) -> Value {
+    let members = state.mesh.members();
+    let own = state.mesh.view(|membership| membership.own().clone());
+    let nodes: Vec<Value> = std::iter::once(&own).chain(&members).map(node).collect();
+    let now = state.clock.now();
+    let fleet = state.policy.fleet.borrow();
+    let mut servers: Vec<&Server> = fleet.servers().map(|(_, server)| server).collect();
+    servers.sort_by(|a, b| a.info.id.cmp(&b.info.id));
+    let config = state.config.borrow();
+    let admission = state.policy.admission.borrow();
+    let pools = config.fleet().models.keys().map(|name| {
+        let pool = admission.state(name);
+        let capacity = fleet.capacity(name, now);
+        json!({
+            "pool": name, "limit": pool.limit, "running": pool.running,
+            "waiting": pool.waiting, "slots": capacity.slots,
+        })
+    });
+    json!({
+        "node": state.settings.name,
+        "standing": state.mesh.standing(state.reached.silence()).to_string(),
+        "nodes": nodes,
+        "servers": servers.into_iter().map(server).collect::<Vec<_>>(),
+        "pools": pools.collect::<Vec<_>>(),
+        "config": config.objects().map(revision).collect::<Vec<_>>(),
+        "exceptions": config.fleet().exceptions,
+    })
+}
+
+fn node(member: &Member) -> Value {
+    json!({
+        "name": member.name, "data_centre": member.data_centre,
+        "state": member.state.to_string(), "address": member.address.to_string(),
+        "incarnation": member.incarnation, "platform": member.platform,
+    })
+}
+
+fn server(server: &Server) -> Value {
+    let report = server.report.as_ref();
+    json!({
+        "id": server.info.id, "pool": server.info.pool, "data_centre": server.info.data_centre,
+        "cheap": server.info.cheap, "state": server.info.state.to_string(),
+        "role": report.map(|report| report.role.to_string()),
+        "running": report.map(|report| report.running),
+        "queued": report.map(|report| report.queued),
+        "ejected": server.ejection.is_ejected(), "drained": server.drained,
+    })
+}
+
+fn revision(object: &ConfigObject) -> Value {
+    json!({"key": object.key, "revision": object.revision})
+}
+
+/// The decisions for a request.
+pub(crate) fn explain(state: &State, id: &str) -> Option<Value> {
+    let decisions = state.policy.decisions.borrow();
+    let lines = decisions.of(id)?;
+    let node: &Name = &state.settings.name;
+    Some(json!({"request": id, "node": node, "decisions": lines}))
+}
+
+/// On how many nodes, of those not held to be down, a revision is in force.
+pub(crate) fn in_force(state: &State, key: &str, revision: Revision) -> (usize, usize) {
+    let members = state.mesh.members();
+    let counted = members
+        .iter()
+        .filter(|member| member.state != MemberState::Down);
+    let revisions = state.revisions.borrow();
+    let own = usize::from(state.config.borrow().revision(key) >= revision);
+    counted.fold((own, 1), |(have, of), member| {
+        let has = revisions.has(&member.name, key, revision);
+        (have + usize::from(has), of + 1)
+    })
+}
--- /dev/null
+++ b/crates/pomeloridge/src/serve/state.rs
@@ -0,0 +1,163 @@
+//! What the node's tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use pomeloridge_base::clock::{SharedClock, SystemClock};
+use pomeloridge_base::config::{ConfigObject, ConfigView, ExceptionKind};
+use pomeloridge_base::id::Incarnation;
+use pomeloridge_base::settings::Settings;
+use pomeloridge_caller::{DecisionLog, Policy, Running, Waiting};
+use pomeloridge_node::mesh::Mesh;
+use pomeloridge_node::usage_sender::{UsageSender, UsageTimes};
+use pomeloridge_platform::Client;
+use pomeloridge_policy::admission::Admission;
+use pomeloridge_policy::fleet::{Fleet, FleetSettings};
+use pomeloridge_policy::load::Expected;
+use pomeloridge_policy::prefix::PrefixHints;
+use pomeloridge_policy::retry::RetryBudget;
+use pomeloridge_policy::routing::{Router, RoutingPolicy};
+use pomeloridge_policy::suspicion::Suspicions;
+use pomeloridge_policy::ticket::AdmissionSettings;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::life::Life;
+use super::mesh::{self, PeerRevisions};
+use crate::metrics::Metrics;
+
+/// Prompt blocks remembered as hints.
+const HINT_BLOCKS: usize = 64 * 1024;
+
+/// A node's state.
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) clock: SharedClock,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) life: Life,
+    pub(crate) config: Rc<RefCell<ConfigView>>,
+    pub(crate) policy: Rc<Policy>,
+    pub(crate) platform: Client,
+    pub(crate) reached: Reached,
+    pub(crate) revisions: Rc<RefCell<PeerRevisions>>,
+    pub(crate) mesh: Mesh,
+    pub(crate) usage: UsageSender,
+    pub(crate) metrics: Metrics,
+    /// Whether the list of backend servers has been read.
+    pub(crate) listed: Cell<bool>,
+    /// Tasks that must end before the node does.
+    pub(crate) duties: Cell<usize>,
+}
+
+/// When the object service last answered this node.
+#[derive(Clone)]
+pub(crate) struct Reached {
+    at: Rc<Cell<Instant>>,
+    clock: SharedClock,
+}
+
+impl Reached {
+    fn new(clock: &SharedClock) -> Self {
+        Self {
+            at: Rc::new(Cell::new(clock.now())),
+            clock: Rc::clone(clock),
+        }
+    }
+
+    /// Notes an answer.
+    pub(crate) fn note(&self) {
+        self.at.set(self.clock.now());
+    }
+
+    /// Time since the last answer.
+    pub(crate) fn silence(&self) -> std::time::Duration {
+        self.clock.now().saturating_duration_since(self.at.get())
+    }
+}
+
+impl State {
+    /// Builds the state of a node whose node port is at `address`.
+    pub(crate) fn new(settings: Settings, address: SocketAddr) -> Result<Rc<Self>, String> {
+        let clock: SharedClock = Rc::new(SystemClock);
+        let incarnation = Incarnation(clock.unix_ms());
+        let config = Rc::new(RefCell::new(ConfigView::default()));
+        let policy = Rc::new(policy(&settings, &clock));
+        let reached = Reached::new(&clock);
+        let revisions = Rc::new(RefCell::new(PeerRevisions::default()));
+        let parts = mesh::Parts {
+            clock: Rc::clone(&clock),
+            config: Rc::clone(&config),
+            policy: Rc::clone(&policy),
+            reached: reached.clone(),
+            revisions: Rc::clone(&revisions),
+        };
+        let mesh = mesh::build(&settings, address, incarnation, parts);
+        let timeout = settings.time("platform", "timeout_ms");
+        Ok(Rc::new(Self {
+            platform: Client::new(settings.platform, timeout, Rc::clone(&clock)),
+            usage: UsageSender::new(mesh.clone(), UsageTimes::default()),
+            metrics: Metrics::new()?,
+            life: Life::new(),
+            listed: Cell::new(false),
+            duties: Cell::new(0),
+            settings,
+            clock,
+            incarnation,
+            config,
+            policy,
+            reached,
+            revisions,
+            mesh,
+        }))
+    }
+}
+
+fn policy(settings: &Settings, clock: &SharedClock) -> Policy {
+    let fleet = FleetSettings {
+        probe: settings.time("backend", "probe_ms"),
+        ..FleetSettings::new(settings.data_centre.clone())
+    };
+    let admission = AdmissionSettings {
+        queue: settings.number("admission", "queue") as usize,
+        account_queue: settings.number("admission", "account_queue") as usize,
+        ..AdmissionSettings::default()
+    };
+    let percent = settings.number("admission", "retry_percent") as u32;
+    Policy {
+        fleet: RefCell::new(Fleet::new(fleet)),
+        hints: RefCell::new(PrefixHints::new(HINT_BLOCKS)),
+        router: RefCell::new(Router::new(RoutingPolicy::default())),
+        admission: RefCell::new(Admission::new(admission)),
+        waiting: Waiting::default(),
+        running: Running::default(),
+        budget: RefCell::new(RetryBudget::new(percent, clock.now())),
+        suspicions: RefCell::new(Suspicions::default()),
+        rng: RefCell::new(StdRng::from_rng(&mut rand::rng())),
+        decisions: RefCell::new(DecisionLog::new(Rc::clone(clock))),
+    }
+}
+
+/// Adopts a configuration object and applies what changed; says whether it was newer.
+pub(crate) fn adopt(config: &RefCell<ConfigView>, policy: &Policy, object: ConfigObject) -> bool {
+    let (key, revision) = (object.key.clone(), object.revision);
+    if !config.borrow_mut().adopt(object) {
+        return false;
+    }
+    log::info!(target: "decision", "config key={key} revision={revision} in force");
+    let config = config.borrow();
+    let mut fleet = policy.fleet.borrow_mut();
+    for (name, model) in &config.fleet().models {
+        let expected = Expected {
+            prefill: model.prefill_rate,
+            decode: model.decode_rate,
+            ..Expected::default()
+        };
+        fleet.expect(name.clone(), expected);
+    }
+    let exceptions = config.fleet().exceptions.iter();
+    let drained = exceptions.filter(|exception| exception.kind == ExceptionKind::Drain);
+    fleet.drain(drained.map(|exception| exception.target.clone()));
+    true
+}
--- /dev/null
+++ b/crates/pomeloridge_dev/src/caller.rs
@@ -0,0 +1,159 @@
+//! A caller: sends completions and calls, and reads their answers to the end.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Outgoing, Response};
+use serde_json::{Value, json};
+
+/// Time that connecting may take; callers on a busy machine wait.
+const CONNECT_TIME: Duration = Duration::from_secs(5);
+
+/// A completion to ask for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Model.
+    pub model: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens at most.
+    pub max_tokens: u32,
+    /// Whether tokens are streamed.
+    pub stream: bool,
+    /// Time until the answer must be whole.
+    pub timeout: Duration,
+}
+
+/// How a streamed answer ended.
+#[derive(Clone, Debug, Default)]
+pub struct Streamed {
+    /// Status of the answer.
+    pub status: u16,
+    /// Identifier of the request.
+    pub id: String,
+    /// Texts of the tokens, in order.
+    pub texts: Vec<String>,
+    /// Index that each token's event id named.
+    pub indexes: Vec<u32>,
+    /// Arrival of each token, counted from the sending of the request.
+    pub arrivals: Vec<Duration>,
+    /// Whether the end event and the end of the body came.
+    pub whole: bool,
+    /// Body of an answer that is no stream, or what cut the stream.
+    pub error: String,
+}
+
+impl Ask {
+    /// The request for it.
+    pub fn request(&self, key: &str) -> Outgoing {
+        let body = json!({
+            "model": self.model, "prompt": self.prompt,
+            "max_tokens": self.max_tokens, "stream": self.stream,
+        });
+        authorized(
+            Outgoing::new(Method::POST, "/v1/completions").json(&body),
+            key,
+        )
+    }
+
+    /// Asks for it as a stream, and reads to the end.
+    pub async fn stream(&self, address: SocketAddr, key: &str) -> Streamed {
+        read_stream(address, &self.request(key), self.timeout).await
+    }
+}
+
+/// Adds a client account's key.
+pub fn authorized(request: Outgoing, key: &str) -> Outgoing {
+    request.with("authorization", &format!("Bearer {key}"))
+}
+
+/// Sends a request on a fresh connection and reads the whole answer.
+pub async fn send(
+    address: SocketAddr,
+    request: &Outgoing,
+    timeout: Duration,
+) -> Result<Response, Fault> {
+    let mut connection = open(address).await?;
+    connection.exchange(request, Instant::now() + timeout).await
+}
+
+/// Sends a request and reads a streamed answer.
+pub async fn read_stream(address: SocketAddr, request: &Outgoing, timeout: Duration) -> Streamed {
+    let mut streamed = Streamed::default();
+    let start = Instant::now();
+    if let Err(fault) = read_into(&mut streamed, address, request, start, timeout).await {
+        streamed.error = fault.to_string();
+        streamed.whole = false;
+    }
+    streamed
+}
+
+async fn open(address: SocketAddr) -> Result<Connection, Fault> {
+    let options = ConnectOptions {
+        timeout: CONNECT_TIME,
+        ..ConnectOptions::default()
+    };
+    Connection::open(address, options).await
+}
+
+async fn read_into(
+    streamed: &mut Streamed,
+    address: SocketAddr,
+    request: &Outgoing,
+    start: Instant,
+    timeout: Duration,
+) -> Result<(), Fault> {
+    let deadline = start + timeout;
+    let mut connection = open(address).await?;
+    connection.send(request, deadline).await?;
+    let head = connection.head(deadline).await?;
+    streamed.status = head.status.as_u16();
+    let id = head.headers.get("x-request-id");
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    id.clone_into(&mut streamed.id);
+    if streamed.status != 200 {
+        let body = connection.body(1 << 20, deadline).await?;
+        streamed.error = String::from_utf8_lossy(&body).into_owned();
+        return Ok(());
+    }
+    let mut text = String::new();
+    while let Some(piece) = connection.next(deadline).await? {
+        text += &String::from_utf8_lossy(&piece);
+        while let Some(end) = text.find("\n\n") {
+            let event: String = text.drain(..end + 2).collect();
+            take_event(streamed, &event, start);
+        }
+    }
+    Ok(())
+}
+
+fn take_event(streamed: &mut Streamed, event: &str, start: Instant) {
+    let line = |prefix: &str| event.lines().find_map(|line| line.strip_prefix(prefix));
+    let Some(data) = line("data: ") else { return };
+    if data == "[DONE]" {
+        streamed.whole = true;
+        return;
+    }
+    if line("event: ") == Some("error") {
+        data.clone_into(&mut streamed.error);
+        return;
+    }
+    let value: Value = serde_json::from_str(data).unwrap_or_default();
+    let choice = &value["choices"][0];
+    let token = choice["text"].as_str();
+    let token = token.or_else(|| choice["delta"]["content"].as_str());
+    let index = line("id: ").and_then(|id| id.rsplit_once(':')?.1.parse().ok());
+    if let (Some(token), Some(index)) = (token, index) {
+        streamed.texts.push(token.to_owned());
+        streamed.indexes.push(index);
+        streamed.arrivals.push(start.elapsed());
+    }
+}
+
+/// The texts that a whole generation must have.
+pub fn expected(prompt: &str, tokens: u32) -> Vec<String> {
+    (0..tokens as usize)
+        .map(|index| pomeloridge_standin::token(prompt, index))
+        .collect()
+}
--- /dev/null
+++ b/crates/pomeloridge_dev/src/launch/mod.rs
@@ -0,0 +1,11 @@
+//! Starts a whole deployment as separate processes on loopback.
+
+mod client;
+mod cluster;
+mod process;
+mod spec;
+
+pub use client::{block_on, get_json, post_json, put_json, request, try_request};
+pub use cluster::{Cluster, Node, Server};
+pub use process::{Process, build_binaries};
+pub use spec::{EngineSpec, ServiceSpec, Spec, altiplano, annex_b, demo as spec_demo};
--- /dev/null
+++ b/crates/pomeloridge_dev/src/launch/process.rs
@@ -0,0 +1,151 @@
+//! One child process: its first line, its log, and its end.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+/// Time for a process to print its first line.
+const START_TIME: Duration = Duration::from_secs(20);
+/// Pause between two looks at whether a process has ended.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// A child process that is ended when dropped.
+pub struct Process {
+    /// Name, also of its log file.
+    pub name: String,
+    child: Child,
+    /// Its first line on standard output.
+    pub first: Value,
+}
+
+impl Process {
+    /// Starts a program of this workspace and waits for its first line.
+    pub fn start(name: &str, program: &str, args: &[String], logs: &Path) -> Result<Self, String> {
+        let path = binary(program)?;
+        let log = File::create(logs.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+        let mut child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .map_err(|error| format!("{}: {error}", path.display()))?;
+        let out = child.stdout.take().ok_or("no standard output")?;
+        let (line, first) = channel();
+        std::thread::spawn(move || {
+            let mut lines = BufReader::new(out).lines();
+            if let Some(Ok(text)) = lines.next() {
+                let _ = line.send(text);
+            }
+            // The pipe is read to its end, so that the child never blocks on it.
+            for _ in lines {}
+        });
+        let mut process = Self {
+            name: name.to_owned(),
+            child,
+            first: Value::Null,
+        };
+        let text = first.recv_timeout(START_TIME).map_err(|_| {
+            format!(
+                "{name} printed no first line; see {name}.log in {}",
+                logs.display()
+            )
+        })?;
+        process.first = serde_json::from_str(&text).map_err(|error| format!("{name}: {error}"))?;
+        Ok(process)
+    }
+
+    /// The address under `key` of the first line.
+    pub fn address(&self, key: &str) -> Result<std::net::SocketAddr, String> {
+        let text = self.first[key].as_str().unwrap_or_default();
+        text.parse()
+            .map_err(|_| format!("{} printed no address `{key}`", self.name))
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: i32) {
+        let id = i32::try_from(self.child.id()).expect("a process id fits");
+        // SAFETY: the child has not been waited for, so the id is its own.
+        unsafe { libc::kill(id, signal) };
+    }
+
+    /// Asks the process to stop gracefully.
+    pub fn stop(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Stops the process's execution until [`Self::resume`].
+    pub fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// The exit status, once the process has ended within `time`.
+    pub fn wait(&mut self, time: Duration) -> Option<ExitStatus> {
+        let end = Instant::now() + time;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            if Instant::now() >= end {
+                return None;
+            }
+            std::thread::sleep(LOOK_PAUSE);
+        }
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Builds the workspace's binaries in the profile of this program.
+pub fn build_binaries() -> Result<(), String> {
+    let mut args = vec!["build", "--quiet", "--workspace", "--bins"];
+    if !cfg!(debug_assertions) {
+        args.push("--release");
+    }
+    let status = Command::new("cargo").args(&args).status();
+    match status {
+        Ok(status) if status.success() => Ok(()),
+        Ok(status) => Err(format!("cargo {}: {status}", args.join(" "))),
+        Err(error) => Err(format!("cargo: {error}")),
+    }
+}
+
+/// The path of a program that was built beside this one.
+fn binary(program: &str) -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let folders = own.ancestors().skip(1).take(2);
+    let mut paths = folders.map(|folder| folder.join(program));
+    paths
+        .find(|path| path.is_file())
+        .ok_or_else(|| format!("{program} is not built; run `cargo build --workspace --bins`"))
+}
