--- a/crates/pomeloridge/src/serve/state.rs
+++ b/crates/pomeloridge/src/serve/state.rs
@@ -117,6 +117,7 @@
 fn policy(settings: &Settings, clock: &SharedClock) -> Policy {
     let fleet = FleetSettings {
         probe: settings.time("backend", "probe_ms"),
+        care: settings.text("routing", "care") == "on",
         ..FleetSettings::new(settings.data_centre.clone())
     };
     let admission = AdmissionSettings {
@@ -128,7 +129,7 @@
     Policy {
         fleet: RefCell::new(Fleet::new(fleet)),
         hints: RefCell::new(PrefixHints::new(HINT_BLOCKS)),
-        router: RefCell::new(Router::new(RoutingPolicy::default())),
+        router: RefCell::new(Router::new(routing_policy(settings))),
         admission: RefCell::new(Admission::new(admission)),
         waiting: Waiting::default(),
         running: Running::default(),
@@ -139,6 +140,14 @@
     }
 }
 
+fn routing_policy(settings: &Settings) -> RoutingPolicy {
+    match settings.text("routing", "policy") {
+        "round_robin" => RoutingPolicy::RoundRobin,
+        "least_reported" => RoutingPolicy::LeastReported,
+        _ => RoutingPolicy::Estimated,
+    }
+}
+
 /// Adopts a configuration object and applies what changed; says whether it was newer.
 pub(crate) fn adopt(config: &RefCell<ConfigView>, policy: &Policy, object: ConfigObject) -> bool {
     let (key, revision) = (object.key.clone(), object.revision);
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -84,6 +84,8 @@
     "admission" "queue" Count, Some("256"), "Requests that may wait for one pool on a node.", "Beyond it a request is refused at once.", "256";
     "admission" "account_queue" Count, Some("64"), "Requests of one client account that may wait for one pool on a node.", "Keeps one account from filling the queue.", "64";
     "admission" "retry_percent" Count, Some("10"), "Retries a node may make, in percent of its successes.", "Bounds the extra load that retries put on a fleet in trouble.", "10";
+    "routing" "policy" Choice(&["estimated", "round_robin", "least_reported"]), Some("estimated"), "How a backend server is chosen.", "The two simple ones are baselines to compare with.", "estimated";
+    "routing" "care" Choice(&["on", "off"]), Some("on"), "Whether failures that this node sees take servers out of routing.", "Off shows what relying on the platform's list alone costs.", "on";
     "caller" "head_bytes" Bytes, Some("32768"), "Limit on a request's head.", "A larger head is refused before it is read whole.", "32768";
     "caller" "head_ms" Millis, Some("5000"), "Time for a request's head to arrive.", "Ends connections that send slowly on purpose.", "5000";
     "caller" "body_ms" Millis, Some("20000"), "Time for a request's body to arrive.", "Callers on slow lines need more.", "20000";
--- a/crates/pomeloridge_caller/src/choice.rs
+++ b/crates/pomeloridge_caller/src/choice.rs
@@ -22,6 +22,8 @@
     pub(crate) work: Work,
     pub(crate) tried: &'a [ServerKey],
     pub(crate) alone: bool,
+    /// Whether a server that was tried may be tried again when no other is left.
+    pub(crate) again: bool,
 }
 
 /// Chooses a server.
@@ -31,22 +33,27 @@
     wanted: &Wanted<'_>,
 ) -> Result<(ServerKey, SocketAddr), ErrorKind> {
     let policy = &front.policy;
-    let request = RouteRequest {
-        pool: wanted.pool.clone(),
-        session: wanted.session.map(str::as_bytes),
-        blocks: wanted.blocks,
-        work: wanted.work,
-        excluded: wanted.tried,
-        alone: wanted.alone,
-    };
     let fleet = policy.fleet.borrow();
-    let decision = policy.router.borrow_mut().route(
-        &fleet,
-        &policy.hints.borrow(),
-        &request,
-        &mut *policy.rng.borrow_mut(),
-        front.clock.now(),
-    )?;
+    let route = |excluded| {
+        let request = RouteRequest {
+            pool: wanted.pool.clone(),
+            session: wanted.session.map(str::as_bytes),
+            blocks: wanted.blocks,
+            work: wanted.work,
+            excluded,
+            alone: wanted.alone,
+        };
+        policy.router.borrow_mut().route(
+            &fleet,
+            &policy.hints.borrow(),
+            &request,
+            &mut *policy.rng.borrow_mut(),
+            front.clock.now(),
+        )
+    };
+    // A server that failed is better than none.
+    let decision =
+        route(wanted.tried).or_else(|kind| if wanted.again { route(&[]) } else { Err(kind) })?;
     front.note(id, format!("route pool={} {decision}", wanted.pool));
     let server = fleet.server(decision.chosen).ok_or(ErrorKind::NoServer)?;
     Ok((decision.chosen, server.info.address))
--- a/crates/pomeloridge_caller/src/generate.rs
+++ b/crates/pomeloridge_caller/src/generate.rs
@@ -225,6 +225,7 @@
             work: self.work(),
             tried: &self.tried,
             alone,
+            again: true,
         };
         if !alone {
             let chosen = choice::choose(self.front, &self.id, &wanted);
--- a/crates/pomeloridge_caller/src/service.rs
+++ b/crates/pomeloridge_caller/src/service.rs
@@ -182,6 +182,7 @@
             work: CALL_WORK,
             tried,
             alone: false,
+            again: false,
         };
         choice::choose(self.front, &self.id, &wanted).map_err(|kind| Refusal {
             run: written.then_some(Run::Unknown),
--- /dev/null
+++ b/crates/pomeloridge_caller/tests/service.rs
@@ -0,0 +1,138 @@
+//! A call that may not be repeated runs at most once, and "not run" is true.
+
+mod support;
+
+use http::Method;
+use pomeloridge_base::http::Outgoing;
+use serde_json::json;
+use support::{Act, Deployment, Fake, KEY, body_of, run, with_key};
+use yare::parameterized;
+
+fn filing(parcel: &str) -> Outgoing {
+    let request = Outgoing::new(Method::POST, "/filings").json(&json!({"parcel": parcel}));
+    with_key(request, KEY)
+}
+
+#[parameterized(
+    answered = { vec![Act::Answer], 201, "", 1 },
+    refused_by_all = { vec![Act::Refuse], 503, "not run", 0 },
+    lost_after_it_ran = { vec![Act::LoseAfterRun], 502, "unknown", 1 },
+    crossed = { vec![Act::Cross], 502, "unknown", 1 },
+)]
+fn a_filing_runs_at_most_once(script: Vec<Act>, status: u16, run_word: &str, runs: usize) {
+    run(async {
+        let services: Vec<_> = (0..3).map(|_| Fake::start(script.clone())).collect();
+        let refs: Vec<_> = services.iter().collect();
+        let deployment = Deployment::start(&[], &refs);
+        let response = deployment.send(&filing("a")).await.unwrap();
+        assert_eq!(response.status.as_u16(), status, "{}", body_of(&response));
+        if status != 201 {
+            assert_eq!(body_of(&response)["error"]["run"], run_word);
+        }
+        assert_eq!(services.iter().map(Fake::runs).sum::<usize>(), runs);
+    });
+}
+
+#[test]
+fn a_refusal_by_one_server_goes_to_another() {
+    run(async {
+        let full = Fake::start(vec![Act::Refuse]);
+        let free = Fake::start(vec![Act::Answer]);
+        let deployment = Deployment::start(&[], &[&full, &free]);
+        for parcel in ["a", "b"] {
+            let response = deployment.send(&filing(parcel)).await.unwrap();
+            assert_eq!(response.status.as_u16(), 201);
+        }
+        assert_eq!((full.runs(), free.runs()), (0, 2));
+    });
+}
+
+#[test]
+fn a_repeat_under_one_key_gets_the_stored_answer() {
+    run(async {
+        let service = Fake::start(vec![Act::Answer]);
+        let deployment = Deployment::start(&[], &[&service]);
+        let request = filing("a").with("idempotency-key", "one");
+        let first = deployment.send(&request).await.unwrap();
+        let second = deployment.send(&request).await.unwrap();
+        assert_eq!((first.status, &first.body), (second.status, &second.body));
+        assert_eq!(service.runs(), 1);
+        let other = filing("b").with("idempotency-key", "one");
+        let mismatch = deployment.send(&other).await.unwrap();
+        assert_eq!(body_of(&mismatch)["error"]["code"], "claim_mismatch");
+        assert_eq!(service.runs(), 1);
+    });
+}
+
+#[test]
+fn an_unknown_outcome_is_never_run_again() {
+    run(async {
+        let service = Fake::start(vec![Act::LoseAfterRun, Act::Answer]);
+        let deployment = Deployment::start(&[], &[&service]);
+        let request = filing("a").with("idempotency-key", "one");
+        let first = deployment.send(&request).await.unwrap();
+        assert_eq!(body_of(&first)["error"]["run"], "unknown");
+        let second = deployment.send(&request).await.unwrap();
+        assert_eq!(body_of(&second)["error"]["code"], "claim_unknown");
+        assert_eq!(service.runs(), 1);
+    });
+}
+
+#[test]
+fn a_claim_under_which_nothing_ran_is_given_up() {
+    run(async {
+        let service = Fake::start(vec![Act::Refuse, Act::Refuse, Act::Refuse, Act::Answer]);
+        let deployment = Deployment::start(&[], &[&service]);
+        let request = filing("a").with("idempotency-key", "one");
+        let mut last = 0;
+        for _ in 0..4 {
+            let response = deployment.send(&request).await.unwrap();
+            last = response.status.as_u16();
+            if last == 201 {
+                break;
+            }
+            assert_eq!(body_of(&response)["error"]["run"], "not run");
+            assert_eq!(deployment.objects.len(), 0);
+        }
+        assert_eq!(last, 201);
+        assert_eq!(service.runs(), 1);
+    });
+}
+
+#[test]
+fn without_the_object_service_a_key_is_refused_as_not_run() {
+    run(async {
+        let service = Fake::start(vec![Act::Answer]);
+        let deployment = Deployment::start(&[], &[&service]);
+        deployment.objects.down.set(true);
+        let keyed = filing("a").with("idempotency-key", "one");
+        let response = deployment.send(&keyed).await.unwrap();
+        assert_eq!(body_of(&response)["error"]["code"], "claims_down");
+        assert_eq!(service.runs(), 0);
+        let plain = deployment.send(&filing("b")).await.unwrap();
+        assert_eq!(plain.status.as_u16(), 201, "without a key serving goes on");
+    });
+}
+
+#[test]
+fn a_backend_server_sees_no_key_and_no_private_header() {
+    run(async {
+        let service = Fake::start(vec![Act::Answer]);
+        let deployment = Deployment::start(&[], &[&service]);
+        let request = filing("a")
+            .with("cookie", "session=1")
+            .with("connection", "x-hop")
+            .with("x-hop", "1")
+            .with("x-kept", "1");
+        deployment.send(&request).await.unwrap();
+        let seen = service.seen.borrow();
+        let headers = &seen[0].headers;
+        for gone in ["authorization", "cookie", "x-hop", "connection"] {
+            assert!(!headers.contains_key(gone), "{gone}");
+        }
+        assert!(headers.contains_key("x-kept"));
+        assert!(headers.contains_key("x-request-id"));
+        assert_eq!(seen[0].path, "/filings");
+        assert_eq!(seen[0].body, json!({"parcel": "a"}));
+    });
+}
--- /dev/null
+++ b/crates/pomeloridge_caller/tests/support/mod.rs
@@ -0,0 +1,426 @@
+//! A front with fake backend servers, all in one runtime.
+#![allow(dead_code, reason = "each test file uses its own part of this")]
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, Method, StatusCode};
+use pomeloridge_base::clock::{SharedClock, SystemClock};
+use pomeloridge_base::config::{ConfigObject, ConfigView, FLEET_KEY, account_key};
+use pomeloridge_base::error::ErrorKind;
+use pomeloridge_base::http::{
+    ConnectOptions, Connection, Fault, Limits, Outgoing, Request, Responder, Response, Server,
+};
+use pomeloridge_base::id::{Incarnation, Name, Revision};
+use pomeloridge_base::meter::Meter;
+use pomeloridge_base::secret::KeyHash;
+use pomeloridge_caller::{
+    ClaimStore, Created, DecisionLog, Front, IdMaker, Policy, Running, Usage, Waiting,
+};
+use pomeloridge_policy::admission::Admission;
+use pomeloridge_policy::fleet::{Fleet, FleetSettings};
+use pomeloridge_policy::prefix::PrefixHints;
+use pomeloridge_policy::retry::RetryBudget;
+use pomeloridge_policy::routing::{Router, RoutingPolicy};
+use pomeloridge_policy::server::{ServerInfo, ServerKind, ServerState};
+use pomeloridge_policy::suspicion::Suspicions;
+use pomeloridge_policy::ticket::AdmissionSettings;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::{Value, json};
+
+/// Key of the client account `crew`.
+pub const KEY: &str = "sk-crew-0123456789";
+/// A key of `crew` that has been withdrawn.
+pub const WITHDRAWN: &str = "sk-crew-withdrawn";
+/// Seed of the random numbers of routing.
+const SEED: u64 = 7;
+
+/// Runs a future on a runtime of its own.
+pub fn run<F: Future>(future: F) -> F::Output {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(future)
+}
+
+/// What a fake server does with the requests it gets, one after the other; the
+/// last one is repeated.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Answers as it should.
+    Answer,
+    /// Makes this many tokens, then closes the connection.
+    Lose(usize),
+    /// Makes this many tokens, then ends the body without an end event.
+    Truncate(usize),
+    /// Answers for another request.
+    Cross,
+    /// Refuses before any work.
+    Refuse,
+    /// Makes one token, then nothing more.
+    Silence,
+    /// Runs the call, then closes without an answer.
+    LoseAfterRun,
+}
+
+/// What a fake server was sent.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Path.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Value,
+}
+
+/// A fake engine or service.
+pub struct Fake {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it was sent, besides what it refused.
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+}
+
+impl Fake {
+    /// Starts one that acts by a script.
+    pub fn start(script: Vec<Act>) -> Self {
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        let record = Rc::clone(&seen);
+        let step = Cell::new(0);
+        let address = serve(async move |request, responder: &mut Responder| {
+            let Ok(request) = request else { return };
+            let act = script[step.get().min(script.len() - 1)].clone();
+            step.set(step.get() + 1);
+            if matches!(act, Act::Refuse) {
+                let refusal = Response::new(503, "").with("x-not-run", "true");
+                let _ = responder.send(refusal).await;
+                return;
+            }
+            record.borrow_mut().push(Seen {
+                path: request.path().to_owned(),
+                headers: request.headers.clone(),
+                body: serde_json::from_slice(&request.body).unwrap_or_default(),
+            });
+            if request.path() == "/generate" {
+                generate(&request, &act, responder).await;
+            } else {
+                call(&request, &act, responder).await;
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// How many requests it ran.
+    pub fn runs(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+/// Starts a server and gives its address.
+pub fn serve<H>(handler: H) -> SocketAddr
+where
+    H: AsyncFn(Result<Request, Fault>, &mut Responder) + 'static,
+{
+    let listener = pomeloridge_base::net::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let limits = Limits {
+        head_time: Duration::from_millis(300),
+        body_time: Duration::from_millis(300),
+        ..Limits::default()
+    };
+    let server = Server {
+        limits,
+        handler,
+        stopping: || false,
+    };
+    monoio::spawn(Rc::new(server).run(listener));
+    address
+}
+
+async fn generate(request: &Request, act: &Act, responder: &mut Responder) {
+    let body: Value = serde_json::from_slice(&request.body).unwrap();
+    let id = match act {
+        Act::Cross => "another",
+        _ => body["request_id"].as_str().unwrap(),
+    };
+    let first = body["resume"].as_array().unwrap().len();
+    let most = body["max_tokens"].as_u64().unwrap() as usize;
+    let made = match act {
+        Act::Lose(tokens) | Act::Truncate(tokens) => first + tokens,
+        Act::Silence => first + 1,
+        _ => most,
+    };
+    responder
+        .start(StatusCode::OK, &HeaderMap::new())
+        .await
+        .unwrap();
+    for index in first..made.min(most) {
+        let token = json!({"request_id": id, "index": index, "text": format!(" t{index}")});
+        let _ = responder
+            .chunk(format!("data: {token}\n\n").as_bytes())
+            .await;
+    }
+    match act {
+        Act::Lose(_) | Act::LoseAfterRun => {}
+        Act::Silence => responder.gone().await,
+        Act::Truncate(_) => responder.finish().await.unwrap(),
+        Act::Answer | Act::Cross | Act::Refuse => {
+            let done = json!({"request_id": id, "done": true});
+            let _ = responder
+                .chunk(format!("data: {done}\n\n").as_bytes())
+                .await;
+            let _ = responder.finish().await;
+        }
+    }
+}
+
+async fn call(request: &Request, act: &Act, responder: &mut Responder) {
+    let id = request.header("x-request-id").unwrap_or_default();
+    let id = if matches!(act, Act::Cross) {
+        "another"
+    } else {
+        id
+    };
+    if matches!(act, Act::LoseAfterRun) {
+        return;
+    }
+    let answer = Response::new(201, request.body.clone()).with("x-request-id", id);
+    let _ = responder.send(answer).await;
+}
+
+/// Claims kept in memory, and whether the object service is down.
+#[derive(Default)]
+pub struct Objects {
+    objects: RefCell<BTreeMap<String, (Revision, Value)>>,
+    /// Whether every call fails.
+    pub down: Cell<bool>,
+    writes: Cell<u64>,
+}
+
+impl Objects {
+    fn next(&self) -> Revision {
+        self.writes.set(self.writes.get() + 1);
+        Revision(self.writes.get())
+    }
+
+    fn create(&self, key: String, value: Value) -> Created {
+        if self.down.get() {
+            return Created::Down;
+        }
+        let found = self.objects.borrow().get(&key).cloned();
+        if let Some((_, found)) = found {
+            return Created::Found(found);
+        }
+        let version = self.next();
+        self.objects.borrow_mut().insert(key, (version, value));
+        Created::New(version)
+    }
+
+    fn replace(&self, key: &str, value: Value, version: Revision) -> Result<(), ErrorKind> {
+        if self.down.get() {
+            return Err(ErrorKind::PlatformDown);
+        }
+        let next = self.next();
+        let mut objects = self.objects.borrow_mut();
+        match objects.get_mut(key) {
+            Some(object) if object.0 == version => {
+                *object = (next, value);
+                Ok(())
+            }
+            _ => Err(ErrorKind::Conflict),
+        }
+    }
+
+    fn remove(&self, key: &str) -> Result<(), ErrorKind> {
+        if self.down.get() {
+            return Err(ErrorKind::PlatformDown);
+        }
+        self.objects.borrow_mut().remove(key);
+        Ok(())
+    }
+
+    /// How many claims there are.
+    pub fn len(&self) -> usize {
+        self.objects.borrow().len()
+    }
+}
+
+/// A front on loopback, with what it was joined to.
+pub struct Deployment {
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// State of the decisions.
+    pub policy: Rc<Policy>,
+    /// Claims.
+    pub objects: Rc<Objects>,
+    /// What was billed.
+    pub bills: Rc<RefCell<Vec<Usage>>>,
+    /// What the gate answers.
+    pub gate: Rc<Cell<Option<ErrorKind>>>,
+    /// Configuration in force.
+    pub config: Rc<RefCell<ConfigView>>,
+}
+
+impl Deployment {
+    /// A front before these engines and services.
+    pub fn start(engines: &[&Fake], services: &[&Fake]) -> Self {
+        let clock: SharedClock = Rc::new(SystemClock);
+        let config = Rc::new(RefCell::new(config()));
+        let policy = Rc::new(policy(&clock));
+        let pools = [
+            ("assistant", engines, ServerKind::Engine),
+            ("filings", services, ServerKind::Service),
+        ];
+        let mut infos = Vec::new();
+        for (pool, servers, kind) in pools {
+            for (index, server) in servers.iter().enumerate() {
+                infos.push(info(pool, index, server.address, kind));
+            }
+        }
+        policy.fleet.borrow_mut().sync(infos);
+        for pool in ["assistant", "filings"].map(Name::from) {
+            let capacity = policy.fleet.borrow().capacity(&pool, clock.now());
+            policy
+                .admission
+                .borrow_mut()
+                .set_capacity(&pool, capacity, 1);
+        }
+        let objects = Rc::new(Objects::default());
+        let bills = Rc::new(RefCell::new(Vec::new()));
+        let gate = Rc::new(Cell::new(None::<ErrorKind>));
+        let (billed, closed) = (Rc::clone(&bills), Rc::clone(&gate));
+        let front = Front {
+            clock: Rc::clone(&clock),
+            config: Rc::clone(&config),
+            policy: Rc::clone(&policy),
+            ids: IdMaker::new(&Name::from("node"), Incarnation(1), b"0123456789abcdef"),
+            connect: Duration::from_millis(500),
+            gate: Box::new(move || closed.get().map_or(Ok(()), Err)),
+            bill: Box::new(move |usage| {
+                billed.borrow_mut().push(usage);
+                Box::pin(async {})
+            }),
+            claims: claims(&objects),
+            meter: Meter::none(),
+        };
+        let caller = serve(async move |request, responder: &mut Responder| {
+            front.handle(request, responder).await;
+        });
+        Self {
+            caller,
+            policy,
+            objects,
+            bills,
+            gate,
+            config,
+        }
+    }
+
+    /// Sends a request on a fresh connection.
+    pub async fn send(&self, request: &Outgoing) -> Result<Response, Fault> {
+        let mut connection = Connection::open(self.caller, ConnectOptions::default()).await?;
+        let deadline = Instant::now() + Duration::from_secs(20);
+        connection.exchange(request, deadline).await
+    }
+}
+
+fn info(pool: &str, index: usize, address: SocketAddr, kind: ServerKind) -> ServerInfo {
+    ServerInfo {
+        id: Name::from(format!("{pool}-{index}")),
+        address,
+        data_centre: Name::from("dc-a"),
+        pool: Name::from(pool),
+        kind,
+        cheap: false,
+        state: ServerState::Ready,
+    }
+}
+
+fn policy(clock: &SharedClock) -> Policy {
+    Policy {
+        fleet: RefCell::new(Fleet::new(FleetSettings::new(Name::from("dc-a")))),
+        hints: RefCell::new(PrefixHints::new(1024)),
+        router: RefCell::new(Router::new(RoutingPolicy::RoundRobin)),
+        admission: RefCell::new(Admission::new(AdmissionSettings::default())),
+        waiting: Waiting::default(),
+        running: Running::default(),
+        budget: RefCell::new(RetryBudget::new(10, clock.now())),
+        suspicions: RefCell::new(Suspicions::default()),
+        rng: RefCell::new(StdRng::seed_from_u64(SEED)),
+        decisions: RefCell::new(DecisionLog::new(Rc::clone(clock))),
+    }
+}
+
+fn config() -> ConfigView {
+    let mut view = ConfigView::default();
+    view.adopt(ConfigObject {
+        key: FLEET_KEY.to_owned(),
+        revision: Revision(1),
+        value: json!({
+            "models": {"assistant": {}},
+            "routes": [
+                {"path": "/v1/completions", "kind": "completions", "body_bytes": 2000,
+                 "first_byte_ms": 500, "gap_ms": 300, "deadline_ms": 10000},
+                {"path": "/v1/chat/completions", "kind": "chat"},
+                {"path": "/filings", "kind": "service", "pool": "filings", "methods": ["GET", "POST"],
+                 "idempotent": ["GET"], "first_byte_ms": 500, "deadline_ms": 5000},
+                {"path": "/public", "kind": "service", "pool": "filings", "methods": ["GET"],
+                 "idempotent": ["GET"], "open": true},
+            ],
+        }),
+    });
+    let account = Name::from("crew");
+    let key = |id: &str, key: &str, withdrawn: bool| {
+        let hash = KeyHash::of(key.as_bytes()).to_hex();
+        json!({"id": id, "sha256": hash, "withdrawn": withdrawn})
+    };
+    view.adopt(ConfigObject {
+        key: account_key(&account),
+        revision: Revision(2),
+        value: json!({"accounts": {"crew": {"keys": [
+            key("k1", KEY, false), key("k2", WITHDRAWN, true)
+        ]}}}),
+    });
+    view
+}
+
+fn claims(objects: &Rc<Objects>) -> ClaimStore {
+    let [create, replace, remove] = std::array::from_fn(|_| Rc::clone(objects));
+    ClaimStore {
+        create: Rc::new(move |key, value| {
+            let created = create.create(key, value);
+            Box::pin(async move { created })
+        }),
+        replace: Rc::new(move |key, value, version| {
+            let replaced = replace.replace(&key, value, version);
+            Box::pin(async move { replaced })
+        }),
+        remove: Rc::new(move |key, _| {
+            let removed = remove.remove(&key);
+            Box::pin(async move { removed })
+        }),
+    }
+}
+
+/// A completion request with the key of `crew`.
+pub fn completion(body: &Value) -> Outgoing {
+    let request = Outgoing::new(Method::POST, "/v1/completions").json(body);
+    with_key(request, KEY)
+}
+
+/// Adds a key.
+pub fn with_key(request: Outgoing, key: &str) -> Outgoing {
+    request.with("authorization", &format!("Bearer {key}"))
+}
+
+/// The JSON of a response.
+pub fn body_of(response: &Response) -> Value {
+    serde_json::from_slice(&response.body).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/pomeloridge_experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load with a swinging mix, and what callers got for it.
