--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{Method, StatusCode};
 use pomeloridge_base::clock::SharedClock;
 use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Outgoing, Response};
@@ -241,8 +240,8 @@
 }
 
 pub(crate) fn decode<T: DeserializeOwned>(response: &Response) -> Result<T, PlatformError> {
-    let body: &Bytes = &response.body;
-    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
+    let read = serde_json::from_slice(&response.body);
+    read.map_err(|error| PlatformError::Malformed(error.to_string()))
 }
 
 /// Connection options of a write that must have ended, also in the kernel, within `time`.
