Expect the output that an account's answers had, not what it asked for

Prompt tokens that a server has cached are no longer counted as work sent to it, which had made the learned prefill speed too high.

--- a/crates/pomeloridge/src/serve/state.rs
+++ b/crates/pomeloridge/src/serve/state.rs
@@ -14,6 +14,7 @@
 use pomeloridge_node::usage_sender::{UsageSender, UsageTimes};
 use pomeloridge_platform::Client;
 use pomeloridge_policy::admission::Admission;
+use pomeloridge_policy::estimate::OutputEstimates;
 use pomeloridge_policy::fleet::{Fleet, FleetSettings};
 use pomeloridge_policy::load::Expected;
 use pomeloridge_policy::prefix::PrefixHints;
@@ -133,6 +134,7 @@
         admission: RefCell::new(Admission::new(admission)),
         waiting: Waiting::default(),
         running: Running::default(),
+        estimates: RefCell::new(OutputEstimates::default()),
         budget: RefCell::new(RetryBudget::new(percent, clock.now())),
         suspicions: RefCell::new(Suspicions::default()),
         rng: RefCell::new(StdRng::from_rng(&mut rand::rng())),
--- a/crates/pomeloridge_caller/src/choice.rs
+++ b/crates/pomeloridge_caller/src/choice.rs
@@ -26,12 +26,17 @@
     pub(crate) again: bool,
 }
 
+/// The server that was chosen.
+#[derive(Clone, Copy)]
+pub(crate) struct Chosen {
+    pub(crate) server: ServerKey,
+    pub(crate) address: SocketAddr,
+    /// Prompt tokens that it is thought to hold.
+    pub(crate) cached: u64,
+}
+
 /// Chooses a server.
-pub(crate) fn choose(
-    front: &Front,
-    id: &str,
-    wanted: &Wanted<'_>,
-) -> Result<(ServerKey, SocketAddr), ErrorKind> {
+pub(crate) fn choose(front: &Front, id: &str, wanted: &Wanted<'_>) -> Result<Chosen, ErrorKind> {
     let policy = &front.policy;
     let fleet = policy.fleet.borrow();
     let route = |excluded| {
@@ -56,7 +61,11 @@
         route(wanted.tried).or_else(|kind| if wanted.again { route(&[]) } else { Err(kind) })?;
     front.note(id, format!("route pool={} {decision}", wanted.pool));
     let server = fleet.server(decision.chosen).ok_or(ErrorKind::NoServer)?;
-    Ok((decision.chosen, server.info.address))
+    Ok(Chosen {
+        server: decision.chosen,
+        address: server.info.address,
+        cached: decision.cached,
+    })
 }
 
 /// Chooses a server for a suspect, keeps it for this request alone, and waits
@@ -66,19 +75,22 @@
     id: &str,
     wanted: &Wanted<'_>,
     deadline: Instant,
-) -> Result<(ServerKey, SocketAddr), ErrorKind> {
+) -> Result<Chosen, ErrorKind> {
     loop {
-        let (server, address) = choose(front, id, wanted)?;
+        let chosen = choose(front, id, wanted)?;
         let now = front.clock.now();
         if now >= deadline {
             return Err(ErrorKind::Overloaded);
         }
-        let kept = front.policy.fleet.borrow_mut().occupy(server, now);
+        let kept = front.policy.fleet.borrow_mut().occupy(chosen.server, now);
         if kept {
-            let kept = Kept { front, server };
+            let kept = Kept {
+                front,
+                server: chosen.server,
+            };
             kept.wait_until_empty(deadline).await?;
             std::mem::forget(kept);
-            return Ok((server, address));
+            return Ok(chosen);
         }
         monoio::time::sleep(EMPTY_PAUSE).await;
     }
--- a/crates/pomeloridge_caller/src/front.rs
+++ b/crates/pomeloridge_caller/src/front.rs
@@ -14,6 +14,7 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_base::meter::{Counter, Meter};
 use pomeloridge_policy::admission::Admission;
+use pomeloridge_policy::estimate::OutputEstimates;
 use pomeloridge_policy::fleet::Fleet;
 use pomeloridge_policy::prefix::PrefixHints;
 use pomeloridge_policy::retry::RetryBudget;
@@ -59,6 +60,8 @@
     pub waiting: Waiting,
     /// Requests that run on each server.
     pub running: Running,
+    /// Output expected of requests.
+    pub estimates: RefCell<OutputEstimates>,
     /// Budget of retries.
     pub budget: RefCell<RetryBudget>,
     /// Requests that may crash servers.
--- a/crates/pomeloridge_caller/src/generate.rs
+++ b/crates/pomeloridge_caller/src/generate.rs
@@ -1,7 +1,6 @@
 //! Runs a completion: waits for its turn, generates on an engine, goes on
 //! elsewhere when the engine is lost, and sends the answer whole or token by token.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -15,7 +14,7 @@
 use pomeloridge_policy::suspicion::{Fingerprint, Treatment};
 
 use crate::answer::{self, Refusal};
-use crate::choice;
+use crate::choice::{self, Chosen};
 use crate::completion::{self, Completion, DONE_EVENT};
 use crate::front::{Accepted, Front, Usage};
 use crate::in_flight::InFlight;
@@ -163,13 +162,11 @@
         loop {
             self.attempts += 1;
             let alone = self.must_run_alone();
-            let (server, address) = self.choose(alone, responder).await?;
+            let chosen = self.choose(alone, responder).await?;
+            let server = chosen.server;
             let mut in_flight =
-                InFlight::start(front, server, self.work(), self.fingerprint, alone);
-            match self
-                .attempt(address, server, &turn, &in_flight, responder)
-                .await
-            {
+                InFlight::start(front, server, self.work_on(chosen), self.fingerprint, alone);
+            match self.attempt(chosen, &turn, &in_flight, responder).await {
                 Ok(()) => {
                     in_flight.answered(self.texts.len() as u64);
                     turn.answered();
@@ -186,10 +183,24 @@
         }
     }
 
+    /// The work that is left, with the output that answers like it had.
     fn work(&self) -> Work {
+        let most = u64::from(self.completion.max_tokens);
+        let made = self.texts.len() as u64;
+        let estimates = self.front.policy.estimates.borrow();
+        let (pool, account) = (&self.completion.model, &self.accepted.account);
         Work {
-            prompt: self.completion.prompt_tokens() + self.texts.len() as u64,
-            output: u64::from(self.completion.max_tokens) - self.texts.len() as u64,
+            prompt: self.completion.prompt_tokens() + made,
+            output: estimates.expected(pool, account, most).saturating_sub(made),
+        }
+    }
+
+    /// The work on a server, without what it is thought to have cached.
+    fn work_on(&self, chosen: Chosen) -> Work {
+        let work = self.work();
+        Work {
+            prompt: work.prompt.saturating_sub(chosen.cached),
+            ..work
         }
     }
 
@@ -213,11 +224,7 @@
     }
 
     /// Chooses an engine; one for a suspect is kept for it and waited for until it is empty.
-    async fn choose(
-        &self,
-        alone: bool,
-        responder: &mut Responder,
-    ) -> Result<(ServerKey, SocketAddr), End> {
+    async fn choose(&self, alone: bool, responder: &mut Responder) -> Result<Chosen, End> {
         let wanted = choice::Wanted {
             pool: &self.completion.model,
             session: self.completion.session.as_deref(),
@@ -250,8 +257,7 @@
     /// Runs the rest of the generation on one engine.
     async fn attempt(
         &mut self,
-        address: SocketAddr,
-        server: ServerKey,
+        chosen: Chosen,
         turn: &Turn,
         in_flight: &InFlight,
         responder: &mut Responder,
@@ -268,7 +274,7 @@
         let gap = Duration::from_millis(self.accepted.route.gap_ms);
         let mut deadline = self.accepted.deadline.min(front.clock.now() + first_byte);
         let mut generation = monoio::select! {
-            started = Generation::start(address, &request, front.connect, deadline) => {
+            started = Generation::start(chosen.address, &request, front.connect, deadline) => {
                 started.map_err(Stop::Backend)?
             }
             () = responder.gone() => return Err(Stop::Gone),
@@ -287,7 +293,7 @@
                         front.meter.time(Timer::Gap, now - last);
                     } else {
                         in_flight.first_piece();
-                        self.first_token(server);
+                        self.first_token(chosen.server);
                     }
                     turn.charge(1);
                     self.send_token(index, &text, responder).await?;
@@ -426,6 +432,7 @@
             prompt: self.completion.prompt_tokens(),
             output: tokens,
         };
+        self.learn_output(tokens);
         (self.front.bill)(usage).await;
         let sent = if self.completion.stream {
             self.end_stream(responder).await
@@ -448,6 +455,11 @@
         Ok(())
     }
 
+    fn learn_output(&self, tokens: u64) {
+        let mut estimates = self.front.policy.estimates.borrow_mut();
+        estimates.learn(&self.completion.model, &self.accepted.account, tokens);
+    }
+
     async fn end_stream(&self, responder: &mut Responder) -> bool {
         if !responder.started() {
             let head = stream_head(&self.id);
--- a/crates/pomeloridge_caller/src/in_flight.rs
+++ b/crates/pomeloridge_caller/src/in_flight.rs
@@ -101,9 +101,12 @@
         let now = self.clock.now();
         if error.server_gone() {
             let mut fleet = self.policy.fleet.borrow_mut();
+            let known = fleet.server(self.server);
+            let before = known.is_some_and(|server| server.ejection.is_ejected());
             let suspect_zone = fleet.fail(self.server, now);
-            let server = fleet.server(self.server).map(|server| &server.info);
-            if let Some(info) = server {
+            let server = fleet.server(self.server);
+            let ejected = server.filter(|server| !before && server.ejection.is_ejected());
+            if let Some(info) = ejected.map(|server| &server.info) {
                 self.meter.one(Counter::Ejections);
                 log::info!(
                     target: "decision",
--- a/crates/pomeloridge_caller/src/service.rs
+++ b/crates/pomeloridge_caller/src/service.rs
@@ -17,7 +17,7 @@
 
 use crate::answer::Refusal;
 use crate::auth::shared_headers;
-use crate::choice;
+use crate::choice::{self, Chosen};
 use crate::claim::{Claimed, Subject, claim};
 use crate::front::{Accepted, Front, Usage};
 use crate::in_flight::InFlight;
@@ -147,7 +147,9 @@
         let mut written = false;
         loop {
             attempts += 1;
-            let (server, address) = self.choose(&tried, written)?;
+            let Chosen {
+                server, address, ..
+            } = self.choose(&tried, written)?;
             let mut in_flight = InFlight::start(front, server, CALL_WORK, self.fingerprint, false);
             match self.attempt(address).await {
                 Ok(response) => {
@@ -170,11 +172,7 @@
         }
     }
 
-    fn choose(
-        &self,
-        tried: &[ServerKey],
-        written: bool,
-    ) -> Result<(ServerKey, SocketAddr), Refusal> {
+    fn choose(&self, tried: &[ServerKey], written: bool) -> Result<Chosen, Refusal> {
         let wanted = choice::Wanted {
             pool: self.pool,
             session: None,
--- a/crates/pomeloridge_policy/src/admission.rs
+++ b/crates/pomeloridge_policy/src/admission.rs
@@ -14,7 +14,7 @@
 
 use crate::capacity::Capacity;
 use crate::ledger::{Ledger, ServiceTotal};
-use crate::line::Pool;
+use crate::queue::Pool;
 use crate::ticket::{
     AdmissionRequest, AdmissionSettings, Admit, Expired, Ticket, TicketKey, refusal, refuse, ticket,
 };
@@ -140,7 +140,7 @@
         pool.counters.charge(&ticket.account, charge, now);
     }
 
-    /// Puts a running request back to the head of its account's line.
+    /// Puts a running request back to the head of its account's queue.
     ///
     /// For a request that every server refused unread; its prompt is not
     /// charged a second time.
--- a/crates/pomeloridge_policy/src/line.rs
+++ b/crates/pomeloridge_policy/src/queue.rs
@@ -1,5 +1,5 @@
-//! The requests of one pool that wait, in a line for each client account, and
-//! the estimate of how long a place in a line will wait.
+//! The requests of one pool that wait, in a queue for each client account, and
+//! the estimate of how long a position in a queue will wait.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -31,7 +31,7 @@
     pub(crate) share: Share,
     pub(crate) running: u32,
     pub(crate) counters: Counters,
-    lines: BTreeMap<Name, Line>,
+    queues: BTreeMap<Name, AccountQueue>,
     waiting: usize,
     /// Mean duration of a request, in seconds.
     service: f64,
@@ -41,14 +41,14 @@
 
 /// The waiting requests of one account.
 #[derive(Debug)]
-struct Line {
-    places: VecDeque<Place>,
+struct AccountQueue {
+    entries: VecDeque<Entry>,
     /// Virtual tokens for one token of charge.
     scale: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Place {
+struct Entry {
     key: TicketKey,
     number: u64,
 }
@@ -70,7 +70,7 @@
             share: Share::default(),
             running: 0,
             counters: Counters::default(),
-            lines: BTreeMap::new(),
+            queues: BTreeMap::new(),
             waiting: 0,
             service: DEFAULT_SERVICE,
             cost: DEFAULT_COST,
@@ -91,30 +91,35 @@
 
     /// Requests of one account that wait.
     pub(crate) fn account_waiting(&self, account: &Name) -> usize {
-        self.lines.get(account).map_or(0, |line| line.places.len())
+        self.queues
+            .get(account)
+            .map_or(0, |queue| queue.entries.len())
     }
 
     pub(crate) fn push(&mut self, account: &Name, key: TicketKey, number: u64, scale: f64) {
-        self.line(account, scale)
-            .places
-            .push_back(Place { key, number });
+        self.queue(account, scale)
+            .entries
+            .push_back(Entry { key, number });
         self.waiting += 1;
     }
 
     pub(crate) fn push_front(&mut self, account: &Name, key: TicketKey, number: u64, scale: f64) {
-        self.line(account, scale)
-            .places
-            .push_front(Place { key, number });
+        self.queue(account, scale)
+            .entries
+            .push_front(Entry { key, number });
         self.waiting += 1;
     }
 
-    fn line(&mut self, account: &Name, scale: f64) -> &mut Line {
-        let line = self.lines.entry(account.clone()).or_insert_with(|| Line {
-            places: VecDeque::new(),
-            scale,
-        });
-        line.scale = scale;
-        line
+    fn queue(&mut self, account: &Name, scale: f64) -> &mut AccountQueue {
+        let queue = self
+            .queues
+            .entry(account.clone())
+            .or_insert_with(|| AccountQueue {
+                entries: VecDeque::new(),
+                scale,
+            });
+        queue.scale = scale;
+        queue
     }
 
     /// Takes the request that goes next, if there is room for one.
@@ -125,27 +130,27 @@
         if self.running >= self.limit() {
             return None;
         }
-        let heads = self.lines.iter().filter_map(|(account, line)| {
-            let place = line.places.iter().find(|place| live(place.key))?;
-            Some((account, self.counters.value(account), *place))
+        let heads = self.queues.iter().filter_map(|(account, queue)| {
+            let entry = queue.entries.iter().find(|entry| live(entry.key))?;
+            Some((account, self.counters.value(account), *entry))
         });
         let least = heads.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.number.cmp(&b.2.number)));
-        let (account, _, place) = least?;
+        let (account, _, entry) = least?;
         let account = account.clone();
-        self.take(&account, place.key);
-        Some(place.key)
+        self.take(&account, entry.key);
+        Some(entry.key)
     }
 
-    /// Takes a request out of its line.
+    /// Takes a request out of its queue.
     pub(crate) fn take(&mut self, account: &Name, key: TicketKey) {
-        let Some(line) = self.lines.get_mut(account) else {
+        let Some(queue) = self.queues.get_mut(account) else {
             return;
         };
-        let before = line.places.len();
-        line.places.retain(|place| place.key != key);
-        self.waiting -= before - line.places.len();
-        if line.places.is_empty() {
-            self.lines.remove(account);
+        let before = queue.entries.len();
+        queue.entries.retain(|entry| entry.key != key);
+        self.waiting -= before - queue.entries.len();
+        if queue.entries.is_empty() {
+            self.queues.remove(account);
         }
     }
 
@@ -165,13 +170,13 @@
     pub(crate) fn lateness(
         &self,
         account: &Name,
-        place: usize,
+        position: usize,
         scale: f64,
         deadline: Instant,
         now: Instant,
     ) -> Option<Duration> {
         let value = self.counters.value(account);
-        let wait = self.wait(&self.rivals(account), place, value, scale);
+        let wait = self.wait(&self.rivals(account), position, value, scale);
         let late = wait.saturating_sub(self.slack(deadline, now));
         (!late.is_zero()).then_some(late)
     }
@@ -183,15 +188,15 @@
         now: Instant,
     ) -> Vec<(TicketKey, Duration)> {
         let mut late = Vec::new();
-        for (account, line) in &self.lines {
+        for (account, queue) in &self.queues {
             let value = self.counters.value(account);
             let rivals = self.rivals(account);
-            for (place, waiting) in line.places.iter().enumerate() {
+            for (position, waiting) in queue.entries.iter().enumerate() {
                 let Some(ticket) = tickets.get(waiting.key) else {
                     continue;
                 };
                 let slack = self.slack(ticket.deadline, now);
-                let wait = self.wait(&rivals, place, value, line.scale);
+                let wait = self.wait(&rivals, position, value, queue.scale);
                 if slack.is_zero() || wait > slack.mul_f64(DOUBT) {
                     late.push((account.clone(), waiting.key, wait.saturating_sub(slack)));
                 }
@@ -211,27 +216,27 @@
 
     /// The accounts that compete with one for the next turn.
     fn rivals(&self, account: &Name) -> Vec<Rival> {
-        let others = self.lines.iter().filter(|(name, _)| *name != account);
-        let rivals = others.map(|(name, line)| Rival {
+        let others = self.queues.iter().filter(|(name, _)| *name != account);
+        let rivals = others.map(|(name, queue)| Rival {
             value: self.counters.value(name),
-            cost: self.cost * line.scale,
-            waiting: line.places.len(),
+            cost: self.cost * queue.scale,
+            waiting: queue.entries.len(),
         });
         rivals.collect()
     }
 
-    /// Estimated wait at a place in the line of an account with a counter; 0 is
-    /// the head of the line.
+    /// Estimated wait at a position in the queue of an account with a counter; 0 is
+    /// its head.
     ///
     /// Rivals go first as far as their counters are behind.
-    fn wait(&self, rivals: &[Rival], place: usize, value: f64, scale: f64) -> Duration {
-        let own = value + (place + 1) as f64 * self.cost * scale;
+    fn wait(&self, rivals: &[Rival], position: usize, value: f64, scale: f64) -> Duration {
+        let own = value + (position + 1) as f64 * self.cost * scale;
         let turns = |rival: &Rival| {
             let turns = ((own - rival.value) / rival.cost).ceil().max(0.0);
             (turns as usize).min(rival.waiting)
         };
         let ahead: usize = rivals.iter().map(turns).sum();
-        self.time_for(ahead + place + 1)
+        self.time_for(ahead + position + 1)
     }
 
     /// Time until this many waiting requests have started.
--- a/crates/pomeloridge_policy/src/rules.rs
+++ b/crates/pomeloridge_policy/src/rules.rs
@@ -111,7 +111,7 @@
         "`retry_percent` in section `admission`; `idempotent` methods of a route."
         "With 10 %, 500 answered requests allow 50 retries; a quiet node has 3.";
     SUSPECT "suspects"
-        "A request that was in flight when an engine was lost runs again alone on an engine. If that engine is lost as well, the request is quarantined for 10 minutes; an answer clears it."
+        "A request that was in flight when an engine was lost runs again alone on an engine. If that engine is lost as well, the request is quarantined for 10 minutes; an answer clears it. At most a quarter of a pool's engines, but one at least, are kept for suspects."
         "One request that crashes engines would take down the fleet by its retries."
         "None."
         "An engine is lost with 6 requests in flight: 5 are answered alone and cleared, and the sixth is refused.";
--- a/crates/pomeloridge_policy/tests/policy/support.rs
+++ b/crates/pomeloridge_policy/tests/policy/support.rs
@@ -9,7 +9,7 @@
 use pomeloridge_policy::server::{
     LoadReport, Role, ServerInfo, ServerKey, ServerKind, ServerState, Work,
 };
-use pomeloridge_policy::ticket::{AdmissionRequest, AdmissionSettings};
+use pomeloridge_policy::ticket::{AdmissionRequest, AdmissionSettings, Admit, TicketKey};
 use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 
 /// Seed of all generated cases, so that each run has the same verdict.
@@ -103,3 +103,11 @@
         deadline,
     }
 }
+
+/// The key of a request that was not refused.
+pub(crate) fn accepted(admit: Admit) -> TicketKey {
+    match admit {
+        Admit::Now(ticket) | Admit::Wait(ticket) => ticket,
+        Admit::Refuse(refusal) => panic!("refused: {refusal:?}"),
+    }
+}
