--- /dev/null
+++ b/crates/pomeloridge_duties/src/freshness.rs
@@ -0,0 +1,53 @@
+//! Whether what a decision would rest on is recent and whole enough.
+
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+
+/// Age beyond which demand is stale.
+const DEMAND_TTL: Duration = Duration::from_secs(5);
+/// Age beyond which the list of servers is stale.
+const LIST_TTL: Duration = Duration::from_secs(10);
+
+/// Why nothing is ordered.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Stale {
+    /// The nodes' demand is too old.
+    #[display("demand is stale")]
+    Demand,
+    /// The platform's list of servers is too old.
+    #[display("list of servers is stale")]
+    List,
+    /// Fewer than half of the nodes were heard of.
+    #[display("too few nodes were heard of")]
+    Nodes,
+}
+
+/// The ages of what a decision rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct Inputs {
+    /// When the demand was true.
+    pub demand_at: Instant,
+    /// Nodes whose demand is in it.
+    pub heard: usize,
+    /// Nodes that are known.
+    pub known: usize,
+    /// Taken before the list of servers was read.
+    pub listed_at: Instant,
+}
+
+/// Checks the inputs of a decision.
+///
+/// # Errors
+/// What is stale; nothing may be ordered then.
+pub fn check_fresh(inputs: Inputs, now: Instant) -> Result<(), Stale> {
+    if now.saturating_duration_since(inputs.demand_at) > DEMAND_TTL {
+        Err(Stale::Demand)
+    } else if now.saturating_duration_since(inputs.listed_at) > LIST_TTL {
+        Err(Stale::List)
+    } else if inputs.heard * 2 < inputs.known || inputs.heard == 0 {
+        Err(Stale::Nodes)
+    } else {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_duties/src/placement_duty.rs
@@ -0,0 +1,179 @@
+//! The task of the placement duty: orders for servers, roles and models.
+//!
+//! Both are decided by the holder of one lease, because both give orders to
+//! engines, and an engine compares the fencing numbers of one lease only.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Epoch;
+use pomeloridge_base::meter::Meter;
+use pomeloridge_platform::{Authority, Client, PlatformError};
+
+use crate::engine_line::{EngineLine, EngineOptions};
+use crate::engine_step::Acting;
+use crate::facts::FleetFacts;
+use crate::freshness::{Inputs, Stale, check_fresh};
+use crate::ordering::OrderingOptions;
+use crate::ordering_baseline::OrderPolicy;
+use crate::ordering_task::Ordering;
+use crate::placement::PlacementOptions;
+use crate::placement_baseline::PlacementPolicy;
+use crate::placement_task::Placement;
+
+/// Settings of the placement duty.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementDutyOptions {
+    /// Time between two rounds.
+    pub pause: Duration,
+    /// Delivery delay that learning starts from.
+    pub delay: Duration,
+    /// Ordering of servers.
+    pub ordering: OrderingOptions,
+    /// Rule of ordering.
+    pub order_policy: OrderPolicy,
+    /// Placement of roles.
+    pub placement: PlacementOptions,
+    /// Rule of placement.
+    pub placement_policy: PlacementPolicy,
+    /// Orders to engines.
+    pub engines: EngineOptions,
+}
+
+impl Default for PlacementDutyOptions {
+    fn default() -> Self {
+        Self {
+            pause: Duration::from_secs(1),
+            delay: Duration::from_mins(1),
+            ordering: OrderingOptions::default(),
+            order_policy: OrderPolicy::default(),
+            placement: PlacementOptions::default(),
+            placement_policy: PlacementPolicy::default(),
+            engines: EngineOptions::default(),
+        }
+    }
+}
+
+/// Orders servers and places roles while the authority holds, until `stopping`.
+///
+/// `facts` is asked once a round for what the binary knows.
+pub async fn run_placement(
+    client: Client,
+    authority: Authority,
+    meter: Meter,
+    facts: impl Fn() -> FleetFacts,
+    options: PlacementDutyOptions,
+    stopping: impl Fn() -> bool,
+) {
+    let mut duty: Option<Duty> = None;
+    while !stopping() {
+        monoio::time::sleep(options.pause).await;
+        let Some(permit) = authority.permit() else {
+            duty = None;
+            continue;
+        };
+        let acting = Acting {
+            client: client.clone(),
+            authority: authority.clone(),
+            permit,
+            meter: meter.clone(),
+        };
+        let mut held = match duty.take().filter(|duty| duty.is_current(&acting)) {
+            Some(held) => held,
+            None => match Duty::load(&acting, options).await {
+                Ok(held) => held,
+                Err(error) => {
+                    log::warn!("placement choice=wait reason=\"orders not read\" error={error:?}");
+                    continue;
+                }
+            },
+        };
+        if let Err(error) = held.round(&acting, &facts).await {
+            log::warn!("placement choice=wait error={error:?}");
+        }
+        duty = Some(held);
+    }
+}
+
+/// The duty in one holding of its lease.
+struct Duty {
+    epoch: Epoch,
+    options: PlacementDutyOptions,
+    engines: EngineLine,
+    ordering: Ordering,
+    placement: Placement,
+    stale: Option<Stale>,
+}
+
+impl Duty {
+    /// Begins with what earlier holders left outstanding.
+    async fn load(acting: &Acting, options: PlacementDutyOptions) -> Result<Self, PlatformError> {
+        let client = &acting.client;
+        let ordering = Ordering::load(
+            client,
+            options.order_policy,
+            options.ordering,
+            options.delay,
+        );
+        Ok(Self {
+            epoch: acting.permit.epoch(),
+            options,
+            engines: EngineLine::load(client).await?,
+            ordering: ordering.await?,
+            placement: Placement::new(options.placement_policy, options.placement),
+            stale: None,
+        })
+    }
+
+    fn is_current(&self, acting: &Acting) -> bool {
+        let stale = self.engines.is_stale() || self.ordering.is_stale();
+        self.epoch == acting.permit.epoch() && !stale
+    }
+
+    async fn round(
+        &mut self,
+        acting: &Acting,
+        facts: impl Fn() -> FleetFacts,
+    ) -> Result<(), PlatformError> {
+        let orders = acting.client.orders().await?;
+        let listed_at = acting.now();
+        let servers = acting.client.servers().await?;
+        self.ordering.settle(acting, &orders, &servers).await;
+        let options = self.options.engines;
+        self.engines.advance(acting, &options, &servers).await;
+        let facts = facts();
+        if !self.is_fresh(&facts, listed_at, acting.now()) {
+            return Ok(());
+        }
+        self.ordering.observe(&facts);
+        for plan in &facts.plans {
+            let line = (&mut self.engines, &options);
+            self.ordering
+                .act(acting, line, &facts, plan, &servers)
+                .await?;
+            let line = (&mut self.engines, &options);
+            self.placement
+                .act(acting, line, &facts, plan, &servers)
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Checks the inputs; logs only a change.
+    fn is_fresh(&mut self, facts: &FleetFacts, listed_at: Instant, now: Instant) -> bool {
+        let inputs = Inputs {
+            demand_at: facts.demand.at,
+            heard: facts.demand.heard,
+            known: facts.demand.known,
+            listed_at,
+        };
+        let stale = check_fresh(inputs, now).err();
+        if stale != self.stale {
+            match stale {
+                Some(reason) => log::info!("placement choice=order_nothing reason=\"{reason}\""),
+                None => log::info!("placement choice=go_on reason=\"inputs are fresh\""),
+            }
+            self.stale = stale;
+        }
+        stale.is_none()
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_duties/src/usage/store.rs
@@ -0,0 +1,141 @@
+//! Sealed windows in the object service: reading them, and the mark up to
+//! which they have been reported.
+//!
+//! The mark only saves reading: it is a lower bound, and a holder goes on from
+//! it to the first window that does not exist.
+
+use std::collections::BTreeMap;
+
+use pomeloridge_base::id::Name;
+use pomeloridge_platform::usage::{Figures, Seal, USAGE_PREFIX};
+use pomeloridge_platform::{Client, Expect, Object, PlatformError};
+use serde_json::{Value, json};
+
+use super::{Included, Ledger, Memory};
+
+/// Key of the mark.
+const MARK_KEY: &str = "usage_mark";
+
+/// Identifier of a window by its number.
+pub fn window_id(window: u64) -> String {
+    format!("{window:010}")
+}
+
+/// A sealed window as operators are shown it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SealedWindow {
+    /// Number.
+    pub window: u64,
+    /// End of the window before, in ms since the Unix epoch.
+    pub from_ms: u64,
+    /// When it was sealed, in ms since the Unix epoch.
+    pub to_ms: u64,
+    /// Figures by client account.
+    pub accounts: BTreeMap<Name, Figures>,
+    /// Whether the platform is known to have confirmed the report.
+    pub reported: bool,
+}
+
+/// Reads the newest `count` sealed windows, oldest first.
+pub async fn sealed_windows(
+    client: &Client,
+    count: u64,
+) -> Result<Vec<SealedWindow>, PlatformError> {
+    let mark = read_mark(client).await?;
+    let mut windows = Vec::new();
+    let mut window = mark.saturating_sub(count) + 1;
+    while let Some(seal) = read_seal(client, window).await? {
+        let included = read_included(&seal)?;
+        windows.push(SealedWindow {
+            window,
+            from_ms: included.from_ms,
+            to_ms: included.to_ms,
+            accounts: seal.figures()?,
+            reported: window <= mark,
+        });
+        window += 1;
+    }
+    let surplus = windows.len().saturating_sub(count as usize);
+    Ok(windows.split_off(surplus))
+}
+
+/// The state of the duty as the service has it, with the windows that may not have
+/// been reported.
+pub(crate) async fn load(
+    client: &Client,
+    memory: Memory,
+) -> Result<(Ledger, Vec<(u64, Seal)>), PlatformError> {
+    let mark = read_mark(client).await?;
+    let mut ledger = Ledger::new(memory);
+    for (window, included) in read_remembered(client, mark, memory).await? {
+        ledger.adopt(window, included);
+    }
+    let mut unreported = Vec::new();
+    let mut window = mark + 1;
+    while let Some(seal) = read_seal(client, window).await? {
+        ledger.adopt(window, read_included(&seal)?);
+        unreported.push((window, seal));
+        window += 1;
+    }
+    Ok((ledger, unreported))
+}
+
+/// Reads the reported windows that are remembered, oldest first.
+async fn read_remembered(
+    client: &Client,
+    mark: u64,
+    memory: Memory,
+) -> Result<Vec<(u64, Included)>, PlatformError> {
+    let mut windows = Vec::<(u64, Included)>::new();
+    for window in (1..=mark).rev() {
+        let Some(seal) = read_seal(client, window).await? else {
+            // Going on without it could count its batches a second time.
+            let missing = window_id(window);
+            let text = format!("sealed usage window {missing} is missing");
+            return Err(PlatformError::Malformed(text));
+        };
+        let included = read_included(&seal)?;
+        let newest = windows
+            .first()
+            .map_or(included.to_ms, |(_, first)| first.to_ms);
+        if !memory.holds(windows.len(), included.to_ms, newest) {
+            break;
+        }
+        windows.push((window, included));
+    }
+    windows.reverse();
+    Ok(windows)
+}
+
+/// Notes that every window up to `window` has been reported.
+pub(crate) async fn write_mark(client: &Client, window: u64) -> Result<(), PlatformError> {
+    let value = json!({ "reported": window });
+    client.put(MARK_KEY, &value, Expect::Any).await.map(|_| ())
+}
+
+/// Reads what a seal has counted.
+pub(crate) fn read_included(seal: &Seal) -> Result<Included, PlatformError> {
+    Included::from_value(&seal.included)
+        .map_err(|error| PlatformError::Malformed(error.to_string()))
+}
+
+async fn read_mark(client: &Client) -> Result<u64, PlatformError> {
+    let object = client.get(MARK_KEY).await?;
+    let mark = object.and_then(|object| object.value.get("reported").and_then(Value::as_u64));
+    Ok(mark.unwrap_or(0))
+}
+
+async fn read_seal(client: &Client, window: u64) -> Result<Option<Seal>, PlatformError> {
+    let id = window_id(window);
+    let object = client.get(&format!("{USAGE_PREFIX}{id}")).await?;
+    Ok(object.map(|object| seal_of(id, &object)))
+}
+
+fn seal_of(window: String, object: &Object) -> Seal {
+    let field = |name| object.value.get(name).cloned().unwrap_or_default();
+    Seal {
+        window,
+        accounts: field("accounts"),
+        included: field("included"),
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_duties/tests/duties/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the duties: decisions, histories of holders, and the tasks against a small platform.
+
+mod engine;
+mod ordering;
+mod placement;
+mod placement_task;
+mod support;
+mod usage;
+mod usage_history;
+mod usage_task;
--- /dev/null
+++ b/crates/pomeloridge_duties/tests/duties/usage.rs
@@ -0,0 +1,199 @@
+//! The decisions about usage windows, case by case.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pomeloridge_duties::rules::RULES;
+use pomeloridge_duties::usage::{
+    Draft, Gaps, Included, Ledger, Memory, Pending, Ranges, RequestHash, draft,
+};
+use proptest::prelude::*;
+use yare::parameterized;
+
+use crate::support::{batch, config, line, start};
+
+const MEMORY: Memory = Memory {
+    windows: 10,
+    time: Duration::from_mins(5),
+};
+const FORGET_AFTER: u64 = 1000;
+
+fn next(ledger: &Ledger, pending: &Pending) -> Option<Draft> {
+    draft(ledger, pending, &BTreeMap::new(), FORGET_AFTER, 5)
+}
+
+fn figures(draft: &Draft, account: &str) -> (u64, u64, u64) {
+    let figures = draft.accounts[&account.into()];
+    (
+        figures.requests,
+        figures.prompt_tokens,
+        figures.output_tokens,
+    )
+}
+
+#[parameterized(
+    part_first = { [("vm-1", 20), ("vm-2", 50)] },
+    whole_first = { [("vm-1", 50), ("vm-2", 20)] },
+    same = { [("vm-1", 50), ("vm-2", 50)] },
+)]
+fn a_stream_on_two_nodes_counts_once(lines: [(&str, u64); 2]) {
+    let mut pending = Pending::default();
+    for (node, output) in lines {
+        let lines = vec![line("r-1", "acme", 100, output)];
+        pending.add(batch(&start(node, 1), 1, lines));
+    }
+    let draft = next(&Ledger::new(MEMORY), &pending).unwrap();
+    assert_eq!(figures(&draft, "acme"), (1, 100, 50));
+}
+
+#[test]
+fn a_request_of_the_last_window_is_not_counted_again() {
+    let mut ledger = Ledger::new(MEMORY);
+    let mut pending = Pending::default();
+    pending.add(batch(&start("vm-1", 1), 1, vec![line("r-1", "acme", 1, 2)]));
+    let first = next(&ledger, &pending).unwrap();
+    ledger.adopt(first.window, first.included);
+    pending.drop_counted(&ledger);
+    pending.add(batch(&start("vm-2", 1), 1, vec![line("r-1", "acme", 1, 9)]));
+    assert!(
+        next(&ledger, &pending).is_none(),
+        "a window without figures"
+    );
+    pending.add(batch(&start("vm-2", 1), 2, vec![line("r-2", "acme", 3, 4)]));
+    let second = next(&ledger, &pending).unwrap();
+    assert_eq!(second.window, 2);
+    assert_eq!(figures(&second, "acme"), (1, 3, 4));
+}
+
+/// After a window with request `r-0`, twelve others follow, `minutes` later.
+#[parameterized(many_windows_in_short = { 1, true }, long_ago = { 6, false })]
+fn requests_are_remembered_for_a_time(minutes: u64, known: bool) {
+    let mut ledger = Ledger::new(MEMORY);
+    for window in 0..13 {
+        let mut pending = Pending::default();
+        let lines = vec![line(&format!("r-{window}"), "acme", 1, 1)];
+        pending.add(batch(&start("vm-1", 1), window + 1, lines));
+        let now_ms = if window == 0 { 0 } else { minutes * 60_000 };
+        let lost = BTreeMap::new();
+        let draft = draft(&ledger, &pending, &lost, FORGET_AFTER, now_ms).unwrap();
+        ledger.adopt(draft.window, draft.included);
+    }
+    assert_eq!(ledger.knows(RequestHash::of(b"r-0")), known);
+    assert!(ledger.knows(RequestHash::of(b"r-3")));
+}
+
+#[test]
+fn a_missing_batch_is_counted_when_it_comes() {
+    let vm = start("vm-1", 7);
+    let mut ledger = Ledger::new(MEMORY);
+    let mut pending = Pending::default();
+    for number in [1, 3] {
+        let lines = vec![line(&format!("r-{number}"), "acme", 1, 1)];
+        pending.add(batch(&vm, number, lines));
+    }
+    let first = next(&ledger, &pending).unwrap();
+    ledger.adopt(first.window, first.included);
+    assert_eq!(ledger.prefix(&vm), 1);
+    pending.drop_counted(&ledger);
+    pending.add(batch(&vm, 2, vec![line("r-2", "acme", 1, 1)]));
+    let second = next(&ledger, &pending).unwrap();
+    assert_eq!(figures(&second, "acme"), (1, 1, 1));
+    ledger.adopt(second.window, second.included);
+    assert_eq!(ledger.prefix(&vm), 3);
+}
+
+#[test]
+fn only_the_first_gap_is_given_up_and_only_in_time() {
+    let vm = start("vm-1", 7);
+    let mut ledger = Ledger::new(MEMORY);
+    let mut pending = Pending::default();
+    for number in [1, 4, 6] {
+        let lines = vec![line(&format!("r-{number}"), "acme", 1, 1)];
+        pending.add(batch(&vm, number, lines));
+    }
+    let mut gaps = Gaps::default();
+    assert!(gaps.note(&ledger, &pending, 3).is_empty());
+    assert!(gaps.note(&ledger, &pending, 3).is_empty());
+    let lost = gaps.note(&ledger, &pending, 3);
+    assert_eq!(lost[&vm], Ranges::from_iter([(2, 3)]));
+    let draft = draft(&ledger, &pending, &lost, FORGET_AFTER, 5).unwrap();
+    ledger.adopt(draft.window, draft.included);
+    assert_eq!(ledger.prefix(&vm), 4);
+}
+
+#[test]
+fn a_start_is_forgotten_after_a_time_but_not_while_it_serves() {
+    let (old, new) = (start("vm-1", 1), start("vm-1", 2));
+    let mut ledger = Ledger::new(MEMORY);
+    for number in 1..=4 {
+        let mut pending = Pending::default();
+        let vm = if number == 1 { &old } else { &new };
+        let lines = vec![line(&format!("r-{number}"), "acme", 1, 1)];
+        pending.add(batch(vm, number, lines));
+        let draft = draft(&ledger, &pending, &BTreeMap::new(), 2, 5).unwrap();
+        ledger.adopt(draft.window, draft.included);
+    }
+    assert_eq!(ledger.starts().keys().collect::<Vec<_>>(), [&new]);
+}
+
+#[test]
+fn a_long_window_is_split_below_a_megabyte() {
+    let mut ledger = Ledger::new(MEMORY);
+    let mut pending = Pending::default();
+    for number in 1..=800 {
+        let request = |n| line(&format!("r-{number}-{n}"), &format!("account-{n}"), 1, 1);
+        let lines = (0..100).map(request).collect();
+        pending.add(batch(&start("vm-1", 1), number, lines));
+    }
+    let mut requests = 0;
+    while let Some(draft) = next(&ledger, &pending) {
+        let seal = draft.seal().unwrap();
+        let bytes = seal.accounts.to_string().len() + seal.included.to_string().len();
+        assert!(bytes < 1_000_000, "{bytes} bytes");
+        requests += draft
+            .accounts
+            .values()
+            .map(|figures| figures.requests)
+            .sum::<u64>();
+        ledger.adopt(draft.window, Included::from_value(&seal.included).unwrap());
+        pending.drop_counted(&ledger);
+    }
+    assert_eq!(requests, 80_000);
+    assert_eq!(ledger.window(), 2);
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    #[test]
+    fn ranges_hold_what_was_inserted(
+        pairs in prop::collection::vec((1_u64..60, 0_u64..8), 0..24),
+    ) {
+        let inside = |number| pairs.iter().any(|(first, more)| (*first..=first + more).contains(&number));
+        let ranges: Ranges = pairs.iter().map(|(first, more)| (*first, first + more)).collect();
+        for number in 1..80 {
+            prop_assert_eq!(ranges.contains(number), inside(number), "{}", number);
+        }
+        let missing = (1..80).find(|number| !inside(*number)).unwrap();
+        prop_assert_eq!(ranges.prefix(), missing - 1);
+        prop_assert_eq!(ranges.next_missing(1), missing);
+        let next = (missing..80).find(|number| inside(*number));
+        prop_assert_eq!(ranges.first_gap(), next.map(|next| (missing, next - 1)));
+        let list: Vec<_> = ranges.iter().collect();
+        prop_assert!(list.windows(2).all(|pair| pair[0].1 + 1 < pair[1].0));
+    }
+}
+
+#[test]
+fn rules_are_described_whole() {
+    for rule in RULES {
+        let fields = [rule.name, rule.what, rule.why, rule.options, rule.example];
+        assert!(
+            fields.iter().all(|field| !field.is_empty()),
+            "{}",
+            rule.name
+        );
+        let same = RULES.iter().filter(|other| other.name == rule.name);
+        assert_eq!(same.count(), 1, "{}", rule.name);
+    }
+}
