Join the duties to the node: leases, demand, usage, shared suspicions

Two live nodes by rendezvous hash look whether a lease may be taken; with every node looking, calls to the object service would grow with the fleet.

--- a/crates/pomeloridge/src/serve/mesh.rs
+++ b/crates/pomeloridge/src/serve/mesh.rs
@@ -4,18 +4,22 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pomeloridge_base::clock::SharedClock;
 use pomeloridge_base::config::ConfigView;
 use pomeloridge_base::id::{Incarnation, Name, Revision};
 use pomeloridge_base::settings::Settings;
 use pomeloridge_caller::Policy;
-use pomeloridge_node::heartbeat::{HeartbeatPayload, ServiceLine, ShareLine};
+use pomeloridge_node::heartbeat::{
+    DemandLine, HeartbeatPayload, ServiceLine, ShareLine, Suspicion, SuspicionState,
+};
 use pomeloridge_node::member::{Member, MemberState};
 use pomeloridge_node::mesh::{Hooks, Mesh, MeshOptions};
+use pomeloridge_policy::demand;
 use pomeloridge_policy::in_flight::OwnShare;
 use pomeloridge_policy::ledger::ServiceTotal;
+use pomeloridge_policy::suspicion::{Fingerprint, SharedSuspicion, Standing};
 
 use super::state::{Reached, adopt};
 
@@ -30,19 +34,31 @@
     pub(crate) config: Rc<RefCell<ConfigView>>,
     pub(crate) policy: Rc<Policy>,
     pub(crate) reached: Reached,
-    pub(crate) revisions: Rc<RefCell<PeerRevisions>>,
+    pub(crate) peers: Rc<RefCell<PeerWords>>,
 }
 
-/// The revisions that each peer has in force, as its last heartbeat said.
+/// What each peer said in its last heartbeat.
 #[derive(Default)]
-pub(crate) struct PeerRevisions(HashMap<Name, HashMap<String, Revision>>);
+pub(crate) struct PeerWords(HashMap<Name, PeerWord>);
 
-impl PeerRevisions {
+struct PeerWord {
+    at: Instant,
+    revisions: HashMap<String, Revision>,
+    demand: Vec<DemandLine>,
+}
+
+impl PeerWords {
     /// Whether a peer has an object in force at a revision or a later one.
     pub(crate) fn has(&self, peer: &Name, key: &str, revision: Revision) -> bool {
-        let own = self.0.get(peer).and_then(|own| own.get(key));
+        let own = self.0.get(peer).and_then(|word| word.revisions.get(key));
         own.is_some_and(|own| *own >= revision)
     }
+
+    /// What a peer was asked for, and when it said so.
+    pub(crate) fn demand(&self, peer: &Name) -> Option<(Instant, &[DemandLine])> {
+        let word = self.0.get(peer)?;
+        Some((word.at, &word.demand))
+    }
 }
 
 /// Builds the links of this node.
@@ -94,6 +110,7 @@
         .objects()
         .map(|object| (object.key.clone(), object.revision));
     let totals = policy.admission.borrow().export(SERVICE_AGE, now);
+    let shared = policy.suspicions.borrow().export(now);
     HeartbeatPayload {
         platform: parts.reached.silence() < PLATFORM_SILENCE,
         digests: digests.collect(),
@@ -105,16 +122,20 @@
             .into_iter()
             .map(share_line)
             .collect(),
-        suspicions: Vec::new(),
+        suspicions: shared.into_iter().map(suspicion).collect(),
+        demand: demand_lines(policy, now),
     }
 }
 
 /// Takes in what another node said.
 fn absorb(parts: &Parts, sender: &Member, payload: &HeartbeatPayload) {
     let now = parts.clock.now();
-    let digests = payload.digests.iter().cloned().collect();
-    let mut revisions = parts.revisions.borrow_mut();
-    revisions.0.insert(sender.name.clone(), digests);
+    let word = PeerWord {
+        at: now,
+        revisions: payload.digests.iter().cloned().collect(),
+        demand: payload.demand.clone(),
+    };
+    parts.peers.borrow_mut().0.insert(sender.name.clone(), word);
     let policy = &parts.policy;
     let totals: Vec<_> = payload.service.iter().map(service_total).collect();
     policy
@@ -124,6 +145,47 @@
     let shares: Vec<_> = payload.shares.iter().map(own_share).collect();
     let mut fleet = policy.fleet.borrow_mut();
     fleet.peer_shares(&sender.name, &shares, now);
+    let suspicions: Vec<_> = payload.suspicions.iter().map(shared_suspicion).collect();
+    policy.suspicions.borrow_mut().merge(&suspicions, now);
+}
+
+/// What this node was asked for of late.
+pub(crate) fn demand_lines(policy: &Policy, now: Instant) -> Vec<DemandLine> {
+    let rates = policy.demand.borrow_mut().rates(now);
+    let admission = policy.admission.borrow();
+    let line = |(pool, demand): (Name, demand::Demand)| DemandLine {
+        queued: admission.state(&pool).waiting as u32,
+        requests: demand.requests,
+        prompt_tokens: demand.prompt,
+        output_tokens: demand.output,
+        refused: demand.refused,
+        pool,
+    };
+    rates.into_iter().map(line).collect()
+}
+
+fn suspicion(shared: SharedSuspicion) -> Suspicion {
+    Suspicion {
+        fingerprint: shared.fingerprint.0,
+        age: shared.age,
+        state: match shared.standing {
+            Standing::Cleared => SuspicionState::Cleared,
+            Standing::Suspect => SuspicionState::Suspect,
+            Standing::Quarantined => SuspicionState::Quarantined,
+        },
+    }
+}
+
+fn shared_suspicion(suspicion: &Suspicion) -> SharedSuspicion {
+    SharedSuspicion {
+        fingerprint: Fingerprint(suspicion.fingerprint),
+        age: suspicion.age,
+        standing: match suspicion.state {
+            SuspicionState::Cleared => Standing::Cleared,
+            SuspicionState::Suspect => Standing::Suspect,
+            SuspicionState::Quarantined => Standing::Quarantined,
+        },
+    }
 }
 
 fn service_line(total: ServiceTotal) -> ServiceLine {
@@ -147,6 +209,7 @@
         server: share.id,
         requests: share.running,
         prompt_tokens: share.prefill_tokens,
+        occupied: share.occupied,
     }
 }
 
@@ -155,6 +218,6 @@
         id: line.server.clone(),
         running: line.requests,
         prefill_tokens: line.prompt_tokens,
-        occupied: false,
+        occupied: line.occupied,
     }
 }
--- a/crates/pomeloridge/src/serve/mod.rs
+++ b/crates/pomeloridge/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! A node: every part of it on one thread, one task for each peer and connection.
 
 mod config;
+mod duties;
 mod front;
 mod life;
 mod lists;
@@ -61,6 +62,8 @@
     monoio::spawn(lists::run(Rc::clone(&state)));
     monoio::spawn(loads::probe(Rc::clone(&state)));
     monoio::spawn(front::pump(Rc::clone(&state)));
+    let authorities = duties::start(&state);
+    *state.authorities.borrow_mut() = authorities;
     monoio::spawn(operator::serve(Rc::clone(&state), ports.operator));
     front::serve(Rc::clone(&state), ports.caller).await;
     life::leave(&state).await;
--- a/crates/pomeloridge/src/serve/operator.rs
+++ b/crates/pomeloridge/src/serve/operator.rs
@@ -6,7 +6,6 @@
 use monoio::net::TcpListener;
 use pomeloridge_base::http::{Fault, Limits, Request, Responder, Server};
 use pomeloridge_operator::OperatorState;
-use serde_json::json;
 
 use super::life::Phase;
 use super::state::State;
@@ -32,13 +31,17 @@
 fn operator_state(state: &Rc<State>) -> OperatorState {
     let [ready, metrics, status, explain] = std::array::from_fn(|_| Rc::clone(state));
     let force = Rc::clone(state);
+    let platform = state.platform.clone();
     OperatorState {
         tokens: state.settings.tokens.clone(),
         ready: Box::new(move || reports::ready(&ready)),
         metrics: Box::new(move || metrics.metrics.page()),
         status: Box::new(move || reports::status(&status)),
         explain: Box::new(move |id| reports::explain(&explain, id)),
-        usage: Box::new(|| json!({"windows": []})),
+        usage: Box::new(move || {
+            let client = platform.clone();
+            Box::pin(async move { reports::usage(&client).await })
+        }),
         in_force: Box::new(move |key, revision| reports::in_force(&force, key, revision)),
         force_wait: FORCE_WAIT,
         store: store::operator_store(state),
--- a/crates/pomeloridge/src/serve/reports.rs
+++ b/crates/pomeloridge/src/serve/reports.rs
@@ -1,14 +1,20 @@
 //! What the node says of itself to operators.
 
 use pomeloridge_base::config::ConfigObject;
+use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::{Name, Revision};
+use pomeloridge_duties::usage::{SealedWindow, sealed_windows};
 use pomeloridge_node::member::{Member, MemberState};
+use pomeloridge_platform::{Authority, Client};
 use pomeloridge_policy::server::Server;
 use serde_json::{Value, json};
 
 use super::front::takes_work;
 use super::state::State;
 
+/// Usage windows that operators are shown.
+const USAGE_WINDOWS: u64 = 60;
+
 /// Whether the balancer may send requests here, or why not.
 pub(crate) fn ready(state: &State) -> Result<(), String> {
     if state.life.is_leaving() {
@@ -50,11 +56,24 @@
         "nodes": nodes,
         "servers": servers.into_iter().map(server).collect::<Vec<_>>(),
         "pools": pools.collect::<Vec<_>>(),
+        "leases": leases(state),
         "config": config.objects().map(revision).collect::<Vec<_>>(),
         "exceptions": config.fleet().exceptions,
     })
 }
 
+/// The duties that this node may hold, and whether it does.
+fn leases(state: &State) -> Vec<Value> {
+    let authorities = state.authorities.borrow();
+    let lease = |(duty, authority): &(Name, Authority)| {
+        json!({
+            "duty": duty, "held_here": authority.holds(), "epoch": authority.epoch(),
+            "left_ms": authority.left().as_millis() as u64,
+        })
+    };
+    authorities.iter().map(lease).collect()
+}
+
 fn node(member: &Member) -> Value {
     json!({
         "name": member.name, "data_centre": member.data_centre,
@@ -93,10 +112,29 @@
     let counted = members
         .iter()
         .filter(|member| member.state != MemberState::Down);
-    let revisions = state.revisions.borrow();
+    let peers = state.peers.borrow();
     let own = usize::from(state.config.borrow().revision(key) >= revision);
     counted.fold((own, 1), |(have, of), member| {
-        let has = revisions.has(&member.name, key, revision);
+        let has = peers.has(&member.name, key, revision);
         (have + usize::from(has), of + 1)
     })
 }
+
+/// The newest sealed usage windows.
+pub(crate) async fn usage(client: &Client) -> Result<Value, ErrorKind> {
+    let windows = sealed_windows(client, USAGE_WINDOWS).await;
+    let windows = windows.map_err(|_| ErrorKind::PlatformDown)?;
+    Ok(json!({"windows": windows.iter().map(window).collect::<Vec<_>>()}))
+}
+
+fn window(sealed: &SealedWindow) -> Value {
+    let state = if sealed.reported {
+        "reported"
+    } else {
+        "sealed"
+    };
+    json!({
+        "window": sealed.window, "state": state, "accounts": sealed.accounts,
+        "from_ms": sealed.from_ms, "to_ms": sealed.to_ms,
+    })
+}
--- a/crates/pomeloridge/src/serve/state.rs
+++ b/crates/pomeloridge/src/serve/state.rs
@@ -7,13 +7,14 @@
 
 use pomeloridge_base::clock::{SharedClock, SystemClock};
 use pomeloridge_base::config::{ConfigObject, ConfigView, ExceptionKind};
-use pomeloridge_base::id::Incarnation;
+use pomeloridge_base::id::{Incarnation, Name};
 use pomeloridge_base::settings::Settings;
 use pomeloridge_caller::{DecisionLog, Policy, Running, Waiting};
 use pomeloridge_node::mesh::Mesh;
 use pomeloridge_node::usage_sender::{UsageSender, UsageTimes};
-use pomeloridge_platform::Client;
+use pomeloridge_platform::{Authority, Client};
 use pomeloridge_policy::admission::Admission;
+use pomeloridge_policy::demand::DemandMeter;
 use pomeloridge_policy::estimate::OutputEstimates;
 use pomeloridge_policy::fleet::{Fleet, FleetSettings};
 use pomeloridge_policy::load::Expected;
@@ -26,7 +27,7 @@
 use rand::rngs::StdRng;
 
 use super::life::Life;
-use super::mesh::{self, PeerRevisions};
+use super::mesh::{self, PeerWords};
 use crate::metrics::Metrics;
 
 /// Prompt blocks remembered as hints.
@@ -42,12 +43,14 @@
     pub(crate) policy: Rc<Policy>,
     pub(crate) platform: Client,
     pub(crate) reached: Reached,
-    pub(crate) revisions: Rc<RefCell<PeerRevisions>>,
+    pub(crate) peers: Rc<RefCell<PeerWords>>,
     pub(crate) mesh: Mesh,
     pub(crate) usage: UsageSender,
     pub(crate) metrics: Metrics,
     /// Whether the list of backend servers has been read.
     pub(crate) listed: Cell<bool>,
+    /// Authorities of the duties, set once their tasks have started.
+    pub(crate) authorities: RefCell<Vec<(Name, Authority)>>,
     /// Tasks that must end before the node does.
     pub(crate) duties: Cell<usize>,
 }
@@ -86,13 +89,13 @@
         let config = Rc::new(RefCell::new(ConfigView::default()));
         let policy = Rc::new(policy(&settings, &clock));
         let reached = Reached::new(&clock);
-        let revisions = Rc::new(RefCell::new(PeerRevisions::default()));
+        let peers = Rc::new(RefCell::new(PeerWords::default()));
         let parts = mesh::Parts {
             clock: Rc::clone(&clock),
             config: Rc::clone(&config),
             policy: Rc::clone(&policy),
             reached: reached.clone(),
-            revisions: Rc::clone(&revisions),
+            peers: Rc::clone(&peers),
         };
         let mesh = mesh::build(&settings, address, incarnation, parts);
         let timeout = settings.time("platform", "timeout_ms");
@@ -102,6 +105,7 @@
             metrics: Metrics::new()?,
             life: Life::new(),
             listed: Cell::new(false),
+            authorities: RefCell::default(),
             duties: Cell::new(0),
             settings,
             clock,
@@ -109,7 +113,7 @@
             config,
             policy,
             reached,
-            revisions,
+            peers,
             mesh,
         }))
     }
@@ -134,6 +138,7 @@
         admission: RefCell::new(Admission::new(admission)),
         waiting: Waiting::default(),
         running: Running::default(),
+        demand: RefCell::new(DemandMeter::default()),
         estimates: RefCell::new(OutputEstimates::default()),
         budget: RefCell::new(RetryBudget::new(percent, clock.now())),
         suspicions: RefCell::new(Suspicions::default()),
--- a/crates/pomeloridge_caller/src/front.rs
+++ b/crates/pomeloridge_caller/src/front.rs
@@ -14,6 +14,7 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_base::meter::{Counter, Meter};
 use pomeloridge_policy::admission::Admission;
+use pomeloridge_policy::demand::DemandMeter;
 use pomeloridge_policy::estimate::OutputEstimates;
 use pomeloridge_policy::fleet::Fleet;
 use pomeloridge_policy::prefix::PrefixHints;
@@ -60,6 +61,8 @@
     pub waiting: Waiting,
     /// Requests that run on each server.
     pub running: Running,
+    /// What this node was asked for of late.
+    pub demand: RefCell<DemandMeter>,
     /// Output expected of requests.
     pub estimates: RefCell<OutputEstimates>,
     /// Budget of retries.
--- a/crates/pomeloridge_caller/src/generate.rs
+++ b/crates/pomeloridge_caller/src/generate.rs
@@ -296,6 +296,7 @@
                         self.first_token(chosen.server);
                     }
                     turn.charge(1);
+                    self.count_token();
                     self.send_token(index, &text, responder).await?;
                     self.texts.push(text);
                 }
@@ -304,6 +305,12 @@
         }
     }
 
+    fn count_token(&self) {
+        let now = self.front.clock.now();
+        let mut demand = self.front.policy.demand.borrow_mut();
+        demand.made(&self.completion.model, 1, now);
+    }
+
     fn first_token(&self, server: ServerKey) {
         let front = self.front;
         let mut hints = front.policy.hints.borrow_mut();
--- a/crates/pomeloridge_caller/src/turn.rs
+++ b/crates/pomeloridge_caller/src/turn.rs
@@ -83,6 +83,9 @@
         };
         let now = front.clock.now();
         let admit = front.policy.admission.borrow_mut().arrive(&request, now);
+        if matches!(admit, Admit::Refuse(_)) {
+            front.policy.demand.borrow_mut().refused(pool, now);
+        }
         let turn = |ticket| Self {
             ticket,
             policy: Rc::clone(&front.policy),
@@ -92,13 +95,25 @@
         match admit {
             Admit::Now(ticket) => {
                 front.note(id, format!("admission=now pool={pool}"));
+                front
+                    .policy
+                    .demand
+                    .borrow_mut()
+                    .started(pool, work.prompt, now);
                 Ok(turn(ticket))
             }
             Admit::Refuse(refusal) => Err(refusal.into()),
             Admit::Wait(ticket) => {
                 front.note(id, format!("admission=wait pool={pool}"));
                 let turn = turn(ticket);
-                turn.granted().await?;
+                let granted = turn.granted().await;
+                let mut demand = front.policy.demand.borrow_mut();
+                match &granted {
+                    Ok(()) => demand.started(pool, work.prompt, front.clock.now()),
+                    Err(_) => demand.refused(pool, front.clock.now()),
+                }
+                drop(demand);
+                granted?;
                 let waited = front.clock.now().saturating_duration_since(now);
                 front.meter.time(Timer::Wait, waited);
                 front.note(
--- a/crates/pomeloridge_caller/tests/support/mod.rs
+++ b/crates/pomeloridge_caller/tests/support/mod.rs
@@ -22,6 +22,7 @@
     ClaimStore, Created, DecisionLog, Front, IdMaker, Policy, Running, Usage, Waiting,
 };
 use pomeloridge_policy::admission::Admission;
+use pomeloridge_policy::demand::DemandMeter;
 use pomeloridge_policy::estimate::OutputEstimates;
 use pomeloridge_policy::fleet::{Fleet, FleetSettings};
 use pomeloridge_policy::prefix::PrefixHints;
@@ -352,6 +353,7 @@
         admission: RefCell::new(Admission::new(AdmissionSettings::default())),
         waiting: Waiting::default(),
         running: Running::default(),
+        demand: RefCell::new(DemandMeter::default()),
         estimates: RefCell::new(OutputEstimates::default()),
         budget: RefCell::new(RetryBudget::new(10, clock.now())),
         suspicions: RefCell::new(Suspicions::default()),
--- a/crates/pomeloridge_node/src/error.rs
+++ b/crates/pomeloridge_node/src/error.rs
@@ -49,6 +49,8 @@
     Json,
     /// a figure is not a finite number of at least zero
     Figure,
+    /// a fingerprint does not have 32 bytes
+    Fingerprint,
 }
 
 impl std::error::Error for WireFault {}
--- a/crates/pomeloridge_node/src/heartbeat.rs
+++ b/crates/pomeloridge_node/src/heartbeat.rs
@@ -1,5 +1,7 @@
 //! What a heartbeat carries in either direction.
 
+use std::time::Duration;
+
 use pomeloridge_base::id::{Name, Revision};
 
 use crate::member::Member;
@@ -31,6 +33,8 @@
     pub shares: Vec<ShareLine>,
     /// Requests suspected of crashing engines.
     pub suspicions: Vec<Suspicion>,
+    /// What this node was asked for of late.
+    pub demand: Vec<DemandLine>,
 }
 
 /// Service that a client account has had from a node in this incarnation.
@@ -53,6 +57,25 @@
     pub requests: u32,
     /// Prompt tokens of the requests that have had no token yet.
     pub prompt_tokens: u64,
+    /// Whether the node keeps the server for a suspect.
+    pub occupied: bool,
+}
+
+/// What a node was asked for of one pool, each second.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DemandLine {
+    /// Model or service.
+    pub pool: Name,
+    /// Requests.
+    pub requests: f64,
+    /// Prompt tokens.
+    pub prompt_tokens: f64,
+    /// Output tokens.
+    pub output_tokens: f64,
+    /// Requests that wait now.
+    pub queued: u32,
+    /// Requests refused for want of servers.
+    pub refused: f64,
 }
 
 /// What is held of a request that may crash engines.
@@ -70,9 +93,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Suspicion {
     /// Hash of account, route and body.
-    pub fingerprint: u64,
-    /// Engines lost while it ran.
-    pub count: u32,
+    pub fingerprint: [u8; 32],
+    /// Time since it was found; ages need no common clock.
+    pub age: Duration,
     /// What is held of it.
     pub state: SuspicionState,
 }
--- a/crates/pomeloridge_node/src/relay.rs
+++ b/crates/pomeloridge_node/src/relay.rs
@@ -35,6 +35,20 @@
         live.into_iter().map(|(_, _, name)| name).collect()
     }
 
+    /// Whether this node is one of the `count` live nodes, by rendezvous hash,
+    /// that look whether a duty's lease may be taken.
+    pub fn is_candidate(&self, duty: &Name, count: usize) -> bool {
+        if self.own.state != MemberState::Live {
+            return false;
+        }
+        let own = weight(duty.as_bytes(), self.own.name.as_bytes());
+        let ahead = self.members().filter(|member| {
+            let rank = weight(duty.as_bytes(), member.name.as_bytes());
+            member.state == MemberState::Live && (rank, &member.name) > (own, &self.own.name)
+        });
+        ahead.count() < count
+    }
+
     /// Whether this node holds watches.
     pub fn am_relay(&self) -> bool {
         self.relays(&self.own.data_centre).contains(&self.own.name)
--- a/crates/pomeloridge_node/src/wire.rs
+++ b/crates/pomeloridge_node/src/wire.rs
@@ -1,17 +1,19 @@
 //! Conversion between what nodes send and what the rest of the program uses.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use pomeloridge_base::config::ConfigObject;
 use pomeloridge_base::id::{Incarnation, Name, Revision};
 
 use crate::error::WireFault;
 use crate::generated::{
-    ConfigMessage, DigestMessage, GetUsageReply, HeartbeatMessage, MemberMessage, ServiceMessage,
-    ShareMessage, StateMessage, SuspicionMessage, SuspicionState as SuspicionStateMessage,
-    UsageBatchMessage, UsageLineMessage, UsageSpanMessage,
+    ConfigMessage, DemandMessage, DigestMessage, GetUsageReply, HeartbeatMessage, MemberMessage,
+    ServiceMessage, ShareMessage, StateMessage, SuspicionMessage,
+    SuspicionState as SuspicionStateMessage, UsageBatchMessage, UsageLineMessage, UsageSpanMessage,
 };
 use crate::heartbeat::{
-    Heartbeat, HeartbeatPayload, ServiceLine, ShareLine, Suspicion, SuspicionState,
+    DemandLine, Heartbeat, HeartbeatPayload, ServiceLine, ShareLine, Suspicion, SuspicionState,
 };
 use crate::member::{Member, MemberState};
 use crate::usage::{UsageBatch, UsageLine, UsagePart, UsageSpan};
@@ -129,6 +131,7 @@
             server: line.server.to_string(),
             requests: line.requests,
             prompt_tokens: line.prompt_tokens,
+            occupied: line.occupied,
         }
     }
 }
@@ -139,10 +142,51 @@
             server: Name::from(message.server),
             requests: message.requests,
             prompt_tokens: message.prompt_tokens,
+            occupied: message.occupied,
+        }
+    }
+}
+
+impl From<DemandLine> for DemandMessage {
+    fn from(line: DemandLine) -> Self {
+        Self {
+            pool: line.pool.to_string(),
+            requests: line.requests,
+            prompt_tokens: line.prompt_tokens,
+            output_tokens: line.output_tokens,
+            queued: line.queued,
+            refused: line.refused,
         }
     }
 }
 
+impl TryFrom<DemandMessage> for DemandLine {
+    type Error = WireFault;
+
+    fn try_from(message: DemandMessage) -> Result<Self, WireFault> {
+        let figures = [
+            message.requests,
+            message.prompt_tokens,
+            message.output_tokens,
+            message.refused,
+        ];
+        if figures
+            .iter()
+            .any(|figure| !figure.is_finite() || *figure < 0.0)
+        {
+            return Err(WireFault::Figure);
+        }
+        Ok(Self {
+            pool: Name::from(message.pool),
+            requests: message.requests,
+            prompt_tokens: message.prompt_tokens,
+            output_tokens: message.output_tokens,
+            queued: message.queued,
+            refused: message.refused,
+        })
+    }
+}
+
 impl From<Suspicion> for SuspicionMessage {
     fn from(suspicion: Suspicion) -> Self {
         let state = match suspicion.state {
@@ -151,8 +195,8 @@
             SuspicionState::Cleared => SuspicionStateMessage::Cleared,
         };
         Self {
-            fingerprint: suspicion.fingerprint,
-            count: suspicion.count,
+            fingerprint: Bytes::copy_from_slice(&suspicion.fingerprint),
+            age_ms: suspicion.age.as_millis() as u64,
             state: state.into(),
         }
     }
@@ -168,9 +212,10 @@
             SuspicionStateMessage::Quarantined => SuspicionState::Quarantined,
             SuspicionStateMessage::Cleared => SuspicionState::Cleared,
         };
+        let fingerprint = message.fingerprint.as_ref().try_into();
         Ok(Self {
-            fingerprint: message.fingerprint,
-            count: message.count,
+            fingerprint: fingerprint.map_err(|_| WireFault::Fingerprint)?,
+            age: Duration::from_millis(message.age_ms),
             state,
         })
     }
@@ -185,6 +230,7 @@
             service: each(payload.service),
             shares: each(payload.shares),
             suspicions: each(payload.suspicions),
+            demand: each(payload.demand),
             members: each(heartbeat.members),
         }
     }
@@ -202,6 +248,7 @@
                 service: try_each(message.service)?,
                 shares: each(message.shares),
                 suspicions: try_each(message.suspicions)?,
+                demand: try_each(message.demand)?,
             },
             sender: sender.try_into()?,
             members: try_each(message.members)?,
--- a/crates/pomeloridge_node/tests/links/mesh.rs
+++ b/crates/pomeloridge_node/tests/links/mesh.rs
@@ -7,7 +7,7 @@
 use pomeloridge_base::id::{Incarnation, Name, Revision};
 use pomeloridge_node::error::LinkError;
 use pomeloridge_node::heartbeat::{
-    HeartbeatPayload, ServiceLine, ShareLine, Suspicion, SuspicionState,
+    DemandLine, HeartbeatPayload, ServiceLine, ShareLine, Suspicion, SuspicionState,
 };
 use pomeloridge_node::member::{LinkOptions, MemberState};
 use pomeloridge_node::membership::Membership;
@@ -71,10 +71,19 @@
                 server: Name::from("e1"),
                 requests: 3,
                 prompt_tokens: 900,
+                occupied: true,
+            }],
+            demand: vec![DemandLine {
+                pool: Name::from("m"),
+                requests: 4.0,
+                prompt_tokens: 800.5,
+                output_tokens: 120.0,
+                queued: 2,
+                refused: 0.25,
             }],
             suspicions: vec![Suspicion {
-                fingerprint: u64::MAX - 1,
-                count: 2,
+                fingerprint: [7; 32],
+                age: Duration::from_millis(1500),
                 state: SuspicionState::Quarantined,
             }],
             ..HeartbeatPayload::default()
--- a/crates/pomeloridge_operator/src/port.rs
+++ b/crates/pomeloridge_operator/src/port.rs
@@ -101,7 +101,7 @@
             accounts::withdraw(state, by, &Name::from(*name), id, body).await
         }
         ("GET", ["status"]) => Ok((200, (state.status)())),
-        ("GET", ["usage"]) => Ok((200, (state.usage)())),
+        ("GET", ["usage"]) => Ok((200, (state.usage)().await?)),
         ("GET", ["explain", id]) => {
             let explained = (state.explain)(id).ok_or(ErrorKind::NotFound)?;
             Ok((200, explained))
--- a/crates/pomeloridge_operator/src/state.rs
+++ b/crates/pomeloridge_operator/src/state.rs
@@ -58,7 +58,7 @@
     /// The decisions for a request id; an object with the list `decisions`.
     pub explain: Lookup<Option<Value>>,
     /// Usage as `{"windows":[{"window","state","accounts":{NAME:{"requests","prompt_tokens","output_tokens"}}}]}`.
-    pub usage: Box<dyn Fn() -> Value>,
+    pub usage: Box<dyn Fn() -> Fetched<Value>>,
     /// On how many nodes, of how many, an object's revision is in force.
     pub in_force: CountNodes,
     /// Longest time that the answer to a change waits for all nodes.
--- a/crates/pomeloridge_operator/tests/operator/support.rs
+++ b/crates/pomeloridge_operator/tests/operator/support.rs
@@ -186,7 +186,7 @@
         metrics: Box::new(|| "requests_total 7\n".to_owned()),
         status: Box::new(|| json!({"node": "vm-1", "nodes": [{"name": "vm-1"}]})),
         explain: Box::new(|id| (id == "r 1").then(|| json!({"request_id": id, "decisions": []}))),
-        usage: Box::new(|| json!({"windows": []})),
+        usage: Box::new(|| Box::pin(async { Ok(json!({"windows": []})) })),
         in_force: Box::new(move |_, _| {
             let left = lag.get();
             lag.set(left.saturating_sub(1));
--- /dev/null
+++ b/crates/pomeloridge_policy/src/demand.rs
@@ -0,0 +1,99 @@
+//! What a node was asked for of each pool of late.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+
+/// Time over which demand is averaged.
+pub const WINDOW: Duration = Duration::from_secs(5);
+/// Time that is counted together.
+const BUCKET: Duration = Duration::from_millis(500);
+
+/// Demand for one pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Requests that were let through.
+    pub requests: f64,
+    /// Prompt tokens of those.
+    pub prompt: f64,
+    /// Output tokens made.
+    pub output: f64,
+    /// Requests that were refused for want of servers.
+    pub refused: f64,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    start: Instant,
+    sum: Demand,
+}
+
+/// Counts demand over a sliding window.
+#[derive(Debug, Default)]
+pub struct DemandMeter {
+    pools: HashMap<Name, VecDeque<Bucket>>,
+}
+
+impl DemandMeter {
+    /// Counts a request that was let through.
+    pub fn started(&mut self, pool: &Name, prompt: u64, now: Instant) {
+        let sum = self.bucket(pool, now);
+        sum.requests += 1.0;
+        sum.prompt += prompt as f64;
+    }
+
+    /// Counts output tokens.
+    pub fn made(&mut self, pool: &Name, tokens: u64, now: Instant) {
+        self.bucket(pool, now).output += tokens as f64;
+    }
+
+    /// Counts a request that was refused for want of servers.
+    pub fn refused(&mut self, pool: &Name, now: Instant) {
+        self.bucket(pool, now).refused += 1.0;
+    }
+
+    /// The demand for each pool, each second.
+    pub fn rates(&mut self, now: Instant) -> Vec<(Name, Demand)> {
+        let seconds = WINDOW.as_secs_f64();
+        for buckets in self.pools.values_mut() {
+            drop_old(buckets, now);
+        }
+        self.pools.retain(|_, buckets| !buckets.is_empty());
+        let rate = |buckets: &VecDeque<Bucket>| {
+            buckets
+                .iter()
+                .fold(Demand::default(), |sum, bucket| Demand {
+                    requests: sum.requests + bucket.sum.requests / seconds,
+                    prompt: sum.prompt + bucket.sum.prompt / seconds,
+                    output: sum.output + bucket.sum.output / seconds,
+                    refused: sum.refused + bucket.sum.refused / seconds,
+                })
+        };
+        let pools = self.pools.iter();
+        pools
+            .map(|(name, buckets)| (name.clone(), rate(buckets)))
+            .collect()
+    }
+
+    fn bucket(&mut self, pool: &Name, now: Instant) -> &mut Demand {
+        let buckets = self.pools.entry(pool.clone()).or_default();
+        drop_old(buckets, now);
+        let is_open = |bucket: &Bucket| now.saturating_duration_since(bucket.start) < BUCKET;
+        if !buckets.back().is_some_and(is_open) {
+            buckets.push_back(Bucket {
+                start: now,
+                sum: Demand::default(),
+            });
+        }
+        let last = buckets.len() - 1;
+        &mut buckets[last].sum
+    }
+}
+
+fn drop_old(buckets: &mut VecDeque<Bucket>, now: Instant) {
+    let is_old = |bucket: &Bucket| now.saturating_duration_since(bucket.start) >= WINDOW;
+    while buckets.front().is_some_and(is_old) {
+        buckets.pop_front();
+    }
+}
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod candidate;
 pub mod capacity;
 pub mod counter;
+pub mod demand;
 pub mod eject;
 pub mod estimate;
 pub mod fleet;
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the request path's decisions.
 
 mod admission;
+mod demand;
 mod fairness;
 mod fleet;
 mod prefix;
