Quarantine a poison request after two engines, and cut no innocent one

Causes: suspicions reached peers with the next heartbeat (250 ms) while the caller's repeat came after 1 ms; the mark of an engine kept for a suspect was known to its own node only; a suspect waited for an engine to be empty, and the other nodes went on filling it; a dead engine was taken for a candidate; the retry budget of a quiet node (3) was spent by the requests of one lost engine. Change: a suspect runs beside ordinary requests on an engine without another suspect; what two losses have in common is the poison. Nodes exchange heartbeats at once before a suspect is sent and before its refusal; of two nodes that mark one engine, one yields. A suspect leaves the data centre of its loss first. A request's first retry is not charged to the budget.

--- a/crates/pomeloridge/src/serve/front.rs
+++ b/crates/pomeloridge/src/serve/front.rs
@@ -20,6 +20,8 @@
 
 /// Pause between two looks at who may start.
 const PUMP_PAUSE: Duration = Duration::from_millis(20);
+/// Time that peers have to take in what is known of suspects.
+const SPREAD_TIME: Duration = Duration::from_millis(100);
 /// Bytes of the largest body that any route may take.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -92,7 +94,7 @@
 fn front(state: &Rc<State>) -> Front {
     let settings = &state.settings;
     let secret = &settings.secret.0;
-    let [gate, bill] = std::array::from_fn(|_| Rc::clone(state));
+    let [gate, bill, spread] = std::array::from_fn(|_| Rc::clone(state));
     Front {
         clock: Rc::clone(&state.clock),
         config: Rc::clone(&state.config),
@@ -101,6 +103,8 @@
         connect: settings.time("backend", "connect_ms"),
         gate: Box::new(move || takes_work(&gate)),
         bill: Box::new(move |usage| record_usage(&bill, usage)),
+        spread: Box::new(move || tell_peers(&spread)),
+        node: settings.name.clone(),
         claims: store::claims(state),
         meter: state.metrics.meter.clone(),
     }
@@ -114,6 +118,12 @@
     }
 }
 
+/// Tells the peers of suspects at once.
+fn tell_peers(state: &Rc<State>) -> LocalFuture<()> {
+    let mesh = state.mesh.clone();
+    Box::pin(async move { mesh.tell_now(SPREAD_TIME).await })
+}
+
 /// Hands a line of usage to a peer, within a bounded time.
 fn record_usage(state: &Rc<State>, usage: Usage) -> LocalFuture<()> {
     let state = Rc::clone(state);
--- a/crates/pomeloridge/src/serve/mesh.rs
+++ b/crates/pomeloridge/src/serve/mesh.rs
@@ -166,6 +166,7 @@
 
 fn suspicion(shared: SharedSuspicion) -> Suspicion {
     Suspicion {
+        engine: shared.engine,
         fingerprint: shared.fingerprint.0,
         age: shared.age,
         state: match shared.standing {
@@ -178,6 +179,7 @@
 
 fn shared_suspicion(suspicion: &Suspicion) -> SharedSuspicion {
     SharedSuspicion {
+        engine: suspicion.engine.clone(),
         fingerprint: Fingerprint(suspicion.fingerprint),
         age: suspicion.age,
         standing: match suspicion.state {
--- a/crates/pomeloridge_caller/src/choice.rs
+++ b/crates/pomeloridge_caller/src/choice.rs
@@ -11,8 +11,8 @@
 
 use crate::front::Front;
 
-/// Pause between two looks at whether a server is empty.
-const EMPTY_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two looks for a server without another suspect.
+const APART_PAUSE: Duration = Duration::from_millis(50);
 
 /// What an attempt needs.
 pub(crate) struct Wanted<'a> {
@@ -21,7 +21,7 @@
     pub(crate) blocks: &'a [Block],
     pub(crate) work: Work,
     pub(crate) tried: &'a [ServerKey],
-    pub(crate) alone: bool,
+    pub(crate) suspect: bool,
     /// Whether a server that was tried may be tried again when no other is left.
     pub(crate) again: bool,
 }
@@ -39,14 +39,14 @@
 pub(crate) fn choose(front: &Front, id: &str, wanted: &Wanted<'_>) -> Result<Chosen, ErrorKind> {
     let policy = &front.policy;
     let fleet = policy.fleet.borrow();
-    let route = |excluded| {
+    let route = |excluded: &[ServerKey]| {
         let request = RouteRequest {
             pool: wanted.pool.clone(),
             session: wanted.session.map(str::as_bytes),
             blocks: wanted.blocks,
             work: wanted.work,
             excluded,
-            alone: wanted.alone,
+            suspect: wanted.suspect,
         };
         policy.router.borrow_mut().route(
             &fleet,
@@ -56,9 +56,18 @@
             front.clock.now(),
         )
     };
+    // A suspect first leaves the data centre of its loss: when that is lost as a
+    // whole, the request must not seem to have lost two servers by itself.
+    let apart = wanted.suspect.then(|| fleet.neighbours(wanted.tried));
+    let mut decision = match apart {
+        Some(neighbours) => route(&neighbours).or_else(|_| route(wanted.tried)),
+        None => route(wanted.tried),
+    };
     // A server that failed is better than none.
-    let decision =
-        route(wanted.tried).or_else(|kind| if wanted.again { route(&[]) } else { Err(kind) })?;
+    if decision.is_err() && wanted.again {
+        decision = route(&[]);
+    }
+    let decision = decision?;
     front.note(id, format!("route pool={} {decision}", wanted.pool));
     let server = fleet.server(decision.chosen).ok_or(ErrorKind::NoServer)?;
     Ok(Chosen {
@@ -68,56 +77,51 @@
     })
 }
 
-/// Chooses a server for a suspect, keeps it for this request alone, and waits
-/// until nothing else runs there.
-pub(crate) async fn choose_alone(
+/// Chooses a server for a suspect, on which no other suspect of the fleet runs.
+///
+/// The mark is told to the peers before the request is sent; of two nodes that
+/// have marked one server, one yields.
+pub(crate) async fn choose_apart(
     front: &Front,
     id: &str,
     wanted: &Wanted<'_>,
     deadline: Instant,
 ) -> Result<Chosen, ErrorKind> {
     loop {
-        let chosen = choose(front, id, wanted)?;
-        let now = front.clock.now();
-        if now >= deadline {
-            return Err(ErrorKind::Overloaded);
+        if let Ok(chosen) = choose(front, id, wanted) {
+            let server = chosen.server;
+            let now = front.clock.now();
+            if front.policy.fleet.borrow_mut().occupy(server, now) {
+                let mark = Mark { front, server };
+                (front.spread)().await;
+                if !mark.must_yield() {
+                    std::mem::forget(mark);
+                    return Ok(chosen);
+                }
+            }
         }
-        let kept = front.policy.fleet.borrow_mut().occupy(chosen.server, now);
-        if kept {
-            let kept = Kept {
-                front,
-                server: chosen.server,
-            };
-            kept.wait_until_empty(deadline).await?;
-            std::mem::forget(kept);
-            return Ok(chosen);
+        if front.clock.now() >= deadline {
+            return Err(ErrorKind::Overloaded);
         }
-        monoio::time::sleep(EMPTY_PAUSE).await;
+        monoio::time::sleep(APART_PAUSE).await;
     }
 }
 
-/// Gives a kept server back if the wait for it ends early.
-struct Kept<'a> {
+/// Takes the mark of a server back unless the request is sent there.
+struct Mark<'a> {
     front: &'a Front,
     server: ServerKey,
 }
 
-impl Kept<'_> {
-    async fn wait_until_empty(&self, deadline: Instant) -> Result<(), ErrorKind> {
-        loop {
-            let now = self.front.clock.now();
-            if self.front.policy.fleet.borrow().is_empty(self.server, now) {
-                return Ok(());
-            }
-            if now >= deadline {
-                return Err(ErrorKind::Overloaded);
-            }
-            monoio::time::sleep(EMPTY_PAUSE).await;
-        }
+impl Mark<'_> {
+    fn must_yield(&self) -> bool {
+        let now = self.front.clock.now();
+        let fleet = self.front.policy.fleet.borrow();
+        fleet.must_yield(self.server, &self.front.node, now)
     }
 }
 
-impl Drop for Kept<'_> {
+impl Drop for Mark<'_> {
     fn drop(&mut self) {
         self.front.policy.fleet.borrow_mut().vacate(self.server);
     }
--- a/crates/pomeloridge_caller/src/front.rs
+++ b/crates/pomeloridge_caller/src/front.rs
@@ -91,6 +91,10 @@
     pub gate: Box<dyn Fn() -> Result<(), ErrorKind>>,
     /// Hands usage on, and waits a bounded time until a peer has it.
     pub bill: Box<dyn Fn(Usage) -> LocalFuture<()>>,
+    /// Exchanges with the peers what is known of suspects, within a bounded time.
+    pub spread: Box<dyn Fn() -> LocalFuture<()>>,
+    /// This node's name.
+    pub node: Name,
     /// Claims of idempotency keys.
     pub claims: ClaimStore,
     /// Counts and times.
--- a/crates/pomeloridge_caller/src/generate.rs
+++ b/crates/pomeloridge_caller/src/generate.rs
@@ -161,11 +161,16 @@
         };
         loop {
             self.attempts += 1;
-            let alone = self.must_run_alone();
-            let chosen = self.choose(alone, responder).await?;
+            let suspect = self.is_suspect();
+            let chosen = self.choose(suspect, responder).await?;
             let server = chosen.server;
-            let mut in_flight =
-                InFlight::start(front, server, self.work_on(chosen), self.fingerprint, alone);
+            let mut in_flight = InFlight::start(
+                front,
+                server,
+                self.work_on(chosen),
+                self.fingerprint,
+                suspect,
+            );
             match self.attempt(chosen, &turn, &in_flight, responder).await {
                 Ok(()) => {
                     in_flight.answered(self.texts.len() as u64);
@@ -177,6 +182,11 @@
                 Err(Stop::Backend(error)) => {
                     in_flight.failed(error);
                     drop(in_flight);
+                    if error == BackendError::Lost {
+                        // Before this request is sent again or refused, the peers
+                        // must know: its caller may send it to one of them at once.
+                        (front.spread)().await;
+                    }
                     self.after_failure(error, server, &turn).await?;
                 }
             }
@@ -208,7 +218,7 @@
         let now = self.front.clock.now();
         let suspicions = self.front.policy.suspicions.borrow();
         match suspicions.treatment(&self.fingerprint, now) {
-            Treatment::Normal | Treatment::Alone => Ok(()),
+            Treatment::Normal | Treatment::Apart => Ok(()),
             Treatment::Refuse(left) => Err(Refusal {
                 retry: Some(left),
                 run: self.written.then_some(Run::Unknown),
@@ -217,29 +227,29 @@
         }
     }
 
-    fn must_run_alone(&self) -> bool {
+    fn is_suspect(&self) -> bool {
         let now = self.front.clock.now();
         let suspicions = self.front.policy.suspicions.borrow();
-        suspicions.must_run_alone(&self.fingerprint, now)
+        suspicions.is_suspect(&self.fingerprint, now)
     }
 
-    /// Chooses an engine; one for a suspect is kept for it and waited for until it is empty.
-    async fn choose(&self, alone: bool, responder: &mut Responder) -> Result<Chosen, End> {
+    /// Chooses an engine; one without another suspect for a suspect.
+    async fn choose(&self, suspect: bool, responder: &mut Responder) -> Result<Chosen, End> {
         let wanted = choice::Wanted {
             pool: &self.completion.model,
             session: self.completion.session.as_deref(),
             blocks: &self.blocks,
             work: self.work(),
             tried: &self.tried,
-            alone,
+            suspect,
             again: true,
         };
-        if !alone {
+        if !suspect {
             let chosen = choice::choose(self.front, &self.id, &wanted);
             return chosen.map_err(|kind| self.no_server(kind));
         }
         monoio::select! {
-            chosen = choice::choose_alone(self.front, &self.id, &wanted, self.accepted.deadline) => {
+            chosen = choice::choose_apart(self.front, &self.id, &wanted, self.accepted.deadline) => {
                 chosen.map_err(|kind| self.no_server(kind))
             }
             () = responder.gone() => Err(End::Gone),
--- a/crates/pomeloridge_caller/src/in_flight.rs
+++ b/crates/pomeloridge_caller/src/in_flight.rs
@@ -8,26 +8,26 @@
 use pomeloridge_base::clock::SharedClock;
 use pomeloridge_base::meter::{Counter, Meter};
 use pomeloridge_policy::server::{DispatchKey, ServerKey, Work};
-use pomeloridge_policy::suspicion::Fingerprint;
+use pomeloridge_policy::suspicion::{self, Fingerprint};
 
 use crate::front::{Front, Policy};
 
 /// The requests that run on each server.
 #[derive(Default)]
-pub struct Running(RefCell<HashMap<ServerKey, Vec<Fingerprint>>>);
+pub struct Running(RefCell<HashMap<ServerKey, Vec<suspicion::InFlight>>>);
 
 impl Running {
-    fn add(&self, server: ServerKey, fingerprint: Fingerprint) {
+    fn add(&self, server: ServerKey, request: suspicion::InFlight) {
         let mut running = self.0.borrow_mut();
-        running.entry(server).or_default().push(fingerprint);
+        running.entry(server).or_default().push(request);
     }
 
-    fn remove(&self, server: ServerKey, fingerprint: Fingerprint) {
+    fn remove(&self, server: ServerKey, request: suspicion::InFlight) {
         let mut running = self.0.borrow_mut();
         let Some(own) = running.get_mut(&server) else {
             return;
         };
-        if let Some(at) = own.iter().position(|other| *other == fingerprint) {
+        if let Some(at) = own.iter().position(|other| *other == request) {
             own.swap_remove(at);
         }
         if own.is_empty() {
@@ -35,7 +35,7 @@
         }
     }
 
-    fn on(&self, server: ServerKey) -> Vec<Fingerprint> {
+    fn on(&self, server: ServerKey) -> Vec<suspicion::InFlight> {
         let running = self.0.borrow();
         running.get(&server).cloned().unwrap_or_default()
     }
@@ -48,8 +48,7 @@
     meter: Meter,
     server: ServerKey,
     dispatch: DispatchKey,
-    fingerprint: Fingerprint,
-    alone: bool,
+    request: suspicion::InFlight,
     answered: Option<u64>,
 }
 
@@ -60,19 +59,22 @@
         server: ServerKey,
         work: Work,
         fingerprint: Fingerprint,
-        alone: bool,
+        suspect: bool,
     ) -> Self {
+        let request = suspicion::InFlight {
+            fingerprint,
+            suspect,
+        };
         let now = front.clock.now();
         let dispatch = front.policy.fleet.borrow_mut().dispatch(server, work, now);
-        front.policy.running.add(server, fingerprint);
+        front.policy.running.add(server, request);
         Self {
             policy: Rc::clone(&front.policy),
             clock: Rc::clone(&front.clock),
             meter: front.meter.clone(),
             server,
             dispatch,
-            fingerprint,
-            alone,
+            request,
             answered: None,
         }
     }
@@ -91,7 +93,7 @@
         self.answered = Some(tokens);
         self.policy.budget.borrow_mut().succeed();
         let mut suspicions = self.policy.suspicions.borrow_mut();
-        if suspicions.clear(&self.fingerprint, now) {
+        if suspicions.clear(&self.request.fingerprint, now) {
             log::info!(target: "decision", "suspect=cleared");
         }
     }
@@ -117,26 +119,36 @@
             }
         }
         if error == BackendError::Lost {
-            let lost = self.policy.running.on(self.server);
-            let mut suspicions = self.policy.suspicions.borrow_mut();
-            suspicions.engine_lost(&lost, self.alone, now);
-            log::info!(
-                target: "decision",
-                "suspects={} alone={} reason=\"engine lost while they ran there\"",
-                lost.len(),
-                self.alone
-            );
+            self.suspect_all();
         }
     }
+
+    /// Suspects every request that ran on the lost server.
+    fn suspect_all(&self) {
+        let fleet = self.policy.fleet.borrow();
+        let Some(info) = fleet.server(self.server).map(|server| &server.info) else {
+            return;
+        };
+        let lost = self.policy.running.on(self.server);
+        let now = self.clock.now();
+        let mut suspicions = self.policy.suspicions.borrow_mut();
+        suspicions.engine_lost(&info.id, &lost, now);
+        log::info!(
+            target: "decision",
+            "suspects={} server={} reason=\"the server was lost while they ran there\"",
+            lost.len(),
+            info.id
+        );
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now = self.clock.now();
-        self.policy.running.remove(self.server, self.fingerprint);
+        self.policy.running.remove(self.server, self.request);
         let mut fleet = self.policy.fleet.borrow_mut();
         fleet.finish(self.dispatch, self.answered, now);
-        if self.alone {
+        if self.request.suspect {
             fleet.vacate(self.server);
         }
     }
--- a/crates/pomeloridge_caller/src/service.rs
+++ b/crates/pomeloridge_caller/src/service.rs
@@ -179,7 +179,7 @@
             blocks: &[],
             work: CALL_WORK,
             tried,
-            alone: false,
+            suspect: false,
             again: false,
         };
         choice::choose(self.front, &self.id, &wanted).map_err(|kind| Refusal {
--- a/crates/pomeloridge_caller/tests/support/mod.rs
+++ b/crates/pomeloridge_caller/tests/support/mod.rs
@@ -309,6 +309,8 @@
                 billed.borrow_mut().push(usage);
                 Box::pin(async {})
             }),
+            spread: Box::new(|| Box::pin(async {})),
+            node: Name::from("node"),
             claims: claims(&objects),
             meter: Meter::none(),
         };
--- a/crates/pomeloridge_node/src/heartbeat.rs
+++ b/crates/pomeloridge_node/src/heartbeat.rs
@@ -57,7 +57,7 @@
     pub requests: u32,
     /// Prompt tokens of the requests that have had no token yet.
     pub prompt_tokens: u64,
-    /// Whether the node keeps the server for a suspect.
+    /// Whether a suspect of the node runs there.
     pub occupied: bool,
 }
 
@@ -90,7 +90,7 @@
 }
 
 /// A request suspected of crashing engines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspicion {
     /// Hash of account, route and body.
     pub fingerprint: [u8; 32],
@@ -98,4 +98,6 @@
     pub age: Duration,
     /// What is held of it.
     pub state: SuspicionState,
+    /// Engine whose loss it was found by.
+    pub engine: Name,
 }
--- a/crates/pomeloridge_node/src/mesh.rs
+++ b/crates/pomeloridge_node/src/mesh.rs
@@ -161,6 +161,26 @@
         }
     }
 
+    /// Exchanges heartbeats over every open link at once, within a time.
+    ///
+    /// For what must be known to the peers before this node goes on.
+    pub async fn tell_now(&self, limit: Duration) {
+        let links = self.links();
+        let exchanges = links.into_iter().map(|link| {
+            let mesh = self.clone();
+            monoio::spawn(async move { peer::exchange(&mesh, &link).await.is_ok() })
+        });
+        let exchanges: Vec<_> = exchanges.collect();
+        let all = async {
+            for exchange in exchanges {
+                exchange.await;
+            }
+        };
+        if monoio::time::timeout(limit, all).await.is_err() {
+            log::debug!("a peer did not answer within {} ms", limit.as_millis());
+        }
+    }
+
     /// Links that are open.
     pub fn links(&self) -> Vec<PeerLink> {
         let peers = self.0.peers.borrow();
--- a/crates/pomeloridge_node/src/peer.rs
+++ b/crates/pomeloridge_node/src/peer.rs
@@ -62,7 +62,7 @@
     Ok(())
 }
 
-async fn exchange(mesh: &Mesh, link: &PeerLink) -> Result<(), LinkError> {
+pub(crate) async fn exchange(mesh: &Mesh, link: &PeerLink) -> Result<(), LinkError> {
     let own = mesh.heartbeat();
     let digests = own.payload.digests.clone();
     let other = link.heartbeat(own).await?;
--- a/crates/pomeloridge_node/src/wire.rs
+++ b/crates/pomeloridge_node/src/wire.rs
@@ -197,6 +197,7 @@
         Self {
             fingerprint: Bytes::copy_from_slice(&suspicion.fingerprint),
             age_ms: suspicion.age.as_millis() as u64,
+            engine: suspicion.engine.to_string(),
             state: state.into(),
         }
     }
@@ -216,6 +217,7 @@
         Ok(Self {
             fingerprint: fingerprint.map_err(|_| WireFault::Fingerprint)?,
             age: Duration::from_millis(message.age_ms),
+            engine: Name::from(message.engine),
             state,
         })
     }
--- a/crates/pomeloridge_node/tests/links/mesh.rs
+++ b/crates/pomeloridge_node/tests/links/mesh.rs
@@ -84,6 +84,7 @@
             suspicions: vec![Suspicion {
                 fingerprint: [7; 32],
                 age: Duration::from_millis(1500),
+                engine: Name::from("e1"),
                 state: SuspicionState::Quarantined,
             }],
             ..HeartbeatPayload::default()
--- a/crates/pomeloridge_policy/src/candidate.rs
+++ b/crates/pomeloridge_policy/src/candidate.rs
@@ -26,8 +26,8 @@
     pub work: Work,
     /// Servers that were already tried.
     pub excluded: &'a [ServerKey],
-    /// Whether it must run alone.
-    pub alone: bool,
+    /// Whether it may run only where no other suspect does.
+    pub suspect: bool,
 }
 
 /// The servers that may be chosen, and whether they are a last resort.
@@ -58,7 +58,11 @@
         .iter()
         .copied()
         .filter(|key| !request.excluded.contains(key))
-        .filter(|key| fleet.server(*key).is_some_and(|s| takes_work(s, now)))
+        .filter(|key| {
+            fleet
+                .server(*key)
+                .is_some_and(|s| takes_work(s, request, now))
+        })
         .collect();
     let server = |key: &ServerKey| fleet.server(*key);
     let up = |key: &&ServerKey| server(key).is_some_and(|s| !s.ejection.is_ejected());
@@ -72,6 +76,10 @@
     if !risky.is_empty() {
         return tier(risky, Tier::Suspect);
     }
+    if request.suspect && has_marked(fleet, request, now) {
+        // A server that is up will be free of its suspect; a dead one is no choice.
+        return Candidates::default();
+    }
     let since = |key: &ServerKey| server(key).and_then(|s| s.ejection.since());
     let longest = open.into_iter().min_by_key(since);
     tier(longest.into_iter().collect(), Tier::Ejected)
@@ -81,8 +89,15 @@
     Candidates { keys, tier }
 }
 
-fn takes_work(server: &Server, now: Instant) -> bool {
-    server.is_serving() && !server.is_occupied(now)
+fn takes_work(server: &Server, request: &RouteRequest, now: Instant) -> bool {
+    server.is_serving() && !(request.suspect && server.is_occupied(now))
+}
+
+/// Whether a server that is up has another suspect.
+fn has_marked(fleet: &Fleet, request: &RouteRequest, now: Instant) -> bool {
+    let servers = fleet.pool(&request.pool).iter();
+    let mut up = servers.filter_map(|key| fleet.server(*key));
+    up.any(|server| server.is_serving() && !server.ejection.is_ejected() && server.is_occupied(now))
 }
 
 fn is_risky(fleet: &Fleet, server: &Server) -> bool {
--- a/crates/pomeloridge_policy/src/capacity.rs
+++ b/crates/pomeloridge_policy/src/capacity.rs
@@ -1,4 +1,4 @@
-//! How much a pool can take, and the servers kept for suspects.
+//! How much a pool can take, and the servers on which suspects run.
 
 use std::time::Instant;
 
@@ -7,9 +7,6 @@
 use crate::fleet::Fleet;
 use crate::server::{Server, ServerKey};
 
-/// Engines of a pool for each one that may be kept for a suspect.
-const ENGINES_PER_SUSPECT: usize = 4;
-
 /// The capacity of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Capacity {
@@ -20,41 +17,37 @@
 }
 
 impl Fleet {
-    /// Keeps a server for a suspect; refused if too many of its pool are kept.
+    /// Marks that a suspect runs on a server; refused if another one does.
     pub fn occupy(&mut self, key: ServerKey, now: Instant) -> bool {
-        let Some(server) = self.servers.get(key) else {
-            return false;
-        };
-        let pool = self.pool(&server.info.pool);
-        let occupied = |key: &&ServerKey| self.servers[**key].is_occupied(now);
-        let count = pool.iter().filter(occupied).count();
-        if server.is_occupied(now) || count >= (pool.len() / ENGINES_PER_SUSPECT).max(1) {
-            return false;
+        match self.servers.get_mut(key) {
+            Some(server) if !server.is_occupied(now) => {
+                server.occupied = true;
+                true
+            }
+            _ => false,
         }
-        self.servers[key].occupied = true;
-        true
     }
 
-    /// Gives back a server that was kept for a suspect.
+    /// Marks that this node's suspect runs on a server no more.
     pub fn vacate(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
             server.occupied = false;
         }
     }
 
-    /// Whether nothing is known to run on a server.
-    pub fn is_empty(&self, key: ServerKey, now: Instant) -> bool {
-        self.load(key, now).in_flight == 0
+    /// Whether this node is to yield a server on which a peer has marked a
+    /// suspect as well: the node whose name is first keeps it.
+    pub fn must_yield(&self, key: ServerKey, own: &Name, now: Instant) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|server| server.occupied_by(now).any(|peer| peer < own))
     }
 
     /// The capacity of a pool, for admission.
-    ///
-    /// A server that is kept for a suspect counts as one slot.
     pub fn capacity(&self, pool: &Name, now: Instant) -> Capacity {
         let servers = || self.pool(pool).iter().filter_map(|key| self.server(*key));
         let serving = || servers().filter(|server| server.is_serving());
         let up = serving().filter(|server| !server.ejection.is_ejected());
-        let mut slots: u32 = up.map(|server| free_slots(server, now)).sum();
+        let mut slots: u32 = up.map(Server::slots).sum();
         if slots == 0 {
             // One of the ejected servers is still tried.
             slots = serving().next().map_or(0, Server::slots);
@@ -66,11 +59,3 @@
         }
     }
 }
-
-fn free_slots(server: &Server, now: Instant) -> u32 {
-    if server.is_occupied(now) {
-        1
-    } else {
-        server.slots()
-    }
-}
--- a/crates/pomeloridge_policy/src/fleet.rs
+++ b/crates/pomeloridge_policy/src/fleet.rs
@@ -202,6 +202,17 @@
         true
     }
 
+    /// These servers and all others of their data centres.
+    pub fn neighbours(&self, keys: &[ServerKey]) -> Vec<ServerKey> {
+        let zones: HashSet<&Name> = keys
+            .iter()
+            .filter_map(|key| self.server(*key))
+            .map(|server| &server.info.data_centre)
+            .collect();
+        let near = |(_, server): &(ServerKey, &Server)| zones.contains(&server.info.data_centre);
+        self.servers().filter(near).map(|(key, _)| key).collect()
+    }
+
     /// The ejected servers that are to be probed now; the next call returns
     /// each of them after a longer pause.
     pub fn due_probes(&mut self, now: Instant) -> Vec<ServerKey> {
--- a/crates/pomeloridge_policy/src/in_flight.rs
+++ b/crates/pomeloridge_policy/src/in_flight.rs
@@ -18,7 +18,7 @@
     pub running: u32,
     /// Prompt tokens of requests without a first token.
     pub prefill_tokens: u64,
-    /// Whether this node keeps the server for a suspect.
+    /// Whether a suspect of this node runs there.
     pub occupied: bool,
 }
 
--- a/crates/pomeloridge_policy/src/retry.rs
+++ b/crates/pomeloridge_policy/src/retry.rs
@@ -10,6 +10,11 @@
 const FLOOR_REFILL: Duration = Duration::from_secs(1);
 /// Most retries that are saved up.
 const SAVED: f64 = 100.0;
+/// Retries of one request that the budget is not charged for.
+///
+/// A request was accepted and is to be answered although its server is lost;
+/// an engine that crashes sends many such requests at once.
+const FREE_RETRIES: u32 = 1;
 /// Attempts at one request, with the first.
 const ATTEMPTS: u32 = 4;
 
@@ -43,7 +48,7 @@
 /// Whether a request is sent again.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum RetryVerdict {
-    /// It is; the budget was charged.
+    /// It is.
     #[display("retry")]
     Retry,
     /// A server may have run it, and it must not run twice.
@@ -94,6 +99,9 @@
         if attempt.deadline <= now {
             return RetryVerdict::DeadlinePassed;
         }
+        if attempt.attempts <= FREE_RETRIES {
+            return RetryVerdict::Retry;
+        }
         self.refill(now);
         if self.balance < 1.0 {
             return RetryVerdict::BudgetSpent;
--- a/crates/pomeloridge_policy/src/routing.rs
+++ b/crates/pomeloridge_policy/src/routing.rs
@@ -52,9 +52,9 @@
     /// It had the least estimated time and holds the session or prefix.
     #[display("affinity")]
     Affinity,
-    /// It had the least in flight, for a request that must run alone.
-    #[display("alone")]
-    Alone,
+    /// It had the least in flight of those without another suspect.
+    #[display("apart")]
+    Apart,
     /// It was its turn.
     #[display("turn")]
     Turn,
@@ -139,8 +139,8 @@
             request,
             now,
         };
-        let (scored, reason) = if request.alone {
-            (view.by_in_flight(&found.keys), Reason::Alone)
+        let (scored, reason) = if request.suspect {
+            (view.by_in_flight(&found.keys), Reason::Apart)
         } else {
             match self.policy {
                 RoutingPolicy::Estimated => view.by_time(&found.keys, rng),
--- a/crates/pomeloridge_policy/src/rules.rs
+++ b/crates/pomeloridge_policy/src/rules.rs
@@ -106,13 +106,13 @@
         "None."
         "A lone engine that restarts gets the next request even before its probe.";
     RETRY "retry"
-        "A failed request goes to another server if it is idempotent, or if no byte was written or the server refused it unread. It must be within its deadline, within 4 attempts and within the retry budget of the node."
+        "A failed request goes to another server if it is idempotent, or if no byte was written or the server refused it unread. It must be within its deadline and within 4 attempts; from its second retry on also within the retry budget of the node. The first retry is free, because the request was accepted and an engine that is lost sends many of them at once."
         "A non-idempotent request must run at most once, and retries must not add to an overload."
         "`retry_percent` in section `admission`; `idempotent` methods of a route."
-        "With 10 %, 500 answered requests allow 50 retries; a quiet node has 3.";
+        "With 10 %, 500 answered requests allow 50 second retries; a quiet node has 3.";
     SUSPECT "suspects"
-        "A request that was in flight when an engine was lost runs again alone on an engine. If that engine is lost as well, the request is quarantined for 10 minutes; an answer clears it. At most a quarter of a pool's engines, but one at least, are kept for suspects."
+        "A request that was in flight when an engine was lost is a suspect and runs again on an engine without another suspect, beside ordinary requests. If that engine is lost as well, the request is quarantined for 10 minutes; an answer clears it. Nodes tell each other of suspects before one is sent."
         "One request that crashes engines would take down the fleet by its retries."
         "None."
-        "An engine is lost with 6 requests in flight: 5 are answered alone and cleared, and the sixth is refused.";
+        "An engine is lost with 6 requests in flight: 5 are answered on 5 other engines and cleared, and the sixth, which loses a second engine, is refused.";
 }
--- a/crates/pomeloridge_policy/src/server.rs
+++ b/crates/pomeloridge_policy/src/server.rs
@@ -128,7 +128,7 @@
     pub running: u32,
     /// Prompt tokens sent of requests without a first token.
     pub prefill_tokens: u64,
-    /// Whether the peer keeps the server for a suspect.
+    /// Whether a suspect of the peer runs there.
     pub occupied: bool,
 }
 
@@ -165,7 +165,7 @@
     pub ejection: Ejection,
     /// Whether an operator's exception drains it.
     pub drained: bool,
-    /// Whether this node keeps it for a suspect.
+    /// Whether a suspect of this node runs on it.
     pub occupied: bool,
     pub(crate) open: Vec<DispatchKey>,
     pub(crate) ended: VecDeque<Ended>,
@@ -215,11 +215,20 @@
         self.open.len() as u32
     }
 
-    /// Whether this node or a peer keeps it for a suspect.
+    /// Whether a suspect of this node or of a peer runs on it.
     pub fn is_occupied(&self, now: Instant) -> bool {
         self.occupied || self.live_peers(now).any(|share| share.occupied)
     }
 
+    /// The peers whose suspects run on it.
+    pub(crate) fn occupied_by(&self, now: Instant) -> impl Iterator<Item = &Name> {
+        let fresh = move |share: &PeerShare| now.saturating_duration_since(share.at) <= PEER_TTL;
+        let peers = self.peers.iter();
+        peers
+            .filter(move |(_, share)| share.occupied && fresh(share))
+            .map(|(peer, _)| peer)
+    }
+
     /// The last report, unless it is too old.
     pub(crate) fn live_report(&self, now: Instant) -> Option<&LoadReport> {
         let report = self.report.as_ref()?;
--- a/crates/pomeloridge_policy/src/suspicion.rs
+++ b/crates/pomeloridge_policy/src/suspicion.rs
@@ -1,8 +1,10 @@
 //! Requests that may have crashed an engine.
 //!
 //! When an engine is lost, each request in flight there becomes a suspect. A
-//! suspect runs again alone on an engine: an innocent one is cleared by its
-//! answer, and one that loses a second engine alone is quarantined for a time.
+//! suspect runs again on an engine that has no other suspect, beside ordinary
+//! requests: an innocent one is cleared by its answer. If that engine is lost as
+//! well, the suspect is what the two losses have in common, and is quarantined
+//! for a time; the ordinary requests become suspects of the second loss.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -36,6 +38,15 @@
     }
 }
 
+/// A request that runs on an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct InFlight {
+    /// Which one.
+    pub fingerprint: Fingerprint,
+    /// Whether it was a suspect when it was sent there.
+    pub suspect: bool,
+}
+
 /// What is thought of a request.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Standing {
@@ -55,14 +66,14 @@
 pub enum Treatment {
     /// Like any other.
     Normal,
-    /// Alone on an engine.
-    Alone,
+    /// On an engine without another suspect.
+    Apart,
     /// Not at all, for this time.
     Refuse(Duration),
 }
 
 /// An entry as it is told to peers; ages need no common clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SharedSuspicion {
     /// Request.
     pub fingerprint: Fingerprint,
@@ -70,23 +81,26 @@
     pub standing: Standing,
     /// Time since that was found.
     pub age: Duration,
+    /// Engine whose loss it was found by.
+    pub engine: Name,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Entry {
     standing: Standing,
     at: Instant,
+    engine: Name,
 }
 
 impl Entry {
-    fn ttl(self) -> Duration {
+    fn ttl(&self) -> Duration {
         match self.standing {
             Standing::Cleared | Standing::Suspect => SUSPECT_TTL,
             Standing::Quarantined => QUARANTINE_TTL,
         }
     }
 
-    fn left(self, now: Instant) -> Duration {
+    fn left(&self, now: Instant) -> Duration {
         let age = now.saturating_duration_since(self.at);
         self.ttl().saturating_sub(age)
     }
@@ -106,38 +120,50 @@
         };
         match entry.standing {
             Standing::Cleared => Treatment::Normal,
-            Standing::Suspect => Treatment::Alone,
+            Standing::Suspect => Treatment::Apart,
             Standing::Quarantined => Treatment::Refuse(entry.left(now)),
         }
     }
 
-    /// Whether a request may run only alone on an engine.
-    pub fn must_run_alone(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
-        self.treatment(fingerprint, now) == Treatment::Alone
+    /// Whether a request may run only on an engine without another suspect.
+    pub fn is_suspect(&self, fingerprint: &Fingerprint, now: Instant) -> bool {
+        self.treatment(fingerprint, now) == Treatment::Apart
     }
 
     /// Notes that an engine was lost while these requests ran there.
     ///
-    /// `alone` says that the engine had been kept for the one request.
-    pub fn engine_lost(&mut self, in_flight: &[Fingerprint], alone: bool, now: Instant) {
-        for fingerprint in in_flight {
-            let standing = match self.treatment(fingerprint, now) {
-                Treatment::Alone if alone && in_flight.len() == 1 => Standing::Quarantined,
-                Treatment::Normal | Treatment::Alone => Standing::Suspect,
-                Treatment::Refuse(_) => continue,
+    /// Each request that ran there tells of the same loss; only the first one
+    /// counts, unless the request had been sent there as a suspect.
+    pub fn engine_lost(&mut self, engine: &Name, in_flight: &[InFlight], now: Instant) {
+        for request in in_flight {
+            let known = self.live(&request.fingerprint, now);
+            let second = known.is_some_and(|known| {
+                let elsewhere = known.standing == Standing::Suspect && known.engine != *engine;
+                request.suspect || elsewhere
+            });
+            let standing = match known.map(|known| known.standing) {
+                Some(Standing::Quarantined) => continue,
+                _ if second => Standing::Quarantined,
+                _ => Standing::Suspect,
+            };
+            let entry = Entry {
+                standing,
+                at: now,
+                engine: engine.clone(),
             };
-            self.insert(*fingerprint, Entry { standing, at: now }, now);
+            self.insert(request.fingerprint, entry, now);
         }
     }
 
     /// Clears a request that was answered whole; says whether it was a suspect.
     pub fn clear(&mut self, fingerprint: &Fingerprint, now: Instant) -> bool {
-        if !self.must_run_alone(fingerprint, now) {
+        if !self.is_suspect(fingerprint, now) {
             return false;
         }
         let entry = Entry {
             standing: Standing::Cleared,
             at: now,
+            engine: Name::default(),
         };
         self.insert(*fingerprint, entry, now);
         true
@@ -153,6 +179,7 @@
             fingerprint: *fingerprint,
             standing: entry.standing,
             age: now.saturating_duration_since(entry.at),
+            engine: entry.engine.clone(),
         });
         shared.collect()
     }
@@ -166,12 +193,13 @@
             let entry = Entry {
                 standing: peer.standing,
                 at,
+                engine: peer.engine.clone(),
             };
             let known = self.live(&peer.fingerprint, now);
             // An entry that expired here a moment earlier than at the peer must
             // not come back from there.
             let lasts = entry.left(now) > MERGE_SLACK;
-            if lasts && known.is_none_or(|known| replaces(entry, known)) {
+            if lasts && known.is_none_or(|known| replaces(&entry, known)) {
                 self.insert(peer.fingerprint, entry, now);
             }
         }
@@ -188,8 +216,8 @@
         self.len(now) == 0
     }
 
-    fn live(&self, fingerprint: &Fingerprint, now: Instant) -> Option<Entry> {
-        let entry = self.entries.get(fingerprint).copied()?;
+    fn live(&self, fingerprint: &Fingerprint, now: Instant) -> Option<&Entry> {
+        let entry = self.entries.get(fingerprint)?;
         (!entry.left(now).is_zero()).then_some(entry)
     }
 
@@ -217,7 +245,7 @@
 /// A quarantine outlasts what else is said of the request. Of equal standings
 /// the later one counts, but not one that is later only by the time of the
 /// message: entries would never grow old between two nodes.
-fn replaces(new: Entry, known: Entry) -> bool {
+fn replaces(new: &Entry, known: &Entry) -> bool {
     match (new.standing, known.standing) {
         (Standing::Quarantined, Standing::Cleared | Standing::Suspect) => true,
         (Standing::Cleared | Standing::Suspect, Standing::Quarantined) => false,
