Take no new work after a pause until the configuration has been read again

Cause: an answer of the platform's lists, which lay in the socket since before the pause, counted as reaching the platform, and nothing noticed the pause. Ruled out: the key check, which is made for each request, and the spread of the configuration, which arrived 240 ms after SIGCONT. Change: a node that has not ticked for a second, by the greater of both clocks, refuses new work as not run until a reading of the configuration that was sent after the pause has come (in an outage: a word of most peers); an answer counts from when its call was sent.

--- a/crates/pomeloridge/src/serve/config.rs
+++ b/crates/pomeloridge/src/serve/config.rs
@@ -43,9 +43,11 @@
     }
 }
 
-async fn read_all(state: &State) -> Result<Revision, PlatformError> {
+/// Reads every object of the configuration.
+pub(crate) async fn read_all(state: &State) -> Result<Revision, PlatformError> {
+    let sent = state.clock.stamp();
     let (revision, objects) = state.platform.list(CONFIG_PREFIX).await?;
-    state.reached.note();
+    state.fresh.note_answer(sent);
     take(state, objects);
     Ok(revision)
 }
@@ -53,7 +55,6 @@
 async fn watch(state: &State, after: Revision) -> Result<Revision, PlatformError> {
     let wait = state.settings.time("platform", "watch_ms");
     let watched = state.platform.watch(CONFIG_PREFIX, after, wait).await?;
-    state.reached.note();
     let objects = watched.events.into_iter().filter_map(|event| {
         Some(Object {
             key: event.key,
--- a/crates/pomeloridge/src/serve/front.rs
+++ b/crates/pomeloridge/src/serve/front.rs
@@ -112,7 +112,10 @@
 
 /// A node that is cut off can't know of withdrawn keys, and takes no new work.
 pub(crate) fn takes_work(state: &State) -> Result<(), ErrorKind> {
-    match state.mesh.standing(state.reached.silence()) {
+    if state.fresh.is_stale() {
+        return Err(ErrorKind::CutOff);
+    }
+    match state.mesh.standing(state.fresh.silence()) {
         Standing::Connected | Standing::ThroughPeers | Standing::Outage => Ok(()),
         Standing::CutOff => Err(ErrorKind::CutOff),
     }
--- a/crates/pomeloridge/src/serve/lists.rs
+++ b/crates/pomeloridge/src/serve/lists.rs
@@ -29,8 +29,9 @@
     state: &Rc<State>,
     readers: &mut HashMap<Name, ServerInfo>,
 ) -> Result<(), PlatformError> {
+    let sent = state.clock.stamp();
     let vms = state.platform.vms().await?;
-    state.reached.note();
+    state.fresh.note_answer(sent);
     state
         .mesh
         .list(&vms.into_iter().map(listed).collect::<Vec<_>>());
--- a/crates/pomeloridge/src/serve/mesh.rs
+++ b/crates/pomeloridge/src/serve/mesh.rs
@@ -21,7 +21,8 @@
 use pomeloridge_policy::ledger::ServiceTotal;
 use pomeloridge_policy::suspicion::{Fingerprint, SharedSuspicion, Standing};
 
-use super::state::{Reached, adopt};
+use super::freshness::Freshness;
+use super::state::adopt;
 
 /// Silence of the object service after which a node says that it does not reach it.
 const PLATFORM_SILENCE: Duration = Duration::from_secs(2);
@@ -33,7 +34,7 @@
     pub(crate) clock: SharedClock,
     pub(crate) config: Rc<RefCell<ConfigView>>,
     pub(crate) policy: Rc<Policy>,
-    pub(crate) reached: Reached,
+    pub(crate) fresh: Freshness,
     pub(crate) peers: Rc<RefCell<PeerWords>>,
 }
 
@@ -112,7 +113,7 @@
     let totals = policy.admission.borrow().export(SERVICE_AGE, now);
     let shared = policy.suspicions.borrow().export(now);
     HeartbeatPayload {
-        platform: parts.reached.silence() < PLATFORM_SILENCE,
+        platform: parts.fresh.silence() < PLATFORM_SILENCE,
         digests: digests.collect(),
         service: totals.into_iter().map(service_line).collect(),
         shares: policy
--- a/crates/pomeloridge/src/serve/mod.rs
+++ b/crates/pomeloridge/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod duties;
+mod freshness;
 mod front;
 mod life;
 mod lists;
@@ -58,6 +59,7 @@
     monoio::spawn(async move { mesh.serve(ports.node).await });
     let mesh = state.mesh.clone();
     monoio::spawn(async move { mesh.run().await });
+    monoio::spawn(freshness::watch(Rc::clone(&state)));
     monoio::spawn(config::run(Rc::clone(&state)));
     monoio::spawn(lists::run(Rc::clone(&state)));
     monoio::spawn(loads::probe(Rc::clone(&state)));
--- a/crates/pomeloridge/src/serve/reports.rs
+++ b/crates/pomeloridge/src/serve/reports.rs
@@ -52,7 +52,7 @@
     });
     json!({
         "node": state.settings.name,
-        "standing": state.mesh.standing(state.reached.silence()).to_string(),
+        "standing": state.mesh.standing(state.fresh.silence()).to_string(),
         "nodes": nodes,
         "servers": servers.into_iter().map(server).collect::<Vec<_>>(),
         "pools": pools.collect::<Vec<_>>(),
--- a/crates/pomeloridge/src/serve/state.rs
+++ b/crates/pomeloridge/src/serve/state.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 
 use pomeloridge_base::clock::{SharedClock, SystemClock};
 use pomeloridge_base::config::{ConfigObject, ConfigView, ExceptionKind};
@@ -26,6 +25,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::freshness::Freshness;
 use super::life::Life;
 use super::mesh::{self, PeerWords};
 use crate::metrics::Metrics;
@@ -42,7 +42,7 @@
     pub(crate) config: Rc<RefCell<ConfigView>>,
     pub(crate) policy: Rc<Policy>,
     pub(crate) platform: Client,
-    pub(crate) reached: Reached,
+    pub(crate) fresh: Freshness,
     pub(crate) peers: Rc<RefCell<PeerWords>>,
     pub(crate) mesh: Mesh,
     pub(crate) usage: UsageSender,
@@ -55,32 +55,6 @@
     pub(crate) duties: Cell<usize>,
 }
 
-/// When the object service last answered this node.
-#[derive(Clone)]
-pub(crate) struct Reached {
-    at: Rc<Cell<Instant>>,
-    clock: SharedClock,
-}
-
-impl Reached {
-    fn new(clock: &SharedClock) -> Self {
-        Self {
-            at: Rc::new(Cell::new(clock.now())),
-            clock: Rc::clone(clock),
-        }
-    }
-
-    /// Notes an answer.
-    pub(crate) fn note(&self) {
-        self.at.set(self.clock.now());
-    }
-
-    /// Time since the last answer.
-    pub(crate) fn silence(&self) -> std::time::Duration {
-        self.clock.now().saturating_duration_since(self.at.get())
-    }
-}
-
 impl State {
     /// Builds the state of a node whose node port is at `address`.
     pub(crate) fn new(settings: Settings, address: SocketAddr) -> Result<Rc<Self>, String> {
@@ -88,13 +62,13 @@
         let incarnation = Incarnation(clock.unix_ms());
         let config = Rc::new(RefCell::new(ConfigView::default()));
         let policy = Rc::new(policy(&settings, &clock));
-        let reached = Reached::new(&clock);
+        let fresh = Freshness::new(&clock);
         let peers = Rc::new(RefCell::new(PeerWords::default()));
         let parts = mesh::Parts {
             clock: Rc::clone(&clock),
             config: Rc::clone(&config),
             policy: Rc::clone(&policy),
-            reached: reached.clone(),
+            fresh: fresh.clone(),
             peers: Rc::clone(&peers),
         };
         let mesh = mesh::build(&settings, address, incarnation, parts);
@@ -112,7 +86,7 @@
             incarnation,
             config,
             policy,
-            reached,
+            fresh,
             peers,
             mesh,
         }))
