Turn ready only with a link to another node, and replicate usage sooner

Cause: the node turned ready before a link was open, so its first batches were kept by itself alone, and they were sent again only after a second. Ruled out: the merge and the seals, which counted every batch that a living node kept.

--- a/crates/pomeloridge/src/serve/duties.rs
+++ b/crates/pomeloridge/src/serve/duties.rs
@@ -27,7 +27,7 @@
 /// Rounds of a candidate in one term; each one reads the lease.
 const CANDIDATE_ROUNDS: u32 = 3;
 /// Pause between two tries to have usage kept elsewhere.
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time without contact after which a server counts as unreachable for all.
 const UNREACHED: Duration = Duration::from_secs(30);
 
--- a/crates/pomeloridge/src/serve/reports.rs
+++ b/crates/pomeloridge/src/serve/reports.rs
@@ -1,5 +1,7 @@
 //! What the node says of itself to operators.
 
+use std::time::Duration;
+
 use pomeloridge_base::config::ConfigObject;
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::{Name, Revision};
@@ -12,6 +14,8 @@
 use super::front::takes_work;
 use super::state::State;
 
+/// Time that a new node waits for a link to another one before it takes requests.
+const JOIN_TIME: Duration = Duration::from_secs(5);
 /// Usage windows that operators are shown.
 const USAGE_WINDOWS: u64 = 60;
 
@@ -28,9 +32,21 @@
     if !state.listed.get() {
         return Err("the list of backend servers has not arrived yet".to_owned());
     }
+    if joins(state) {
+        return Err("no link to another node is open yet".to_owned());
+    }
     Ok(())
 }
 
+/// Whether the node has just started and no peer keeps its usage yet.
+///
+/// After a time it serves all the same: the other nodes may be gone.
+fn joins(state: &State) -> bool {
+    let since = state.clock.unix_ms().saturating_sub(state.incarnation.0);
+    let alone = state.mesh.links().is_empty() && !state.mesh.members().is_empty();
+    alone && since < JOIN_TIME.as_millis() as u64
+}
+
 /// Nodes, backend servers, pools, revisions in force and exceptions.
 pub(crate) fn status(state: &State) -> Value {
     let members = state.mesh.members();
