Say "not run" only of requests that no engine has had

Cause: the refusal of a second wait for a turn did not look at what had been written. Ruled out: the engines' histories (the request stands there) and the table of error kinds. Change: every final answer of a generation passes one place that knows what was written; a request that an engine has worked on keeps its turn until its deadline instead of waiting behind newcomers. Two tests in the caller package pin both.

--- a/crates/pomeloridge_caller/src/generate.rs
+++ b/crates/pomeloridge_caller/src/generate.rs
@@ -22,6 +22,8 @@
 
 /// Servers that may refuse a request before it waits for another turn.
 const REFUSALS_PER_TURN: usize = 2;
+/// Rounds of refusals up to which the pause after them grows.
+const LONGEST_PAUSE_ROUNDS: usize = 10;
 /// Pause after all servers that were asked had refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(20);
 
@@ -88,7 +90,7 @@
                 "outcome=cancelled reason=\"the caller has gone\"".to_owned(),
             );
         }
-        Err(End::Refused(refusal)) => run.give_up(&refusal, responder).await,
+        Err(End::Refused(refusal)) => run.give_up(&run.truthful(refusal), responder).await,
     }
 }
 
@@ -412,6 +414,8 @@
     }
 
     /// Tries another server after a refusal, or waits for another turn after several.
+    ///
+    /// A request that an engine has worked on keeps its turn: it was accepted.
     async fn after_refusal(&mut self, turn: &Turn) -> Result<(), End> {
         self.attempts -= 1;
         self.refusals += 1;
@@ -419,12 +423,28 @@
             .note(&self.id, format!("refusals={} by servers", self.refusals));
         if self.refusals.is_multiple_of(REFUSALS_PER_TURN) {
             self.tried.clear();
-            monoio::time::sleep(REFUSED_PAUSE).await;
-            turn.again().await?;
+            let rounds = (self.refusals / REFUSALS_PER_TURN).min(LONGEST_PAUSE_ROUNDS);
+            monoio::time::sleep(REFUSED_PAUSE * rounds as u32).await;
+            if !self.written {
+                turn.again().await?;
+            } else if self.front.clock.now() >= self.accepted.deadline {
+                return Err(ErrorKind::DeadlinePassed.into());
+            }
         }
         Ok(())
     }
 
+    /// Adds what is known of the run to a final answer: an engine may have had it.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        match refusal.run() {
+            Run::NotRun if self.written => Refusal {
+                run: Some(Run::Unknown),
+                ..refusal
+            },
+            Run::NotRun | Run::Ran | Run::Unknown => refusal,
+        }
+    }
+
     fn final_error(&self, error: BackendError) -> ErrorKind {
         if !self.written {
             return ErrorKind::NoServer;
--- a/crates/pomeloridge_caller/tests/generation.rs
+++ b/crates/pomeloridge_caller/tests/generation.rs
@@ -179,6 +179,43 @@
     });
 }
 
+/// An engine is lost under a request while the others are full.
+#[test]
+fn an_accepted_request_outlasts_refusals() {
+    run(async {
+        let lost = Fake::start(vec![Act::Lose(2), Act::Refuse, Act::Refuse, Act::Answer]);
+        let full = Fake::start(vec![Act::Refuse, Act::Refuse, Act::Refuse, Act::Answer]);
+        let deployment = Deployment::start(&[&lost, &full], &[]);
+        let (text, clean) = read(&deployment, &ask(true)).await;
+        assert!(clean, "{text}");
+        assert_eq!(events(&text).0, whole_text());
+    });
+}
+
+#[test]
+fn what_an_engine_has_had_is_never_called_not_run() {
+    run(async {
+        let lost = Fake::start(vec![Act::Lose(0), Act::Refuse]);
+        let full = Fake::start(vec![Act::Refuse]);
+        let deployment = Deployment::start(&[&lost, &full], &[]);
+        let body = json!({"model": "assistant", "prompt": "hello", "max_tokens": 3});
+        let request = Outgoing::new(http::Method::POST, "/v1/short").json(&body);
+        // The turns go around: one of two requests meets the lost engine first.
+        for _ in 0..2 {
+            let request = support::with_key(request.clone(), support::KEY);
+            let response = deployment.send(&request).await.unwrap();
+            let error = &body_of(&response)["error"];
+            assert!(response.status.is_server_error(), "{error}");
+            let had = lost.runs() > 0;
+            assert_eq!(error["run"] == "not run", !had, "{error}");
+            if had {
+                break;
+            }
+        }
+        assert_eq!(lost.runs(), 1);
+    });
+}
+
 #[test]
 fn a_caller_that_goes_away_cancels_its_stream() {
     run(async {
