Hold requests back while no first token could come in time, and refuse at once

Cause: admission counted slots only. Ruled out: decoding (gap p95 37 to 39 ms under all policies). Change: a server whose waiting prompts take more than 0.4 of the time to the first token has no free slot; one request starts at a time, once the one before is counted; a request waits at most the model's wait_ms (940) and is then refused with when to come back.

--- a/crates/pomeloridge/src/serve/front.rs
+++ b/crates/pomeloridge/src/serve/front.rs
@@ -54,13 +54,11 @@
 
 /// Tells admission how much each pool can take now.
 pub(crate) fn set_capacities(state: &State) {
-    let now = state.clock.now();
     let live = |member: &&Member| member.state == MemberState::Live;
     let nodes = state.mesh.members().iter().filter(live).count() as u32 + 1;
-    let fleet = state.policy.fleet.borrow();
-    let mut admission = state.policy.admission.borrow_mut();
+    state.policy.nodes.set(nodes);
     for pool in pools(state) {
-        admission.set_capacity(&pool, fleet.capacity(&pool, now), nodes);
+        state.policy.set_capacity(&pool, &state.clock);
     }
 }
 
--- a/crates/pomeloridge/src/serve/state.rs
+++ b/crates/pomeloridge/src/serve/state.rs
@@ -110,6 +110,7 @@
         hints: RefCell::new(PrefixHints::new(HINT_BLOCKS)),
         router: RefCell::new(Router::new(routing_policy(settings))),
         admission: RefCell::new(Admission::new(admission)),
+        nodes: Cell::new(1),
         waiting: Waiting::default(),
         running: Running::default(),
         demand: RefCell::new(DemandMeter::default()),
@@ -142,6 +143,7 @@
         let expected = Expected {
             prefill: model.prefill_rate,
             decode: model.decode_rate,
+            first_token: model.first_token_ms as f64 / 1000.0,
             ..Expected::default()
         };
         fleet.expect(name.clone(), expected);
--- a/crates/pomeloridge_base/src/config.rs
+++ b/crates/pomeloridge_base/src/config.rs
@@ -51,6 +51,8 @@
     pub ceiling: u32,
     /// Target time to the first token, in ms.
     pub first_token_ms: u64,
+    /// Longest wait for a turn, in ms; a request that would wait longer is refused at once.
+    pub wait_ms: u64,
     /// Target time between tokens, in ms.
     pub gap_ms: u64,
     /// Prompt tokens a second that a mixed engine is expected to read.
@@ -65,6 +67,7 @@
             floor: 1,
             ceiling: 64,
             first_token_ms: 940,
+            wait_ms: 940,
             gap_ms: 43,
             prefill_rate: 4000.0,
             decode_rate: 400.0,
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -86,6 +86,8 @@
     "admission" "retry_percent" Count, Some("10"), "Retries a node may make, in percent of its successes.", "Bounds the extra load that retries put on a fleet in trouble.", "10";
     "routing" "policy" Choice(&["estimated", "round_robin", "least_reported"]), Some("estimated"), "How a backend server is chosen.", "The two simple ones are baselines to compare with.", "estimated";
     "routing" "care" Choice(&["on", "off"]), Some("on"), "Whether failures that this node sees take servers out of routing.", "Off shows what relying on the platform's list alone costs.", "on";
+    "placement" "roles" Choice(&["gain", "static", "threshold"]), Some("gain"), "How roles of engines are decided.", "Static leaves them to operators; threshold is a baseline to compare with.", "gain";
+    "placement" "orders" Choice(&["forecast", "static", "threshold"]), Some("forecast"), "How backend servers are ordered.", "Static orders none; threshold is a baseline to compare with.", "forecast";
     "caller" "head_bytes" Bytes, Some("32768"), "Limit on a request's head.", "A larger head is refused before it is read whole.", "32768";
     "caller" "head_ms" Millis, Some("5000"), "Time for a request's head to arrive.", "Ends connections that send slowly on purpose.", "5000";
     "caller" "body_ms" Millis, Some("20000"), "Time for a request's body to arrive.", "Callers on slow lines need more.", "20000";
--- a/crates/pomeloridge_caller/src/front.rs
+++ b/crates/pomeloridge_caller/src/front.rs
@@ -1,7 +1,7 @@
 //! The entry of every request: who sent it, which route it takes, and the
 //! refusals that need no backend server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -57,6 +57,8 @@
     pub router: RefCell<Router>,
     /// Fair queues.
     pub admission: RefCell<Admission>,
+    /// Live nodes that share the pools.
+    pub nodes: Cell<u32>,
     /// Requests that wait for their turn.
     pub waiting: Waiting,
     /// Requests that run on each server.
--- a/crates/pomeloridge_caller/src/in_flight.rs
+++ b/crates/pomeloridge_caller/src/in_flight.rs
@@ -67,6 +67,7 @@
         };
         let now = front.clock.now();
         let dispatch = front.policy.fleet.borrow_mut().dispatch(server, work, now);
+        front.policy.room_changed(server, &front.clock);
         front.policy.running.add(server, request);
         Self {
             policy: Rc::clone(&front.policy),
@@ -142,6 +143,20 @@
     }
 }
 
+impl Policy {
+    /// Starts the next request if there is still room where one was just counted.
+    fn room_changed(&self, server: ServerKey, clock: &SharedClock) {
+        let pool = {
+            let fleet = self.fleet.borrow();
+            fleet.server(server).map(|server| server.info.pool.clone())
+        };
+        if let Some(pool) = pool {
+            self.set_capacity(&pool, clock);
+            self.pump(clock);
+        }
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now = self.clock.now();
--- a/crates/pomeloridge_caller/src/turn.rs
+++ b/crates/pomeloridge_caller/src/turn.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use local_sync::oneshot;
 use pomeloridge_base::clock::SharedClock;
@@ -41,18 +42,38 @@
 }
 
 impl Policy {
-    /// Starts the requests that have room now and refuses those that would be late.
+    /// Starts a request that has room now and refuses those that would be late.
+    ///
+    /// The next one starts once this one has been counted on a server: only then
+    /// is it known what room is left.
     pub fn pump(&self, clock: &SharedClock) {
         let now = clock.now();
         for expired in self.admission.borrow_mut().expire(now) {
             self.waiting.tell(expired.ticket, Err(expired.refusal));
         }
-        loop {
-            let next = self.admission.borrow_mut().next(now);
-            let Some(ticket) = next else { return };
+        let next = self.admission.borrow_mut().next(now);
+        if let Some(ticket) = next {
             self.waiting.tell(ticket, Ok(()));
         }
     }
+
+    /// Tells admission what a pool can take now.
+    pub fn set_capacity(&self, pool: &Name, clock: &SharedClock) {
+        let capacity = self.fleet.borrow().capacity(pool, clock.now());
+        let mut admission = self.admission.borrow_mut();
+        admission.set_capacity(pool, capacity, self.nodes.get());
+    }
+}
+
+/// How long a request may wait for its turn.
+///
+/// A first token that comes after its target is worth little, and the time spent
+/// on it makes the next ones late as well.
+fn patience(front: &Front, accepted: &Accepted, pool: &Name) -> Duration {
+    let config = front.config.borrow();
+    let model = config.fleet().models.get(pool);
+    let wait = model.map_or(accepted.route.first_byte_ms, |model| model.wait_ms);
+    Duration::from_millis(wait.min(accepted.route.first_byte_ms))
 }
 
 /// A request's turn; dropping it lets the next one start.
@@ -72,7 +93,7 @@
         pool: &Name,
         work: Work,
     ) -> Result<Self, Refusal> {
-        let patience = std::time::Duration::from_millis(accepted.route.first_byte_ms);
+        let patience = patience(front, accepted, pool);
         let request = AdmissionRequest {
             account: accepted.account.clone(),
             pool: pool.clone(),
--- a/crates/pomeloridge_policy/src/capacity.rs
+++ b/crates/pomeloridge_policy/src/capacity.rs
@@ -5,7 +5,7 @@
 use pomeloridge_base::id::Name;
 
 use crate::fleet::Fleet;
-use crate::server::{Server, ServerKey};
+use crate::server::{Server, ServerKey, ServerKind};
 
 /// The capacity of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -35,6 +35,21 @@
         }
     }
 
+    /// Slots of a server that takes work now.
+    fn open_slots(&self, key: ServerKey, now: Instant) -> u32 {
+        let server = self.server(key);
+        let up = |server: &&Server| server.is_serving() && !server.ejection.is_ejected();
+        let Some(server) = server.filter(up) else {
+            return 0;
+        };
+        let load = self.load(key, now);
+        if server.info.kind == ServerKind::Service || server.rates.has_time(load) {
+            server.slots()
+        } else {
+            server.slots().min(load.in_flight)
+        }
+    }
+
     /// Whether this node is to yield a server on which a peer has marked a
     /// suspect as well: the node whose name is first keeps it.
     pub fn must_yield(&self, key: ServerKey, own: &Name, now: Instant) -> bool {
@@ -43,11 +58,15 @@
     }
 
     /// The capacity of a pool, for admission.
+    ///
+    /// A server behind whose prompts the first token would come late has no free
+    /// slot: requests wait in the fair queue, not on the server in the order of
+    /// their arrival.
     pub fn capacity(&self, pool: &Name, now: Instant) -> Capacity {
         let servers = || self.pool(pool).iter().filter_map(|key| self.server(*key));
+        let keys = || self.pool(pool).iter().copied();
         let serving = || servers().filter(|server| server.is_serving());
-        let up = serving().filter(|server| !server.ejection.is_ejected());
-        let mut slots: u32 = up.map(Server::slots).sum();
+        let mut slots: u32 = keys().map(|key| self.open_slots(key, now)).sum();
         if slots == 0 {
             // One of the ejected servers is still tried.
             slots = serving().next().map_or(0, Server::slots);
--- a/crates/pomeloridge_policy/src/load.rs
+++ b/crates/pomeloridge_policy/src/load.rs
@@ -33,6 +33,8 @@
     pub decode: f64,
     /// Output tokens a second of one stream at most.
     pub stream: f64,
+    /// Seconds to the first token that are aimed at.
+    pub first_token: f64,
 }
 
 impl Default for Expected {
@@ -41,6 +43,7 @@
             prefill: 4000.0,
             decode: 400.0,
             stream: 40.0,
+            first_token: 0.94,
         }
     }
 }
@@ -142,6 +145,16 @@
     *rate = rate.max(1.0);
 }
 
+/// Part of the time to the first token that may be spent behind other prompts.
+const BACKLOG_PART: f64 = 0.4;
+
+impl Rates {
+    /// Whether the prompts that wait leave time for another one to be read.
+    pub(crate) fn has_time(&self, load: Load) -> bool {
+        load.prefill_tokens / self.prefill < self.expected.first_token * BACKLOG_PART
+    }
+}
+
 /// The load on a server at one moment, corrected for what its report can't know.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
--- a/crates/pomeloridge_policy/tests/policy/fleet.rs
+++ b/crates/pomeloridge_policy/tests/policy/fleet.rs
@@ -257,3 +257,25 @@
         prop_assert!(fleet.own_shares().is_empty());
     }
 }
+
+#[test]
+fn a_backlog_of_prompts_closes_the_free_slots() {
+    let now = Instant::now();
+    let mut fleet = fleet(2);
+    let busy = LoadReport {
+        running: 3,
+        // A second of reading at the expected 4,000 tokens a second.
+        prefill_tokens: 4_000,
+        ..report(now, 0)
+    };
+    fleet.report(key(&fleet, "e0"), report(now, 0), now);
+    fleet.report(key(&fleet, "e1"), busy, now);
+    let slots = report(now, 0).slots;
+    assert_eq!(fleet.capacity(&name(POOL), now).slots, slots + 3);
+    let later = now + ms(1_000);
+    assert_eq!(
+        fleet.capacity(&name(POOL), later).slots,
+        2 * slots,
+        "read by now"
+    );
+}
