Let a data centre's first relay read the lists, and answer failed reads as such

Cause: every node read both of the platform's lists each second, so that calls grew by two a second with each node. A node that hears most others reads each fourth time; a server's leaving also stands in its load report. Reads that were not answered were called unknown changes.

--- a/crates/pomeloridge/src/serve/duties.rs
+++ b/crates/pomeloridge/src/serve/duties.rs
@@ -6,8 +6,11 @@
 
 use pomeloridge_base::config::ConfigView;
 use pomeloridge_base::id::Name;
+use pomeloridge_base::settings::Settings;
 use pomeloridge_duties::demand::{Demand, DemandReport};
 use pomeloridge_duties::facts::{FleetFacts, ServerLoad};
+use pomeloridge_duties::ordering_baseline::OrderPolicy;
+use pomeloridge_duties::placement_baseline::PlacementPolicy;
 use pomeloridge_duties::plan::{pool_plans, server_exceptions};
 use pomeloridge_duties::usage::{self, Gathered, Holding, Line, Part, Peers, Start, UsageOptions};
 use pomeloridge_duties::{PlacementDutyOptions, run_placement};
@@ -226,12 +229,28 @@
         authority,
         state.metrics.meter.clone(),
         move || fleet_facts(&facts),
-        PlacementDutyOptions::default(),
+        placement_options(&state.settings),
         move || life.life.is_leaving(),
     )
     .await;
 }
 
+fn placement_options(settings: &Settings) -> PlacementDutyOptions {
+    PlacementDutyOptions {
+        placement_policy: match settings.text("placement", "roles") {
+            "static" => PlacementPolicy::Static,
+            "threshold" => PlacementPolicy::Threshold,
+            _ => PlacementPolicy::Gain,
+        },
+        order_policy: match settings.text("placement", "orders") {
+            "static" => OrderPolicy::Static,
+            "threshold" => OrderPolicy::Threshold,
+            _ => OrderPolicy::Forecast,
+        },
+        ..PlacementDutyOptions::default()
+    }
+}
+
 /// What this node knows of the fleet, for the placement duty.
 fn fleet_facts(state: &State) -> FleetFacts {
     let config = state.config.borrow();
--- a/crates/pomeloridge/src/serve/lists.rs
+++ b/crates/pomeloridge/src/serve/lists.rs
@@ -2,29 +2,54 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use pomeloridge_base::id::Name;
 use pomeloridge_node::member::Listed;
+use pomeloridge_node::membership::Membership;
 use pomeloridge_platform::{BackendServer, PlatformError, ServerKind, ServerState, Vm};
 use pomeloridge_policy::server::{self, ServerInfo};
 
 use super::state::State;
 use super::{front, loads};
 
+/// Reads of a data centre's first relay for each one of another node.
+///
+/// A server's leaving also stands in its own load report, which every node
+/// reads, so that only new servers are seen later by the others.
+const RELAY_READS: u32 = 4;
+/// Pause while the configuration has not arrived.
+const CONFIG_PAUSE: Duration = Duration::from_millis(20);
+
 /// Reads both lists for as long as the node lives.
 pub(crate) async fn run(state: Rc<State>) {
+    // The speeds expected of servers stand in the configuration.
+    while state.config.borrow().objects().next().is_none() {
+        monoio::time::sleep(CONFIG_PAUSE).await;
+    }
     let pause = state.settings.time("platform", "poll_ms");
     let mut readers = HashMap::new();
+    let mut round = 0_u32;
     loop {
-        if let Err(error) = read(&state, &mut readers).await {
+        let due = round.is_multiple_of(RELAY_READS) || !state.mesh.view(is_relayed);
+        if due && let Err(error) = read(&state, &mut readers).await {
             log::warn!(
                 "the platform's lists could not be read; the last ones stay in use: {error}"
             );
         }
+        round = round.wrapping_add(1);
         monoio::time::sleep(pause).await;
     }
 }
 
+/// Whether another node of the data centre reads often, and most nodes are heard.
+fn is_relayed(membership: &Membership) -> bool {
+    let own = membership.own();
+    let first = membership.relays(&own.data_centre).into_iter().next();
+    let reach = membership.reach();
+    first.is_some_and(|first| first != own.name) && reach.is_majority() && reach.platform > 0
+}
+
 async fn read(
     state: &Rc<State>,
     readers: &mut HashMap<Name, ServerInfo>,
--- a/crates/pomeloridge/src/serve/mesh.rs
+++ b/crates/pomeloridge/src/serve/mesh.rs
@@ -25,7 +25,7 @@
 use super::state::adopt;
 
 /// Silence of the object service after which a node says that it does not reach it.
-const PLATFORM_SILENCE: Duration = Duration::from_secs(2);
+pub(crate) const PLATFORM_SILENCE: Duration = Duration::from_secs(2);
 /// Age up to which totals of service are told; older ones are known to all.
 const SERVICE_AGE: Duration = Duration::from_secs(30);
 
--- a/crates/pomeloridge/src/serve/reports.rs
+++ b/crates/pomeloridge/src/serve/reports.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use super::front::takes_work;
+use super::mesh::PLATFORM_SILENCE;
 use super::state::State;
 
 /// Time that a new node waits for a link to another one before it takes requests.
@@ -51,6 +52,10 @@
 pub(crate) fn status(state: &State) -> Value {
     let members = state.mesh.members();
     let own = state.mesh.view(|membership| membership.own().clone());
+    let own = Member {
+        platform: state.fresh.silence() < PLATFORM_SILENCE,
+        ..own
+    };
     let nodes: Vec<Value> = std::iter::once(&own).chain(&members).map(node).collect();
     let now = state.clock.now();
     let fleet = state.policy.fleet.borrow();
--- a/crates/pomeloridge/src/serve/store.rs
+++ b/crates/pomeloridge/src/serve/store.rs
@@ -65,7 +65,7 @@
         get: Box::new(move |key| {
             let client = get.clone();
             Box::pin(async move {
-                let found = client.get(&key).await.map_err(|error| kind_of(&error))?;
+                let found = client.get(&key).await.map_err(|error| read_kind(&error))?;
                 Ok(found.map(|object| (object.version, object.value)))
             })
         }),
@@ -77,7 +77,7 @@
             let client = list.clone();
             Box::pin(async move {
                 let listed = client.list(&prefix).await;
-                let (_, objects) = listed.map_err(|error| kind_of(&error))?;
+                let (_, objects) = listed.map_err(|error| read_kind(&error))?;
                 let found = objects.into_iter().map(|object| Found {
                     key: object.key,
                     revision: object.version,
@@ -105,7 +105,15 @@
     written.map_err(|error| kind_of(&error))
 }
 
-/// The answer for a failed call.
+/// The answer for a failed read, which changes nothing whatever became of it.
+fn read_kind(error: &PlatformError) -> ErrorKind {
+    match kind_of(error) {
+        ErrorKind::ChangeUnknown => ErrorKind::PlatformDown,
+        kind => kind,
+    }
+}
+
+/// The answer for a failed change.
 fn kind_of(error: &PlatformError) -> ErrorKind {
     match error {
         PlatformError::Conflict { .. } => ErrorKind::Conflict,
