Check histories of deployments under failure, and measure latency and slopes

cargo dev check runs 16 scenarios over separate processes with one checker a promise; each checker is shown a bad history in tests/checkers.rs and fails.

--- /dev/null
+++ b/crates/pomeloridge_dev/src/check/mod.rs
@@ -0,0 +1,22 @@
+//! Proof by checking the histories of concurrent runs under failure.
+//!
+//! Each run starts a deployment of separate processes, lets callers and
+//! operators use it at once while faults come from a seeded plan, gathers what
+//! the callers and the stand-ins saw, and gives it to one checker a promise.
+
+pub mod callers;
+pub mod director;
+pub mod doors;
+mod faults;
+pub mod gather;
+pub mod operators;
+pub mod promise;
+pub mod record;
+pub mod report;
+pub mod run;
+pub mod scenario;
+mod stage;
+
+pub use report::{Options, run_all};
+pub use run::{Outcome, run};
+pub use scenario::Scenario;
--- /dev/null
+++ b/crates/pomeloridge_dev/src/check/promise/filings.rs
@@ -0,0 +1,53 @@
+//! A non-idempotent request runs at most once.
+
+use std::collections::HashMap;
+
+use crate::check::record::{History, Kind, Line, Violation};
+
+const PROMISE: &str = "at most once";
+
+/// Finds filings that were run twice, and repeats that got another answer.
+pub fn check(history: &History) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let mut runs = HashMap::<&str, Vec<&Line>>::new();
+    let posts = |line: &&Line| line.what == "run" && line.text("method") == "POST";
+    for line in history.lines.iter().filter(posts) {
+        runs.entry(line.text("body")).or_default().push(line);
+    }
+    for (body, lines) in runs.iter().filter(|(_, lines)| lines.len() > 1) {
+        let places = lines.iter().map(|line| {
+            format!(
+                "{} at {} for {}",
+                line.source,
+                line.at,
+                line.text("request_id")
+            )
+        });
+        let places: Vec<_> = places.collect();
+        let seen = format!("{body} ran {} times: {}", lines.len(), places.join(", "));
+        found.push(Violation::new(PROMISE, seen));
+    }
+    found.extend(repeats(history));
+    found
+}
+
+/// Repeats under one key that were answered differently.
+fn repeats(history: &History) -> Vec<Violation> {
+    let mut first = HashMap::<&str, &str>::new();
+    let mut found = Vec::new();
+    let answered = history
+        .sent
+        .iter()
+        .filter(|sent| sent.kind == Kind::Filing && sent.is_answered());
+    for sent in answered {
+        let Some(key) = &sent.idempotency else {
+            continue;
+        };
+        let known = *first.entry(key).or_insert(&sent.body);
+        if known != sent.body {
+            let seen = format!("key {key} was answered {known} and {}", sent.body);
+            found.push(Violation::new(PROMISE, seen));
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/pomeloridge_dev/src/check/promise/orders.rs
@@ -0,0 +1,107 @@
+//! Backend servers and the platform get no conflicting orders, and none from a
+//! process that has lost its authority.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde_json::Value;
+
+use crate::check::record::{History, Line, Violation};
+
+const PROMISE: &str = "orders";
+
+/// Finds conflicting orders and orders of an old holder.
+pub fn check(history: &History) -> Vec<Violation> {
+    let mut by_source = BTreeMap::<&str, Vec<&Line>>::new();
+    let kinds = ["order", "order_done", "crashed"];
+    for line in history
+        .lines
+        .iter()
+        .filter(|line| kinds.contains(&line.what.as_str()))
+    {
+        by_source.entry(&line.source).or_default().push(line);
+    }
+    let mut found = Vec::new();
+    for (source, lines) in by_source {
+        let faults = [fences(&lines), contents(&lines), overlaps(source, &lines)];
+        let faults = faults.into_iter().flatten();
+        found.extend(faults.map(|fault| Violation::new(PROMISE, format!("{source}: {fault}"))));
+    }
+    found
+}
+
+/// Number of orders that took effect.
+pub fn count(history: &History) -> usize {
+    history.lines.iter().filter(|line| is_applied(line)).count()
+}
+
+/// Whether an order changed anything where it arrived.
+fn is_applied(line: &Line) -> bool {
+    let status = line.fields["status"].as_u64();
+    let engine = line.fields["applied"] == true;
+    let platform = status == Some(200) && line.fields["answer"]["repeated"] != true;
+    line.what == "order" && (engine || platform)
+}
+
+/// Orders that took effect with a lower fencing number than one before.
+fn fences(lines: &[&Line]) -> Vec<String> {
+    let mut highest = 0;
+    let mut found = Vec::new();
+    for line in lines.iter().filter(|line| is_applied(line)) {
+        let fence = line.number("fence");
+        if fence < highest {
+            let order = line.text("order_id");
+            found.push(format!(
+                "order {order} with fence {fence} took effect after {highest}"
+            ));
+        }
+        highest = highest.max(fence);
+    }
+    found
+}
+
+/// Identifiers that stand for two different orders.
+fn contents(lines: &[&Line]) -> Vec<String> {
+    let mut known = HashMap::<&str, Vec<&Value>>::new();
+    let mut found = Vec::new();
+    for line in lines.iter().filter(|line| line.what == "order") {
+        let names = [
+            "action",
+            "role",
+            "model",
+            "data_centre",
+            "pool",
+            "cheap",
+            "server",
+        ];
+        let content: Vec<_> = names.iter().map(|name| &line.fields[*name]).collect();
+        let order = line.text("order_id");
+        if *known.entry(order).or_insert_with(|| content.clone()) != content {
+            found.push(format!("order {order} arrived with two contents"));
+        }
+    }
+    found
+}
+
+/// Orders that were sent while another one was open.
+///
+/// The platform carries its orders out by itself, so only engines are looked at.
+fn overlaps(source: &str, lines: &[&Line]) -> Vec<String> {
+    let mut open: Option<&str> = None;
+    let mut found = Vec::new();
+    for line in lines.iter().filter(|_| source != "platform") {
+        let order = line.text("order_id");
+        match line.what.as_str() {
+            "order" => {
+                if open.is_some_and(|open| open != order) {
+                    let open = open.unwrap_or_default();
+                    found.push(format!("order {order} arrived while {open} was open"));
+                }
+                if is_applied(line) {
+                    open = Some(order);
+                }
+            }
+            _ => open = None,
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/pomeloridge_dev/src/check/run.rs
@@ -0,0 +1,196 @@
+//! One run: a deployment, its callers and operators, its faults, and the verdict.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::director::Director;
+use super::promise::usage::UNCOUNTED;
+use super::promise::{check_all, figures};
+use super::record::{Event, Figure, History, Violation};
+use super::scenario::{Act, ENGINES, NODES, Plan, Scenario, ZONES};
+use super::stage::{Found, Stage, taken};
+use super::{gather, operators, promise};
+use crate::launch::{Cluster, Spec, get_json, spec_demo, wait_until_ready};
+
+/// Time for reports and outcomes to settle after the load.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+
+/// What came of a run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Scenario.
+    pub scenario: Scenario,
+    /// Seed.
+    pub seed: u64,
+    /// Requests sent.
+    pub requests: usize,
+    /// Requests answered whole.
+    pub answered: usize,
+    /// Requests refused, by code.
+    pub refused: BTreeMap<String, usize>,
+    /// Requests cut or without an answer, but for those whose caller went away.
+    pub cut: usize,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// Measured times.
+    pub figures: Vec<Figure>,
+    /// Requests and tokens given, and those reported.
+    pub usage: ((u64, u64), (u64, u64)),
+    /// Orders that took effect, at engines and at the platform.
+    pub orders: usize,
+    /// Folder with logs and histories; removed if no promise was broken and no usage is missing.
+    pub folder: String,
+}
+
+/// Runs a scenario with a seed.
+pub fn run(scenario: Scenario, seed: u64) -> Result<Outcome, String> {
+    let plan = scenario.plan(seed);
+    let mut cluster = Cluster::start(spec(&plan))?;
+    wait_until_ready(&cluster)?;
+    cluster.start_spares(plan.spares)?;
+    let history = play(&mut cluster, &plan, seed)?;
+    let answered = history
+        .sent
+        .iter()
+        .filter(|sent| sent.is_answered())
+        .count();
+    let mut refused = BTreeMap::new();
+    for sent in history.sent.iter().filter(|sent| sent.status >= 400) {
+        *refused.entry(sent.code.clone()).or_default() += 1;
+    }
+    let left = history.sent.iter().filter(|sent| sent.left).count();
+    let cut = history.sent.len() - answered - left - refused.values().sum::<usize>();
+    let outcome = Outcome {
+        scenario,
+        seed,
+        requests: history.sent.len(),
+        answered,
+        refused,
+        cut,
+        violations: check_all(&history),
+        figures: figures(&history),
+        usage: promise::usage::totals(&history),
+        orders: promise::orders::count(&history),
+        folder: cluster.folder.display().to_string(),
+    };
+    drop(cluster);
+    let ((given, _), (told, _)) = outcome.usage;
+    if outcome.violations.is_empty() && told >= given {
+        // Only the files of a run that failed are of use later.
+        let _ = std::fs::remove_dir_all(&outcome.folder);
+    }
+    Ok(outcome)
+}
+
+/// A small deployment over three data centres, with short times.
+fn spec(plan: &Plan) -> Spec {
+    let mut spec = spec_demo();
+    spec.histories = true;
+    spec.relayed = true;
+    spec.relayed_servers = plan.relayed;
+    for (index, zone) in spec.nodes.iter_mut().enumerate() {
+        ZONES[index % NODES].clone_into(zone);
+    }
+    for (index, engine) in spec.engines.iter_mut().enumerate() {
+        ZONES[index % ENGINES].clone_into(&mut engine.data_centre);
+        engine
+            .args
+            .extend(["--stream-rate".to_owned(), "80".to_owned()]);
+    }
+    for service in &mut spec.services {
+        service
+            .args
+            .extend(["--delay-ms".to_owned(), "30".to_owned()]);
+    }
+    if plan.tight {
+        let few = |args: &mut Vec<String>, slots: &str| {
+            let more = ["--slots", slots, "--queue", "1"];
+            args.extend(more.map(str::to_owned));
+        };
+        for engine in &mut spec.engines {
+            few(&mut engine.args, "2");
+        }
+        for service in &mut spec.services {
+            few(&mut service.args, "1");
+        }
+    }
+    spec.accounts.push((UNCOUNTED.to_owned(), 1.0));
+    for route in &mut spec.fleet.routes {
+        route.deadline_ms = 8000;
+        route.first_byte_ms = 1500;
+        route.gap_ms = 1000;
+    }
+    spec.set("caller", "stop_delay_ms", "600")
+        .set("usage", "window_ms", "1000")
+        .set("lease", "term_ms", "1200")
+        .set("lease", "margin_ms", "300")
+        .set("platform", "timeout_ms", "500")
+        .set("platform", "watch_ms", "2000")
+        .set("platform", "poll_ms", "300")
+        .set("backend", "load_ms", "100")
+        .set("backend", "probe_ms", "300")
+}
+
+/// Plays a plan; the faults that were made.
+fn perform(
+    cluster: &mut Cluster,
+    stage: &Stage,
+    plan: &Plan,
+    found: &Found,
+) -> Result<Vec<Event>, String> {
+    std::thread::scope(|scope| {
+        stage.start_looks(scope, found);
+        let threads = stage.start_load(scope, found, plan.racers);
+        let spawn = |act: Act| {
+            scope.spawn(move || stage.beside(&act, found));
+        };
+        let mut director = Director {
+            cluster,
+            doors: Arc::clone(&stage.doors),
+            events: Vec::new(),
+            stopping: Vec::new(),
+            spawn: &spawn,
+        };
+        let result = director.run(plan);
+        stage.doors.end_load();
+        let panicked = threads.into_iter().any(|thread| thread.join().is_err());
+        director.wait_for_stops();
+        std::thread::sleep(SETTLE_TIME);
+        stage.doors.end();
+        result?;
+        if panicked {
+            return Err("a caller panicked".to_owned());
+        }
+        Ok(director.events)
+    })
+}
+
+/// Plays a plan and gathers the history.
+fn play(cluster: &mut Cluster, plan: &Plan, seed: u64) -> Result<History, String> {
+    let fleet = get_json(cluster.platform(), "/objects/config/fleet")?;
+    let stage = Stage::prepare(cluster, plan, seed)?;
+    let found = Found::default();
+    let mut events = perform(cluster, &stage, plan, &found)?;
+    std::thread::sleep(SETTLE_TIME);
+    let lines = gather::lines(cluster)?;
+    events.extend(taken(&found.events));
+    events.sort_by_key(|event| event.at);
+    let mut sent = taken(&found.sent);
+    sent.sort_by_key(|sent| sent.sent_at);
+    let mut keys = taken(&found.keys);
+    keys.sort_by_key(|look| look.sent_at);
+    Ok(History {
+        calls: gather::resolve(taken(&found.calls), &lines),
+        sent,
+        lines,
+        events,
+        keys,
+        config: stage.doors.take_looks(),
+        first: (
+            fleet["version"].as_u64().unwrap_or_default(),
+            operators::value_of(&fleet["value"]),
+        ),
+        expect: plan.expect,
+    })
+}
--- a/crates/pomeloridge_dev/src/demo.rs
+++ b/crates/pomeloridge_dev/src/demo.rs
@@ -9,7 +9,9 @@
 use http::Method;
 use pomeloridge_base::http::{Outgoing, Response};
 use pomeloridge_dev::caller::{Ask, authorized, expected, send};
-use pomeloridge_dev::launch::{Cluster, block_on, build_binaries, request, spec_demo};
+use pomeloridge_dev::launch::{
+    Cluster, block_on, build_binaries, request, spec_demo, wait_until_ready,
+};
 use pomeloridge_dev::table::Checks;
 use serde_json::{Value, json};
 
@@ -35,24 +37,6 @@
     Ok(checks.all_passed())
 }
 
-fn wait_until_ready(cluster: &Cluster) -> Result<(), String> {
-    let end = Instant::now() + READY_TIME;
-    for node in &cluster.nodes {
-        while !is_ready(node.operator) {
-            if Instant::now() >= end {
-                return Err(format!("{} did not turn ready", node.name));
-            }
-            std::thread::sleep(LOOK_PAUSE);
-        }
-    }
-    Ok(())
-}
-
-fn is_ready(operator: SocketAddr) -> bool {
-    let answer = request(operator, &Outgoing::get("/readyz"));
-    answer.is_ok_and(|answer| answer.status.is_success())
-}
-
 /// Prints where everything is, and serves until SIGTERM or SIGINT.
 fn hold_until_signal(cluster: &Cluster) -> Result<bool, String> {
     let asked = Arc::new(AtomicBool::new(false));
@@ -107,7 +91,7 @@
 fn use_it(cluster: &Cluster, checks: &mut Checks) {
     checks.run("a whole completion", || whole_completion(cluster));
     checks.run("a streamed completion, token by token", || {
-        streamed(cluster)
+        Ok(streamed(cluster))
     });
     checks.run("a chat completion", || chat(cluster));
     checks.run("a filing sent twice under one idempotency key", || {
--- /dev/null
+++ b/crates/pomeloridge_dev/src/latency.rs
@@ -0,0 +1,218 @@
+//! Measures what a node adds to the time of a request, against the same engine
+//! called directly in the same run, and the processor time that a request costs.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use http::Method;
+use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing};
+use pomeloridge_dev::caller::{Ask, authorized};
+use pomeloridge_dev::launch::{Cluster, block_on, build_binaries, spec_demo, wait_until_ready};
+use serde_json::json;
+
+/// Streams measured on either way.
+const STREAMS: usize = 300;
+/// Tokens of each stream.
+const TOKENS: u32 = 20;
+/// Time between two tokens of the engine, in ms.
+const GAP_MS: u32 = 5;
+/// Requests in flight while the cost is measured.
+const IN_FLIGHT: usize = 64;
+/// Time for which the cost is measured.
+const COST_TIME: Duration = Duration::from_secs(6);
+/// Time that one call may take.
+const CALL_TIME: Duration = Duration::from_secs(20);
+/// Clock ticks a second in `/proc`, fixed on Linux for user space.
+const TICKS: f64 = 100.0;
+
+/// First-token times and gaps, in µs.
+struct Times {
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+}
+
+/// Measures, and prints a table.
+pub(crate) fn run() -> Result<bool, String> {
+    build_binaries()?;
+    let mut spec = spec_demo();
+    spec.nodes.truncate(1);
+    spec.engines.truncate(1);
+    let stream_rate = 1000 / GAP_MS;
+    spec.engines[0].args = args(&[
+        ("--stream-rate", stream_rate),
+        ("--decode-rate", 10_000_000),
+        ("--prefill-rate", 100_000_000),
+        ("--slots", 1024),
+        ("--queue", 4096),
+    ]);
+    let cluster = Cluster::start(spec.set("log", "level", "warn"))?;
+    wait_until_ready(&cluster)?;
+    let (mut direct, mut through) = (Times::new(), Times::new());
+    for _ in 0..STREAMS {
+        block_on(time_stream(
+            cluster.engines[0].address,
+            &direct_request(),
+            &mut direct,
+        ))?;
+        block_on(time_stream(
+            cluster.nodes[0].caller,
+            &node_request(&cluster),
+            &mut through,
+        ))?;
+    }
+    println!(
+        "streams of {TOKENS} tokens, {GAP_MS} ms apart, {STREAMS} each way, one at a time; in µs"
+    );
+    println!("{:24} {:>8} {:>8} {:>8}", "", "p50", "p95", "p99");
+    print_row("first token, direct", &direct.first);
+    print_row("first token, node", &through.first);
+    print_row("between tokens, direct", &direct.gap);
+    print_row("between tokens, node", &through.gap);
+    cost(&cluster)
+}
+
+fn args(pairs: &[(&str, u32)]) -> Vec<String> {
+    let pairs = pairs.iter();
+    pairs
+        .flat_map(|(name, value)| [(*name).to_owned(), value.to_string()])
+        .collect()
+}
+
+impl Times {
+    fn new() -> Self {
+        let histogram =
+            || Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are in order");
+        Self {
+            first: histogram(),
+            gap: histogram(),
+        }
+    }
+}
+
+fn print_row(name: &str, times: &Histogram<u64>) {
+    let at = |quantile| times.value_at_quantile(quantile);
+    println!("{name:24} {:>8} {:>8} {:>8}", at(0.5), at(0.95), at(0.99));
+}
+
+fn direct_request() -> Outgoing {
+    let body = json!({
+        "request_id": "direct", "prompt": "measure", "resume": [],
+        "max_tokens": TOKENS, "priority": 0,
+    });
+    Outgoing::new(Method::POST, "/generate").json(&body)
+}
+
+fn node_request(cluster: &Cluster) -> Outgoing {
+    ask(TOKENS).request(cluster.key(0))
+}
+
+fn ask(tokens: u32) -> Ask {
+    Ask {
+        model: "assistant".to_owned(),
+        prompt: "measure".to_owned(),
+        max_tokens: tokens,
+        stream: true,
+        timeout: CALL_TIME,
+    }
+}
+
+/// Times the pieces of a streamed answer as they arrive; the first is the first token.
+async fn time_stream(
+    address: SocketAddr,
+    request: &Outgoing,
+    times: &mut Times,
+) -> Result<(), String> {
+    let fault = |fault: pomeloridge_base::http::Fault| fault.to_string();
+    let start = Instant::now();
+    let deadline = start + CALL_TIME;
+    let mut connection = Connection::open(address, ConnectOptions::default())
+        .await
+        .map_err(fault)?;
+    connection.send(request, deadline).await.map_err(fault)?;
+    connection.head(deadline).await.map_err(fault)?;
+    let mut last = None;
+    let mut tokens = 0;
+    while connection.next(deadline).await.map_err(fault)?.is_some() {
+        let now = Instant::now();
+        tokens += 1;
+        // The end event comes right behind the last token and is no token.
+        if tokens > TOKENS {
+            continue;
+        }
+        let (histogram, since) = match last.replace(now) {
+            None => (&mut times.first, start),
+            Some(last) => (&mut times.gap, last),
+        };
+        histogram.saturating_record((now - since).as_micros() as u64);
+    }
+    Ok(())
+}
+
+/// Keeps many requests in flight and reads the node's processor time.
+fn cost(cluster: &Cluster) -> Result<bool, String> {
+    for (what, request) in [
+        ("streams of 20 tokens", node_request(cluster)),
+        ("streams of 1 token", ask(1).request(cluster.key(0))),
+        ("lookups on a plain service", lookup(cluster)),
+    ] {
+        let node = &cluster.nodes[0];
+        let before = processor_time(node.process.id())?;
+        let start = Instant::now();
+        let done = block_on(load(node.caller, request));
+        let spent = processor_time(node.process.id())? - before;
+        let rate = done as f64 / start.elapsed().as_secs_f64();
+        let each = spent / done.max(1) as f64 * 1e6;
+        println!(
+            "{what}: {rate:.0} requests/s, {each:.0} µs of processor time each, {:.0} requests/s on one core",
+            1e6 / each
+        );
+    }
+    Ok(true)
+}
+
+fn lookup(cluster: &Cluster) -> Outgoing {
+    authorized(Outgoing::get("/filings/1"), cluster.key(0))
+}
+
+async fn load(address: SocketAddr, request: Outgoing) -> usize {
+    let end = Instant::now() + COST_TIME;
+    let tasks: Vec<_> = (0..IN_FLIGHT)
+        .map(|_| {
+            let request = request.clone();
+            monoio::spawn(async move {
+                let mut done = 0;
+                while Instant::now() < end {
+                    let answer = pomeloridge_dev::caller::send(address, &request, CALL_TIME).await;
+                    done += usize::from(answer.is_ok());
+                }
+                done
+            })
+        })
+        .collect();
+    let mut done = 0;
+    for task in tasks {
+        done += task.await;
+    }
+    done
+}
+
+/// Processor time of a process so far, in seconds.
+fn processor_time(id: u32) -> Result<f64, String> {
+    let path = format!("/proc/{id}/stat");
+    let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+    // The name in parentheses may hold spaces; fields are counted behind it.
+    let fields: Vec<&str> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split(' ')
+        .collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|field| field.parse::<f64>().ok())
+    };
+    let (user, system) = (ticks(12), ticks(13));
+    Ok((user.unwrap_or_default() + system.unwrap_or_default()) / TICKS)
+}
--- a/crates/pomeloridge_dev/src/launch/cluster.rs
+++ b/crates/pomeloridge_dev/src/launch/cluster.rs
@@ -1,6 +1,5 @@
 //! A running deployment.
 
-use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -13,7 +12,9 @@
 use serde_json::{Value, json};
 
 use super::client::{post_json, put_json};
+use super::ini;
 use super::process::Process;
+use super::relay::Relay;
 use super::spec::{EngineSpec, ServiceSpec, Spec};
 
 /// Token of the operator that every deployment of this tool has.
@@ -50,6 +51,8 @@
     pub address: SocketAddr,
     /// The platform's description.
     pub listed: Value,
+    /// Relay under whose address it is listed, if it has one.
+    pub relay: Option<Relay>,
 }
 
 /// A running deployment; dropping it ends every process.
@@ -60,12 +63,16 @@
     pub engines: Vec<Server>,
     /// Plain services.
     pub services: Vec<Server>,
+    /// Engines that run and wait to be ordered.
+    pub spares: Vec<Server>,
     /// The platform's stand-in.
     pub platform: Process,
     /// Keys by client account.
     pub keys: Vec<(String, String)>,
-    /// Folder with logs and settings.
+    /// Folder with logs, settings and histories.
     pub folder: PathBuf,
+    /// Relays between each node and the platform, if the deployment has them.
+    pub relays: Vec<Relay>,
     spec: Spec,
     platform_address: SocketAddr,
 }
@@ -77,18 +84,26 @@
         let mut args = vec!["platform".to_owned(), "--listen".to_owned()];
         args.extend(local());
         args.extend(spec.platform.iter().cloned());
+        args.extend(history_args(&spec, &folder, "platform"));
         let platform = Process::start("platform", "pomeloridge_standin", &args, &folder)?;
         let platform_address = platform.address("address")?;
         let mut cluster = Self {
             nodes: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
+            spares: Vec::new(),
             platform,
             keys: Vec::new(),
             folder,
+            relays: Vec::new(),
             spec,
             platform_address,
         };
+        if cluster.spec.relayed {
+            for _ in 0..cluster.spec.nodes.len() {
+                cluster.relays.push(Relay::start(platform_address)?);
+            }
+        }
         cluster.start_servers()?;
         cluster.write_config()?;
         for index in 0..cluster.spec.nodes.len() {
@@ -151,7 +166,9 @@
     /// Starts a node in the data centre that `spec` has at `index`.
     pub fn start_node(&self, name: &str, index: usize) -> Result<Node, String> {
         let data_centre = self.spec.nodes[index].clone();
-        let settings = self.write_settings(name, &data_centre)?;
+        let relay = self.relays.get(index).map(Relay::address);
+        let platform = relay.unwrap_or(self.platform_address);
+        let settings = self.write_settings(name, &data_centre, platform)?;
         let args = ["serve".to_owned(), "--settings".to_owned(), settings];
         let process = Process::start(name, "pomeloridge", &args, &self.folder)?;
         Ok(Node {
@@ -164,6 +181,23 @@
         })
     }
 
+    /// Starts engines like the first one, and gives their addresses to the
+    /// platform for engines that are ordered.
+    pub fn start_spares(&mut self, count: usize) -> Result<(), String> {
+        let like = self.spec.engines[0].clone();
+        for index in 0..count {
+            let id = format!("spare-{}", index + 1);
+            let spec = EngineSpec { id, ..like.clone() };
+            let server = self.start_engine(&spec)?;
+            self.spares.push(server);
+        }
+        let spares = self.spares.iter();
+        let addresses: Vec<&Value> = spares.map(|server| &server.listed["address"]).collect();
+        let mut pools = serde_json::Map::new();
+        pools.insert(like.model, json!(addresses));
+        self.control_platform(&json!({"spares": pools}))
+    }
+
     /// Starts one engine.
     pub fn start_engine(&self, spec: &EngineSpec) -> Result<Server, String> {
         let mut args = vec!["engine".to_owned(), "--listen".to_owned()];
@@ -172,10 +206,13 @@
         args.extend(["--model".to_owned(), spec.model.clone()]);
         args.extend(["--checks-fence".to_owned(), spec.checks_fence.to_string()]);
         args.extend(spec.args.iter().cloned());
+        args.extend(history_args(&self.spec, &self.folder, &spec.id));
         let process = Process::start(&spec.id, "pomeloridge_standin", &args, &self.folder)?;
         let address = process.address("address")?;
+        let relay = self.start_relay(address)?;
+        let shown = relay.as_ref().map_or(address, Relay::address);
         let listed = json!({
-            "id": spec.id, "address": address.to_string(), "data_centre": spec.data_centre,
+            "id": spec.id, "address": shown.to_string(), "data_centre": spec.data_centre,
             "pool": spec.model, "kind": "engine", "cheap": spec.cheap,
             "price": if spec.cheap { 1.0 } else { 3.0 },
             "checks_fence": spec.checks_fence, "state": "ready",
@@ -186,18 +223,23 @@
             data_centre: spec.data_centre.clone(),
             address,
             listed,
+            relay,
         })
     }
 
-    fn start_service(&self, spec: &ServiceSpec) -> Result<Server, String> {
+    /// Starts one plain service.
+    pub fn start_service(&self, spec: &ServiceSpec) -> Result<Server, String> {
         let mut args = vec!["service".to_owned(), "--listen".to_owned()];
         args.extend(local());
         args.extend(["--prefix".to_owned(), spec.prefix.clone()]);
         args.extend(spec.args.iter().cloned());
+        args.extend(history_args(&self.spec, &self.folder, &spec.id));
         let process = Process::start(&spec.id, "pomeloridge_standin", &args, &self.folder)?;
         let address = process.address("address")?;
+        let relay = self.start_relay(address)?;
+        let shown = relay.as_ref().map_or(address, Relay::address);
         let listed = json!({
-            "id": spec.id, "address": address.to_string(), "data_centre": spec.data_centre,
+            "id": spec.id, "address": shown.to_string(), "data_centre": spec.data_centre,
             "pool": spec.pool, "kind": "service", "cheap": false, "price": 1.0,
             "checks_fence": false, "state": "ready",
         });
@@ -207,9 +249,17 @@
             data_centre: spec.data_centre.clone(),
             address,
             listed,
+            relay,
         })
     }
 
+    fn start_relay(&self, target: SocketAddr) -> Result<Option<Relay>, String> {
+        if !self.spec.relayed_servers {
+            return Ok(None);
+        }
+        Relay::start(target).map(Some)
+    }
+
     fn start_servers(&mut self) -> Result<(), String> {
         for spec in self.spec.engines.clone() {
             let server = self.start_engine(&spec)?;
@@ -254,41 +304,39 @@
         Ok(())
     }
 
-    fn write_settings(&self, name: &str, data_centre: &str) -> Result<String, String> {
+    fn write_settings(
+        &self,
+        name: &str,
+        data_centre: &str,
+        platform: SocketAddr,
+    ) -> Result<String, String> {
         let hash = KeyHash::of(OPERATOR_TOKEN.as_bytes()).to_hex();
-        let mut rows: Vec<(String, String, String)> = [
+        let own = [
             ("node", "name", name),
             ("node", "data_centre", data_centre),
-            ("node", "secret", "a-fleet-secret-for-loopback-only"),
-            ("listen", "caller", "127.0.0.1:0"),
-            ("listen", "node", "127.0.0.1:0"),
-            ("listen", "operator", "127.0.0.1:0"),
-            ("platform", "address", &self.platform_address.to_string()),
+            ("platform", "address", &platform.to_string()),
             ("operator", "tokens", &format!("demo:{hash}")),
-            ("caller", "stop_delay_ms", "200"),
-        ]
-        .map(|(section, key, value)| (section.to_owned(), key.to_owned(), value.to_owned()))
-        .into();
-        for row in &self.spec.settings {
-            rows.retain(|known| (&known.0, &known.1) != (&row.0, &row.1));
-            rows.push(row.clone());
-        }
-        rows.sort();
-        let mut text = String::new();
-        let mut section = "";
-        for (named, key, value) in &rows {
-            if named != section {
-                let _ = writeln!(text, "[{named}]");
-                section = named;
-            }
-            let _ = writeln!(text, "{key} = {value}");
-        }
+        ];
         let path = self.folder.join(format!("{name}.ini"));
-        std::fs::write(&path, text).map_err(|error| error.to_string())?;
+        std::fs::write(&path, ini::text(&own, &self.spec.settings))
+            .map_err(|error| error.to_string())?;
         Ok(path.display().to_string())
     }
 }
 
+/// The file that a stand-in's history is written to.
+pub(crate) fn history_file(folder: &Path, id: &str) -> PathBuf {
+    folder.join(format!("{id}.history"))
+}
+
+fn history_args(spec: &Spec, folder: &Path, id: &str) -> Vec<String> {
+    if !spec.histories {
+        return Vec::new();
+    }
+    let file = history_file(folder, id).display().to_string();
+    vec!["--history".to_owned(), file]
+}
+
 fn local() -> [String; 1] {
     ["127.0.0.1:0".to_owned()]
 }
--- a/crates/pomeloridge_dev/src/launch/process.rs
+++ b/crates/pomeloridge_dev/src/launch/process.rs
@@ -1,6 +1,6 @@
 //! One child process: its first line, its log, and its end.
 
-use std::fs::File;
+use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -27,7 +27,10 @@
     /// Starts a program of this workspace and waits for its first line.
     pub fn start(name: &str, program: &str, args: &[String], logs: &Path) -> Result<Self, String> {
         let path = binary(program)?;
-        let log = File::create(logs.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
+        let log = logs.join(format!("{name}.log"));
+        // A process that is started again keeps the log of the one before it.
+        let log = OpenOptions::new().create(true).append(true).open(log);
+        let log = log.map_err(|error| error.to_string())?;
         let mut child = Command::new(&path)
             .args(args)
             .stdin(Stdio::null())
--- a/crates/pomeloridge_dev/src/launch/spec.rs
+++ b/crates/pomeloridge_dev/src/launch/spec.rs
@@ -52,6 +52,12 @@
     pub settings: Vec<(String, String, String)>,
     /// Further arguments of the platform's stand-in.
     pub platform: Vec<String>,
+    /// Whether each stand-in also writes its history to a file, which outlives a crash.
+    pub histories: bool,
+    /// Whether each node reaches the platform through a relay of its own.
+    pub relayed: bool,
+    /// Whether each backend server is listed under the address of a relay of its own.
+    pub relayed_servers: bool,
 }
 
 impl Spec {
@@ -148,6 +154,9 @@
             .collect(),
         settings: Vec::new(),
         platform: Vec::new(),
+        histories: false,
+        relayed: false,
+        relayed_servers: false,
     }
 }
 
--- a/crates/pomeloridge_dev/src/lib.rs
+++ b/crates/pomeloridge_dev/src/lib.rs
@@ -2,5 +2,6 @@
 //! loopback, and what is tried and measured on them.
 
 pub mod caller;
+pub mod check;
 pub mod launch;
 pub mod table;
--- /dev/null
+++ b/crates/pomeloridge_dev/src/slopes.rs
@@ -0,0 +1,137 @@
+//! Measures how a node's cost grows with the fleet: calls of the object service,
+//! processor time, memory and bytes between nodes, at rest and under change.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_dev::launch::{
+    Cluster, build_binaries, get_json, put_json, spec_demo, wait_until_ready,
+};
+use serde_json::{Value, json};
+
+/// Time for leases and links to settle before counting.
+const SETTLE_TIME: Duration = Duration::from_secs(6);
+/// Time that is counted over.
+const COUNT_TIME: Duration = Duration::from_secs(10);
+/// Clock ticks a second in `/proc`.
+const TICKS: f64 = 100.0;
+
+/// What was counted at one size.
+struct Row {
+    nodes: usize,
+    calls: f64,
+    by_kind: Vec<(String, f64)>,
+    core: f64,
+    memory_mb: f64,
+}
+
+/// Measures at each number of nodes, and prints a table.
+pub(crate) fn run(sizes: &[usize], change: bool) -> Result<bool, String> {
+    build_binaries()?;
+    println!("nodes  calls/s  core % a node  MB a node  calls/s by kind");
+    for nodes in sizes {
+        let row = measure(*nodes, change)?;
+        let kinds = row.by_kind.iter().filter(|(_, rate)| *rate > 0.0);
+        let kinds: Vec<_> = kinds
+            .map(|(kind, rate)| format!("{kind} {rate:.1}"))
+            .collect();
+        println!(
+            "{:5}  {:7.1}  {:13.2}  {:9.1}  {}",
+            row.nodes,
+            row.calls,
+            row.core * 100.0,
+            row.memory_mb,
+            kinds.join(", ")
+        );
+    }
+    Ok(true)
+}
+
+fn measure(nodes: usize, change: bool) -> Result<Row, String> {
+    let mut spec = spec_demo();
+    let zones = ["dc-a", "dc-b", "dc-c", "dc-d"];
+    spec.nodes = (0..nodes)
+        .map(|index| zones[index % zones.len()].to_owned())
+        .collect();
+    let cluster = Cluster::start(spec.set("log", "level", "warn"))?;
+    wait_until_ready(&cluster)?;
+    std::thread::sleep(SETTLE_TIME);
+    let before = (calls(&cluster)?, core(&cluster)?);
+    let start = Instant::now();
+    while start.elapsed() < COUNT_TIME {
+        if change {
+            write_config(&cluster)?;
+        }
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let after = (calls(&cluster)?, core(&cluster)?);
+    let rate = |kind: &str| (count(&after.0, kind) - count(&before.0, kind)) / seconds;
+    let kinds = after
+        .0
+        .as_object()
+        .map(|kinds| kinds.keys().cloned().collect::<Vec<_>>());
+    let by_kind = kinds
+        .unwrap_or_default()
+        .into_iter()
+        .filter(|kind| kind != "total");
+    Ok(Row {
+        nodes,
+        calls: rate("total"),
+        by_kind: by_kind.map(|kind| (kind.clone(), rate(&kind))).collect(),
+        core: (after.1 - before.1) / seconds / nodes as f64,
+        memory_mb: memory(&cluster)? / nodes as f64,
+    })
+}
+
+/// One change of configuration, as an operator's would be.
+fn write_config(cluster: &Cluster) -> Result<(), String> {
+    let object = get_json(cluster.platform(), "/objects/config/fleet")?;
+    let target = format!("/objects/config/fleet?expect={}", object["version"]);
+    put_json(cluster.platform(), &target, &object["value"]).map(|_| ())
+}
+
+fn calls(cluster: &Cluster) -> Result<Value, String> {
+    get_json(cluster.platform(), "/calls")
+}
+
+fn count(calls: &Value, kind: &str) -> f64 {
+    calls
+        .get(kind)
+        .unwrap_or(&json!(0))
+        .as_f64()
+        .unwrap_or_default()
+}
+
+/// Processor time of all nodes, in seconds.
+fn core(cluster: &Cluster) -> Result<f64, String> {
+    let mut sum = 0.0;
+    for node in &cluster.nodes {
+        let fields = read_proc(node.process.id(), "stat")?;
+        let fields: Vec<&str> = fields
+            .rsplit(')')
+            .next()
+            .unwrap_or_default()
+            .split(' ')
+            .collect();
+        let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
+        sum += (ticks(12).unwrap_or_default() + ticks(13).unwrap_or_default()) / TICKS;
+    }
+    Ok(sum)
+}
+
+/// Resident memory of all nodes, in MB.
+fn memory(cluster: &Cluster) -> Result<f64, String> {
+    let mut sum = 0.0;
+    for node in &cluster.nodes {
+        let status = read_proc(node.process.id(), "status")?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+        sum += kilobytes.unwrap_or_default() / 1024.0;
+    }
+    Ok(sum)
+}
+
+fn read_proc(id: u32, file: &str) -> Result<String, String> {
+    let path = format!("/proc/{id}/{file}");
+    std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))
+}
--- /dev/null
+++ b/crates/pomeloridge_dev/tests/checkers.rs
@@ -0,0 +1,260 @@
+//! Each checker sees a bad history fail and lets a good one pass.
+
+use pomeloridge_dev::caller::expected;
+use pomeloridge_dev::check::promise::{
+    answers, check_all, config, filings, keys, leaving, not_run, orders, usage, whole,
+};
+use pomeloridge_dev::check::record::{
+    ConfigCall, ConfigLook, Event, Expect, Happening, History, KeyLook, Kind, Line, Register, Sent,
+    Violation,
+};
+use pomeloridge_standin::prompt_hash;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+const BODY: &str = r#"{"case":17,"marker":"f1"}"#;
+
+fn line(source: &str, at: u64, what: &str, mut fields: Value) -> Line {
+    fields["n"] = json!(at);
+    Line {
+        source: source.to_owned(),
+        at,
+        what: what.to_owned(),
+        fields,
+    }
+}
+
+fn whole_completion() -> Sent {
+    let text = expected("p1", 3).concat();
+    Sent {
+        marker: "m1".into(),
+        account: "account-1".into(),
+        prompt: "p1".into(),
+        tokens: 3,
+        connected: true,
+        status: 200,
+        whole: true,
+        request_id: "r-1".into(),
+        body: json!({"choices": [{"text": text}], "usage": {"completion_tokens": 3}}).to_string(),
+        ..Sent::default()
+    }
+}
+
+fn streamed() -> Sent {
+    Sent {
+        marker: "m2".into(),
+        kind: Kind::Stream,
+        prompt: "p2".into(),
+        texts: expected("p2", 3),
+        indexes: vec![0, 1, 2],
+        request_id: "r-2".into(),
+        body: String::new(),
+        ..whole_completion()
+    }
+}
+
+fn filed() -> Sent {
+    Sent {
+        marker: "f1".into(),
+        kind: Kind::Filing,
+        account: "account-2".into(),
+        prompt: BODY.into(),
+        idempotency: Some("key-f1".into()),
+        connected: true,
+        status: 201,
+        whole: true,
+        request_id: "r-3".into(),
+        body: json!({"id": 1}).to_string(),
+        ..Sent::default()
+    }
+}
+
+fn generated(prompt: &str, request_id: &str) -> Line {
+    let names = ["host", "x-request-id"];
+    let fields = json!({
+        "request_id": request_id, "prompt_hash": prompt_hash(prompt),
+        "leaks_key": false, "header_names": names,
+    });
+    line("engine-1", 10, "generate", fields)
+}
+
+fn ran(service: &str) -> Line {
+    let fields = json!({
+        "request_id": "r-3", "method": "POST", "body": BODY,
+        "leaks_key": false, "header_names": ["host"],
+    });
+    line(service, 10, "run", fields)
+}
+
+fn order(source: &str, at: u64, id: &str, fence: u64) -> Line {
+    let fields = json!({
+        "order_id": id, "fence": fence, "action": "role", "role": "decode", "applied": true,
+    });
+    line(source, at, "order", fields)
+}
+
+fn order_done(at: u64, id: &str) -> Line {
+    line("engine-1", at, "order_done", json!({"order_id": id}))
+}
+
+fn report(window: u64, fence: u64, tokens: u64) -> Line {
+    let accounts = json!({
+        "account-1": {"requests": 2, "prompt_tokens": 1, "output_tokens": tokens},
+        "account-2": {"requests": 1, "prompt_tokens": 0, "output_tokens": 0},
+    });
+    let fields = json!({"window": window, "fence": fence, "accounts": accounts});
+    line("platform", 20, "usage", fields)
+}
+
+fn look(revision: u64, at: u64) -> ConfigLook {
+    ConfigLook {
+        node: "node-1".into(),
+        key: "config/fleet".into(),
+        revision,
+        sent_at: at,
+        at,
+    }
+}
+
+fn call(by: usize, sent_at: u64, call: Register) -> ConfigCall {
+    ConfigCall {
+        by,
+        sent_at,
+        ended_at: sent_at + 5,
+        call,
+    }
+}
+
+fn key_look(sent_at: u64, status: u16) -> KeyLook {
+    KeyLook {
+        key: "k-1".into(),
+        node: "node-1".into(),
+        sent_at,
+        status,
+    }
+}
+
+fn event(at: u64, what: Happening) -> Event {
+    Event { at, what }
+}
+
+/// A run in which every promise was kept.
+fn good() -> History {
+    let won = Register::Won {
+        expect: 1,
+        revision: 2,
+        value: 12,
+    };
+    let withdrawn = Happening::Withdrawn { key: "k-1".into() };
+    let left = Happening::Leaving {
+        server: "engine-1".into(),
+    };
+    let stopped = Happening::Stopped {
+        node: "node-1".into(),
+        code: Some(0),
+    };
+    History {
+        sent: vec![whole_completion(), streamed(), filed(), filed()],
+        lines: vec![
+            generated("p1", "r-1"),
+            generated("p2", "r-2"),
+            ran("filings-1"),
+            order("engine-1", 11, "o-1", 4),
+            order_done(12, "o-1"),
+            order("engine-1", 13, "o-2", 5),
+            report(1, 4, 6),
+            report(1, 4, 6),
+        ],
+        events: vec![event(100, withdrawn), event(100, left), event(200, stopped)],
+        keys: vec![key_look(90, 404), key_look(150, 404), key_look(9000, 401)],
+        config: vec![look(1, 90), look(2, 210), look(2, 300)],
+        calls: vec![
+            call(
+                0,
+                100,
+                Register::Read {
+                    revision: 1,
+                    value: 11,
+                },
+            ),
+            call(0, 110, won),
+            call(1, 112, Register::Conflict { expect: 1 }),
+            call(
+                1,
+                130,
+                Register::Read {
+                    revision: 2,
+                    value: 12,
+                },
+            ),
+        ],
+        first: (1, 11),
+        expect: Expect::Whole,
+    }
+}
+
+#[test]
+fn good_history_passes() {
+    assert_eq!(check_all(&good()), Vec::new());
+}
+
+type Check = fn(&History) -> Vec<Violation>;
+
+#[parameterized(
+    other_text = { |h| h.sent[0].body = h.sent[0].body.replace(" w", " x"), answers::check },
+    wrong_count = { |h| h.sent[0].body = h.sent[0].body.replace(":3", ":4"), answers::check },
+    doubled_index = { |h| h.sent[1].indexes = vec![0, 1, 1], answers::check },
+    crossed_stream = { |h| h.sent[1].texts = expected("p1", 3), answers::check },
+    short_stream = { |h| { h.sent[1].texts.pop(); h.sent[1].indexes.pop(); }, answers::check },
+    filing_never_run = { |h| h.lines.retain(|line| line.what != "run"), answers::check },
+    filing_of_another = { |h| h.sent[2].body = json!({"id": 2}).to_string(), answers::check },
+    run_twice = { |h| h.lines.push(ran("filings-2")), filings::check },
+    repeat_differs = { |h| h.sent[3].body = json!({"id": 9}).to_string(), filings::check },
+    not_run_but_ran = { |h| { h.sent[0].status = 503; h.sent[0].run = "not run".into(); }, not_run::check },
+    not_run_by_content = { |h| { h.sent[0].run = "not run".into(); h.sent[0].request_id.clear(); }, not_run::check },
+    key_in_text = { |h| h.lines[0].fields["leaks_key"] = json!(true), keys::check },
+    key_in_header = { |h| h.lines[2].fields["header_names"] = json!(["authorization"]), keys::check },
+    unknown_key_ran = { |h| h.sent[0].account = keys::NOBODY.into(), keys::check },
+    withdrawn_key_taken = { |h| h.keys.push(key_look(9500, 404)), keys::check },
+    withdrawn_key_late = { |h| { h.keys.push(key_look(15_000, 404)); h.keys.push(key_look(15_100, 401)); }, keys::check },
+    revision_reverts = { |h| h.config.push(look(1, 400)), config::check },
+    change_not_in_force = { |h| h.config.retain(|look| look.revision == 1), config::check },
+    two_winners = { |h| h.calls.push(call(1, 140, Register::Won { expect: 1, revision: 3, value: 21 })), config::check },
+    lost_change = { |h| h.calls.push(call(1, 140, Register::Read { revision: 1, value: 11 })), config::check },
+    false_conflict = { |h| h.calls.push(call(1, 140, Register::Conflict { expect: 2 })), config::check },
+    work_after_leaving = { |h| h.lines[0].at = 6000, leaving::check },
+    cut_stream = { |h| h.sent[1].whole = false, whole::check },
+    accepted_and_lost = { |h| h.sent[0].status = 502, whole::check },
+    stop_by_signal = { |h| h.events.push(event(1, Happening::Stopped { node: "node-2".into(), code: None })), whole::check },
+    three_engines_lost = { |h| for engine in ["a", "b", "c"] { h.lines.push(line(engine, 9, "crashed", json!({"why": "poison"}))); }, whole::check },
+    fence_falls = { |h| h.lines.push(order("platform", 30, "o-9", 5)), orders_after_platform },
+    order_with_two_contents = { |h| { let mut again = order("engine-1", 14, "o-2", 5); again.fields["role"] = json!("mixed"); h.lines.push(again); }, orders::check },
+    order_while_open = { |h| h.lines.push(order("engine-1", 14, "o-3", 5)), orders::check },
+    window_twice = { |h| h.lines.push(report(1, 4, 5)), usage::check },
+    usage_of_an_old_holder = { |h| h.lines.push(report(2, 3, 0)), usage::check },
+    never_billed = { |h| h.lines.retain(|line| line.what != "usage"), usage::check },
+    billed_too_much = { |h| h.lines.push(report(2, 4, 100)), usage::check },
+)]
+fn bad_history_fails(break_it: fn(&mut History), check: Check) {
+    let mut history = good();
+    break_it(&mut history);
+    assert!(!check(&history).is_empty());
+}
+
+/// Adds an order of an older holder before the orders are checked.
+fn orders_after_platform(history: &History) -> Vec<Violation> {
+    let mut history = history.clone();
+    history.lines.push(order("platform", 31, "o-10", 4));
+    for line in &mut history.lines {
+        line.fields["status"] = json!(200);
+    }
+    orders::check(&history)
+}
+
+#[test]
+fn cut_filing_is_allowed_where_only_completions_count() {
+    let mut history = good();
+    history.expect = Expect::Completions;
+    history.sent[2].whole = false;
+    assert_eq!(whole::check(&history), Vec::new());
+}
