--- /dev/null
+++ b/crates/pomeloridge_slopes/src/main.rs
@@ -0,0 +1,50 @@
+//! Prints how the cost of a node's parts grows with their tables.
+
+use clap::Parser;
+use pomeloridge_slopes::alloc::Counting;
+use pomeloridge_slopes::fixture::SEED;
+use pomeloridge_slopes::row::Row;
+use pomeloridge_slopes::table::render;
+use pomeloridge_slopes::{admission, config, exchange, fleet, heartbeat, hints, membership, usage};
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Measures how the time and memory of a node's parts grow.
+#[derive(Parser)]
+struct Args {
+    /// Prints one JSON document in place of the table.
+    #[arg(long)]
+    json: bool,
+    /// Measures only this part.
+    #[arg(long)]
+    part: Option<String>,
+}
+
+/// A part's name and its measurement.
+type Part = (&'static str, fn() -> Vec<Row>);
+
+/// The parts that are measured.
+const PARTS: [Part; 8] = [
+    ("config", config::rows),
+    ("fleet", fleet::rows),
+    ("admission", admission::rows),
+    ("membership", membership::rows),
+    ("heartbeat", heartbeat::rows),
+    ("exchange", exchange::rows),
+    ("usage", usage::rows),
+    ("hints", hints::rows),
+];
+
+fn main() {
+    let args = Args::parse();
+    let wanted = |(name, _): &&Part| args.part.as_ref().is_none_or(|part| part == name);
+    let parts = PARTS.iter().filter(wanted);
+    let rows: Vec<Row> = parts.flat_map(|(_, rows)| rows()).collect();
+    if args.json {
+        println!("{}", serde_json::json!({"seed": SEED, "rows": rows}));
+    } else {
+        println!("seed {SEED}");
+        print!("{}", render(&rows));
+    }
+}
