--- a/crates/pomeloridge/src/serve/duties.rs
+++ b/crates/pomeloridge/src/serve/duties.rs
@@ -31,6 +31,8 @@
 const CANDIDATE_ROUNDS: u32 = 3;
 /// Pause between two tries to have usage kept elsewhere.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Age after which a peer's word of its demand says nothing any more.
+const WORD_TTL: Duration = Duration::from_secs(3);
 /// Time without contact after which a server counts as unreachable for all.
 const UNREACHED: Duration = Duration::from_secs(30);
 
@@ -279,6 +281,7 @@
         .filter(|member| member.state == MemberState::Live);
     let reports: Vec<_> = live
         .filter_map(|member| heard.demand(&member.name))
+        .filter(|(at, _)| now.saturating_duration_since(*at) < WORD_TTL)
         .collect();
     let oldest = reports.iter().map(|(at, _)| *at).min().unwrap_or(now);
     let lines = reports.iter().flat_map(|(_, lines)| lines.iter());
--- a/crates/pomeloridge/src/serve/loads.rs
+++ b/crates/pomeloridge/src/serve/loads.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pomeloridge_backend::{Load, Role, read_load};
+use pomeloridge_backend::{Load, read_load};
 use pomeloridge_base::id::Name;
-use pomeloridge_policy::server::{self, LoadReport, ServerKey};
+use pomeloridge_policy::server::{LoadReport, ServerKey};
 
 use super::state::State;
 
@@ -73,11 +73,7 @@
         queued: load.queued,
         prefill_tokens: load.prefill_tokens,
         slots: load.slots,
-        role: match load.role {
-            Role::Prefill => server::Role::Prefill,
-            Role::Decode => server::Role::Decode,
-            Role::Mixed => server::Role::Mixed,
-        },
+        role: load.role,
         models: load.models,
         leaving: load.leaving,
     };
--- a/crates/pomeloridge_backend/src/lib.rs
+++ b/crates/pomeloridge_backend/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use engine::{Event, Generate, Generation};
 pub use error::BackendError;
-pub use load::{Load, Role, read_load};
+pub use load::{Load, read_load};
 pub use order::{EngineOrder, EngineState, OrderAction, OrderOutcome, read_state, send_order};
+pub use pomeloridge_policy::server::Role;
 pub use service::{Call, forward};
--- a/crates/pomeloridge_backend/src/load.rs
+++ b/crates/pomeloridge_backend/src/load.rs
@@ -3,49 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use derive_more::Display;
 use pomeloridge_base::http::{Outgoing, call};
 use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_policy::server::Role;
 
 use crate::BackendError;
 use crate::wire::WireLoad;
 
-/// What an engine is set up for.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash)]
-pub enum Role {
-    /// Reads prompts faster, makes tokens slower.
-    #[display("prefill")]
-    Prefill,
-    /// Makes tokens faster, reads prompts slower.
-    #[display("decode")]
-    Decode,
-    /// Does both.
-    #[default]
-    #[display("mixed")]
-    Mixed,
-}
-
-impl Role {
-    /// Reads a role; `None` for a word that is none.
-    pub fn from_word(word: &str) -> Option<Self> {
-        match word {
-            "prefill" => Some(Self::Prefill),
-            "decode" => Some(Self::Decode),
-            "mixed" => Some(Self::Mixed),
-            _ => None,
-        }
-    }
-
-    /// The word for the role.
-    pub fn word(self) -> &'static str {
-        match self {
-            Self::Prefill => "prefill",
-            Self::Decode => "decode",
-            Self::Mixed => "mixed",
-        }
-    }
-}
-
 /// A load report; it lags behind the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -71,7 +35,7 @@
 
 impl From<WireLoad> for Load {
     fn from(wire: WireLoad) -> Self {
-        let role = wire.role.as_deref().and_then(Role::from_word);
+        let role = wire.role.as_deref().and_then(read_role);
         Self {
             at: wire.at,
             role: role.unwrap_or_default(),
@@ -95,3 +59,13 @@
     let wire: WireLoad = serde_json::from_slice(&answer.body).map_err(|_| BackendError::Broken)?;
     Ok(wire.into())
 }
+
+/// Reads a role's word; `None` for a word that is none.
+pub(crate) fn read_role(word: &str) -> Option<Role> {
+    match word {
+        "prefill" => Some(Role::Prefill),
+        "decode" => Some(Role::Decode),
+        "mixed" => Some(Role::Mixed),
+        _ => None,
+    }
+}
--- a/crates/pomeloridge_backend/src/order.rs
+++ b/crates/pomeloridge_backend/src/order.rs
@@ -11,6 +11,7 @@
 use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Outgoing, call};
 use pomeloridge_base::id::{Epoch, Name};
 
+use crate::load::read_role;
 use crate::wire::{WireOrder, WireOrderAnswer, WireState};
 use crate::{BackendError, Role};
 
@@ -120,7 +121,7 @@
     let answer = call(address, &Outgoing::get("/state"), timeout).await?;
     let wire: WireState = serde_json::from_slice(&answer.body).map_err(|_| BackendError::Broken)?;
     Ok(EngineState {
-        role: Role::from_word(&wire.role).ok_or(BackendError::Broken)?,
+        role: read_role(&wire.role).ok_or(BackendError::Broken)?,
         models: wire.models,
         order: wire.order,
         fence: wire.fence,
@@ -129,7 +130,7 @@
 
 fn encode(order: &EngineOrder) -> Outgoing {
     let (action, role, model) = match &order.action {
-        OrderAction::Role(role) => ("role", Some(role.word()), None),
+        OrderAction::Role(role) => ("role", Some(role.to_string()), None),
         OrderAction::Load(model) => ("load", None, Some(model.as_str())),
         OrderAction::Drain => ("drain", None, None),
         OrderAction::Resume => ("resume_service", None, None),
@@ -138,7 +139,7 @@
         order_id: &order.id,
         fence: order.fence,
         action,
-        role,
+        role: role.as_deref(),
         model,
     })
 }
--- a/crates/pomeloridge_base/src/lib.rs
+++ b/crates/pomeloridge_base/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod id;
 pub mod meter;
 pub mod net;
+pub mod rule;
 pub mod secret;
 pub mod settings;
--- /dev/null
+++ b/crates/pomeloridge_caller/src/delivery.rs
@@ -0,0 +1,128 @@
+//! What the caller of a generation is sent: tokens as they come, the end, or the
+//! reason why there is none.
+
+use http::{HeaderMap, HeaderValue, StatusCode};
+use pomeloridge_base::http::{Responder, Response};
+use pomeloridge_base::meter::{Counter, Timer};
+use pomeloridge_policy::server::ServerKey;
+
+use crate::answer::{self, Refusal};
+use crate::completion::{self, DONE_EVENT};
+use crate::front::Usage;
+use crate::generation_run::{End, GenerationRun, Stop};
+
+impl GenerationRun<'_> {
+    pub(crate) fn count_token(&self) {
+        let now = self.front.clock.now();
+        let mut demand = self.front.policy.demand.borrow_mut();
+        demand.made(&self.completion.model, 1, now);
+    }
+
+    pub(crate) fn first_token(&self, server: ServerKey) {
+        let front = self.front;
+        let mut hints = front.policy.hints.borrow_mut();
+        hints.add_all(server, &self.blocks);
+        if self.texts.len() == self.completion.resume.len() {
+            let taken = front
+                .clock
+                .now()
+                .saturating_duration_since(self.accepted.arrived);
+            front.meter.time(Timer::FirstToken, taken);
+        }
+    }
+
+    pub(crate) async fn send_token(
+        &self,
+        index: u32,
+        text: &str,
+        responder: &mut Responder,
+    ) -> Result<(), Stop> {
+        self.front.meter.one(Counter::Tokens);
+        if !self.completion.stream {
+            return Ok(());
+        }
+        if !responder.started() {
+            let head = stream_head(&self.id);
+            let started = responder.start(StatusCode::OK, &head).await;
+            started.map_err(|_| Stop::Gone)?;
+        }
+        let event = completion::token_event(&self.id, &self.completion, index, text);
+        let sent = responder.chunk(event.as_bytes()).await;
+        sent.map_err(|_| Stop::Gone)
+    }
+
+    /// Bills the answer, and ends it.
+    pub(crate) async fn finish(&self, responder: &mut Responder) -> Result<(), End> {
+        let tokens = self.texts.len() as u64;
+        let usage = Usage {
+            request: self.id.clone(),
+            account: self.accepted.account.clone(),
+            prompt: self.completion.prompt_tokens(),
+            output: tokens,
+        };
+        self.learn_output(tokens);
+        (self.front.bill)(usage).await;
+        let sent = if self.completion.stream {
+            self.end_stream(responder).await
+        } else {
+            let text = self.texts.concat();
+            let body = completion::whole(&self.id, &self.completion, &text, tokens);
+            let response = Response::new(200, body)
+                .with("content-type", "application/json")
+                .with("x-request-id", &self.id);
+            responder.send(response).await.is_ok()
+        };
+        if !sent {
+            return Err(End::Gone);
+        }
+        let text = format!(
+            "outcome=answered tokens={tokens} attempts={}",
+            self.attempts
+        );
+        self.front.note(&self.id, text);
+        Ok(())
+    }
+
+    pub(crate) fn learn_output(&self, tokens: u64) {
+        let mut estimates = self.front.policy.estimates.borrow_mut();
+        estimates.learn(&self.completion.model, &self.accepted.account, tokens);
+    }
+
+    pub(crate) async fn end_stream(&self, responder: &mut Responder) -> bool {
+        if !responder.started() {
+            let head = stream_head(&self.id);
+            if responder.start(StatusCode::OK, &head).await.is_err() {
+                return false;
+            }
+        }
+        responder.chunk(DONE_EVENT.as_bytes()).await.is_ok() && responder.finish().await.is_ok()
+    }
+
+    /// Gives the final answer at once; a stream that has begun ends as aborted.
+    pub(crate) async fn give_up(&self, refusal: &Refusal, responder: &mut Responder) {
+        if !responder.started() {
+            return self.front.refuse(refusal, Some(&self.id), responder).await;
+        }
+        self.front.meter.one(Counter::Failed);
+        let code = refusal.kind.answer().code;
+        self.front
+            .note(&self.id, format!("outcome=aborted code={code}"));
+        let body = answer::render(refusal, Some(&self.id));
+        let event = format!("event: error\ndata: {body}\n\n");
+        // The body is left without its end, so that nobody takes it for whole.
+        let _ = responder.chunk(event.as_bytes()).await;
+    }
+}
+
+fn stream_head(id: &str) -> HeaderMap {
+    let mut head = HeaderMap::new();
+    head.insert(
+        "content-type",
+        HeaderValue::from_static("text/event-stream"),
+    );
+    head.insert("cache-control", HeaderValue::from_static("no-store"));
+    if let Ok(id) = HeaderValue::from_str(id) {
+        head.insert("x-request-id", id);
+    }
+    head
+}
--- /dev/null
+++ b/crates/pomeloridge_caller/src/generation_run.rs
@@ -0,0 +1,208 @@
+//! Runs a completion: waits for its turn, generates on an engine, and goes on
+//! elsewhere when the engine is lost.
+
+use std::time::Duration;
+
+use pomeloridge_backend::{BackendError, Event, Generate, Generation};
+use pomeloridge_base::error::ErrorKind;
+use pomeloridge_base::http::Responder;
+use pomeloridge_base::meter::Timer;
+use pomeloridge_policy::prefix::Block;
+use pomeloridge_policy::server::{ServerKey, Work};
+use pomeloridge_policy::suspicion::Fingerprint;
+
+use crate::answer::Refusal;
+use crate::choice::{self, Chosen};
+use crate::completion::Completion;
+use crate::front::{Accepted, Front};
+use crate::in_flight::InFlight;
+use crate::turn::Turn;
+
+/// Why a generation ended without an answer.
+pub(crate) enum End {
+    /// It is refused, or failed.
+    Refused(Refusal),
+    /// Its caller has gone.
+    Gone,
+}
+
+impl From<Refusal> for End {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<ErrorKind> for End {
+    fn from(kind: ErrorKind) -> Self {
+        Self::Refused(kind.into())
+    }
+}
+
+/// Why one attempt ended without an answer.
+pub(crate) enum Stop {
+    /// The engine failed.
+    Backend(BackendError),
+    /// The caller has gone.
+    Gone,
+}
+
+/// A completion that is being run, over all its attempts.
+pub(crate) struct GenerationRun<'a> {
+    pub(crate) front: &'a Front,
+    pub(crate) accepted: &'a Accepted,
+    pub(crate) completion: Completion,
+    pub(crate) blocks: Vec<Block>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) id: String,
+    /// Texts of all tokens so far, with those the caller had before.
+    pub(crate) texts: Vec<String>,
+    pub(crate) tried: Vec<ServerKey>,
+    pub(crate) attempts: u32,
+    pub(crate) refusals: usize,
+    /// Whether an engine may have run a part of it.
+    pub(crate) written: bool,
+}
+
+impl GenerationRun<'_> {
+    pub(crate) async fn run(&mut self, responder: &mut Responder) -> Result<(), End> {
+        let front = self.front;
+        self.check_quarantine()?;
+        let pool = self.completion.model.clone();
+        let work = self.work();
+        let mut turn = monoio::select! {
+            turn = Turn::wait(front, self.accepted, &self.id, &pool, work) => turn?,
+            () = responder.gone() => return Err(End::Gone),
+        };
+        loop {
+            self.attempts += 1;
+            let suspect = self.is_suspect();
+            let chosen = self.choose(suspect, responder).await?;
+            let server = chosen.server;
+            let mut in_flight = InFlight::start(
+                front,
+                server,
+                self.work_on(chosen),
+                self.fingerprint,
+                suspect,
+            );
+            match self.attempt(chosen, &turn, &in_flight, responder).await {
+                Ok(()) => {
+                    in_flight.answered(self.texts.len() as u64);
+                    turn.answered();
+                    front.policy.admission.borrow_mut().accepted(&pool);
+                    return self.finish(responder).await;
+                }
+                Err(Stop::Gone) => return Err(End::Gone),
+                Err(Stop::Backend(error)) => {
+                    in_flight.failed(error);
+                    drop(in_flight);
+                    if error == BackendError::Lost {
+                        // Before this request is sent again or refused, the peers
+                        // must know: its caller may send it to one of them at once.
+                        (front.spread)().await;
+                    }
+                    self.after_failure(error, server, &turn).await?;
+                }
+            }
+        }
+    }
+
+    /// The work that is left, with the output that answers like it had.
+    pub(crate) fn work(&self) -> Work {
+        let most = u64::from(self.completion.max_tokens);
+        let made = self.texts.len() as u64;
+        let estimates = self.front.policy.estimates.borrow();
+        let (pool, account) = (&self.completion.model, &self.accepted.account);
+        Work {
+            prompt: self.completion.prompt_tokens() + made,
+            output: estimates.expected(pool, account, most).saturating_sub(made),
+        }
+    }
+
+    /// The work on a server, without what it is thought to have cached.
+    pub(crate) fn work_on(&self, chosen: Chosen) -> Work {
+        let work = self.work();
+        Work {
+            prompt: work.prompt.saturating_sub(chosen.cached),
+            ..work
+        }
+    }
+
+    /// Chooses an engine; one without another suspect for a suspect.
+    pub(crate) async fn choose(
+        &self,
+        suspect: bool,
+        responder: &mut Responder,
+    ) -> Result<Chosen, End> {
+        let wanted = choice::Wanted {
+            pool: &self.completion.model,
+            session: self.completion.session.as_deref(),
+            blocks: &self.blocks,
+            work: self.work(),
+            tried: &self.tried,
+            suspect,
+            again: true,
+        };
+        if !suspect {
+            let chosen = choice::choose(self.front, &self.id, &wanted);
+            return chosen.map_err(|kind| self.no_server(kind));
+        }
+        monoio::select! {
+            chosen = choice::choose_apart(self.front, &self.id, &wanted, self.accepted.deadline) => {
+                chosen.map_err(|kind| self.no_server(kind))
+            }
+            () = responder.gone() => Err(End::Gone),
+        }
+    }
+
+    /// Runs the rest of the generation on one engine.
+    pub(crate) async fn attempt(
+        &mut self,
+        chosen: Chosen,
+        turn: &Turn,
+        in_flight: &InFlight,
+        responder: &mut Responder,
+    ) -> Result<(), Stop> {
+        let front = self.front;
+        let request = Generate {
+            id: self.id.clone(),
+            prompt: self.completion.prompt.clone(),
+            resume: self.texts.clone(),
+            max_tokens: self.completion.max_tokens,
+            priority: self.accepted.route.weight as i32,
+        };
+        let first_byte = Duration::from_millis(self.accepted.route.first_byte_ms);
+        let gap = Duration::from_millis(self.accepted.route.gap_ms);
+        let mut deadline = self.accepted.deadline.min(front.clock.now() + first_byte);
+        let mut generation = monoio::select! {
+            started = Generation::start(chosen.address, &request, front.connect, deadline) => {
+                started.map_err(Stop::Backend)?
+            }
+            () = responder.gone() => return Err(Stop::Gone),
+        };
+        let mut last = None;
+        loop {
+            let event = monoio::select! {
+                event = generation.next(deadline) => event.map_err(Stop::Backend)?,
+                () = responder.gone() => return Err(Stop::Gone),
+            };
+            let now = front.clock.now();
+            deadline = self.accepted.deadline.min(now + gap);
+            match event {
+                Event::Token { index, text } => {
+                    if let Some(last) = last.replace(now) {
+                        front.meter.time(Timer::Gap, now - last);
+                    } else {
+                        in_flight.first_piece();
+                        self.first_token(chosen.server);
+                    }
+                    turn.charge(1);
+                    self.count_token();
+                    self.send_token(index, &text, responder).await?;
+                    self.texts.push(text);
+                }
+                Event::Done { .. } => return Ok(()),
+            }
+        }
+    }
+}
--- a/crates/pomeloridge_duties/src/rules.rs
+++ b/crates/pomeloridge_duties/src/rules.rs
@@ -1,32 +1,8 @@
 //! The rules of the duties, described for the generated reference.
 
-pub use pomeloridge_policy::rules::Rule;
+pub use pomeloridge_base::rule::Rule;
 
-macro_rules! rules {
-    ($($item:ident $name:literal $what:literal $why:literal $options:literal $example:literal;)*) => {
-        $(
-            #[doc = concat!("What it does: ", $what)]
-            #[doc = ""]
-            #[doc = concat!("Why: ", $why)]
-            #[doc = ""]
-            #[doc = concat!("Options: ", $options)]
-            #[doc = ""]
-            #[doc = concat!("Example: ", $example)]
-            pub const $item: Rule = Rule {
-                name: $name,
-                what: $what,
-                why: $why,
-                options: $options,
-                example: $example,
-            };
-        )*
-
-        /// Every rule of the duties.
-        pub const RULES: &[Rule] = &[$($item,)*];
-    };
-}
-
-rules! {
+pomeloridge_base::rules! {
     COUNT_ONCE "counting once"
         "A batch is counted once by its node, incarnation and number, and a request once by its id. Of two lines of one request in one window the greater counts; a line of a request counted in one of the last windows is left out."
         "A stream may be taken up on another node, and copies of a batch are kept on several."
--- a/crates/pomeloridge_policy/src/rules.rs
+++ b/crates/pomeloridge_policy/src/rules.rs
@@ -1,47 +1,10 @@
 //! The rules of routing and admission, described for the generated reference.
 
-/// One rule, as the reference describes it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rule {
-    /// Name.
-    pub name: &'static str,
-    /// What it does.
-    pub what: &'static str,
-    /// Why it exists.
-    pub why: &'static str,
-    /// What can be set.
-    pub options: &'static str,
-    /// A case as an example.
-    pub example: &'static str,
-}
-
-macro_rules! rules {
-    ($($item:ident $name:literal $what:literal $why:literal $options:literal $example:literal;)*) => {
-        $(
-            #[doc = concat!("What it does: ", $what)]
-            #[doc = ""]
-            #[doc = concat!("Why: ", $why)]
-            #[doc = ""]
-            #[doc = concat!("Options: ", $options)]
-            #[doc = ""]
-            #[doc = concat!("Example: ", $example)]
-            pub const $item: Rule = Rule {
-                name: $name,
-                what: $what,
-                why: $why,
-                options: $options,
-                example: $example,
-            };
-        )*
-
-        /// Every rule, in the order in which a request meets them.
-        pub const RULES: &[Rule] = &[$($item,)*];
-    };
-}
+pub use pomeloridge_base::rule::Rule;
 
-rules! {
+pomeloridge_base::rules! {
     LIMIT "in-flight limit"
-        "A node lets as many requests of a pool run as the pool's usable servers have slots, less what its peers have in flight. A refusal by a server lowers the node's share to 85 %, at most once in 100 ms; a success raises it by 0.5 % of the slots."
+        "A node lets as many requests of a pool run as the pool's usable servers have slots, less what its peers have in flight. An engine whose waiting prompts take more than 0.4 of the time to the first token has no free slot. One request starts at a time, once the one before is counted on its server. A refusal by a server lowers the node's share to 85 %, at most once in 100 ms; a success raises it by 0.5 % of the slots."
         "Requests should wait where they can be ordered fairly and refused early, not on the servers."
         "The servers report their slots; `nodes` is counted by the heartbeat. An equal part of the slots is always left to the node unless refusals lower it."
         "Three servers of 8 slots and 10 requests of peers in flight leave 14 to the node.";
@@ -53,10 +16,10 @@
     DEADLINE "refusal at once"
         "A request that would have to wait past its deadline, or that finds the queue full, is refused as it arrives. One that waits is refused as soon as its deadline can't be met."
         "A caller that is told at once can go elsewhere; one that is held back loses the time as well."
-        "`queue` and `account_queue` in section `admission`; `deadline_ms` of a route."
+        "`queue` and `account_queue` in section `admission`; `wait_ms` of a model; `first_byte_ms` and `deadline_ms` of a route."
         "With 40 requests ahead, 8 in flight and 2 s each, a request due in 5 s is refused with the time after which to come back.";
     CANDIDATES "candidates"
-        "A server is a candidate if it serves the pool and is ready. It is none if it is leaving, drained by an exception, kept for a suspect, ejected, or already tried for this request."
+        "A server is a candidate if it serves the pool and is ready. It is none if it is leaving, drained by an exception, ejected, or already tried for this request; for a suspect also if another suspect runs there."
         "New work on a leaving or unreachable server would be cut or delayed."
         "Exceptions of kind `drain`."
         "An engine that reports `leaving` gets no new request from the next decision on.";
--- a/crates/pomeloridge_standin/src/listen.rs
+++ b/crates/pomeloridge_standin/src/listen.rs
@@ -51,6 +51,23 @@
     Ok(())
 }
 
+/// Answers a request; without an answer the server closes the connection.
+pub(crate) async fn reply(
+    request: Result<Request, Fault>,
+    responder: &mut Responder,
+    answer: impl AsyncFn(&Request, &mut Responder) -> Option<Response>,
+) {
+    let response = match request {
+        Ok(request) => answer(&request, responder).await,
+        Err(fault) => Some(unreadable(&fault)),
+    };
+    if let Some(response) = response
+        && let Err(fault) = responder.send(response).await
+    {
+        log::debug!("an answer could not be written: {fault}");
+    }
+}
+
 /// The answer to a request that could not be read.
 pub(crate) fn unreadable(fault: &Fault) -> Response {
     let status = match fault {
--- a/crates/pomeloridge_standin/src/platform.rs
+++ b/crates/pomeloridge_standin/src/platform.rs
@@ -19,11 +19,11 @@
 use clap::Args;
 use http::Method;
 use pomeloridge_base::clock::{SharedClock, SystemClock};
-use pomeloridge_base::http::{Fault, Request, Responder, Response};
+use pomeloridge_base::http::{Request, Responder, Response};
 use serde_json::json;
 
 use crate::history::History;
-use crate::listen::{error, serve, take_one, unreadable};
+use crate::listen::{error, reply, serve, take_one};
 use crate::signal::Signal;
 use calls::Call;
 
@@ -99,25 +99,15 @@
     };
     let listen = platform.args.listen;
     serve(listen, async move |request, responder: &mut Responder| {
-        platform.handle(request, responder).await;
+        reply(request, responder, async |request, responder| {
+            platform.answer(request, responder).await
+        })
+        .await;
     })
     .await
 }
 
 impl Platform {
-    async fn handle(&self, request: Result<Request, Fault>, responder: &mut Responder) {
-        let response = match request {
-            Ok(request) => self.answer(&request, responder).await,
-            Err(fault) => Some(unreadable(&fault)),
-        };
-        // Without an answer the server closes the connection.
-        if let Some(response) = response
-            && let Err(fault) = responder.send(response).await
-        {
-            log::debug!("an answer could not be written: {fault}");
-        }
-    }
-
     async fn answer(&self, request: &Request, responder: &mut Responder) -> Option<Response> {
         match (&request.method, request.path()) {
             (&Method::GET, "/history") => return Some(self.history.answer()),
--- a/crates/pomeloridge_standin/src/service.rs
+++ b/crates/pomeloridge_standin/src/service.rs
@@ -12,13 +12,13 @@
 use clap::Args;
 use http::Method;
 use pomeloridge_base::clock::{SharedClock, SystemClock};
-use pomeloridge_base::http::{Fault, Request, Responder, Response};
+use pomeloridge_base::http::{Request, Responder, Response};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
 use crate::history::History;
 use crate::leak::{header_names, leaks_key};
-use crate::listen::{Refused, error, read_json, serve, take_one, unreadable};
+use crate::listen::{Refused, error, read_json, reply, serve, take_one};
 use crate::signal::Signal;
 
 /// Command line of the plain service.
@@ -116,25 +116,15 @@
     };
     let listen = service.args.listen;
     serve(listen, async move |request, responder: &mut Responder| {
-        service.handle(request, responder).await;
+        reply(request, responder, async |request, responder| {
+            service.answer(request, responder).await
+        })
+        .await;
     })
     .await
 }
 
 impl Service {
-    async fn handle(&self, request: Result<Request, Fault>, responder: &mut Responder) {
-        let response = match request {
-            Ok(request) => self.answer(&request, responder).await,
-            Err(fault) => Some(unreadable(&fault)),
-        };
-        // Without an answer the server closes the connection.
-        if let Some(response) = response
-            && let Err(fault) = responder.send(response).await
-        {
-            log::debug!("an answer could not be written: {fault}");
-        }
-    }
-
     async fn answer(&self, request: &Request, responder: &mut Responder) -> Option<Response> {
         match (&request.method, request.path()) {
             (&Method::GET, "/history") => return Some(self.history.answer()),
