Take a server out when its load report finds no connection

Cause: only requests ejected a dead server, so each node met each server of a lost data centre once, up to 12.5 s after the loss. Ruled out: the probes, which kept the ejected ones out. Change: a refused or late connection for the load report ejects as one for a request does (the article on stale routing in an API gateway: route around what the gateway sees, with a short connect timeout).

--- a/crates/pomeloridge/src/serve/loads.rs
+++ b/crates/pomeloridge/src/serve/loads.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pomeloridge_backend::{Load, read_load};
+use pomeloridge_backend::{BackendError, Load, read_load};
 use pomeloridge_base::id::Name;
+use pomeloridge_base::meter::Counter;
 use pomeloridge_policy::server::{LoadReport, ServerKey};
 
 use super::state::State;
@@ -56,14 +57,36 @@
     Some((server.info.address, server.ejection.is_ejected()))
 }
 
-/// A server that gives no report is judged by its requests, not ejected for it.
+/// Reads a report.
+///
+/// A server that can't be connected to is taken out before a request meets it;
+/// one that only gives no report is judged by its requests.
 async fn ask(state: &State, key: ServerKey, address: SocketAddr) {
     match read_load(address, REPORT_TIME).await {
         Ok(load) => take(state, key, load),
+        Err(BackendError::Connect) => eject(state, key),
         Err(error) => log::debug!("{address} gave no load report: {error}"),
     }
 }
 
+fn eject(state: &State, key: ServerKey) {
+    let mut fleet = state.policy.fleet.borrow_mut();
+    let known = fleet.server(key).map(|server| server.ejection.is_ejected());
+    let zone_suspect = fleet.fail(key, state.clock.now());
+    if known == Some(false)
+        && let Some(server) = fleet
+            .server(key)
+            .filter(|server| server.ejection.is_ejected())
+    {
+        state.metrics.meter.one(Counter::Ejections);
+        let (id, data_centre) = (&server.info.id, &server.info.data_centre);
+        log::info!(
+            target: "decision",
+            "ejected server={id} data_centre={data_centre} reason=\"no connection for its load report\" zone_suspect={zone_suspect}"
+        );
+    }
+}
+
 fn take(state: &State, key: ServerKey, load: Load) {
     let now = state.clock.now();
     let age = Duration::from_millis(state.clock.unix_ms().saturating_sub(load.at));
--- a/crates/pomeloridge_dev/src/experiment.rs
+++ b/crates/pomeloridge_dev/src/experiment.rs
@@ -23,6 +23,13 @@
 const DECODE_RATE: f64 = 400.0;
 /// Threads of the load generator.
 const THREADS: usize = 2;
+/// Settings of nodes that are divided by the scale, in ms.
+const SCALED_TIMES: [(&str, &str, f64); 4] = [
+    ("backend", "load_ms", 250.0),
+    ("backend", "probe_ms", 1000.0),
+    ("node_link", "heartbeat_ms", 250.0),
+    ("platform", "poll_ms", 1000.0),
+];
 /// Time for links and leases to settle before the load.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
@@ -180,6 +187,11 @@
         model.wait_ms = (model.wait_ms as f64 / scale) as u64;
     }
     spec.histories = true;
+    // Minutes pass in seconds, so what nodes do every so often must as well.
+    for (section, key, ms) in SCALED_TIMES {
+        let ms = (ms / scale).max(1.0) as u64;
+        spec = spec.set(section, key, &ms.to_string());
+    }
     spec
 }
 
