--- a/crates/pomeloridge/src/serve/reports.rs
+++ b/crates/pomeloridge/src/serve/reports.rs
@@ -65,7 +65,7 @@
     let admission = state.policy.admission.borrow();
     let pools = config.fleet().models.keys().map(|name| {
         let pool = admission.state(name);
-        let capacity = fleet.capacity(name, state.policy.nodes.get(), now);
+        let capacity = fleet.capacity(name, now);
         json!({
             "pool": name, "limit": pool.limit, "running": pool.running,
             "waiting": pool.waiting, "slots": capacity.slots,
--- a/crates/pomeloridge_caller/src/turn.rs
+++ b/crates/pomeloridge_caller/src/turn.rs
@@ -59,10 +59,9 @@
 
     /// Tells admission what a pool can take now.
     pub fn set_capacity(&self, pool: &Name, clock: &SharedClock) {
-        let nodes = self.nodes.get();
-        let capacity = self.fleet.borrow().capacity(pool, nodes, clock.now());
+        let capacity = self.fleet.borrow().capacity(pool, clock.now());
         let mut admission = self.admission.borrow_mut();
-        admission.set_capacity(pool, capacity, nodes);
+        admission.set_capacity(pool, capacity, self.nodes.get());
     }
 }
 
--- a/crates/pomeloridge_caller/tests/support/mod.rs
+++ b/crates/pomeloridge_caller/tests/support/mod.rs
@@ -288,7 +288,7 @@
         }
         policy.fleet.borrow_mut().sync(infos);
         for pool in ["assistant", "filings"].map(Name::from) {
-            let capacity = policy.fleet.borrow().capacity(&pool, 1, clock.now());
+            let capacity = policy.fleet.borrow().capacity(&pool, clock.now());
             policy
                 .admission
                 .borrow_mut()
--- a/crates/pomeloridge_policy/src/capacity.rs
+++ b/crates/pomeloridge_policy/src/capacity.rs
@@ -5,7 +5,6 @@
 use pomeloridge_base::id::Name;
 
 use crate::fleet::Fleet;
-use crate::load;
 use crate::server::{Server, ServerKey, ServerKind};
 
 /// The capacity of a pool.
@@ -37,18 +36,13 @@
     }
 
     /// Slots of a server that takes work now.
-    ///
-    /// What this node has sent since the last report stands for what each of its
-    /// peers has sent meanwhile: all see the same room at the same time.
-    fn open_slots(&self, key: ServerKey, nodes: u32, now: Instant) -> u32 {
+    fn open_slots(&self, key: ServerKey, now: Instant) -> u32 {
         let server = self.server(key);
         let up = |server: &&Server| server.is_serving() && !server.ejection.is_ejected();
         let Some(server) = server.filter(up) else {
             return 0;
         };
-        let mut load = self.load(key, now);
-        let unseen = load::unreported_tokens(server, &self.dispatches) as f64;
-        load.prefill_tokens += unseen * f64::from(nodes.saturating_sub(1));
+        let load = self.load(key, now);
         if server.info.kind == ServerKind::Service || server.rates.has_time(load) {
             server.slots()
         } else {
@@ -63,16 +57,16 @@
         server.is_some_and(|server| server.occupied_by(now).any(|peer| peer < own))
     }
 
-    /// The capacity of a pool that `nodes` nodes share, for admission.
+    /// The capacity of a pool, for admission.
     ///
     /// A server behind whose prompts the first token would come late has no free
     /// slot: requests wait in the fair queue, not on the server in the order of
     /// their arrival.
-    pub fn capacity(&self, pool: &Name, nodes: u32, now: Instant) -> Capacity {
+    pub fn capacity(&self, pool: &Name, now: Instant) -> Capacity {
         let servers = || self.pool(pool).iter().filter_map(|key| self.server(*key));
         let keys = || self.pool(pool).iter().copied();
         let serving = || servers().filter(|server| server.is_serving());
-        let mut slots: u32 = keys().map(|key| self.open_slots(key, nodes, now)).sum();
+        let mut slots: u32 = keys().map(|key| self.open_slots(key, now)).sum();
         if slots == 0 {
             // One of the ejected servers is still tried.
             slots = serving().next().map_or(0, Server::slots);
--- a/crates/pomeloridge_policy/src/load.rs
+++ b/crates/pomeloridge_policy/src/load.rs
@@ -149,11 +149,6 @@
 const BACKLOG_PART: f64 = 0.4;
 
 impl Rates {
-    /// Seconds to the first token that are aimed at.
-    pub(crate) fn first_token(&self) -> f64 {
-        self.expected.first_token
-    }
-
     /// Whether the prompts that wait leave time for another one to be read.
     pub(crate) fn has_time(&self, load: Load) -> bool {
         load.prefill_tokens / self.prefill < self.expected.first_token * BACKLOG_PART
@@ -238,17 +233,6 @@
     unread.map(|dispatch| dispatch.work.prompt).sum()
 }
 
-/// Prompt tokens that this node has sent since the server's last report.
-pub(crate) fn unreported_tokens(
-    server: &Server,
-    dispatches: &SlotMap<DispatchKey, Dispatch>,
-) -> u64 {
-    let since = server.report.as_ref().map(|report| report.at);
-    unread_tokens(server, dispatches, |dispatch| {
-        since.is_none_or(|since| dispatch.at > since)
-    })
-}
-
 /// Seconds that a request would wait or be slowed on a server with this load.
 pub(crate) fn wait_seconds(load: Load, rates: &Rates, slots: u32, work: Work) -> f64 {
     let slots = slots.max(1);
--- a/crates/pomeloridge_policy/src/routing.rs
+++ b/crates/pomeloridge_policy/src/routing.rs
@@ -190,11 +190,7 @@
         {
             drawn.push(bound);
         }
-        let mut scored = self.score_all(&drawn, |key| self.time(key));
-        // When those drawn are all slow, a look at the others costs less.
-        if least(&scored).is_some_and(|best| self.is_slow(best)) {
-            scored = self.score_all(keys, |key| self.time(key));
-        }
+        let scored = self.score_all(&drawn, |key| self.time(key));
         let best = least(&scored).map(|best| best.key);
         let reason = if best.is_some() && best == bound {
             Reason::Affinity
@@ -204,12 +200,6 @@
         (scored, reason)
     }
 
-    /// Whether a server would make the first token late.
-    fn is_slow(&self, scored: &Scored) -> bool {
-        let server = self.fleet.server(scored.key);
-        server.is_some_and(|server| scored.score > server.rates.first_token())
-    }
-
     fn by_in_flight(&self, keys: &[ServerKey]) -> Vec<Scored> {
         let in_flight = |key| f64::from(self.fleet.load(key, self.now).in_flight);
         self.score_all(keys, in_flight)
--- a/crates/pomeloridge_policy/tests/policy/fleet.rs
+++ b/crates/pomeloridge_policy/tests/policy/fleet.rs
@@ -174,7 +174,7 @@
         slots: 32,
         peers: 3,
     };
-    assert_eq!(fleet.capacity(&name(POOL), 1, now), expected);
+    assert_eq!(fleet.capacity(&name(POOL), now), expected);
 }
 
 #[test]
@@ -182,9 +182,9 @@
     let now = Instant::now();
     let mut fleet = fleet(1);
     fleet.fail(key(&fleet, "e0"), now);
-    assert!(fleet.capacity(&name(POOL), 1, now).slots > 0);
+    assert!(fleet.capacity(&name(POOL), now).slots > 0);
     fleet.drain([name("e0")]);
-    assert_eq!(fleet.capacity(&name(POOL), 1, now).slots, 0);
+    assert_eq!(fleet.capacity(&name(POOL), now).slots, 0);
 }
 
 #[test]
@@ -271,10 +271,10 @@
     fleet.report(key(&fleet, "e0"), report(now, 0), now);
     fleet.report(key(&fleet, "e1"), busy, now);
     let slots = report(now, 0).slots;
-    assert_eq!(fleet.capacity(&name(POOL), 1, now).slots, slots + 3);
+    assert_eq!(fleet.capacity(&name(POOL), now).slots, slots + 3);
     let later = now + ms(1_000);
     assert_eq!(
-        fleet.capacity(&name(POOL), 1, later).slots,
+        fleet.capacity(&name(POOL), later).slots,
         2 * slots,
         "read by now"
     );
--- a/crates/pomeloridge_slopes/src/fleet.rs
+++ b/crates/pomeloridge_slopes/src/fleet.rs
@@ -170,7 +170,7 @@
     add_shares(&mut fleet, count);
     let now = Instant::now();
     let pool = pool(0);
-    nanoseconds(|| fleet.capacity(&pool, 7, now))
+    nanoseconds(|| fleet.capacity(&pool, now))
 }
 
 fn peer_shares(count: usize) -> f64 {
