Judge a server's backlog by no more than the prefill speed that operators expect

Cause: the learned speed rises on prompts that are partly cached, up to four times the expected one, so a backlog of long uncached prompts looked short.

--- a/crates/pomeloridge_policy/src/load.rs
+++ b/crates/pomeloridge_policy/src/load.rs
@@ -151,7 +151,10 @@
 impl Rates {
     /// Whether the prompts that wait leave time for another one to be read.
     pub(crate) fn has_time(&self, load: Load) -> bool {
-        load.prefill_tokens / self.prefill < self.expected.first_token * BACKLOG_PART
+        // What is learned from prompts that were partly cached says too much of
+        // the ones that are not.
+        let rate = self.prefill.min(self.expected.prefill);
+        load.prefill_tokens / rate < self.expected.first_token * BACKLOG_PART
     }
 }
 
