--- a/crates/pomeloridge/src/serve/loads.rs
+++ b/crates/pomeloridge/src/serve/loads.rs
@@ -72,7 +72,7 @@
 fn eject(state: &State, key: ServerKey) {
     let mut fleet = state.policy.fleet.borrow_mut();
     let known = fleet.server(key).map(|server| server.ejection.is_ejected());
-    let zone_suspect = fleet.fail(key, state.clock.now());
+    let centre_suspect = fleet.fail(key, state.clock.now());
     if known == Some(false)
         && let Some(server) = fleet
             .server(key)
@@ -82,7 +82,7 @@
         let (id, data_centre) = (&server.info.id, &server.info.data_centre);
         log::info!(
             target: "decision",
-            "ejected server={id} data_centre={data_centre} reason=\"no connection for its load report\" zone_suspect={zone_suspect}"
+            "ejected server={id} data_centre={data_centre} reason=\"no connection for its load report\" data_centre_suspect={centre_suspect}"
         );
     }
 }
--- a/crates/pomeloridge_caller/src/in_flight.rs
+++ b/crates/pomeloridge_caller/src/in_flight.rs
@@ -106,14 +106,14 @@
             let mut fleet = self.policy.fleet.borrow_mut();
             let known = fleet.server(self.server);
             let before = known.is_some_and(|server| server.ejection.is_ejected());
-            let suspect_zone = fleet.fail(self.server, now);
+            let centre_suspect = fleet.fail(self.server, now);
             let server = fleet.server(self.server);
             let ejected = server.filter(|server| !before && server.ejection.is_ejected());
             if let Some(info) = ejected.map(|server| &server.info) {
                 self.meter.one(Counter::Ejections);
                 log::info!(
                     target: "decision",
-                    "ejected server={} data_centre={} reason=\"{error}\" zone_suspect={suspect_zone}",
+                    "ejected server={} data_centre={} reason=\"{error}\" data_centre_suspect={centre_suspect}",
                     info.id,
                     info.data_centre
                 );
--- a/crates/pomeloridge_dev/src/check/director.rs
+++ b/crates/pomeloridge_dev/src/check/director.rs
@@ -92,7 +92,7 @@
                 self.note_leaving(*place);
             }
             Act::Drain(place) => self.drain(*place),
-            Act::Reclaim(zone) => self.reclaim(zone)?,
+            Act::Reclaim(centre) => self.reclaim(centre)?,
             Act::Except(id, kind, target, value) => {
                 let body = json!({
                     "id": id, "kind": kind, "target": target, "value": value, "reason": "check",
@@ -199,11 +199,11 @@
     }
 
     /// Takes cheap servers away: they are listed as leaving, and end a little later.
-    fn reclaim(&mut self, zone: &str) -> Result<(), String> {
+    fn reclaim(&mut self, centre: &str) -> Result<(), String> {
         let answer = post_json(
             self.cluster.platform(),
             "/control",
-            &json!({"reclaim": zone}),
+            &json!({"reclaim": centre}),
         )?;
         let taken: Vec<String> = serde_json::from_value(answer["reclaimed"].clone())
             .map_err(|error| error.to_string())?;
--- a/crates/pomeloridge_dev/src/check/run.rs
+++ b/crates/pomeloridge_dev/src/check/run.rs
@@ -8,7 +8,7 @@
 use super::promise::usage::UNCOUNTED;
 use super::promise::{check_all, figures};
 use super::record::{Event, Figure, History, Violation};
-use super::scenario::{Act, ENGINES, NODES, Plan, Scenario, ZONES};
+use super::scenario::{Act, DATA_CENTRES, ENGINES, NODES, Plan, Scenario};
 use super::stage::{Found, Stage, taken};
 use super::{gather, operators, promise};
 use crate::launch::{Cluster, Spec, get_json, spec_demo, wait_until_ready};
@@ -89,11 +89,11 @@
     spec.histories = true;
     spec.relayed = true;
     spec.relayed_servers = plan.relayed;
-    for (index, zone) in spec.nodes.iter_mut().enumerate() {
-        ZONES[index % NODES].clone_into(zone);
+    for (index, centre) in spec.nodes.iter_mut().enumerate() {
+        DATA_CENTRES[index % NODES].clone_into(centre);
     }
     for (index, engine) in spec.engines.iter_mut().enumerate() {
-        ZONES[index % ENGINES].clone_into(&mut engine.data_centre);
+        DATA_CENTRES[index % ENGINES].clone_into(&mut engine.data_centre);
         engine
             .args
             .extend(["--stream-rate".to_owned(), "80".to_owned()]);
--- a/crates/pomeloridge_dev/src/check/scenario.rs
+++ b/crates/pomeloridge_dev/src/check/scenario.rs
@@ -177,7 +177,7 @@
 /// Services of the deployment.
 pub const SERVICES: usize = 2;
 /// Data centres of the deployment.
-pub const ZONES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+pub const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
 impl Scenario {
     /// Every scenario.
@@ -244,9 +244,9 @@
             Self::Partition => (partition(rng, at), 8000, Expect::Completions),
             Self::Poison => (vec![step(at, Act::Poison)], 7000, Expect::Completions),
             Self::Reclaim => {
-                let zone = ZONES[rng.random_range(0..ZONES.len())];
+                let centre = DATA_CENTRES[rng.random_range(0..DATA_CENTRES.len())];
                 (
-                    vec![step(at, Act::Reclaim(zone))],
+                    vec![step(at, Act::Reclaim(centre))],
                     5000,
                     Expect::Completions,
                 )
--- a/crates/pomeloridge_dev/src/launch/spec.rs
+++ b/crates/pomeloridge_dev/src/launch/spec.rs
@@ -72,9 +72,9 @@
 
 /// Two data centres, three nodes, three engines and two services.
 pub fn demo() -> Spec {
-    let zones = ["dc-a", "dc-b"];
+    let centres = ["dc-a", "dc-b"];
     deployment(&Shape {
-        zones: &zones,
+        data_centres: &centres,
         nodes: 3,
         model: "assistant",
         engines: 3,
@@ -87,7 +87,7 @@
 /// The Ühistu's deployment.
 pub fn annex_b() -> Spec {
     deployment(&Shape {
-        zones: &["tln-a", "tln-b", "tartu-a", "narva-a"],
+        data_centres: &["tln-a", "tln-b", "tartu-a", "narva-a"],
         nodes: 7,
         model: "assistant",
         engines: 12,
@@ -100,7 +100,7 @@
 /// Altiplano's deployment.
 pub fn altiplano() -> Spec {
     deployment(&Shape {
-        zones: &["gt-central-a", "gt-central-b", "gt-central-c"],
+        data_centres: &["gt-central-a", "gt-central-b", "gt-central-c"],
         nodes: 7,
         model: "recall",
         engines: 9,
@@ -112,7 +112,7 @@
 
 /// Sizes of a deployment; everything is spread evenly over the data centres.
 struct Shape<'a> {
-    zones: &'a [&'a str],
+    data_centres: &'a [&'a str],
     nodes: usize,
     model: &'a str,
     engines: usize,
@@ -122,11 +122,11 @@
 }
 
 fn deployment(shape: &Shape<'_>) -> Spec {
-    let zone = |index: usize| shape.zones[index % shape.zones.len()].to_owned();
+    let centre = |index: usize| shape.data_centres[index % shape.data_centres.len()].to_owned();
     let engine = |index: usize| EngineSpec {
         id: format!("engine-{}", index + 1),
         model: shape.model.to_owned(),
-        data_centre: zone(index),
+        data_centre: centre(index),
         cheap: index % 2 == 1,
         checks_fence: index % 3 != 2,
         args: Vec::new(),
@@ -135,11 +135,11 @@
         id: format!("{}-{}", shape.service, index + 1),
         pool: shape.service.to_owned(),
         prefix: format!("/{}", shape.service),
-        data_centre: zone(index),
+        data_centre: centre(index),
         args: Vec::new(),
     };
     Spec {
-        nodes: (0..shape.nodes).map(zone).collect(),
+        nodes: (0..shape.nodes).map(centre).collect(),
         engines: (0..shape.engines).map(engine).collect(),
         services: (0..shape.services).map(service).collect(),
         fleet: fleet(shape),
--- a/crates/pomeloridge_dev/src/slopes.rs
+++ b/crates/pomeloridge_dev/src/slopes.rs
@@ -48,9 +48,9 @@
 
 fn measure(nodes: usize, change: bool) -> Result<Row, String> {
     let mut spec = spec_demo();
-    let zones = ["dc-a", "dc-b", "dc-c", "dc-d"];
+    let centres = ["dc-a", "dc-b", "dc-c", "dc-d"];
     spec.nodes = (0..nodes)
-        .map(|index| zones[index % zones.len()].to_owned())
+        .map(|index| centres[index % centres.len()].to_owned())
         .collect();
     let cluster = Cluster::start(spec.set("log", "level", "warn"))?;
     wait_until_ready(&cluster)?;
--- a/crates/pomeloridge_policy/src/eject.rs
+++ b/crates/pomeloridge_policy/src/eject.rs
@@ -11,9 +11,9 @@
 /// Longest pause between two probes.
 pub const PROBE_MAX: Duration = Duration::from_secs(30);
 /// Time within which failures of several servers make a data centre suspect.
-pub const ZONE_SPAN: Duration = Duration::from_secs(1);
+pub const FAILURE_SPAN: Duration = Duration::from_secs(1);
 /// Servers that must fail within the span.
-pub const ZONE_SERVERS: usize = 2;
+pub const FAILED_SERVERS: usize = 2;
 
 /// Whether a server is ejected, and when it is probed.
 #[derive(Clone, Copy, Debug, Default)]
@@ -74,18 +74,18 @@
 
 /// The recent failures in one data centre.
 #[derive(Clone, Debug, Default)]
-pub struct ZoneFailures {
+pub struct DataCentreFailures {
     recent: VecDeque<(ServerKey, Instant)>,
     suspect: bool,
 }
 
-impl ZoneFailures {
+impl DataCentreFailures {
     /// Notes a failure; says whether the data centre became suspect by it.
     pub fn fail(&mut self, server: ServerKey, now: Instant) -> bool {
-        let old = |at: Instant| now.saturating_duration_since(at) > ZONE_SPAN;
+        let old = |at: Instant| now.saturating_duration_since(at) > FAILURE_SPAN;
         self.recent.retain(|(key, at)| *key != server && !old(*at));
         self.recent.push_back((server, now));
-        let became = !self.suspect && self.recent.len() >= ZONE_SERVERS;
+        let became = !self.suspect && self.recent.len() >= FAILED_SERVERS;
         self.suspect |= became;
         became
     }
--- a/crates/pomeloridge_policy/src/fleet.rs
+++ b/crates/pomeloridge_policy/src/fleet.rs
@@ -7,7 +7,7 @@
 use pomeloridge_base::id::Name;
 use slotmap::SlotMap;
 
-use crate::eject::{PROBE_FIRST, ZoneFailures};
+use crate::eject::{DataCentreFailures, PROBE_FIRST};
 use crate::load::{Expected, Rates};
 use crate::server::{Dispatch, DispatchKey, LoadReport, Role, Server, ServerInfo, ServerKey};
 
@@ -41,7 +41,7 @@
     pub(crate) ids: HashMap<Name, ServerKey>,
     pools: HashMap<Name, Vec<ServerKey>>,
     pub(crate) dispatches: SlotMap<DispatchKey, Dispatch>,
-    zones: HashMap<Name, ZoneFailures>,
+    data_centres: HashMap<Name, DataCentreFailures>,
     drained: HashSet<Name>,
     expected: HashMap<Name, Expected>,
 }
@@ -55,7 +55,7 @@
             ids: HashMap::new(),
             pools: HashMap::new(),
             dispatches: SlotMap::with_key(),
-            zones: HashMap::new(),
+            data_centres: HashMap::new(),
             drained: HashSet::new(),
             expected: HashMap::new(),
         }
@@ -94,7 +94,7 @@
             self.servers.remove(*key);
         }
         self.index_pools();
-        self.settle_zones();
+        self.settle_data_centres();
         gone
     }
 
@@ -116,10 +116,10 @@
     }
 
     /// Ends the caution with data centres where no ejected server is left to probe.
-    fn settle_zones(&mut self) {
+    fn settle_data_centres(&mut self) {
         let ejected = self.servers.values().filter(|s| s.ejection.is_ejected());
         let troubled: HashSet<&Name> = ejected.map(|s| &s.info.data_centre).collect();
-        self.zones
+        self.data_centres
             .retain(|data_centre, _| troubled.contains(data_centre));
     }
 
@@ -184,8 +184,8 @@
             return false;
         };
         server.ejection.eject(self.settings.probe, now);
-        let zone = self.zones.entry(server.info.data_centre.clone());
-        zone.or_default().fail(key, now)
+        let centre = self.data_centres.entry(server.info.data_centre.clone());
+        centre.or_default().fail(key, now)
     }
 
     /// Takes a server back that was reached; says whether it had been ejected.
@@ -196,20 +196,20 @@
         if !server.ejection.clear() {
             return false;
         }
-        if let Some(zone) = self.zones.get_mut(&server.info.data_centre) {
-            zone.clear();
+        if let Some(centre) = self.data_centres.get_mut(&server.info.data_centre) {
+            centre.clear();
         }
         true
     }
 
     /// These servers and all others of their data centres.
     pub fn neighbours(&self, keys: &[ServerKey]) -> Vec<ServerKey> {
-        let zones: HashSet<&Name> = keys
+        let centres: HashSet<&Name> = keys
             .iter()
             .filter_map(|key| self.server(*key))
             .map(|server| &server.info.data_centre)
             .collect();
-        let near = |(_, server): &(ServerKey, &Server)| zones.contains(&server.info.data_centre);
+        let near = |(_, server): &(ServerKey, &Server)| centres.contains(&server.info.data_centre);
         self.servers().filter(near).map(|(key, _)| key).collect()
     }
 
@@ -223,7 +223,7 @@
 
     /// Whether several servers of a data centre failed and none was reached since.
     pub fn is_suspect(&self, data_centre: &Name) -> bool {
-        let zone = self.zones.get(data_centre);
-        zone.is_some_and(ZoneFailures::is_suspect)
+        let centre = self.data_centres.get(data_centre);
+        centre.is_some_and(DataCentreFailures::is_suspect)
     }
 }
--- a/crates/pomeloridge_policy/src/routing.rs
+++ b/crates/pomeloridge_policy/src/routing.rs
@@ -62,8 +62,8 @@
     #[display("least_reported")]
     LeastReported,
     /// Only cheap servers of a suspect data centre were left.
-    #[display("suspect_zone")]
-    SuspectZone,
+    #[display("suspect_data_centre")]
+    SuspectDataCentre,
     /// All are ejected, and it was ejected first.
     #[display("longest_ejected")]
     LongestEjected,
@@ -153,7 +153,7 @@
         let reason = match found.tier {
             Tier::Usable if found.keys.len() == 1 => Reason::Only,
             Tier::Usable => reason,
-            Tier::Suspect => Reason::SuspectZone,
+            Tier::Suspect => Reason::SuspectDataCentre,
             Tier::Ejected => Reason::LongestEjected,
         };
         view.decide(scored, reason)
--- a/crates/pomeloridge_policy/src/rules.rs
+++ b/crates/pomeloridge_policy/src/rules.rs
@@ -58,7 +58,7 @@
         "The platform's list lags by seconds, and each request that meets a dead server loses its time to connect."
         "`probe_ms` in section `backend`."
         "An engine that dies at 12:00:00 is probed at 12:00:01, 12:00:03 and 12:00:07.";
-    ZONE "failures in one data centre"
+    DATA_CENTRE "failures in one data centre"
         "When two servers of a data centre fail within a second, its cheap servers are chosen only if no other is left, until one probe there succeeds."
         "Cheap servers of a data centre are reclaimed together."
         "None."
--- a/crates/pomeloridge_policy/tests/policy/routing.rs
+++ b/crates/pomeloridge_policy/tests/policy/routing.rs
@@ -123,7 +123,10 @@
     assert_eq!((first.id, first.reason), (name("e1"), Reason::Only));
     fleet.fail(key(&fleet, "e1"), now);
     let last = route(&fleet, &request(), now).expect("e4 is up");
-    assert_eq!((last.id, last.reason), (name("e4"), Reason::SuspectZone));
+    assert_eq!(
+        (last.id, last.reason),
+        (name("e4"), Reason::SuspectDataCentre)
+    );
 }
 
 #[test]
