--- a/crates/pomeloridge_operator/src/cli/render.rs
+++ b/crates/pomeloridge_operator/src/cli/render.rs
@@ -134,7 +134,7 @@
     };
     let plain = report.iter().filter(|(_, part)| !is_table(part));
     let lines: Vec<String> = plain
-        .map(|(name, part)| format!("{}: {}\n", clean(name), cell(part)))
+        .map(|(name, part)| format!("{}: {}\n", clean(name), cell_or_none(part)))
         .collect();
     let mut sections = vec![lines.concat()];
     for name in ordered(report.keys(), &FIRST_SECTIONS, &[]) {
@@ -188,6 +188,15 @@
     ordered(fields, &FIRST_COLUMNS, &LAST_COLUMNS)
 }
 
+/// A cell in which an empty list can be told from an empty text.
+fn cell_or_none(part: &Value) -> String {
+    if part.as_array().is_some_and(Vec::is_empty) {
+        "none".to_owned()
+    } else {
+        cell(part)
+    }
+}
+
 /// The names without repeats: the first ones, the others by alphabet, the last ones.
 fn ordered<'a>(
     names: impl Iterator<Item = &'a String>,
