--- a/crates/pomeloridge_node/src/error.rs
+++ b/crates/pomeloridge_node/src/error.rs
@@ -8,7 +8,6 @@
 
 /// Why a link could not be opened or a call failed.
 #[derive(Debug, Display, From)]
-#[ignore_extra_doc_attributes]
 pub enum LinkError {
     /// the node could not be reached: {0}
     Connect(io::Error),
