--- a/crates/pomeloridge_dev/src/latency.rs
+++ b/crates/pomeloridge_dev/src/latency.rs
@@ -23,8 +23,6 @@
 const COST_TIME: Duration = Duration::from_secs(6);
 /// Time that one call may take.
 const CALL_TIME: Duration = Duration::from_secs(20);
-/// Clock ticks a second in `/proc`, fixed on Linux for user space.
-const TICKS: f64 = 100.0;
 
 /// First-token times and gaps, in µs.
 struct Times {
@@ -157,10 +155,10 @@
         ("lookups on a plain service", lookup(cluster)),
     ] {
         let node = &cluster.nodes[0];
-        let before = processor_time(node.process.id())?;
+        let before = node.process.processor_time()?;
         let start = Instant::now();
         let done = block_on(load(node.caller, request));
-        let spent = processor_time(node.process.id())? - before;
+        let spent = node.process.processor_time()? - before;
         let rate = done as f64 / start.elapsed().as_secs_f64();
         let each = spent / done.max(1) as f64 * 1e6;
         println!(
@@ -196,23 +194,3 @@
     }
     done
 }
-
-/// Processor time of a process so far, in seconds.
-fn processor_time(id: u32) -> Result<f64, String> {
-    let path = format!("/proc/{id}/stat");
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
-    // The name in parentheses may hold spaces; fields are counted behind it.
-    let fields: Vec<&str> = text
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split(' ')
-        .collect();
-    let ticks = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|field| field.parse::<f64>().ok())
-    };
-    let (user, system) = (ticks(12), ticks(13));
-    Ok((user.unwrap_or_default() + system.unwrap_or_default()) / TICKS)
-}
--- a/crates/pomeloridge_dev/src/launch/process.rs
+++ b/crates/pomeloridge_dev/src/launch/process.rs
@@ -11,6 +11,8 @@
 
 /// Time for a process to print its first line.
 const START_TIME: Duration = Duration::from_secs(20);
+/// Clock ticks a second in `/proc`, fixed on Linux for user space.
+const TICKS: f64 = 100.0;
 /// Pause between two looks at whether a process has ended.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -75,6 +77,34 @@
         self.child.id()
     }
 
+    /// Processor time so far, in seconds.
+    pub fn processor_time(&self) -> Result<f64, String> {
+        let text = self.read_proc("stat")?;
+        // The name in parentheses may hold spaces; fields are counted behind it.
+        let fields = text.rsplit(')').next().unwrap_or_default();
+        let fields: Vec<&str> = fields.split(' ').collect();
+        let ticks = |index: usize| {
+            fields
+                .get(index)
+                .and_then(|field| field.parse::<f64>().ok())
+        };
+        let (user, system) = (ticks(12), ticks(13));
+        Ok((user.unwrap_or_default() + system.unwrap_or_default()) / TICKS)
+    }
+
+    /// Resident memory, in MB.
+    pub fn memory(&self) -> Result<f64, String> {
+        let status = self.read_proc("status")?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+        Ok(kilobytes.unwrap_or_default() / 1024.0)
+    }
+
+    fn read_proc(&self, file: &str) -> Result<String, String> {
+        let path = format!("/proc/{}/{file}", self.id());
+        std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: i32) {
         let id = i32::try_from(self.child.id()).expect("a process id fits");
--- a/crates/pomeloridge_dev/src/slopes.rs
+++ b/crates/pomeloridge_dev/src/slopes.rs
@@ -12,8 +12,6 @@
 const SETTLE_TIME: Duration = Duration::from_secs(6);
 /// Time that is counted over.
 const COUNT_TIME: Duration = Duration::from_secs(10);
-/// Clock ticks a second in `/proc`.
-const TICKS: f64 = 100.0;
 
 /// What was counted at one size.
 struct Row {
@@ -104,34 +102,12 @@
 
 /// Processor time of all nodes, in seconds.
 fn core(cluster: &Cluster) -> Result<f64, String> {
-    let mut sum = 0.0;
-    for node in &cluster.nodes {
-        let fields = read_proc(node.process.id(), "stat")?;
-        let fields: Vec<&str> = fields
-            .rsplit(')')
-            .next()
-            .unwrap_or_default()
-            .split(' ')
-            .collect();
-        let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
-        sum += (ticks(12).unwrap_or_default() + ticks(13).unwrap_or_default()) / TICKS;
-    }
-    Ok(sum)
+    let nodes = cluster.nodes.iter();
+    nodes.map(|node| node.process.processor_time()).sum()
 }
 
 /// Resident memory of all nodes, in MB.
 fn memory(cluster: &Cluster) -> Result<f64, String> {
-    let mut sum = 0.0;
-    for node in &cluster.nodes {
-        let status = read_proc(node.process.id(), "status")?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
-        sum += kilobytes.unwrap_or_default() / 1024.0;
-    }
-    Ok(sum)
-}
-
-fn read_proc(id: u32, file: &str) -> Result<String, String> {
-    let path = format!("/proc/{id}/{file}");
-    std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))
+    let nodes = cluster.nodes.iter();
+    nodes.map(|node| node.process.memory()).sum()
 }
