--- a/crates/pomeloridge/src/args.rs
+++ b/crates/pomeloridge/src/args.rs
@@ -25,11 +25,22 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Runs a gateway on the fleet's platform until SIGTERM.
+    ///
+    /// Its log goes to standard output.
+    Gateway {
+        /// INI file with the gateway's settings.
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Checks a settings file without serving; exit code 2 if there are faults.
     Check {
-        /// INI file with the node's settings.
+        /// INI file with the settings.
         #[arg(long)]
         settings: PathBuf,
+        /// Whether the file is a gateway's.
+        #[arg(long)]
+        gateway: bool,
     },
     /// Commands for operators, sent to any node.
     #[command(flatten)]
--- a/crates/pomeloridge/src/commands/check.rs
+++ b/crates/pomeloridge/src/commands/check.rs
@@ -3,15 +3,20 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use pomeloridge_base::settings::{Problem, Settings, load};
+use pomeloridge_base::settings::{GATEWAY_SETTINGS, Problem, Settings, load, load_table};
 
 use super::EXIT_USAGE;
 
 /// Checks a file and says what is wrong with it.
-pub(crate) fn run(path: &Path) -> ExitCode {
-    match load(path) {
-        Ok(settings) => {
-            println!("{}: ok, node {}", path.display(), settings.name);
+pub(crate) fn run(path: &Path, gateway: bool) -> ExitCode {
+    let name = if gateway {
+        load_table(path, GATEWAY_SETTINGS).map(|settings| settings.text("node", "name").to_owned())
+    } else {
+        load(path).map(|settings| settings.name.to_string())
+    };
+    match name {
+        Ok(name) => {
+            println!("{}: ok, node {name}", path.display());
             ExitCode::SUCCESS
         }
         Err(problems) => report(path, &problems),
@@ -23,7 +28,7 @@
     load(path).map_err(|problems| report(path, &problems))
 }
 
-fn report(path: &Path, problems: &[Problem]) -> ExitCode {
+pub(crate) fn report(path: &Path, problems: &[Problem]) -> ExitCode {
     for problem in problems {
         eprintln!("{}: {problem}", path.display());
     }
--- /dev/null
+++ b/crates/pomeloridge/src/commands/gateway.rs
@@ -0,0 +1,48 @@
+//! `pomeloridge gateway`.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use pomeloridge_base::clock::SystemClock;
+use pomeloridge_base::settings::{Checked, GATEWAY_SETTINGS, load_table};
+use pomeloridge_gateway::Parts;
+
+use super::check::report;
+use super::fail;
+use crate::logging::{self, Output};
+use crate::metrics::Metrics;
+
+/// Runs a gateway until it has stopped gracefully.
+pub(crate) fn run(path: &Path) -> ExitCode {
+    let settings = match load_table(path, GATEWAY_SETTINGS) {
+        Ok(settings) => settings,
+        Err(problems) => return report(path, &problems),
+    };
+    let output = Output {
+        to: || Box::new(std::io::stdout()),
+        per_second: settings.number("log", "lines_per_s"),
+    };
+    let writer = match logging::start(&settings, output) {
+        Ok(writer) => writer,
+        Err(error) => return fail(&format!("logging cannot start: {error}")),
+    };
+    let result = parts(settings).and_then(pomeloridge_gateway::run);
+    drop(writer);
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn parts(settings: Checked) -> Result<Parts, String> {
+    let metrics = Metrics::new()?;
+    let duties = settings.address("platform", "duties");
+    Ok(Parts {
+        ports: pomeloridge_fleet_adapter::ports(duties),
+        clock: Rc::new(SystemClock),
+        meter: metrics.meter.clone(),
+        metrics: Box::new(move || metrics.page()),
+        settings,
+    })
+}
--- a/crates/pomeloridge/src/commands/serve.rs
+++ b/crates/pomeloridge/src/commands/serve.rs
@@ -4,7 +4,15 @@
 use std::process::ExitCode;
 
 use super::check::load_or_report;
-use crate::{logging, serve};
+use super::fail;
+use crate::logging::{self, Output};
+use crate::serve;
+
+/// Standard output carries the node's addresses, so that its log goes to standard error.
+const OUTPUT: Output = Output {
+    to: || Box::new(std::io::stderr()),
+    per_second: 20_000,
+};
 
 /// Runs a node until it has stopped gracefully.
 pub(crate) fn run(path: &Path) -> ExitCode {
@@ -12,7 +20,7 @@
         Ok(settings) => settings,
         Err(code) => return code,
     };
-    let writer = match logging::start(&settings) {
+    let writer = match logging::start(&settings, OUTPUT) {
         Ok(writer) => writer,
         Err(error) => return fail(&format!("logging cannot start: {error}")),
     };
@@ -23,8 +31,3 @@
         Err(error) => fail(&error),
     }
 }
-
-fn fail(error: &str) -> ExitCode {
-    eprintln!("{error}");
-    ExitCode::FAILURE
-}
--- a/crates/pomeloridge/src/logging.rs
+++ b/crates/pomeloridge/src/logging.rs
@@ -4,12 +4,13 @@
 //! channel to a writer, which is flushed when the process ends.
 
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::thread::JoinHandle;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use log::LevelFilter;
-use pomeloridge_base::settings::Settings;
+use pomeloridge_base::settings::Checked;
 
 /// Lines that may wait for the writer; beyond them lines are dropped, not waited for.
 const WAITING_LINES: usize = 16 * 1024;
@@ -29,22 +30,37 @@
     }
 }
 
-/// Starts logging to standard error in the form that the settings name.
-pub(crate) fn start(settings: &Settings) -> Result<Writer, String> {
+/// Where and how many lines are written.
+pub(crate) struct Output {
+    /// Where they go.
+    pub(crate) to: fn() -> Box<dyn Write>,
+    /// Lines of a second at most; what is beyond is counted.
+    pub(crate) per_second: u64,
+}
+
+/// Starts logging in the form that the settings name.
+pub(crate) fn start(settings: &Checked, output: Output) -> Result<Writer, String> {
     let (lines, waiting) = sync_channel::<Option<String>>(WAITING_LINES);
+    let Output { to, per_second } = output;
     let thread = std::thread::spawn(move || {
-        let mut out = std::io::stderr().lock();
+        let mut out = to();
         while let Ok(Some(line)) = waiting.recv() {
             let _ = out.write_all(line.as_bytes());
         }
         let _ = out.flush();
     });
     let json = settings.text("log", "format") == "json";
-    let node = settings.name.to_string();
+    let node = settings.text("node", "name").to_owned();
     let sink = lines.clone();
+    let bound = Bound::new(per_second);
     fern::Dispatch::new()
         .level(level(settings.text("log", "level")))
         .chain(fern::Output::call(move |record| {
+            let Some(dropped) = bound.take() else { return };
+            if dropped > 0 {
+                let line = format!("{} WARN {node} log dropped={dropped}\n", unix_ms());
+                let _ = sink.try_send(Some(line));
+            }
             let line = if json {
                 json_line(&node, record)
             } else {
@@ -62,6 +78,41 @@
     })
 }
 
+/// Lets a bounded number of lines through in each second.
+struct Bound {
+    per_second: u64,
+    second: AtomicU64,
+    lines: AtomicU64,
+    dropped: AtomicU64,
+}
+
+impl Bound {
+    fn new(per_second: u64) -> Self {
+        Self {
+            per_second,
+            second: AtomicU64::new(0),
+            lines: AtomicU64::new(0),
+            dropped: AtomicU64::new(0),
+        }
+    }
+
+    /// Lets a line through, with the number of lines dropped in the second before;
+    /// `None` drops it.
+    fn take(&self) -> Option<u64> {
+        let second = (unix_ms() / 1000) as u64;
+        let mut dropped = 0;
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+            dropped = self.dropped.swap(0, Ordering::Relaxed);
+        }
+        if self.lines.fetch_add(1, Ordering::Relaxed) < self.per_second {
+            return Some(dropped);
+        }
+        self.dropped.fetch_add(1 + dropped, Ordering::Relaxed);
+        None
+    }
+}
+
 fn level(word: &str) -> LevelFilter {
     match word {
         "error" => LevelFilter::Error,
--- a/crates/pomeloridge/src/main.rs
+++ b/crates/pomeloridge/src/main.rs
@@ -15,7 +15,8 @@
 fn main() -> ExitCode {
     match Args::parse().command {
         Command::Serve { settings } => commands::serve::run(&settings),
-        Command::Check { settings } => commands::check::run(&settings),
+        Command::Gateway { settings } => commands::gateway::run(&settings),
+        Command::Check { settings, gateway } => commands::check::run(&settings, gateway),
         Command::Operator(command) => commands::operator::run(&command),
     }
 }
--- a/crates/pomeloridge/src/serve/front.rs
+++ b/crates/pomeloridge/src/serve/front.rs
@@ -31,7 +31,7 @@
     let life = state.life.clone();
     let draining = state.life.clone();
     let server = Server {
-        limits: limits(&state),
+        limits: limits(&state).into(),
         handler: async move |request: Result<Request, Fault>, responder: &mut Responder| {
             if draining.is_leaving() {
                 responder.close_after();
--- a/crates/pomeloridge/src/serve/operator.rs
+++ b/crates/pomeloridge/src/serve/operator.rs
@@ -19,7 +19,7 @@
     let life = state.life.clone();
     let operator = operator_state(&state);
     let server = Server {
-        limits: Limits::default(),
+        limits: Limits::default().into(),
         handler: async move |request: Result<Request, Fault>, responder: &mut Responder| {
             pomeloridge_operator::handle(&operator, request, responder).await;
         },
--- a/crates/pomeloridge_backend/src/order.rs
+++ b/crates/pomeloridge_backend/src/order.rs
@@ -93,6 +93,7 @@
         timeout: window.min(ConnectOptions::default().timeout),
         user_timeout: Some(window),
         linger_zero: true,
+        ..ConnectOptions::default()
     };
     let Ok(mut connection) = Connection::open(address, options).await else {
         return OrderOutcome::Unreachable;
--- a/crates/pomeloridge_base/src/error.rs
+++ b/crates/pomeloridge_base/src/error.rs
@@ -95,6 +95,7 @@
     Overloaded: 503, "overloaded", NotRun, SOON, "the wait would be longer than the request's deadline";
     NoServer: 503, "no_server", NotRun, LATER, "no backend server for this route can take work";
     CutOff: 503, "cut_off", NotRun, SOON, "this node is cut off from the platform and its peers";
+    NoConfig: 503, "no_config", NotRun, SOON, "this node knows no configuration yet";
     Stopping: 503, "stopping", NotRun, SOON, "this node is shutting down";
     ClaimsDown: 503, "claims_down", NotRun, LATER, "the idempotency key cannot be claimed while the object service is down";
     PlatformDown: 503, "platform_down", NotRun, LATER, "the object service does not answer";
--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -73,7 +73,10 @@
         out.put_slice(self.method.as_str().as_bytes());
         out.put_slice(b" ");
         out.put_slice(self.target.as_bytes());
-        out.put_slice(format!(" HTTP/1.1\r\nhost: {address}\r\n").as_bytes());
+        out.put_slice(b" HTTP/1.1\r\n");
+        if !self.headers.contains_key(http::header::HOST) {
+            out.put_slice(format!("host: {address}\r\n").as_bytes());
+        }
         out.put_slice(format!("content-length: {}\r\n", self.body.len()).as_bytes());
         for (name, value) in &self.headers {
             out.put_slice(name.as_str().as_bytes());
@@ -105,6 +108,8 @@
     pub user_timeout: Option<Duration>,
     /// Whether closing drops what was not yet sent.
     pub linger_zero: bool,
+    /// Whether a response without a length ends with its connection; else it is refused.
+    pub until_close: bool,
 }
 
 impl Default for ConnectOptions {
@@ -113,6 +118,7 @@
             timeout: Duration::from_millis(250),
             user_timeout: None,
             linger_zero: false,
+            until_close: false,
         }
     }
 }
@@ -125,6 +131,7 @@
     written: bool,
     clean: bool,
     keep: bool,
+    until_close: bool,
     used: Instant,
 }
 
@@ -142,6 +149,7 @@
             written: false,
             clean: true,
             keep: true,
+            until_close: options.until_close,
             used: Instant::now(),
         })
     }
@@ -161,6 +169,16 @@
         self.clean && self.keep && self.wire.buf.is_empty()
     }
 
+    /// Whether the peer has sent nothing, and not closed, since the last exchange ended.
+    pub fn quiet(&self) -> bool {
+        // SAFETY: the descriptor is open for as long as the stream is borrowed.
+        let fd = unsafe { std::os::fd::BorrowedFd::borrow_raw(self.wire.stream.as_raw_fd()) };
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        let peeked = socket2::SockRef::from(&fd).recv_with_flags(&mut byte, flags);
+        matches!(peeked, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// Time since the last exchange ended.
     pub fn idle(&self) -> Duration {
         self.used.elapsed()
@@ -202,7 +220,16 @@
             let close = |value: &http::HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
             let headers = &head.headers;
             self.keep = !headers.get(http::header::CONNECTION).is_some_and(close);
-            self.remaining = response_framing(head.status, headers)?;
+            self.remaining = match response_framing(head.status, headers)? {
+                Some(remaining) => remaining,
+                // A cut can't be told from the end, so that only a peer that is
+                // known to frame so is trusted with it.
+                None if self.until_close => {
+                    self.keep = false;
+                    Remaining::UntilClose
+                }
+                None => return Err(Fault::Malformed("a response without a length")),
+            };
             return Ok(Incoming {
                 status: head.status,
                 headers: head.headers,
@@ -272,12 +299,12 @@
     connection.exchange(request, deadline).await
 }
 
-/// A response without a length is refused: its end can't be told from a cut.
-fn response_framing(status: StatusCode, headers: &HeaderMap) -> Result<Remaining, Fault> {
+/// How a response's body is framed; `None` if it has no length.
+fn response_framing(status: StatusCode, headers: &HeaderMap) -> Result<Option<Remaining>, Fault> {
     if status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
-        return Ok(Remaining::None);
+        return Ok(Some(Remaining::None));
     }
-    framing(headers)?.ok_or(Fault::Malformed("a response without a length"))
+    framing(headers)
 }
 
 fn set_options(stream: &monoio::net::TcpStream, options: ConnectOptions) -> std::io::Result<()> {
--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -29,8 +29,8 @@
 /// The handler is also given the requests that could not be read, so that
 /// every refusal has the form of its port; the connection closes after those.
 pub struct Server<H, S> {
-    /// Bounds on reading requests.
-    pub limits: Limits,
+    /// Bounds on reading requests; a change holds from the next request on.
+    pub limits: Cell<Limits>,
     /// Answers one request.
     pub handler: H,
     /// Whether connections are to close after the answer that is being given.
@@ -75,7 +75,7 @@
 
     /// Serves one connection to its end.
     pub async fn connection(&self, stream: TcpStream, peer: SocketAddr) {
-        let mut responder = Responder::new(stream, self.limits.write_time);
+        let mut responder = Responder::new(stream, self.limits.get().write_time);
         while self.wait_for_request(&mut responder).await {
             let request = self.read_request(&mut responder, peer).await;
             let Some(request) = request.transpose() else {
@@ -92,7 +92,7 @@
 
     /// Waits for the first byte of a request; false if the connection is to close.
     async fn wait_for_request(&self, responder: &mut Responder) -> bool {
-        let idle_end = Instant::now() + self.limits.idle_time;
+        let idle_end = Instant::now() + self.limits.get().idle_time;
         while responder.wire.buf.is_empty() {
             let now = Instant::now();
             if (self.stopping)() || now >= idle_end {
@@ -112,7 +112,7 @@
         responder: &mut Responder,
         peer: SocketAddr,
     ) -> Result<Option<Request>, Fault> {
-        let limits = &self.limits;
+        let limits = self.limits.get();
         let deadline = Instant::now() + limits.head_time;
         let head = responder
             .wire
@@ -139,8 +139,8 @@
     }
 
     async fn read_body(&self, wire: &mut Wire, mut remaining: Remaining) -> Result<Bytes, Fault> {
-        let deadline = Instant::now() + self.limits.body_time;
-        let limit = self.limits.body_bytes;
+        let deadline = Instant::now() + self.limits.get().body_time;
+        let limit = self.limits.get().body_bytes;
         let mut body = BytesMut::new();
         while let Some(piece) = wire.piece(&mut remaining, limit, deadline).await? {
             body.extend_from_slice(&piece);
--- a/crates/pomeloridge_base/src/http/wire.rs
+++ b/crates/pomeloridge_base/src/http/wire.rs
@@ -20,6 +20,8 @@
     None,
     Fixed(usize),
     Chunked(ChunkedBodyDecoder),
+    /// Ends when the peer closes in good order.
+    UntilClose,
 }
 
 /// A connection with the bytes that were read and not yet decoded.
@@ -106,6 +108,10 @@
                 return Err(Fault::BodyTooLarge);
             }
             if self.fill(deadline).await? == 0 {
+                if matches!(remaining, Remaining::UntilClose) {
+                    *remaining = Remaining::None;
+                    return Ok(None);
+                }
                 return Err(Fault::Closed);
             }
         }
@@ -125,7 +131,8 @@
             *remaining = Remaining::None;
             Ok(Taken::End)
         }
-        Remaining::Fixed(_) if buf.is_empty() => Ok(Taken::Insufficient),
+        Remaining::Fixed(_) | Remaining::UntilClose if buf.is_empty() => Ok(Taken::Insufficient),
+        Remaining::UntilClose => Ok(Taken::Piece(buf.split().freeze())),
         Remaining::Fixed(left) => {
             let take = (*left).min(buf.len());
             *left -= take;
--- a/crates/pomeloridge_base/src/lib.rs
+++ b/crates/pomeloridge_base/src/lib.rs
@@ -8,6 +8,13 @@
 pub mod id;
 pub mod meter;
 pub mod net;
+pub mod refusal;
 pub mod rule;
 pub mod secret;
 pub mod settings;
+
+use std::future::Future;
+use std::pin::Pin;
+
+/// A future on the node's one thread.
+pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -51,6 +51,7 @@
     Timer {
         FirstToken: "pomeloridge_first_token_seconds", "Time from a request's arrival to its first token.";
         Gap: "pomeloridge_token_gap_seconds", "Time between two tokens of a stream.";
+        Total: "pomeloridge_request_seconds", "Time from a request's arrival to the end of its answer.";
         Wait: "pomeloridge_admission_wait_seconds", "Time a request waited for its turn.";
     }
 }
--- a/crates/pomeloridge_base/src/settings/check.rs
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -51,9 +51,13 @@
     pub tokens: Vec<(Name, KeyHash)>,
     /// Nodes to ask first.
     pub seeds: Vec<SocketAddr>,
-    values: Vec<(&'static Setting, String)>,
+    values: Checked,
 }
 
+/// The values of a table's settings, each of the kind that the table asks for.
+#[derive(Clone, Debug)]
+pub struct Checked(Vec<(&'static Setting, String)>);
+
 /// A secret that is never shown.
 #[derive(Clone)]
 pub struct Secret(pub Vec<u8>);
@@ -64,7 +68,7 @@
     }
 }
 
-impl Settings {
+impl Checked {
     /// The value of a setting that is a time; the key must be one of the table.
     pub fn time(&self, section: &str, key: &str) -> Duration {
         Duration::from_millis(self.number(section, key))
@@ -72,36 +76,81 @@
 
     /// The value of a setting that is a number; the key must be one of the table.
     pub fn number(&self, section: &str, key: &str) -> u64 {
-        let parsed = self.text(section, key).parse();
-        parsed.expect("checked when the settings were loaded")
+        self.parsed(section, key)
+    }
+
+    /// The value of a setting that is a fraction; the key must be one of the table.
+    pub fn fraction(&self, section: &str, key: &str) -> f64 {
+        self.parsed(section, key)
+    }
+
+    /// The value of a setting that is an address; the key must be one of the table.
+    pub fn address(&self, section: &str, key: &str) -> SocketAddr {
+        self.parsed(section, key)
     }
 
     /// The value of a setting as text; the key must be one of the table.
     pub fn text(&self, section: &str, key: &str) -> &str {
         let found = self
-            .values
+            .0
             .iter()
             .find(|(setting, _)| setting.section == section && setting.key == key);
         &found.expect("the setting is in the table").1
     }
+
+    fn parsed<T: std::str::FromStr>(&self, section: &str, key: &str) -> T {
+        let parsed = self.text(section, key).parse().ok();
+        parsed.expect("checked when the settings were loaded")
+    }
+}
+
+impl std::ops::Deref for Settings {
+    type Target = Checked;
+
+    fn deref(&self) -> &Checked {
+        &self.values
+    }
 }
 
 /// Reads and checks a file.
 pub fn load(path: &Path) -> Result<Settings, Vec<Problem>> {
-    match std::fs::read_to_string(path) {
-        Ok(text) => parse(&text),
-        Err(error) => Err(vec![Problem {
+    parse(&read_file(path)?)
+}
+
+/// Reads a file and checks it against a table.
+pub fn load_table(path: &Path, table: &'static [Setting]) -> Result<Checked, Vec<Problem>> {
+    parse_table(&read_file(path)?, table)
+}
+
+fn read_file(path: &Path) -> Result<String, Vec<Problem>> {
+    std::fs::read_to_string(path).map_err(|error| {
+        vec![Problem {
             section: String::new(),
             key: path.display().to_string(),
             line: 0,
             fault: format!("the file cannot be read: {error}"),
             fix: "give the path of a readable INI file".to_owned(),
-        }]),
-    }
+        }]
+    })
 }
 
 /// Checks an INI text and reports every fault in it.
 pub fn parse(text: &str) -> Result<Settings, Vec<Problem>> {
+    let (values, given) = check(text, SETTINGS)?;
+    let problems = clashes(&values.0, &given);
+    if problems.is_empty() {
+        Ok(typed(values))
+    } else {
+        Err(problems)
+    }
+}
+
+/// Checks an INI text against a table and reports every fault in it.
+pub fn parse_table(text: &str, table: &'static [Setting]) -> Result<Checked, Vec<Problem>> {
+    check(text, table).map(|(values, _)| values)
+}
+
+fn check(text: &str, table: &'static [Setting]) -> Result<(Checked, Values), Vec<Problem>> {
     let given = read(text).map_err(|(line, fault)| {
         vec![Problem {
             section: String::new(),
@@ -111,29 +160,26 @@
             fix: "write `[section]` or `key = value`".to_owned(),
         }]
     })?;
-    let mut problems = unknown_keys(&given);
+    let mut problems = unknown_keys(&given, table);
     let mut values = Vec::new();
-    for setting in SETTINGS {
+    for setting in table {
         match value_of(setting, &given) {
             Ok(value) => values.push((setting, value)),
             Err(problem) => problems.push(problem),
         }
     }
-    if problems.is_empty() {
-        problems = clashes(&values, &given);
-    }
     problems.sort_by_key(|problem| problem.line);
     if problems.is_empty() {
-        Ok(typed(values))
+        Ok((Checked(values), given))
     } else {
         Err(problems)
     }
 }
 
-fn unknown_keys(given: &Values) -> Vec<Problem> {
+fn unknown_keys(given: &Values, table: &[Setting]) -> Vec<Problem> {
     let mut problems = Vec::new();
     for ((section, key), value) in &given.values {
-        let known = SETTINGS
+        let known = table
             .iter()
             .any(|setting| setting.section == section && setting.key == key);
         if !known {
@@ -142,7 +188,7 @@
                 key: key.clone(),
                 line: value.line,
                 fault: "unknown key".to_owned(),
-                fix: nearest(section, key),
+                fix: nearest(section, key, table),
             });
         }
     }
@@ -159,11 +205,11 @@
 }
 
 /// Names the section that has the key, or the keys that the section has.
-fn nearest(section: &str, key: &str) -> String {
-    if let Some(setting) = SETTINGS.iter().find(|setting| setting.key == key) {
+fn nearest(section: &str, key: &str, table: &[Setting]) -> String {
+    if let Some(setting) = table.iter().find(|setting| setting.key == key) {
         return format!("move it to [{}]", setting.section);
     }
-    let keys: Vec<_> = SETTINGS
+    let keys: Vec<_> = table
         .iter()
         .filter(|setting| setting.section == section)
         .map(|setting| setting.key)
@@ -216,6 +262,10 @@
                 _ => Some(format!("`{text}` is not a whole number of at least 1")),
             }
         }
+        SettingKind::Fraction => match text.parse::<f64>() {
+            Ok(0.0..=1.0) => None,
+            _ => Some(format!("`{text}` is not a number from 0 to 1")),
+        },
         SettingKind::Choice(words) => {
             let known = words.contains(&text);
             (!known).then(|| format!("`{text}` is not one of: {}", words.join(", ")))
@@ -273,20 +323,13 @@
     less(("platform", "timeout_ms"), ("lease", "term_ms"), 2);
     less(("node_link", "suspect_ms"), ("node_link", "cut_off_ms"), 1);
     less(("admission", "account_queue"), ("admission", "queue"), 1);
+    problems.sort_by_key(|problem| problem.line);
     problems
 }
 
-fn typed(values: Vec<(&'static Setting, String)>) -> Settings {
-    let text = |section: &str, key: &str| {
-        let found = values
-            .iter()
-            .find(|(setting, _)| setting.section == section && setting.key == key);
-        found.map(|(_, text)| text.clone()).unwrap_or_default()
-    };
-    let address = |section: &str, key: &str| {
-        let parsed = text(section, key).parse();
-        parsed.expect("checked as an address")
-    };
+fn typed(values: Checked) -> Settings {
+    let text = |section: &str, key: &str| values.text(section, key).to_owned();
+    let address = |section: &str, key: &str| values.address(section, key);
     Settings {
         name: Name::from(text("node", "name")),
         data_centre: Name::from(text("node", "data_centre")),
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -15,6 +15,8 @@
     Count,
     /// A whole number of bytes, at least 1.
     Bytes,
+    /// A number from 0 to 1.
+    Fraction,
     /// One of the listed words.
     Choice(&'static [&'static str]),
     /// A secret of at least 16 bytes; never shown.
@@ -43,9 +45,9 @@
 }
 
 macro_rules! settings {
-    ($($section:literal $key:literal $kind:expr, $default:expr, $what:literal, $why:literal, $example:literal;)*) => {
-        /// Every setting of a node.
-        pub const SETTINGS: &[Setting] = &[$(Setting {
+    ($(#[doc = $doc:literal])* $list:ident: $($section:literal $key:literal $kind:expr, $default:expr, $what:literal, $why:literal, $example:literal;)*) => {
+        $(#[doc = $doc])*
+        pub const $list: &[Setting] = &[$(Setting {
             section: $section,
             key: $key,
             kind: $kind,
@@ -57,9 +59,13 @@
     };
 }
 
-use SettingKind::{Address, Addresses, Bytes, Choice, Count, Millis, Secret, Text, Tokens};
+use SettingKind::{
+    Address, Addresses, Bytes, Choice, Count, Fraction, Millis, Secret, Text, Tokens,
+};
 
 settings! {
+    /// Every setting of a node.
+    SETTINGS:
     "node" "name" Text, None, "The node's name, unique in the fleet.", "Heartbeats, leases and logs name the node by it.", "vm-17";
     "node" "data_centre" Text, None, "The data centre that the VM stands in.", "Routing prefers servers of the same data centre, and usage is acknowledged in another one.", "tln-a";
     "node" "secret" Secret, None, "The fleet secret that nodes prove to each other.", "A process that lacks it is let into no link between nodes.", "change-me-to-32-random-bytes";
@@ -96,3 +102,32 @@
     "log" "level" Choice(&["error", "warn", "info", "debug"]), Some("info"), "Least severe level that is logged.", "Decisions are logged at info.", "info";
     "usage" "window_ms" Millis, Some("60000"), "Length of a usage window.", "Shorter bills earlier and makes more reports.", "60000";
 }
+
+settings! {
+    /// Every setting of a gateway.
+    GATEWAY_SETTINGS:
+    "node" "name" Text, None, "The node's name, unique in the fleet.", "Leases, reports and logs name the node by it.", "front-tln-a-1";
+    "node" "data_centre" Text, None, "The data centre that the VM stands in.", "Routing prefers servers of the same data centre.", "tln-a";
+    "listen" "caller" Address, None, "Where callers connect.", "The platform's balancer sends callers here.", "10.0.0.17:8080";
+    "listen" "ready" Address, None, "Where the balancer asks whether the node takes callers.", "Kept apart from the callers' port.", "10.0.0.17:8082";
+    "listen" "peer" Address, None, "Where other nodes send datagrams and read the configuration.", "Other nodes find it in the node's object.", "10.0.0.17:8081";
+    "listen" "metrics" Address, None, "Where collectors read metrics, under `/metrics`.", "Kept apart from the callers' port.", "10.0.0.17:9464";
+    "platform" "store" Address, None, "The platform's object service.", "Configuration, server list, leases and seals go through it.", "10.0.0.2:7000";
+    "platform" "duties" Address, None, "Where usage is reported and servers are ordered.", "Only the holder of a duty calls it.", "10.0.0.3:7000";
+    "platform" "timeout_ms" Millis, Some("700"), "Time that one call may take.", "A longer time rides out slowness; a shorter one notices an outage earlier.", "700";
+    "platform" "watch_ms" Millis, Some("2500"), "Time after which an open watch is asked again.", "A watch that went silent is noticed after this time and the timeout.", "2500";
+    "lease" "term_ms" Millis, Some("3000"), "Term of the lease on the duties.", "At least the time in which the platform forbids two holders to take turns.", "3000";
+    "lease" "margin_ms" Millis, Some("500"), "Time added to the term before another node takes the lease.", "Covers clocks that run at different speeds.", "500";
+    "stop" "grace_ms" Millis, Some("8000"), "Time between SIGTERM and SIGKILL.", "Open requests may run on for most of it.", "8000";
+    "stop" "unready_ms" Millis, Some("3000"), "Time between turning unready and refusing connections when stopping.", "The balancer asks once a second and needs two misses.", "3000";
+    "repeats" "ratio" Fraction, Some("0.2"), "Repeats that the fleet may send for each request.", "Bounds the extra load on a service in trouble.", "0.2";
+    "repeats" "slack" Count, Some("50"), "Repeats that the fleet may send on top in a window.", "Lets a quiet fleet repeat at all.", "50";
+    "repeats" "window_ms" Millis, Some("10000"), "Window over which repeats are counted.", "The platform's own window.", "10000";
+    "usage" "window_ms" Millis, Some("5000"), "Length of a usage window.", "The platform's own window.", "5000";
+    "usage" "late_ms" Millis, Some("10000"), "Time after a window's end by which its report is due.", "Later reports count as missing.", "10000";
+    "peers" "pause_ms" Millis, Some("100"), "Time between two datagrams to a peer.", "Shorter keeps loads fresher and costs processor time.", "100";
+    "peers" "fan_out" Count, Some("8"), "Peers that are sent a datagram in one round at most.", "Bounds a node's cost as the fleet grows.", "8";
+    "log" "format" Choice(&["text", "json"]), Some("text"), "Form of log lines.", "JSON for collectors, text for people.", "json";
+    "log" "level" Choice(&["error", "warn", "info", "debug"]), Some("info"), "Least severe level that is logged.", "Decisions are logged at info.", "info";
+    "log" "lines_per_s" Count, Some("400"), "Lines written in a second at most; the rest are counted.", "Bounds the cost of logging under load.", "400";
+}
--- a/crates/pomeloridge_base/tests/support/mod.rs
+++ b/crates/pomeloridge_base/tests/support/mod.rs
@@ -37,7 +37,7 @@
     let listener = pomeloridge_base::net::listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap();
     let server = Rc::new(Server {
-        limits,
+        limits: limits.into(),
         handler,
         stopping: || false,
     });
--- a/crates/pomeloridge_caller/src/answer.rs
+++ b/crates/pomeloridge_caller/src/answer.rs
@@ -1,70 +1,10 @@
 //! Renders refusals from the table of error kinds.
 
-use std::time::Duration;
-
-use pomeloridge_base::error::{ErrorKind, Run};
-use pomeloridge_base::http::{Fault, Response};
+use pomeloridge_base::error::Run;
+use pomeloridge_base::http::Response;
+pub use pomeloridge_base::refusal::Refusal;
 use serde::Serialize;
 
-/// A refusal: its kind, and what the table can't know.
-#[derive(Clone, Debug)]
-pub struct Refusal {
-    /// Kind of error.
-    pub kind: ErrorKind,
-    /// The place in the request, if one is at fault.
-    pub detail: Option<String>,
-    /// When to come back, if it is known better than the table has it.
-    pub retry: Option<Duration>,
-    /// Whether the request was run, if it is known better than the table has it.
-    pub run: Option<Run>,
-}
-
-impl Refusal {
-    /// Adds the place that is at fault.
-    pub fn at(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self {
-            detail: Some(detail.into()),
-            ..Self::from(kind)
-        }
-    }
-
-    /// Whether the request was run.
-    pub fn run(&self) -> Run {
-        self.run.unwrap_or(self.kind.answer().run)
-    }
-
-    /// When to come back.
-    pub fn retry(&self) -> Option<Duration> {
-        self.retry.or(self.kind.answer().retry)
-    }
-}
-
-impl From<ErrorKind> for Refusal {
-    fn from(kind: ErrorKind) -> Self {
-        Self {
-            kind,
-            detail: None,
-            retry: None,
-            run: None,
-        }
-    }
-}
-
-impl From<Fault> for Refusal {
-    fn from(fault: Fault) -> Self {
-        let detail = fault.to_string();
-        let kind = match fault {
-            Fault::HeadTooLarge => ErrorKind::HeadTooLarge,
-            Fault::BodyTooLarge => ErrorKind::BodyTooLarge,
-            Fault::Timeout => ErrorKind::HeadTimeout,
-            Fault::Malformed(_) | Fault::Closed | Fault::Io(_) | Fault::Connect(_) => {
-                ErrorKind::BadRequest
-            }
-        };
-        Self::at(kind, detail)
-    }
-}
-
 #[derive(Serialize)]
 struct WireRefusal<'a> {
     error: WireError<'a>,
--- a/crates/pomeloridge_caller/src/front.rs
+++ b/crates/pomeloridge_caller/src/front.rs
@@ -2,11 +2,10 @@
 //! refusals that need no backend server.
 
 use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+pub use pomeloridge_base::LocalFuture;
 use pomeloridge_base::clock::SharedClock;
 use pomeloridge_base::config::{ConfigView, RouteConfig, RouteKind};
 use pomeloridge_base::error::{ErrorKind, Run};
@@ -44,9 +43,6 @@
     pub output: u64,
 }
 
-/// A future on the node's one thread.
-pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
-
 /// The decisions' state, shared with the tasks of the other peers.
 pub struct Policy {
     /// View of the backend servers.
--- a/crates/pomeloridge_caller/src/turn.rs
+++ b/crates/pomeloridge_caller/src/turn.rs
@@ -189,12 +189,3 @@
         self.policy.pump(&self.clock);
     }
 }
-
-impl From<ticket::Refusal> for Refusal {
-    fn from(refusal: ticket::Refusal) -> Self {
-        Self {
-            retry: Some(refusal.retry),
-            ..Self::from(refusal.kind)
-        }
-    }
-}
--- a/crates/pomeloridge_caller/tests/support/mod.rs
+++ b/crates/pomeloridge_caller/tests/support/mod.rs
@@ -138,7 +138,7 @@
         ..Limits::default()
     };
     let server = Server {
-        limits,
+        limits: limits.into(),
         handler,
         stopping: || false,
     };
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -0,0 +1,92 @@
+//! Everything that is decided about a request before a server is chosen.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::error::ErrorKind;
+use pomeloridge_base::id::Name;
+use pomeloridge_base::secret::KeyHash;
+use pomeloridge_policy::suspicion::Fingerprint;
+
+use crate::config::{Account, Route, ServingConfig};
+use crate::request::Inbound;
+use crate::state::State;
+
+/// Time that a caller is taken to wait if it does not say so.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Lowest rank that engines know.
+const LAST_RANK: u8 = 9;
+
+/// A request that was let in.
+pub(crate) struct Accepted {
+    pub(crate) inbound: Inbound,
+    pub(crate) route: Rc<Route>,
+    pub(crate) service: Name,
+    pub(crate) account: Option<Name>,
+    pub(crate) rank: u8,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) fingerprint: Fingerprint,
+}
+
+impl Accepted {
+    /// Time that is left for the request.
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
+
+/// Lets a request in, or gives the reason why not.
+pub(crate) fn accept(state: &State, inbound: Inbound) -> Result<Accepted, (ErrorKind, Inbound)> {
+    let arrived = state.now();
+    match check(state, &inbound) {
+        Ok((route, account, service)) => {
+            let patience = inbound.patience.unwrap_or(PATIENCE).min(route.timeout);
+            let priority = account.as_ref().and_then(|account| account.priority);
+            let account = account.map(|account| account.name);
+            let known = account.clone().unwrap_or_default();
+            Ok(Accepted {
+                fingerprint: Fingerprint::of(&known, &inbound.target, &inbound.body),
+                rank: priority.unwrap_or(route.priority).min(LAST_RANK),
+                deadline: arrived + patience,
+                inbound,
+                route,
+                service,
+                account,
+                arrived,
+            })
+        }
+        Err(kind) => Err((kind, inbound)),
+    }
+}
+
+type Checked = (Rc<Route>, Option<Account>, Name);
+
+fn check(state: &State, inbound: &Inbound) -> Result<Checked, ErrorKind> {
+    let config = state.config().ok_or(ErrorKind::NoConfig)?;
+    let route = config.route(&inbound.host, inbound.path());
+    let route = route.cloned().ok_or(ErrorKind::UnknownPath)?;
+    let account = account(&config, &route, inbound)?;
+    let draw = Fingerprint::of(&Name::default(), "", &inbound.id).0;
+    let draw = u64::from_be_bytes(draw[..8].try_into().unwrap_or_default());
+    let service = route.service(draw).cloned().ok_or(ErrorKind::NoServer)?;
+    Ok((route, account, service))
+}
+
+fn account(
+    config: &ServingConfig,
+    route: &Route,
+    inbound: &Inbound,
+) -> Result<Option<Account>, ErrorKind> {
+    let Some(accounts) = &config.accounts else {
+        return Ok(None);
+    };
+    let known = inbound.key.as_ref();
+    let known = known.and_then(|key| accounts.get(&KeyHash::of(key)));
+    match (known, route.open) {
+        (Some(account), _) => Ok(Some(account.clone())),
+        (None, true) => Ok(None),
+        (None, false) if inbound.key.is_none() => Err(ErrorKind::KeyMissing),
+        (None, false) => Err(ErrorKind::KeyUnknown),
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -0,0 +1,280 @@
+//! The attempts at one request: which server, whether again, and the final refusal.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pomeloridge_base::error::{ErrorKind, Run};
+use pomeloridge_base::meter::Counter;
+use pomeloridge_base::refusal::Refusal;
+use pomeloridge_policy::dispatch::{Plan, SendKey, TargetKey, Wanted};
+use pomeloridge_policy::parts::Part;
+use pomeloridge_policy::suspicion::{Fingerprint, InFlight, Treatment};
+
+use crate::accept::Accepted;
+use crate::exchange::Failure;
+use crate::state::State;
+
+/// When a caller may come back to a service that has no free server.
+const COME_BACK: Duration = Duration::from_millis(400);
+/// Sendings of one request that a server refused unread, at most.
+const REFUSED_SENDS: usize = 3;
+
+/// The requests that run on each server.
+#[derive(Default)]
+pub(crate) struct Running(RefCell<HashMap<TargetKey, Vec<InFlight>>>);
+
+impl Running {
+    /// Requests that run on any server.
+    pub(crate) fn len(&self) -> usize {
+        self.0.borrow().values().map(Vec::len).sum()
+    }
+
+    fn add(&self, server: TargetKey, request: InFlight) {
+        self.0.borrow_mut().entry(server).or_default().push(request);
+    }
+
+    fn remove(&self, server: TargetKey, request: InFlight) {
+        let mut running = self.0.borrow_mut();
+        if let Some(on) = running.get_mut(&server) {
+            if let Some(at) = on.iter().position(|other| *other == request) {
+                on.swap_remove(at);
+            }
+            if on.is_empty() {
+                running.remove(&server);
+            }
+        }
+    }
+}
+
+/// Keeps a request counted on its server until it is dropped.
+pub(crate) struct Sent {
+    state: Rc<State>,
+    server: TargetKey,
+    key: SendKey,
+    request: InFlight,
+}
+
+impl Sent {
+    pub(crate) fn new(
+        state: &Rc<State>,
+        server: TargetKey,
+        unread: u64,
+        parts: &[Part],
+        fingerprint: Fingerprint,
+    ) -> Self {
+        let key = state.dispatcher.borrow_mut().send(server, unread, parts);
+        let now = state.now();
+        let suspect = state.suspicions.borrow().is_suspect(&fingerprint, now);
+        let request = InFlight {
+            fingerprint,
+            suspect,
+        };
+        state.running.add(server, request);
+        Self {
+            state: Rc::clone(state),
+            server,
+            key,
+            request,
+        }
+    }
+
+    /// Notes that the server has read the prompt.
+    pub(crate) fn prompt_read(&self) {
+        let mut dispatcher = self.state.dispatcher.borrow_mut();
+        dispatcher.prompt_read(self.key);
+        dispatcher.answered(self.server);
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.state.running.remove(self.server, self.request);
+        self.state.dispatcher.borrow_mut().end(self.key);
+    }
+}
+
+/// What was tried for a request.
+pub(crate) struct Attempts<'a> {
+    pub(crate) state: &'a Rc<State>,
+    pub(crate) accepted: &'a Accepted,
+    tried: Vec<TargetKey>,
+    /// Servers that may have run it.
+    pub(crate) runs: u32,
+    /// Sendings that reached a server.
+    arrivals: u32,
+    refused: usize,
+    /// Whether its prompt was sent to be read apart; that is tried once.
+    prefilled: bool,
+    last: Option<Failure>,
+}
+
+impl<'a> Attempts<'a> {
+    pub(crate) fn new(state: &'a Rc<State>, accepted: &'a Accepted) -> Self {
+        Self {
+            state,
+            accepted,
+            tried: Vec::new(),
+            runs: 0,
+            arrivals: 0,
+            refused: 0,
+            prefilled: false,
+            last: None,
+        }
+    }
+
+    /// Chooses where the request goes next; a refusal is final.
+    pub(crate) fn choose(&mut self) -> Result<Plan, Refusal> {
+        let (state, accepted) = (self.state, self.accepted);
+        let now = state.now();
+        let treatment = state
+            .suspicions
+            .borrow()
+            .treatment(&accepted.fingerprint, now);
+        if let Treatment::Refuse(time) = treatment {
+            return Err(Refusal {
+                retry: Some(time),
+                run: Some(self.run()),
+                ..Refusal::from(ErrorKind::Quarantined)
+            });
+        }
+        if accepted.left(now).is_zero() {
+            return Err(self.refusal(ErrorKind::DeadlinePassed));
+        }
+        let wanted = Wanted {
+            service: &accepted.service,
+            prompt: accepted.inbound.prompt.as_ref(),
+            tried: &self.tried,
+            apart: !self.prefilled && accepted.inbound.last_event.is_none(),
+        };
+        let plan = state.dispatcher.borrow_mut().choose(&wanted, now);
+        let plan = plan.ok_or_else(|| self.refusal(ErrorKind::NoServer))?;
+        self.prefilled |= plan.prefill.is_some();
+        log::info!(
+            "request id={} choice=send route={} service={} server={} prefill={} unread={} \
+             predicted_ms={} attempt={} left_ms={}",
+            accepted.inbound.label(),
+            accepted.route.name,
+            accepted.service,
+            state.server_name(plan.run),
+            plan.prefill
+                .map(|key| state.server_name(key))
+                .unwrap_or_default(),
+            plan.unread,
+            plan.first.as_millis(),
+            self.arrivals + 1,
+            accepted.left(now).as_millis()
+        );
+        Ok(plan)
+    }
+
+    /// Takes in a failed attempt; `Ok` means that the request is sent again.
+    pub(crate) fn failed(&mut self, server: TargetKey, failure: Failure) -> Result<(), Refusal> {
+        let again = self.may_repeat(server, failure);
+        log::info!(
+            "request id={} server={} failure={failure} again={}",
+            self.accepted.inbound.label(),
+            self.state.server_name(server),
+            again.is_ok()
+        );
+        if again.is_ok() {
+            self.state.meter.one(Counter::Retries);
+        }
+        again
+    }
+
+    fn may_repeat(&mut self, server: TargetKey, failure: Failure) -> Result<(), Refusal> {
+        self.note(server, failure);
+        let kind = self.accepted.route.kind;
+        if !failure.not_run() && !kind.repeatable() {
+            return Err(self.refusal(final_kind(failure)));
+        }
+        let spent = self.runs >= self.accepted.route.attempts || self.refused >= REFUSED_SENDS;
+        // Only a sending that reached a server makes the next one a repeat.
+        let repeat = self.arrivals > 0;
+        if spent || (repeat && !self.state.may_repeat(&self.accepted.service)) {
+            return Err(self.refusal(final_kind(failure)));
+        }
+        Ok(())
+    }
+
+    /// Takes in a prefill that failed; its request runs without it.
+    ///
+    /// The first prefill is not charged to the budget, and a run follows it that is
+    /// the request's first.
+    pub(crate) fn prefill_failed(&mut self, reader: TargetKey, failure: Failure) {
+        log::info!(
+            "request id={} server={} failure={failure} choice=run_without_prefill",
+            self.accepted.inbound.label(),
+            self.state.server_name(reader)
+        );
+        self.eject_if_dead(reader, failure);
+    }
+
+    /// Takes in what a failure says of the server.
+    fn note(&mut self, server: TargetKey, failure: Failure) {
+        self.last = Some(failure);
+        if failure != Failure::Stale {
+            self.tried.push(server);
+        }
+        if failure.arrived() {
+            self.arrivals += 1;
+        }
+        if failure.not_run() {
+            self.refused += usize::from(failure != Failure::Unreachable);
+        } else {
+            self.runs += 1;
+        }
+        self.eject_if_dead(server, failure);
+    }
+
+    fn eject_if_dead(&self, server: TargetKey, failure: Failure) {
+        let state = self.state;
+        let dead = matches!(
+            failure,
+            Failure::Unreachable | Failure::Misdirected | Failure::Silent
+        );
+        if dead && state.dispatcher.borrow_mut().eject(server, state.now()) {
+            state.meter.one(Counter::Ejections);
+            log::info!(
+                "server id={} choice=eject reason={failure}",
+                state.server_name(server)
+            );
+        }
+    }
+
+    /// A refusal that says truthfully whether the request has run.
+    pub(crate) fn refusal(&self, kind: ErrorKind) -> Refusal {
+        let run = self.run();
+        // "Not run" stands only where no server may have run it.
+        let kind = match (kind.answer().run, run) {
+            (Run::NotRun, Run::Unknown) => self.last.map_or(ErrorKind::ServerLost, final_kind),
+            _ => kind,
+        };
+        Refusal {
+            run: Some(run),
+            retry: kind.answer().retry.map(|_| COME_BACK),
+            ..Refusal::from(kind)
+        }
+    }
+
+    fn run(&self) -> Run {
+        if self.runs == 0 {
+            Run::NotRun
+        } else {
+            Run::Unknown
+        }
+    }
+}
+
+/// The answer after the last attempt.
+fn final_kind(failure: Failure) -> ErrorKind {
+    match failure {
+        Failure::Unreachable | Failure::Misdirected => ErrorKind::NoServer,
+        Failure::Refused => ErrorKind::Overloaded,
+        Failure::Stale | Failure::Lost => ErrorKind::ServerLost,
+        Failure::Broken => ErrorKind::ServerFault,
+        Failure::Silent => ErrorKind::DeadlinePassed,
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/call.rs
@@ -0,0 +1,69 @@
+//! Requests that are answered whole.
+
+use std::rc::Rc;
+
+use pomeloridge_base::http::Response;
+use pomeloridge_base::refusal::Refusal;
+use pomeloridge_policy::dispatch::Plan;
+
+use crate::accept::Accepted;
+use crate::attempt::{Attempts, Sent};
+use crate::exchange::{Exchange, Failure, exchange};
+use crate::request::SendStage;
+use crate::state::State;
+
+/// Bytes of an answer that is gathered.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Runs a request and gathers its answer.
+pub(crate) async fn run(state: &Rc<State>, accepted: &Accepted) -> Result<Response, Refusal> {
+    let mut attempts = Attempts::new(state, accepted);
+    loop {
+        let plan = attempts.choose()?;
+        let failure = match attempt(state, accepted, plan).await {
+            // A server's own failure is worth another try if nothing forbids it.
+            Ok(response) if response.status.is_server_error() => {
+                if attempts.failed(plan.run, Failure::Broken).is_err() {
+                    return Ok(response);
+                }
+                continue;
+            }
+            Ok(response) => return Ok(response),
+            Err(failure) => failure,
+        };
+        attempts.failed(plan.run, failure)?;
+    }
+}
+
+async fn attempt(state: &Rc<State>, accepted: &Accepted, plan: Plan) -> Result<Response, Failure> {
+    let sent = Sent::new(state, plan.run, 0, &[], accepted.fingerprint);
+    let deadline = accepted.deadline;
+    let stage = SendStage::Run;
+    let exchanged = exchange(state, accepted, plan.run, stage, None, deadline).await?;
+    sent.prompt_read();
+    state.count_usage(accepted.account.as_ref());
+    gather(state, accepted, exchanged).await
+}
+
+/// Reads the rest of an answer.
+pub(crate) async fn gather(
+    state: &State,
+    accepted: &Accepted,
+    exchanged: Exchange,
+) -> Result<Response, Failure> {
+    let Exchange {
+        mut connection,
+        head,
+    } = exchanged;
+    let body = connection.body(ANSWER_BYTES, accepted.deadline).await;
+    let body = body.map_err(|fault| Failure::after_write(&fault))?;
+    state.pool.put(connection, head.idle, state.now());
+    if head.status.is_success() && !head.sealed {
+        return Err(Failure::Broken);
+    }
+    Ok(Response {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -0,0 +1,127 @@
+//! The duties of which the fleet has one holder at a time, by one lease.
+//!
+//! A usage window is sealed in the object service before it is reported, and
+//! only ever reported as it was sealed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use pomeloridge_base::id::{Incarnation, Name};
+use pomeloridge_platform::lease::Claim;
+use pomeloridge_platform::usage::{Figures, Seal, seal};
+use pomeloridge_platform::{Authority, Keeper, PlatformError};
+use serde_json::Value;
+
+use crate::ports::UsageReport;
+use crate::state::State;
+
+/// Pause between two looks at the lease while it is held.
+const HELD_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two looks at the lease of another node.
+const FREE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks for windows that are due.
+const USAGE_PAUSE: Duration = Duration::from_millis(500);
+/// Time after a window's end at which all nodes have told their counts.
+const SETTLE: Duration = Duration::from_millis(2000);
+/// Windows that are reported again after a change of holder.
+const WINDOWS_BACK: u64 = 3;
+
+/// Starts the duties' tasks.
+pub(crate) fn start(state: &Rc<State>) {
+    let claim = Claim {
+        duty: Name::from("fleet"),
+        holder: state.name.clone(),
+        incarnation: Incarnation(state.life_id),
+        term: state.settings.time("lease", "term_ms"),
+        margin: state.settings.time("lease", "margin_ms"),
+    };
+    let keeper = Keeper::new(&state.store, claim);
+    let authority = keeper.authority();
+    monoio::spawn(keep(Rc::clone(state), keeper));
+    monoio::spawn(report_usage(Rc::clone(state), authority));
+}
+
+/// Keeps the lease; nodes that hear its holder leave the object service alone.
+async fn keep(state: Rc<State>, mut keeper: Keeper) {
+    let authority = keeper.authority();
+    while !state.life.is_stopping() {
+        let held = authority.holds();
+        if held || !state.peers.borrow().duty_held(state.now()) {
+            keeper.step().await;
+        }
+        let epoch = authority.holds().then(|| authority.epoch());
+        state.duty.set(epoch);
+        let pause = if held { HELD_PAUSE } else { FREE_PAUSE };
+        monoio::time::sleep(pause).await;
+    }
+    state.duty.set(None);
+    keeper.give_up().await;
+}
+
+/// Reports each window once it has ended, while this node holds the duties.
+async fn report_usage(state: Rc<State>, authority: Authority) {
+    let window = state.usage_window();
+    let late = state.settings.time("usage", "late_ms");
+    let mut reported = BTreeSet::new();
+    let mut epoch = None;
+    loop {
+        monoio::time::sleep(USAGE_PAUSE).await;
+        if !authority.holds() {
+            continue;
+        }
+        if epoch.replace(authority.epoch()) != Some(authority.epoch()) {
+            reported.clear();
+        }
+        let now_ms = state.time.borrow().unix_ms(state.now());
+        let window_ms = window.as_millis() as u64;
+        let settled = now_ms.saturating_sub(SETTLE.as_millis() as u64) / window_ms;
+        for index in settled.saturating_sub(WINDOWS_BACK)..settled {
+            let due = (index + 1) * window_ms + late.as_millis() as u64;
+            if reported.contains(&index) || now_ms > due {
+                continue;
+            }
+            match report(&state, &authority, index).await {
+                Ok(()) => {
+                    reported.insert(index);
+                }
+                Err(error) => {
+                    log::warn!("usage window={index} outcome=failed reason=\"{error}\"");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+async fn report(state: &State, authority: &Authority, window: u64) -> Result<(), PlatformError> {
+    let permit = authority.permit().ok_or(PlatformError::Lapsed)?;
+    let total = state.usage.borrow().total(window);
+    let figures: BTreeMap<Name, Figures> = total
+        .into_iter()
+        .map(|(account, requests)| {
+            let figures = Figures {
+                requests,
+                ..Figures::default()
+            };
+            (account, figures)
+        })
+        .collect();
+    let sealed = Seal::new(window.to_string(), &figures, Value::Null)?;
+    let sealed = seal(&state.store, &permit, sealed).await?;
+    let counts = sealed.figures()?.into_iter();
+    let report = UsageReport {
+        window,
+        counts: counts
+            .map(|(account, figures)| (account, figures.requests))
+            .collect(),
+        holder: state.name.clone(),
+        epoch: permit.epoch(),
+    };
+    let requests: u64 = report.counts.iter().map(|(_, count)| count).sum();
+    let epoch = permit.epoch();
+    let allowed = Box::new(move || permit.allowed());
+    (state.ports.duty.usage)(report, allowed).await?;
+    log::info!("usage window={window} outcome=reported requests={requests} epoch={epoch}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -0,0 +1,171 @@
+//! One sending of a request to one server, up to the head of the answer.
+
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use pomeloridge_base::http::{ConnectOptions, Connection, Fault};
+use pomeloridge_policy::dispatch::TargetKey;
+
+use crate::accept::Accepted;
+use crate::request::{Dispatch, ReplyHead, SendStage};
+use crate::state::State;
+
+/// Time to connect to a server.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Unacknowledged bytes after this time end a connection that has gone silent.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Answers to earlier requests that are passed over on one connection.
+const FOREIGN_ANSWERS: usize = 2;
+/// Bytes of a foreign answer that is passed over.
+const FOREIGN_BYTES: usize = 1024 * 1024;
+
+/// Why a server gave no answer to a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Nothing was written.
+    #[display("unreachable")]
+    Unreachable,
+    /// The server refused it before any work.
+    #[display("refused")]
+    Refused,
+    /// Another server has the address.
+    #[display("misdirected")]
+    Misdirected,
+    /// It was written to a kept connection that the server had closed or closed then.
+    #[display("stale")]
+    Stale,
+    /// It was written, and the connection broke.
+    #[display("lost")]
+    Lost,
+    /// It was written, and what came is not its answer.
+    #[display("broken")]
+    Broken,
+    /// It was written, and its time ran out.
+    #[display("silent")]
+    Silent,
+}
+
+impl Failure {
+    /// Whether the request certainly has not run and will not run there.
+    pub(crate) fn not_run(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Refused | Self::Misdirected)
+    }
+
+    /// Whether the request reached the server.
+    pub(crate) fn arrived(self) -> bool {
+        self != Self::Unreachable
+    }
+
+    /// The failure that a fault after the write stands for.
+    pub(crate) fn after_write(fault: &Fault) -> Self {
+        match fault {
+            Fault::Timeout => Self::Silent,
+            Fault::Closed | Fault::Io(_) | Fault::Connect(_) => Self::Lost,
+            Fault::Malformed(_) | Fault::HeadTooLarge | Fault::BodyTooLarge => Self::Broken,
+        }
+    }
+}
+
+/// An answer whose head has been read.
+pub(crate) struct Exchange {
+    pub(crate) connection: Connection,
+    pub(crate) head: ReplyHead,
+}
+
+/// Sends a request to a server and reads the head of its answer.
+pub(crate) async fn exchange(
+    state: &State,
+    accepted: &Accepted,
+    server: TargetKey,
+    stage: SendStage,
+    last_event: Option<u64>,
+    deadline: Instant,
+) -> Result<Exchange, Failure> {
+    let info = {
+        let dispatcher = state.dispatcher.borrow();
+        let target = dispatcher.target(server).ok_or(Failure::Unreachable)?;
+        target.info.clone()
+    };
+    // Reading a prompt twice does no harm; only a run must not be repeated.
+    let unrepeatable = !accepted.route.kind.repeatable() && stage != SendStage::Prefill;
+    let kept = state.pool.take(info.address, unrepeatable, state.now());
+    let was_kept = kept.is_some();
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => open(info.address, deadline).await?,
+    };
+    let dispatch = Dispatch {
+        server: &info.id,
+        account: accepted.account.as_ref(),
+        left: accepted.left(state.now()),
+        stage,
+        last_event,
+        rank: accepted.rank,
+    };
+    let message = (state.ports.server.encode)(&accepted.inbound, &dispatch);
+    let sent = connection.send(&message, deadline).await;
+    if let Err(fault) = sent {
+        return Err(stale_if(was_kept, Failure::after_write(&fault)));
+    }
+    let head = read_head(state, accepted, &mut connection, deadline).await;
+    let head = head.map_err(|failure| stale_if(was_kept, failure))?;
+    if let Some(load) = head.reported(state.now()) {
+        state.dispatcher.borrow_mut().reported(server, load);
+    }
+    if head.misdirected {
+        return Err(Failure::Misdirected);
+    }
+    if head.not_run {
+        let idle = head.idle;
+        if connection.body(FOREIGN_BYTES, deadline).await.is_ok() {
+            state.pool.put(connection, idle, state.now());
+        }
+        return Err(Failure::Refused);
+    }
+    Ok(Exchange { connection, head })
+}
+
+async fn open(address: std::net::SocketAddr, deadline: Instant) -> Result<Connection, Failure> {
+    let options = ConnectOptions {
+        timeout: CONNECT.min(deadline.saturating_duration_since(Instant::now())),
+        user_timeout: Some(USER_TIMEOUT),
+        until_close: true,
+        ..ConnectOptions::default()
+    };
+    let opened = Connection::open(address, options).await;
+    opened.map_err(|_| Failure::Unreachable)
+}
+
+/// Reads the head of this request's answer, past late answers to earlier ones.
+async fn read_head(
+    state: &State,
+    accepted: &Accepted,
+    connection: &mut Connection,
+    deadline: Instant,
+) -> Result<ReplyHead, Failure> {
+    for _ in 0..=FOREIGN_ANSWERS {
+        let incoming = connection.head(deadline).await;
+        let incoming = incoming.map_err(|fault| Failure::after_write(&fault))?;
+        let head = (state.ports.server.head)(incoming);
+        let own = head.id.as_ref().is_none_or(|id| *id == accepted.inbound.id);
+        if own {
+            return Ok(head);
+        }
+        log::info!(
+            "request id={} choice=skip_answer reason=\"it belongs to request {:?}\"",
+            accepted.inbound.label(),
+            head.id
+        );
+        let skipped = connection.body(FOREIGN_BYTES, deadline).await;
+        skipped.map_err(|fault| Failure::after_write(&fault))?;
+    }
+    Err(Failure::Broken)
+}
+
+/// A kept connection that ends without an answer may have been closed before the write.
+fn stale_if(was_kept: bool, failure: Failure) -> Failure {
+    match failure {
+        Failure::Lost if was_kept => Failure::Stale,
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -0,0 +1,82 @@
+//! The configuration as nodes read it from one another.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pomeloridge_base::http::{Fault, Outgoing, Request, Responder, Response, call};
+use pomeloridge_base::id::Revision;
+use pomeloridge_platform::Object;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::state::State;
+
+/// Path of the configuration.
+const CONFIG_PATH: &str = "/config";
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Time that a read takes at most.
+const READ_TIME: Duration = Duration::from_millis(800);
+
+#[derive(Serialize, Deserialize)]
+struct ObjectWire {
+    key: String,
+    version: Revision,
+    value: Value,
+}
+
+impl From<ObjectWire> for Object {
+    fn from(wire: ObjectWire) -> Self {
+        Self {
+            key: wire.key,
+            version: wire.version,
+            value: wire.value,
+        }
+    }
+}
+
+impl From<Object> for ObjectWire {
+    fn from(object: Object) -> Self {
+        Self {
+            key: object.key,
+            version: object.version,
+            value: object.value,
+        }
+    }
+}
+
+/// Reads a peer's configuration.
+pub(crate) async fn read_config(address: SocketAddr) -> Result<Object, String> {
+    let response = call(address, &Outgoing::get(CONFIG_PATH), READ_TIME).await;
+    let response = response.map_err(|fault| fault.to_string())?;
+    let wire: ObjectWire =
+        serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
+    Ok(wire.into())
+}
+
+/// Answers peers and collectors.
+pub(crate) async fn handle(
+    state: &Rc<State>,
+    request: Result<Request, Fault>,
+    responder: &mut Responder,
+) {
+    let response = match request {
+        Ok(request) if request.path() == CONFIG_PATH => config(state),
+        Ok(request) if request.path() == METRICS_PATH => {
+            Response::new(200, (state.metrics)()).with("content-type", "text/plain")
+        }
+        Ok(_) => Response::new(404, ""),
+        Err(_) => Response::new(400, ""),
+    };
+    if let Err(fault) = responder.send(response).await {
+        log::debug!("answer to a peer not delivered: {fault}");
+    }
+}
+
+fn config(state: &State) -> Response {
+    match state.config.borrow().as_ref() {
+        Some(in_force) => Response::json(200, &ObjectWire::from(in_force.object.clone())),
+        None => Response::new(404, ""),
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -0,0 +1,40 @@
+//! The request path on a platform whose requests are opaque: which route and
+//! client account a request belongs to, which backend server runs it, and how its
+//! answer comes back whole and once.
+//!
+//! What a platform's messages look like is given as [`ports`]: plain functions
+//! that translate. Decisions, state and recovery are here and in the policy crate.
+
+mod accept;
+mod attempt;
+mod call;
+mod config;
+mod duties;
+mod events;
+mod exchange;
+mod front;
+mod internal;
+mod life;
+mod node;
+mod peers;
+mod pool;
+pub mod ports;
+mod prefill;
+mod register;
+mod request;
+mod state;
+mod stream;
+mod true_time;
+mod usage;
+mod watch;
+
+pub use config::{
+    Account, RequestLimits, Route, RouteKind, ServerScaling, ServingConfig, ServingService, Share,
+};
+pub use events::{Event, EventSplitter};
+pub use node::run;
+pub use register::Register;
+pub use request::{Dispatch, Handle, Inbound, MemorySource, ReplyHead, SendStage};
+pub use state::Parts;
+pub use true_time::TrueTime;
+pub use usage::UsageBook;
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -0,0 +1,138 @@
+//! A gateway: every part of it on one thread, one task for each connection and peer.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::net::udp::UdpSocket;
+use pomeloridge_base::http::{Fault, Limits, Request, Responder, Response, Server};
+use pomeloridge_base::net::listen;
+
+use crate::state::{Parts, State};
+use crate::{duties, front, internal, life, peers, watch};
+
+/// Pause between two rounds of housekeeping.
+const SWEEP_PAUSE: Duration = Duration::from_secs(1);
+/// Time for a request's body.
+const BODY_TIME: Duration = Duration::from_secs(20);
+
+/// Runs a gateway until it has stopped gracefully.
+pub fn run(parts: Parts) -> Result<(), String> {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("the runtime cannot start: {error}"))?;
+    runtime.block_on(serve(parts))
+}
+
+async fn serve(parts: Parts) -> Result<(), String> {
+    let settings = &parts.settings;
+    let open = |key: &'static str| -> Result<_, String> {
+        let address = settings.address("listen", key);
+        listen(address).map_err(|error| cannot_listen(key, address, &error))
+    };
+    let (caller, ready) = (open("caller")?, open("ready")?);
+    let (peer, metrics) = (open("peer")?, open("metrics")?);
+    let address = settings.address("listen", "peer");
+    let socket =
+        UdpSocket::bind(address).map_err(|error| cannot_listen("peer", address, &error))?;
+    let socket = Rc::new(socket);
+    let state = State::new(parts);
+    log::info!(
+        "start node={} data_centre={} store={}",
+        state.name,
+        state.settings.text("node", "data_centre"),
+        state.settings.text("platform", "store")
+    );
+    life::watch_signals(&state)?;
+    monoio::spawn(watch::config(Rc::clone(&state)));
+    monoio::spawn(watch::servers(Rc::clone(&state)));
+    monoio::spawn(peers::discover(Rc::clone(&state)));
+    monoio::spawn(peers::tell(Rc::clone(&state), Rc::clone(&socket)));
+    monoio::spawn(peers::listen(Rc::clone(&state), socket));
+    duties::start(&state);
+    for listener in [peer, metrics] {
+        let internal = Rc::clone(&state);
+        let server = server(&state, async move |request, responder: &mut Responder| {
+            internal::handle(&internal, request, responder).await;
+        });
+        monoio::spawn(Rc::new(server).run(listener));
+    }
+    let asked = Rc::clone(&state);
+    let readiness = server(&state, async move |request, responder: &mut Responder| {
+        answer_readiness(&asked, request, responder).await;
+    });
+    monoio::spawn(Rc::new(readiness).run(ready));
+    serve_callers(&state, caller).await;
+    log::info!("stop phase=stopped");
+    Ok(())
+}
+
+fn cannot_listen(key: &str, address: SocketAddr, error: &std::io::Error) -> String {
+    format!("[listen] {key}: cannot listen on {address}: {error}; choose a free address")
+}
+
+fn server<H>(state: &Rc<State>, handler: H) -> Server<H, impl Fn() -> bool + 'static + use<H>>
+where
+    H: AsyncFn(Result<Request, Fault>, &mut Responder) + 'static,
+{
+    let life = state.life.clone();
+    Server {
+        limits: Cell::new(Limits::default()),
+        handler,
+        stopping: move || life.is_closing(),
+    }
+}
+
+async fn serve_callers(state: &Rc<State>, listener: monoio::net::TcpListener) {
+    let served = Rc::clone(state);
+    let life = state.life.clone();
+    let callers = server(state, async move |request, responder: &mut Responder| {
+        if life.is_stopping() {
+            responder.close_after();
+        }
+        front::handle(&served, request, responder).await;
+    });
+    let callers = Rc::new(callers);
+    monoio::spawn(keep_house(Rc::clone(state), {
+        let callers = Rc::clone(&callers);
+        move |limits| callers.limits.set(limits)
+    }));
+    callers.run(listener).await;
+}
+
+/// Closes idle connections and applies the configuration's limits on callers.
+async fn keep_house(state: Rc<State>, set_limits: impl Fn(Limits)) {
+    loop {
+        state.pool.sweep(state.now());
+        if let Some(config) = state.config() {
+            let limits = config.limits;
+            set_limits(Limits {
+                head_bytes: limits.head_bytes,
+                body_bytes: limits.body_bytes,
+                head_time: limits.head_time,
+                body_time: BODY_TIME,
+                idle_time: limits.idle_time,
+                ..Limits::default()
+            });
+        }
+        monoio::time::sleep(SWEEP_PAUSE).await;
+    }
+}
+
+async fn answer_readiness(
+    state: &State,
+    request: Result<Request, Fault>,
+    responder: &mut Responder,
+) {
+    let status = match request {
+        Ok(request) if !(state.ports.ingress.is_readiness)(&request) => 404,
+        Ok(_) if state.ready() => 200,
+        Ok(_) => 503,
+        Err(_) => 400,
+    };
+    if let Err(fault) = responder.send(Response::new(status, "")).await {
+        log::debug!("answer to the balancer not delivered: {fault}");
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -0,0 +1,336 @@
+//! What nodes tell one another: loads they put on servers, counts of usage, the
+//! time of day and the configuration's revision, in datagrams of which only the
+//! latest matters. Nodes find one another through objects of their own.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::net::udp::UdpSocket;
+use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_platform::{Expect, Object, PlatformError};
+use pomeloridge_policy::dispatch::{OwnLoad, PeerLoad};
+use prost::Message;
+use serde_json::json;
+
+use crate::state::State;
+use crate::usage::{Counts, Source};
+use crate::{internal, watch};
+
+/// Prefix of the nodes' objects.
+const NODES_PREFIX: &str = "pomeloridge-nodes/";
+/// Pause between two reads of the nodes' objects.
+const LIST_PAUSE: Duration = Duration::from_secs(6);
+/// Pause between two tries while no node could be read or written.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Silence after which a peer is not counted as live.
+const LIVE: Duration = Duration::from_secs(3);
+/// Silence after which a peer that is not listed is forgotten.
+const FORGET: Duration = Duration::from_secs(20);
+/// Rounds between two that carry counts of usage.
+const USAGE_ROUNDS: u64 = 4;
+/// Bytes of the largest datagram that is read.
+const DATAGRAM_BYTES: usize = 60 * 1024;
+
+/// A datagram to a peer.
+#[derive(Clone, PartialEq, Message)]
+struct BeatWire {
+    #[prost(string, tag = "1")]
+    node: String,
+    /// The sender's start.
+    #[prost(uint64, tag = "2")]
+    life: u64,
+    /// Believed time of day, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "3")]
+    unix_ms: u64,
+    /// Version of the configuration in force; 0 if there is none.
+    #[prost(uint64, tag = "4")]
+    config: u64,
+    #[prost(message, repeated, tag = "5")]
+    loads: Vec<LoadWire>,
+    #[prost(message, repeated, tag = "6")]
+    usage: Vec<UsageWire>,
+    /// Fencing token of the duties if the sender holds them, else 0.
+    #[prost(uint64, tag = "7")]
+    duty: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct LoadWire {
+    #[prost(string, tag = "1")]
+    server: String,
+    /// Prompt tokens that are not read yet.
+    #[prost(uint64, tag = "2")]
+    unread: u64,
+    #[prost(uint32, tag = "3")]
+    running: u32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct UsageWire {
+    #[prost(uint64, tag = "1")]
+    window: u64,
+    #[prost(string, tag = "2")]
+    account: String,
+    #[prost(uint64, tag = "3")]
+    count: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard: Option<Instant>,
+    listed: bool,
+    /// Fencing token that the peer says to hold the duties by.
+    duty: Option<Epoch>,
+}
+
+/// The other nodes.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    peers: HashMap<Name, Peer>,
+    round: u64,
+}
+
+impl Peers {
+    /// Peers that were heard of late.
+    pub(crate) fn live(&self, now: Instant) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| is_live(peer, now))
+            .count()
+    }
+
+    /// Whether a peer that was heard of late holds the duties.
+    pub(crate) fn duty_held(&self, now: Instant) -> bool {
+        let mut live = self.peers.values().filter(|peer| is_live(peer, now));
+        live.any(|peer| peer.duty.is_some())
+    }
+
+    /// The peers that are told in this round: all in turn, a bounded number each time.
+    fn next_round(&mut self, fan_out: usize) -> Vec<SocketAddr> {
+        self.round += 1;
+        let mut addresses: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
+        addresses.sort_unstable();
+        if addresses.len() > fan_out {
+            let start = self.round as usize * fan_out % addresses.len();
+            addresses.rotate_left(start);
+            addresses.truncate(fan_out);
+        }
+        addresses
+    }
+
+    fn listed(&mut self, nodes: Vec<(Name, SocketAddr)>, now: Instant) {
+        for peer in self.peers.values_mut() {
+            peer.listed = false;
+        }
+        for (name, address) in nodes {
+            let peer = self.peers.entry(name).or_insert(Peer {
+                address,
+                heard: None,
+                listed: true,
+                duty: None,
+            });
+            peer.address = address;
+            peer.listed = true;
+        }
+        let silent = |peer: &Peer| {
+            peer.heard
+                .is_none_or(|at| now.saturating_duration_since(at) > FORGET)
+        };
+        self.peers.retain(|_, peer| peer.listed || !silent(peer));
+    }
+
+    fn heard(&mut self, name: &Name, address: SocketAddr, duty: Option<Epoch>, now: Instant) {
+        let known = self.peers.contains_key(name);
+        let peer = self.peers.entry(name.clone()).or_insert(Peer {
+            address,
+            heard: None,
+            listed: false,
+            duty,
+        });
+        if !known || !is_live(peer, now) {
+            log::info!("dependency name=node/{name} state=regained address={address}");
+        }
+        peer.address = address;
+        peer.heard = Some(now);
+        peer.duty = duty;
+    }
+}
+
+fn is_live(peer: &Peer, now: Instant) -> bool {
+    let recent = |at| now.saturating_duration_since(at) < LIVE;
+    peer.heard.is_some_and(recent)
+}
+
+/// Writes this node's object and reads those of the others.
+pub(crate) async fn discover(state: Rc<State>) {
+    let mut announced = false;
+    loop {
+        if !announced {
+            announced = announce(&state).await.is_ok();
+        }
+        let listed = state.store.list(NODES_PREFIX).await;
+        let pause = if listed.is_ok() && announced {
+            LIST_PAUSE
+        } else {
+            RETRY_PAUSE
+        };
+        if let Ok((_, objects)) = listed {
+            let nodes = objects.iter().filter_map(node).collect::<Vec<_>>();
+            let others = nodes.into_iter().filter(|(name, _)| *name != state.name);
+            let now = state.now();
+            state.peers.borrow_mut().listed(others.collect(), now);
+        }
+        monoio::time::sleep(pause).await;
+    }
+}
+
+async fn announce(state: &State) -> Result<(), PlatformError> {
+    let key = format!("{NODES_PREFIX}{}", state.name);
+    let address = state.settings.address("listen", "peer").to_string();
+    let found = state.store.get(&key).await?;
+    let value = json!({ "address": address, "life": state.life_id });
+    let expect = Expect::found(found.as_ref());
+    state.store.put_confirmed(&key, value, expect).await?;
+    Ok(())
+}
+
+fn node(object: &Object) -> Option<(Name, SocketAddr)> {
+    let name = object.key.strip_prefix(NODES_PREFIX)?;
+    let address = object.value.get("address")?.as_str()?.parse().ok()?;
+    Some((Name::from(name), address))
+}
+
+/// Tells the peers, in rounds, for as long as the node lives.
+pub(crate) async fn tell(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let pause = state.settings.time("peers", "pause_ms");
+    let fan_out = state.settings.number("peers", "fan_out") as usize;
+    loop {
+        monoio::time::sleep(pause).await;
+        let addresses = state.peers.borrow_mut().next_round(fan_out);
+        if addresses.is_empty() {
+            continue;
+        }
+        let bytes = beat(&state).encode_to_vec();
+        for address in addresses {
+            // A datagram that is lost is made up for by the next one.
+            let (sent, _) = socket.send_to(bytes.clone(), address).await;
+            if let Err(error) = sent {
+                log::debug!("beat address={address} failed: {error}");
+            }
+        }
+    }
+}
+
+fn beat(state: &State) -> BeatWire {
+    let now = state.now();
+    let dispatcher = state.dispatcher.borrow();
+    let loads = dispatcher
+        .own_loads()
+        .map(|(server, unread, running)| LoadWire {
+            server: server.to_string(),
+            unread,
+            running,
+        });
+    let round = state.peers.borrow().round;
+    let usage = if round % USAGE_ROUNDS == 0 {
+        usage_wire(state)
+    } else {
+        Vec::new()
+    };
+    BeatWire {
+        node: state.name.to_string(),
+        life: state.life_id,
+        unix_ms: state.time.borrow().unix_ms(now),
+        config: state.config().map_or(0, |config| config.version),
+        loads: loads.collect(),
+        usage,
+        duty: state.duty.get().map_or(0, |epoch| epoch.0),
+    }
+}
+
+fn usage_wire(state: &State) -> Vec<UsageWire> {
+    let book = state.usage.borrow();
+    let lines = book.own().flat_map(|(window, counts)| {
+        counts.iter().map(move |(account, count)| UsageWire {
+            window,
+            account: account.to_string(),
+            count: *count,
+        })
+    });
+    lines.collect()
+}
+
+/// Takes in what peers tell, for as long as the node lives.
+pub(crate) async fn listen(state: Rc<State>, socket: Rc<UdpSocket>) {
+    loop {
+        let (received, bytes) = socket.recv_from(Vec::with_capacity(DATAGRAM_BYTES)).await;
+        match received {
+            Ok((count, address)) => match BeatWire::decode(&bytes[..count]) {
+                Ok(beat) => take_in(&state, beat, address),
+                Err(error) => log::debug!("datagram from {address} not read: {error}"),
+            },
+            Err(error) => {
+                log::warn!("peer datagrams cannot be received: {error}");
+                monoio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_in(state: &Rc<State>, beat: BeatWire, address: SocketAddr) {
+    let now = state.now();
+    let name = Name::from(beat.node);
+    if name == state.name {
+        return;
+    }
+    let duty = (beat.duty > 0).then_some(Epoch(beat.duty));
+    state.peers.borrow_mut().heard(&name, address, duty, now);
+    let corrected = state.time.borrow_mut().heard(&name, beat.unix_ms, now);
+    if let Some(by) = corrected {
+        log::info!("time choice=correct by_ms={by} reason=\"median of the nodes\"");
+    }
+    let loads: Vec<(Name, PeerLoad)> = beat
+        .loads
+        .into_iter()
+        .map(|load| {
+            let own = OwnLoad {
+                unread: load.unread,
+                running: load.running,
+            };
+            (Name::from(load.server), PeerLoad { load: own, at: now })
+        })
+        .collect();
+    state.dispatcher.borrow_mut().peer_loads(&name, &loads);
+    let source = Source {
+        node: name.clone(),
+        life: beat.life,
+    };
+    let mut told: HashMap<u64, Counts> = HashMap::new();
+    for line in beat.usage {
+        let counts = told.entry(line.window).or_default();
+        counts.insert(Name::from(line.account), line.count);
+    }
+    let mut usage = state.usage.borrow_mut();
+    for (window, counts) in told {
+        usage.heard(&source, window, counts);
+    }
+    drop(usage);
+    let known = state.config().map_or(0, |config| config.version);
+    if beat.config > known {
+        fetch_config(state, address);
+    }
+}
+
+/// Reads a newer configuration from a peer, where the object service may be out of reach.
+fn fetch_config(state: &Rc<State>, address: SocketAddr) {
+    let state = Rc::clone(state);
+    monoio::spawn(async move {
+        match internal::read_config(address).await {
+            Ok(object) => watch::adopt(&state, &object),
+            Err(error) => log::debug!("config from {address} not read: {error}"),
+        }
+    });
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/pool.rs
@@ -0,0 +1,73 @@
+//! Idle connections to backend servers.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::http::Connection;
+
+/// Time that an idle connection is kept if its server says nothing of it.
+const IDLE_DEFAULT: Duration = Duration::from_secs(4);
+/// Time before a server's own limit at which its connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Idle time up to which a connection is used for a request that must not be repeated.
+const FRESH_IDLE: Duration = Duration::from_millis(200);
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// The idle connections by server address.
+#[derive(Default)]
+pub(crate) struct Pool(RefCell<HashMap<SocketAddr, Vec<Idle>>>);
+
+impl Pool {
+    /// An idle connection that is still good; `unrepeatable` asks for a recent one.
+    pub(crate) fn take(
+        &self,
+        address: SocketAddr,
+        unrepeatable: bool,
+        now: Instant,
+    ) -> Option<Connection> {
+        let mut pool = self.0.borrow_mut();
+        let idle = pool.get_mut(&address)?;
+        while let Some(last) = idle.pop() {
+            let recent = last.connection.idle() < FRESH_IDLE;
+            if unrepeatable && !recent {
+                idle.push(last);
+                return None;
+            }
+            if now < last.until && last.connection.quiet() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose exchange has ended in good order.
+    pub(crate) fn put(&self, connection: Connection, idle: Option<Duration>, now: Instant) {
+        if !connection.reusable() {
+            return;
+        }
+        let time = idle.map_or(IDLE_DEFAULT, |idle| idle.saturating_sub(IDLE_MARGIN));
+        let kept = Idle {
+            until: now + time,
+            connection,
+        };
+        let mut pool = self.0.borrow_mut();
+        pool.entry(kept.connection.address())
+            .or_default()
+            .push(kept);
+    }
+
+    /// Closes the connections whose time has passed.
+    pub(crate) fn sweep(&self, now: Instant) {
+        let mut pool = self.0.borrow_mut();
+        for idle in pool.values_mut() {
+            idle.retain(|idle| now < idle.until);
+        }
+        pool.retain(|_, idle| !idle.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/ports.rs
@@ -0,0 +1,110 @@
+//! What the gateway needs of a platform, as plain functions that translate.
+
+use pomeloridge_base::LocalFuture;
+use pomeloridge_base::error::ErrorKind;
+use pomeloridge_base::http::{Incoming, Outgoing, Request, Response};
+use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_base::refusal::Refusal;
+use pomeloridge_platform::{Event, Object, ObjectForm, PlatformError};
+use pomeloridge_policy::dispatch::TargetInfo;
+
+use crate::config::ServingConfig;
+use crate::request::{Dispatch, Handle, Inbound, ReplyHead};
+
+/// Callers.
+#[derive(Clone, Copy)]
+pub struct IngressPort {
+    /// Reads a request; an error is its final answer.
+    pub decode: fn(Request) -> Result<Inbound, ErrorKind>,
+    /// Writes a refusal of the gateway's own.
+    pub refusal: fn(&Refusal, Option<&Inbound>) -> Response,
+    /// Whether a request asks if the node takes callers.
+    pub is_readiness: fn(&Request) -> bool,
+}
+
+/// Backend servers.
+#[derive(Clone, Copy)]
+pub struct ServerPort {
+    /// Writes a request for a server.
+    pub encode: fn(&Inbound, &Dispatch<'_>) -> Outgoing,
+    /// Reads the head of an answer.
+    pub head: fn(Incoming) -> ReplyHead,
+    /// Reads the answer to a prefill.
+    pub handle: fn(&[u8]) -> Option<Handle>,
+    /// Frees memory that was read and not taken.
+    pub release: fn(&str) -> Outgoing,
+}
+
+/// The object service.
+#[derive(Clone, Copy)]
+pub struct StorePort {
+    /// Form of the calls.
+    pub form: ObjectForm,
+    /// Key of the configuration.
+    pub config_key: &'static str,
+    /// Prefix of the configuration's key.
+    pub config_prefix: &'static str,
+    /// Prefix of the servers' entries.
+    pub servers_prefix: &'static str,
+    /// Reads the configuration.
+    pub config: fn(&Object) -> Result<ServingConfig, String>,
+    /// Reads a server's entry; the name is what follows the prefix.
+    pub server: fn(&Object) -> Result<TargetInfo, String>,
+    /// The name of the server that an event is about.
+    pub server_name: fn(&Event) -> Name,
+}
+
+/// A usage report, as it was sealed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageReport {
+    /// Number of the window since the Unix epoch.
+    pub window: u64,
+    /// Requests that began to run, by client account.
+    pub counts: Vec<(Name, u64)>,
+    /// Node that reports.
+    pub holder: Name,
+    /// Fencing token.
+    pub epoch: Epoch,
+}
+
+/// An order for a number of servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ScaleOrder {
+    /// Service.
+    pub service: Name,
+    /// Data centre.
+    pub data_centre: Name,
+    /// Number wanted.
+    pub servers: u32,
+    /// Whether they may be reclaimed.
+    pub cheap: bool,
+    /// Node that orders.
+    pub holder: Name,
+    /// Fencing token.
+    pub epoch: Epoch,
+}
+
+/// A check that must hold directly before a call is written.
+pub type Allowed = Box<dyn FnOnce() -> bool>;
+/// The outcome of a call that a duty's holder makes.
+pub type DutyResult = LocalFuture<Result<(), PlatformError>>;
+
+/// The calls that only the holder of a duty makes.
+pub struct DutyPort {
+    /// Reports a usage window.
+    pub usage: Box<dyn Fn(UsageReport, Allowed) -> DutyResult>,
+    /// Orders servers.
+    pub scale: Box<dyn Fn(ScaleOrder, Allowed) -> DutyResult>,
+}
+
+/// A platform.
+pub struct Ports {
+    /// Callers.
+    pub ingress: IngressPort,
+    /// Backend servers.
+    pub server: ServerPort,
+    /// The object service.
+    pub store: StorePort,
+    /// Duties.
+    pub duty: DutyPort,
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -0,0 +1,118 @@
+//! Reading a prompt on one engine for a run on another.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::http::{ConnectOptions, Connection};
+use pomeloridge_policy::dispatch::{Plan, TargetKey};
+
+use crate::accept::Accepted;
+use crate::attempt::Sent;
+use crate::exchange::{Exchange, Failure, exchange};
+use crate::request::{MemorySource, SendStage};
+use crate::state::State;
+
+/// Bytes of the answer to a prefill.
+const ANSWER_BYTES: usize = 64 * 1024;
+/// Time that the release of memory may take.
+const RELEASE_TIME: Duration = Duration::from_millis(500);
+/// A prefill is given up after this many times its predicted time, and a fixed time.
+const PATIENCE_FACTOR: u32 = 3;
+/// Fixed part of the time after which a prefill is given up.
+const PATIENCE_FLOOR: Duration = Duration::from_millis(300);
+
+/// Memory of a prompt that has been read; dropping it frees the memory.
+pub(crate) struct ReadPrompt {
+    state: Rc<State>,
+    source: MemorySource,
+    taken: bool,
+}
+
+impl ReadPrompt {
+    /// Where the memory is.
+    pub(crate) fn source(&self) -> MemorySource {
+        self.source.clone()
+    }
+
+    /// Notes that an engine has taken it.
+    pub(crate) fn take(&mut self) {
+        self.taken = true;
+    }
+}
+
+impl Drop for ReadPrompt {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let (state, source) = (Rc::clone(&self.state), self.source.clone());
+        monoio::spawn(async move { release(&state, &source).await });
+    }
+}
+
+/// Frees memory on an engine; it is freed by time if the engine can't be reached.
+async fn release(state: &State, source: &MemorySource) {
+    let message = (state.ports.server.release)(&source.handle);
+    let deadline = Instant::now() + RELEASE_TIME;
+    let kept = state.pool.take(source.address, false, state.now());
+    let connection = match kept {
+        Some(connection) => Ok(connection),
+        None => Connection::open(source.address, ConnectOptions::default()).await,
+    };
+    let outcome = match connection {
+        Ok(mut connection) => {
+            let answer = connection.exchange(&message, deadline).await;
+            if answer.is_ok() {
+                state.pool.put(connection, None, state.now());
+            }
+            answer.map(|_| ())
+        }
+        Err(fault) => Err(fault),
+    };
+    if let Err(fault) = outcome {
+        log::info!(
+            "memory handle={} server={} choice=release outcome=\"{fault}\"",
+            source.handle,
+            source.address
+        );
+    }
+}
+
+/// Has a prompt read on the plan's prefill engine.
+pub(crate) async fn read_prompt(
+    state: &Rc<State>,
+    accepted: &Accepted,
+    plan: Plan,
+    reader: TargetKey,
+) -> Result<ReadPrompt, Failure> {
+    let prompt = accepted.inbound.prompt.clone().unwrap_or_default();
+    let sent = Sent::new(
+        state,
+        reader,
+        plan.unread,
+        &prompt.parts,
+        accepted.fingerprint,
+    );
+    let patience = plan.first * PATIENCE_FACTOR + PATIENCE_FLOOR;
+    let deadline = accepted.deadline.min(state.now() + patience);
+    let stage = SendStage::Prefill;
+    let Exchange {
+        mut connection,
+        head,
+    } = exchange(state, accepted, reader, stage, None, deadline).await?;
+    let body = connection.body(ANSWER_BYTES, deadline).await;
+    let body = body.map_err(|fault| Failure::after_write(&fault))?;
+    let address = connection.address();
+    state.pool.put(connection, head.idle, state.now());
+    let handle = (state.ports.server.handle)(&body).filter(|_| head.status.is_success());
+    let handle = handle.ok_or(Failure::Broken)?;
+    sent.prompt_read();
+    Ok(ReadPrompt {
+        state: Rc::clone(state),
+        source: MemorySource {
+            address,
+            handle: handle.id,
+        },
+        taken: false,
+    })
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/register.rs
@@ -0,0 +1,94 @@
+//! The register of backend servers: the platform's entries, with care after an
+//! outage of the object service.
+//!
+//! Entries expire while servers can't write. Once the service answers again, the
+//! entry of a live server is back within a short time; until then a server whose
+//! entry is missing is kept, and after that it is gone.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+use pomeloridge_policy::dispatch::TargetInfo;
+
+/// Time after the service's return for which missing entries are kept; live
+/// servers write theirs within 2 s.
+const LAPSE_GRACE: Duration = Duration::from_millis(2300);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    info: TargetInfo,
+    missing: bool,
+}
+
+/// The servers' entries by name.
+#[derive(Debug, Default)]
+pub struct Register {
+    entries: HashMap<Name, Entry>,
+    grace_end: Option<Instant>,
+}
+
+impl Register {
+    /// Notes that the service answers again after an outage.
+    pub fn returned(&mut self, now: Instant) {
+        self.grace_end = Some(now + LAPSE_GRACE);
+    }
+
+    /// Takes a server's entry; says whether anything changed.
+    pub fn put(&mut self, name: Name, info: TargetInfo) -> bool {
+        let missing = false;
+        let entry = Entry {
+            info: info.clone(),
+            missing,
+        };
+        let before = self.entries.insert(name, entry);
+        before.is_none_or(|before| before.info != info)
+    }
+
+    /// Takes the removal of an entry; says whether the server is gone by it.
+    pub fn remove(&mut self, name: &Name, now: Instant) -> bool {
+        if self.grace_end.is_some_and(|end| now < end) {
+            if let Some(entry) = self.entries.get_mut(name) {
+                entry.missing = true;
+            }
+            return false;
+        }
+        self.entries.remove(name).is_some()
+    }
+
+    /// Takes a whole list: entries that it lacks are treated as removed.
+    pub fn replace(&mut self, list: Vec<(Name, TargetInfo)>, now: Instant) -> bool {
+        let missing = self.entries.keys();
+        let missing: Vec<Name> = missing
+            .filter(|name| !list.iter().any(|(listed, _)| listed == *name))
+            .cloned()
+            .collect();
+        let mut changed = false;
+        for name in missing {
+            changed |= self.remove(&name, now);
+        }
+        for (name, info) in list {
+            changed |= self.put(name, info);
+        }
+        changed
+    }
+
+    /// Drops what is still missing once the time after an outage has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<Name> {
+        if self.grace_end.is_none_or(|end| now < end) {
+            return Vec::new();
+        }
+        self.grace_end = None;
+        let missing = self.entries.iter().filter(|(_, entry)| entry.missing);
+        let gone: Vec<Name> = missing.map(|(name, _)| name.clone()).collect();
+        for name in &gone {
+            self.entries.remove(name);
+        }
+        gone
+    }
+
+    /// The servers.
+    pub fn servers(&self) -> impl Iterator<Item = &TargetInfo> {
+        self.entries.values().map(|entry| &entry.info)
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -0,0 +1,199 @@
+//! What the gateway's tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::clock::SharedClock;
+use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_base::meter::Meter;
+use pomeloridge_base::settings::Checked;
+use pomeloridge_platform::{Client, Object};
+use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
+use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
+use pomeloridge_policy::suspicion::Suspicions;
+
+use crate::attempt::Running;
+use crate::config::ServingConfig;
+use crate::life::Life;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::ports::Ports;
+use crate::register::Register;
+use crate::true_time::TrueTime;
+use crate::usage::{Source, UsageBook};
+
+/// What a gateway is made of.
+pub struct Parts {
+    /// Checked settings.
+    pub settings: Checked,
+    /// Clock.
+    pub clock: SharedClock,
+    /// The platform.
+    pub ports: Ports,
+    /// Where counts and times go.
+    pub meter: Meter,
+    /// The page that collectors read.
+    pub metrics: Box<dyn Fn() -> String>,
+}
+
+/// The version of the configuration that is in force, with the object it was read from.
+pub(crate) struct InForce {
+    pub(crate) config: Rc<ServingConfig>,
+    pub(crate) object: Object,
+}
+
+/// A gateway's state.
+pub(crate) struct State {
+    pub(crate) settings: Checked,
+    pub(crate) clock: SharedClock,
+    pub(crate) ports: Ports,
+    pub(crate) meter: Meter,
+    pub(crate) metrics: Box<dyn Fn() -> String>,
+    pub(crate) name: Name,
+    /// Drawn at the start, so that peers tell the starts of a node apart.
+    pub(crate) life_id: u64,
+    pub(crate) life: Life,
+    pub(crate) store: Client,
+    pub(crate) config: RefCell<Option<InForce>>,
+    pub(crate) register: RefCell<Register>,
+    /// Whether the list of servers has been read.
+    pub(crate) listed: Cell<bool>,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) budgets: RefCell<HashMap<Name, RepeatBudget>>,
+    pub(crate) pool: Pool,
+    pub(crate) running: Running,
+    pub(crate) suspicions: RefCell<Suspicions>,
+    pub(crate) usage: RefCell<UsageBook>,
+    pub(crate) time: RefCell<TrueTime>,
+    pub(crate) peers: RefCell<Peers>,
+    /// Fencing token of the duties while this node holds them.
+    pub(crate) duty: Cell<Option<Epoch>>,
+}
+
+impl State {
+    pub(crate) fn new(parts: Parts) -> Rc<Self> {
+        let Parts {
+            settings,
+            clock,
+            ports,
+            meter,
+            metrics,
+        } = parts;
+        let name = Name::from(settings.text("node", "name"));
+        let data_centre = Name::from(settings.text("node", "data_centre"));
+        let life_id = rand::random::<u64>();
+        let store = Client::with_form(
+            settings.address("platform", "store"),
+            settings.time("platform", "timeout_ms"),
+            Rc::clone(&clock),
+            ports.store.form,
+        );
+        let source = Source {
+            node: name.clone(),
+            life: life_id,
+        };
+        let now = clock.now();
+        Rc::new(Self {
+            store,
+            life: Life::default(),
+            config: RefCell::default(),
+            register: RefCell::default(),
+            listed: Cell::new(false),
+            dispatcher: RefCell::new(Dispatcher::new(data_centre, EngineModel::default())),
+            budgets: RefCell::default(),
+            pool: Pool::default(),
+            running: Running::default(),
+            suspicions: RefCell::default(),
+            usage: RefCell::new(UsageBook::new(source)),
+            time: RefCell::new(TrueTime::new(now, clock.unix_ms())),
+            peers: RefCell::default(),
+            duty: Cell::new(None),
+            settings,
+            clock,
+            ports,
+            meter,
+            metrics,
+            name,
+            life_id,
+        })
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn config(&self) -> Option<Rc<ServingConfig>> {
+        let in_force = self.config.borrow();
+        in_force
+            .as_ref()
+            .map(|in_force| Rc::clone(&in_force.config))
+    }
+
+    /// Whether the node may be given callers.
+    pub(crate) fn ready(&self) -> bool {
+        self.config.borrow().is_some() && self.listed.get() && !self.life.is_stopping()
+    }
+
+    /// Charges a repeat to the node's part of the fleet's budget.
+    pub(crate) fn may_repeat(&self, service: &Name) -> bool {
+        let nodes = self.peers.borrow().live(self.now()) + 1;
+        self.budget(service, |budget, now| budget.spend(nodes, now))
+    }
+
+    /// Counts a caller's request for a service.
+    pub(crate) fn count_request(&self, service: &Name) {
+        self.budget(service, RepeatBudget::request);
+    }
+
+    fn budget<T>(&self, service: &Name, act: impl FnOnce(&mut RepeatBudget, Instant) -> T) -> T {
+        let limits = RepeatLimits {
+            ratio: self.settings.fraction("repeats", "ratio"),
+            slack: self.settings.number("repeats", "slack") as f64,
+            window: self.settings.time("repeats", "window_ms"),
+        };
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RepeatBudget::new(limits));
+        act(budget, self.now())
+    }
+
+    /// Counts a request that began to run.
+    pub(crate) fn count_usage(&self, account: Option<&Name>) {
+        let Some(account) = account else { return };
+        let window = self.usage_window().as_millis() as u64;
+        let now_ms = self.time.borrow().unix_ms(self.now());
+        self.usage.borrow_mut().count(now_ms / window, account);
+    }
+
+    pub(crate) fn usage_window(&self) -> Duration {
+        self.settings.time("usage", "window_ms")
+    }
+
+    /// Hands the register's servers to the dispatcher.
+    pub(crate) fn sync_servers(&self) {
+        let config = self.config();
+        let capacity = |service: &Name| {
+            let service = config.as_ref()?.services.get(service)?;
+            Some(service.engine?.capacity)
+        };
+        let register = self.register.borrow();
+        let list = register.servers().cloned().map(|info| TargetInfo {
+            capacity: capacity(&info.service).unwrap_or_default(),
+            ..info
+        });
+        self.dispatcher.borrow_mut().sync(list.collect());
+    }
+
+    /// A server's name for the log.
+    pub(crate) fn server_name(&self, key: TargetKey) -> Name {
+        let dispatcher = self.dispatcher.borrow();
+        let target = dispatcher.target(key);
+        target
+            .map(|target| target.info.id.clone())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -0,0 +1,249 @@
+//! Requests that are answered by a stream of events.
+//!
+//! Whole events are passed on as they come. If the server is lost on the way and
+//! the stream may be resumed, another server goes on behind the last event within
+//! the same response; else the response ends as cut.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use http::{HeaderMap, StatusCode};
+use pomeloridge_base::http::{Fault, Responder, Response};
+use pomeloridge_base::meter::Timer;
+use pomeloridge_base::refusal::Refusal;
+use pomeloridge_policy::dispatch::{Plan, TargetKey};
+
+use crate::accept::Accepted;
+use crate::attempt::{Attempts, Sent};
+use crate::call::gather;
+use crate::events::EventSplitter;
+use crate::exchange::{Exchange, Failure, exchange};
+use crate::prefill::{ReadPrompt, read_prompt};
+use crate::request::SendStage;
+use crate::state::State;
+
+/// How a stream ended.
+pub(crate) enum StreamEnd {
+    /// The answer is complete, as a stream.
+    Complete,
+    /// The server gave an answer that is no stream.
+    Whole(Response),
+    /// It ends without an answer of a server.
+    Refused(Refusal),
+    /// It was cut after a part had been passed on.
+    Cut(Failure),
+    /// The caller has gone.
+    Gone,
+}
+
+enum Stop {
+    Server(Failure),
+    Caller,
+}
+
+/// A stream over all its attempts.
+pub(crate) struct Stream<'a> {
+    state: &'a Rc<State>,
+    accepted: &'a Accepted,
+    /// Head of the first answer, until it is passed on.
+    head: Option<(StatusCode, HeaderMap)>,
+    started: bool,
+    counted: bool,
+    last_event: Option<u64>,
+    last_piece: Option<Instant>,
+}
+
+impl<'a> Stream<'a> {
+    pub(crate) fn new(state: &'a Rc<State>, accepted: &'a Accepted) -> Self {
+        Self {
+            state,
+            accepted,
+            head: None,
+            started: false,
+            counted: false,
+            last_event: accepted.inbound.last_event,
+            last_piece: None,
+        }
+    }
+
+    /// Runs the request and passes its events on.
+    pub(crate) async fn run(&mut self, responder: &mut Responder) -> StreamEnd {
+        let mut attempts = Attempts::new(self.state, self.accepted);
+        loop {
+            let plan = match attempts.choose() {
+                Ok(plan) => plan,
+                Err(refusal) => return self.ended(refusal, Failure::Unreachable),
+            };
+            let failure = match self.attempt(plan, &mut attempts, responder).await {
+                Ok(None) => return StreamEnd::Complete,
+                Ok(Some(response)) => return StreamEnd::Whole(response),
+                Err(Stop::Caller) => return StreamEnd::Gone,
+                Err(Stop::Server(failure)) => failure,
+            };
+            if let Err(refusal) = attempts.failed(plan.run, failure) {
+                return self.ended(refusal, failure);
+            }
+        }
+    }
+
+    /// Pieces that were passed on forbid another answer.
+    fn ended(&self, refusal: Refusal, failure: Failure) -> StreamEnd {
+        if self.started {
+            StreamEnd::Cut(failure)
+        } else {
+            StreamEnd::Refused(refusal)
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        plan: Plan,
+        attempts: &mut Attempts<'_>,
+        responder: &mut Responder,
+    ) -> Result<Option<Response>, Stop> {
+        let accepted = self.accepted;
+        let mut prompt = match plan.prefill {
+            Some(reader) => self.read_prompt(plan, reader, attempts, responder).await?,
+            None => None,
+        };
+        let parts = accepted.inbound.prompt.as_ref();
+        let parts = parts.map_or(&[][..], |prompt| &prompt.parts);
+        // Memory that is moved need not be read here.
+        let unread = if prompt.is_some() { 0 } else { plan.unread };
+        let sent = Sent::new(self.state, plan.run, unread, parts, accepted.fingerprint);
+        let stage = prompt
+            .as_ref()
+            .map_or(SendStage::Run, |prompt| SendStage::RunFrom(prompt.source()));
+        let started = exchange(
+            self.state,
+            accepted,
+            plan.run,
+            stage,
+            self.last_event,
+            accepted.deadline,
+        );
+        let exchanged = monoio::select! {
+            exchanged = started => exchanged.map_err(Stop::Server)?,
+            () = responder.gone() => return Err(Stop::Caller),
+        };
+        if let Some(prompt) = &mut prompt {
+            prompt.take();
+        }
+        if !exchanged.head.status.is_success() && !self.started {
+            self.count();
+            sent.prompt_read();
+            let response = gather(self.state, accepted, exchanged).await;
+            return response.map(Some).map_err(Stop::Server);
+        }
+        if !exchanged.head.status.is_success() || !exchanged.head.sealed {
+            return Err(Stop::Server(Failure::Broken));
+        }
+        if self.head.is_none() && !self.started {
+            self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
+        }
+        self.pass_on(exchanged, &sent, responder).await?;
+        Ok(None)
+    }
+
+    /// Has the prompt read; without it the run reads the prompt itself.
+    async fn read_prompt(
+        &self,
+        plan: Plan,
+        reader: TargetKey,
+        attempts: &mut Attempts<'_>,
+        responder: &mut Responder,
+    ) -> Result<Option<ReadPrompt>, Stop> {
+        let read = read_prompt(self.state, self.accepted, plan, reader);
+        let read = monoio::select! {
+            read = read => read,
+            () = responder.gone() => return Err(Stop::Caller),
+        };
+        match read {
+            Ok(prompt) => Ok(Some(prompt)),
+            Err(failure) => {
+                attempts.prefill_failed(reader, failure);
+                Ok(None)
+            }
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        exchanged: Exchange,
+        sent: &Sent,
+        responder: &mut Responder,
+    ) -> Result<(), Stop> {
+        let Exchange {
+            mut connection,
+            head,
+        } = exchanged;
+        let mut events = EventSplitter::default();
+        loop {
+            let piece = monoio::select! {
+                piece = connection.next(self.accepted.deadline) => piece,
+                () = responder.gone() => return Err(Stop::Caller),
+            };
+            let piece = piece.map_err(|fault| Stop::Server(Failure::after_write(&fault)))?;
+            let Some(piece) = piece else { break };
+            sent.prompt_read();
+            self.count();
+            if !events.push(&piece) {
+                return Err(Stop::Server(Failure::Broken));
+            }
+            self.pass_events(&mut events, responder).await?;
+        }
+        if !events.is_whole() {
+            return Err(Stop::Server(Failure::Broken));
+        }
+        self.start(responder).await?;
+        responder.finish().await.map_err(|_| Stop::Caller)?;
+        self.state.pool.put(connection, head.idle, self.state.now());
+        Ok(())
+    }
+
+    /// Passes on every whole event that has come.
+    async fn pass_events(
+        &mut self,
+        events: &mut EventSplitter,
+        responder: &mut Responder,
+    ) -> Result<(), Stop> {
+        let mut pieces = Vec::new();
+        while let Some(event) = events.next_event() {
+            let had = event.id.zip(self.last_event);
+            if had.is_some_and(|(id, last)| id <= last) {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            pieces.extend_from_slice(&event.bytes);
+        }
+        if pieces.is_empty() {
+            return Ok(());
+        }
+        self.start(responder).await?;
+        let now = self.state.now();
+        let (timer, since) = match self.last_piece.replace(now) {
+            Some(last) => (Timer::Gap, last),
+            None => (Timer::FirstToken, self.accepted.arrived),
+        };
+        self.state.meter.time(timer, now - since);
+        let passed: Result<(), Fault> = responder.chunk(&pieces).await;
+        passed.map_err(|_| Stop::Caller)
+    }
+
+    /// Passes on the head before the first event, or before an empty stream's end.
+    async fn start(&mut self, responder: &mut Responder) -> Result<(), Stop> {
+        if let Some((status, headers)) = self.head.take() {
+            let started = responder.start(status, &headers).await;
+            started.map_err(|_| Stop::Caller)?;
+            self.started = true;
+        }
+        Ok(())
+    }
+
+    /// Counts the request's usage once.
+    fn count(&mut self) {
+        if !std::mem::replace(&mut self.counted, true) {
+            self.state.count_usage(self.accepted.account.as_ref());
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -0,0 +1,96 @@
+//! Counts of requests that began to run, by window and client account.
+//!
+//! Each node tells its peers the counts of its latest windows, so that whoever
+//! reports knows them, also those of a node that was killed. Counts of one start
+//! of a node only grow, so the greatest that was heard is the last.
+
+use std::collections::{BTreeMap, HashMap};
+
+use pomeloridge_base::id::Name;
+
+/// Windows that are kept and told.
+const WINDOWS_KEPT: u64 = 4;
+
+/// Where a count comes from: one start of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Source {
+    /// Node.
+    pub node: Name,
+    /// Its start.
+    pub life: u64,
+}
+
+/// Counts of one window by client account.
+pub type Counts = BTreeMap<Name, u64>;
+
+/// The counts of this node and what it heard of its peers'.
+#[derive(Debug)]
+pub struct UsageBook {
+    own: Source,
+    windows: BTreeMap<u64, HashMap<Source, Counts>>,
+}
+
+impl UsageBook {
+    /// A book without counts.
+    pub fn new(own: Source) -> Self {
+        Self {
+            own,
+            windows: BTreeMap::new(),
+        }
+    }
+
+    /// Counts a request that began to run.
+    pub fn count(&mut self, window: u64, account: &Name) {
+        let source = self.own.clone();
+        let counts = self.windows.entry(window).or_default();
+        let counts = counts.entry(source).or_default();
+        *counts.entry(account.clone()).or_default() += 1;
+        self.drop_old();
+    }
+
+    /// Takes what a peer told of one window.
+    pub fn heard(&mut self, source: &Source, window: u64, told: Counts) {
+        if *source == self.own {
+            return;
+        }
+        let latest = self.windows.keys().next_back().copied().unwrap_or(window);
+        if window + WINDOWS_KEPT < latest {
+            return;
+        }
+        let known = self.windows.entry(window).or_default();
+        let known = known.entry(source.clone()).or_default();
+        for (account, count) in told {
+            let known = known.entry(account).or_default();
+            *known = (*known).max(count);
+        }
+        self.drop_old();
+    }
+
+    /// This node's own counts of its latest windows.
+    pub fn own(&self) -> impl Iterator<Item = (u64, &Counts)> {
+        let windows = self.windows.iter();
+        windows.filter_map(|(window, sources)| Some((*window, sources.get(&self.own)?)))
+    }
+
+    /// The counts of all nodes in a window.
+    pub fn total(&self, window: u64) -> Counts {
+        let mut total = Counts::new();
+        for counts in self
+            .windows
+            .get(&window)
+            .into_iter()
+            .flat_map(HashMap::values)
+        {
+            for (account, count) in counts {
+                *total.entry(account.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+
+    fn drop_old(&mut self) {
+        while self.windows.len() as u64 > WINDOWS_KEPT {
+            self.windows.pop_first();
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -0,0 +1,290 @@
+//! Keeps the configuration and the list of servers current from the object service.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::{Name, Revision};
+use pomeloridge_platform::{Event, Object, PlatformError};
+use pomeloridge_policy::dispatch::TargetInfo;
+
+use crate::config::ServingConfig;
+use crate::state::{InForce, State};
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Silence of the object service that counts as an outage in which entries lapse.
+const OUTAGE: Duration = Duration::from_millis(1500);
+
+/// Whether a dependency answers; logs each change once.
+#[derive(Debug)]
+struct Dependency {
+    name: &'static str,
+    /// When it stopped answering.
+    lost: Cell<Option<Instant>>,
+}
+
+impl Dependency {
+    fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            lost: Cell::new(None),
+        }
+    }
+
+    fn failed(&self, error: &PlatformError, now: Instant) {
+        if self.lost.get().is_none() {
+            self.lost.set(Some(now));
+            log::warn!(
+                "dependency name={} state=lost reason=\"{error}\"",
+                self.name
+            );
+        }
+    }
+
+    /// Notes an answer; gives the time for which there was none.
+    fn answered(&self, now: Instant) -> Option<Duration> {
+        let lost = self.lost.take()?;
+        let silence = now.saturating_duration_since(lost);
+        let silence_ms = silence.as_millis();
+        log::info!(
+            "dependency name={} state=regained silence_ms={silence_ms}",
+            self.name
+        );
+        Some(silence)
+    }
+}
+
+/// Reads the configuration and follows its changes for as long as the node lives.
+pub(crate) async fn config(state: Rc<State>) {
+    let store = state.ports.store;
+    let dependency = Dependency::new("store/config");
+    let mut after = None;
+    loop {
+        let result = match after {
+            None => read_config(&state).await.map(Some),
+            Some(revision) => match watch(&state, store.config_prefix, revision).await {
+                Ok((revision, events)) => {
+                    for event in events.iter().filter(|event| event.key == store.config_key) {
+                        adopt_event(&state, event);
+                    }
+                    Ok(Some(revision))
+                }
+                Err(PlatformError::TooOld) => Ok(None),
+                Err(error) => Err(error),
+            },
+        };
+        match result {
+            Ok(revision) => {
+                dependency.answered(state.now());
+                // A list that holds nothing yet is read again after a pause.
+                if after.is_none() && revision.is_none() {
+                    monoio::time::sleep(RETRY_PAUSE).await;
+                }
+                after = revision;
+            }
+            Err(error) => {
+                dependency.failed(&error, state.now());
+                monoio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn watch(
+    state: &State,
+    prefix: &str,
+    after: Revision,
+) -> Result<(Revision, Vec<Event>), PlatformError> {
+    let wait = state.settings.time("platform", "watch_ms");
+    let watched = state.store.watch(prefix, after, wait).await?;
+    Ok((watched.revision, watched.events))
+}
+
+/// Reads the configuration; gives the revision to watch from.
+async fn read_config(state: &State) -> Result<Revision, PlatformError> {
+    let store = state.ports.store;
+    let (revision, objects) = state.store.list(store.config_prefix).await?;
+    for object in objects
+        .iter()
+        .filter(|object| object.key == store.config_key)
+    {
+        adopt(state, object);
+    }
+    Ok(revision)
+}
+
+fn adopt_event(state: &State, event: &Event) {
+    if let Some(value) = &event.value {
+        let object = Object {
+            key: event.key.clone(),
+            version: event.version,
+            value: value.clone(),
+        };
+        adopt(state, &object);
+    }
+}
+
+/// Puts a configuration in force if it is newer than the one that is.
+pub(crate) fn adopt(state: &State, object: &Object) {
+    let config = match (state.ports.store.config)(object) {
+        Ok(config) => config,
+        Err(fault) => {
+            log::error!(
+                "config revision={} choice=keep_old reason=\"{fault}\"",
+                object.version
+            );
+            return;
+        }
+    };
+    let known = state.config().map(|config| config.version);
+    if known.is_some_and(|known| known >= config.version) {
+        return;
+    }
+    log::info!(
+        "config version={} revision={} choice=adopt before={known:?} routes={} accounts={}",
+        config.version,
+        object.version,
+        config.routes.len(),
+        config
+            .accounts
+            .as_ref()
+            .map_or(0, std::collections::HashMap::len)
+    );
+    put_in_force(&state.config, config, object);
+    state.sync_servers();
+}
+
+fn put_in_force(place: &RefCell<Option<InForce>>, config: ServingConfig, object: &Object) {
+    *place.borrow_mut() = Some(InForce {
+        config: Rc::new(config),
+        object: object.clone(),
+    });
+}
+
+/// Reads the list of servers and follows its changes for as long as the node lives.
+pub(crate) async fn servers(state: Rc<State>) {
+    let dependency = Dependency::new("store/servers");
+    let mut after = None;
+    loop {
+        let result = match after {
+            None => read_servers(&state, &dependency).await.map(Some),
+            Some(revision) => follow_servers(&state, &dependency, revision).await,
+        };
+        match result {
+            Ok(revision) => after = revision,
+            Err(error) => {
+                dependency.failed(&error, state.now());
+                monoio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        expire(&state);
+    }
+}
+
+async fn read_servers(state: &State, dependency: &Dependency) -> Result<Revision, PlatformError> {
+    let (revision, objects) = state.store.list(state.ports.store.servers_prefix).await?;
+    note_answer(state, dependency);
+    let list = objects
+        .iter()
+        .filter_map(|object| entry(state, object))
+        .collect();
+    let changed = state.register.borrow_mut().replace(list, state.now());
+    state.listed.set(true);
+    if changed {
+        sync(state, revision);
+    }
+    Ok(revision)
+}
+
+async fn follow_servers(
+    state: &State,
+    dependency: &Dependency,
+    after: Revision,
+) -> Result<Option<Revision>, PlatformError> {
+    let watched = watch(state, state.ports.store.servers_prefix, after).await;
+    let (revision, events) = match watched {
+        Err(PlatformError::TooOld) => {
+            note_answer(state, dependency);
+            return Ok(None);
+        }
+        other => other?,
+    };
+    note_answer(state, dependency);
+    let mut changed = false;
+    for event in &events {
+        changed |= apply(state, event);
+    }
+    if changed {
+        sync(state, revision);
+    }
+    Ok(Some(revision))
+}
+
+fn note_answer(state: &State, dependency: &Dependency) {
+    let now = state.now();
+    if dependency
+        .answered(now)
+        .is_some_and(|silence| silence >= OUTAGE)
+    {
+        state.register.borrow_mut().returned(now);
+    }
+}
+
+fn entry(state: &State, object: &Object) -> Option<(Name, TargetInfo)> {
+    match (state.ports.store.server)(object) {
+        Ok(info) => Some((info.id.clone(), info)),
+        Err(fault) => {
+            log::debug!(
+                "server entry={} choice=ignore reason=\"{fault}\"",
+                object.key
+            );
+            None
+        }
+    }
+}
+
+fn apply(state: &State, event: &Event) -> bool {
+    let name = (state.ports.store.server_name)(event);
+    let object = event.value.as_ref().map(|value| Object {
+        key: event.key.clone(),
+        version: event.version,
+        value: value.clone(),
+    });
+    let listed = object.as_ref().and_then(|object| entry(state, object));
+    let mut register = state.register.borrow_mut();
+    match listed {
+        Some((name, info)) => {
+            let leaving = info.leaving;
+            let changed = register.put(name.clone(), info);
+            if changed {
+                log::info!(
+                    "server id={name} choice=update leaving={leaving} revision={}",
+                    event.version
+                );
+            }
+            changed
+        }
+        None => {
+            let gone = register.remove(&name, state.now());
+            if gone {
+                log::info!("server id={name} choice=remove revision={}", event.version);
+            }
+            gone
+        }
+    }
+}
+
+fn expire(state: &State) {
+    let gone = state.register.borrow_mut().expire(state.now());
+    if !gone.is_empty() {
+        log::info!("servers choice=remove lapsed={gone:?}");
+        state.sync_servers();
+    }
+}
+
+fn sync(state: &State, revision: Revision) {
+    state.sync_servers();
+    let servers = state.register.borrow().servers().count();
+    log::debug!("servers revision={revision} count={servers}");
+}
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -7,21 +7,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{Method, StatusCode};
 use pomeloridge_base::clock::SharedClock;
-use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Outgoing, Response};
+use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response};
 use pomeloridge_base::id::Revision;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::call::{CallCounts, CallKind};
 use crate::error::PlatformError;
 use crate::fleet::{BackendServer, Vm};
+use crate::form::{ObjectForm, decode};
 use crate::object::{Expect, Object, Watched};
 use crate::order::OrderStatus;
-use crate::wire::{
-    ListWire, ObjectWire, OrdersWire, ServersWire, VersionWire, VmsWire, WatchWire, convert_list,
-};
+use crate::wire::{OrdersWire, ServersWire, VmsWire, convert_list};
 
 /// Shortest timeout that is given to the kernel, which takes 0 for none.
 const SHORTEST_TIMEOUT: Duration = Duration::from_millis(1);
@@ -33,12 +30,24 @@
     timeout: Duration,
     clock: SharedClock,
     counts: Rc<CallCounts>,
+    form: ObjectForm,
 }
 
 impl Client {
     /// A client of the platform at `address`, whose calls take at most `timeout`.
     pub fn new(address: SocketAddr, timeout: Duration, clock: SharedClock) -> Self {
+        Self::with_form(address, timeout, clock, ObjectForm::native())
+    }
+
+    /// A client of a platform whose objects have another form.
+    pub fn with_form(
+        address: SocketAddr,
+        timeout: Duration,
+        clock: SharedClock,
+        form: ObjectForm,
+    ) -> Self {
         Self {
+            form,
             address,
             timeout,
             clock,
@@ -72,10 +81,10 @@
 
     /// Reads an object; `None` if there is none.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let target = format!("/objects/{}", checked(key)?);
-        let response = self.call(CallKind::Get, Outgoing::get(target)).await;
-        match response.and_then(|response| decode::<ObjectWire>(&response)) {
-            Ok(wire) => Ok(Some(wire.into())),
+        let request = (self.form.get)(checked(key)?);
+        let response = self.call(CallKind::Get, request).await;
+        match response.and_then(|response| (self.form.object)(key, &response)) {
+            Ok(object) => Ok(Some(object)),
             Err(PlatformError::NotFound) => Ok(None),
             Err(error) => Err(error),
         }
@@ -99,27 +108,40 @@
         expect: Expect,
         allowed: impl FnOnce() -> bool,
     ) -> Result<Revision, PlatformError> {
-        let request = Outgoing::new(Method::PUT, conditional(key, expect)?).json(value);
+        let request = (self.form.put)(checked(key)?, value, expect);
         let response = self
             .write(CallKind::Put, request, self.timeout, allowed)
             .await?;
-        Ok(decode::<VersionWire>(&response)?.version)
+        (self.form.version)(&response)
     }
 
     /// Deletes an object if it is as expected; gives the revision of the deletion.
     pub async fn delete(&self, key: &str, expect: Expect) -> Result<Revision, PlatformError> {
-        let request = Outgoing::new(Method::DELETE, conditional(key, expect)?);
+        let request = (self.form.delete)(checked(key)?, expect);
         let response = self
             .write(CallKind::Delete, request, self.timeout, || true)
             .await?;
-        Ok(decode::<VersionWire>(&response)?.version)
+        (self.form.version)(&response)
     }
 
     /// Reads every object under a prefix, with the revision at which they were read.
     pub async fn list(&self, prefix: &str) -> Result<(Revision, Vec<Object>), PlatformError> {
-        let target = format!("/list?prefix={}", checked(prefix)?);
-        let response = self.call(CallKind::List, Outgoing::get(target)).await?;
-        Ok(decode::<ListWire>(&response)?.into())
+        let prefix = checked(prefix)?;
+        let mut objects = Vec::new();
+        let mut first = None;
+        let mut next: Option<String> = None;
+        loop {
+            let request = (self.form.list)(prefix, next.as_deref());
+            let response = self.call(CallKind::List, request).await?;
+            let page = (self.form.page)(prefix, &response)?;
+            objects.extend(page.objects);
+            // A watch from the first page's revision sees what changed meanwhile.
+            let revision = *first.get_or_insert(page.revision);
+            next = page.next;
+            if next.is_none() {
+                return Ok((revision, objects));
+            }
+        }
     }
 
     /// Waits up to `wait` for changes under a prefix after a revision.
@@ -130,12 +152,10 @@
         wait: Duration,
     ) -> Result<Watched, PlatformError> {
         let prefix = checked(prefix)?;
-        let wait_ms = wait.as_millis();
-        let target = format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let request = (self.form.watch)(prefix, after, wait);
         let deadline = Instant::now() + wait + self.timeout;
-        let kind = CallKind::Watch;
-        let response = self.call_by(kind, Outgoing::get(target), deadline).await?;
-        Ok(decode::<WatchWire>(&response)?.into())
+        let response = self.call_by(CallKind::Watch, request, deadline).await?;
+        (self.form.watched)(prefix, &response)
     }
 
     /// Lists the VMs; the list lags.
@@ -210,40 +230,10 @@
         }
         sent.map_err(PlatformError::Unconfirmed)?;
         let answer = connection.answer(deadline).await;
-        accept(answer.map_err(PlatformError::Unconfirmed)?)
-    }
-}
-
-/// Sorts an answer by its status; 409 is left to the call that knows its meaning.
-fn accept(response: Response) -> Result<Response, PlatformError> {
-    match response.status {
-        StatusCode::NOT_FOUND => Err(PlatformError::NotFound),
-        StatusCode::CONFLICT => Err(conflict(&response)),
-        StatusCode::GONE => Err(PlatformError::TooOld),
-        StatusCode::SERVICE_UNAVAILABLE => Err(PlatformError::Outage),
-        // Another server error does not say whether the call took effect.
-        status if status.is_server_error() => {
-            let fault = Fault::Malformed("the platform failed while it ran the call");
-            Err(PlatformError::Unconfirmed(fault))
-        }
-        status if status.is_success() => Ok(response),
-        status => Err(PlatformError::Refused(status.as_u16())),
+        (self.form.accept)(answer.map_err(PlatformError::Unconfirmed)?)
     }
 }
 
-/// The conflict that a 409 tells of; the version stands only in answers about objects.
-fn conflict(response: &Response) -> PlatformError {
-    let wire = decode::<VersionWire>(response);
-    PlatformError::Conflict {
-        current: wire.map(|wire| wire.version).unwrap_or_default(),
-    }
-}
-
-pub(crate) fn decode<T: DeserializeOwned>(response: &Response) -> Result<T, PlatformError> {
-    let read = serde_json::from_slice(&response.body);
-    read.map_err(|error| PlatformError::Malformed(error.to_string()))
-}
-
 /// Connection options of a write that must have ended, also in the kernel, within `time`.
 ///
 /// The kernel counts its time from the last acknowledged byte, which is at most
@@ -254,18 +244,10 @@
         timeout: connect,
         user_timeout: Some((time / 2).max(SHORTEST_TIMEOUT)),
         linger_zero: true,
+        ..ConnectOptions::default()
     }
 }
 
-fn conditional(key: &str, expect: Expect) -> Result<String, PlatformError> {
-    let key = checked(key)?;
-    Ok(match expect {
-        Expect::Any => format!("/objects/{key}"),
-        Expect::Absent => format!("/objects/{key}?expect=0"),
-        Expect::Version(version) => format!("/objects/{key}?expect={version}"),
-    })
-}
-
 /// Refuses keys that would not arrive as they are, or would change the request line.
 fn checked(key: &str) -> Result<&str, PlatformError> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~/:@".contains(&byte);
--- a/crates/pomeloridge_platform/src/order.rs
+++ b/crates/pomeloridge_platform/src/order.rs
@@ -9,8 +9,9 @@
 
 use crate::authority::Permit;
 use crate::call::CallKind;
-use crate::client::{Client, decode};
+use crate::client::Client;
 use crate::error::PlatformError;
+use crate::form::decode;
 use crate::intent::Intent;
 use crate::wire::{OrderWire, ReceiptWire};
 
--- a/crates/pomeloridge_platform/src/usage.rs
+++ b/crates/pomeloridge_platform/src/usage.rs
@@ -9,8 +9,9 @@
 
 use crate::authority::Permit;
 use crate::call::CallKind;
-use crate::client::{Client, decode};
+use crate::client::Client;
 use crate::error::PlatformError;
+use crate::form::decode;
 use crate::object::{Expect, Object};
 use crate::put::{PutOutcome, new_nonce};
 use crate::stored::{SealWire, encode, parse};
--- /dev/null
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -0,0 +1,87 @@
+//! How long an engine takes to the first piece of an answer.
+
+use std::time::{Duration, Instant};
+
+use super::target::{Stage, Target};
+
+/// What the configuration says of a service's engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// Tokens that an engine's memory holds.
+    pub capacity: u64,
+    /// Bytes of memory a token.
+    pub token_bytes: u64,
+    /// Speed of the links between engines, in bits a second.
+    pub link: f64,
+    /// Time that an engine keeps a prompt that was read for another one.
+    pub handle_time: Duration,
+    /// Time that a change of stage takes.
+    pub change_time: Duration,
+}
+
+/// Speeds that predictions start from.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineModel {
+    /// Prompt tokens that a prefill engine reads in a second.
+    pub read_rate: f64,
+    /// Time of one step of an empty batch.
+    pub step: Duration,
+    /// Time that each request in the batch adds to a step.
+    pub step_slot: Duration,
+    /// Time from a prompt's end to the first piece.
+    pub first_token: Duration,
+    /// Prompt tokens read in one step of a prefill engine.
+    pub chunk: u64,
+    /// Time to set up a move of memory.
+    pub transfer_setup: Duration,
+    /// Time that a move takes for each token.
+    pub transfer_token: Duration,
+}
+
+/// A decode engine reads prompts at this part of a prefill engine's speed.
+const DECODE_READ_SPEED: f64 = 0.5;
+/// A decode engine's chunks are this many times smaller.
+const DECODE_CHUNKS: u64 = 4;
+
+impl Default for EngineModel {
+    fn default() -> Self {
+        Self {
+            read_rate: 100_000.0,
+            step: Duration::from_micros(3200),
+            step_slot: Duration::from_micros(50),
+            first_token: Duration::from_millis(47),
+            chunk: 2048,
+            transfer_setup: Duration::from_millis(3),
+            transfer_token: Duration::from_nanos(520),
+        }
+    }
+}
+
+impl EngineModel {
+    /// Time to the first piece behind `unread` prompt tokens, the request's own among them.
+    pub fn first_piece(&self, target: &Target, unread: u64, now: Instant) -> Duration {
+        self.reading(target.info.stage, target.running(now), unread) + self.first_token
+    }
+
+    /// Time to read prompt tokens on an engine with a batch of `running` requests.
+    pub fn reading(&self, stage: Stage, running: u32, unread: u64) -> Duration {
+        let (rate, chunk) = match stage {
+            Stage::Prefill => (self.read_rate, self.chunk),
+            Stage::Decode | Stage::Whole => (
+                self.read_rate * DECODE_READ_SPEED,
+                self.chunk / DECODE_CHUNKS,
+            ),
+        };
+        let steps = unread.div_ceil(chunk.max(1));
+        let step = match stage {
+            Stage::Prefill => self.step,
+            Stage::Decode | Stage::Whole => self.step + self.step_slot * running,
+        };
+        Duration::from_secs_f64(unread as f64 / rate) + step * steps as u32
+    }
+
+    /// Time to move the memory of a prompt to another engine.
+    pub fn transfer(&self, tokens: u64) -> Duration {
+        self.transfer_setup + self.transfer_token * tokens as u32
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -0,0 +1,117 @@
+//! One backend server as a node sees it.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use pomeloridge_base::id::Name;
+
+use super::load::{OwnLoad, PeerWords, ReportedLoad};
+use crate::eject::Ejection;
+use crate::parts::PartCache;
+
+slotmap::new_key_type! {
+    /// A server in the dispatcher's arena.
+    pub struct TargetKey;
+}
+
+/// What a server is for.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Stage {
+    /// Runs requests whole: a plain service, or an engine without stages.
+    #[display("whole")]
+    Whole,
+    /// Reads prompts for other engines.
+    #[display("prefill")]
+    Prefill,
+    /// Makes tokens, and reads prompts more slowly.
+    #[display("decode")]
+    Decode,
+}
+
+/// What the platform's list says of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetInfo {
+    /// Identity; a restart may keep it.
+    pub id: Name,
+    /// Time of its start, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: Name,
+    /// Service.
+    pub service: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens that its memory holds; 0 for a plain service.
+    pub capacity: u64,
+    /// Stage.
+    pub stage: Stage,
+    /// Whether it takes no new requests.
+    pub leaving: bool,
+    /// Time until it is gone, where that is known.
+    pub leaves_in: Option<Duration>,
+    /// Whether it is cheap and may be reclaimed.
+    pub cheap: bool,
+}
+
+impl TargetInfo {
+    /// Whether both tell of one start of a server.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.id == other.id && self.born == other.born && self.address == other.address
+    }
+}
+
+/// A server with what is known of it.
+#[derive(Debug)]
+pub struct Target {
+    /// The platform's words.
+    pub info: TargetInfo,
+    pub(super) own: OwnLoad,
+    pub(super) peers: PeerWords,
+    pub(super) report: Option<ReportedLoad>,
+    pub(super) ejection: Ejection,
+    pub(super) parts: PartCache,
+    pub(super) hash: u64,
+}
+
+impl Target {
+    pub(super) fn new(info: TargetInfo) -> Self {
+        // The same on every node: the hasher starts from fixed keys.
+        let mut hasher = DefaultHasher::new();
+        info.id.as_bytes().hash(&mut hasher);
+        Self {
+            own: OwnLoad::default(),
+            peers: PeerWords::default(),
+            report: None,
+            ejection: Ejection::default(),
+            parts: PartCache::new(info.capacity),
+            hash: hasher.finish(),
+            info,
+        }
+    }
+
+    pub(super) fn update(&mut self, info: TargetInfo) {
+        self.parts.resize(info.capacity);
+        self.info = info;
+    }
+
+    /// Requests on the server that this node knows of.
+    pub fn running(&self, now: Instant) -> u32 {
+        let sent = self.own.running + self.peers.sum(now).running;
+        let reported = self.report.map_or(0, |report| report.total(now));
+        sent.max(reported)
+    }
+
+    /// Prompt tokens that were sent to the server and not read yet.
+    pub fn unread(&self, now: Instant) -> u64 {
+        self.own.unread + self.peers.sum(now).unread
+    }
+
+    /// Whether it is out of use after failures.
+    pub fn is_ejected(&self) -> bool {
+        self.ejection.is_ejected()
+    }
+}
--- a/crates/pomeloridge_policy/src/eject.rs
+++ b/crates/pomeloridge_policy/src/eject.rs
@@ -56,6 +56,11 @@
         true
     }
 
+    /// Whether a request may go to the server: it is not ejected, or a probe is due.
+    pub fn may_try(&self, now: Instant) -> bool {
+        self.state.is_none_or(|ejected| now >= ejected.probe_at)
+    }
+
     /// Takes the server back; says whether it was ejected.
     pub fn clear(&mut self) -> bool {
         self.state.take().is_some()
--- /dev/null
+++ b/crates/pomeloridge_policy/src/repeat_budget.rs
@@ -0,0 +1,92 @@
+//! The part of a fleet-wide retry budget that one node may spend.
+//!
+//! The fleet may repeat a share of a service's requests in any sliding window,
+//! and a fixed number on top. A node needs no agreement with its peers: it spends
+//! the share on its own requests and an equal part of the fixed number.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Length of one slice of the window.
+const SLICE: Duration = Duration::from_millis(500);
+/// Part of the share that is spent; the rest covers requests that peers count
+/// in another slice.
+const SHARE_SPENT: f64 = 0.85;
+/// Part of the fixed number that is spent; the rest covers nodes that restart
+/// and start with a fresh count.
+const FIXED_SPENT: f64 = 0.5;
+
+/// The fleet's bound on repeats.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatLimits {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats on top, in the whole fleet.
+    pub slack: f64,
+    /// Window over which both are counted.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Slice {
+    start: Instant,
+    requests: u32,
+    repeats: u32,
+}
+
+/// The repeats that one node makes at one service.
+#[derive(Debug)]
+pub struct RepeatBudget {
+    limits: RepeatLimits,
+    slices: VecDeque<Slice>,
+}
+
+impl RepeatBudget {
+    /// A budget of which nothing is spent.
+    pub fn new(limits: RepeatLimits) -> Self {
+        Self {
+            limits,
+            slices: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request of a caller.
+    pub fn request(&mut self, now: Instant) {
+        self.slice(now).requests += 1;
+    }
+
+    /// Counts a repeat if there is room for it; `nodes` share the fixed number.
+    pub fn spend(&mut self, nodes: usize, now: Instant) -> bool {
+        self.slice(now);
+        let (requests, repeats) = self
+            .slices
+            .iter()
+            .fold((0, 0), |(requests, repeats), slice| {
+                (requests + slice.requests, repeats + slice.repeats)
+            });
+        let share = f64::from(requests) * self.limits.ratio * SHARE_SPENT;
+        let fixed = self.limits.slack * FIXED_SPENT / nodes.max(1) as f64;
+        if f64::from(repeats + 1) > share + fixed {
+            return false;
+        }
+        self.slice(now).repeats += 1;
+        true
+    }
+
+    fn slice(&mut self, now: Instant) -> &mut Slice {
+        let window = self.limits.window;
+        let old = |slice: &Slice| now.saturating_duration_since(slice.start) > window + SLICE;
+        while self.slices.front().is_some_and(old) {
+            self.slices.pop_front();
+        }
+        let current = |slice: &Slice| now.saturating_duration_since(slice.start) < SLICE;
+        if !self.slices.back().is_some_and(current) {
+            self.slices.push_back(Slice {
+                start: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        self.slices.back_mut().expect("a slice was just added")
+    }
+}
--- a/crates/pomeloridge_policy/src/ticket.rs
+++ b/crates/pomeloridge_policy/src/ticket.rs
@@ -71,6 +71,15 @@
     pub retry: Duration,
 }
 
+impl From<Refusal> for pomeloridge_base::refusal::Refusal {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            retry: Some(refusal.retry),
+            ..Self::from(refusal.kind)
+        }
+    }
+}
+
 /// What becomes of a request that arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admit {
--- a/crates/pomeloridge_standin/src/listen.rs
+++ b/crates/pomeloridge_standin/src/listen.rs
@@ -1,5 +1,6 @@
 //! Listening, telling the address, and the parts that every stand-in answers alike.
 
+use std::cell::Cell;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,10 +41,10 @@
     out.flush()?;
     drop(out);
     let server = Server {
-        limits: Limits {
+        limits: Cell::new(Limits {
             body_bytes: BODY_BYTES,
             ..Limits::default()
-        },
+        }),
         handler,
         stopping: || false,
     };
