Fetch shared prompt parts from the engine that holds them

Ruled out: taking a home engine by rendezvous hashing as the holder; most short prompts run whole on decode engines, so that the home often had never read them. Change: nodes tell one another which engine was given which shared part, and a request names the engine that holds most of its leading parts.

--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -108,8 +108,18 @@
     pub user_timeout: Option<Duration>,
     /// Whether closing drops what was not yet sent.
     pub linger_zero: bool,
-    /// Whether a response without a length ends with its connection; else it is refused.
-    pub until_close: bool,
+    /// What a response without a length means.
+    pub unframed: Unframed,
+}
+
+/// What a response without a length means.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Unframed {
+    /// It is refused: its end can't be told from a cut.
+    #[default]
+    Refused,
+    /// It ends when the peer closes in good order.
+    UntilClose,
 }
 
 impl Default for ConnectOptions {
@@ -118,7 +128,7 @@
             timeout: Duration::from_millis(250),
             user_timeout: None,
             linger_zero: false,
-            until_close: false,
+            unframed: Unframed::Refused,
         }
     }
 }
@@ -131,7 +141,7 @@
     written: bool,
     clean: bool,
     keep: bool,
-    until_close: bool,
+    unframed: Unframed,
     used: Instant,
 }
 
@@ -149,7 +159,7 @@
             written: false,
             clean: true,
             keep: true,
-            until_close: options.until_close,
+            unframed: options.unframed,
             used: Instant::now(),
         })
     }
@@ -222,9 +232,7 @@
             self.keep = !headers.get(http::header::CONNECTION).is_some_and(close);
             self.remaining = match response_framing(head.status, headers)? {
                 Some(remaining) => remaining,
-                // A cut can't be told from the end, so that only a peer that is
-                // known to frame so is trusted with it.
-                None if self.until_close => {
+                None if self.unframed == Unframed::UntilClose => {
                     self.keep = false;
                     Remaining::UntilClose
                 }
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -9,8 +9,7 @@
 use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::dispatch::{Plan, SendKey, TargetKey, Wanted};
-use pomeloridge_policy::parts::Part;
-use pomeloridge_policy::suspicion::{Fingerprint, InFlight, Treatment};
+use pomeloridge_policy::suspicion::{InFlight, Treatment};
 
 use crate::accept::Accepted;
 use crate::exchange::Failure;
@@ -61,11 +60,14 @@
         state: &Rc<State>,
         server: TargetKey,
         unread: u64,
-        parts: &[Part],
-        fingerprint: Fingerprint,
+        accepted: &Accepted,
     ) -> Self {
-        let key = state.dispatcher.borrow_mut().send(server, unread, parts);
         let now = state.now();
+        let prompt = accepted.inbound.prompt.as_ref();
+        let mut dispatcher = state.dispatcher.borrow_mut();
+        let key = dispatcher.send(server, unread, prompt, now);
+        drop(dispatcher);
+        let fingerprint = accepted.fingerprint;
         let suspect = state.suspicions.borrow().is_suspect(&fingerprint, now);
         let request = InFlight {
             fingerprint,
@@ -153,7 +155,7 @@
         self.prefilled |= plan.prefill.is_some();
         log::info!(
             "request id={} choice=send route={} service={} server={} prefill={} unread={} \
-             predicted_ms={} attempt={} left_ms={}",
+             fetch={} predicted_ms={} attempt={} left_ms={}",
             accepted.inbound.label(),
             accepted.route.name,
             accepted.service,
@@ -162,6 +164,9 @@
                 .map(|key| state.server_name(key))
                 .unwrap_or_default(),
             plan.unread,
+            plan.fetch
+                .map(|key| state.server_name(key))
+                .unwrap_or_default(),
             plan.first.as_millis(),
             self.arrivals + 1,
             accepted.left(now).as_millis()
--- a/crates/pomeloridge_gateway/src/call.rs
+++ b/crates/pomeloridge_gateway/src/call.rs
@@ -8,7 +8,7 @@
 
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, Sent};
-use crate::exchange::{Exchange, Failure, exchange};
+use crate::exchange::{Exchange, Failure, Sending, exchange};
 use crate::request::SendStage;
 use crate::state::State;
 
@@ -36,10 +36,15 @@
 }
 
 async fn attempt(state: &Rc<State>, accepted: &Accepted, plan: Plan) -> Result<Response, Failure> {
-    let sent = Sent::new(state, plan.run, 0, &[], accepted.fingerprint);
-    let deadline = accepted.deadline;
-    let stage = SendStage::Run;
-    let exchanged = exchange(state, accepted, plan.run, stage, None, deadline).await?;
+    let sent = Sent::new(state, plan.run, 0, accepted);
+    let sending = Sending {
+        server: plan.run,
+        stage: SendStage::Run,
+        fetch: None,
+        last_event: None,
+        deadline: accepted.deadline,
+    };
+    let exchanged = exchange(state, accepted, sending).await?;
     sent.prompt_read();
     state.count_usage(accepted.account.as_ref());
     gather(state, accepted, exchanged).await
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use pomeloridge_base::http::{ConnectOptions, Connection, Fault};
+use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Unframed};
 use pomeloridge_policy::dispatch::TargetKey;
 
 use crate::accept::Accepted;
@@ -72,19 +72,41 @@
     pub(crate) head: ReplyHead,
 }
 
+/// What one sending is for.
+pub(crate) struct Sending {
+    /// Server.
+    pub(crate) server: TargetKey,
+    /// What it is to do.
+    pub(crate) stage: SendStage,
+    /// Engine from which shared parts of the prompt are taken.
+    pub(crate) fetch: Option<TargetKey>,
+    /// Last event that the caller has had.
+    pub(crate) last_event: Option<u64>,
+    /// When the head of the answer is given up.
+    pub(crate) deadline: Instant,
+}
+
 /// Sends a request to a server and reads the head of its answer.
 pub(crate) async fn exchange(
     state: &State,
     accepted: &Accepted,
-    server: TargetKey,
-    stage: SendStage,
-    last_event: Option<u64>,
-    deadline: Instant,
+    sending: Sending,
 ) -> Result<Exchange, Failure> {
-    let info = {
+    let Sending {
+        server,
+        stage,
+        fetch,
+        last_event,
+        deadline,
+    } = sending;
+    let (info, fetch) = {
         let dispatcher = state.dispatcher.borrow();
         let target = dispatcher.target(server).ok_or(Failure::Unreachable)?;
-        target.info.clone()
+        let source = fetch.and_then(|key| dispatcher.target(key));
+        (
+            target.info.clone(),
+            source.map(|source| source.info.address),
+        )
     };
     // Reading a prompt twice does no harm; only a run must not be repeated.
     let unrepeatable = !accepted.route.kind.repeatable() && stage != SendStage::Prefill;
@@ -99,6 +121,7 @@
         account: accepted.account.as_ref(),
         left: accepted.left(state.now()),
         stage,
+        fetch,
         last_event,
         rank: accepted.rank,
     };
@@ -129,7 +152,7 @@
     let options = ConnectOptions {
         timeout: CONNECT.min(deadline.saturating_duration_since(Instant::now())),
         user_timeout: Some(USER_TIMEOUT),
-        until_close: true,
+        unframed: Unframed::UntilClose,
         ..ConnectOptions::default()
     };
     let opened = Connection::open(address, options).await;
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -10,7 +10,8 @@
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::id::{Epoch, Name};
 use pomeloridge_platform::{Expect, Object, PlatformError};
-use pomeloridge_policy::dispatch::{OwnLoad, PeerLoad};
+use pomeloridge_policy::dispatch::{OwnLoad, PeerLoad, Placed};
+use pomeloridge_policy::parts::Part;
 use prost::Message;
 use serde_json::json;
 
@@ -54,6 +55,42 @@
     /// Fencing token of the duties if the sender holds them, else 0.
     #[prost(uint64, tag = "7")]
     duty: u64,
+    #[prost(message, repeated, tag = "8")]
+    placed: Vec<PlacedWire>,
+}
+
+/// A shared part of prompts that a server was given to read.
+#[derive(Clone, PartialEq, Message)]
+struct PlacedWire {
+    /// Hash of the server's identity.
+    #[prost(fixed64, tag = "1")]
+    server: u64,
+    #[prost(fixed64, tag = "2")]
+    part: u64,
+    #[prost(uint64, tag = "3")]
+    tokens: u64,
+}
+
+impl From<Placed> for PlacedWire {
+    fn from(placed: Placed) -> Self {
+        Self {
+            server: placed.server,
+            part: placed.part.id,
+            tokens: placed.part.tokens,
+        }
+    }
+}
+
+impl From<PlacedWire> for Placed {
+    fn from(wire: PlacedWire) -> Self {
+        Self {
+            server: wire.server,
+            part: Part {
+                id: wire.part,
+                tokens: wire.tokens,
+            },
+        }
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -226,7 +263,13 @@
 
 fn beat(state: &State) -> BeatWire {
     let now = state.now();
-    let dispatcher = state.dispatcher.borrow();
+    let peers = state.peers.borrow();
+    let fan_out = state.settings.number("peers", "fan_out") as usize;
+    // Each peer is told once in so many rounds, and once more in case one is lost.
+    let rounds = peers.peers.len().div_ceil(fan_out) as u32 + 1;
+    let span = state.settings.time("peers", "pause_ms") * rounds;
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    let placed = dispatcher.placed(span, now);
     let loads = dispatcher
         .own_loads()
         .map(|(server, unread, running)| LoadWire {
@@ -234,8 +277,7 @@
             unread,
             running,
         });
-    let round = state.peers.borrow().round;
-    let usage = if round % USAGE_ROUNDS == 0 {
+    let usage = if peers.round % USAGE_ROUNDS == 0 {
         usage_wire(state)
     } else {
         Vec::new()
@@ -248,6 +290,7 @@
         loads: loads.collect(),
         usage,
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
+        placed: placed.into_iter().map(PlacedWire::from).collect(),
     }
 }
 
@@ -303,7 +346,11 @@
             (Name::from(load.server), PeerLoad { load: own, at: now })
         })
         .collect();
-    state.dispatcher.borrow_mut().peer_loads(&name, &loads);
+    let placed: Vec<Placed> = beat.placed.into_iter().map(Placed::from).collect();
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.peer_loads(&name, &loads);
+    dispatcher.peer_placed(&placed);
+    drop(dispatcher);
     let source = Source {
         node: name.clone(),
         life: beat.life,
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -8,7 +8,7 @@
 
 use crate::accept::Accepted;
 use crate::attempt::Sent;
-use crate::exchange::{Exchange, Failure, exchange};
+use crate::exchange::{Exchange, Failure, Sending, exchange};
 use crate::request::{MemorySource, SendStage};
 use crate::state::State;
 
@@ -85,21 +85,20 @@
     plan: Plan,
     reader: TargetKey,
 ) -> Result<ReadPrompt, Failure> {
-    let prompt = accepted.inbound.prompt.clone().unwrap_or_default();
-    let sent = Sent::new(
-        state,
-        reader,
-        plan.unread,
-        &prompt.parts,
-        accepted.fingerprint,
-    );
+    let sent = Sent::new(state, reader, plan.unread, accepted);
     let patience = plan.first * PATIENCE_FACTOR + PATIENCE_FLOOR;
     let deadline = accepted.deadline.min(state.now() + patience);
-    let stage = SendStage::Prefill;
+    let sending = Sending {
+        server: reader,
+        stage: SendStage::Prefill,
+        fetch: plan.fetch,
+        last_event: None,
+        deadline,
+    };
     let Exchange {
         mut connection,
         head,
-    } = exchange(state, accepted, reader, stage, None, deadline).await?;
+    } = exchange(state, accepted, sending).await?;
     let body = connection.body(ANSWER_BYTES, deadline).await;
     let body = body.map_err(|fault| Failure::after_write(&fault))?;
     let address = connection.address();
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -76,6 +76,8 @@
     pub left: Duration,
     /// What to do.
     pub stage: SendStage,
+    /// Engine from which shared parts of the prompt are taken.
+    pub fetch: Option<SocketAddr>,
     /// Last event that the caller has had.
     pub last_event: Option<u64>,
     /// Rank among the requests of an engine, from 0 for the first to 9.
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::attempt::{Attempts, Sent};
 use crate::call::gather;
 use crate::events::EventSplitter;
-use crate::exchange::{Exchange, Failure, exchange};
+use crate::exchange::{Exchange, Failure, Sending, exchange};
 use crate::prefill::{ReadPrompt, read_prompt};
 use crate::request::SendStage;
 use crate::state::State;
@@ -106,22 +106,19 @@
             Some(reader) => self.read_prompt(plan, reader, attempts, responder).await?,
             None => None,
         };
-        let parts = accepted.inbound.prompt.as_ref();
-        let parts = parts.map_or(&[][..], |prompt| &prompt.parts);
         // Memory that is moved need not be read here.
         let unread = if prompt.is_some() { 0 } else { plan.unread };
-        let sent = Sent::new(self.state, plan.run, unread, parts, accepted.fingerprint);
-        let stage = prompt
-            .as_ref()
-            .map_or(SendStage::Run, |prompt| SendStage::RunFrom(prompt.source()));
-        let started = exchange(
-            self.state,
-            accepted,
-            plan.run,
-            stage,
-            self.last_event,
-            accepted.deadline,
-        );
+        let sent = Sent::new(self.state, plan.run, unread, accepted);
+        let sending = Sending {
+            server: plan.run,
+            stage: prompt
+                .as_ref()
+                .map_or(SendStage::Run, |prompt| SendStage::RunFrom(prompt.source())),
+            fetch: plan.fetch.filter(|_| prompt.is_none()),
+            last_event: self.last_event,
+            deadline: accepted.deadline,
+        };
+        let started = exchange(self.state, accepted, sending);
         let exchanged = monoio::select! {
             exchanged = started => exchanged.map_err(Stop::Server)?,
             () = responder.gone() => return Err(Stop::Caller),
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -12,6 +12,8 @@
 mod load;
 mod target;
 
+use std::cmp::Reverse;
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
@@ -72,6 +74,8 @@
     pub run: TargetKey,
     /// Engine that reads the prompt first.
     pub prefill: Option<TargetKey>,
+    /// Engine from which whoever reads the prompt takes the shared parts that it lacks.
+    pub fetch: Option<TargetKey>,
     /// Prompt tokens that are still to be read.
     pub unread: u64,
     /// Predicted time to the first piece.
@@ -91,9 +95,19 @@
     model: EngineModel,
     targets: SlotMap<TargetKey, Target>,
     sends: SlotMap<SendKey, Send>,
+    placed: VecDeque<(Instant, Placed)>,
     turn: usize,
 }
 
+/// A shared part that a server was given to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// Hash of the server's identity, the same on every node.
+    pub server: u64,
+    /// Part.
+    pub part: Part,
+}
+
 impl Dispatcher {
     /// A view without servers, for a node in `data_centre`.
     pub fn new(data_centre: Name, model: EngineModel) -> Self {
@@ -102,6 +116,7 @@
             model,
             targets: SlotMap::with_key(),
             sends: SlotMap::with_key(),
+            placed: VecDeque::new(),
             turn: 0,
         }
     }
@@ -155,11 +170,31 @@
     }
 
     /// Counts a request on a server.
-    pub fn send(&mut self, key: TargetKey, unread: u64, parts: &[Part]) -> SendKey {
+    pub fn send(
+        &mut self,
+        key: TargetKey,
+        unread: u64,
+        prompt: Option<&PromptShape>,
+        now: Instant,
+    ) -> SendKey {
         if let Some(target) = self.targets.get_mut(key) {
             target.own.running += 1;
             target.own.unread += unread;
-            target.parts.read(parts);
+            if let Some(prompt) = prompt {
+                target.parts.read(&prompt.parts);
+                let server = target.hash;
+                let placed = prompt.shared().iter();
+                let placed = placed.map(|part| {
+                    (
+                        now,
+                        Placed {
+                            server,
+                            part: *part,
+                        },
+                    )
+                });
+                self.placed.extend(placed);
+            }
         }
         self.sends.insert(Send {
             target: key,
@@ -203,6 +238,25 @@
         }
     }
 
+    /// The shared parts that this node has had read within `span`, for its peers.
+    pub fn placed(&mut self, span: Duration, now: Instant) -> Vec<Placed> {
+        let old = |at: Instant| now.saturating_duration_since(at) > span;
+        while self.placed.front().is_some_and(|(at, _)| old(*at)) {
+            self.placed.pop_front();
+        }
+        self.placed.iter().map(|(_, placed)| *placed).collect()
+    }
+
+    /// Notes the shared parts that a peer has had read.
+    pub fn peer_placed(&mut self, placed: &[Placed]) {
+        for Placed { server, part } in placed {
+            let target = self.targets.values_mut().find(|t| t.hash == *server);
+            if let Some(target) = target {
+                target.parts.read(&[*part]);
+            }
+        }
+    }
+
     /// What this node has put on the servers, for its peers.
     pub fn own_loads(&self) -> impl Iterator<Item = (&Name, u64, u32)> {
         let loaded = self
@@ -249,11 +303,12 @@
             let keys = usable.iter().copied();
             keys.filter(move |key| self.targets[*key].info.stage == wanted)
         };
-        let readers = stage(Stage::Prefill);
+        let readers: Vec<TargetKey> = stage(Stage::Prefill).collect();
         let makers: Vec<TargetKey> = stage(Stage::Decode).chain(stage(Stage::Whole)).collect();
-        let whole = self.soonest(prompt, &makers, now);
+        let holder = self.holder(prompt, now);
+        let whole = self.soonest(prompt, &makers, holder, now);
         let reader = apart
-            .then(|| self.soonest(prompt, &readers.collect::<Vec<_>>(), now))
+            .then(|| self.soonest(prompt, &readers, holder, now))
             .flatten();
         let maker = makers
             .iter()
@@ -262,8 +317,8 @@
         let split = reader.zip(maker).map(|(read, run)| Plan {
             run,
             prefill: Some(read.run),
-            unread: read.unread,
             first: read.first + self.model.transfer(prompt.tokens),
+            ..read
         });
         match (whole, split) {
             (Some(whole), Some(split)) if split.first + MOVE_GAIN < whole.first => Some(split),
@@ -274,35 +329,51 @@
     }
 
     /// The engine on which the prompt is read soonest.
-    fn soonest(&self, prompt: &PromptShape, keys: &[TargetKey], now: Instant) -> Option<Plan> {
-        let home = self.home(prompt, keys);
+    fn soonest(
+        &self,
+        prompt: &PromptShape,
+        keys: &[TargetKey],
+        holder: Option<(TargetKey, u64)>,
+        now: Instant,
+    ) -> Option<Plan> {
         let plans = keys.iter().map(|key| {
             let target = &self.targets[*key];
             let known = target.parts.leading(&prompt.parts);
-            let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-            let held = if home == Some(*key) {
-                known.max(shared)
-            } else {
-                known
-            };
-            let unread = prompt.tokens.saturating_sub(held).max(1);
-            let ahead = target.unread(now);
-            let first = self.model.first_piece(target, ahead + unread, now);
+            let lacking = |held: u64| held.saturating_sub(known);
+            let fetch = holder.filter(|(holder, held)| holder != key && lacking(*held) > 0);
+            let fetched = fetch.map_or(0, |(_, held)| lacking(held));
+            let unread = prompt.tokens.saturating_sub(known + fetched).max(1);
+            let first = self
+                .model
+                .first_piece(target, target.unread(now) + unread, now);
             Plan {
                 run: *key,
                 prefill: None,
+                fetch: fetch.map(|(holder, _)| holder),
                 unread,
-                first: first + self.distance(target),
+                first: first + self.fetch_time(fetched) + self.distance(target),
             }
         });
         plans.min_by_key(|plan| plan.first)
     }
 
-    /// The engine that all nodes take to hold the prompt's shared parts.
-    fn home(&self, prompt: &PromptShape, keys: &[TargetKey]) -> Option<TargetKey> {
-        let part = prompt.shared().last()?;
-        let weight = |key: &TargetKey| mix(part.id ^ self.targets[*key].hash);
-        keys.iter().copied().max_by_key(weight)
+    fn fetch_time(&self, tokens: u64) -> Duration {
+        if tokens == 0 {
+            Duration::ZERO
+        } else {
+            self.model.transfer(tokens)
+        }
+    }
+
+    /// The engine that holds most of the prompt's leading parts, with the tokens
+    /// held; of several the least busy one.
+    fn holder(&self, prompt: &PromptShape, now: Instant) -> Option<(TargetKey, u64)> {
+        let held = self.targets.iter().map(|(key, target)| {
+            let tokens = target.parts.leading(&prompt.parts);
+            (key, tokens, Reverse(target.unread(now)))
+        });
+        let most = held.max_by_key(|(_, tokens, unread)| (*tokens, *unread));
+        most.map(|(key, tokens, _)| (key, tokens))
     }
 
     /// Requests in an engine's batch with a small preference for the own data centre.
@@ -327,6 +398,7 @@
         Some(Plan {
             run,
             prefill: None,
+            fetch: None,
             unread: 0,
             first: self.distance(&self.targets[run]),
         })
@@ -340,11 +412,3 @@
         }
     }
 }
-
-/// A well-mixed hash of a number, the same on every node (`SplitMix64`).
-pub(crate) fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -17,6 +17,8 @@
     pub handle_time: Duration,
     /// Time that a change of stage takes.
     pub change_time: Duration,
+    /// Tokens in an event of a stream.
+    pub stride: u64,
 }
 
 /// Speeds that predictions start from.
@@ -43,6 +45,10 @@
 /// A decode engine's chunks are this many times smaller.
 const DECODE_CHUNKS: u64 = 4;
 
+/// Batch whose delay by a prompt that is read between its tokens counts as much as
+/// the delay of the request itself.
+const INTERFERENCE_BATCH: u32 = 32;
+
 impl Default for EngineModel {
     fn default() -> Self {
         Self {
@@ -77,7 +83,12 @@
             Stage::Prefill => self.step,
             Stage::Decode | Stage::Whole => self.step + self.step_slot * running,
         };
-        Duration::from_secs_f64(unread as f64 / rate) + step * steps as u32
+        let reading = Duration::from_secs_f64(unread as f64 / rate);
+        let others = match stage {
+            Stage::Prefill => Duration::ZERO,
+            Stage::Decode | Stage::Whole => reading * running / INTERFERENCE_BATCH,
+        };
+        reading + step * steps as u32 + others
     }
 
     /// Time to move the memory of a prompt to another engine.
