--- a/crates/pomeloridge/src/serve/duties.rs
+++ b/crates/pomeloridge/src/serve/duties.rs
@@ -60,6 +60,7 @@
         incarnation: state.incarnation,
         term: state.settings.time("lease", "term_ms"),
         margin: state.settings.time("lease", "margin_ms"),
+        absent: pomeloridge_platform::lease::Absent::Deleted,
     };
     let (term, duty) = (claim.term, claim.duty.clone());
     let mut keeper = Keeper::new(&state.platform, claim);
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -108,6 +108,7 @@
     GATEWAY_SETTINGS:
     "node" "name" Text, None, "The node's name, unique in the fleet.", "Leases, reports and logs name the node by it.", "front-tln-a-1";
     "node" "data_centre" Text, None, "The data centre that the VM stands in.", "Routing prefers servers of the same data centre.", "tln-a";
+    "node" "bootstrap" Choice(&["true", "false"]), Some("false"), "Whether the whole system starts for the first time.", "Servers are then ordered before all entries have been seen.", "false";
     "listen" "caller" Address, None, "Where callers connect.", "The platform's balancer sends callers here.", "10.0.0.17:8080";
     "listen" "ready" Address, None, "Where the balancer asks whether the node takes callers.", "Kept apart from the callers' port.", "10.0.0.17:8082";
     "listen" "peer" Address, None, "Where other nodes send datagrams and read the configuration.", "Other nodes find it in the node's object.", "10.0.0.17:8081";
--- a/crates/pomeloridge_duties/tests/duties/support.rs
+++ b/crates/pomeloridge_duties/tests/duties/support.rs
@@ -75,6 +75,7 @@
         incarnation: Incarnation(1),
         term: Duration::from_hours(1),
         margin: Duration::from_secs(1),
+        absent: pomeloridge_platform::lease::Absent::Deleted,
     };
     let mut keeper = Keeper::new(client, claim);
     keeper.step().await;
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -8,7 +8,7 @@
 use pomeloridge_base::secret::KeyHash;
 use pomeloridge_policy::suspicion::Fingerprint;
 
-use crate::config::{Account, Route, ServingConfig};
+use crate::config::{Account, Route, RouteKind, ServingConfig};
 use crate::request::Inbound;
 use crate::state::State;
 
@@ -29,7 +29,39 @@
     pub(crate) fingerprint: Fingerprint,
 }
 
+/// Callers leave a stream whose first piece does not come within this time, or
+/// within some multiples of its targets.
+const STREAM_PATIENCE: Duration = Duration::from_secs(2);
+/// Multiple of the target for the first piece.
+const TARGET_PATIENCE: u32 = 4;
+/// Multiple of the longest pause that is on time.
+const GAP_PATIENCE: u32 = 8;
+/// Part of the callers' patience that a prediction may take.
+const PREDICTED_PART: f64 = 0.9;
+
+/// Silence of a server after which a request is repeated elsewhere.
+const REPEAT_SILENCE: Duration = Duration::from_millis(700);
+
 impl Accepted {
+    /// Time after which a silent server is given up; `None` where the request may not
+    /// be repeated, so that giving up gains nothing.
+    pub(crate) fn silence(&self) -> Option<Duration> {
+        let repeatable = self.route.kind.repeatable();
+        repeatable.then_some(REPEAT_SILENCE)
+    }
+
+    /// Whether the caller will have left before a first piece that comes after `first`.
+    pub(crate) fn gives_up_before(&self, first: Duration) -> bool {
+        if !matches!(self.route.kind, RouteKind::Stream { .. }) {
+            return false;
+        }
+        let gap = self.route.gap.unwrap_or_default() * GAP_PATIENCE;
+        let target = self.route.target * TARGET_PATIENCE;
+        let patience = STREAM_PATIENCE.max(target).max(gap);
+        let patience = patience.min(self.deadline.saturating_duration_since(self.arrived));
+        first > patience.mul_f64(PREDICTED_PART)
+    }
+
     /// Time that is left for the request.
     pub(crate) fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pomeloridge_base::error::{ErrorKind, Run};
 use pomeloridge_base::meter::Counter;
@@ -82,11 +82,16 @@
         }
     }
 
+    /// The server.
+    pub(crate) fn server(&self) -> TargetKey {
+        self.server
+    }
+
     /// Notes that the server has read the prompt.
     pub(crate) fn prompt_read(&self) {
         let mut dispatcher = self.state.dispatcher.borrow_mut();
         dispatcher.prompt_read(self.key);
-        dispatcher.answered(self.server);
+        dispatcher.answered(self.server, self.state.now());
     }
 }
 
@@ -110,6 +115,8 @@
     /// Whether its prompt was sent to be read apart; that is tried once.
     prefilled: bool,
     last: Option<Failure>,
+    /// When the latest sending was decided.
+    sent: Instant,
 }
 
 impl<'a> Attempts<'a> {
@@ -123,6 +130,7 @@
             refused: 0,
             prefilled: false,
             last: None,
+            sent: accepted.arrived,
         }
     }
 
@@ -152,6 +160,13 @@
         };
         let plan = state.dispatcher.borrow_mut().choose(&wanted, now);
         let plan = plan.ok_or_else(|| self.refusal(ErrorKind::NoServer))?;
+        if self.arrivals == 0 && accepted.gives_up_before(plan.first) {
+            return Err(Refusal {
+                retry: Some(self.come_back(plan.first)),
+                ..self.refusal(ErrorKind::Overloaded)
+            });
+        }
+        self.sent = now;
         self.prefilled |= plan.prefill.is_some();
         log::info!(
             "request id={} choice=send route={} service={} server={} prefill={} unread={} \
@@ -206,14 +221,17 @@
 
     /// Takes in a prefill that failed; its request runs without it.
     ///
-    /// The first prefill is not charged to the budget, and a run follows it that is
-    /// the request's first.
+    /// The run that follows is the request's first.
     pub(crate) fn prefill_failed(&mut self, reader: TargetKey, failure: Failure) {
         log::info!(
             "request id={} server={} failure={failure} choice=run_without_prefill",
             self.accepted.inbound.label(),
             self.state.server_name(reader)
         );
+        // A prefill that was turned away counts as a repeat.
+        if failure.arrived() {
+            self.state.charge_repeat(&self.accepted.service);
+        }
         self.eject_if_dead(reader, failure);
     }
 
@@ -236,11 +254,21 @@
 
     fn eject_if_dead(&self, server: TargetKey, failure: Failure) {
         let state = self.state;
-        let dead = matches!(
-            failure,
-            Failure::Unreachable | Failure::Misdirected | Failure::Silent
-        );
-        if dead && state.dispatcher.borrow_mut().eject(server, state.now()) {
+        let now = state.now();
+        let mut dispatcher = state.dispatcher.borrow_mut();
+        if failure == Failure::Refused {
+            dispatcher.refused(server, now);
+            return;
+        }
+        let dead = match failure {
+            Failure::Unreachable | Failure::Misdirected => true,
+            // A server that answers others is slow, not gone.
+            Failure::Silent => dispatcher.is_silent_since(server, self.sent),
+            _ => false,
+        };
+        let ejected = dead && dispatcher.eject(server, now);
+        drop(dispatcher);
+        if ejected {
             state.meter.one(Counter::Ejections);
             log::info!(
                 "server id={} choice=eject reason={failure}",
@@ -264,6 +292,12 @@
         }
     }
 
+    /// When the queue is short enough again, spread so that callers don't return together.
+    fn come_back(&self, predicted: Duration) -> Duration {
+        let wait = predicted.saturating_sub(self.accepted.route.target);
+        wait.mul_f64(rand::random_range(0.5..1.0)).max(COME_BACK)
+    }
+
     fn run(&self) -> Run {
         if self.runs == 0 {
             Run::NotRun
--- a/crates/pomeloridge_gateway/src/call.rs
+++ b/crates/pomeloridge_gateway/src/call.rs
@@ -42,7 +42,7 @@
         stage: SendStage::Run,
         fetch: None,
         last_event: None,
-        deadline: accepted.deadline,
+        patience: accepted.silence(),
     };
     let exchanged = exchange(state, accepted, sending).await?;
     sent.prompt_read();
--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -8,13 +8,14 @@
 use std::time::Duration;
 
 use pomeloridge_base::id::{Incarnation, Name};
-use pomeloridge_platform::lease::Claim;
+use pomeloridge_platform::lease::{Absent, Claim};
 use pomeloridge_platform::usage::{Figures, Seal, seal};
 use pomeloridge_platform::{Authority, Keeper, PlatformError};
 use serde_json::Value;
 
 use crate::ports::UsageReport;
 use crate::state::State;
+use crate::{scale_duty, stage_duty};
 
 /// Pause between two looks at the lease while it is held.
 const HELD_PAUSE: Duration = Duration::from_millis(250);
@@ -35,11 +36,14 @@
         incarnation: Incarnation(state.life_id),
         term: state.settings.time("lease", "term_ms"),
         margin: state.settings.time("lease", "margin_ms"),
+        absent: Absent::NeverHeld,
     };
     let keeper = Keeper::new(&state.store, claim);
     let authority = keeper.authority();
     monoio::spawn(keep(Rc::clone(state), keeper));
-    monoio::spawn(report_usage(Rc::clone(state), authority));
+    monoio::spawn(report_usage(Rc::clone(state), authority.clone()));
+    monoio::spawn(scale_duty::run(Rc::clone(state), authority.clone()));
+    monoio::spawn(stage_duty::run(Rc::clone(state), authority));
 }
 
 /// Keeps the lease; nodes that hear its holder leave the object service alone.
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -82,8 +82,8 @@
     pub(crate) fetch: Option<TargetKey>,
     /// Last event that the caller has had.
     pub(crate) last_event: Option<u64>,
-    /// When the head of the answer is given up.
-    pub(crate) deadline: Instant,
+    /// Time after which a server that sends nothing at all is given up.
+    pub(crate) patience: Option<Duration>,
 }
 
 /// Sends a request to a server and reads the head of its answer.
@@ -97,8 +97,9 @@
         stage,
         fetch,
         last_event,
-        deadline,
+        patience,
     } = sending;
+    let deadline = accepted.deadline;
     let (info, fetch) = {
         let dispatcher = state.dispatcher.borrow();
         let target = dispatcher.target(server).ok_or(Failure::Unreachable)?;
@@ -130,11 +131,18 @@
     if let Err(fault) = sent {
         return Err(stale_if(was_kept, Failure::after_write(&fault)));
     }
-    let head = read_head(state, accepted, &mut connection, deadline).await;
+    let head = monoio::select! {
+        head = read_head(state, accepted, &mut connection, deadline) => head,
+        () = until_silent(state, server, patience) => Err(Failure::Silent),
+    };
     let head = head.map_err(|failure| stale_if(was_kept, failure))?;
-    if let Some(load) = head.reported(state.now()) {
-        state.dispatcher.borrow_mut().reported(server, load);
+    let now = state.now();
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.heard(server, now);
+    if let Some(load) = head.reported(now) {
+        dispatcher.reported(server, load);
     }
+    drop(dispatcher);
     if head.misdirected {
         return Err(Failure::Misdirected);
     }
@@ -159,6 +167,20 @@
     opened.map_err(|_| Failure::Unreachable)
 }
 
+/// Waits until a server has sent nothing to this node for all of `patience`.
+pub(crate) async fn until_silent(state: &State, server: TargetKey, patience: Option<Duration>) {
+    let Some(patience) = patience else {
+        return std::future::pending().await;
+    };
+    loop {
+        let since = state.now();
+        monoio::time::sleep(patience).await;
+        if state.dispatcher.borrow().is_silent_since(server, since) {
+            return;
+        }
+    }
+}
+
 /// Reads the head of this request's answer, past late answers to earlier ones.
 async fn read_head(
     state: &State,
--- a/crates/pomeloridge_gateway/src/front.rs
+++ b/crates/pomeloridge_gateway/src/front.rs
@@ -13,7 +13,7 @@
 use crate::config::RouteKind;
 use crate::request::Inbound;
 use crate::state::State;
-use crate::stream::{Stream, StreamEnd};
+use crate::stream::{Stream, StreamEnd, Timing};
 
 /// Answers one request.
 pub(crate) async fn handle(
@@ -56,8 +56,9 @@
 }
 
 async fn stream(state: &Rc<State>, accepted: &Accepted, responder: &mut Responder) {
-    match Stream::new(state, accepted).run(responder).await {
-        StreamEnd::Complete => answered(state, accepted, StatusCode::OK),
+    let mut stream = Stream::new(state, accepted);
+    match stream.run(responder).await {
+        StreamEnd::Complete => answered(state, accepted, StatusCode::OK, stream.timing()),
         StreamEnd::Whole(response) => deliver(state, accepted, response, responder).await,
         StreamEnd::Refused(refusal) => {
             refuse(state, &refusal, Some(&accepted.inbound), responder).await;
@@ -82,19 +83,22 @@
 ) {
     let status = response.status;
     match responder.send(response).await {
-        Ok(()) => answered(state, accepted, status),
+        Ok(()) => answered(state, accepted, status, Timing::default()),
         Err(_) => gone(state, accepted),
     }
 }
 
-fn answered(state: &State, accepted: &Accepted, status: StatusCode) {
+fn answered(state: &State, accepted: &Accepted, status: StatusCode, timing: Timing) {
     state.meter.one(Counter::Answered);
     let total = state.now().saturating_duration_since(accepted.arrived);
     state.meter.time(Timer::Total, total);
     log::info!(
-        "request id={} outcome=answered status={} total_ms={} target_ms={}",
+        "request id={} outcome=answered status={} first_ms={} longest_gap_ms={} total_ms={} \
+         target_ms={}",
         accepted.inbound.label(),
         status.as_u16(),
+        timing.first.unwrap_or(total).as_millis(),
+        timing.longest_gap.as_millis(),
         total.as_millis(),
         accepted.route.target.as_millis()
     );
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -22,6 +22,8 @@
 mod prefill;
 mod register;
 mod request;
+mod scale_duty;
+mod stage_duty;
 mod state;
 mod stream;
 mod true_time;
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use pomeloridge_platform::{Expect, Object, PlatformError};
 use pomeloridge_policy::dispatch::{OwnLoad, PeerLoad, Placed};
 use pomeloridge_policy::parts::Part;
+use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 use serde_json::json;
 
@@ -29,7 +30,7 @@
 const LIVE: Duration = Duration::from_secs(3);
 /// Silence after which a peer that is not listed is forgotten.
 const FORGET: Duration = Duration::from_secs(20);
-/// Rounds between two that carry counts of usage.
+/// Rounds between two that carry counts of usage and rates of work.
 const USAGE_ROUNDS: u64 = 4;
 /// Bytes of the largest datagram that is read.
 const DATAGRAM_BYTES: usize = 60 * 1024;
@@ -57,6 +58,21 @@
     duty: u64,
     #[prost(message, repeated, tag = "8")]
     placed: Vec<PlacedWire>,
+    #[prost(message, repeated, tag = "9")]
+    work: Vec<WorkWire>,
+}
+
+/// Work asked for at the sender.
+#[derive(Clone, PartialEq, Message)]
+struct WorkWire {
+    #[prost(string, tag = "1")]
+    service: String,
+    /// Prompt tokens a second.
+    #[prost(float, tag = "2")]
+    read: f32,
+    /// Output tokens a second.
+    #[prost(float, tag = "3")]
+    make: f32,
 }
 
 /// A shared part of prompts that a server was given to read.
@@ -121,6 +137,7 @@
     listed: bool,
     /// Fencing token that the peer says to hold the duties by.
     duty: Option<Epoch>,
+    work: Vec<(Name, WorkRates)>,
 }
 
 /// The other nodes.
@@ -168,6 +185,7 @@
                 heard: None,
                 listed: true,
                 duty: None,
+                work: Vec::new(),
             });
             peer.address = address;
             peer.listed = true;
@@ -179,20 +197,32 @@
         self.peers.retain(|_, peer| peer.listed || !silent(peer));
     }
 
-    fn heard(&mut self, name: &Name, address: SocketAddr, duty: Option<Epoch>, now: Instant) {
+    fn heard(&mut self, name: &Name, address: SocketAddr, now: Instant) -> &mut Peer {
         let known = self.peers.contains_key(name);
         let peer = self.peers.entry(name.clone()).or_insert(Peer {
             address,
             heard: None,
             listed: false,
-            duty,
+            duty: None,
+            work: Vec::new(),
         });
         if !known || !is_live(peer, now) {
             log::info!("dependency name=node/{name} state=regained address={address}");
         }
         peer.address = address;
         peer.heard = Some(now);
-        peer.duty = duty;
+        peer
+    }
+
+    /// The rates of a service's work at the live peers.
+    pub(crate) fn work(&self, service: &Name, now: Instant) -> WorkRates {
+        let live = self.peers.values().filter(|peer| is_live(peer, now));
+        let work = live.flat_map(|peer| &peer.work);
+        let work = work.filter(|(name, _)| name == service);
+        work.fold(WorkRates::default(), |sum, (_, rates)| WorkRates {
+            read: sum.read + rates.read,
+            make: sum.make + rates.make,
+        })
     }
 }
 
@@ -277,10 +307,10 @@
             unread,
             running,
         });
-    let usage = if peers.round % USAGE_ROUNDS == 0 {
-        usage_wire(state)
+    let (usage, work) = if peers.round % USAGE_ROUNDS == 0 {
+        (usage_wire(state), work_wire(state, now))
     } else {
-        Vec::new()
+        (Vec::new(), Vec::new())
     };
     BeatWire {
         node: state.name.to_string(),
@@ -291,9 +321,31 @@
         usage,
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
         placed: placed.into_iter().map(PlacedWire::from).collect(),
+        work,
     }
 }
 
+fn work_wire(state: &State, now: Instant) -> Vec<WorkWire> {
+    let work = state.work.borrow();
+    let work = work.iter().map(|(service, meter)| {
+        let rates = meter.rates(now);
+        WorkWire {
+            service: service.to_string(),
+            read: rates.read as f32,
+            make: rates.make as f32,
+        }
+    });
+    work.collect()
+}
+
+fn work(wire: WorkWire) -> (Name, WorkRates) {
+    let rates = WorkRates {
+        read: f64::from(wire.read),
+        make: f64::from(wire.make),
+    };
+    (Name::from(wire.service), rates)
+}
+
 fn usage_wire(state: &State) -> Vec<UsageWire> {
     let book = state.usage.borrow();
     let lines = book.own().flat_map(|(window, counts)| {
@@ -330,7 +382,13 @@
         return;
     }
     let duty = (beat.duty > 0).then_some(Epoch(beat.duty));
-    state.peers.borrow_mut().heard(&name, address, duty, now);
+    let mut peers = state.peers.borrow_mut();
+    let peer = peers.heard(&name, address, now);
+    peer.duty = duty;
+    if !beat.work.is_empty() {
+        peer.work = beat.work.into_iter().map(work).collect();
+    }
+    drop(peers);
     let corrected = state.time.borrow_mut().heard(&name, beat.unix_ms, now);
     if let Some(by) = corrected {
         log::info!("time choice=correct by_ms={by} reason=\"median of the nodes\"");
--- a/crates/pomeloridge_gateway/src/ports.rs
+++ b/crates/pomeloridge_gateway/src/ports.rs
@@ -6,7 +6,7 @@
 use pomeloridge_base::id::{Epoch, Name};
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_platform::{Event, Object, ObjectForm, PlatformError};
-use pomeloridge_policy::dispatch::TargetInfo;
+use pomeloridge_policy::dispatch::{Stage, TargetInfo};
 
 use crate::config::ServingConfig;
 use crate::request::{Dispatch, Handle, Inbound, ReplyHead};
@@ -33,6 +33,12 @@
     pub handle: fn(&[u8]) -> Option<Handle>,
     /// Frees memory that was read and not taken.
     pub release: fn(&str) -> Outgoing,
+    /// Asks an engine for its state.
+    pub report: fn() -> Outgoing,
+    /// Reads an engine's state.
+    pub state: fn(&[u8]) -> Option<EngineState>,
+    /// Orders an engine to another stage.
+    pub order: fn(&StageOrder) -> Outgoing,
 }
 
 /// The object service.
@@ -54,6 +60,32 @@
     pub server_name: fn(&Event) -> Name,
 }
 
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineState {
+    /// Stage.
+    pub stage: Stage,
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// Orders accepted since its start.
+    pub orders: u64,
+}
+
+/// An order to an engine, carried out only if it is in the state that was seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StageOrder {
+    /// Engine.
+    pub server: Name,
+    /// Stage that it is to have.
+    pub stage: Stage,
+    /// Orders that the engine had accepted when it was asked.
+    pub expected: u64,
+    /// Node that orders.
+    pub holder: Name,
+    /// Fencing token.
+    pub epoch: Epoch,
+}
+
 /// A usage report, as it was sealed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UsageReport {
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -16,9 +16,9 @@
 const ANSWER_BYTES: usize = 64 * 1024;
 /// Time that the release of memory may take.
 const RELEASE_TIME: Duration = Duration::from_millis(500);
-/// A prefill is given up after this many times its predicted time, and a fixed time.
+/// A silent engine is given up after this many times the predicted time, and a fixed time.
 const PATIENCE_FACTOR: u32 = 3;
-/// Fixed part of the time after which a prefill is given up.
+/// Fixed part of the time after which a silent engine is given up.
 const PATIENCE_FLOOR: Duration = Duration::from_millis(300);
 
 /// Memory of a prompt that has been read; dropping it frees the memory.
@@ -86,14 +86,13 @@
     reader: TargetKey,
 ) -> Result<ReadPrompt, Failure> {
     let sent = Sent::new(state, reader, plan.unread, accepted);
-    let patience = plan.first * PATIENCE_FACTOR + PATIENCE_FLOOR;
-    let deadline = accepted.deadline.min(state.now() + patience);
+    let deadline = accepted.deadline;
     let sending = Sending {
         server: reader,
         stage: SendStage::Prefill,
         fetch: plan.fetch,
         last_event: None,
-        deadline,
+        patience: Some(plan.first * PATIENCE_FACTOR + PATIENCE_FLOOR),
     };
     let Exchange {
         mut connection,
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -0,0 +1,262 @@
+//! The duty of ordering servers: brings each service's numbers to their targets.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+use pomeloridge_platform::{Authority, PlatformError};
+use pomeloridge_policy::scaling::{CentreView, Count, ScalingView, targets};
+
+use crate::config::{ServerScaling, ServingService};
+use crate::ports::ScaleOrder;
+use crate::state::State;
+
+/// Pause between two looks at the numbers.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Time beyond a server's start after which an order without effect is repeated.
+const REPEAT_MARGIN: Duration = Duration::from_secs(3);
+/// Pause before cheap servers are ordered again that could not be had.
+const SOLD_OUT_PAUSE: Duration = Duration::from_secs(3);
+/// Time after the first entry of a server by which those of all live ones are there.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// What is ordered apart: a service's servers of one kind in one data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Line {
+    service: Name,
+    data_centre: Name,
+    cheap: bool,
+}
+
+/// The last order of a line.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    servers: u32,
+    at: Instant,
+    sold_out: bool,
+}
+
+#[derive(Default)]
+struct Scaler {
+    /// When the first server was seen.
+    first_seen: Option<Instant>,
+    ordered: HashMap<Line, Ordered>,
+}
+
+/// Orders servers while this node holds the duties.
+pub(crate) async fn run(state: Rc<State>, authority: Authority) {
+    let mut scaler = Scaler::default();
+    let mut epoch = None;
+    loop {
+        monoio::time::sleep(PAUSE).await;
+        // Looked at by every node, so that a later holder knows that its list is whole.
+        let settled = scaler.settled(&state);
+        if !authority.holds() {
+            continue;
+        }
+        if epoch.replace(authority.epoch()) != Some(authority.epoch()) {
+            scaler.ordered.clear();
+        }
+        let Some(config) = state.config() else {
+            continue;
+        };
+        for service in config.services.values() {
+            if let Some(scaling) = &service.scaling {
+                if settled {
+                    scaler.bring(&state, &authority, service, scaling).await;
+                } else {
+                    scaler
+                        .order_early(&state, &authority, service, scaling)
+                        .await;
+                }
+            }
+        }
+    }
+}
+
+impl Scaler {
+    /// Whether the list of servers is whole; nothing is ordered by a part of it.
+    fn settled(&mut self, state: &State) -> bool {
+        let now = state.now();
+        if self.first_seen.is_none() && state.register.borrow().servers().next().is_some() {
+            self.first_seen = Some(now);
+        }
+        let settled = |at| now.saturating_duration_since(at) >= SETTLE;
+        self.first_seen.is_some_and(settled)
+    }
+
+    /// Orders cheap servers that fit whatever else turns out to be there.
+    async fn order_early(
+        &mut self,
+        state: &State,
+        authority: &Authority,
+        service: &ServingService,
+        scaling: &ServerScaling,
+    ) {
+        let servers = scaling.max / 2;
+        if !state.bootstrap() || scaling.cheap_price.is_none() || servers == 0 {
+            return;
+        }
+        for (data_centre, _) in &scaling.prices {
+            let line = Line {
+                service: service.name.clone(),
+                data_centre: data_centre.clone(),
+                cheap: true,
+            };
+            if self.ordered.contains_key(&line) {
+                continue;
+            }
+            if let Err(error) = self.order(state, authority, line, servers).await {
+                log::warn!(
+                    "scale service={} outcome=failed reason=\"{error}\"",
+                    service.name
+                );
+                return;
+            }
+        }
+    }
+
+    async fn bring(
+        &mut self,
+        state: &State,
+        authority: &Authority,
+        service: &ServingService,
+        scaling: &ServerScaling,
+    ) {
+        let view = self.view(state, service, scaling);
+        let targets = targets(&view);
+        for (target, centre) in targets.iter().zip(&view.centres) {
+            // Room is made before it is filled: the bounds hold for both kinds together.
+            for cheap in [false, true] {
+                let wanted = if cheap { target.cheap } else { target.steady };
+                let line = Line {
+                    service: service.name.clone(),
+                    data_centre: target.data_centre.clone(),
+                    cheap,
+                };
+                let count = if cheap { centre.cheap } else { centre.steady };
+                if !self.is_due(&line, wanted, count.there, scaling, state.now()) {
+                    continue;
+                }
+                if let Err(error) = self.order(state, authority, line, wanted).await {
+                    log::warn!(
+                        "scale service={} outcome=failed reason=\"{error}\"",
+                        service.name
+                    );
+                    return;
+                }
+            }
+        }
+    }
+
+    fn is_due(
+        &self,
+        line: &Line,
+        wanted: u32,
+        there: u32,
+        scaling: &ServerScaling,
+        now: Instant,
+    ) -> bool {
+        match self.ordered.get(line) {
+            None => wanted != there,
+            Some(last) if last.servers != wanted => true,
+            Some(last) => {
+                let age = now.saturating_duration_since(last.at);
+                let pause = if last.sold_out {
+                    SOLD_OUT_PAUSE
+                } else {
+                    scaling.boot + REPEAT_MARGIN
+                };
+                wanted != there && age > pause
+            }
+        }
+    }
+
+    async fn order(
+        &mut self,
+        state: &State,
+        authority: &Authority,
+        line: Line,
+        servers: u32,
+    ) -> Result<(), PlatformError> {
+        let permit = authority.permit().ok_or(PlatformError::Lapsed)?;
+        let now = state.now();
+        let order = ScaleOrder {
+            service: line.service.clone(),
+            data_centre: line.data_centre.clone(),
+            servers,
+            cheap: line.cheap,
+            holder: state.name.clone(),
+            epoch: permit.epoch(),
+        };
+        let allowed = Box::new(move || permit.allowed());
+        let outcome = (state.ports.duty.scale)(order.clone(), allowed).await;
+        log::info!(
+            "scale service={} data_centre={} cheap={} servers={servers} epoch={} outcome={}",
+            line.service,
+            line.data_centre,
+            line.cheap,
+            order.epoch,
+            outcome
+                .as_ref()
+                .map_or_else(ToString::to_string, |()| "ordered".to_owned())
+        );
+        // None can be had there; the fence is this holder's own.
+        let sold_out = line.cheap && matches!(outcome, Err(PlatformError::Stale));
+        if !sold_out {
+            outcome?;
+        }
+        let ordered = Ordered {
+            servers,
+            at: now,
+            sold_out,
+        };
+        self.ordered.insert(line, ordered);
+        Ok(())
+    }
+
+    fn view(
+        &self,
+        state: &State,
+        service: &ServingService,
+        scaling: &ServerScaling,
+    ) -> ScalingView {
+        let now = state.now();
+        let register = state.register.borrow();
+        let count = |data_centre: &Name, cheap: bool| {
+            let there = register.servers().filter(|server| {
+                server.service == service.name
+                    && !server.leaving
+                    && server.data_centre == *data_centre
+                    && server.cheap == cheap
+            });
+            let there = there.count() as u32;
+            let line = Line {
+                service: service.name.clone(),
+                data_centre: data_centre.clone(),
+                cheap,
+            };
+            let coming = self.ordered.get(&line).filter(|last| {
+                let age = now.saturating_duration_since(last.at);
+                !last.sold_out && age < scaling.boot + REPEAT_MARGIN
+            });
+            Count {
+                there,
+                expected: coming.map_or(there, |last| last.servers.max(there)),
+            }
+        };
+        let centres = scaling.prices.iter().map(|(data_centre, _)| CentreView {
+            data_centre: data_centre.clone(),
+            steady: count(data_centre, false),
+            cheap: count(data_centre, true),
+        });
+        ScalingView {
+            centres: centres.collect(),
+            min: scaling.min,
+            max: scaling.max,
+            has_cheap: scaling.cheap_price.is_some(),
+            load: state.stage_load(&service.name).total(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -0,0 +1,145 @@
+//! The duty of ordering engines to the stage that the work asks for.
+//!
+//! Each order names the state that it was decided by, so that one that arrives
+//! late, or is carried out twice, changes nothing.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::http::{Connection, Outgoing, Response};
+use pomeloridge_base::id::Name;
+use pomeloridge_platform::{Authority, PlatformError, write_options};
+use pomeloridge_policy::dispatch::Stage;
+use pomeloridge_policy::staging::{EngineView, StageChange, changes};
+
+use crate::ports::StageOrder;
+use crate::state::State;
+
+/// Pause between two looks at the engines.
+const PAUSE: Duration = Duration::from_millis(500);
+/// Time that a call to an engine takes at most.
+const CALL_TIME: Duration = Duration::from_millis(800);
+/// Time for which an ordered engine counts as having its new stage, if its entry does
+/// not show that before.
+const CHANGE_TIME: Duration = Duration::from_secs(6);
+/// Time after an order within which no other is given while there is load.
+const LOADED_PAUSE: Duration = Duration::from_secs(5);
+
+/// Orders stages while this node holds the duties.
+pub(crate) async fn run(state: Rc<State>, authority: Authority) {
+    let mut ordered: HashMap<Name, (Stage, Instant)> = HashMap::new();
+    let mut last: Option<Instant> = None;
+    loop {
+        monoio::time::sleep(PAUSE).await;
+        let Some(config) = state.config() else {
+            continue;
+        };
+        if !authority.holds() {
+            continue;
+        }
+        let engines = config.services.values();
+        for service in engines.filter(|service| service.engine.is_some()) {
+            let now = state.now();
+            ordered.retain(|_, (_, at)| now.saturating_duration_since(*at) < CHANGE_TIME);
+            let load = state.stage_load(&service.name);
+            let recent = |at| now.saturating_duration_since(at) < LOADED_PAUSE;
+            if !load.is_idle() && last.is_some_and(recent) {
+                continue;
+            }
+            for change in changes(&engine_views(&state, &service.name, &ordered), load) {
+                match order(&state, &authority, &change).await {
+                    Ok(()) => {
+                        ordered.insert(change.id, (change.stage, state.now()));
+                        last = Some(state.now());
+                    }
+                    Err(error) => log::warn!(
+                        "stage server={} outcome=failed reason=\"{error}\"",
+                        change.id
+                    ),
+                }
+            }
+        }
+    }
+}
+
+fn engine_views(
+    state: &State,
+    service: &Name,
+    ordered: &HashMap<Name, (Stage, Instant)>,
+) -> Vec<EngineView> {
+    let now = state.now();
+    let dispatcher = state.dispatcher.borrow();
+    let engines = dispatcher
+        .targets()
+        .map(|(_, target)| target)
+        .filter(|target| target.info.service == *service && !target.info.leaving);
+    let views = engines.map(|target| {
+        let ordered = ordered.get(&target.info.id).map(|(stage, _)| *stage);
+        EngineView {
+            id: target.info.id.clone(),
+            data_centre: target.info.data_centre.clone(),
+            stage: ordered.unwrap_or(target.info.stage),
+            running: target.running(now),
+            changing: ordered.is_some_and(|stage| stage != target.info.stage),
+        }
+    });
+    views.collect()
+}
+
+async fn order(
+    state: &State,
+    authority: &Authority,
+    change: &StageChange,
+) -> Result<(), PlatformError> {
+    let address = {
+        let dispatcher = state.dispatcher.borrow();
+        let mut targets = dispatcher.targets().map(|(_, target)| target);
+        let target = targets.find(|target| target.info.id == change.id);
+        target.ok_or(PlatformError::NotFound)?.info.address
+    };
+    let port = &state.ports.server;
+    let report = call(address, &(port.report)(), || true).await?;
+    let seen = (port.state)(&report.body);
+    let seen = seen.ok_or_else(|| PlatformError::Malformed("an engine's report".to_owned()))?;
+    if seen.busy || seen.stage == change.stage {
+        return Ok(());
+    }
+    let permit = authority.permit().ok_or(PlatformError::Lapsed)?;
+    let order = StageOrder {
+        server: change.id.clone(),
+        stage: change.stage,
+        expected: seen.orders,
+        holder: state.name.clone(),
+        epoch: permit.epoch(),
+    };
+    let answer = call(address, &(port.order)(&order), || permit.allowed()).await?;
+    log::info!(
+        "stage server={} from={} to={} expected={} epoch={} status={}",
+        change.id,
+        seen.stage,
+        change.stage,
+        seen.orders,
+        order.epoch,
+        answer.status.as_u16()
+    );
+    Ok(())
+}
+
+/// Calls an engine on a fresh connection, and only if `allowed` holds before the write.
+async fn call(
+    address: std::net::SocketAddr,
+    message: &Outgoing,
+    allowed: impl FnOnce() -> bool,
+) -> Result<Response, PlatformError> {
+    let deadline = Instant::now() + CALL_TIME;
+    let opened = Connection::open(address, write_options(CALL_TIME)).await;
+    let mut connection = opened.map_err(PlatformError::Unreachable)?;
+    let sent = connection.send_if(message, deadline, allowed).await;
+    if !connection.written() {
+        return Err(PlatformError::Lapsed);
+    }
+    sent.map_err(PlatformError::Unconfirmed)?;
+    let answer = connection.answer(deadline).await;
+    answer.map_err(PlatformError::Unconfirmed)
+}
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -12,7 +12,9 @@
 use pomeloridge_platform::{Client, Object};
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
+use pomeloridge_policy::staging::StageLoad;
 use pomeloridge_policy::suspicion::Suspicions;
+use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::attempt::Running;
 use crate::config::ServingConfig;
@@ -68,6 +70,8 @@
     pub(crate) usage: RefCell<UsageBook>,
     pub(crate) time: RefCell<TrueTime>,
     pub(crate) peers: RefCell<Peers>,
+    /// Work asked for at this node, by service.
+    pub(crate) work: RefCell<HashMap<Name, WorkMeter>>,
     /// Fencing token of the duties while this node holds them.
     pub(crate) duty: Cell<Option<Epoch>>,
 }
@@ -109,6 +113,7 @@
             usage: RefCell::new(UsageBook::new(source)),
             time: RefCell::new(TrueTime::new(now, clock.unix_ms())),
             peers: RefCell::default(),
+            work: RefCell::default(),
             duty: Cell::new(None),
             settings,
             clock,
@@ -132,6 +137,11 @@
             .map(|in_force| Rc::clone(&in_force.config))
     }
 
+    /// Whether the whole system starts for the first time.
+    pub(crate) fn bootstrap(&self) -> bool {
+        self.settings.text("node", "bootstrap") == "true"
+    }
+
     /// Whether the node may be given callers.
     pub(crate) fn ready(&self) -> bool {
         self.config.borrow().is_some() && self.listed.get() && !self.life.is_stopping()
@@ -143,6 +153,11 @@
         self.budget(service, |budget, now| budget.spend(nodes, now))
     }
 
+    /// Charges a repeat that was made already.
+    pub(crate) fn charge_repeat(&self, service: &Name) {
+        self.budget(service, RepeatBudget::charge);
+    }
+
     /// Counts a caller's request for a service.
     pub(crate) fn count_request(&self, service: &Name) {
         self.budget(service, RepeatBudget::request);
@@ -161,6 +176,40 @@
         act(budget, self.now())
     }
 
+    /// Counts work of an engine: prompt tokens read and output tokens made.
+    pub(crate) fn count_work(&self, service: &Name, read: u64, make: u64) {
+        let now = self.now();
+        let mut work = self.work.borrow_mut();
+        let meter = work
+            .entry(service.clone())
+            .or_insert_with(|| WorkMeter::new(now));
+        meter.add(read, make, now);
+    }
+
+    /// The rates of a service's work at all nodes.
+    pub(crate) fn work_rates(&self, service: &Name) -> WorkRates {
+        let now = self.now();
+        let own = self.work.borrow();
+        let own = own.get(service).map(|meter| meter.rates(now));
+        let peers = self.peers.borrow().work(service, now);
+        let own = own.unwrap_or_default();
+        WorkRates {
+            read: own.read + peers.read,
+            make: own.make + peers.make,
+        }
+    }
+
+    /// A service's work at all nodes, in engines that would be fully used by it.
+    pub(crate) fn stage_load(&self, service: &Name) -> StageLoad {
+        let rates = self.work_rates(service);
+        let dispatcher = self.dispatcher.borrow();
+        let model = dispatcher.model();
+        StageLoad {
+            read: rates.read / model.read_rate,
+            make: rates.make / model.make_rate,
+        }
+    }
+
     /// Counts a request that began to run.
     pub(crate) fn count_usage(&self, account: Option<&Name>) {
         let Some(account) = account else { return };
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -5,7 +5,7 @@
 //! the same response; else the response ends as cut.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::{HeaderMap, StatusCode};
 use pomeloridge_base::http::{Fault, Responder, Response};
@@ -17,7 +17,7 @@
 use crate::attempt::{Attempts, Sent};
 use crate::call::gather;
 use crate::events::EventSplitter;
-use crate::exchange::{Exchange, Failure, Sending, exchange};
+use crate::exchange::{Exchange, Failure, Sending, exchange, until_silent};
 use crate::prefill::{ReadPrompt, read_prompt};
 use crate::request::SendStage;
 use crate::state::State;
@@ -36,6 +36,15 @@
     Gone,
 }
 
+/// When the pieces of a stream came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Timing {
+    /// Time from the request's arrival to the first piece.
+    pub(crate) first: Option<Duration>,
+    /// Longest time between two pieces.
+    pub(crate) longest_gap: Duration,
+}
+
 enum Stop {
     Server(Failure),
     Caller,
@@ -51,10 +60,18 @@
     counted: bool,
     last_event: Option<u64>,
     last_piece: Option<Instant>,
+    timing: Timing,
+    /// Tokens in an event.
+    stride: u64,
 }
 
 impl<'a> Stream<'a> {
     pub(crate) fn new(state: &'a Rc<State>, accepted: &'a Accepted) -> Self {
+        let config = state.config();
+        let service = config
+            .as_ref()
+            .and_then(|c| c.services.get(&accepted.service));
+        let engine = service.and_then(|service| service.engine);
         Self {
             state,
             accepted,
@@ -63,6 +80,8 @@
             counted: false,
             last_event: accepted.inbound.last_event,
             last_piece: None,
+            timing: Timing::default(),
+            stride: engine.map_or(1, |engine| engine.stride),
         }
     }
 
@@ -108,6 +127,7 @@
         };
         // Memory that is moved need not be read here.
         let unread = if prompt.is_some() { 0 } else { plan.unread };
+        self.state.count_work(&accepted.service, plan.unread, 0);
         let sent = Sent::new(self.state, plan.run, unread, accepted);
         let sending = Sending {
             server: plan.run,
@@ -116,7 +136,7 @@
                 .map_or(SendStage::Run, |prompt| SendStage::RunFrom(prompt.source())),
             fetch: plan.fetch.filter(|_| prompt.is_none()),
             last_event: self.last_event,
-            deadline: accepted.deadline,
+            patience: accepted.silence(),
         };
         let started = exchange(self.state, accepted, sending);
         let exchanged = monoio::select! {
@@ -176,8 +196,10 @@
         } = exchanged;
         let mut events = EventSplitter::default();
         loop {
+            let silence = self.accepted.silence();
             let piece = monoio::select! {
                 piece = connection.next(self.accepted.deadline) => piece,
+                () = until_silent(self.state, sent.server(), silence) => Err(Fault::Timeout),
                 () = responder.gone() => return Err(Stop::Caller),
             };
             let piece = piece.map_err(|fault| Stop::Server(Failure::after_write(&fault)))?;
@@ -205,7 +227,9 @@
         responder: &mut Responder,
     ) -> Result<(), Stop> {
         let mut pieces = Vec::new();
+        let mut made = 0;
         while let Some(event) = events.next_event() {
+            made += self.stride;
             let had = event.id.zip(self.last_event);
             if had.is_some_and(|(id, last)| id <= last) {
                 continue;
@@ -216,17 +240,31 @@
         if pieces.is_empty() {
             return Ok(());
         }
+        self.state.count_work(&self.accepted.service, 0, made);
         self.start(responder).await?;
-        let now = self.state.now();
-        let (timer, since) = match self.last_piece.replace(now) {
-            Some(last) => (Timer::Gap, last),
-            None => (Timer::FirstToken, self.accepted.arrived),
-        };
-        self.state.meter.time(timer, now - since);
+        self.note_piece();
         let passed: Result<(), Fault> = responder.chunk(&pieces).await;
         passed.map_err(|_| Stop::Caller)
     }
 
+    /// When the pieces came.
+    pub(crate) fn timing(&self) -> Timing {
+        self.timing
+    }
+
+    fn note_piece(&mut self) {
+        let now = self.state.now();
+        if let Some(last) = self.last_piece.replace(now) {
+            let gap = now.saturating_duration_since(last);
+            self.timing.longest_gap = self.timing.longest_gap.max(gap);
+            self.state.meter.time(Timer::Gap, gap);
+        } else {
+            let first = now.saturating_duration_since(self.accepted.arrived);
+            self.timing.first = Some(first);
+            self.state.meter.time(Timer::FirstToken, first);
+        }
+    }
+
     /// Passes on the head before the first event, or before an empty stream's end.
     async fn start(&mut self, responder: &mut Responder) -> Result<(), Stop> {
         if let Some((status, headers)) = self.head.take() {
--- a/crates/pomeloridge_platform/src/lease.rs
+++ b/crates/pomeloridge_platform/src/lease.rs
@@ -40,6 +40,18 @@
     pub term: Duration,
     /// Time that is waited on top of another holder's term.
     pub margin: Duration,
+    /// What it means that there is no lease object.
+    pub absent: Absent,
+}
+
+/// What it means that there is no lease object.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Absent {
+    /// It may have been deleted under its holder, so that a term is waited for.
+    #[default]
+    Deleted,
+    /// The object service loses nothing and nobody deletes leases: there was none.
+    NeverHeld,
 }
 
 impl Claim {
@@ -92,11 +104,14 @@
 
 /// Decides whether a lease may be taken over that has been seen unchanged for `seen_for`.
 ///
-/// A lease that was given up is free at once. One without an object may have
-/// been deleted under its holder, so that this node's own term is waited for.
+/// A lease that was given up is free at once. For one without an object, this node's
+/// own term is waited for if it may have been deleted under its holder.
 pub fn may_take(lease: Option<&Lease>, claim: &Claim, seen_for: Duration) -> bool {
     let term = lease.map_or(claim.term, |lease| lease.term);
-    let given_up = lease.is_some_and(|lease| lease.holder.is_empty());
+    let given_up = match lease {
+        Some(lease) => lease.holder.is_empty(),
+        None => claim.absent == Absent::NeverHeld,
+    };
     given_up || seen_for >= term.saturating_add(claim.margin)
 }
 
--- a/crates/pomeloridge_platform/tests/decisions.rs
+++ b/crates/pomeloridge_platform/tests/decisions.rs
@@ -22,6 +22,7 @@
         incarnation: Incarnation(2),
         term: secs(6),
         margin: secs(2),
+        absent: pomeloridge_platform::lease::Absent::Deleted,
     }
 }
 
--- a/crates/pomeloridge_platform/tests/support/mod.rs
+++ b/crates/pomeloridge_platform/tests/support/mod.rs
@@ -255,6 +255,7 @@
         incarnation: Incarnation(1),
         term: TERM,
         margin: MARGIN,
+        absent: pomeloridge_platform::lease::Absent::Deleted,
     }
 }
 
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -32,6 +32,8 @@
 
 /// Pause before the first probe of a server that could not be reached.
 const FIRST_PROBE: Duration = Duration::from_millis(500);
+/// Pause before a server is tried again that refused a request unread.
+const REFUSED_PAUSE: Duration = Duration::from_millis(250);
 /// Added to the prediction for a server in another data centre.
 const DISTANCE: Duration = Duration::from_millis(2);
 /// Time by which a separate prefill must be ahead to be worth the memory moved.
@@ -154,21 +156,24 @@
     /// Chooses where a request goes; `None` if no server may take it.
     pub fn choose(&mut self, wanted: &Wanted<'_>, now: Instant) -> Option<Plan> {
         self.turn = self.turn.wrapping_add(1);
-        let mut usable = self.usable(wanted, now, false);
-        if usable.is_empty() {
-            // With none left, one that could not be reached lately is tried.
-            usable = self.usable(wanted, now, true);
-        }
-        let plan = match wanted.prompt {
-            Some(prompt) => self.plan_prompt(prompt, &usable, wanted.apart, now),
-            None => self.least_loaded(&usable, now),
-        }?;
+        // With none left, one that could not be reached lately is tried.
+        let plan = self
+            .plan(wanted, now, false)
+            .or_else(|| self.plan(wanted, now, true))?;
         if let Some(target) = self.targets.get_mut(plan.run) {
             target.ejection.probe(now);
         }
         Some(plan)
     }
 
+    fn plan(&self, wanted: &Wanted<'_>, now: Instant, last_resort: bool) -> Option<Plan> {
+        let usable = self.usable(wanted, now, last_resort);
+        match wanted.prompt {
+            Some(prompt) => self.plan_prompt(prompt, &usable, wanted.apart, now),
+            None => self.least_loaded(&usable, now),
+        }
+    }
+
     /// Counts a request on a server.
     pub fn send(
         &mut self,
@@ -272,8 +277,30 @@
         target.is_some_and(|target| target.ejection.eject(FIRST_PROBE, now))
     }
 
+    /// Passes a server over for a short time that refused a request unread.
+    pub fn refused(&mut self, key: TargetKey, now: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.heard = Some(now);
+            target.ejection.eject(REFUSED_PAUSE, now);
+        }
+    }
+
+    /// Notes that a server sent something.
+    pub fn heard(&mut self, key: TargetKey, now: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.heard = Some(now);
+        }
+    }
+
+    /// Whether a server has sent nothing to this node since `since`.
+    pub fn is_silent_since(&self, key: TargetKey, since: Instant) -> bool {
+        let heard = self.targets.get(key).and_then(|target| target.heard);
+        heard.is_none_or(|at| at < since)
+    }
+
     /// Takes a server back that answered; says whether it was out.
-    pub fn answered(&mut self, key: TargetKey) -> bool {
+    pub fn answered(&mut self, key: TargetKey, now: Instant) -> bool {
+        self.heard(key, now);
         let target = self.targets.get_mut(key);
         target.is_some_and(|target| target.ejection.clear())
     }
@@ -317,7 +344,9 @@
         let split = reader.zip(maker).map(|(read, run)| Plan {
             run,
             prefill: Some(read.run),
-            first: read.first + self.model.transfer(prompt.tokens),
+            first: read.first
+                + self.model.transfer(prompt.tokens)
+                + self.model.queueing(&self.targets[run], now),
             ..read
         });
         match (whole, split) {
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -26,6 +26,10 @@
 pub struct EngineModel {
     /// Prompt tokens that a prefill engine reads in a second.
     pub read_rate: f64,
+    /// Output tokens that a decode engine makes in a second at a batch that keeps pauses short.
+    pub make_rate: f64,
+    /// Time after which a full batch has another free place.
+    pub place_time: Duration,
     /// Time of one step of an empty batch.
     pub step: Duration,
     /// Time that each request in the batch adds to a step.
@@ -53,6 +57,8 @@
     fn default() -> Self {
         Self {
             read_rate: 100_000.0,
+            make_rate: 7_000.0,
+            place_time: Duration::from_millis(30),
             step: Duration::from_micros(3200),
             step_slot: Duration::from_micros(50),
             first_token: Duration::from_millis(47),
@@ -66,7 +72,18 @@
 impl EngineModel {
     /// Time to the first piece behind `unread` prompt tokens, the request's own among them.
     pub fn first_piece(&self, target: &Target, unread: u64, now: Instant) -> Duration {
-        self.reading(target.info.stage, target.running(now), unread) + self.first_token
+        self.reading(target.info.stage, target.running(now), unread)
+            + self.queueing(target, now)
+            + self.first_token
+    }
+
+    /// Time to wait for a place in an engine's batch.
+    pub fn queueing(&self, target: &Target, now: Instant) -> Duration {
+        if target.info.stage == Stage::Prefill {
+            return Duration::ZERO;
+        }
+        let ahead = (target.running(now) + 1).saturating_sub(target.info.slots);
+        self.place_time * ahead
     }
 
     /// Time to read prompt tokens on an engine with a batch of `running` requests.
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -73,6 +73,8 @@
     pub(super) peers: PeerWords,
     pub(super) report: Option<ReportedLoad>,
     pub(super) ejection: Ejection,
+    /// When it last sent something to this node.
+    pub(super) heard: Option<Instant>,
     pub(super) parts: PartCache,
     pub(super) hash: u64,
 }
@@ -87,6 +89,7 @@
             peers: PeerWords::default(),
             report: None,
             ejection: Ejection::default(),
+            heard: None,
             parts: PartCache::new(info.capacity),
             hash: hasher.finish(),
             info,
--- /dev/null
+++ b/crates/pomeloridge_policy/src/scaling.rs
@@ -0,0 +1,110 @@
+//! How many servers of a service are ordered in each data centre, and of which kind.
+//!
+//! Pattern answered: a fleet whose cheap servers cost a small part of the others
+//! but may be reclaimed, all of a data centre at once. Cheap servers are spread so
+//! that the loss of any one data centre leaves enough; the others are released
+//! once cheap ones stand in for them, and ordered where cheap ones can't be had.
+
+use pomeloridge_base::id::Name;
+
+/// Part of the servers' time that the load may take.
+const TARGET_USE: f64 = 0.5;
+/// Part of the most servers of a data centre that is ordered as cheap ones without
+/// load; they cost so little that room for bursts is worth more.
+const BASE_PART: f64 = 0.75;
+/// Part of their time after the loss of the data centre with most cheap servers.
+const LOSS_USE: f64 = 0.8;
+
+/// Servers of one kind in a data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Those that take requests.
+    pub there: u32,
+    /// Those that take requests or were ordered lately and are still to come.
+    pub expected: u32,
+}
+
+/// The servers of a data centre.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CentreView {
+    /// Data centre.
+    pub data_centre: Name,
+    /// Servers that are not reclaimed.
+    pub steady: Count,
+    /// Cheap servers.
+    pub cheap: Count,
+}
+
+/// What the decision is made from.
+#[derive(Clone, Debug)]
+pub struct ScalingView {
+    /// Data centres in which the service runs.
+    pub centres: Vec<CentreView>,
+    /// Fewest servers in a data centre.
+    pub min: u32,
+    /// Most servers in a data centre.
+    pub max: u32,
+    /// Whether there are cheap servers.
+    pub has_cheap: bool,
+    /// Load, in servers that would be fully used by it.
+    pub load: f64,
+}
+
+/// What is ordered in a data centre.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CentreTarget {
+    /// Data centre.
+    pub data_centre: Name,
+    /// Servers that are not reclaimed.
+    pub steady: u32,
+    /// Cheap servers.
+    pub cheap: u32,
+}
+
+/// Decides the numbers for every data centre of a service.
+pub fn targets(view: &ScalingView) -> Vec<CentreTarget> {
+    let each = if view.has_cheap { share(view) } else { 0 };
+    let there = view.centres.iter().map(|c| c.steady.there + c.cheap.there);
+    let expected = view
+        .centres
+        .iter()
+        .map(|c| c.steady.expected + c.cheap.expected);
+    let needed = needed(view.load, TARGET_USE).max(view.centres.len() as u32);
+    let mut surplus = there.sum::<u32>().saturating_sub(needed);
+    let mut missing = self::needed(view.load, LOSS_USE).saturating_sub(expected.sum());
+    let mut target = |centre: &CentreView| {
+        let least = view.min.saturating_sub(centre.cheap.there);
+        // Cheap ones stand in for the others as far as the load allows it now.
+        let spare = if view.has_cheap {
+            centre.steady.there.saturating_sub(least).min(surplus)
+        } else {
+            0
+        };
+        surplus -= spare;
+        let kept = centre.steady.expected.saturating_sub(spare).max(least);
+        let room = view.max.saturating_sub(kept + centre.cheap.expected);
+        let more = if spare == 0 { missing.min(room) } else { 0 };
+        missing -= more;
+        let steady = kept + more;
+        CentreTarget {
+            data_centre: centre.data_centre.clone(),
+            steady,
+            cheap: each.min(view.max.saturating_sub(steady)),
+        }
+    };
+    view.centres.iter().map(&mut target).collect()
+}
+
+/// Cheap servers wanted in each data centre.
+fn share(view: &ScalingView) -> u32 {
+    let centres = view.centres.len().max(1) as u32;
+    let base = (f64::from(view.max) * BASE_PART).ceil() as u32;
+    let even = needed(view.load, TARGET_USE).div_ceil(centres);
+    let after_loss = needed(view.load, LOSS_USE).div_ceil(centres.saturating_sub(1).max(1));
+    base.max(even).max(after_loss).clamp(view.min, view.max)
+}
+
+/// Servers that carry the load at a part of their time.
+fn needed(load: f64, part: f64) -> u32 {
+    (load / part).ceil() as u32
+}
