--- a/crates/pomeloridge_experiment/tests/experiment/run.rs
+++ b/crates/pomeloridge_experiment/tests/experiment/run.rs
@@ -73,7 +73,7 @@
             tell.send(listener.local_addr().unwrap()).unwrap();
             let seen = Rc::new(RefCell::new(HashSet::new()));
             let server = Server {
-                limits: Limits::default(),
+                limits: Limits::default().into(),
                 handler: async move |request: Result<Request, Fault>, responder: &mut Responder| {
                     let _ = answer(&request.unwrap(), responder, &seen).await;
                 },
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -69,7 +69,10 @@
 }
 
 /// Lets a request in, or gives the reason why not.
-pub(crate) fn accept(state: &State, inbound: Inbound) -> Result<Accepted, (ErrorKind, Inbound)> {
+pub(crate) fn accept(
+    state: &State,
+    inbound: Inbound,
+) -> Result<Accepted, Box<(ErrorKind, Inbound)>> {
     let arrived = state.now();
     match check(state, &inbound) {
         Ok((route, account, service)) => {
@@ -88,7 +91,7 @@
                 arrived,
             })
         }
-        Err(kind) => Err((kind, inbound)),
+        Err(kind) => Err(Box::new((kind, inbound))),
     }
 }
 
--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -24,7 +24,7 @@
 /// Pause between two looks for windows that are due.
 const USAGE_PAUSE: Duration = Duration::from_millis(500);
 /// Time after a window's end at which all nodes have told their counts.
-const SETTLE: Duration = Duration::from_millis(2000);
+const SETTLE: Duration = Duration::from_secs(2);
 /// Windows that are reported again after a change of holder.
 const WINDOWS_BACK: u64 = 3;
 
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -136,13 +136,7 @@
         () = until_silent(state, server, patience) => Err(Failure::Silent),
     };
     let head = head.map_err(|failure| stale_if(was_kept, failure))?;
-    let now = state.now();
-    let mut dispatcher = state.dispatcher.borrow_mut();
-    dispatcher.heard(server, now);
-    if let Some(load) = head.reported(now) {
-        dispatcher.reported(server, load);
-    }
-    drop(dispatcher);
+    note_answer(state, server, &head);
     if head.misdirected {
         return Err(Failure::Misdirected);
     }
@@ -156,6 +150,15 @@
     Ok(Exchange { connection, head })
 }
 
+fn note_answer(state: &State, server: TargetKey, head: &ReplyHead) {
+    let now = state.now();
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.heard(server, now);
+    if let Some(load) = head.reported(now) {
+        dispatcher.reported(server, load);
+    }
+}
+
 async fn open(address: std::net::SocketAddr, deadline: Instant) -> Result<Connection, Failure> {
     let options = ConnectOptions {
         timeout: CONNECT.min(deadline.saturating_duration_since(Instant::now())),
--- a/crates/pomeloridge_gateway/src/front.rs
+++ b/crates/pomeloridge_gateway/src/front.rs
@@ -32,7 +32,8 @@
     };
     let accepted = match accept(state, inbound) {
         Ok(accepted) => accepted,
-        Err((kind, inbound)) => {
+        Err(refused) => {
+            let (kind, inbound) = *refused;
             return refuse(state, &kind.into(), Some(&inbound), responder).await;
         }
     };
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -39,4 +39,4 @@
 pub use request::{Dispatch, Handle, Inbound, MemorySource, ReplyHead, SendStage};
 pub use state::Parts;
 pub use true_time::TrueTime;
-pub use usage::UsageBook;
+pub use usage::{Source, UsageBook};
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -307,7 +307,7 @@
             unread,
             running,
         });
-    let (usage, work) = if peers.round % USAGE_ROUNDS == 0 {
+    let (usage, work) = if peers.round.is_multiple_of(USAGE_ROUNDS) {
         (usage_wire(state), work_wire(state, now))
     } else {
         (Vec::new(), Vec::new())
--- a/crates/pomeloridge_gateway/src/register.rs
+++ b/crates/pomeloridge_gateway/src/register.rs
@@ -36,13 +36,11 @@
 
     /// Takes a server's entry; says whether anything changed.
     pub fn put(&mut self, name: Name, info: TargetInfo) -> bool {
+        let before = self.entries.get(&name);
+        let changed = before.is_none_or(|before| before.info != info);
         let missing = false;
-        let entry = Entry {
-            info: info.clone(),
-            missing,
-        };
-        let before = self.entries.insert(name, entry);
-        before.is_none_or(|before| before.info != info)
+        self.entries.insert(name, Entry { info, missing });
+        changed
     }
 
     /// Takes the removal of an entry; says whether the server is gone by it.
--- a/crates/pomeloridge_gateway/src/true_time.rs
+++ b/crates/pomeloridge_gateway/src/true_time.rs
@@ -28,7 +28,7 @@
     pub fn new(now: Instant, wall_ms: u64) -> Self {
         Self {
             start: now,
-            offset: wall_ms as i64,
+            offset: wall_ms.cast_signed(),
             peers: HashMap::new(),
         }
     }
@@ -36,14 +36,14 @@
     /// Milliseconds since the Unix epoch.
     pub fn unix_ms(&self, now: Instant) -> u64 {
         let passed = now.saturating_duration_since(self.start).as_millis() as i64;
-        (self.offset + passed).max(0) as u64
+        (self.offset + passed).max(0).cast_unsigned()
     }
 
     /// Takes what a peer believes; gives the correction in milliseconds, if there is one.
     pub fn heard(&mut self, peer: &Name, unix_ms: u64, now: Instant) -> Option<i64> {
         let passed = now.saturating_duration_since(self.start).as_millis() as i64;
         self.peers
-            .insert(peer.clone(), (unix_ms as i64 - passed, now));
+            .insert(peer.clone(), (unix_ms.cast_signed() - passed, now));
         self.peers
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < BELIEF_TTL);
         let mut beliefs: Vec<i64> = self.peers.values().map(|(offset, _)| *offset).collect();
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -253,26 +253,22 @@
     });
     let listed = object.as_ref().and_then(|object| entry(state, object));
     let mut register = state.register.borrow_mut();
-    match listed {
-        Some((name, info)) => {
-            let leaving = info.leaving;
-            let changed = register.put(name.clone(), info);
-            if changed {
-                log::info!(
-                    "server id={name} choice=update leaving={leaving} revision={}",
-                    event.version
-                );
-            }
-            changed
-        }
-        None => {
-            let gone = register.remove(&name, state.now());
-            if gone {
-                log::info!("server id={name} choice=remove revision={}", event.version);
-            }
-            gone
+    let Some((name, info)) = listed else {
+        let gone = register.remove(&name, state.now());
+        if gone {
+            log::info!("server id={name} choice=remove revision={}", event.version);
         }
+        return gone;
+    };
+    let (leaving, role) = (info.leaving, info.stage);
+    let changed = register.put(name.clone(), info);
+    if changed {
+        log::info!(
+            "server id={name} choice=update leaving={leaving} stage={role} revision={}",
+            event.version
+        );
     }
+    changed
 }
 
 fn expire(state: &State) {
--- /dev/null
+++ b/crates/pomeloridge_gateway/tests/register.rs
@@ -0,0 +1,98 @@
+//! The register of servers around outages of the object service.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+use pomeloridge_gateway::Register;
+use pomeloridge_policy::dispatch::{Stage, TargetInfo};
+
+fn server(id: &str) -> (Name, TargetInfo) {
+    let info = TargetInfo {
+        id: Name::from(id),
+        born: 1,
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: Name::from("a"),
+        service: Name::from("s"),
+        slots: 8,
+        capacity: 0,
+        stage: Stage::Whole,
+        leaving: false,
+        leaves_in: None,
+        cheap: false,
+    };
+    (Name::from(id), info)
+}
+
+fn ids(register: &Register) -> Vec<String> {
+    let mut ids: Vec<String> = register.servers().map(|info| info.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+fn two() -> Register {
+    let mut register = Register::default();
+    assert!(register.replace(vec![server("i-1"), server("i-2")], Instant::now()));
+    register
+}
+
+#[test]
+fn a_removed_entry_is_gone_at_once() {
+    let mut register = two();
+    assert!(register.remove(&Name::from("i-1"), Instant::now()));
+    assert_eq!(ids(&register), ["i-2"]);
+}
+
+#[test]
+fn a_list_without_an_entry_removes_it() {
+    let mut register = two();
+    assert!(register.replace(vec![server("i-2")], Instant::now()));
+    assert_eq!(ids(&register), ["i-2"]);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_kept_for_a_while() {
+    let mut register = two();
+    let back = Instant::now();
+    register.returned(back);
+    assert!(!register.replace(vec![server("i-2")], back));
+    assert_eq!(ids(&register), ["i-1", "i-2"]);
+    assert!(register.expire(back + Duration::from_secs(2)).is_empty());
+    assert_eq!(ids(&register), ["i-1", "i-2"]);
+}
+
+#[test]
+fn an_entry_that_is_back_in_time_stays() {
+    let mut register = two();
+    let back = Instant::now();
+    register.returned(back);
+    register.remove(&Name::from("i-1"), back);
+    let (name, info) = server("i-1");
+    register.put(name, info);
+    assert!(register.expire(back + Duration::from_secs(3)).is_empty());
+    assert_eq!(ids(&register), ["i-1", "i-2"]);
+}
+
+#[test]
+fn an_entry_that_is_still_missing_after_that_is_gone() {
+    let mut register = two();
+    let back = Instant::now();
+    register.returned(back);
+    register.remove(&Name::from("i-1"), back);
+    let gone = register.expire(back + Duration::from_secs(3));
+    assert_eq!(gone, [Name::from("i-1")]);
+    assert_eq!(ids(&register), ["i-2"]);
+    // After that, removals take effect at once again.
+    assert!(register.remove(&Name::from("i-2"), back + Duration::from_secs(4)));
+}
+
+#[test]
+fn an_unchanged_entry_changes_nothing() {
+    let mut register = two();
+    let (name, info) = server("i-1");
+    assert!(!register.put(name.clone(), info.clone()));
+    let leaving = TargetInfo {
+        leaving: true,
+        ..info
+    };
+    assert!(register.put(name, leaving));
+}
--- a/crates/pomeloridge_operator/tests/operator/support.rs
+++ b/crates/pomeloridge_operator/tests/operator/support.rs
@@ -166,7 +166,7 @@
         };
         let state = state(&node);
         let server = Rc::new(Server {
-            limits: Limits::default(),
+            limits: Limits::default().into(),
             handler: async move |request, responder: &mut Responder| {
                 handle(&state, request, responder).await;
             },
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -0,0 +1,304 @@
+//! Where requests go, by the predicted first piece.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+use pomeloridge_policy::dispatch::{
+    Dispatcher, EngineModel, OwnLoad, PeerLoad, Plan, PromptShape, Stage, TargetInfo, TargetKey,
+    Wanted,
+};
+use pomeloridge_policy::parts::Part;
+
+const CAPACITY: u64 = 500_000;
+
+fn engine(id: &str, stage: Stage) -> TargetInfo {
+    TargetInfo {
+        id: Name::from(id),
+        born: 1,
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: Name::from("a"),
+        service: Name::from("model"),
+        slots: 128,
+        capacity: CAPACITY,
+        stage,
+        leaving: false,
+        leaves_in: None,
+        cheap: false,
+    }
+}
+
+fn fleet(engines: &[(&str, Stage)]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default());
+    let list = engines.iter().map(|(id, stage)| engine(id, *stage));
+    dispatcher.sync(list.collect());
+    dispatcher
+}
+
+fn key(dispatcher: &Dispatcher, id: &str) -> TargetKey {
+    let mut targets = dispatcher.targets();
+    targets
+        .find(|(_, target)| target.info.id.as_str() == id)
+        .unwrap()
+        .0
+}
+
+fn name(dispatcher: &Dispatcher, key: TargetKey) -> String {
+    dispatcher.target(key).unwrap().info.id.to_string()
+}
+
+fn prompt(tokens: u64, shared: Option<(u64, u64)>, own: u64) -> PromptShape {
+    let shared = shared.map(|(id, tokens)| Part { id, tokens });
+    let last = Part {
+        id: own,
+        tokens: tokens - shared.map_or(0, |part| part.tokens),
+    };
+    PromptShape {
+        tokens,
+        parts: shared.into_iter().chain([last]).collect(),
+    }
+}
+
+fn choose(dispatcher: &mut Dispatcher, prompt: &PromptShape, tried: &[TargetKey]) -> Option<Plan> {
+    let service = Name::from("model");
+    let wanted = Wanted {
+        service: &service,
+        prompt: Some(prompt),
+        tried,
+        apart: true,
+    };
+    dispatcher.choose(&wanted, Instant::now())
+}
+
+#[test]
+fn a_long_prompt_is_read_on_a_prefill_engine() {
+    let mut fleet = fleet(&[("p", Stage::Prefill), ("d", Stage::Decode)]);
+    let plan = choose(&mut fleet, &prompt(12_000, None, 1), &[]).unwrap();
+    assert_eq!(name(&fleet, plan.run), "d");
+    assert_eq!(
+        plan.prefill.map(|key| name(&fleet, key)),
+        Some("p".to_owned())
+    );
+    assert_eq!(plan.unread, 12_000);
+}
+
+#[test]
+fn a_short_prompt_stays_whole() {
+    let mut fleet = fleet(&[("p", Stage::Prefill), ("d", Stage::Decode)]);
+    let plan = choose(&mut fleet, &prompt(300, None, 1), &[]).unwrap();
+    assert_eq!(plan.prefill, None);
+}
+
+#[test]
+fn unread_prompts_ahead_move_work_elsewhere() {
+    let mut fleet = fleet(&[
+        ("p1", Stage::Prefill),
+        ("p2", Stage::Prefill),
+        ("d", Stage::Decode),
+    ]);
+    let now = Instant::now();
+    let first = choose(&mut fleet, &prompt(12_000, None, 1), &[]).unwrap();
+    let busy = first.prefill.unwrap();
+    let send = fleet.send(busy, 12_000, None, now);
+    let second = choose(&mut fleet, &prompt(12_000, None, 2), &[]).unwrap();
+    assert_ne!(second.prefill, Some(busy));
+    fleet.prompt_read(send);
+    fleet.end(send);
+    assert_eq!(fleet.target(busy).unwrap().unread(now), 0);
+    assert_eq!(fleet.target(busy).unwrap().running(now), 0);
+}
+
+#[test]
+fn what_peers_sent_counts_for_a_while() {
+    let mut fleet = fleet(&[("d1", Stage::Decode), ("d2", Stage::Decode)]);
+    let now = Instant::now();
+    let load = PeerLoad {
+        load: OwnLoad {
+            unread: 50_000,
+            running: 20,
+        },
+        at: now,
+    };
+    fleet.peer_loads(&Name::from("b"), &[(Name::from("d1"), load)]);
+    let plan = choose(&mut fleet, &prompt(800, None, 1), &[]).unwrap();
+    assert_eq!(name(&fleet, plan.run), "d2");
+    let d1 = key(&fleet, "d1");
+    assert_eq!(fleet.target(d1).unwrap().running(now), 20);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(fleet.target(d1).unwrap().running(later), 0);
+    fleet.peer_loads(&Name::from("b"), &[]);
+    assert_eq!(fleet.target(d1).unwrap().unread(now), 0);
+}
+
+/// Pattern: prompts that share a long part, more than one engine can read.
+#[test]
+fn shared_parts_are_fetched_from_the_engine_that_holds_them() {
+    let mut fleet = fleet(&[
+        ("p1", Stage::Prefill),
+        ("p2", Stage::Prefill),
+        ("d", Stage::Decode),
+    ]);
+    let now = Instant::now();
+    let first = prompt(12_000, Some((77, 5_000)), 1);
+    let holder = choose(&mut fleet, &first, &[]).unwrap().prefill.unwrap();
+    fleet.send(holder, 12_000, Some(&first), now);
+    let second = choose(&mut fleet, &prompt(12_000, Some((77, 5_000)), 2), &[]).unwrap();
+    assert_ne!(second.prefill, Some(holder));
+    assert_eq!(second.fetch, Some(holder));
+    assert_eq!(second.unread, 7_000);
+}
+
+#[test]
+fn peers_learn_who_holds_a_part() {
+    let engines = [
+        ("p1", Stage::Prefill),
+        ("p2", Stage::Prefill),
+        ("d", Stage::Decode),
+    ];
+    let (mut one, mut other) = (fleet(&engines), fleet(&engines));
+    let now = Instant::now();
+    let first = prompt(12_000, Some((77, 5_000)), 1);
+    let holder = choose(&mut one, &first, &[]).unwrap().prefill.unwrap();
+    one.send(holder, 12_000, Some(&first), now);
+    let placed = one.placed(Duration::from_secs(1), now);
+    assert_eq!(placed.len(), 1);
+    other.peer_placed(&placed);
+    let plan = choose(&mut other, &prompt(12_000, Some((77, 5_000)), 2), &[]).unwrap();
+    assert_eq!(plan.unread, 7_000);
+    let reader = plan.prefill.map(|key| name(&other, key));
+    assert_eq!(reader, Some(name(&one, holder)));
+    assert!(
+        one.placed(Duration::from_secs(1), now + Duration::from_secs(2))
+            .is_empty()
+    );
+}
+
+#[test]
+fn leaving_and_tried_engines_get_nothing() {
+    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default());
+    let leaving = TargetInfo {
+        leaving: true,
+        ..engine("d1", Stage::Decode)
+    };
+    dispatcher.sync(vec![leaving, engine("d2", Stage::Decode)]);
+    let plan = choose(&mut dispatcher, &prompt(300, None, 1), &[]).unwrap();
+    assert_eq!(name(&dispatcher, plan.run), "d2");
+    assert_eq!(
+        choose(&mut dispatcher, &prompt(300, None, 1), &[plan.run]),
+        None
+    );
+}
+
+#[test]
+fn a_prefill_engine_alone_runs_nothing() {
+    let mut fleet = fleet(&[("p", Stage::Prefill)]);
+    assert_eq!(choose(&mut fleet, &prompt(300, None, 1), &[]), None);
+}
+
+/// Pattern: the only decode engines were ejected while prefill engines are well.
+#[test]
+fn with_no_other_left_an_ejected_engine_is_tried() {
+    let mut fleet = fleet(&[("p", Stage::Prefill), ("d", Stage::Decode)]);
+    let d = key(&fleet, "d");
+    assert!(fleet.eject(d, Instant::now()));
+    let plan = choose(&mut fleet, &prompt(300, None, 1), &[]).unwrap();
+    assert_eq!(plan.run, d);
+}
+
+#[test]
+fn an_ejected_engine_is_passed_over_until_it_answers() {
+    let mut fleet = fleet(&[("d1", Stage::Decode), ("d2", Stage::Decode)]);
+    let d1 = key(&fleet, "d1");
+    let now = Instant::now();
+    fleet.eject(d1, now);
+    for own in 0..20 {
+        let plan = choose(&mut fleet, &prompt(300, None, own), &[]).unwrap();
+        assert_ne!(plan.run, d1);
+    }
+    assert!(fleet.answered(d1, now));
+    assert!(!fleet.target(d1).unwrap().is_ejected());
+}
+
+/// Pattern: an engine that changes its stage refuses everything for seconds.
+#[test]
+fn an_engine_that_refuses_is_passed_over_for_a_moment() {
+    let mut fleet = fleet(&[("d1", Stage::Decode), ("d2", Stage::Decode)]);
+    let d1 = key(&fleet, "d1");
+    let now = Instant::now();
+    fleet.refused(d1, now);
+    let plan = choose(&mut fleet, &prompt(300, None, 1), &[]).unwrap();
+    assert_ne!(plan.run, d1);
+}
+
+/// Pattern: a queue makes an engine answer late; it is no reason to take it out.
+#[test]
+fn a_server_that_answers_others_is_not_silent() {
+    let mut fleet = fleet(&[("d", Stage::Decode)]);
+    let d = key(&fleet, "d");
+    let sent = Instant::now();
+    assert!(fleet.is_silent_since(d, sent));
+    fleet.heard(d, sent + Duration::from_millis(5));
+    assert!(!fleet.is_silent_since(d, sent));
+}
+
+#[test]
+fn a_full_batch_is_predicted_to_wait() {
+    let mut fleet = fleet(&[("d", Stage::Decode)]);
+    let now = Instant::now();
+    let d = key(&fleet, "d");
+    let before = choose(&mut fleet, &prompt(300, None, 1), &[])
+        .unwrap()
+        .first;
+    for _ in 0..140 {
+        fleet.send(d, 0, None, now);
+    }
+    let after = choose(&mut fleet, &prompt(300, None, 1), &[])
+        .unwrap()
+        .first;
+    assert!(
+        after > before + Duration::from_millis(300),
+        "{before:?} {after:?}"
+    );
+}
+
+#[test]
+fn a_restart_under_the_same_identity_is_another_server() {
+    let mut fleet = fleet(&[("d", Stage::Decode)]);
+    let now = Instant::now();
+    let before = key(&fleet, "d");
+    let send = fleet.send(before, 500, None, now);
+    let reborn = TargetInfo {
+        born: 2,
+        ..engine("d", Stage::Decode)
+    };
+    fleet.sync(vec![reborn]);
+    let after = key(&fleet, "d");
+    assert_ne!(before, after);
+    assert_eq!(fleet.target(after).unwrap().unread(now), 0);
+    fleet.end(send);
+}
+
+#[test]
+fn plain_servers_share_by_load() {
+    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default());
+    let plain = |id: &str| TargetInfo {
+        slots: 6,
+        capacity: 0,
+        ..engine(id, Stage::Whole)
+    };
+    dispatcher.sync(vec![plain("s1"), plain("s2"), plain("s3")]);
+    let now = Instant::now();
+    let service = Name::from("model");
+    let mut counts = std::collections::HashMap::new();
+    for _ in 0..30 {
+        let wanted = Wanted {
+            service: &service,
+            prompt: None,
+            tried: &[],
+            apart: false,
+        };
+        let plan = dispatcher.choose(&wanted, now).unwrap();
+        dispatcher.send(plan.run, 0, None, now);
+        *counts.entry(plan.run).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|count| *count == 10), "{counts:?}");
+}
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -2,11 +2,14 @@
 
 mod admission;
 mod demand;
+mod dispatch;
 mod fairness;
 mod fleet;
 mod prefix;
+mod repeat_budget;
 mod retry;
 mod routing;
 mod rules;
+mod scaling;
 mod support;
 mod suspicion;
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/repeat_budget.rs
@@ -0,0 +1,116 @@
+//! The node's part of the fleet's retry budget, the parts that servers hold, and
+//! the meter of work.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_policy::parts::{Part, PartCache};
+use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
+use pomeloridge_policy::work_meter::WorkMeter;
+use proptest::prelude::*;
+
+const LIMITS: RepeatLimits = RepeatLimits {
+    ratio: 0.2,
+    slack: 54.0,
+    window: Duration::from_secs(10),
+};
+
+#[test]
+fn a_quiet_node_may_repeat_a_little() {
+    let now = Instant::now();
+    let mut budget = RepeatBudget::new(LIMITS);
+    let made = (0..100).filter(|_| budget.spend(6, now)).count();
+    assert_eq!(made, 4);
+    // The window passes.
+    assert!(budget.spend(6, now + Duration::from_secs(11)));
+}
+
+#[test]
+fn repeats_made_without_asking_count() {
+    let now = Instant::now();
+    let mut budget = RepeatBudget::new(LIMITS);
+    for _ in 0..4 {
+        budget.charge(now);
+    }
+    assert!(!budget.spend(6, now));
+}
+
+proptest! {
+    /// Whatever the load and however many nodes, the fleet stays within its bound in
+    /// every window.
+    #[test]
+    fn the_fleet_stays_within_its_bound(
+        nodes in 1_usize..8,
+        steps in proptest::collection::vec((0_usize..8, 0_u64..400, any::<bool>()), 1..400),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut budgets: Vec<RepeatBudget> = (0..nodes).map(|_| RepeatBudget::new(LIMITS)).collect();
+        let mut log = Vec::new();
+        for (node, pause, repeat) in steps {
+            now += Duration::from_millis(pause);
+            let budget = &mut budgets[node % nodes];
+            if repeat {
+                if budget.spend(nodes, now) {
+                    log.push((now, true));
+                }
+            } else {
+                budget.request(now);
+                log.push((now, false));
+            }
+        }
+        for (end, _) in &log {
+            let within = |span: Duration| {
+                log.iter().filter(move |(at, _)| *at <= *end && *end - *at < span)
+            };
+            let repeats = within(LIMITS.window).filter(|(_, repeat)| *repeat).count() as f64;
+            // The platform counts the requests of the best of neighbouring windows.
+            let requests = within(LIMITS.window + Duration::from_secs(1))
+                .filter(|(_, repeat)| !repeat)
+                .count() as f64;
+            prop_assert!(repeats <= requests * LIMITS.ratio + LIMITS.slack);
+        }
+    }
+}
+
+fn part(id: u64, tokens: u64) -> Part {
+    Part { id, tokens }
+}
+
+#[test]
+fn only_leading_parts_count_as_held() {
+    let mut cache = PartCache::new(1000);
+    cache.read(&[part(1, 100), part(2, 200)]);
+    assert_eq!(
+        cache.leading(&[part(1, 100), part(2, 200), part(3, 50)]),
+        300
+    );
+    assert_eq!(cache.leading(&[part(3, 50), part(2, 200)]), 0);
+}
+
+#[test]
+fn the_least_recently_used_parts_yield() {
+    let mut cache = PartCache::new(300);
+    cache.read(&[part(1, 100), part(2, 100), part(3, 100)]);
+    cache.read(&[part(1, 100)]);
+    cache.read(&[part(4, 100)]);
+    assert_eq!(cache.leading(&[part(1, 100)]), 100);
+    assert_eq!(cache.leading(&[part(2, 100)]), 0);
+    cache.resize(100);
+    assert_eq!(cache.leading(&[part(4, 100)]), 100);
+    assert_eq!(cache.leading(&[part(1, 100)]), 0);
+}
+
+#[test]
+fn rates_follow_the_work_and_fade() {
+    let start = Instant::now();
+    let mut meter = WorkMeter::new(start);
+    for tenth in 0..600 {
+        meter.add(1000, 100, start + Duration::from_millis(tenth * 100));
+    }
+    let end = start + Duration::from_mins(1);
+    let rates = meter.rates(end);
+    assert!((rates.read - 10_000.0).abs() < 500.0, "{rates:?}");
+    assert!((rates.make - 1_000.0).abs() < 50.0, "{rates:?}");
+    let faded = meter.rates(end + Duration::from_secs(30));
+    assert!(faded.read < 100.0);
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/scaling.rs
@@ -0,0 +1,162 @@
+//! How many servers are ordered, and which stages engines are given.
+
+use pomeloridge_base::id::Name;
+use pomeloridge_policy::dispatch::Stage;
+use pomeloridge_policy::scaling::{CentreTarget, CentreView, Count, ScalingView, targets};
+use pomeloridge_policy::staging::{EngineView, StageLoad, changes};
+use proptest::prelude::*;
+
+fn there(count: u32) -> Count {
+    Count {
+        there: count,
+        expected: count,
+    }
+}
+
+fn view(centres: &[(u32, u32)], load: f64) -> ScalingView {
+    let centres = centres.iter().enumerate();
+    let centres = centres.map(|(index, (steady, cheap))| CentreView {
+        data_centre: Name::from(format!("dc-{index}")),
+        steady: there(*steady),
+        cheap: there(*cheap),
+    });
+    ScalingView {
+        centres: centres.collect(),
+        min: 1,
+        max: 6,
+        has_cheap: true,
+        load,
+    }
+}
+
+fn numbers(targets: &[CentreTarget]) -> Vec<(u32, u32)> {
+    targets.iter().map(|t| (t.steady, t.cheap)).collect()
+}
+
+/// Pattern: a fleet of dear servers before its first request.
+#[test]
+fn cheap_servers_stand_in_for_the_others() {
+    let ordered = numbers(&targets(&view(&[(3, 0), (3, 0), (3, 0)], 0.0)));
+    assert_eq!(ordered, [(1, 5), (1, 5), (1, 5)]);
+    let ordered = numbers(&targets(&view(&[(1, 5), (1, 5), (1, 5)], 0.0)));
+    assert_eq!(ordered, [(0, 5), (0, 5), (0, 5)]);
+}
+
+#[test]
+fn under_load_dear_servers_stay_until_cheap_ones_are_there() {
+    let ordered = targets(&view(&[(3, 0), (3, 0), (3, 0)], 4.5));
+    let steady: u32 = ordered.iter().map(|target| target.steady).sum();
+    assert_eq!(steady, 9);
+    assert!(ordered.iter().all(|target| target.cheap == 3));
+}
+
+/// Pattern: all cheap servers of a data centre are reclaimed, and none can be had.
+#[test]
+fn after_a_reclaim_what_the_load_lacks_is_ordered_dear() {
+    let mut view = view(&[(0, 5), (0, 5), (0, 0)], 10.0);
+    let ordered = numbers(&targets(&view));
+    let steady: u32 = ordered.iter().map(|(steady, _)| steady).sum();
+    assert!(steady >= 3, "{ordered:?}");
+    // What is on its way is not ordered again.
+    view.centres[2].steady.expected = 4;
+    let ordered = numbers(&targets(&view));
+    assert_eq!(ordered[0].0 + ordered[1].0, 0, "{ordered:?}");
+}
+
+#[test]
+fn a_service_without_cheap_servers_keeps_what_it_has() {
+    let view = ScalingView {
+        has_cheap: false,
+        ..view(&[(3, 0), (2, 0)], 0.0)
+    };
+    assert_eq!(numbers(&targets(&view)), [(3, 0), (2, 0)]);
+}
+
+proptest! {
+    #[test]
+    fn the_bounds_of_a_data_centre_hold(
+        centres in proptest::collection::vec((0_u32..7, 0_u32..7), 1..5),
+        load in 0.0_f64..40.0,
+    ) {
+        let view = view(&centres, load);
+        for target in targets(&view) {
+            prop_assert!(target.steady + target.cheap >= view.min);
+            let had = centres.iter().map(|(steady, _)| *steady).max().unwrap_or(0);
+            prop_assert!(target.steady + target.cheap <= view.max.max(had));
+        }
+    }
+}
+
+fn engines(stages: &[Stage]) -> Vec<EngineView> {
+    let engines = stages.iter().enumerate();
+    let engines = engines.map(|(index, stage)| EngineView {
+        id: Name::from(format!("e-{index}")),
+        data_centre: Name::from(format!("dc-{}", index % 3)),
+        stage: *stage,
+        running: index as u32,
+        changing: false,
+    });
+    engines.collect()
+}
+
+const D: Stage = Stage::Decode;
+const P: Stage = Stage::Prefill;
+
+/// Pattern: cheap engines arrive, all of one stage, before the first request.
+#[test]
+fn new_engines_are_divided_over_stages_and_data_centres() {
+    let changes = changes(&engines(&[D; 12]), StageLoad::default());
+    assert_eq!(changes.len(), 5);
+    assert!(changes.iter().all(|change| change.stage == P));
+    let centre = |id: &Name| id.as_str()[2..].parse::<u32>().unwrap() % 3;
+    for data_centre in 0..3 {
+        let there = changes
+            .iter()
+            .filter(|change| centre(&change.id) == data_centre);
+        assert!(there.count() >= 1);
+    }
+}
+
+#[test]
+fn changes_under_way_are_counted() {
+    let mut engines = engines(&[P, P, P, P, P, D, D, D, D, D, D, D]);
+    for engine in &mut engines[..5] {
+        engine.changing = true;
+    }
+    assert!(changes(&engines, StageLoad::default()).is_empty());
+}
+
+/// Pattern: the mix swings to long prompts for longer than a change costs.
+#[test]
+fn a_lasting_swing_changes_one_engine_at_a_time() {
+    let load = StageLoad {
+        read: 6.0,
+        make: 2.0,
+    };
+    let mut engines = engines(&[P, P, P, D, D, D, D, D, D]);
+    let ordered = changes(&engines, load);
+    assert_eq!(ordered.len(), 1);
+    assert_eq!((ordered[0].id.as_str(), ordered[0].stage), ("e-3", P));
+    engines[3].changing = true;
+    assert!(changes(&engines, load).is_empty());
+}
+
+#[test]
+fn a_small_difference_changes_nothing() {
+    let load = StageLoad {
+        read: 4.0,
+        make: 5.0,
+    };
+    assert!(changes(&engines(&[P, P, P, D, D, D, D, D, D]), load).is_empty());
+}
+
+#[test]
+fn each_stage_keeps_an_engine() {
+    let load = StageLoad {
+        read: 50.0,
+        make: 0.0,
+    };
+    assert!(changes(&engines(&[P, D]), load).is_empty());
+    assert!(changes(&engines(&[D]), load).is_empty());
+    assert!(changes(&engines(&[Stage::Whole; 4]), load).is_empty());
+}
