Run a prompt that was read apart on an engine that stays

Change: the engine for the run is chosen again once the prompt has been read, and a server that is leaving is never written to.

--- a/crates/pomeloridge_dev/src/reference.rs
+++ b/crates/pomeloridge_dev/src/reference.rs
@@ -10,7 +10,7 @@
 
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::meter::{Counter, Timer};
-use pomeloridge_base::settings::{SETTINGS, Setting, SettingKind};
+use pomeloridge_base::settings::{GATEWAY_SETTINGS, SETTINGS, Setting, SettingKind};
 use pomeloridge_policy::rules::Rule;
 
 /// First line under the heading of each page.
@@ -42,23 +42,33 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs")
 }
 
-fn pages() -> [(&'static str, String); 4] {
+fn pages() -> [(&'static str, String); 5] {
     [
-        ("SETTINGS.md", settings()),
+        ("SETTINGS.md", settings("Settings", "A node", "", SETTINGS)),
+        (
+            "GATEWAY-SETTINGS.md",
+            settings(
+                "Settings of a gateway",
+                "A gateway",
+                " --gateway",
+                GATEWAY_SETTINGS,
+            ),
+        ),
         ("RULES.md", rules()),
         ("ERRORS.md", errors()),
         ("METRICS.md", metrics()),
     ]
 }
 
-fn settings() -> String {
-    let mut page = heading("Settings");
-    page.push_str(
-        "\nA node reads one INI file. `pomeloridge check --settings FILE` checks it as a\n\
+fn settings(title: &str, who: &str, option: &str, table: &[Setting]) -> String {
+    let mut page = heading(title);
+    let _ = write!(
+        page,
+        "\n{who} reads one INI file. `pomeloridge check --settings FILE{option}` checks it as a\n\
          whole and names every fault. A key that is not listed here is a fault.\n",
     );
     let mut section = "";
-    for setting in SETTINGS {
+    for setting in table {
         if setting.section != section {
             section = setting.section;
             let _ = write!(page, "\n## [{section}]\n");
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -189,6 +189,28 @@
         Ok(plan)
     }
 
+    /// The engine that runs a request whose prompt has been read for it.
+    pub(crate) fn choose_maker(&self, plan: Plan) -> Plan {
+        let wanted = Wanted {
+            service: &self.accepted.service,
+            prompt: self.accepted.inbound.prompt.as_ref(),
+            tried: &self.tried,
+            apart: false,
+        };
+        let dispatcher = self.state.dispatcher.borrow();
+        let run = dispatcher.choose_maker(&wanted, self.state.now());
+        let run = run.unwrap_or(plan.run);
+        drop(dispatcher);
+        if run != plan.run {
+            log::info!(
+                "request id={} choice=run_elsewhere server={} reason=\"prompt read\"",
+                self.accepted.inbound.label(),
+                self.state.server_name(run)
+            );
+        }
+        Plan { run, ..plan }
+    }
+
     /// Takes in a failed attempt; `Ok` means that the request is sent again.
     pub(crate) fn failed(&mut self, server: TargetKey, failure: Failure) -> Result<(), Refusal> {
         let again = self.may_repeat(server, failure);
@@ -245,7 +267,7 @@
             self.arrivals += 1;
         }
         if failure.not_run() {
-            self.refused += usize::from(failure != Failure::Unreachable);
+            self.refused += usize::from(failure.arrived());
         } else {
             self.runs += 1;
         }
@@ -310,7 +332,7 @@
 /// The answer after the last attempt.
 fn final_kind(failure: Failure) -> ErrorKind {
     match failure {
-        Failure::Unreachable | Failure::Misdirected => ErrorKind::NoServer,
+        Failure::Unreachable | Failure::Leaving | Failure::Misdirected => ErrorKind::NoServer,
         Failure::Refused => ErrorKind::Overloaded,
         Failure::Stale | Failure::Lost => ErrorKind::ServerLost,
         Failure::Broken => ErrorKind::ServerFault,
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -25,6 +25,9 @@
     /// Nothing was written.
     #[display("unreachable")]
     Unreachable,
+    /// Nothing was written, as the server takes no new requests.
+    #[display("leaving")]
+    Leaving,
     /// The server refused it before any work.
     #[display("refused")]
     Refused,
@@ -48,12 +51,15 @@
 impl Failure {
     /// Whether the request certainly has not run and will not run there.
     pub(crate) fn not_run(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Refused | Self::Misdirected)
+        matches!(
+            self,
+            Self::Unreachable | Self::Leaving | Self::Refused | Self::Misdirected
+        )
     }
 
     /// Whether the request reached the server.
     pub(crate) fn arrived(self) -> bool {
-        self != Self::Unreachable
+        !matches!(self, Self::Unreachable | Self::Leaving)
     }
 
     /// The failure that a fault after the write stands for.
@@ -109,6 +115,9 @@
             source.map(|source| source.info.address),
         )
     };
+    if info.leaving {
+        return Err(Failure::Leaving);
+    }
     // Reading a prompt twice does no harm; only a run must not be repeated.
     let unrepeatable = !accepted.route.kind.repeatable() && stage != SendStage::Prefill;
     let kept = state.pool.take(info.address, unrepeatable, state.now());
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -11,7 +11,7 @@
 use pomeloridge_base::http::{Fault, Responder, Response};
 use pomeloridge_base::meter::Timer;
 use pomeloridge_base::refusal::Refusal;
-use pomeloridge_policy::dispatch::{Plan, TargetKey};
+use pomeloridge_policy::dispatch::Plan;
 
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, Sent};
@@ -93,7 +93,17 @@
                 Ok(plan) => plan,
                 Err(refusal) => return self.ended(refusal, Failure::Unreachable),
             };
-            let failure = match self.attempt(plan, &mut attempts, responder).await {
+            let prompt = match self.read_prompt(plan, &mut attempts, responder).await {
+                Ok(prompt) => prompt,
+                Err(Stop::Caller) => return StreamEnd::Gone,
+                // A prompt that was not read apart is read by the run.
+                Err(Stop::Server(_)) => None,
+            };
+            let plan = match &prompt {
+                Some(_) => attempts.choose_maker(plan),
+                None => plan,
+            };
+            let failure = match self.attempt(plan, prompt, responder).await {
                 Ok(None) => return StreamEnd::Complete,
                 Ok(Some(response)) => return StreamEnd::Whole(response),
                 Err(Stop::Caller) => return StreamEnd::Gone,
@@ -117,14 +127,10 @@
     async fn attempt(
         &mut self,
         plan: Plan,
-        attempts: &mut Attempts<'_>,
+        mut prompt: Option<ReadPrompt>,
         responder: &mut Responder,
     ) -> Result<Option<Response>, Stop> {
         let accepted = self.accepted;
-        let mut prompt = match plan.prefill {
-            Some(reader) => self.read_prompt(plan, reader, attempts, responder).await?,
-            None => None,
-        };
         // Memory that is moved need not be read here.
         let unread = if prompt.is_some() { 0 } else { plan.unread };
         self.state.count_work(&accepted.service, plan.unread, 0);
@@ -162,26 +168,24 @@
         Ok(None)
     }
 
-    /// Has the prompt read; without it the run reads the prompt itself.
+    /// Has the prompt read apart where the plan says so.
     async fn read_prompt(
         &self,
         plan: Plan,
-        reader: TargetKey,
         attempts: &mut Attempts<'_>,
         responder: &mut Responder,
     ) -> Result<Option<ReadPrompt>, Stop> {
-        let read = read_prompt(self.state, self.accepted, plan, reader);
+        let Some(reader) = plan.prefill else {
+            return Ok(None);
+        };
         let read = monoio::select! {
-            read = read => read,
+            read = read_prompt(self.state, self.accepted, plan, reader) => read,
             () = responder.gone() => return Err(Stop::Caller),
         };
-        match read {
-            Ok(prompt) => Ok(Some(prompt)),
-            Err(failure) => {
-                attempts.prefill_failed(reader, failure);
-                Ok(None)
-            }
-        }
+        read.map(Some).map_err(|failure| {
+            attempts.prefill_failed(reader, failure);
+            Stop::Server(failure)
+        })
     }
 
     async fn pass_on(
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -174,6 +174,23 @@
         }
     }
 
+    /// Chooses the engine that makes the tokens of a prompt that has been read.
+    ///
+    /// Reading may take seconds; the engine of the plan may be leaving since, or busier.
+    pub fn choose_maker(&self, wanted: &Wanted<'_>, now: Instant) -> Option<TargetKey> {
+        let makers = |last_resort| {
+            let mut usable = self.usable(wanted, now, last_resort);
+            usable.retain(|key| self.targets[*key].info.stage != Stage::Prefill);
+            self.least_batched(&usable, now)
+        };
+        makers(false).or_else(|| makers(true))
+    }
+
+    fn least_batched(&self, makers: &[TargetKey], now: Instant) -> Option<TargetKey> {
+        let makers = makers.iter().copied();
+        makers.min_by_key(|key| self.batch(*key, now))
+    }
+
     /// Counts a request on a server.
     pub fn send(
         &mut self,
@@ -337,10 +354,7 @@
         let reader = apart
             .then(|| self.soonest(prompt, &readers, holder, now))
             .flatten();
-        let maker = makers
-            .iter()
-            .copied()
-            .min_by_key(|key| self.batch(*key, now));
+        let maker = self.least_batched(&makers, now);
         let split = reader.zip(maker).map(|(read, run)| Plan {
             run,
             prefill: Some(read.run),
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -188,6 +188,39 @@
     );
 }
 
+/// Pattern: the engine of a plan starts to leave while a long prompt is read for it.
+#[test]
+fn a_prompt_that_was_read_runs_on_an_engine_that_stays() {
+    let mut fleet = fleet(&[
+        ("p", Stage::Prefill),
+        ("d1", Stage::Decode),
+        ("d2", Stage::Decode),
+    ]);
+    let prompt = prompt(12_000, None, 1);
+    let planned = choose(&mut fleet, &prompt, &[]).unwrap().run;
+    let planned = name(&fleet, planned);
+    let list = [
+        ("p", Stage::Prefill),
+        ("d1", Stage::Decode),
+        ("d2", Stage::Decode),
+    ];
+    let list = list.iter().map(|(id, stage)| TargetInfo {
+        leaving: *id == planned,
+        ..engine(id, *stage)
+    });
+    fleet.sync(list.collect());
+    let service = Name::from("model");
+    let wanted = Wanted {
+        service: &service,
+        prompt: Some(&prompt),
+        tried: &[],
+        apart: false,
+    };
+    let run = fleet.choose_maker(&wanted, Instant::now()).unwrap();
+    assert_ne!(name(&fleet, run), planned);
+    assert_ne!(name(&fleet, run), "p");
+}
+
 #[test]
 fn a_prefill_engine_alone_runs_nothing() {
     let mut fleet = fleet(&[("p", Stage::Prefill)]);
@@ -280,12 +313,12 @@
 #[test]
 fn plain_servers_share_by_load() {
     let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default());
-    let plain = |id: &str| TargetInfo {
+    let server = |id: &str| TargetInfo {
         slots: 6,
         capacity: 0,
         ..engine(id, Stage::Whole)
     };
-    dispatcher.sync(vec![plain("s1"), plain("s2"), plain("s3")]);
+    dispatcher.sync(vec![server("s1"), server("s2"), server("s3")]);
     let now = Instant::now();
     let service = Name::from("model");
     let mut counts = std::collections::HashMap::new();
