--- a/crates/pomeloridge/src/logging.rs
+++ b/crates/pomeloridge/src/logging.rs
@@ -31,6 +31,7 @@
 }
 
 /// Where and how many lines are written.
+#[derive(Clone, Copy)]
 pub(crate) struct Output {
     /// Where they go.
     pub(crate) to: fn() -> Box<dyn Write>,
--- a/crates/pomeloridge_duties/tests/duties/engine.rs
+++ b/crates/pomeloridge_duties/tests/duties/engine.rs
@@ -32,7 +32,7 @@
         });
         let shared = Rc::clone(&engine);
         let server = Rc::new(Server {
-            limits: Limits::default(),
+            limits: Limits::default().into(),
             handler: async move |request, responder: &mut Responder| {
                 let Ok(request) = request else { return };
                 let _ = responder.send(shared.answer(&request)).await;
--- a/crates/pomeloridge_duties/tests/duties/support.rs
+++ b/crates/pomeloridge_duties/tests/duties/support.rs
@@ -102,7 +102,7 @@
         let address = listener.local_addr().unwrap();
         let shared = Rc::clone(&fake);
         let server = Rc::new(Server {
-            limits: Limits::default(),
+            limits: Limits::default().into(),
             handler: async move |request, responder: &mut Responder| {
                 let Ok(request) = request else { return };
                 if let Some(response) = shared.answer(&request) {
--- a/crates/pomeloridge_gateway/tests/events.rs
+++ b/crates/pomeloridge_gateway/tests/events.rs
@@ -5,7 +5,10 @@
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\npomeloridge-weight-versions: 2\nid: 2\ndata: b\n\n";
 
-fn split(pieces: &[&[u8]]) -> (Vec<(Option<u64>, Vec<u8>)>, bool) {
+/// An event's number and bytes.
+type Split = (Option<u64>, Vec<u8>);
+
+fn split(pieces: &[&[u8]]) -> (Vec<Split>, bool) {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
     for piece in pieces {
@@ -57,7 +60,7 @@
     let mut splitter = EventSplitter::default();
     let mut pushed = true;
     for _ in 0..40 {
-        pushed = splitter.push(&[b'x'; 64 * 1024]);
+        pushed = splitter.push(&vec![b'x'; 64 * 1024]);
     }
     assert!(!pushed);
 }
--- a/crates/pomeloridge_platform/tests/support/mod.rs
+++ b/crates/pomeloridge_platform/tests/support/mod.rs
@@ -71,7 +71,7 @@
         let address = listener.local_addr().unwrap();
         let shared = Rc::clone(&fake);
         let server = Rc::new(Server {
-            limits: Limits::default(),
+            limits: Limits::default().into(),
             handler: async move |request, responder: &mut Responder| {
                 let Ok::<Request, _>(request) = request else {
                     return;
