Spare engines under a change of stage, and test the whole path as processes

Change: the holder tells which engines it ordered, all nodes pass them over until the list shows the new stage; prefill engines are probed like others. A fake of the fleet's platform (store, servers, duties) in the stand-ins, and the gateway's path, stop, usage and logs tested over separate processes. Two tests of the dispatcher fail before and pass after.

--- a/crates/pomeloridge/src/commands/mod.rs
+++ b/crates/pomeloridge/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod gateway;
 pub(crate) mod operator;
 pub(crate) mod serve;
+pub(crate) mod trace;
 
 /// Exit code for faults in settings or arguments.
 pub(crate) const EXIT_USAGE: u8 = 2;
--- a/crates/pomeloridge/src/main.rs
+++ b/crates/pomeloridge/src/main.rs
@@ -17,6 +17,7 @@
         Command::Serve { settings } => commands::serve::run(&settings),
         Command::Gateway { settings } => commands::gateway::run(&settings),
         Command::Check { settings, gateway } => commands::check::run(&settings, gateway),
+        Command::Trace { id, files, json } => commands::trace::run(&id, &files, json),
         Command::Operator(command) => commands::operator::run(&command),
     }
 }
--- a/crates/pomeloridge_dev/src/launch/process.rs
+++ b/crates/pomeloridge_dev/src/launch/process.rs
@@ -1,7 +1,7 @@
 //! One child process: its first line, its log, and its end.
 
 use std::fs::OpenOptions;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::channel;
@@ -40,6 +40,9 @@
             .stderr(log)
             .spawn()
             .map_err(|error| format!("{}: {error}", path.display()))?;
+        let kept = logs.join(format!("{name}.out"));
+        let kept = OpenOptions::new().create(true).append(true).open(kept);
+        let mut kept = kept.map_err(|error| error.to_string())?;
         let out = child.stdout.take().ok_or("no standard output")?;
         let (line, first) = channel();
         std::thread::spawn(move || {
@@ -48,7 +51,9 @@
                 let _ = line.send(text);
             }
             // The pipe is read to its end, so that the child never blocks on it.
-            for _ in lines {}
+            for line in lines.map_while(Result::ok) {
+                let _ = writeln!(kept, "{line}");
+            }
         });
         let mut process = Self {
             name: name.to_owned(),
--- /dev/null
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -0,0 +1,420 @@
+//! The gateway's whole path over separate processes, before a fake of the fleet's
+//! platform; what servers and duties received decides.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, Unframed, call};
+use pomeloridge_dev::launch::Process;
+use serde_json::Value;
+use yare::parameterized;
+
+/// Time in which a started gateway is ready, and a stopped one has ended.
+const PATIENCE: Duration = Duration::from_secs(20);
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+const CALL_TIME: Duration = Duration::from_secs(6);
+
+struct Gateway {
+    process: Process,
+    caller: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+}
+
+/// A fake platform and gateways before it.
+struct Deployment {
+    folder: PathBuf,
+    duties: SocketAddr,
+    gateways: Vec<Gateway>,
+    _fleet: Process,
+}
+
+impl Deployment {
+    fn start(name: &str, gateways: usize) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("pomeloridge-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let args = ["fleet".to_owned()];
+        let fleet = Process::start("fleet", "pomeloridge_standin", &args, &folder).unwrap();
+        let (store, duties) = (
+            fleet.address("store").unwrap(),
+            fleet.address("duties").unwrap(),
+        );
+        let start = |index: usize| {
+            let name = format!("front-{index}");
+            let settings = folder.join(format!("{name}.ini"));
+            let text = format!(
+                "[node]\nname = {name}\ndata_centre = dc-1\n[listen]\ncaller = 127.0.0.1:0\n\
+                 ready = 127.0.0.1:0\npeer = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n\
+                 [platform]\nstore = {store}\nduties = {duties}\n[stop]\nunready_ms = 300\n\
+                 [usage]\nwindow_ms = 1000\n[log]\nformat = json\n"
+            );
+            std::fs::write(&settings, text).unwrap();
+            let args = ["gateway", "--settings", settings.to_str().unwrap()];
+            let args = args.map(str::to_owned);
+            let process = Process::start(&name, "pomeloridge", &args, &folder).unwrap();
+            let line = process.first["message"].as_str().unwrap().to_owned();
+            let address = |key: &str| {
+                let mut words = line.split(' ').filter_map(|word| word.split_once('='));
+                words
+                    .find(|(found, _)| *found == key)
+                    .unwrap()
+                    .1
+                    .parse()
+                    .unwrap()
+            };
+            Gateway {
+                caller: address("caller"),
+                ready: address("ready"),
+                metrics: address("metrics"),
+                process,
+            }
+        };
+        Self {
+            gateways: (0..gateways).map(start).collect(),
+            folder,
+            duties,
+            _fleet: fleet,
+        }
+    }
+
+    async fn until_ready(&self) {
+        for gateway in &self.gateways {
+            until(async || {
+                let asked = call(gateway.ready, &Outgoing::get("/-/readiness"), CALL_TIME).await;
+                asked.is_ok_and(|answer| answer.status == 200)
+            })
+            .await;
+        }
+    }
+
+    async fn history(&self) -> Vec<Value> {
+        let answer = call(self.duties, &Outgoing::get("/-/history"), CALL_TIME)
+            .await
+            .unwrap();
+        serde_json::from_slice(&answer.body).unwrap()
+    }
+
+    /// What servers received of an attempt.
+    async fn received(&self, attempt: &str) -> Vec<Value> {
+        let history = self.history().await;
+        let of = |entry: &Value| entry["attempt"] == attempt && !entry["path"].is_null();
+        history.into_iter().filter(of).collect()
+    }
+
+    async fn ask(&self, request: Outgoing) -> Result<Response, String> {
+        ask(self.gateways[0].caller, request).await
+    }
+}
+
+async fn ask(address: SocketAddr, request: Outgoing) -> Result<Response, String> {
+    let options = ConnectOptions {
+        unframed: Unframed::UntilClose,
+        ..ConnectOptions::default()
+    };
+    let mut connection = Connection::open(address, options)
+        .await
+        .map_err(|f| f.to_string())?;
+    let deadline = Instant::now() + CALL_TIME;
+    connection
+        .exchange(&request, deadline)
+        .await
+        .map_err(|f| f.to_string())
+}
+
+async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < end, "the condition did not come to hold");
+        monoio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(test);
+}
+
+fn request(method: Method, route: &str, attempt: &str) -> Outgoing {
+    Outgoing::new(method, format!("/{route}/x?q=1"))
+        .with("host", "fleet.example")
+        .with("pomeloridge-attempt-id", attempt)
+        .with("pomeloridge-deadline-ms", "3000")
+        .with("pomeloridge-key", "key-of-anna")
+}
+
+fn generation(route: &str, attempt: &str, tokens: u64) -> Outgoing {
+    request(Method::POST, route, attempt)
+        .with("pomeloridge-model", "m")
+        .with("pomeloridge-token-counts", &format!("{tokens},8"))
+        .with(
+            "pomeloridge-prompt-prefix",
+            &format!("a1:100,{attempt}:{}", tokens - 100),
+        )
+        .body("a prompt")
+}
+
+fn events(response: &Response) -> Vec<u64> {
+    let text = std::str::from_utf8(&response.body).unwrap();
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().unwrap()).collect()
+}
+
+#[test]
+fn requests_of_all_kinds_are_served() {
+    let deployment = Deployment::start("kinds", 1);
+    run(async {
+        deployment.until_ready().await;
+        let read = deployment
+            .ask(request(Method::GET, "read", "a1"))
+            .await
+            .unwrap();
+        assert_eq!(read.status, 200);
+        assert_eq!(read.headers["pomeloridge-server-seal"], "seal");
+        let lodge = request(Method::POST, "lodge", "a2").body("filing");
+        assert_eq!(deployment.ask(lodge).await.unwrap().status, 200);
+        let short = deployment.ask(generation("ask", "a3", 200)).await.unwrap();
+        assert_eq!(events(&short), [1, 2, 3, 4, 5, 6, 7, 8]);
+        let long = deployment
+            .ask(generation("note", "a4", 12_000))
+            .await
+            .unwrap();
+        assert_eq!(events(&long), [1, 2, 3, 4, 5, 6, 7, 8]);
+        let received = deployment.received("a2").await;
+        assert_eq!(received.len(), 1);
+        assert_eq!(received[0]["path"], "/lodge/x?q=1");
+        assert_eq!(received[0]["tenant"], "anna");
+        assert_eq!(received[0]["key"], false);
+        let left: u64 = received[0]["deadline"].as_str().unwrap().parse().unwrap();
+        assert!(left <= 3000, "{left}");
+        // The long prompt is read apart and its memory taken by the run.
+        let received = deployment.received("a4").await;
+        assert_eq!(received[0]["stage"], "prefill");
+        assert!(received[1]["source"].as_str().unwrap().ends_with("/h-a4"));
+    });
+}
+
+#[parameterized(
+    no_key = { "read", None, 401 },
+    unknown_key = { "read", Some("nobody"), 401 },
+    open_route = { "open", None, 200 },
+    no_route = { "nowhere", Some("key-of-anna"), 404 },
+)]
+fn keys_and_routes_decide(route: &str, key: Option<&str>, status: u16) {
+    let deployment = Deployment::start(&format!("keys-{route}-{status}-{}", key.is_some()), 1);
+    run(async {
+        deployment.until_ready().await;
+        let mut asked = request(Method::GET, route, "b1");
+        asked.headers.remove("pomeloridge-key");
+        if let Some(key) = key {
+            asked = asked.with("pomeloridge-key", key);
+        }
+        assert_eq!(deployment.ask(asked).await.unwrap().status, status);
+        let runs = if status == 200 { 1 } else { 0 };
+        assert_eq!(deployment.received("b1").await.len(), runs);
+    });
+}
+
+#[test]
+fn what_may_be_repeated_is_and_the_rest_runs_once() {
+    let deployment = Deployment::start("repeats", 1);
+    run(async {
+        deployment.until_ready().await;
+        let fault =
+            |route, attempt, fault| request(Method::POST, route, attempt).with("x-fault", fault);
+        let read = deployment.ask(fault("read", "c1", "lost")).await.unwrap();
+        assert_eq!(
+            (read.status.as_u16(), deployment.received("c1").await.len()),
+            (200, 2)
+        );
+        // An outcome that is not known is no "not run".
+        let lodge = deployment.ask(fault("lodge", "c2", "lost")).await.unwrap();
+        assert_eq!(
+            (lodge.status.as_u16(), deployment.received("c2").await.len()),
+            (502, 1)
+        );
+        // What a server refused unread is sent to another one.
+        let lodge = deployment.ask(fault("lodge", "c3", "shed")).await.unwrap();
+        assert_eq!(
+            (lodge.status.as_u16(), deployment.received("c3").await.len()),
+            (200, 2)
+        );
+        // A server's own failure is its answer where it may not run again.
+        let lodge = deployment.ask(fault("lodge", "c4", "error")).await.unwrap();
+        assert_eq!(
+            (lodge.status.as_u16(), deployment.received("c4").await.len()),
+            (500, 1)
+        );
+        assert_eq!(lodge.headers["pomeloridge-server-seal"], "seal");
+    });
+}
+
+#[test]
+fn a_request_without_an_answer_ends_at_its_deadline() {
+    let deployment = Deployment::start("deadline", 1);
+    run(async {
+        deployment.until_ready().await;
+        let started = Instant::now();
+        let late = request(Method::POST, "lodge", "d1").with("x-fault", "late");
+        let answer = deployment.ask(late).await.unwrap();
+        assert_eq!(answer.status, 504);
+        let took = started.elapsed();
+        assert!(took >= Duration::from_millis(2900), "{took:?}");
+        assert!(took < Duration::from_millis(3500), "{took:?}");
+    });
+}
+
+#[test]
+fn a_cut_stream_goes_on_elsewhere_or_ends_as_cut() {
+    let deployment = Deployment::start("streams", 1);
+    run(async {
+        deployment.until_ready().await;
+        let cut = generation("ask", "e1", 200).with("x-fault", "cut");
+        let answer = deployment.ask(cut).await.unwrap();
+        assert_eq!(events(&answer), [1, 2, 3, 4, 5, 6, 7, 8]);
+        let received = deployment.received("e1").await;
+        assert_eq!(received.len(), 2);
+        assert_eq!(received[1]["last_event"], "3");
+        // A stream that may not be resumed ends without its end.
+        let cut = generation("note", "e2", 200).with("x-fault", "cut");
+        assert!(deployment.ask(cut).await.is_err());
+        assert_eq!(deployment.received("e2").await.len(), 1);
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_stops_the_servers_work() {
+    let deployment = Deployment::start("leaving", 1);
+    run(async {
+        deployment.until_ready().await;
+        let caller = deployment.gateways[0].caller;
+        let mut connection = Connection::open(caller, ConnectOptions::default())
+            .await
+            .unwrap();
+        let deadline = Instant::now() + CALL_TIME;
+        connection
+            .send(&generation("ask", "f1", 200), deadline)
+            .await
+            .unwrap();
+        connection.head(deadline).await.unwrap();
+        connection.next(deadline).await.unwrap();
+        drop(connection);
+        until(async || {
+            let history = deployment.history().await;
+            history
+                .iter()
+                .any(|entry| entry["attempt"] == "f1" && !entry["gone"].is_null())
+        })
+        .await;
+    });
+}
+
+#[test]
+fn usage_is_reported_once_and_exactly_by_one_holder() {
+    let deployment = Deployment::start("usage", 3);
+    run(async {
+        deployment.until_ready().await;
+        for index in 0..30 {
+            let gateway = &deployment.gateways[index % 3];
+            let asked = request(Method::GET, "read", &format!("u{index}"));
+            assert_eq!(ask(gateway.caller, asked).await.unwrap().status, 200);
+        }
+        let reported = async || {
+            let history = deployment.history().await;
+            let reports = history
+                .into_iter()
+                .filter(|entry| entry["call"] == "/usage");
+            reports.collect::<Vec<Value>>()
+        };
+        let count = |report: &Value| report["body"]["counts"]["anna"].as_u64().unwrap_or(0);
+        until(async || reported().await.iter().map(count).sum::<u64>() >= 30).await;
+        let reports = reported().await;
+        let mut windows: Vec<u64> = reports
+            .iter()
+            .map(|report| report["body"]["windowIndex"].as_u64().unwrap())
+            .collect();
+        windows.sort_unstable();
+        windows.dedup();
+        assert_eq!(windows.len(), reports.len(), "a window was reported twice");
+        assert_eq!(reports.iter().map(count).sum::<u64>(), 30);
+        assert!(
+            reports
+                .iter()
+                .all(|report| report["holder"] == reports[0]["holder"])
+        );
+    });
+}
+
+#[test]
+fn a_stop_cuts_nothing_and_ends_the_process() {
+    let mut deployment = Deployment::start("stop", 1);
+    run(async {
+        deployment.until_ready().await;
+        let caller = deployment.gateways[0].caller;
+        let asked = monoio::spawn(ask(caller, generation("ask", "ab1", 200)));
+        monoio::time::sleep(Duration::from_millis(40)).await;
+        deployment.gateways[0].process.stop();
+        until(async || {
+            let ready = deployment.gateways[0].ready;
+            let asked = call(ready, &Outgoing::get("/-/readiness"), CALL_TIME).await;
+            asked.map_or(true, |answer| answer.status == 503)
+        })
+        .await;
+        let answer = asked.await.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(events(&answer), [1, 2, 3, 4, 5, 6, 7, 8]);
+    });
+    let ended = deployment.gateways[0].process.wait(PATIENCE);
+    assert!(ended.is_some_and(|status| status.success()));
+}
+
+/// A request's cause is found from the logs alone.
+#[test]
+fn the_logs_tell_why_a_request_failed() {
+    let deployment = Deployment::start("logs", 1);
+    run(async {
+        deployment.until_ready().await;
+        let lodge = request(Method::POST, "lodge", "l1").with("x-fault", "lost");
+        assert_eq!(deployment.ask(lodge).await.unwrap().status, 502);
+        let log = deployment.folder.join("front-0.out");
+        let trace = async || {
+            let args = ["trace", "l1", log.to_str().unwrap()].map(str::to_owned);
+            let program = std::env::current_exe().unwrap();
+            let program = program.ancestors().nth(2).unwrap().join("pomeloridge");
+            let out = std::process::Command::new(program)
+                .args(args)
+                .output()
+                .unwrap();
+            String::from_utf8(out.stdout).unwrap()
+        };
+        until(async || trace().await.contains("outcome=refused")).await;
+        let story = trace().await;
+        let lines: Vec<&str> = story.lines().collect();
+        assert!(
+            lines[0].contains("choice=send") && lines[0].contains("service=filings"),
+            "{story}"
+        );
+        assert!(
+            lines
+                .iter()
+                .any(|line| line.contains("failure=lost again=false")),
+            "{story}"
+        );
+        let last = lines.last().unwrap();
+        assert!(
+            last.contains("code=server_lost") && last.contains("run=\"unknown\""),
+            "{story}"
+        );
+        let asked = Outgoing::get("/metrics");
+        let metrics = deployment.gateways[0].metrics;
+        let answer = call(metrics, &asked, CALL_TIME).await.unwrap();
+        let page = String::from_utf8(answer.body.to_vec()).unwrap();
+        assert!(page.contains("pomeloridge_failed_total"), "{page}");
+    });
+}
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use monoio::net::TcpListener;
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::http::{Fault, Limits, Request, Responder, Response, Server};
 use pomeloridge_base::net::listen;
@@ -34,13 +35,21 @@
     };
     let (caller, ready) = (open("caller")?, open("ready")?);
     let (peer, metrics) = (open("peer")?, open("metrics")?);
-    let address = settings.address("listen", "peer");
+    let address_of = |listener: &TcpListener| {
+        let address = listener.local_addr();
+        address.map_err(|error| format!("a listener has no address: {error}"))
+    };
+    let [caller_at, ready_at, peer_at, metrics_at] =
+        [&caller, &ready, &peer, &metrics].map(address_of);
+    let (caller_at, ready_at) = (caller_at?, ready_at?);
+    let (peer_at, metrics_at) = (peer_at?, metrics_at?);
     let socket =
-        UdpSocket::bind(address).map_err(|error| cannot_listen("peer", address, &error))?;
+        UdpSocket::bind(peer_at).map_err(|error| cannot_listen("peer", peer_at, &error))?;
     let socket = Rc::new(socket);
-    let state = State::new(parts);
+    let state = State::new(parts, peer_at);
     log::info!(
-        "start node={} data_centre={} store={}",
+        "start node={} data_centre={} store={} caller={caller_at} ready={ready_at} \
+         peer={peer_at} metrics={metrics_at}",
         state.name,
         state.settings.text("node", "data_centre"),
         state.settings.text("platform", "store")
@@ -86,7 +95,7 @@
     }
 }
 
-async fn serve_callers(state: &Rc<State>, listener: monoio::net::TcpListener) {
+async fn serve_callers(state: &Rc<State>, listener: TcpListener) {
     let served = Rc::clone(state);
     let life = state.life.clone();
     let callers = server(state, async move |request, responder: &mut Responder| {
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -60,6 +60,9 @@
     placed: Vec<PlacedWire>,
     #[prost(message, repeated, tag = "9")]
     work: Vec<WorkWire>,
+    /// Hashes of the engines that the holder of the duties has ordered to another stage.
+    #[prost(fixed64, repeated, tag = "10")]
+    changing: Vec<u64>,
 }
 
 /// Work asked for at the sender.
@@ -256,7 +259,7 @@
 
 async fn announce(state: &State) -> Result<(), PlatformError> {
     let key = format!("{NODES_PREFIX}{}", state.name);
-    let address = state.settings.address("listen", "peer").to_string();
+    let address = state.peer_address.to_string();
     let found = state.store.get(&key).await?;
     let value = json!({ "address": address, "life": state.life_id });
     let expect = Expect::found(found.as_ref());
@@ -322,6 +325,7 @@
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
         placed: placed.into_iter().map(PlacedWire::from).collect(),
         work,
+        changing: state.changing.borrow().clone(),
     }
 }
 
@@ -408,6 +412,7 @@
     let mut dispatcher = state.dispatcher.borrow_mut();
     dispatcher.peer_loads(&name, &loads);
     dispatcher.peer_placed(&placed);
+    dispatcher.changing(&beat.changing, now);
     drop(dispatcher);
     let source = Source {
         node: name.clone(),
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -10,7 +10,7 @@
 use pomeloridge_base::http::{Connection, Outgoing, Response};
 use pomeloridge_base::id::Name;
 use pomeloridge_platform::{Authority, PlatformError, write_options};
-use pomeloridge_policy::dispatch::Stage;
+use pomeloridge_policy::dispatch::{Stage, Target};
 use pomeloridge_policy::staging::{EngineView, StageChange, changes};
 
 use crate::ports::StageOrder;
@@ -41,7 +41,6 @@
         let engines = config.services.values();
         for service in engines.filter(|service| service.engine.is_some()) {
             let now = state.now();
-            ordered.retain(|_, (_, at)| now.saturating_duration_since(*at) < CHANGE_TIME);
             let load = state.stage_load(&service.name);
             let recent = |at| now.saturating_duration_since(at) < LOADED_PAUSE;
             if !load.is_idle() && last.is_some_and(recent) {
@@ -51,6 +50,7 @@
                 match order(&state, &authority, &change).await {
                     Ok(()) => {
                         ordered.insert(change.id, (change.stage, state.now()));
+                        tell_changing(&state, &ordered);
                         last = Some(state.now());
                     }
                     Err(error) => log::warn!(
@@ -63,6 +63,22 @@
     }
 }
 
+/// Keeps the engines under change out of use here, and at the peers by the next beat.
+fn tell_changing(state: &State, ordered: &HashMap<Name, (Stage, Instant)>) {
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    let changing: Vec<u64> = dispatcher
+        .targets()
+        .map(|(_, target)| target)
+        .filter(|target| {
+            let ordered = ordered.get(&target.info.id);
+            ordered.is_some_and(|(stage, _)| *stage != target.info.stage)
+        })
+        .map(Target::hash)
+        .collect();
+    dispatcher.changing(&changing, state.now());
+    *state.changing.borrow_mut() = changing;
+}
+
 fn engine_views(
     state: &State,
     service: &Name,
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -57,6 +58,8 @@
     /// Drawn at the start, so that peers tell the starts of a node apart.
     pub(crate) life_id: u64,
     pub(crate) life: Life,
+    /// Where other nodes reach this one.
+    pub(crate) peer_address: SocketAddr,
     pub(crate) store: Client,
     pub(crate) config: RefCell<Option<InForce>>,
     pub(crate) register: RefCell<Register>,
@@ -72,12 +75,14 @@
     pub(crate) peers: RefCell<Peers>,
     /// Work asked for at this node, by service.
     pub(crate) work: RefCell<HashMap<Name, WorkMeter>>,
+    /// Hashes of the engines that this node has ordered to another stage.
+    pub(crate) changing: RefCell<Vec<u64>>,
     /// Fencing token of the duties while this node holds them.
     pub(crate) duty: Cell<Option<Epoch>>,
 }
 
 impl State {
-    pub(crate) fn new(parts: Parts) -> Rc<Self> {
+    pub(crate) fn new(parts: Parts, peer: SocketAddr) -> Rc<Self> {
         let Parts {
             settings,
             clock,
@@ -102,6 +107,7 @@
         Rc::new(Self {
             store,
             life: Life::default(),
+            peer_address: peer,
             config: RefCell::default(),
             register: RefCell::default(),
             listed: Cell::new(false),
@@ -114,6 +120,7 @@
             time: RefCell::new(TrueTime::new(now, clock.unix_ms())),
             peers: RefCell::default(),
             work: RefCell::default(),
+            changing: RefCell::default(),
             duty: Cell::new(None),
             settings,
             clock,
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -34,6 +34,8 @@
 const FIRST_PROBE: Duration = Duration::from_millis(500);
 /// Pause before a server is tried again that refused a request unread.
 const REFUSED_PAUSE: Duration = Duration::from_millis(250);
+/// Time after which an engine that was ordered to another stage is used all the same.
+const CHANGE_TIME: Duration = Duration::from_secs(6);
 /// Added to the prediction for a server in another data centre.
 const DISTANCE: Duration = Duration::from_millis(2);
 /// Time by which a separate prefill must be ahead to be worth the memory moved.
@@ -160,8 +162,10 @@
         let plan = self
             .plan(wanted, now, false)
             .or_else(|| self.plan(wanted, now, true))?;
-        if let Some(target) = self.targets.get_mut(plan.run) {
-            target.ejection.probe(now);
+        for key in [Some(plan.run), plan.prefill].into_iter().flatten() {
+            if let Some(target) = self.targets.get_mut(key) {
+                target.ejection.probe(now);
+            }
         }
         Some(plan)
     }
@@ -302,6 +306,15 @@
         }
     }
 
+    /// Passes engines over that were ordered to another stage, until the list shows it.
+    pub fn changing(&mut self, servers: &[u64], now: Instant) {
+        for target in self.targets.values_mut() {
+            if servers.contains(&target.hash) {
+                target.changing.get_or_insert(now + CHANGE_TIME);
+            }
+        }
+    }
+
     /// Notes that a server sent something.
     pub fn heard(&mut self, key: TargetKey, now: Instant) {
         if let Some(target) = self.targets.get_mut(key) {
@@ -327,7 +340,7 @@
             target.info.service == *wanted.service
                 && !target.info.leaving
                 && !wanted.tried.contains(key)
-                && (last_resort || target.ejection.may_try(now))
+                && (last_resort || (target.ejection.may_try(now) && !target.is_changing(now)))
         };
         self.targets
             .iter()
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -75,6 +75,8 @@
     pub(super) ejection: Ejection,
     /// When it last sent something to this node.
     pub(super) heard: Option<Instant>,
+    /// Until when it is taken to change its stage.
+    pub(super) changing: Option<Instant>,
     pub(super) parts: PartCache,
     pub(super) hash: u64,
 }
@@ -90,6 +92,7 @@
             report: None,
             ejection: Ejection::default(),
             heard: None,
+            changing: None,
             parts: PartCache::new(info.capacity),
             hash: hasher.finish(),
             info,
@@ -97,6 +100,9 @@
     }
 
     pub(super) fn update(&mut self, info: TargetInfo) {
+        if self.info.stage != info.stage {
+            self.changing = None;
+        }
         self.parts.resize(info.capacity);
         self.info = info;
     }
@@ -113,6 +119,16 @@
         self.own.unread + self.peers.sum(now).unread
     }
 
+    /// Hash of its identity, the same on every node.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Whether it is taken to change its stage.
+    pub fn is_changing(&self, now: Instant) -> bool {
+        self.changing.is_some_and(|until| now < until)
+    }
+
     /// Whether it is out of use after failures.
     pub fn is_ejected(&self) -> bool {
         self.ejection.is_ejected()
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -262,6 +262,51 @@
     assert_ne!(plan.run, d1);
 }
 
+/// Pattern: an engine is ordered to another stage; each refusal of it would be a repeat.
+#[test]
+fn an_engine_in_change_is_passed_over_until_the_list_shows_its_stage() {
+    let mut fleet = fleet(&[
+        ("p", Stage::Prefill),
+        ("d1", Stage::Decode),
+        ("d2", Stage::Decode),
+    ]);
+    let hash = fleet.target(key(&fleet, "p")).unwrap().hash();
+    fleet.changing(&[hash], Instant::now());
+    let plan = choose(&mut fleet, &prompt(12_000, None, 1), &[]).unwrap();
+    assert_eq!(plan.prefill, None);
+    let list = ["p", "d1", "d2"].map(|id| engine(id, Stage::Decode));
+    fleet.sync(list.to_vec());
+    let p = key(&fleet, "p");
+    assert!(!fleet.target(p).unwrap().is_changing(Instant::now()));
+}
+
+/// Found by a hunt (altiplano, hunt-11d8-51): after the first pause each request tried
+/// a prefill engine that went on refusing, which spent the fleet's retry budget.
+#[test]
+fn a_prefill_engine_that_goes_on_refusing_is_probed_and_not_tried_by_all() {
+    let mut fleet = fleet(&[("p", Stage::Prefill), ("d", Stage::Decode)]);
+    let p = key(&fleet, "p");
+    let service = Name::from("model");
+    let start = Instant::now();
+    fleet.refused(p, start);
+    let mut tries = 0;
+    for ms in (0..3000).step_by(10) {
+        let now = start + Duration::from_millis(ms);
+        let prompt = prompt(12_000, None, ms);
+        let wanted = Wanted {
+            service: &service,
+            prompt: Some(&prompt),
+            tried: &[],
+            apart: true,
+        };
+        if fleet.choose(&wanted, now).unwrap().prefill == Some(p) {
+            tries += 1;
+            fleet.refused(p, now);
+        }
+    }
+    assert!((1..=4).contains(&tries), "{tries} tries");
+}
+
 /// Pattern: a queue makes an engine answer late; it is no reason to take it out.
 #[test]
 fn a_server_that_answers_others_is_not_silent() {
--- /dev/null
+++ b/crates/pomeloridge_standin/src/fleet.rs
@@ -0,0 +1,119 @@
+//! A fake of the fleet's platform in one process: the metadata store, a few backend
+//! servers that register there, and the calls of the duties.
+//!
+//! It speaks only what the gateway uses. What it received can be read as JSON under
+//! `/-/history` at the duties' address.
+
+mod duties;
+mod server;
+mod store;
+
+use std::cell::RefCell;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clap::Args;
+use serde_json::{Value, json};
+
+use server::Behaviour;
+use store::Store;
+
+/// Command line of the fake.
+#[derive(Clone, Debug, Args)]
+pub struct FleetArgs {
+    /// Address on which everything listens; ports are free ones.
+    #[arg(long, default_value = "127.0.0.1")]
+    pub ip: std::net::IpAddr,
+    /// Engines that make tokens.
+    #[arg(long, default_value_t = 2)]
+    pub decode: usize,
+    /// Engines that read prompts.
+    #[arg(long, default_value_t = 1)]
+    pub prefill: usize,
+    /// Plain servers.
+    #[arg(long, default_value_t = 2)]
+    pub plain: usize,
+}
+
+/// What the parts share.
+pub(crate) struct Fleet {
+    store: RefCell<Store>,
+    /// What servers and duties received, in order.
+    history: RefCell<Vec<Value>>,
+    /// What single requests make the servers do wrong, by attempt and server.
+    behaviour: Behaviour,
+}
+
+impl Fleet {
+    fn note(&self, entry: Value) {
+        self.history.borrow_mut().push(entry);
+    }
+}
+
+/// Runs the fake until SIGTERM.
+pub(crate) async fn run(args: FleetArgs) -> io::Result<()> {
+    let fleet = Rc::new(Fleet {
+        store: RefCell::new(Store::new()),
+        history: RefCell::default(),
+        behaviour: Behaviour,
+    });
+    let any = SocketAddr::new(args.ip, 0);
+    let store = store::serve(&fleet, any)?;
+    let duties = duties::serve(&fleet, any)?;
+    let kinds = [
+        ("prefill", "assistant", args.prefill),
+        ("decode", "assistant", args.decode),
+        ("", "filings", args.plain),
+    ];
+    for (stage, service, count) in kinds {
+        for index in 0..count {
+            let id = format!(
+                "{service}{}{stage}-{index}",
+                if stage.is_empty() { "" } else { "-" }
+            );
+            server::start(&fleet, any, &id, service, stage)?;
+        }
+    }
+    fleet.store.borrow_mut().put("config", "main", config());
+    let first = json!({ "store": store.to_string(), "duties": duties.to_string() });
+    let mut out = io::stdout().lock();
+    writeln!(out, "{first}")?;
+    out.flush()?;
+    drop(out);
+    std::future::pending().await
+}
+
+/// The first configuration: a route of each kind, and one client account.
+fn config() -> Value {
+    let route = |name: &str, kind: &str, service: &str, more: Value| {
+        let mut route = json!({
+            "name": name, "host": "fleet.example", "pathPrefix": format!("/{name}/"),
+            "routeType": kind, "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 1,
+            "service": service, "maxAttempts": 2, "public": false,
+        });
+        for (key, value) in more.as_object().into_iter().flatten() {
+            route[key] = value.clone();
+        }
+        route
+    };
+    json!({
+        "version": 3,
+        "routes": [
+            route("read", "idempotent", "filings", Value::Null),
+            route("lodge", "non_idempotent", "filings", Value::Null),
+            route("open", "idempotent", "filings", json!({ "public": true })),
+            route("ask", "streaming", "assistant", json!({ "resumable": true, "gapAimMs": 250 })),
+            route("note", "streaming", "assistant", json!({ "maxAttempts": 1, "gapAimMs": 250 })),
+        ],
+        "services": [
+            { "name": "assistant", "healthPath": "/health", "maxConnections": 100,
+              "engine": { "slots": 8, "kvCapacity": 100_000, "kvTokenBytes": 35136,
+                          "linkMbps": 550_000.0, "kvHoldS": 5.0, "reconfigS": 3.0, "stride": 1 } },
+            { "name": "filings", "healthPath": "/health", "maxConnections": 100 },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "anna", "apiKeys": ["key-of-anna"], "priority": 1 }],
+    })
+}
--- /dev/null
+++ b/crates/pomeloridge_standin/src/fleet/server.rs
@@ -0,0 +1,165 @@
+//! One backend server: an engine of either stage, or a plain service.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderMap, StatusCode};
+use pomeloridge_base::http::{Request, Responder, Response};
+use serde_json::json;
+
+use super::{Fleet, store};
+
+/// Events of a stream.
+const EVENTS: u64 = 8;
+/// Pause between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// Event after which a stream is cut that is to be cut.
+const CUT_AFTER: u64 = 3;
+
+/// Reads from a request what is to go wrong: the header `x-fault`.
+pub(super) struct Behaviour;
+
+impl Behaviour {
+    /// What goes wrong on the first sending of a request.
+    fn fault(&self, request: &Request) -> String {
+        request.header("x-fault").unwrap_or_default().to_owned()
+    }
+}
+
+struct Backend {
+    fleet: Rc<Fleet>,
+    id: String,
+    stage: String,
+}
+
+/// Starts a server and registers it.
+pub(super) fn start(
+    fleet: &Rc<Fleet>,
+    address: SocketAddr,
+    id: &str,
+    service: &str,
+    stage: &str,
+) -> io::Result<()> {
+    let server = Rc::new(Backend {
+        fleet: Rc::clone(fleet),
+        id: id.to_owned(),
+        stage: stage.to_owned(),
+    });
+    let address = store::listen(address, async move |request, responder: &mut Responder| {
+        if let Ok(request) = request {
+            server.handle(&request, responder).await;
+        }
+    })?;
+    let mut entry = json!({
+        "service": service, "address": address.to_string(), "zone": "dc-1", "version": "v1",
+        "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1000,
+    });
+    if !stage.is_empty() {
+        entry["stage"] = json!(stage);
+    }
+    fleet.store.borrow_mut().put("servers", id, entry);
+    Ok(())
+}
+
+thread_local! {
+    /// Attempts that have met their fault.
+    static FAILED: RefCell<HashSet<String>> = RefCell::default();
+}
+
+impl Backend {
+    async fn handle(&self, request: &Request, responder: &mut Responder) {
+        let attempt = request.header("pomeloridge-attempt-id").unwrap_or_default();
+        let stage = request.header("pomeloridge-stage").unwrap_or_default();
+        let expected = request.header("pomeloridge-expect-instance");
+        let wrong_stage = (self.stage == "prefill") != (stage == "prefill");
+        if expected != Some(&self.id) || (!self.stage.is_empty() && wrong_stage) {
+            let _ = responder.send(Response::new(421, "")).await;
+            return;
+        }
+        if request.path().starts_with("/-/kv-handle/") {
+            let _ = responder.send(Response::new(200, "{}")).await;
+            return;
+        }
+        let key_seen = request.headers.contains_key("pomeloridge-key");
+        self.fleet.note(json!({
+            "server": self.id, "attempt": attempt, "stage": stage, "path": request.uri.to_string(),
+            "method": request.method.as_str(), "body": request.body.len(),
+            "tenant": request.header("pomeloridge-tenant"), "key": key_seen,
+            "deadline": request.header("pomeloridge-deadline-ms"),
+            "last_event": request.header("last-event-id"),
+            "source": request.header("pomeloridge-kv-source"),
+        }));
+        if stage == "prefill" {
+            let body = json!({ "kvHandle": format!("h-{attempt}"), "tokens": 10, "version": 1 });
+            let _ = responder.send(Response::json(200, &body)).await;
+            return;
+        }
+        let first = FAILED.with_borrow_mut(|failed| failed.insert(attempt.to_owned()));
+        let fault = self.fleet.behaviour.fault(request);
+        let fault = if first { fault.as_str() } else { "" };
+        if self.stage.is_empty() {
+            self.whole(attempt, fault, responder).await;
+        } else {
+            self.stream(request, attempt, fault, responder).await;
+        }
+    }
+
+    async fn whole(&self, attempt: &str, fault: &str, responder: &mut Responder) {
+        let response = match fault {
+            // The connection closes without an answer.
+            "lost" => return,
+            "shed" => Response::new(503, "full").with("pomeloridge-not-executed", "1"),
+            "error" => sealed(Response::new(500, "failed"), attempt),
+            "late" => {
+                monoio::time::sleep(Duration::from_secs(30)).await;
+                return;
+            }
+            _ => sealed(Response::new(200, format!("done by {}", self.id)), attempt),
+        };
+        let _ = responder.send(response).await;
+    }
+
+    async fn stream(
+        &self,
+        request: &Request,
+        attempt: &str,
+        fault: &str,
+        responder: &mut Responder,
+    ) {
+        let last = request.header("last-event-id");
+        let from = last.and_then(|id| id.parse::<u64>().ok()).unwrap_or(0) + 1;
+        let response =
+            sealed(Response::new(200, ""), attempt).with("content-type", "text/event-stream");
+        let headers: HeaderMap = response.headers;
+        if fault == "lost" || responder.start(StatusCode::OK, &headers).await.is_err() {
+            return;
+        }
+        for event in from..=EVENTS {
+            let text = format!("id: {event}\ndata: t{event}\n\n");
+            if fault == "cut" && event > CUT_AFTER {
+                // A server may be lost in the middle of an event.
+                let _ = responder.chunk(&text.as_bytes()[..7]).await;
+                return;
+            }
+            let sent = responder.chunk(text.as_bytes()).await;
+            if sent.is_err() {
+                self.fleet
+                    .note(json!({ "server": self.id, "attempt": attempt, "gone": event }));
+                return;
+            }
+            monoio::time::sleep(EVENT_PAUSE).await;
+        }
+        let _ = responder.finish().await;
+    }
+}
+
+fn sealed(response: Response, attempt: &str) -> Response {
+    response
+        .with("pomeloridge-attempt-id", attempt)
+        .with("pomeloridge-server-seal", "seal")
+        .with("pomeloridge-server-load", "1,0,8")
+}
