--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -216,7 +216,7 @@
             asked = asked.with("pomeloridge-key", key);
         }
         assert_eq!(deployment.ask(asked).await.unwrap().status, status);
-        let runs = if status == 200 { 1 } else { 0 };
+        let runs = usize::from(status == 200);
         assert_eq!(deployment.received("b1").await.len(), runs);
     });
 }
--- a/crates/pomeloridge_gateway/src/register.rs
+++ b/crates/pomeloridge_gateway/src/register.rs
@@ -54,11 +54,12 @@
 
     /// Takes the removal of an entry; says whether the server is gone by it.
     pub fn remove(&mut self, name: &Name, now: Instant) -> bool {
-        if self.grace_end.is_some_and(|end| now < end) {
-            if let Some(entry) = self.entries.get_mut(name).filter(|entry| !entry.renewed) {
-                entry.missing = true;
-                return false;
-            }
+        if self.grace_end.is_some_and(|end| now < end)
+            && let Some(entry) = self.entries.get_mut(name)
+            && !entry.renewed
+        {
+            entry.missing = true;
+            return false;
         }
         self.entries.remove(name).is_some()
     }
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -32,6 +32,9 @@
     let mut last: Option<Instant> = None;
     loop {
         monoio::time::sleep(PAUSE).await;
+        let now = state.now();
+        ordered.retain(|_, (_, at)| now.saturating_duration_since(*at) < CHANGE_TIME);
+        tell_changing(&state, &ordered);
         let Some(config) = state.config() else {
             continue;
         };
@@ -40,7 +43,6 @@
         }
         let engines = config.services.values();
         for service in engines.filter(|service| service.engine.is_some()) {
-            let now = state.now();
             let load = state.stage_load(&service.name);
             let recent = |at| now.saturating_duration_since(at) < LOADED_PAUSE;
             if !load.is_idle() && last.is_some_and(recent) {
--- a/crates/pomeloridge_standin/src/fleet.rs
+++ b/crates/pomeloridge_standin/src/fleet.rs
@@ -16,7 +16,6 @@
 use clap::Args;
 use serde_json::{Value, json};
 
-use server::Behaviour;
 use store::Store;
 
 /// Command line of the fake.
@@ -41,8 +40,6 @@
     store: RefCell<Store>,
     /// What servers and duties received, in order.
     history: RefCell<Vec<Value>>,
-    /// What single requests make the servers do wrong, by attempt and server.
-    behaviour: Behaviour,
 }
 
 impl Fleet {
@@ -56,7 +53,6 @@
     let fleet = Rc::new(Fleet {
         store: RefCell::new(Store::new()),
         history: RefCell::default(),
-        behaviour: Behaviour,
     });
     let any = SocketAddr::new(args.ip, 0);
     let store = store::serve(&fleet, any)?;
--- a/crates/pomeloridge_standin/src/fleet/server.rs
+++ b/crates/pomeloridge_standin/src/fleet/server.rs
@@ -20,16 +20,6 @@
 /// Event after which a stream is cut that is to be cut.
 const CUT_AFTER: u64 = 3;
 
-/// Reads from a request what is to go wrong: the header `x-fault`.
-pub(super) struct Behaviour;
-
-impl Behaviour {
-    /// What goes wrong on the first sending of a request.
-    fn fault(&self, request: &Request) -> String {
-        request.header("x-fault").unwrap_or_default().to_owned()
-    }
-}
-
 struct Backend {
     fleet: Rc<Fleet>,
     id: String,
@@ -99,8 +89,9 @@
             return;
         }
         let first = FAILED.with_borrow_mut(|failed| failed.insert(attempt.to_owned()));
-        let fault = self.fleet.behaviour.fault(request);
-        let fault = if first { fault.as_str() } else { "" };
+        // What goes wrong on the first sending of a request.
+        let fault = request.header("x-fault").filter(|_| first);
+        let fault = fault.unwrap_or_default();
         if self.stage.is_empty() {
             self.whole(attempt, fault, responder).await;
         } else {
