Let a few nodes watch the object service and tell the others

Ruled out: longer waits of each node's watches, which delay what is withdrawn. Change: a ranking of names gives the nodes that watch (3, or one in ten); they tell changes of the list of servers at once by datagram, gaps show by revision and are read from a peer; who hears too few of them watches itself.

--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -14,6 +14,8 @@
 
 /// Path of the configuration.
 const CONFIG_PATH: &str = "/config";
+/// Path of the list of servers.
+const SERVERS_PATH: &str = "/servers";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Time that a read takes at most.
@@ -55,6 +57,22 @@
     Ok(wire.into())
 }
 
+#[derive(Serialize, Deserialize)]
+struct ListWire {
+    revision: Revision,
+    objects: Vec<ObjectWire>,
+}
+
+/// Reads a peer's list of servers.
+pub(crate) async fn read_servers(address: SocketAddr) -> Result<(Revision, Vec<Object>), String> {
+    let response = call(address, &Outgoing::get(SERVERS_PATH), READ_TIME).await;
+    let response = response.map_err(|fault| fault.to_string())?;
+    let wire: ListWire =
+        serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
+    let objects = wire.objects.into_iter().map(Object::from);
+    Ok((wire.revision, objects.collect()))
+}
+
 /// Answers peers and collectors.
 pub(crate) async fn handle(
     state: &Rc<State>,
@@ -63,6 +81,7 @@
 ) {
     let response = match request {
         Ok(request) if request.path() == CONFIG_PATH => config(state),
+        Ok(request) if request.path() == SERVERS_PATH => servers(state),
         Ok(request) if request.path() == METRICS_PATH => {
             Response::new(200, (state.metrics)()).with("content-type", "text/plain")
         }
@@ -80,3 +99,14 @@
         None => Response::new(404, ""),
     }
 }
+
+fn servers(state: &State) -> Response {
+    let list = state.server_list.borrow();
+    match list.revision() {
+        Some(revision) => {
+            let objects = list.objects().map(ObjectWire::from).collect();
+            Response::json(200, &ListWire { revision, objects })
+        }
+        None => Response::new(404, ""),
+    }
+}
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -54,6 +54,7 @@
         state.settings.text("node", "data_centre"),
         state.settings.text("platform", "store")
     );
+    *state.socket.borrow_mut() = Some(Rc::clone(&socket));
     life::watch_signals(&state)?;
     monoio::spawn(watch::config(Rc::clone(&state)));
     monoio::spawn(watch::servers(Rc::clone(&state)));
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -3,27 +3,30 @@
 //! latest matters. Nodes find one another through objects of their own.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use monoio::net::udp::UdpSocket;
-use pomeloridge_base::id::{Epoch, Name};
-use pomeloridge_platform::{Expect, Object, PlatformError};
+use pomeloridge_base::id::{Epoch, Name, Revision};
+use pomeloridge_platform::{Event, Expect, Object, PlatformError};
 use pomeloridge_policy::dispatch::{OwnLoad, PeerLoad, Placed};
 use pomeloridge_policy::parts::Part;
+use pomeloridge_policy::watchers::PeerView;
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 use serde_json::json;
 
+use crate::server_list::{Applied, ListChange};
 use crate::state::State;
 use crate::usage::{Counts, Source};
 use crate::{internal, watch};
 
 /// Prefix of the nodes' objects.
 const NODES_PREFIX: &str = "pomeloridge-nodes/";
-/// Pause between two reads of the nodes' objects.
-const LIST_PAUSE: Duration = Duration::from_secs(6);
+/// Pause between two reads of the nodes' objects; a node that starts tells the others.
+const LIST_PAUSE: Duration = Duration::from_secs(30);
 /// Pause between two tries while no node could be read or written.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Silence after which a peer is not counted as live.
@@ -63,6 +66,75 @@
     /// Hashes of the engines that the holder of the duties has ordered to another stage.
     #[prost(fixed64, repeated, tag = "10")]
     changing: Vec<u64>,
+    /// Revision of the list of servers; 0 before it was read.
+    #[prost(uint64, tag = "11")]
+    servers: u64,
+    /// Time since the object service answered the sender's watch, in milliseconds.
+    #[prost(uint64, optional, tag = "12")]
+    answered_ms: Option<u64>,
+    /// Changes of the list of servers that the sender has just seen.
+    #[prost(message, optional, tag = "13")]
+    change: Option<ChangeWire>,
+}
+
+/// Changes of the list of servers.
+#[derive(Clone, PartialEq, Message)]
+struct ChangeWire {
+    #[prost(uint64, tag = "1")]
+    from: u64,
+    #[prost(uint64, tag = "2")]
+    to: u64,
+    #[prost(message, repeated, tag = "3")]
+    events: Vec<EventWire>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct EventWire {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    /// JSON of the entry; absent where it was removed.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    value: Option<Vec<u8>>,
+}
+
+impl From<&ListChange> for ChangeWire {
+    fn from(change: &ListChange) -> Self {
+        let events = change.events.iter().map(|event| EventWire {
+            key: event.key.clone(),
+            version: event.version.0,
+            value: event
+                .value
+                .as_ref()
+                .map(|value| value.to_string().into_bytes()),
+        });
+        Self {
+            from: change.from.0,
+            to: change.to.0,
+            events: events.collect(),
+        }
+    }
+}
+
+impl TryFrom<ChangeWire> for ListChange {
+    type Error = serde_json::Error;
+
+    fn try_from(wire: ChangeWire) -> Result<Self, Self::Error> {
+        let events = wire.events.into_iter().map(|event| {
+            let value = event.value.map(|json| serde_json::from_slice(&json));
+            Ok(Event {
+                key: event.key,
+                version: Revision(event.version),
+                value: value.transpose()?,
+            })
+        });
+        Ok(Self {
+            from: Revision(wire.from),
+            to: Revision(wire.to),
+            events: events.collect::<Result<_, _>>()?,
+        })
+    }
 }
 
 /// Work asked for at the sender.
@@ -141,6 +213,8 @@
     /// Fencing token that the peer says to hold the duties by.
     duty: Option<Epoch>,
     work: Vec<(Name, WorkRates)>,
+    /// When the object service last answered its watch, on this node's clock.
+    answered: Option<Instant>,
 }
 
 /// The other nodes.
@@ -151,6 +225,12 @@
 }
 
 impl Peers {
+    fn answered(&mut self, name: &Name, answered: Option<Instant>) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.answered = answered;
+        }
+    }
+
     /// Peers that were heard of late.
     pub(crate) fn live(&self, now: Instant) -> usize {
         self.peers
@@ -189,6 +269,7 @@
                 listed: true,
                 duty: None,
                 work: Vec::new(),
+                answered: None,
             });
             peer.address = address;
             peer.listed = true;
@@ -208,6 +289,7 @@
             listed: false,
             duty: None,
             work: Vec::new(),
+            answered: None,
         });
         if !known || !is_live(peer, now) {
             log::info!("dependency name=node/{name} state=regained address={address}");
@@ -217,6 +299,21 @@
         peer
     }
 
+    /// The live peers, for the choice of those that watch the object service.
+    pub(crate) fn watcher_views(&self, now: Instant) -> Vec<PeerView> {
+        let live = self.peers.iter().filter(|(_, peer)| is_live(peer, now));
+        let views = live.map(|(name, peer)| PeerView {
+            rank: rank(name),
+            answered: peer.answered.map(|at| now.saturating_duration_since(at)),
+        });
+        views.collect()
+    }
+
+    /// Every peer's address.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
+    }
+
     /// The rates of a service's work at the live peers.
     pub(crate) fn work(&self, service: &Name, now: Instant) -> WorkRates {
         let live = self.peers.values().filter(|peer| is_live(peer, now));
@@ -229,6 +326,13 @@
     }
 }
 
+/// A node's place in the order of those that watch, the same in every view.
+pub(crate) fn rank(name: &Name) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
+
 fn is_live(peer: &Peer, now: Instant) -> bool {
     let recent = |at| now.saturating_duration_since(at) < LIVE;
     peer.heard.is_some_and(recent)
@@ -326,9 +430,68 @@
         placed: placed.into_iter().map(PlacedWire::from).collect(),
         work,
         changing: state.changing.borrow().clone(),
+        servers: state
+            .server_list
+            .borrow()
+            .revision()
+            .map_or(0, |revision| revision.0),
+        answered_ms: answered_ms(state, now),
+        change: None,
     }
 }
 
+fn answered_ms(state: &State, now: Instant) -> Option<u64> {
+    let answered = state.store_answered.get()?;
+    Some(now.saturating_duration_since(answered).as_millis() as u64)
+}
+
+/// Tells every peer at once of changes that the object service has told.
+pub(crate) fn spread(state: &Rc<State>, change: &ListChange) {
+    let now = state.now();
+    let beat = BeatWire {
+        node: state.name.to_string(),
+        life: state.life_id,
+        unix_ms: state.time.borrow().unix_ms(now),
+        config: state.config().map_or(0, |config| config.version),
+        duty: state.duty.get().map_or(0, |epoch| epoch.0),
+        answered_ms: answered_ms(state, now),
+        change: Some(change.into()),
+        ..BeatWire::default()
+    };
+    send_to_all(state, beat.encode_to_vec());
+}
+
+/// Tells every peer at once that a newer configuration is in force here.
+pub(crate) fn spread_config(state: &Rc<State>, version: u64) {
+    let now = state.now();
+    let beat = BeatWire {
+        node: state.name.to_string(),
+        life: state.life_id,
+        unix_ms: state.time.borrow().unix_ms(now),
+        config: version,
+        duty: state.duty.get().map_or(0, |epoch| epoch.0),
+        answered_ms: answered_ms(state, now),
+        ..BeatWire::default()
+    };
+    send_to_all(state, beat.encode_to_vec());
+}
+
+fn send_to_all(state: &Rc<State>, bytes: Vec<u8>) {
+    let addresses = state.peers.borrow().addresses();
+    let state = Rc::clone(state);
+    monoio::spawn(async move {
+        let Some(socket) = state.socket.borrow().clone() else {
+            return;
+        };
+        for address in addresses {
+            let (sent, _) = socket.send_to(bytes.clone(), address).await;
+            if let Err(error) = sent {
+                log::debug!("beat address={address} failed: {error}");
+            }
+        }
+    });
+}
+
 fn work_wire(state: &State, now: Instant) -> Vec<WorkWire> {
     let work = state.work.borrow();
     let work = work.iter().map(|(service, meter)| {
@@ -379,9 +542,9 @@
     }
 }
 
-fn take_in(state: &Rc<State>, beat: BeatWire, address: SocketAddr) {
+fn take_in(state: &Rc<State>, mut beat: BeatWire, address: SocketAddr) {
     let now = state.now();
-    let name = Name::from(beat.node);
+    let name = Name::from(beat.node.as_str());
     if name == state.name {
         return;
     }
@@ -390,13 +553,19 @@
     let peer = peers.heard(&name, address, now);
     peer.duty = duty;
     if !beat.work.is_empty() {
-        peer.work = beat.work.into_iter().map(work).collect();
+        let told = std::mem::take(&mut beat.work);
+        peer.work = told.into_iter().map(work).collect();
     }
     drop(peers);
     let corrected = state.time.borrow_mut().heard(&name, beat.unix_ms, now);
     if let Some(by) = corrected {
         log::info!("time choice=correct by_ms={by} reason=\"median of the nodes\"");
     }
+    take_in_store(state, &beat, &name, address);
+    if beat.change.is_some() || beat.servers == 0 {
+        // Words about the store alone say nothing of loads.
+        return;
+    }
     let loads: Vec<(Name, PeerLoad)> = beat
         .loads
         .into_iter()
@@ -428,10 +597,45 @@
         usage.heard(&source, window, counts);
     }
     drop(usage);
+}
+
+/// Takes in what a peer tells of the object service.
+fn take_in_store(state: &Rc<State>, beat: &BeatWire, name: &Name, address: SocketAddr) {
+    let now = state.now();
+    let answered = beat.answered_ms.map(Duration::from_millis);
+    let answered = answered.and_then(|age| now.checked_sub(age));
+    state.peers.borrow_mut().answered(name, answered);
     let known = state.config().map_or(0, |config| config.version);
     if beat.config > known {
         fetch_config(state, address);
     }
+    let applied = beat.change.clone().map(ListChange::try_from);
+    let gap = match applied {
+        Some(Ok(change)) => watch::change_servers(state, &change) == Applied::Gap,
+        Some(Err(error)) => {
+            log::warn!("servers from={name} choice=read_list reason=\"{error}\"");
+            true
+        }
+        None => {
+            let known = state.server_list.borrow().revision();
+            beat.servers > known.map_or(0, |revision| revision.0)
+        }
+    };
+    if gap && !state.watches() && !state.fetching.replace(true) {
+        fetch_servers(state, address);
+    }
+}
+
+/// Reads the list of servers from a peer that knows a newer one.
+fn fetch_servers(state: &Rc<State>, address: SocketAddr) {
+    let state = Rc::clone(state);
+    monoio::spawn(async move {
+        match internal::read_servers(address).await {
+            Ok((revision, objects)) => watch::replace_servers(&state, revision, &objects),
+            Err(error) => log::debug!("servers from {address} not read: {error}"),
+        }
+        state.fetching.set(false);
+    });
 }
 
 /// Reads a newer configuration from a peer, where the object service may be out of reach.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use monoio::net::udp::UdpSocket;
 use pomeloridge_base::clock::SharedClock;
 use pomeloridge_base::id::{Epoch, Name};
 use pomeloridge_base::meter::Meter;
@@ -15,15 +16,17 @@
 use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
 use pomeloridge_policy::suspicion::Suspicions;
+use pomeloridge_policy::watchers::must_watch;
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::attempt::Running;
 use crate::config::ServingConfig;
 use crate::life::Life;
-use crate::peers::Peers;
+use crate::peers::{self, Peers};
 use crate::pool::Pool;
 use crate::ports::Ports;
 use crate::register::Register;
+use crate::server_list::ServerList;
 use crate::true_time::TrueTime;
 use crate::usage::{Source, UsageBook};
 
@@ -58,11 +61,18 @@
     /// Drawn at the start, so that peers tell the starts of a node apart.
     pub(crate) life_id: u64,
     pub(crate) life: Life,
+    /// Where datagrams to peers leave.
+    pub(crate) socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Whether the list of servers is being read from a peer.
+    pub(crate) fetching: Cell<bool>,
     /// Where other nodes reach this one.
     pub(crate) peer_address: SocketAddr,
     pub(crate) store: Client,
     pub(crate) config: RefCell<Option<InForce>>,
     pub(crate) register: RefCell<Register>,
+    pub(crate) server_list: RefCell<ServerList>,
+    /// When the object service last answered this node's watch of the servers.
+    pub(crate) store_answered: Cell<Option<Instant>>,
     /// Whether the list of servers has been read.
     pub(crate) listed: Cell<bool>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
@@ -108,8 +118,12 @@
             store,
             life: Life::default(),
             peer_address: peer,
+            socket: RefCell::default(),
+            fetching: Cell::new(false),
             config: RefCell::default(),
             register: RefCell::default(),
+            server_list: RefCell::default(),
+            store_answered: Cell::new(None),
             listed: Cell::new(false),
             dispatcher: RefCell::new(Dispatcher::new(data_centre, EngineModel::default())),
             budgets: RefCell::default(),
@@ -229,6 +243,12 @@
         self.settings.time("usage", "window_ms")
     }
 
+    /// Whether this node watches the object service, and does not only hear from peers.
+    pub(crate) fn watches(&self) -> bool {
+        let peers = self.peers.borrow().watcher_views(self.now());
+        must_watch(peers::rank(&self.name), &peers)
+    }
+
     /// Hands the register's servers to the dispatcher.
     pub(crate) fn sync_servers(&self) {
         let config = self.config();
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -9,12 +9,18 @@
 use pomeloridge_policy::dispatch::TargetInfo;
 
 use crate::config::ServingConfig;
+use crate::peers;
+use crate::server_list::{Applied, ListChange};
 use crate::state::{InForce, State};
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two looks for lapsed servers.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause after failed calls.
+const RETRY_PAUSE_MAX: Duration = Duration::from_secs(1);
+/// Pause between two looks whether to watch, while peers do.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
 /// Silence of the object service that counts as an outage in which entries lapse.
 const OUTAGE: Duration = Duration::from_millis(1500);
 
@@ -44,6 +50,11 @@
         }
     }
 
+    /// Notes that the dependency is not asked for the time being.
+    fn left(&self) {
+        self.lost.set(None);
+    }
+
     /// Notes an answer; gives the time for which there was none.
     fn answered(&self, now: Instant) -> Option<Duration> {
         let lost = self.lost.take()?;
@@ -63,6 +74,15 @@
     let dependency = Dependency::new("store/config");
     let mut after = None;
     loop {
+        if after.is_some() && !state.watches() {
+            // Peers tell of newer versions; what they missed is read on return.
+            after = None;
+            dependency.left();
+        }
+        if after.is_none() && state.config().is_some() && !state.watches() {
+            monoio::time::sleep(FOLLOW_PAUSE).await;
+            continue;
+        }
         let result = match after {
             None => read_config(&state).await.map(Some),
             Some(revision) => match watch(&state, store.config_prefix, revision).await {
@@ -70,6 +90,9 @@
                     for event in events.iter().filter(|event| event.key == store.config_key) {
                         adopt_event(&state, event);
                     }
+                    if let Some(config) = state.config().filter(|_| !events.is_empty()) {
+                        peers::spread_config(&state, config.version);
+                    }
                     Ok(Some(revision))
                 }
                 Err(PlatformError::TooOld) => Ok(None),
@@ -167,17 +190,31 @@
 /// Reads the list of servers and follows its changes for as long as the node lives.
 pub(crate) async fn servers(state: Rc<State>) {
     let dependency = Dependency::new("store/servers");
-    let mut after = None;
+    let mut pause = RETRY_PAUSE;
+    // Whether the history behind the known revision is gone.
+    let mut lost = false;
     loop {
-        let result = match after {
+        let known = state.server_list.borrow().revision().filter(|_| !lost);
+        if known.is_some() && !state.watches() {
+            state.store_answered.set(None);
+            dependency.left();
+            monoio::time::sleep(FOLLOW_PAUSE).await;
+            continue;
+        }
+        let result = match known {
             None => read_servers(&state, &dependency).await.map(Some),
             Some(revision) => follow_servers(&state, &dependency, revision).await,
         };
         match result {
-            Ok(revision) => after = revision,
+            Ok(revision) => {
+                lost = revision.is_none();
+                pause = RETRY_PAUSE;
+                state.store_answered.set(Some(state.now()));
+            }
             Err(error) => {
                 dependency.failed(&error, state.now());
-                monoio::time::sleep(RETRY_PAUSE).await;
+                monoio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY_PAUSE_MAX);
             }
         }
     }
@@ -194,6 +231,15 @@
 async fn read_servers(state: &State, dependency: &Dependency) -> Result<Revision, PlatformError> {
     let (revision, objects) = state.store.list(state.ports.store.servers_prefix).await?;
     note_answer(state, dependency);
+    replace_servers(state, revision, &objects);
+    Ok(revision)
+}
+
+/// Takes a whole list of servers, from the object service or a peer.
+pub(crate) fn replace_servers(state: &State, revision: Revision, objects: &[Object]) {
+    if !state.server_list.borrow_mut().replace(revision, objects) {
+        return;
+    }
     let list = objects
         .iter()
         .filter_map(|object| entry(state, object))
@@ -203,11 +249,10 @@
     if changed {
         sync(state, revision);
     }
-    Ok(revision)
 }
 
 async fn follow_servers(
-    state: &State,
+    state: &Rc<State>,
     dependency: &Dependency,
     after: Revision,
 ) -> Result<Option<Revision>, PlatformError> {
@@ -220,14 +265,29 @@
         other => other?,
     };
     note_answer(state, dependency);
+    let change = ListChange {
+        from: after,
+        to: revision,
+        events,
+    };
+    if !change.events.is_empty() {
+        peers::spread(state, &change);
+    }
+    change_servers(state, &change);
+    Ok(Some(revision))
+}
+
+/// Takes changes of the list of servers, from the object service or a peer.
+pub(crate) fn change_servers(state: &State, change: &ListChange) -> Applied {
+    let (applied, new) = state.server_list.borrow_mut().apply(change);
     let mut changed = false;
-    for event in &events {
+    for event in &new {
         changed |= apply(state, event);
     }
     if changed {
-        sync(state, revision);
+        sync(state, change.to);
     }
-    Ok(Some(revision))
+    applied
 }
 
 fn note_answer(state: &State, dependency: &Dependency) {
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod staging;
 pub mod suspicion;
 pub mod ticket;
+pub mod watchers;
 pub mod work_meter;
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -13,3 +13,4 @@
 mod scaling;
 mod support;
 mod suspicion;
+mod watchers;
--- /dev/null
+++ b/crates/pomeloridge_policy/tests/policy/watchers.rs
@@ -0,0 +1,35 @@
+//! Which nodes watch the object service.
+
+use std::time::Duration;
+
+use pomeloridge_policy::watchers::{PeerView, must_watch};
+
+fn peers(nodes: u64, own: u64, answered: impl Fn(u64) -> Option<u64>) -> Vec<PeerView> {
+    let others = (0..nodes).filter(|rank| *rank != own);
+    let views = others.map(|rank| PeerView {
+        rank,
+        answered: answered(rank).map(Duration::from_millis),
+    });
+    views.collect()
+}
+
+/// Pattern: the calls of the object service must not grow with the nodes.
+#[test]
+fn few_nodes_of_many_watch() {
+    for (nodes, wanted) in [(1, 1), (3, 3), (7, 3), (78, 8), (300, 30)] {
+        let all = |_| Some(100);
+        let watch = (0..nodes).filter(|own| must_watch(*own, &peers(nodes, *own, all)));
+        assert_eq!(watch.count(), wanted, "{nodes} nodes");
+    }
+}
+
+/// Pattern: the nodes that watch lose the store, or fall silent, and the rest must not
+/// go on with an old list.
+#[test]
+fn others_step_in_for_watchers_that_are_not_answered() {
+    let stale = |rank| if rank < 3 { Some(4000) } else { Some(100) };
+    assert!(must_watch(5, &peers(7, 5, stale)));
+    assert!(!must_watch(6, &peers(7, 6, stale)));
+    let none = |_| None;
+    assert!((0..7).all(|own| must_watch(own, &peers(7, own, none))));
+}
