Choose among samples of many engines, and send less between nodes

Ruled out: too few engines (112 to 168 engines before about 50 engines' work). Change: a sample of 20 where over 40 engines fit; loads and placed parts in columns; counts go to the holder and three others; decode engines' speed and queue follow their slots.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -35,6 +35,8 @@
 const FORGET: Duration = Duration::from_secs(20);
 /// Rounds between two that carry counts of usage and rates of work.
 const USAGE_ROUNDS: u64 = 4;
+/// Peers besides the holder that are told the counts in one of those rounds.
+const USAGE_COPIES: usize = 3;
 /// Bytes of the largest datagram that is read.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -52,20 +54,20 @@
     /// Version of the configuration in force; 0 if there is none.
     #[prost(uint64, tag = "4")]
     config: u64,
-    #[prost(message, repeated, tag = "5")]
-    loads: Vec<LoadWire>,
+    #[prost(message, optional, tag = "5")]
+    loads: Option<LoadsWire>,
     #[prost(message, repeated, tag = "6")]
     usage: Vec<UsageWire>,
     /// Fencing token of the duties if the sender holds them, else 0.
     #[prost(uint64, tag = "7")]
     duty: u64,
-    #[prost(message, repeated, tag = "8")]
-    placed: Vec<PlacedWire>,
+    #[prost(message, optional, tag = "8")]
+    placed: Option<PlacedWire>,
     #[prost(message, repeated, tag = "9")]
     work: Vec<WorkWire>,
     /// Hashes of the engines that the holder of the duties has ordered to another stage.
-    #[prost(fixed64, repeated, tag = "10")]
-    changing: Vec<u64>,
+    #[prost(fixed32, repeated, tag = "10")]
+    changing: Vec<u32>,
     /// Revision of the list of servers; 0 before it was read.
     #[prost(uint64, tag = "11")]
     servers: u64,
@@ -150,49 +152,73 @@
     make: f32,
 }
 
-/// A shared part of prompts that a server was given to read.
+/// Shared parts of prompts that servers were given to read, in columns, which take
+/// less room than rows.
 #[derive(Clone, PartialEq, Message)]
 struct PlacedWire {
-    /// Hash of the server's identity.
-    #[prost(fixed64, tag = "1")]
-    server: u64,
-    #[prost(fixed64, tag = "2")]
-    part: u64,
-    #[prost(uint64, tag = "3")]
-    tokens: u64,
+    /// Hashes of the servers' identities.
+    #[prost(fixed32, repeated, tag = "1")]
+    servers: Vec<u32>,
+    #[prost(uint64, repeated, tag = "2")]
+    parts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    tokens: Vec<u64>,
 }
 
-impl From<Placed> for PlacedWire {
-    fn from(placed: Placed) -> Self {
+impl From<&[Placed]> for PlacedWire {
+    fn from(placed: &[Placed]) -> Self {
         Self {
-            server: placed.server,
-            part: placed.part.id,
-            tokens: placed.part.tokens,
+            servers: placed.iter().map(|placed| placed.server).collect(),
+            parts: placed.iter().map(|placed| placed.part.id).collect(),
+            tokens: placed.iter().map(|placed| placed.part.tokens).collect(),
         }
     }
 }
 
-impl From<PlacedWire> for Placed {
+impl From<PlacedWire> for Vec<Placed> {
     fn from(wire: PlacedWire) -> Self {
-        Self {
-            server: wire.server,
-            part: Part {
-                id: wire.part,
-                tokens: wire.tokens,
-            },
-        }
+        let parts = wire.parts.into_iter().zip(wire.tokens);
+        let parts = parts.map(|(id, tokens)| Part { id, tokens });
+        let placed = wire.servers.into_iter().zip(parts);
+        placed
+            .map(|(server, part)| Placed { server, part })
+            .collect()
     }
 }
 
+/// Loads that the sender has put on servers, in columns.
 #[derive(Clone, PartialEq, Message)]
-struct LoadWire {
-    #[prost(string, tag = "1")]
-    server: String,
+struct LoadsWire {
+    /// Hashes of the servers' identities.
+    #[prost(fixed32, repeated, tag = "1")]
+    servers: Vec<u32>,
     /// Prompt tokens that are not read yet.
-    #[prost(uint64, tag = "2")]
-    unread: u64,
-    #[prost(uint32, tag = "3")]
-    running: u32,
+    #[prost(uint64, repeated, tag = "2")]
+    unread: Vec<u64>,
+    #[prost(uint32, repeated, tag = "3")]
+    running: Vec<u32>,
+}
+
+impl FromIterator<(u32, OwnLoad)> for LoadsWire {
+    fn from_iter<I: IntoIterator<Item = (u32, OwnLoad)>>(loads: I) -> Self {
+        let mut wire = Self::default();
+        for (server, load) in loads {
+            wire.servers.push(server);
+            wire.unread.push(load.unread);
+            wire.running.push(load.running);
+        }
+        wire
+    }
+}
+
+impl LoadsWire {
+    fn told(self, at: Instant) -> Vec<(u32, PeerLoad)> {
+        let loads = self.unread.into_iter().zip(self.running);
+        let loads = loads.map(|(unread, running)| OwnLoad { unread, running });
+        let told = self.servers.into_iter().zip(loads);
+        told.map(|(server, load)| (server, PeerLoad { load, at }))
+            .collect()
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -258,6 +284,20 @@
         addresses
     }
 
+    /// Those that are told the counts of usage in this round: whoever reports them, and
+    /// a few that know them should this node be killed.
+    fn next_counted(&self) -> Vec<SocketAddr> {
+        let holders = self.peers.values().filter(|peer| peer.duty.is_some());
+        let mut addresses: Vec<SocketAddr> = holders.map(|peer| peer.address).collect();
+        let mut others: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
+        others.sort_unstable();
+        let turn = (self.round / USAGE_ROUNDS) as usize * USAGE_COPIES;
+        let start = turn.checked_rem(others.len()).unwrap_or_default();
+        others.rotate_left(start);
+        addresses.extend(others.into_iter().take(USAGE_COPIES));
+        addresses
+    }
+
     fn listed(&mut self, nodes: Vec<(Name, SocketAddr)>, now: Instant) {
         for peer in self.peers.values_mut() {
             peer.listed = false;
@@ -387,13 +427,29 @@
         if addresses.is_empty() {
             continue;
         }
-        let bytes = beat(&state).encode_to_vec();
-        for address in addresses {
-            // A datagram that is lost is made up for by the next one.
-            let (sent, _) = socket.send_to(bytes.clone(), address).await;
-            if let Err(error) = sent {
-                log::debug!("beat address={address} failed: {error}");
-            }
+        let plain = beat(&state);
+        send(&socket, &plain, addresses).await;
+        if !state.peers.borrow().round.is_multiple_of(USAGE_ROUNDS) {
+            continue;
+        }
+        let now = state.now();
+        let counted = BeatWire {
+            usage: usage_wire(&state),
+            work: work_wire(&state, now),
+            ..plain
+        };
+        let addresses = state.peers.borrow().next_counted();
+        send(&socket, &counted, addresses).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, beat: &BeatWire, addresses: Vec<SocketAddr>) {
+    let bytes = beat.encode_to_vec();
+    for address in addresses {
+        // A datagram that is lost is made up for by the next one.
+        let (sent, _) = socket.send_to(bytes.clone(), address).await;
+        if let Err(error) = sent {
+            log::debug!("beat address={address} failed: {error}");
         }
     }
 }
@@ -407,28 +463,17 @@
     let span = state.settings.time("peers", "pause_ms") * rounds;
     let mut dispatcher = state.dispatcher.borrow_mut();
     let placed = dispatcher.placed(span, now);
-    let loads = dispatcher
-        .own_loads()
-        .map(|(server, unread, running)| LoadWire {
-            server: server.to_string(),
-            unread,
-            running,
-        });
-    let (usage, work) = if peers.round.is_multiple_of(USAGE_ROUNDS) {
-        (usage_wire(state), work_wire(state, now))
-    } else {
-        (Vec::new(), Vec::new())
-    };
+    let loads = dispatcher.own_loads().collect();
     BeatWire {
         node: state.name.to_string(),
         life: state.life_id,
         unix_ms: state.time.borrow().unix_ms(now),
         config: state.config().map_or(0, |config| config.version),
-        loads: loads.collect(),
-        usage,
+        loads: Some(loads),
+        usage: Vec::new(),
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
-        placed: placed.into_iter().map(PlacedWire::from).collect(),
-        work,
+        placed: Some(placed.as_slice().into()),
+        work: Vec::new(),
         changing: state.changing.borrow().clone(),
         servers: state
             .server_list
@@ -458,7 +503,7 @@
         change: Some(change.into()),
         ..BeatWire::default()
     };
-    send_to_all(state, beat.encode_to_vec());
+    send_to_all(state, beat);
 }
 
 /// Tells every peer at once that a newer configuration is in force here.
@@ -473,21 +518,16 @@
         answered_ms: answered_ms(state, now),
         ..BeatWire::default()
     };
-    send_to_all(state, beat.encode_to_vec());
+    send_to_all(state, beat);
 }
 
-fn send_to_all(state: &Rc<State>, bytes: Vec<u8>) {
+fn send_to_all(state: &Rc<State>, beat: BeatWire) {
     let addresses = state.peers.borrow().addresses();
     let state = Rc::clone(state);
     monoio::spawn(async move {
-        let Some(socket) = state.socket.borrow().clone() else {
-            return;
-        };
-        for address in addresses {
-            let (sent, _) = socket.send_to(bytes.clone(), address).await;
-            if let Err(error) = sent {
-                log::debug!("beat address={address} failed: {error}");
-            }
+        let socket = state.socket.borrow().clone();
+        if let Some(socket) = socket {
+            send(&socket, &beat, addresses).await;
         }
     });
 }
@@ -566,18 +606,8 @@
         // Words about the store alone say nothing of loads.
         return;
     }
-    let loads: Vec<(Name, PeerLoad)> = beat
-        .loads
-        .into_iter()
-        .map(|load| {
-            let own = OwnLoad {
-                unread: load.unread,
-                running: load.running,
-            };
-            (Name::from(load.server), PeerLoad { load: own, at: now })
-        })
-        .collect();
-    let placed: Vec<Placed> = beat.placed.into_iter().map(Placed::from).collect();
+    let loads = beat.loads.unwrap_or_default().told(now);
+    let placed: Vec<Placed> = beat.placed.unwrap_or_default().into();
     let mut dispatcher = state.dispatcher.borrow_mut();
     dispatcher.peer_loads(&name, &loads);
     dispatcher.peer_placed(&placed);
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -68,7 +68,7 @@
 /// Keeps the engines under change out of use here, and at the peers by the next beat.
 fn tell_changing(state: &State, ordered: &HashMap<Name, (Stage, Instant)>) {
     let mut dispatcher = state.dispatcher.borrow_mut();
-    let changing: Vec<u64> = dispatcher
+    let changing: Vec<u32> = dispatcher
         .targets()
         .map(|(_, target)| target)
         .filter(|target| {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -86,7 +86,7 @@
     /// Work asked for at this node, by service.
     pub(crate) work: RefCell<HashMap<Name, WorkMeter>>,
     /// Hashes of the engines that this node has ordered to another stage.
-    pub(crate) changing: RefCell<Vec<u64>>,
+    pub(crate) changing: RefCell<Vec<u32>>,
     /// Fencing token of the duties while this node holds them.
     pub(crate) duty: Cell<Option<Epoch>>,
 }
@@ -125,7 +125,11 @@
             server_list: RefCell::default(),
             store_answered: Cell::new(None),
             listed: Cell::new(false),
-            dispatcher: RefCell::new(Dispatcher::new(data_centre, EngineModel::default())),
+            dispatcher: RefCell::new(Dispatcher::new(
+                data_centre,
+                EngineModel::default(),
+                life_id,
+            )),
             budgets: RefCell::default(),
             pool: Pool::default(),
             running: Running::default(),
@@ -223,11 +227,16 @@
     /// A service's work at all nodes, in engines that would be fully used by it.
     pub(crate) fn stage_load(&self, service: &Name) -> StageLoad {
         let rates = self.work_rates(service);
+        let config = self.config();
+        let service = config.as_ref().and_then(|c| c.services.get(service));
+        let Some(engine) = service.and_then(|service| service.engine) else {
+            return StageLoad::default();
+        };
         let dispatcher = self.dispatcher.borrow();
         let model = dispatcher.model();
         StageLoad {
             read: rates.read / model.read_rate,
-            make: rates.make / model.make_rate,
+            make: rates.make / model.make_rate(engine.slots),
         }
     }
 
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -36,6 +36,10 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which an engine that was ordered to another stage is used all the same.
 const CHANGE_TIME: Duration = Duration::from_secs(6);
+/// Servers beyond which only a sample of them is looked at.
+const SAMPLE_ABOVE: usize = 40;
+/// Size of that sample; large enough to hold engines of both stages.
+const SAMPLE: usize = 20;
 /// Added to the prediction for a server in another data centre.
 const DISTANCE: Duration = Duration::from_millis(2);
 /// Time by which a separate prefill must be ahead to be worth the memory moved.
@@ -101,20 +105,22 @@
     sends: SlotMap<SendKey, Send>,
     placed: VecDeque<(Instant, Placed)>,
     turn: usize,
+    /// State of the draws.
+    draw: u64,
 }
 
 /// A shared part that a server was given to read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Placed {
     /// Hash of the server's identity, the same on every node.
-    pub server: u64,
+    pub server: u32,
     /// Part.
     pub part: Part,
 }
 
 impl Dispatcher {
-    /// A view without servers, for a node in `data_centre`.
-    pub fn new(data_centre: Name, model: EngineModel) -> Self {
+    /// A view without servers, for a node in `data_centre`; nodes have different seeds.
+    pub fn new(data_centre: Name, model: EngineModel, seed: u64) -> Self {
         Self {
             data_centre,
             model,
@@ -122,6 +128,7 @@
             sends: SlotMap::with_key(),
             placed: VecDeque::new(),
             turn: 0,
+            draw: seed,
         }
     }
 
@@ -158,6 +165,7 @@
     /// Chooses where a request goes; `None` if no server may take it.
     pub fn choose(&mut self, wanted: &Wanted<'_>, now: Instant) -> Option<Plan> {
         self.turn = self.turn.wrapping_add(1);
+        self.draw = mix(self.draw);
         // With none left, one that could not be reached lately is tried.
         let plan = self
             .plan(wanted, now, false)
@@ -257,9 +265,9 @@
     }
 
     /// Notes the load that a peer has put on the servers.
-    pub fn peer_loads(&mut self, peer: &Name, loads: &[(Name, PeerLoad)]) {
+    pub fn peer_loads(&mut self, peer: &Name, loads: &[(u32, PeerLoad)]) {
         for target in self.targets.values_mut() {
-            let told = loads.iter().find(|(id, _)| *id == target.info.id);
+            let told = loads.iter().find(|(hash, _)| *hash == target.hash);
             target.peers.set(peer, told.map(|(_, load)| *load));
         }
     }
@@ -284,12 +292,12 @@
     }
 
     /// What this node has put on the servers, for its peers.
-    pub fn own_loads(&self) -> impl Iterator<Item = (&Name, u64, u32)> {
+    pub fn own_loads(&self) -> impl Iterator<Item = (u32, OwnLoad)> {
         let loaded = self
             .targets
             .values()
             .filter(|target| target.own.running > 0);
-        loaded.map(|target| (&target.info.id, target.own.unread, target.own.running))
+        loaded.map(|target| (target.hash, target.own))
     }
 
     /// Takes a server out that could not be reached; says whether it was in before.
@@ -307,7 +315,7 @@
     }
 
     /// Passes engines over that were ordered to another stage, until the list shows it.
-    pub fn changing(&mut self, servers: &[u64], now: Instant) {
+    pub fn changing(&mut self, servers: &[u32], now: Instant) {
         for target in self.targets.values_mut() {
             if servers.contains(&target.hash) {
                 target.changing.get_or_insert(now + CHANGE_TIME);
@@ -342,11 +350,22 @@
                 && !wanted.tried.contains(key)
                 && (last_resort || (target.ejection.may_try(now) && !target.is_changing(now)))
         };
-        self.targets
-            .iter()
-            .filter(fits)
-            .map(|(key, _)| key)
-            .collect()
+        let fitting = self.targets.iter().filter(fits).map(|(key, _)| key);
+        self.sample(fitting.collect())
+    }
+
+    /// A few of many servers, drawn anew for each request.
+    ///
+    /// Loads of peers are as old as their last word. Were the best of all chosen, all
+    /// nodes would send to the same server until they hear of one another.
+    fn sample(&self, mut keys: Vec<TargetKey>) -> Vec<TargetKey> {
+        if keys.len() <= SAMPLE_ABOVE {
+            return keys;
+        }
+        let draw = |key: &TargetKey| mix(u64::from(self.targets[*key].hash) ^ self.draw);
+        keys.sort_unstable_by_key(draw);
+        keys.truncate(SAMPLE);
+        keys
     }
 
     fn plan_prompt(
@@ -468,3 +487,11 @@
         }
     }
 }
+
+/// A well-mixed hash of a number (`SplitMix64`).
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -19,6 +19,8 @@
     pub change_time: Duration,
     /// Tokens in an event of a stream.
     pub stride: u64,
+    /// Requests that an engine runs at once.
+    pub slots: u32,
 }
 
 /// Speeds that predictions start from.
@@ -26,10 +28,8 @@
 pub struct EngineModel {
     /// Prompt tokens that a prefill engine reads in a second.
     pub read_rate: f64,
-    /// Output tokens that a decode engine makes in a second at a batch that keeps pauses short.
-    pub make_rate: f64,
-    /// Time after which a full batch has another free place.
-    pub place_time: Duration,
+    /// Output tokens of a request, by which its time in the batch is predicted.
+    pub output: u32,
     /// Time of one step of an empty batch.
     pub step: Duration,
     /// Time that each request in the batch adds to a step.
@@ -44,6 +44,10 @@
     pub transfer_token: Duration,
 }
 
+/// Batch up to which a step stays short.
+const EASY_BATCH: u32 = 40;
+/// Part of its steps that a decode engine has for tokens; prompts take the others.
+const MAKE_USE: f64 = 0.85;
 /// A decode engine reads prompts at this part of a prefill engine's speed.
 const DECODE_READ_SPEED: f64 = 0.5;
 /// A decode engine's chunks are this many times smaller.
@@ -57,8 +61,7 @@
     fn default() -> Self {
         Self {
             read_rate: 100_000.0,
-            make_rate: 7_000.0,
-            place_time: Duration::from_millis(30),
+            output: 300,
             step: Duration::from_micros(3200),
             step_slot: Duration::from_micros(50),
             first_token: Duration::from_millis(47),
@@ -83,7 +86,17 @@
             return Duration::ZERO;
         }
         let ahead = (target.running(now) + 1).saturating_sub(target.info.slots);
-        self.place_time * ahead
+        let slots = target.info.slots.max(1);
+        let step = self.step + self.step_slot * slots;
+        step * self.output / slots * ahead
+    }
+
+    /// Output tokens that a decode engine of so many slots makes in a second, at a
+    /// batch that keeps pauses short.
+    pub fn make_rate(&self, slots: u32) -> f64 {
+        let batch = slots.min(EASY_BATCH);
+        let step = self.step + self.step_slot * batch;
+        f64::from(batch) / step.as_secs_f64() * MAKE_USE
     }
 
     /// Time to read prompt tokens on an engine with a batch of `running` requests.
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -78,7 +78,7 @@
     /// Until when it is taken to change its stage.
     pub(super) changing: Option<Instant>,
     pub(super) parts: PartCache,
-    pub(super) hash: u64,
+    pub(super) hash: u32,
 }
 
 impl Target {
@@ -94,7 +94,7 @@
             heard: None,
             changing: None,
             parts: PartCache::new(info.capacity),
-            hash: hasher.finish(),
+            hash: hasher.finish() as u32,
             info,
         }
     }
@@ -120,7 +120,7 @@
     }
 
     /// Hash of its identity, the same on every node.
-    pub fn hash(&self) -> u64 {
+    pub fn hash(&self) -> u32 {
         self.hash
     }
 
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -10,6 +10,7 @@
 use pomeloridge_policy::parts::Part;
 
 const CAPACITY: u64 = 500_000;
+const SEED: u64 = 7;
 
 fn engine(id: &str, stage: Stage) -> TargetInfo {
     TargetInfo {
@@ -28,7 +29,7 @@
 }
 
 fn fleet(engines: &[(&str, Stage)]) -> Dispatcher {
-    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default());
+    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default(), SEED);
     let list = engines.iter().map(|(id, stage)| engine(id, *stage));
     dispatcher.sync(list.collect());
     dispatcher
@@ -118,7 +119,8 @@
         },
         at: now,
     };
-    fleet.peer_loads(&Name::from("b"), &[(Name::from("d1"), load)]);
+    let hash = fleet.target(key(&fleet, "d1")).unwrap().hash();
+    fleet.peer_loads(&Name::from("b"), &[(hash, load)]);
     let plan = choose(&mut fleet, &prompt(800, None, 1), &[]).unwrap();
     assert_eq!(name(&fleet, plan.run), "d2");
     let d1 = key(&fleet, "d1");
@@ -172,9 +174,24 @@
     );
 }
 
+/// Pattern: many nodes with views that are old by a second choose at the same time.
+#[test]
+fn nodes_that_have_not_heard_of_one_another_spread_over_many_engines() {
+    let names: Vec<String> = (0..60).map(|index| format!("d{index}")).collect();
+    let mut counts = std::collections::HashMap::new();
+    for node in 0..60 {
+        let mut fleet = Dispatcher::new(Name::from("a"), EngineModel::default(), node);
+        fleet.sync(names.iter().map(|id| engine(id, Stage::Decode)).collect());
+        let plan = choose(&mut fleet, &prompt(300, None, 1), &[]).unwrap();
+        *counts.entry(name(&fleet, plan.run)).or_insert(0) += 1;
+    }
+    let most = counts.values().max().unwrap();
+    assert!(*most <= 8, "{counts:?}");
+}
+
 #[test]
 fn leaving_and_tried_engines_get_nothing() {
-    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default());
+    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default(), SEED);
     let leaving = TargetInfo {
         leaving: true,
         ..engine("d1", Stage::Decode)
@@ -357,7 +374,7 @@
 
 #[test]
 fn plain_servers_share_by_load() {
-    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default());
+    let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default(), SEED);
     let server = |id: &str| TargetInfo {
         slots: 6,
         capacity: 0,
