Keep no lapsed entries where only this node had lost the object service

Ruled out: the followers' path; both nodes read the store themselves. Change: beats say whether the sender has lost the store of late; a word of a peer that has not ends the grace at once. A register test covers the case.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -37,6 +37,9 @@
 const USAGE_ROUNDS: u64 = 4;
 /// Peers besides the holder that are told the counts in one of those rounds.
 const USAGE_COPIES: usize = 3;
+/// Age of a peer's last answer up to which the object service is there for it; above
+/// the time that a watch may wait, and below that in which entries lapse.
+const ANSWERED: Duration = Duration::from_secs(3);
 /// Bytes of the largest datagram that is read.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -77,6 +80,9 @@
     /// Changes of the list of servers that the sender has just seen.
     #[prost(message, optional, tag = "13")]
     change: Option<ChangeWire>,
+    /// Whether the sender has lost the object service of late, or has just started.
+    #[prost(bool, tag = "14")]
+    was_away: bool,
 }
 
 /// Changes of the list of servers.
@@ -482,6 +488,7 @@
             .map_or(0, |revision| revision.0),
         answered_ms: answered_ms(state, now),
         change: None,
+        was_away: state.register.borrow().in_grace(),
     }
 }
 
@@ -501,6 +508,7 @@
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
         answered_ms: answered_ms(state, now),
         change: Some(change.into()),
+        was_away: state.register.borrow().in_grace(),
         ..BeatWire::default()
     };
     send_to_all(state, beat);
@@ -516,6 +524,7 @@
         config: version,
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
         answered_ms: answered_ms(state, now),
+        was_away: state.register.borrow().in_grace(),
         ..BeatWire::default()
     };
     send_to_all(state, beat);
@@ -632,9 +641,12 @@
 /// Takes in what a peer tells of the object service.
 fn take_in_store(state: &Rc<State>, beat: &BeatWire, name: &Name, address: SocketAddr) {
     let now = state.now();
-    let answered = beat.answered_ms.map(Duration::from_millis);
-    let answered = answered.and_then(|age| now.checked_sub(age));
+    let age = beat.answered_ms.map(Duration::from_millis);
+    let answered = age.and_then(|age| now.checked_sub(age));
     state.peers.borrow_mut().answered(name, answered);
+    if age.is_some_and(|age| age < ANSWERED) && !beat.was_away {
+        watch::store_was_there(state);
+    }
     let known = state.config().map_or(0, |config| config.version);
     if beat.config > known {
         fetch_config(state, address);
--- a/crates/pomeloridge_gateway/src/register.rs
+++ b/crates/pomeloridge_gateway/src/register.rs
@@ -39,6 +39,17 @@
         }
     }
 
+    /// Whether missing entries are kept for now.
+    pub fn in_grace(&self) -> bool {
+        self.grace_end.is_some()
+    }
+
+    /// Ends the time for which missing entries are kept: the service was there for
+    /// others all the while, so that no entry has lapsed.
+    pub fn was_there(&mut self, now: Instant) {
+        self.grace_end = self.grace_end.map(|end| end.min(now));
+    }
+
     /// Takes a server's entry; says whether anything changed.
     pub fn put(&mut self, name: Name, info: TargetInfo) -> bool {
         let before = self.entries.get(&name);
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -240,6 +240,10 @@
     if !state.server_list.borrow_mut().replace(revision, objects) {
         return;
     }
+    if !state.listed.get() {
+        // A node that starts can't tell whether entries have lapsed before.
+        state.register.borrow_mut().returned(state.now());
+    }
     let list = objects
         .iter()
         .filter_map(|object| entry(state, object))
@@ -340,6 +344,14 @@
     changed
 }
 
+/// Drops what is missing if this node alone had lost the object service.
+pub(crate) fn store_was_there(state: &State) {
+    if state.register.borrow().in_grace() && state.server_list.borrow().revision().is_some() {
+        state.register.borrow_mut().was_there(state.now());
+        expire(state);
+    }
+}
+
 fn expire(state: &State) {
     let gone = state.register.borrow_mut().expire(state.now());
     if !gone.is_empty() {
--- a/crates/pomeloridge_gateway/tests/register.rs
+++ b/crates/pomeloridge_gateway/tests/register.rs
@@ -101,6 +101,21 @@
     assert!(!register.remove(&Name::from("i-1"), soon));
 }
 
+/// Found on a standard day (kooditeenus, scale-2): two nodes were cut off alone, and on
+/// their return kept servers that had left meanwhile.
+#[test]
+fn entries_that_went_while_only_this_node_was_away_are_gone() {
+    let mut register = two();
+    let back = Instant::now();
+    register.returned(back);
+    register.remove(&Name::from("i-1"), back);
+    assert!(register.in_grace());
+    let heard = back + Duration::from_millis(100);
+    register.was_there(heard);
+    assert_eq!(register.expire(heard), [Name::from("i-1")]);
+    assert!(!register.in_grace());
+}
+
 #[test]
 fn an_unchanged_entry_changes_nothing() {
     let mut register = two();
