Explain failed requests from the logs alone

A refusal before any sending had no line that told why; it now has the prediction that decided. trace reads logs in all forms, also behind a collector's fields, and is tested.

--- a/crates/pomeloridge/src/commands/trace.rs
+++ b/crates/pomeloridge/src/commands/trace.rs
@@ -13,6 +13,9 @@
 /// Time around a request's lines in which lines about its servers belong to its story.
 const MARGIN_MS: u64 = 2_000;
 
+/// Words within which a line's level is looked for.
+const LEVEL_WITHIN: usize = 8;
+
 /// A line of a log.
 #[derive(Clone, Debug)]
 struct Line {
@@ -68,18 +71,17 @@
         });
     }
     // Time, level, node, module, text; a collector may have put fields before them.
-    let words: Vec<&str> = line.splitn(8, ' ').collect();
-    let level = words
-        .iter()
-        .position(|word| ["INFO", "WARN", "ERROR", "DEBUG"].contains(word))?;
+    let words: Vec<&str> = line.split_whitespace().take(LEVEL_WITHIN).collect();
+    let is_level = |word: &&str| ["INFO", "WARN", "ERROR", "DEBUG"].contains(word);
+    let level = words.iter().position(is_level)?;
     let at_ms = words.get(level.checked_sub(1)?)?.parse().ok()?;
-    let node = (*words.get(level + 1)?).to_owned();
-    let module = words.get(level + 2)?;
-    let start = line.find(module)? + module.len();
+    let (_, rest) = line.split_once(words[level])?;
+    let (node, rest) = rest.trim_start().split_once(' ')?;
+    let (_, text) = rest.split_once(' ')?;
     Some(Line {
         at_ms,
-        node,
-        text: line[start..].trim().to_owned(),
+        node: node.to_owned(),
+        text: text.trim().to_owned(),
     })
 }
 
--- /dev/null
+++ b/crates/pomeloridge/tests/trace.rs
@@ -0,0 +1,64 @@
+//! A request's story from the logs of several nodes, in every form of the log.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const LOG: &str = "\
+1000 INFO a gateway::attempt request id=r1 choice=send server=i-1 prefill= attempt=1
+  1.2 b 1300 INFO b gateway::attempt server id=i-1 choice=eject reason=silent
+{\"at\":1200,\"level\":\"INFO\",\"message\":\"request id=r1 server=i-1 failure=lost\",\"node\":\"a\"}
+not a line of the log
+1250 INFO a gateway::front request id=r2 outcome=answered
+1400 INFO a gateway::front request id=r1 outcome=refused code=server_lost
+9000 INFO b gateway::attempt server id=i-1 choice=eject reason=silent
+";
+
+fn trace(args: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pomeloridge"))
+        .arg("trace")
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child
+        .stdin
+        .take()
+        .unwrap()
+        .write_all(LOG.as_bytes())
+        .unwrap();
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn the_story_is_in_time_order_with_its_servers() {
+    let out = trace(&["r1"]);
+    assert!(out.status.success());
+    let text = String::from_utf8(out.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "1000 a request id=r1 choice=send server=i-1 prefill= attempt=1",
+            "1200 a request id=r1 server=i-1 failure=lost",
+            "1300 b server id=i-1 choice=eject reason=silent",
+            "1400 a request id=r1 outcome=refused code=server_lost",
+        ]
+    );
+}
+
+#[test]
+fn the_story_is_given_as_json() {
+    let out = trace(&["r2", "--json"]);
+    let line: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    assert_eq!(line["at"], 1250);
+    assert_eq!(line["message"], "request id=r2 outcome=answered");
+}
+
+#[test]
+fn a_request_that_is_not_there_is_said_so() {
+    let out = trace(&["r9"]);
+    assert!(!out.status.success());
+    assert!(String::from_utf8(out.stderr).unwrap().contains("r9"));
+}
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -159,8 +159,25 @@
             apart: !self.prefilled && accepted.inbound.last_event.is_none(),
         };
         let plan = state.dispatcher.borrow_mut().choose(&wanted, now);
-        let plan = plan.ok_or_else(|| self.refusal(ErrorKind::NoServer))?;
+        let Some(plan) = plan else {
+            log::info!(
+                "request id={} choice=refuse service={} tried={} reason=\"no server takes it\"",
+                accepted.inbound.label(),
+                accepted.service,
+                self.tried.len()
+            );
+            return Err(self.refusal(ErrorKind::NoServer));
+        };
         if self.arrivals == 0 && accepted.gives_up_before(plan.first) {
+            log::info!(
+                "request id={} choice=refuse service={} server={} unread={} predicted_ms={} \
+                 reason=\"the caller would leave before its first piece\"",
+                accepted.inbound.label(),
+                accepted.service,
+                state.server_name(plan.prefill.unwrap_or(plan.run)),
+                plan.unread,
+                plan.first.as_millis()
+            );
             return Err(Refusal {
                 retry: Some(self.come_back(plan.first)),
                 ..self.refusal(ErrorKind::Overloaded)
