Refuse new work on a node that is cut off from store and peers

Cause: a node that reached neither the object service nor any peer went on with its last configuration for as long as the cut lasted, and took withdrawn keys. Ruled out: refusing when only the store is away; then peers tell of what is newer, or nothing is withdrawn. Change: after 4 s of silence from the store and with no peer heard, requests are answered 503 as not run, and the node is not ready.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -99,6 +99,9 @@
 
 fn check(state: &State, inbound: &Inbound) -> Result<Checked, ErrorKind> {
     let config = state.config().ok_or(ErrorKind::NoConfig)?;
+    if state.cut_off() {
+        return Err(ErrorKind::CutOff);
+    }
     let route = config.route(&inbound.host, inbound.path());
     let route = route.cloned().ok_or(ErrorKind::UnknownPath)?;
     let account = account(&config, &route, inbound)?;
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// Peers that are known.
+    pub(crate) fn known(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Peers that were heard of late.
     pub(crate) fn live(&self, now: Instant) -> usize {
         self.peers
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use monoio::net::udp::UdpSocket;
-use pomeloridge_base::clock::SharedClock;
+use pomeloridge_base::clock::{SharedClock, Stamp};
 use pomeloridge_base::id::{Epoch, Name};
 use pomeloridge_base::meter::Meter;
 use pomeloridge_base::settings::Checked;
@@ -16,7 +16,7 @@
 use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
 use pomeloridge_policy::suspicion::Suspicions;
-use pomeloridge_policy::watchers::must_watch;
+use pomeloridge_policy::watchers::{is_cut_off, must_watch};
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::attempt::Running;
@@ -73,6 +73,8 @@
     pub(crate) server_list: RefCell<ServerList>,
     /// When the object service last answered this node's watch of the servers.
     pub(crate) store_answered: Cell<Option<Instant>>,
+    /// When the object service last answered this node at all, or when the node started.
+    pub(crate) store_heard: Cell<Stamp>,
     /// Whether the list of servers has been read.
     pub(crate) listed: Cell<bool>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
@@ -124,6 +126,7 @@
             register: RefCell::default(),
             server_list: RefCell::default(),
             store_answered: Cell::new(None),
+            store_heard: Cell::new(clock.stamp()),
             listed: Cell::new(false),
             dispatcher: RefCell::new(Dispatcher::new(
                 data_centre,
@@ -169,7 +172,17 @@
 
     /// Whether the node may be given callers.
     pub(crate) fn ready(&self) -> bool {
-        self.config.borrow().is_some() && self.listed.get() && !self.life.is_stopping()
+        self.config.borrow().is_some()
+            && self.listed.get()
+            && !self.life.is_stopping()
+            && !self.cut_off()
+    }
+
+    /// Whether the node can't know what has been withdrawn.
+    pub(crate) fn cut_off(&self) -> bool {
+        let peers = self.peers.borrow();
+        let silence = self.clock.elapsed(self.store_heard.get());
+        is_cut_off(peers.known(), peers.live(self.now()), silence)
     }
 
     /// Charges a repeat to the node's part of the fleet's budget.
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -102,6 +102,7 @@
         match result {
             Ok(revision) => {
                 dependency.answered(state.now());
+                state.store_heard.set(state.clock.stamp());
                 // A list that holds nothing yet is read again after a pause.
                 if after.is_none() && revision.is_none() {
                     monoio::time::sleep(RETRY_PAUSE).await;
@@ -210,6 +211,7 @@
                 lost = revision.is_none();
                 pause = RETRY_PAUSE;
                 state.store_answered.set(Some(state.now()));
+                state.store_heard.set(state.clock.stamp());
             }
             Err(error) => {
                 dependency.failed(&error, state.now());
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -31,3 +31,15 @@
     let before = peers.iter().filter(|peer| peer.rank < rank).filter(fresh);
     before.count() < wanted
 }
+
+/// Silence of the object service after which a node that hears no peer is cut off.
+const CUT_OFF: Duration = Duration::from_secs(4);
+
+/// Whether a node can't know of withdrawn keys: it reaches neither the object service
+/// nor any of the nodes it knows.
+///
+/// A node that hears peers goes on: they tell it what is newer, and if none of them
+/// reaches the service either, that is an outage, in which nothing is withdrawn.
+pub fn is_cut_off(known: usize, live: usize, silence: Duration) -> bool {
+    known > 0 && live == 0 && silence > CUT_OFF
+}
--- a/crates/pomeloridge_policy/tests/policy/watchers.rs
+++ b/crates/pomeloridge_policy/tests/policy/watchers.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use pomeloridge_policy::watchers::{PeerView, must_watch};
+use pomeloridge_policy::watchers::{PeerView, is_cut_off, must_watch};
+use yare::parameterized;
 
 fn peers(nodes: u64, own: u64, answered: impl Fn(u64) -> Option<u64>) -> Vec<PeerView> {
     let others = (0..nodes).filter(|rank| *rank != own);
@@ -33,3 +34,17 @@
     let none = |_| None;
     assert!((0..7).all(|own| must_watch(own, &peers(7, own, none))));
 }
+
+/// Pattern: a key is withdrawn while a node is cut off with callers still before it.
+#[parameterized(
+    alone_and_silent = { 6, 0, 5, true },
+    peers_heard = { 6, 1, 60, false },
+    store_heard = { 6, 0, 1, false },
+    only_node = { 0, 0, 60, false },
+)]
+fn a_node_that_hears_nobody_is_cut_off(known: usize, live: usize, silence: u64, cut_off: bool) {
+    assert_eq!(
+        is_cut_off(known, live, Duration::from_secs(silence)),
+        cut_off
+    );
+}
