--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -6,7 +6,6 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
-use pomeloridge_policy::suspicion::Fingerprint;
 
 use crate::config::{Account, Route, RouteKind, ServingConfig};
 use crate::request::Inbound;
@@ -26,7 +25,6 @@
     pub(crate) rank: u8,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
-    pub(crate) fingerprint: Fingerprint,
 }
 
 /// Callers leave a stream whose first piece does not come within this time, or
@@ -79,9 +77,7 @@
             let patience = inbound.patience.unwrap_or(PATIENCE).min(route.timeout);
             let priority = account.as_ref().and_then(|account| account.priority);
             let account = account.map(|account| account.name);
-            let known = account.clone().unwrap_or_default();
             Ok(Accepted {
-                fingerprint: Fingerprint::of(&known, &inbound.target, &inbound.body),
                 rank: priority.unwrap_or(route.priority).min(LAST_RANK),
                 deadline: arrived + patience,
                 inbound,
@@ -105,9 +101,10 @@
     let route = config.route(&inbound.host, inbound.path());
     let route = route.cloned().ok_or(ErrorKind::UnknownPath)?;
     let account = account(&config, &route, inbound)?;
-    let draw = Fingerprint::of(&Name::default(), "", &inbound.id).0;
-    let draw = u64::from_be_bytes(draw[..8].try_into().unwrap_or_default());
-    let service = route.service(draw).cloned().ok_or(ErrorKind::NoServer)?;
+    let service = route
+        .service(rand::random())
+        .cloned()
+        .ok_or(ErrorKind::NoServer)?;
     Ok((route, account, service))
 }
 
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -1,7 +1,5 @@
 //! The attempts at one request: which server, whether again, and the final refusal.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +7,6 @@
 use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::dispatch::{Plan, SendKey, TargetKey, Wanted};
-use pomeloridge_policy::suspicion::{InFlight, Treatment};
 
 use crate::accept::Accepted;
 use crate::exchange::Failure;
@@ -20,39 +17,11 @@
 /// Sendings of one request that a server refused unread, at most.
 const REFUSED_SENDS: usize = 3;
 
-/// The requests that run on each server.
-#[derive(Default)]
-pub(crate) struct Running(RefCell<HashMap<TargetKey, Vec<InFlight>>>);
-
-impl Running {
-    /// Requests that run on any server.
-    pub(crate) fn len(&self) -> usize {
-        self.0.borrow().values().map(Vec::len).sum()
-    }
-
-    fn add(&self, server: TargetKey, request: InFlight) {
-        self.0.borrow_mut().entry(server).or_default().push(request);
-    }
-
-    fn remove(&self, server: TargetKey, request: InFlight) {
-        let mut running = self.0.borrow_mut();
-        if let Some(on) = running.get_mut(&server) {
-            if let Some(at) = on.iter().position(|other| *other == request) {
-                on.swap_remove(at);
-            }
-            if on.is_empty() {
-                running.remove(&server);
-            }
-        }
-    }
-}
-
 /// Keeps a request counted on its server until it is dropped.
 pub(crate) struct Sent {
     state: Rc<State>,
     server: TargetKey,
     key: SendKey,
-    request: InFlight,
 }
 
 impl Sent {
@@ -67,18 +36,11 @@
         let mut dispatcher = state.dispatcher.borrow_mut();
         let key = dispatcher.send(server, unread, prompt, now);
         drop(dispatcher);
-        let fingerprint = accepted.fingerprint;
-        let suspect = state.suspicions.borrow().is_suspect(&fingerprint, now);
-        let request = InFlight {
-            fingerprint,
-            suspect,
-        };
-        state.running.add(server, request);
+        state.running.set(state.running.get() + 1);
         Self {
             state: Rc::clone(state),
             server,
             key,
-            request,
         }
     }
 
@@ -97,7 +59,7 @@
 
 impl Drop for Sent {
     fn drop(&mut self) {
-        self.state.running.remove(self.server, self.request);
+        self.state.running.set(self.state.running.get() - 1);
         self.state.dispatcher.borrow_mut().end(self.key);
     }
 }
@@ -138,17 +100,6 @@
     pub(crate) fn choose(&mut self) -> Result<Plan, Refusal> {
         let (state, accepted) = (self.state, self.accepted);
         let now = state.now();
-        let treatment = state
-            .suspicions
-            .borrow()
-            .treatment(&accepted.fingerprint, now);
-        if let Treatment::Refuse(time) = treatment {
-            return Err(Refusal {
-                retry: Some(time),
-                run: Some(self.run()),
-                ..Refusal::from(ErrorKind::Quarantined)
-            });
-        }
         if accepted.left(now).is_zero() {
             return Err(self.refusal(ErrorKind::DeadlinePassed));
         }
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -15,11 +15,9 @@
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
-use pomeloridge_policy::suspicion::Suspicions;
 use pomeloridge_policy::watchers::{is_cut_off, must_watch};
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
-use crate::attempt::Running;
 use crate::config::ServingConfig;
 use crate::life::Life;
 use crate::peers::{self, Peers};
@@ -80,8 +78,8 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) budgets: RefCell<HashMap<Name, RepeatBudget>>,
     pub(crate) pool: Pool,
-    pub(crate) running: Running,
-    pub(crate) suspicions: RefCell<Suspicions>,
+    /// Sendings that have not ended.
+    pub(crate) running: Cell<usize>,
     pub(crate) usage: RefCell<UsageBook>,
     pub(crate) time: RefCell<TrueTime>,
     pub(crate) peers: RefCell<Peers>,
@@ -135,8 +133,7 @@
             )),
             budgets: RefCell::default(),
             pool: Pool::default(),
-            running: Running::default(),
-            suspicions: RefCell::default(),
+            running: Cell::new(0),
             usage: RefCell::new(UsageBook::new(source)),
             time: RefCell::new(TrueTime::new(now, clock.unix_ms())),
             peers: RefCell::default(),
