Tell each peer of changes by two of the nodes that watch, not by all

A node that watches sent every change of the list of servers to all 77 others; a reclaim or an order brings dozens of changes. Change: the peers are divided over the nodes that watch, two for each.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -153,7 +153,7 @@
     Some(now.saturating_duration_since(answered).as_millis() as u64)
 }
 
-/// Tells every peer at once of changes that the object service has told.
+/// Tells peers at once of changes that the object service has told.
 pub(crate) fn spread(state: &Rc<State>, change: &ListChange) {
     let now = state.now();
     let beat = BeatWire {
@@ -167,10 +167,10 @@
         was_away: state.register.borrow().in_grace(),
         ..BeatWire::default()
     };
-    send_to_all(state, beat);
+    send_at_once(state, beat);
 }
 
-/// Tells every peer at once that a newer configuration is in force here.
+/// Tells peers at once that a newer configuration is in force here.
 pub(crate) fn spread_config(state: &Rc<State>, version: u64) {
     let now = state.now();
     let beat = BeatWire {
@@ -183,11 +183,13 @@
         was_away: state.register.borrow().in_grace(),
         ..BeatWire::default()
     };
-    send_to_all(state, beat);
+    send_at_once(state, beat);
 }
 
-fn send_to_all(state: &Rc<State>, beat: BeatWire) {
-    let addresses = state.peers.borrow().addresses();
+fn send_at_once(state: &Rc<State>, beat: BeatWire) {
+    let peers = state.peers.borrow();
+    let addresses = peers.told_at_once(&state.name, state.now());
+    drop(peers);
     let state = Rc::clone(state);
     monoio::spawn(async move {
         let socket = state.socket.borrow().clone();
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::{Epoch, Name};
-use pomeloridge_policy::watchers::PeerView;
+use pomeloridge_policy::watchers::{PeerView, tells, watcher_ranks};
 use pomeloridge_policy::work_meter::WorkRates;
 
 use super::USAGE_ROUNDS;
@@ -141,9 +141,13 @@
         views.collect()
     }
 
-    /// Every peer's address.
-    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
+    /// The peers that this node tells at once of what it has just read.
+    pub(super) fn told_at_once(&self, own: &Name, now: Instant) -> Vec<SocketAddr> {
+        let own = rank(own);
+        let watchers = watcher_ranks(own, &self.watcher_views(now));
+        let told = self.peers.iter();
+        let told = told.filter(|(name, _)| tells(own, &watchers, rank(name)));
+        told.map(|(_, peer)| peer.address).collect()
     }
 
     /// The rates of a service's work at the live peers.
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -43,3 +43,25 @@
 pub fn is_cut_off(known: usize, live: usize, silence: Duration) -> bool {
     known > 0 && live == 0 && silence > CUT_OFF
 }
+
+/// Whether the node that watches under `rank` tells a peer of a change at once.
+///
+/// Pattern: servers come and go by the dozen, and each change sent by every node that
+/// watches to every other node fills small links. Each peer is told by two of those
+/// that watch, given by their ranks in order.
+pub fn tells(rank: u64, watchers: &[u64], peer: u64) -> bool {
+    let Some(own) = watchers.iter().position(|watcher| *watcher == rank) else {
+        return true;
+    };
+    let first = (peer % watchers.len() as u64) as usize;
+    own == first || own == (first + 1) % watchers.len()
+}
+
+/// The ranks of the nodes that watch, this one among them, in order.
+pub fn watcher_ranks(rank: u64, peers: &[PeerView]) -> Vec<u64> {
+    let fresh = |peer: &&PeerView| peer.answered.is_some_and(|age| age < FRESH);
+    let watching = peers.iter().filter(fresh).map(|peer| peer.rank);
+    let mut ranks: Vec<u64> = watching.chain([rank]).collect();
+    ranks.sort_unstable();
+    ranks
+}
--- a/crates/pomeloridge_policy/tests/policy/watchers.rs
+++ b/crates/pomeloridge_policy/tests/policy/watchers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pomeloridge_policy::watchers::{PeerView, is_cut_off, must_watch};
+use pomeloridge_policy::watchers::{PeerView, is_cut_off, must_watch, tells, watcher_ranks};
 use yare::parameterized;
 
 fn peers(nodes: u64, own: u64, answered: impl Fn(u64) -> Option<u64>) -> Vec<PeerView> {
@@ -48,3 +48,20 @@
         cut_off
     );
 }
+
+/// Pattern: a whole data centre's servers are reclaimed, and each change is told on.
+#[test]
+fn each_peer_is_told_by_two_of_those_that_watch() {
+    let watching = |rank| (rank < 8).then_some(100);
+    let ranks = watcher_ranks(0, &peers(78, 0, watching));
+    assert_eq!(ranks, (0..8).collect::<Vec<u64>>());
+    for peer in 0..78 {
+        let told = ranks
+            .iter()
+            .filter(|watcher| tells(**watcher, &ranks, peer));
+        assert_eq!(told.count(), 2, "peer {peer}");
+    }
+    // One that watches alone tells all.
+    let alone = watcher_ranks(3, &peers(7, 3, |_| None));
+    assert!((0..7).all(|peer| tells(3, &alone, peer)));
+}
