Read a newer configuration from one peer at a time

Cause: each word of a peer that named a newer configuration started another read of the whole of it (30 words, 30 reads at a time in the new test); the list of servers beside it was already read once at a time. Ruled out: nothing more. Change: one guard, released when dropped, for both reads.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -21,6 +21,7 @@
     process: Process,
     caller: SocketAddr,
     ready: SocketAddr,
+    peer: SocketAddr,
     metrics: SocketAddr,
 }
 
@@ -69,6 +70,7 @@
             Gateway {
                 caller: address("caller"),
                 ready: address("ready"),
+                peer: address("peer"),
                 metrics: address("metrics"),
                 process,
             }
@@ -374,6 +376,29 @@
     assert!(ended.is_some_and(|status| status.success()));
 }
 
+/// Pattern: a large configuration on small links; each word of a peer that names a newer
+/// one must not start another read of it.
+#[test]
+fn a_newer_configuration_is_read_once_at_a_time() {
+    let deployment = Deployment::start("reads", 1);
+    run(async {
+        deployment.until_ready().await;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let socket = std::net::UdpSocket::bind(address).unwrap();
+        // A word of node `p` that knows version 99: fields 1 and 4.
+        let word = [0x0a, 1, b'p', 0x20, 99];
+        let mut reads = Vec::new();
+        for _ in 0..30 {
+            socket.send_to(&word, deployment.gateways[0].peer).unwrap();
+            monoio::time::sleep(Duration::from_millis(15)).await;
+            reads.extend(listener.accept());
+        }
+        assert_eq!(reads.len(), 1, "reads at a time");
+    });
+}
+
 /// A request's cause is found from the logs alone.
 #[test]
 fn the_logs_tell_why_a_request_failed() {
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -5,6 +5,7 @@
 mod table;
 mod wire;
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -313,30 +314,53 @@
             beat.servers > known.map_or(0, |revision| revision.0)
         }
     };
-    if gap && !state.watches() && !state.fetching.replace(true) {
+    if gap && !state.watches() {
         fetch_servers(state, address);
     }
 }
 
+/// Marks a read from peers as under way until it is dropped.
+struct Reading(Rc<Cell<bool>>);
+
+impl Reading {
+    /// `None` if one is under way: a word of each peer would start another.
+    fn start(mark: &Rc<Cell<bool>>) -> Option<Self> {
+        (!mark.replace(true)).then(|| Self(Rc::clone(mark)))
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
 /// Reads the list of servers from a peer that knows a newer one.
 fn fetch_servers(state: &Rc<State>, address: SocketAddr) {
+    let Some(reading) = Reading::start(&state.reading_servers) else {
+        return;
+    };
     let state = Rc::clone(state);
     monoio::spawn(async move {
         match internal::read_servers(address).await {
             Ok((revision, objects)) => watch::replace_servers(&state, revision, &objects),
             Err(error) => log::debug!("servers from {address} not read: {error}"),
         }
-        state.fetching.set(false);
+        drop(reading);
     });
 }
 
 /// Reads a newer configuration from a peer, where the object service may be out of reach.
 fn fetch_config(state: &Rc<State>, address: SocketAddr) {
+    let Some(reading) = Reading::start(&state.reading_config) else {
+        return;
+    };
     let state = Rc::clone(state);
     monoio::spawn(async move {
         match internal::read_config(address).await {
             Ok(object) => watch::adopt(&state, &object),
             Err(error) => log::debug!("config from {address} not read: {error}"),
         }
+        drop(reading);
     });
 }
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -61,8 +61,10 @@
     pub(crate) life: Life,
     /// Where datagrams to peers leave.
     pub(crate) socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Whether the configuration is being read from a peer.
+    pub(crate) reading_config: Rc<Cell<bool>>,
     /// Whether the list of servers is being read from a peer.
-    pub(crate) fetching: Cell<bool>,
+    pub(crate) reading_servers: Rc<Cell<bool>>,
     /// Where other nodes reach this one.
     pub(crate) peer_address: SocketAddr,
     pub(crate) store: Client,
@@ -119,7 +121,8 @@
             life: Life::default(),
             peer_address: peer,
             socket: RefCell::default(),
-            fetching: Cell::new(false),
+            reading_config: Rc::default(),
+            reading_servers: Rc::default(),
             config: RefCell::default(),
             register: RefCell::default(),
             server_list: RefCell::default(),
