Say once what every datagram, read of a peer and call under authority says

beat, spread and spread_config wrote the same head three times; read_config and read_servers differed in a path; stage_duty, the adapter's duties and the object service's client each opened, checked and sent a call. One piece each: introduction, read, call_fresh. Lines of orders are made in one place; fields of Attempts that nothing else reads are private. No behaviour is changed.

--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -66,11 +66,11 @@
 
 /// What was tried for a request.
 pub(crate) struct Attempts<'a> {
-    pub(crate) state: &'a Rc<State>,
-    pub(crate) accepted: &'a Accepted,
+    state: &'a Rc<State>,
+    accepted: &'a Accepted,
     tried: Vec<TargetKey>,
     /// Servers that may have run it.
-    pub(crate) runs: u32,
+    runs: u32,
     /// Sendings that reached a server.
     arrivals: u32,
     refused: usize,
@@ -268,7 +268,7 @@
     }
 
     /// A refusal that says truthfully whether the request has run.
-    pub(crate) fn refusal(&self, kind: ErrorKind) -> Refusal {
+    fn refusal(&self, kind: ErrorKind) -> Refusal {
         let run = self.run();
         // "Not run" stands only where no server may have run it.
         let kind = match (kind.answer().run, run) {
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -7,6 +7,7 @@
 use pomeloridge_base::http::{Fault, Outgoing, Request, Responder, Response, call};
 use pomeloridge_base::id::Revision;
 use pomeloridge_platform::Object;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -50,13 +51,17 @@
 
 /// Reads a peer's configuration.
 pub(crate) async fn read_config(address: SocketAddr) -> Result<Object, String> {
-    let response = call(address, &Outgoing::get(CONFIG_PATH), READ_TIME).await;
-    let response = response.map_err(|fault| fault.to_string())?;
-    let wire: ObjectWire =
-        serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
+    let wire: ObjectWire = read(address, CONFIG_PATH).await?;
     Ok(wire.into())
 }
 
+/// Reads JSON from a peer.
+async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, String> {
+    let response = call(address, &Outgoing::get(path), READ_TIME).await;
+    let response = response.map_err(|fault| fault.to_string())?;
+    serde_json::from_slice(&response.body).map_err(|error| error.to_string())
+}
+
 #[derive(Serialize, Deserialize)]
 struct ListWire {
     revision: Revision,
@@ -65,10 +70,7 @@
 
 /// Reads a peer's list of servers.
 pub(crate) async fn read_servers(address: SocketAddr) -> Result<(Revision, Vec<Object>), String> {
-    let response = call(address, &Outgoing::get(SERVERS_PATH), READ_TIME).await;
-    let response = response.map_err(|fault| fault.to_string())?;
-    let wire: ListWire =
-        serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
+    let wire: ListWire = read(address, SERVERS_PATH).await?;
     let objects = wire.objects.into_iter().map(Object::from);
     Ok((wire.revision, objects.collect()))
 }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -128,24 +128,30 @@
     let placed = dispatcher.placed(span, now);
     let loads = dispatcher.own_loads().collect();
     BeatWire {
-        node: state.name.to_string(),
-        life: state.life_id,
-        unix_ms: state.time.borrow().unix_ms(now),
-        config: state.config().map_or(0, |config| config.version),
         loads: Some(loads),
-        usage: Vec::new(),
-        duty: state.duty.get().map_or(0, |epoch| epoch.0),
         placed: Some(placed.as_slice().into()),
-        work: Vec::new(),
         changing: state.changing.borrow().clone(),
         servers: state
             .server_list
             .borrow()
             .revision()
             .map_or(0, |revision| revision.0),
+        ..introduction(state)
+    }
+}
+
+/// What every datagram says: the sender, and what it knows of the object service.
+fn introduction(state: &State) -> BeatWire {
+    let now = state.now();
+    BeatWire {
+        node: state.name.to_string(),
+        life: state.life_id,
+        unix_ms: state.time.borrow().unix_ms(now),
+        config: state.config().map_or(0, |config| config.version),
+        duty: state.duty.get().map_or(0, |epoch| epoch.0),
         answered_ms: answered_ms(state, now),
-        change: None,
         was_away: state.register.borrow().in_grace(),
+        ..BeatWire::default()
     }
 }
 
@@ -156,35 +162,16 @@
 
 /// Tells peers at once of changes that the object service has told.
 pub(crate) fn spread(state: &Rc<State>, change: &ListChange) {
-    let now = state.now();
     let beat = BeatWire {
-        node: state.name.to_string(),
-        life: state.life_id,
-        unix_ms: state.time.borrow().unix_ms(now),
-        config: state.config().map_or(0, |config| config.version),
-        duty: state.duty.get().map_or(0, |epoch| epoch.0),
-        answered_ms: answered_ms(state, now),
         change: Some(change.into()),
-        was_away: state.register.borrow().in_grace(),
-        ..BeatWire::default()
+        ..introduction(state)
     };
     send_at_once(state, beat);
 }
 
 /// Tells peers at once that a newer configuration is in force here.
-pub(crate) fn spread_config(state: &Rc<State>, version: u64) {
-    let now = state.now();
-    let beat = BeatWire {
-        node: state.name.to_string(),
-        life: state.life_id,
-        unix_ms: state.time.borrow().unix_ms(now),
-        config: version,
-        duty: state.duty.get().map_or(0, |epoch| epoch.0),
-        answered_ms: answered_ms(state, now),
-        was_away: state.register.borrow().in_grace(),
-        ..BeatWire::default()
-    };
-    send_at_once(state, beat);
+pub(crate) fn spread_config(state: &Rc<State>) {
+    send_at_once(state, introduction(state));
 }
 
 fn send_at_once(state: &Rc<State>, beat: BeatWire) {
--- a/crates/pomeloridge_gateway/src/scale_duty.rs
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -29,6 +29,16 @@
     cheap: bool,
 }
 
+impl Line {
+    fn new(service: &ServingService, data_centre: &Name, cheap: bool) -> Self {
+        Self {
+            service: service.name.clone(),
+            data_centre: data_centre.clone(),
+            cheap,
+        }
+    }
+}
+
 /// The last order of a line.
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
@@ -99,11 +109,7 @@
             return;
         }
         for (data_centre, _) in &scaling.prices {
-            let line = Line {
-                service: service.name.clone(),
-                data_centre: data_centre.clone(),
-                cheap: true,
-            };
+            let line = Line::new(service, data_centre, true);
             if self.ordered.contains_key(&line) {
                 continue;
             }
@@ -130,11 +136,7 @@
             // Room is made before it is filled: the bounds hold for both kinds together.
             for cheap in [false, true] {
                 let wanted = if cheap { target.cheap } else { target.steady };
-                let line = Line {
-                    service: service.name.clone(),
-                    data_centre: target.data_centre.clone(),
-                    cheap,
-                };
+                let line = Line::new(service, &target.data_centre, cheap);
                 let count = if cheap { centre.cheap } else { centre.steady };
                 if !self.is_due(&line, wanted, count.there, scaling, state.now()) {
                     continue;
@@ -232,11 +234,7 @@
                     && server.cheap == cheap
             });
             let there = there.count() as u32;
-            let line = Line {
-                service: service.name.clone(),
-                data_centre: data_centre.clone(),
-                cheap,
-            };
+            let line = Line::new(service, data_centre, cheap);
             let coming = self.ordered.get(&line).filter(|last| {
                 let age = now.saturating_duration_since(last.at);
                 !last.sold_out && age < scaling.boot + REPEAT_MARGIN
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::http::{Connection, Outgoing, Response};
+use pomeloridge_base::http::{Outgoing, Response};
 use pomeloridge_base::id::Name;
-use pomeloridge_platform::{Authority, PlatformError, write_options};
+use pomeloridge_platform::{Authority, PlatformError, call_fresh, write_options};
 use pomeloridge_policy::dispatch::{Stage, Target};
 use pomeloridge_policy::staging::{EngineView, StageChange, changes};
 
@@ -151,13 +151,12 @@
     allowed: impl FnOnce() -> bool,
 ) -> Result<Response, PlatformError> {
     let deadline = Instant::now() + CALL_TIME;
-    let opened = Connection::open(address, write_options(CALL_TIME)).await;
-    let mut connection = opened.map_err(PlatformError::Unreachable)?;
-    let sent = connection.send_if(message, deadline, allowed).await;
-    if !connection.written() {
-        return Err(PlatformError::Lapsed);
-    }
-    sent.map_err(PlatformError::Unconfirmed)?;
-    let answer = connection.answer(deadline).await;
-    answer.map_err(PlatformError::Unconfirmed)
+    call_fresh(
+        address,
+        message,
+        write_options(CALL_TIME),
+        deadline,
+        allowed,
+    )
+    .await
 }
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -90,8 +90,8 @@
                     for event in events.iter().filter(|event| event.key == store.config_key) {
                         adopt_event(&state, event);
                     }
-                    if let Some(config) = state.config().filter(|_| !events.is_empty()) {
-                        peers::spread_config(&state, config.version);
+                    if !events.is_empty() && state.config().is_some() {
+                        peers::spread_config(&state);
                     }
                     Ok(Some(revision))
                 }
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -221,17 +221,28 @@
         allowed: impl FnOnce() -> bool,
     ) -> Result<Response, PlatformError> {
         self.counts.add(kind);
-        let mut connection = Connection::open(self.address, options)
-            .await
-            .map_err(PlatformError::Unreachable)?;
-        let sent = connection.send_if(&request, deadline, allowed).await;
-        if !connection.written() {
-            return Err(PlatformError::Lapsed);
-        }
-        sent.map_err(PlatformError::Unconfirmed)?;
-        let answer = connection.answer(deadline).await;
-        (self.form.accept)(answer.map_err(PlatformError::Unconfirmed)?)
+        let answer = call_fresh(self.address, &request, options, deadline, allowed).await?;
+        (self.form.accept)(answer)
+    }
+}
+
+/// Calls on a fresh connection, and writes only if `allowed` holds directly before.
+pub async fn call_fresh(
+    address: SocketAddr,
+    request: &Outgoing,
+    options: ConnectOptions,
+    deadline: Instant,
+    allowed: impl FnOnce() -> bool,
+) -> Result<Response, PlatformError> {
+    let opened = Connection::open(address, options).await;
+    let mut connection = opened.map_err(PlatformError::Unreachable)?;
+    let sent = connection.send_if(request, deadline, allowed).await;
+    if !connection.written() {
+        return Err(PlatformError::Lapsed);
     }
+    sent.map_err(PlatformError::Unconfirmed)?;
+    let answer = connection.answer(deadline).await;
+    answer.map_err(PlatformError::Unconfirmed)
 }
 
 /// Connection options of a write that must have ended, also in the kernel, within `time`.
