Let no overtaken heartbeat take a node's marks back

By the kept logs two nodes ran suspects on engine-1 at once: node-3 chose it at .724 and node-1 at .732, which knew node-2's mark of .727 and not node-3's. Cause, by elimination: node-1 had an exchange of its own under way, and the reply of it, made before the mark, came after the heartbeat that told it. absorb took any payload, whatever its counter. The payloads themselves are not logged, so that the order was not seen. Change: what a heartbeat says of its node's work is taken only if it is the newest that the node gave here itself.

--- a/crates/pomeloridge_node/src/membership.rs
+++ b/crates/pomeloridge_node/src/membership.rs
@@ -117,6 +117,22 @@
         true
     }
 
+    /// Whether a heartbeat is the newest that a heard node gave this node itself.
+    ///
+    /// Two exchanges with a node may overtake each other; what the older one says of
+    /// the node's work must not take the place of the newer.
+    pub fn is_newest(&mut self, from: &Member) -> bool {
+        let Some(record) = self.records.get_mut(&from.name) else {
+            return false;
+        };
+        let version = from.version();
+        let newest = record.told.is_none_or(|told| version > told);
+        if newest {
+            record.told = Some(version);
+        }
+        newest
+    }
+
     /// Takes in what a node tells of others.
     pub fn gossip(&mut self, members: &[Member]) {
         let now = self.timeline.now();
--- a/crates/pomeloridge_node/src/mesh.rs
+++ b/crates/pomeloridge_node/src/mesh.rs
@@ -211,8 +211,11 @@
             return false;
         }
         membership.gossip(&heartbeat.members);
+        let newest = membership.is_newest(&heartbeat.sender);
         drop(membership);
-        (self.0.hooks.absorb)(&heartbeat.sender, heartbeat.payload);
+        if newest {
+            (self.0.hooks.absorb)(&heartbeat.sender, heartbeat.payload);
+        }
         true
     }
 
--- a/crates/pomeloridge_node/src/record.rs
+++ b/crates/pomeloridge_node/src/record.rs
@@ -16,6 +16,8 @@
     pub(crate) heard: Option<Instant>,
     /// When it last spoke to this node itself.
     pub(crate) direct: Option<Instant>,
+    /// The newest heartbeat that it gave this node itself.
+    pub(crate) told: Option<(Incarnation, u64)>,
     /// When this incarnation became known.
     pub(crate) since: Instant,
     pub(crate) listed: bool,
@@ -32,6 +34,7 @@
             member,
             heard: None,
             direct: None,
+            told: None,
             since: now,
             listed: false,
             marked: false,
--- a/crates/pomeloridge_node/tests/membership.rs
+++ b/crates/pomeloridge_node/tests/membership.rs
@@ -35,6 +35,30 @@
     assert_eq!(view.state(&b()), Some(MemberState::Live));
 }
 
+/// Found by `check poison`, seed 1, once beside load: the reply to an earlier exchange
+/// came after a heartbeat that marked an engine, and took the mark back.
+#[test]
+fn an_overtaken_heartbeat_is_not_the_newest() {
+    let (mut view, _) = membership("a", "x");
+    assert!(!view.is_newest(&member("b", "x", 1)), "b was not heard yet");
+    for (counter, newest) in [(2, true), (4, true), (3, false), (4, false), (5, true)] {
+        let told = member("b", "x", counter);
+        assert!(view.heard(&told));
+        assert_eq!(view.is_newest(&told), newest, "{counter}");
+    }
+    // What others tell of a node carries nothing of its own words.
+    view.gossip(&[member("b", "x", 9)]);
+    let told = member("b", "x", 6);
+    view.heard(&told);
+    assert!(view.is_newest(&told));
+    let restarted = Member {
+        incarnation: Incarnation(2),
+        ..member("b", "x", 1)
+    };
+    view.heard(&restarted);
+    assert!(view.is_newest(&restarted));
+}
+
 #[test]
 fn gossip_keeps_a_node_alive_that_is_not_heard_directly() {
     let (mut view, clock) = membership("a", "x");
