--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -76,10 +76,18 @@
     });
     monoio::spawn(Rc::new(readiness).run(ready));
     serve_callers(&state, caller).await;
-    log::info!("stop phase=stopped");
+    log::info!("stop phase=stopped store_calls=\"{}\"", calls(&state));
     Ok(())
 }
 
+/// The number of calls to the object service by kind.
+fn calls(state: &State) -> String {
+    let counts = state.store.calls().all();
+    let counts = counts.filter(|(_, count)| *count > 0);
+    let counts = counts.map(|(kind, count)| format!("{kind}={count}"));
+    counts.collect::<Vec<_>>().join(" ")
+}
+
 fn cannot_listen(key: &str, address: SocketAddr, error: &std::io::Error) -> String {
     format!("[listen] {key}: cannot listen on {address}: {error}; choose a free address")
 }
