Let a few peers at a time read the configuration from a node

Change: two readers at a time, the others are told to come again and meanwhile hear of nodes that have it by then; a read may take 1.5 s; the text is written once, not for each reader. Test: a_few_peers_at_a_time_read_the_configuration, the third reader got 200 before and 503 after.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -399,6 +399,32 @@
     });
 }
 
+/// Pattern: a large configuration on small links; were all peers served at once, none
+/// would be within its time.
+#[test]
+fn a_few_peers_at_a_time_read_the_configuration() {
+    let deployment = Deployment::start("readers", 1);
+    run(async {
+        deployment.until_ready().await;
+        let read = async || {
+            let address = deployment.gateways[0].peer;
+            let connection = Connection::open(address, ConnectOptions::default()).await;
+            let mut connection = connection.unwrap();
+            let asked = Outgoing::get("/config");
+            let deadline = Instant::now() + CALL_TIME;
+            let answer = connection.exchange(&asked, deadline).await.unwrap();
+            (connection, answer.status)
+        };
+        let (first, status) = read().await;
+        assert_eq!(status, 200);
+        let (_second, status) = read().await;
+        assert_eq!(status, 200);
+        assert_eq!(read().await.1, 503);
+        drop(first);
+        until(async || read().await.1 == 200).await;
+    });
+}
+
 /// A request's cause is found from the logs alone.
 #[test]
 fn the_logs_tell_why_a_request_failed() {
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -1,9 +1,11 @@
 //! The configuration as nodes read it from one another.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::StatusCode;
 use pomeloridge_base::http::{Fault, Outgoing, Request, Responder, Response, call};
 use pomeloridge_base::id::Revision;
 use pomeloridge_platform::Object;
@@ -20,7 +22,12 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Time that a read takes at most.
-const READ_TIME: Duration = Duration::from_millis(800);
+const READ_TIME: Duration = Duration::from_millis(1500);
+/// Peers that read from this node at once; more would share a small link until the
+/// time of each has run out.
+const READERS: usize = 2;
+/// Code of the answer to a peer beyond those.
+const BUSY: u16 = 503;
 
 #[derive(Serialize, Deserialize)]
 struct ObjectWire {
@@ -59,6 +66,9 @@
 async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, String> {
     let response = call(address, &Outgoing::get(path), READ_TIME).await;
     let response = response.map_err(|fault| fault.to_string())?;
+    if response.status != StatusCode::OK {
+        return Err(format!("status {}", response.status));
+    }
     serde_json::from_slice(&response.body).map_err(|error| error.to_string())
 }
 
@@ -75,6 +85,26 @@
     Ok((wire.revision, objects.collect()))
 }
 
+/// Counts a peer that reads from this node until it is dropped.
+struct Reader(Rc<Cell<usize>>);
+
+impl Reader {
+    /// `None` if as many as may read already.
+    fn start(readers: &Rc<Cell<usize>>) -> Option<Self> {
+        let count = readers.get();
+        (count < READERS).then(|| {
+            readers.set(count + 1);
+            Self(Rc::clone(readers))
+        })
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Answers peers and collectors.
 pub(crate) async fn handle(
     state: &Rc<State>,
@@ -82,22 +112,53 @@
     responder: &mut Responder,
 ) {
     let response = match request {
-        Ok(request) if request.path() == CONFIG_PATH => config(state),
-        Ok(request) if request.path() == SERVERS_PATH => servers(state),
+        Ok(request) if request.path() == CONFIG_PATH => {
+            return be_read(state, config(state), responder).await;
+        }
+        Ok(request) if request.path() == SERVERS_PATH => {
+            return be_read(state, servers(state), responder).await;
+        }
         Ok(request) if request.path() == METRICS_PATH => {
             Response::new(200, (state.metrics)()).with("content-type", "text/plain")
         }
         Ok(_) => Response::new(404, ""),
         Err(_) => Response::new(400, ""),
     };
+    send(response, responder).await;
+}
+
+async fn send(response: Response, responder: &mut Responder) {
     if let Err(fault) = responder.send(response).await {
         log::debug!("answer to a peer not delivered: {fault}");
     }
 }
 
+/// Answers one of a few peers at a time; a read lasts until the peer has closed the
+/// connection, since a written answer may still wait for the link.
+async fn be_read(state: &State, response: Response, responder: &mut Responder) {
+    responder.close_after();
+    let Some(reader) = Reader::start(&state.readers) else {
+        return send(Response::new(BUSY, ""), responder).await;
+    };
+    send(response, responder).await;
+    if monoio::time::timeout(READ_TIME, responder.gone())
+        .await
+        .is_err()
+    {
+        log::debug!("a peer has not closed its connection within {READ_TIME:?}");
+    }
+    drop(reader);
+}
+
 fn config(state: &State) -> Response {
     match state.config.borrow().as_ref() {
-        Some(in_force) => Response::json(200, &ObjectWire::from(in_force.object.clone())),
+        Some(in_force) => {
+            let written = in_force.written.get_or_init(|| {
+                let wire = ObjectWire::from(in_force.object.clone());
+                Response::json(200, &wire).body
+            });
+            Response::new(200, written.clone())
+        }
         None => Response::new(404, ""),
     }
 }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -35,6 +35,8 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Rounds between two that carry counts of usage and rates of work.
 const USAGE_ROUNDS: u64 = 4;
+/// Pause after a read that failed; the next word of a peer starts another.
+const READ_PAUSE: Duration = Duration::from_millis(50);
 /// Age of a peer's last answer up to which the object service is there for it; above
 /// the time that a watch may wait, and below that in which entries lapse.
 const ANSWERED: Duration = Duration::from_secs(3);
@@ -331,7 +333,10 @@
     monoio::spawn(async move {
         match internal::read_servers(address).await {
             Ok((revision, objects)) => watch::replace_servers(&state, revision, &objects),
-            Err(error) => log::debug!("servers from {address} not read: {error}"),
+            Err(error) => {
+                log::debug!("servers from {address} not read: {error}");
+                monoio::time::sleep(READ_PAUSE).await;
+            }
         }
         drop(reading);
     });
@@ -346,7 +351,10 @@
     monoio::spawn(async move {
         match internal::read_config(address).await {
             Ok(object) => watch::adopt(&state, &object),
-            Err(error) => log::debug!("config from {address} not read: {error}"),
+            Err(error) => {
+                log::debug!("config from {address} not read: {error}");
+                monoio::time::sleep(READ_PAUSE).await;
+            }
         }
         drop(reading);
     });
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -1,11 +1,12 @@
 //! What the gateway's tasks share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::clock::{SharedClock, Stamp};
 use pomeloridge_base::id::{Epoch, Name};
@@ -46,6 +47,8 @@
 pub(crate) struct InForce {
     pub(crate) config: Rc<ServingConfig>,
     pub(crate) object: Object,
+    /// As peers read it, once one has.
+    pub(crate) written: OnceCell<Bytes>,
 }
 
 /// A gateway's state.
@@ -65,6 +68,8 @@
     pub(crate) reading_config: Rc<Cell<bool>>,
     /// Whether the list of servers is being read from a peer.
     pub(crate) reading_servers: Rc<Cell<bool>>,
+    /// Peers that read from this node.
+    pub(crate) readers: Rc<Cell<usize>>,
     /// Where other nodes reach this one.
     pub(crate) peer_address: SocketAddr,
     pub(crate) store: Client,
@@ -123,6 +128,7 @@
             socket: RefCell::default(),
             reading_config: Rc::default(),
             reading_servers: Rc::default(),
+            readers: Rc::default(),
             config: RefCell::default(),
             register: RefCell::default(),
             server_list: RefCell::default(),
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -1,6 +1,6 @@
 //! Keeps the configuration and the list of servers current from the object service.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -185,6 +185,7 @@
     *place.borrow_mut() = Some(InForce {
         config: Rc::new(config),
         object: object.clone(),
+        written: OnceCell::new(),
     });
 }
 
