Let fewer nodes watch the object service, and few ask often in an outage

Ruled out: the reads of nodes' objects (3 to 5 a node). Change: one watching node for 20 nodes instead of 10; after a failed call only the first nodes by rank ask again after 250 ms, the others after 2 s; the same for a free lease.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -51,12 +51,17 @@
     let authority = keeper.authority();
     while !state.life.is_stopping() {
         let held = authority.holds();
-        if held || !state.peers.borrow().duty_held(state.now()) {
+        let free = !held && !state.peers.borrow().duty_held(state.now());
+        if held || free {
             keeper.step().await;
         }
         let epoch = authority.holds().then(|| authority.epoch());
         state.duty.set(epoch);
-        let pause = if held { HELD_PAUSE } else { FREE_PAUSE };
+        let pause = match (held, free) {
+            (true, _) => HELD_PAUSE,
+            (false, true) => FREE_PAUSE.max(state.retry_pause()),
+            (false, false) => FREE_PAUSE,
+        };
         monoio::time::sleep(pause).await;
     }
     state.duty.set(None);
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -16,7 +16,7 @@
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
-use pomeloridge_policy::watchers::{is_cut_off, must_watch};
+use pomeloridge_policy::watchers::{is_cut_off, must_watch, retry_pause};
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::config::ServingConfig;
@@ -277,6 +277,12 @@
         must_watch(peers::rank(&self.name), &peers)
     }
 
+    /// Pause after a call of the object service that failed.
+    pub(crate) fn retry_pause(&self) -> Duration {
+        let peers = self.peers.borrow().watcher_views(self.now());
+        retry_pause(peers::rank(&self.name), &peers)
+    }
+
     /// Hands the register's servers to the dispatcher.
     pub(crate) fn sync_servers(&self) {
         let config = self.config();
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -13,12 +13,10 @@
 use crate::server_list::{Applied, ListChange};
 use crate::state::{InForce, State};
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before a configuration that is not there yet is looked for again.
+const ABSENT_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two looks for lapsed servers.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(250);
-/// Longest pause after failed calls.
-const RETRY_PAUSE_MAX: Duration = Duration::from_secs(1);
 /// Pause between two looks whether to watch, while peers do.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
 /// Silence of the object service that counts as an outage in which entries lapse.
@@ -105,13 +103,13 @@
                 state.store_heard.set(state.clock.stamp());
                 // A list that holds nothing yet is read again after a pause.
                 if after.is_none() && revision.is_none() {
-                    monoio::time::sleep(RETRY_PAUSE).await;
+                    monoio::time::sleep(ABSENT_PAUSE).await;
                 }
                 after = revision;
             }
             Err(error) => {
                 dependency.failed(&error, state.now());
-                monoio::time::sleep(RETRY_PAUSE).await;
+                monoio::time::sleep(state.retry_pause()).await;
             }
         }
     }
@@ -192,7 +190,6 @@
 /// Reads the list of servers and follows its changes for as long as the node lives.
 pub(crate) async fn servers(state: Rc<State>) {
     let dependency = Dependency::new("store/servers");
-    let mut pause = RETRY_PAUSE;
     // Whether the history behind the known revision is gone.
     let mut lost = false;
     loop {
@@ -210,14 +207,12 @@
         match result {
             Ok(revision) => {
                 lost = revision.is_none();
-                pause = RETRY_PAUSE;
                 state.store_answered.set(Some(state.now()));
                 state.store_heard.set(state.clock.stamp());
             }
             Err(error) => {
                 dependency.failed(&error, state.now());
-                monoio::time::sleep(pause).await;
-                pause = (pause * 2).min(RETRY_PAUSE_MAX);
+                monoio::time::sleep(state.retry_pause()).await;
             }
         }
     }
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -3,13 +3,19 @@
 //! Pattern answered: every call of the object service costs, and calls that grow with
 //! the nodes are not affordable. A few nodes watch; they are the same in every view,
 //! by a ranking of names. A node that does not hear enough of them watches itself.
+//! While the service turns all away, only the first nodes ask it often.
 
 use std::time::Duration;
 
 /// Nodes that watch, at least.
 const WATCHERS_LEAST: usize = 3;
 /// Nodes for each one that watches.
-const NODES_PER_WATCHER: usize = 10;
+const NODES_PER_WATCHER: usize = 20;
+/// Pause after a failed call, for the nodes that watch first.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a failed call, for the others; they hear of the service's return from
+/// those.
+const RETRY_PAUSE_OTHERS: Duration = Duration::from_secs(2);
 /// Age of a watcher's last answer up to which it counts as watching; above the time
 /// that a watch may wait.
 const FRESH: Duration = Duration::from_millis(3500);
@@ -25,11 +31,28 @@
 
 /// Whether a node with this rank must watch the object service itself.
 pub fn must_watch(rank: u64, peers: &[PeerView]) -> bool {
-    let nodes = peers.len() + 1;
-    let wanted = WATCHERS_LEAST.max(nodes.div_ceil(NODES_PER_WATCHER));
     let fresh = |peer: &&PeerView| peer.answered.is_some_and(|age| age < FRESH);
     let before = peers.iter().filter(|peer| peer.rank < rank).filter(fresh);
-    before.count() < wanted
+    before.count() < watchers(peers)
+}
+
+/// Nodes that are to watch among a node's peers and itself.
+fn watchers(peers: &[PeerView]) -> usize {
+    let nodes = peers.len() + 1;
+    WATCHERS_LEAST.max(nodes.div_ceil(NODES_PER_WATCHER))
+}
+
+/// Pause after a call of the object service that failed, for a node with this rank.
+///
+/// Pattern: in an outage no node watches freshly, so that every node must; a large
+/// fleet that asks as often as one node does pays for thousands of calls.
+pub fn retry_pause(rank: u64, peers: &[PeerView]) -> Duration {
+    let before = peers.iter().filter(|peer| peer.rank < rank);
+    if before.count() < watchers(peers) {
+        RETRY_PAUSE
+    } else {
+        RETRY_PAUSE_OTHERS
+    }
 }
 
 /// Silence of the object service after which a node that hears no peer is cut off.
