Tell peers of other data centres in longer turns, and only what is new

Datagrams told every shared part of every send, all usage of four windows 2.5 times a second to four peers, and all loads to all peers alike. Change: a part is told when it is first read at a server; counts of windows that may have changed, all of them to a new holder of the duties; peers of other data centres are told once in twelve rounds if the fleet is larger than one round. The turns are a module of their own (telling) with tests.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -37,6 +37,8 @@
 const USAGE_ROUNDS: u64 = 4;
 /// Pause after a read that failed; the next word of a peer starts another.
 const READ_PAUSE: Duration = Duration::from_millis(50);
+/// Time after a window's end for which its counts are told on.
+const USAGE_SPAN: Duration = Duration::from_secs(3);
 /// Age of a peer's last answer up to which the object service is there for it; above
 /// the time that a watch may wait, and below that in which entries lapse.
 const ANSWERED: Duration = Duration::from_secs(3);
@@ -98,8 +100,9 @@
             continue;
         }
         let now = state.now();
+        let all = state.peers.borrow().has_new_holder(now);
         let counted = BeatWire {
-            usage: usage_wire(&state),
+            usage: usage_wire(&state, all),
             work: work_wire(&state, now),
             ..plain
         };
@@ -124,7 +127,7 @@
     let peers = state.peers.borrow();
     let fan_out = state.settings.number("peers", "fan_out") as usize;
     // Each peer is told once in so many rounds, and once more in case one is lost.
-    let rounds = peers.peers.len().div_ceil(fan_out) as u32 + 1;
+    let rounds = peers.rounds(fan_out) + 1;
     let span = state.settings.time("peers", "pause_ms") * rounds;
     let mut dispatcher = state.dispatcher.borrow_mut();
     let placed = dispatcher.placed(span, now);
@@ -153,6 +156,7 @@
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
         answered_ms: answered_ms(state, now),
         was_away: state.register.borrow().in_grace(),
+        centre: state.centre_hash(),
         ..BeatWire::default()
     }
 }
@@ -202,9 +206,15 @@
     work.collect()
 }
 
-fn usage_wire(state: &State) -> Vec<UsageWire> {
+/// This node's counts: of all windows that it keeps, or of those that may have changed
+/// since they were last told.
+fn usage_wire(state: &State, all: bool) -> Vec<UsageWire> {
     let book = state.usage.borrow();
-    let lines = book.own().flat_map(|(window, counts)| {
+    let now_ms = state.time.borrow().unix_ms(state.now());
+    let changed_ms = now_ms.saturating_sub(USAGE_SPAN.as_millis() as u64);
+    let first = changed_ms / state.usage_window().as_millis() as u64;
+    let windows = book.own().filter(|(window, _)| all || *window >= first);
+    let lines = windows.flat_map(|(window, counts)| {
         counts.iter().map(move |(account, count)| UsageWire {
             window,
             account: account.to_string(),
@@ -240,7 +250,8 @@
     let duty = (beat.duty > 0).then_some(Epoch(beat.duty));
     let mut peers = state.peers.borrow_mut();
     let peer = peers.heard(&name, address, now);
-    peer.duty = duty;
+    peer.holds(duty, now);
+    peer.near = beat.centre == state.centre_hash();
     if !beat.work.is_empty() {
         let told = std::mem::take(&mut beat.work);
         peer.work = told.into_iter().map(<(Name, WorkRates)>::from).collect();
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_policy::telling::{rounds, turn, turns};
 use pomeloridge_policy::watchers::{PeerView, tells, watcher_ranks};
 use pomeloridge_policy::work_meter::WorkRates;
 
@@ -17,19 +18,43 @@
 const FORGET: Duration = Duration::from_secs(20);
 /// Peers besides the holder that are told the counts in one of those rounds.
 const USAGE_COPIES: usize = 3;
+/// Time for which a new holder of the duties is told the counts of all windows.
+const NEW_HOLDER: Duration = Duration::from_secs(2);
 
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) address: SocketAddr,
     pub(super) heard: Option<Instant>,
     pub(super) listed: bool,
-    /// Fencing token that the peer says to hold the duties by.
-    pub(super) duty: Option<Epoch>,
+    /// Whether it is in this node's data centre, as far as it is known.
+    pub(super) near: bool,
+    /// Fencing token that the peer says to hold the duties by, and since when.
+    duty: Option<(Epoch, Instant)>,
     pub(super) work: Vec<(Name, WorkRates)>,
     /// When the object service last answered its watch, on this node's clock.
     pub(super) answered: Option<Instant>,
 }
 
+impl Peer {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            heard: None,
+            listed: false,
+            near: false,
+            duty: None,
+            work: Vec::new(),
+            answered: None,
+        }
+    }
+
+    /// Notes which duties the peer says to hold.
+    pub(super) fn holds(&mut self, epoch: Option<Epoch>, now: Instant) {
+        let since = self.duty.filter(|(known, _)| Some(*known) == epoch);
+        self.duty = epoch.map(|epoch| (epoch, since.map_or(now, |(_, since)| since)));
+    }
+}
+
 /// The other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -66,14 +91,33 @@
     /// The peers that are told in this round: all in turn, a bounded number each time.
     pub(super) fn next_round(&mut self, fan_out: usize) -> Vec<SocketAddr> {
         self.round += 1;
-        let mut addresses: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
-        addresses.sort_unstable();
-        if addresses.len() > fan_out {
-            let start = self.round as usize * fan_out % addresses.len();
-            addresses.rotate_left(start);
-            addresses.truncate(fan_out);
-        }
-        addresses
+        let [near, far] = self.by_distance();
+        let each = turns(near.len(), far.len(), fan_out);
+        let mut told = turn(near, each.near, self.round);
+        told.extend(turn(far, each.far, self.round));
+        told
+    }
+
+    /// Rounds in which every peer is told once.
+    pub(super) fn rounds(&self, fan_out: usize) -> u32 {
+        let [near, far] = self.by_distance();
+        rounds(near.len(), far.len(), fan_out) as u32
+    }
+
+    /// The peers in this node's data centre, and those in others.
+    fn by_distance(&self) -> [Vec<SocketAddr>; 2] {
+        [true, false].map(|near| {
+            let peers = self.peers.values().filter(|peer| peer.near == near);
+            let mut addresses: Vec<SocketAddr> = peers.map(|peer| peer.address).collect();
+            addresses.sort_unstable();
+            addresses
+        })
+    }
+
+    /// Whether a holder of the duties is new, and may not know earlier counts.
+    pub(super) fn has_new_holder(&self, now: Instant) -> bool {
+        let mut holders = self.peers.values().filter_map(|peer| peer.duty);
+        holders.any(|(_, since)| now.saturating_duration_since(since) < NEW_HOLDER)
     }
 
     /// Those that are told the counts of usage in this round: whoever reports them, and
@@ -81,12 +125,8 @@
     pub(super) fn next_counted(&self) -> Vec<SocketAddr> {
         let holders = self.peers.values().filter(|peer| peer.duty.is_some());
         let mut addresses: Vec<SocketAddr> = holders.map(|peer| peer.address).collect();
-        let mut others: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
-        others.sort_unstable();
-        let turn = (self.round / USAGE_ROUNDS) as usize * USAGE_COPIES;
-        let start = turn.checked_rem(others.len()).unwrap_or_default();
-        others.rotate_left(start);
-        addresses.extend(others.into_iter().take(USAGE_COPIES));
+        let others = self.by_distance().concat();
+        addresses.extend(turn(others, USAGE_COPIES, self.round / USAGE_ROUNDS));
         addresses
     }
 
@@ -95,14 +135,7 @@
             peer.listed = false;
         }
         for (name, address) in nodes {
-            let peer = self.peers.entry(name).or_insert(Peer {
-                address,
-                heard: None,
-                listed: true,
-                duty: None,
-                work: Vec::new(),
-                answered: None,
-            });
+            let peer = self.peers.entry(name).or_insert(Peer::new(address));
             peer.address = address;
             peer.listed = true;
         }
@@ -115,14 +148,7 @@
 
     pub(super) fn heard(&mut self, name: &Name, address: SocketAddr, now: Instant) -> &mut Peer {
         let known = self.peers.contains_key(name);
-        let peer = self.peers.entry(name.clone()).or_insert(Peer {
-            address,
-            heard: None,
-            listed: false,
-            duty: None,
-            work: Vec::new(),
-            answered: None,
-        });
+        let peer = self.peers.entry(name.clone()).or_insert(Peer::new(address));
         if !known || !is_live(peer, now) {
             log::info!("dependency name=node/{name} state=regained address={address}");
         }
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -51,6 +51,9 @@
     /// Whether the sender has lost the object service of late, or has just started.
     #[prost(bool, tag = "14")]
     pub(super) was_away: bool,
+    /// Hash of the name of the sender's data centre.
+    #[prost(fixed32, tag = "15")]
+    pub(super) centre: u32,
 }
 
 /// Changes of the list of servers.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -159,6 +159,11 @@
         })
     }
 
+    /// Hash of the name of this node's data centre, as peers are told it.
+    pub(crate) fn centre_hash(&self) -> u32 {
+        peers::rank(&Name::from(self.settings.text("node", "data_centre"))) as u32
+    }
+
     pub(crate) fn now(&self) -> Instant {
         self.clock.now()
     }
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -215,19 +215,13 @@
             target.own.running += 1;
             target.own.unread += unread;
             if let Some(prompt) = prompt {
-                target.parts.read(&prompt.parts);
                 let server = target.hash;
-                let placed = prompt.shared().iter();
-                let placed = placed.map(|part| {
-                    (
-                        now,
-                        Placed {
-                            server,
-                            part: *part,
-                        },
-                    )
-                });
+                // Peers were told of the others when those were read.
+                let new = prompt.shared().iter().copied();
+                let new = new.filter(|part| !target.parts.holds(*part));
+                let placed = new.map(|part| (now, Placed { server, part }));
                 self.placed.extend(placed);
+                target.parts.read(&prompt.parts);
             }
         }
         self.sends.insert(Send {
@@ -272,7 +266,7 @@
         }
     }
 
-    /// The shared parts that this node has had read within `span`, for its peers.
+    /// The shared parts that this node has newly had read within `span`, for its peers.
     pub fn placed(&mut self, span: Duration, now: Instant) -> Vec<Placed> {
         let old = |at: Instant| now.saturating_duration_since(at) > span;
         while self.placed.front().is_some_and(|(at, _)| old(*at)) {
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod share;
 pub mod staging;
 pub mod suspicion;
+pub mod telling;
 pub mod ticket;
 pub mod watchers;
 pub mod work_meter;
--- a/crates/pomeloridge_policy/src/parts.rs
+++ b/crates/pomeloridge_policy/src/parts.rs
@@ -48,6 +48,11 @@
         self.shrink();
     }
 
+    /// Whether a part is held.
+    pub fn holds(&self, part: Part) -> bool {
+        self.held.contains_key(&part.id)
+    }
+
     /// Tokens of the leading parts that are held.
     pub fn leading(&self, parts: &[Part]) -> u64 {
         let leading = parts
--- /dev/null
+++ b/crates/pomeloridge_policy/src/telling.rs
@@ -0,0 +1,46 @@
+//! Which peers a node tells in a round.
+//!
+//! Pattern answered: words to every peer in every round fill small links once a fleet
+//! has dozens of nodes, and bytes between data centres are dear, while most work stays
+//! in its data centre. A large fleet tells peers of the own data centre in short turns
+//! and the others in longer ones; a small fleet tells all.
+
+/// Rounds in which each peer in another data centre is told once, in a large fleet.
+const FAR_ROUNDS: usize = 12;
+
+/// Peers that are told in each round, of those in the own data centre and of the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turns {
+    /// In the own data centre.
+    pub near: usize,
+    /// In other data centres.
+    pub far: usize,
+}
+
+/// Decides the turns of a node with so many peers that tells `fan_out` peers at a time.
+pub fn turns(near: usize, far: usize, fan_out: usize) -> Turns {
+    if near + far <= fan_out {
+        return Turns { near, far };
+    }
+    Turns {
+        near: near.min(fan_out),
+        far: far.div_ceil(FAR_ROUNDS),
+    }
+}
+
+/// Rounds in which every peer is told once.
+pub fn rounds(near: usize, far: usize, fan_out: usize) -> usize {
+    let turns = turns(near, far, fan_out);
+    let rounds = |peers: usize, each: usize| peers.div_ceil(each.max(1));
+    rounds(near, turns.near).max(rounds(far, turns.far))
+}
+
+/// The `count` peers whose turn it is in a round.
+pub fn turn<T>(mut peers: Vec<T>, count: usize, round: u64) -> Vec<T> {
+    if peers.len() > count {
+        let start = round as usize * count % peers.len();
+        peers.rotate_left(start);
+        peers.truncate(count);
+    }
+    peers
+}
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -13,4 +13,5 @@
 mod scaling;
 mod support;
 mod suspicion;
+mod telling;
 mod watchers;
