Read a long shared part first at one engine, and work near the caller

Memory moved between data centres takes twice as long, and tokens were made at the least busy engine anywhere. Change: a part of 1,000 tokens or more has a home, by a hash that all nodes share, which is preferred while no engine is known to hold it and its queue is short; two thirds of the sample come from the own data centre; the engine that makes tokens is chosen by queue, batch and the move of memory. Tests: a_long_part_is_first_read_at_one_engine (failed before), a_busy_home_sends_work_elsewhere, tokens_are_made_near_the_engine_that_read.

--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -166,7 +166,8 @@
             apart: false,
         };
         let dispatcher = self.state.dispatcher.borrow();
-        let run = dispatcher.choose_maker(&wanted, self.state.now());
+        let reader = plan.prefill.unwrap_or(plan.run);
+        let run = dispatcher.choose_maker(&wanted, reader, self.state.now());
         let run = run.unwrap_or(plan.run);
         drop(dispatcher);
         if run != plan.run {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -39,9 +39,15 @@
 /// Servers beyond which only a sample of them is looked at.
 const SAMPLE_ABOVE: usize = 40;
 /// Size of that sample; large enough to hold engines of both stages.
-const SAMPLE: usize = 20;
+const SAMPLE: usize = 24;
+/// Servers of other data centres in that sample, if there are enough in the own one.
+const SAMPLE_FAR: usize = 8;
 /// Added to the prediction for a server in another data centre.
-const DISTANCE: Duration = Duration::from_millis(2);
+const DISTANCE: Duration = Duration::from_millis(5);
+/// Tokens from which a shared part has a home engine.
+const HOME_TOKENS: u64 = 1000;
+/// A move of memory between data centres takes this many times as long.
+const FAR_TRANSFER: u32 = 2;
 /// Time by which a separate prefill must be ahead to be worth the memory moved.
 const MOVE_GAIN: Duration = Duration::from_millis(10);
 
@@ -179,28 +185,77 @@
     }
 
     fn plan(&self, wanted: &Wanted<'_>, now: Instant, last_resort: bool) -> Option<Plan> {
-        let usable = self.usable(wanted, now, last_resort);
-        match wanted.prompt {
-            Some(prompt) => self.plan_prompt(prompt, &usable, wanted.apart, now),
-            None => self.least_loaded(&usable, now),
+        let fitting = self.fitting(wanted, now, last_resort);
+        let Some(prompt) = wanted.prompt else {
+            return self.least_loaded(&self.sample(fitting), now);
+        };
+        let home = self.home(prompt, &fitting);
+        let mut usable = self.sample(fitting);
+        if let Some(home) = home.filter(|home| !usable.contains(home)) {
+            usable.push(home);
+        }
+        self.plan_prompt(prompt, &usable, home, wanted.apart, now)
+    }
+
+    /// The engine that reads a long shared part first, the same in the views of all nodes.
+    ///
+    /// Pattern: requests for the same part arrive at many nodes before any has heard of
+    /// the others' choice. Later ones fetch the part from where it was read.
+    fn home(&self, prompt: &PromptShape, fitting: &[TargetKey]) -> Option<TargetKey> {
+        let part = prompt.shared().last()?;
+        if part.tokens < HOME_TOKENS {
+            return None;
         }
+        let readers = fitting.iter().copied();
+        let readers = readers.filter(|key| self.targets[*key].info.stage == Stage::Prefill);
+        readers.max_by_key(|key| mix(mix(part.id) ^ u64::from(self.targets[*key].hash)))
     }
 
     /// Chooses the engine that makes the tokens of a prompt that has been read.
     ///
     /// Reading may take seconds; the engine of the plan may be leaving since, or busier.
-    pub fn choose_maker(&self, wanted: &Wanted<'_>, now: Instant) -> Option<TargetKey> {
+    pub fn choose_maker(
+        &self,
+        wanted: &Wanted<'_>,
+        reader: TargetKey,
+        now: Instant,
+    ) -> Option<TargetKey> {
+        let tokens = wanted.prompt.map_or(0, |prompt| prompt.tokens);
         let makers = |last_resort| {
-            let mut usable = self.usable(wanted, now, last_resort);
+            let mut usable = self.sample(self.fitting(wanted, now, last_resort));
             usable.retain(|key| self.targets[*key].info.stage != Stage::Prefill);
-            self.least_batched(&usable, now)
+            self.best_maker(&usable, reader, tokens, now)
         };
         makers(false).or_else(|| makers(true))
     }
 
-    fn least_batched(&self, makers: &[TargetKey], now: Instant) -> Option<TargetKey> {
-        let makers = makers.iter().copied();
-        makers.min_by_key(|key| self.batch(*key, now))
+    /// The engine that makes tokens soonest from memory that is read on `reader`.
+    fn best_maker(
+        &self,
+        makers: &[TargetKey],
+        reader: TargetKey,
+        tokens: u64,
+        now: Instant,
+    ) -> Option<TargetKey> {
+        let cost = |key: &TargetKey| {
+            let target = &self.targets[*key];
+            let rotation = target.hash as usize ^ self.turn;
+            let delay = self.model.queueing(target, now) + self.model.pause(target.running(now));
+            let moved = self.transfer(reader, *key, tokens);
+            (delay + moved + self.distance(target), rotation % 64)
+        };
+        makers.iter().copied().min_by_key(cost)
+    }
+
+    /// Time to move the memory of so many tokens from one engine to another.
+    fn transfer(&self, from: TargetKey, to: TargetKey, tokens: u64) -> Duration {
+        let centre = |key| self.targets.get(key).map(|target| &target.info.data_centre);
+        let time = self.model.transfer(tokens);
+        if centre(from) == centre(to) {
+            time
+        } else {
+            time * FAR_TRANSFER
+        }
     }
 
     /// Counts a request on a server.
@@ -337,18 +392,18 @@
         target.is_some_and(|target| target.ejection.clear())
     }
 
-    fn usable(&self, wanted: &Wanted<'_>, now: Instant, last_resort: bool) -> Vec<TargetKey> {
+    fn fitting(&self, wanted: &Wanted<'_>, now: Instant, last_resort: bool) -> Vec<TargetKey> {
         let fits = |(key, target): &(TargetKey, &Target)| {
             target.info.service == *wanted.service
                 && !target.info.leaving
                 && !wanted.tried.contains(key)
                 && (last_resort || (target.ejection.may_try(now) && !target.is_changing(now)))
         };
-        let fitting = self.targets.iter().filter(fits).map(|(key, _)| key);
-        self.sample(fitting.collect())
+        let fitting = self.targets.iter().filter(fits);
+        fitting.map(|(key, _)| key).collect()
     }
 
-    /// A few of many servers, drawn anew for each request.
+    /// A few of many servers, drawn anew for each request, most of them near.
     ///
     /// Loads of peers are as old as their last word. Were the best of all chosen, all
     /// nodes would send to the same server until they hear of one another.
@@ -358,14 +413,19 @@
         }
         let draw = |key: &TargetKey| mix(u64::from(self.targets[*key].hash) ^ self.draw);
         keys.sort_unstable_by_key(draw);
-        keys.truncate(SAMPLE);
-        keys
+        let is_near = |key: &TargetKey| self.targets[*key].info.data_centre == self.data_centre;
+        let (mut near, mut far): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_near);
+        near.truncate(SAMPLE - SAMPLE_FAR);
+        far.truncate(SAMPLE - near.len());
+        near.extend(far);
+        near
     }
 
     fn plan_prompt(
         &self,
         prompt: &PromptShape,
         usable: &[TargetKey],
+        home: Option<TargetKey>,
         apart: bool,
         now: Instant,
     ) -> Option<Plan> {
@@ -376,18 +436,20 @@
         let readers: Vec<TargetKey> = stage(Stage::Prefill).collect();
         let makers: Vec<TargetKey> = stage(Stage::Decode).chain(stage(Stage::Whole)).collect();
         let holder = self.holder(prompt, now);
-        let whole = self.soonest(prompt, &makers, holder, now);
+        let whole = self.soonest(prompt, &makers, holder, None, now);
         let reader = apart
-            .then(|| self.soonest(prompt, &readers, holder, now))
+            .then(|| self.soonest(prompt, &readers, holder, home, now))
             .flatten();
-        let maker = self.least_batched(&makers, now);
-        let split = reader.zip(maker).map(|(read, run)| Plan {
-            run,
-            prefill: Some(read.run),
-            first: read.first
-                + self.model.transfer(prompt.tokens)
-                + self.model.queueing(&self.targets[run], now),
-            ..read
+        let split = reader.and_then(|read| {
+            let run = self.best_maker(&makers, read.run, prompt.tokens, now)?;
+            Some(Plan {
+                run,
+                prefill: Some(read.run),
+                first: read.first
+                    + self.transfer(read.run, run, prompt.tokens)
+                    + self.model.queueing(&self.targets[run], now),
+                ..read
+            })
         });
         match (whole, split) {
             (Some(whole), Some(split)) if split.first + MOVE_GAIN < whole.first => Some(split),
@@ -403,8 +465,11 @@
         prompt: &PromptShape,
         keys: &[TargetKey],
         holder: Option<(TargetKey, u64)>,
+        home: Option<TargetKey>,
         now: Instant,
     ) -> Option<Plan> {
+        let shared = prompt.shared().iter().map(|part| part.tokens).sum::<u64>();
+        let unheld = shared.saturating_sub(holder.map_or(0, |(_, held)| held));
         let plans = keys.iter().map(|key| {
             let target = &self.targets[*key];
             let known = target.parts.leading(&prompt.parts);
@@ -412,44 +477,38 @@
             let fetch = holder.filter(|(holder, held)| holder != key && lacking(*held) > 0);
             let fetched = fetch.map_or(0, |(_, held)| lacking(held));
             let unread = prompt.tokens.saturating_sub(known + fetched).max(1);
-            let first = self
-                .model
-                .first_piece(target, target.unread(now) + unread, now);
+            // Another node may have had the parts read there that no engine is known to hold.
+            let expected = if home == Some(*key) {
+                unread.saturating_sub(unheld)
+            } else {
+                unread
+            };
+            let ahead = target.unread(now);
+            let first = self.model.first_piece(target, ahead + expected, now);
+            let fetch_time = fetch.map_or(Duration::ZERO, |(from, _)| {
+                self.transfer(from, *key, fetched)
+            });
             Plan {
                 run: *key,
                 prefill: None,
                 fetch: fetch.map(|(holder, _)| holder),
                 unread,
-                first: first + self.fetch_time(fetched) + self.distance(target),
+                first: first + fetch_time + self.distance(target),
             }
         });
         plans.min_by_key(|plan| plan.first)
     }
 
-    fn fetch_time(&self, tokens: u64) -> Duration {
-        if tokens == 0 {
-            Duration::ZERO
-        } else {
-            self.model.transfer(tokens)
-        }
-    }
-
     /// The engine that holds most of the prompt's leading parts, with the tokens
-    /// held; of several the least busy one.
+    /// held; of several the nearest one.
     fn holder(&self, prompt: &PromptShape, now: Instant) -> Option<(TargetKey, u64)> {
         let held = self.targets.iter().map(|(key, target)| {
             let tokens = target.parts.leading(&prompt.parts);
-            (key, tokens, Reverse(target.unread(now)))
+            let distance = Reverse(self.distance(target));
+            (key, tokens, distance, Reverse(target.unread(now)))
         });
-        let most = held.max_by_key(|(_, tokens, unread)| (*tokens, *unread));
-        most.map(|(key, tokens, _)| (key, tokens))
-    }
-
-    /// Requests in an engine's batch with a small preference for the own data centre.
-    fn batch(&self, key: TargetKey, now: Instant) -> (u32, Duration, usize) {
-        let target = &self.targets[key];
-        let rotation = target.hash as usize ^ self.turn;
-        (target.running(now), self.distance(target), rotation % 64)
+        let most = held.max_by_key(|(_, tokens, distance, unread)| (*tokens, *distance, *unread));
+        most.map(|(key, tokens, ..)| (key, tokens))
     }
 
     fn least_loaded(&self, usable: &[TargetKey], now: Instant) -> Option<Plan> {
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -30,6 +30,8 @@
     pub read_rate: f64,
     /// Output tokens of a request, by which its time in the batch is predicted.
     pub output: u32,
+    /// Output tokens in a piece of the answer.
+    pub piece_tokens: u32,
     /// Time of one step of an empty batch.
     pub step: Duration,
     /// Time that each request in the batch adds to a step.
@@ -62,6 +64,7 @@
         Self {
             read_rate: 100_000.0,
             output: 300,
+            piece_tokens: 14,
             step: Duration::from_micros(3200),
             step_slot: Duration::from_micros(50),
             first_token: Duration::from_millis(47),
@@ -91,6 +94,11 @@
         step * self.output / slots * ahead
     }
 
+    /// Time that a batch of `running` requests adds to the pause between two pieces.
+    pub fn pause(&self, running: u32) -> Duration {
+        self.step_slot * running * self.piece_tokens
+    }
+
     /// Output tokens that a decode engine of so many slots makes in a second, at a
     /// batch that keeps pauses short.
     pub fn make_rate(&self, slots: u32) -> f64 {
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -189,6 +189,72 @@
     assert!(*most <= 8, "{counts:?}");
 }
 
+/// A large fleet's engines, of both stages in each of four data centres.
+fn many_engines() -> Vec<TargetInfo> {
+    let engines = (0..120).map(|index| {
+        let stage = if index % 2 == 0 {
+            Stage::Prefill
+        } else {
+            Stage::Decode
+        };
+        TargetInfo {
+            data_centre: Name::from(["a", "b", "c", "d"][index / 2 % 4]),
+            slots: 12,
+            ..engine(&format!("e{index}"), stage)
+        }
+    });
+    engines.collect()
+}
+
+/// Pattern: a long shared part is asked for at many nodes before they hear of one another.
+#[test]
+fn a_long_part_is_first_read_at_one_engine() {
+    let mut homes = std::collections::HashSet::new();
+    for node in 0..60_u64 {
+        let centre = ["a", "b", "c", "d"][node as usize % 4];
+        let mut fleet = Dispatcher::new(Name::from(centre), EngineModel::default(), node);
+        fleet.sync(many_engines());
+        let plan = choose(&mut fleet, &prompt(11_000, Some((77, 4800)), node), &[]).unwrap();
+        homes.insert(name(&fleet, plan.prefill.unwrap()));
+    }
+    assert_eq!(homes.len(), 1, "{homes:?}");
+}
+
+/// Pattern: one part is so popular that its home cannot read for all who ask.
+#[test]
+fn a_busy_home_sends_work_elsewhere() {
+    let mut fleet = Dispatcher::new(Name::from("a"), EngineModel::default(), SEED);
+    fleet.sync(many_engines());
+    let shared = Some((77, 4800));
+    let mut readers = std::collections::HashSet::new();
+    for own in 0..40 {
+        let prompt = prompt(11_000, shared, own);
+        let plan = choose(&mut fleet, &prompt, &[]).unwrap();
+        let reader = plan.prefill.unwrap();
+        fleet.send(reader, plan.unread, Some(&prompt), Instant::now());
+        readers.insert(reader);
+    }
+    assert!(readers.len() > 10, "{} engines", readers.len());
+}
+
+/// Pattern: memory moved between data centres takes twice as long, and is dear.
+#[test]
+fn tokens_are_made_near_the_engine_that_read() {
+    let mut fleet = Dispatcher::new(Name::from("a"), EngineModel::default(), SEED);
+    fleet.sync(many_engines());
+    let now = Instant::now();
+    let mut far = 0;
+    for own in 0..60 {
+        let prompt = prompt(8_000, None, own);
+        let plan = choose(&mut fleet, &prompt, &[]).unwrap();
+        let centre = |key| fleet.target(key).unwrap().info.data_centre.clone();
+        far += usize::from(centre(plan.run) != centre(plan.prefill.unwrap()));
+        fleet.send(plan.run, 0, Some(&prompt), now);
+    }
+    // The fifteen engines that make tokens there hold all of them.
+    assert_eq!(far, 0);
+}
+
 #[test]
 fn leaving_and_tried_engines_get_nothing() {
     let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default(), SEED);
@@ -233,7 +299,8 @@
         tried: &[],
         apart: false,
     };
-    let run = fleet.choose_maker(&wanted, Instant::now()).unwrap();
+    let reader = key(&fleet, "p");
+    let run = fleet.choose_maker(&wanted, reader, Instant::now()).unwrap();
     assert_ne!(name(&fleet, run), planned);
     assert_ne!(name(&fleet, run), "p");
 }
