Report a usage window once all that were there have told its counts

Change: a window waits for the counts of each peer that was heard in it, until it is nearly due; a node that stops tells its last counts. Test: a_window_waits_for_the_counts_of_those_that_were_there.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -15,6 +15,7 @@
 
 use crate::ports::UsageReport;
 use crate::state::State;
+use crate::usage::EndedWindow;
 use crate::{scale_duty, stage_duty};
 
 /// Pause between two looks at the lease while it is held.
@@ -23,8 +24,6 @@
 const FREE_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two looks for windows that are due.
 const USAGE_PAUSE: Duration = Duration::from_millis(500);
-/// Time after a window's end at which all nodes have told their counts.
-const SETTLE: Duration = Duration::from_secs(2);
 /// Windows that are reported again after a change of holder.
 const WINDOWS_BACK: u64 = 3;
 
@@ -84,10 +83,19 @@
         }
         let now_ms = state.time.borrow().unix_ms(state.now());
         let window_ms = window.as_millis() as u64;
-        let settled = now_ms.saturating_sub(SETTLE.as_millis() as u64) / window_ms;
-        for index in settled.saturating_sub(WINDOWS_BACK)..settled {
-            let due = (index + 1) * window_ms + late.as_millis() as u64;
-            if reported.contains(&index) || now_ms > due {
+        let current = now_ms / window_ms;
+        for index in current.saturating_sub(WINDOWS_BACK)..current {
+            let ended = Duration::from_millis(now_ms - (index + 1) * window_ms);
+            let Some(end) = state.now().checked_sub(ended) else {
+                continue;
+            };
+            let ended = EndedWindow {
+                start: end.checked_sub(window).unwrap_or(end),
+                end,
+                late,
+            };
+            let settled = ended.is_settled(state.peers.borrow().times(), state.now());
+            if reported.contains(&index) || !settled {
                 continue;
             }
             match report(&state, &authority, index).await {
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -41,4 +41,4 @@
 pub use server_list::{Applied, ListChange, ServerList};
 pub use state::Parts;
 pub use true_time::TrueTime;
-pub use usage::{Source, UsageBook};
+pub use usage::{EndedWindow, PeerTimes, Source, UsageBook};
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -61,7 +61,7 @@
     monoio::spawn(watch::expire_servers(Rc::clone(&state)));
     monoio::spawn(peers::discover(Rc::clone(&state)));
     monoio::spawn(peers::tell(Rc::clone(&state), Rc::clone(&socket)));
-    monoio::spawn(peers::listen(Rc::clone(&state), socket));
+    monoio::spawn(peers::listen(Rc::clone(&state), Rc::clone(&socket)));
     duties::start(&state);
     for listener in [peer, metrics] {
         let internal = Rc::clone(&state);
@@ -76,6 +76,7 @@
     });
     monoio::spawn(Rc::new(readiness).run(ready));
     serve_callers(&state, caller).await;
+    peers::tell_counts(&state, &socket).await;
     log::info!("stop phase=stopped store_calls=\"{}\"", calls(&state));
     Ok(())
 }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -94,23 +94,27 @@
         if addresses.is_empty() {
             continue;
         }
-        let plain = beat(&state);
-        send(&socket, &plain, addresses).await;
-        if !state.peers.borrow().round.is_multiple_of(USAGE_ROUNDS) {
-            continue;
+        send(&socket, &beat(&state), addresses).await;
+        if state.peers.borrow().round.is_multiple_of(USAGE_ROUNDS) {
+            tell_counts(&state, &socket).await;
         }
-        let now = state.now();
-        let all = state.peers.borrow().has_new_holder(now);
-        let counted = BeatWire {
-            usage: usage_wire(&state, all),
-            work: work_wire(&state, now),
-            ..plain
-        };
-        let addresses = state.peers.borrow().next_counted();
-        send(&socket, &counted, addresses).await;
     }
 }
 
+/// Tells the counts of usage and the rates of work; also the last word of a node.
+pub(crate) async fn tell_counts(state: &State, socket: &UdpSocket) {
+    let now = state.now();
+    let all = state.peers.borrow().has_new_holder(now);
+    let counted = BeatWire {
+        usage: usage_wire(state, all),
+        counted: true,
+        work: work_wire(state, now),
+        ..beat(state)
+    };
+    let addresses = state.peers.borrow().next_counted();
+    send(socket, &counted, addresses).await;
+}
+
 async fn send(socket: &UdpSocket, beat: &BeatWire, addresses: Vec<SocketAddr>) {
     let bytes = beat.encode_to_vec();
     for address in addresses {
@@ -256,6 +260,9 @@
         let told = std::mem::take(&mut beat.work);
         peer.work = told.into_iter().map(<(Name, WorkRates)>::from).collect();
     }
+    if beat.counted {
+        peer.times.counted = Some(now);
+    }
     drop(peers);
     let corrected = state.time.borrow_mut().heard(&name, beat.unix_ms, now);
     if let Some(by) = corrected {
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -11,6 +11,7 @@
 use pomeloridge_policy::work_meter::WorkRates;
 
 use super::USAGE_ROUNDS;
+use crate::usage::PeerTimes;
 
 /// Silence after which a peer is not counted as live.
 const LIVE: Duration = Duration::from_secs(3);
@@ -24,7 +25,7 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) address: SocketAddr,
-    pub(super) heard: Option<Instant>,
+    pub(super) times: PeerTimes,
     pub(super) listed: bool,
     /// Whether it is in this node's data centre, as far as it is known.
     pub(super) near: bool,
@@ -39,7 +40,7 @@
     fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            heard: None,
+            times: PeerTimes::default(),
             listed: false,
             near: false,
             duty: None,
@@ -114,6 +115,11 @@
         })
     }
 
+    /// When the peers were heard.
+    pub(crate) fn times(&self) -> impl Iterator<Item = PeerTimes> {
+        self.peers.values().map(|peer| peer.times)
+    }
+
     /// Whether a holder of the duties is new, and may not know earlier counts.
     pub(super) fn has_new_holder(&self, now: Instant) -> bool {
         let mut holders = self.peers.values().filter_map(|peer| peer.duty);
@@ -140,7 +146,8 @@
             peer.listed = true;
         }
         let silent = |peer: &Peer| {
-            peer.heard
+            peer.times
+                .heard
                 .is_none_or(|at| now.saturating_duration_since(at) > FORGET)
         };
         self.peers.retain(|_, peer| peer.listed || !silent(peer));
@@ -153,7 +160,7 @@
             log::info!("dependency name=node/{name} state=regained address={address}");
         }
         peer.address = address;
-        peer.heard = Some(now);
+        peer.times.heard = Some(now);
         peer
     }
 
@@ -197,5 +204,5 @@
 
 fn is_live(peer: &Peer, now: Instant) -> bool {
     let recent = |at| now.saturating_duration_since(at) < LIVE;
-    peer.heard.is_some_and(recent)
+    peer.times.heard.is_some_and(recent)
 }
--- a/crates/pomeloridge_gateway/src/usage.rs
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -5,12 +5,52 @@
 //! of a node only grow, so the greatest that was heard is the last.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
 
 /// Windows that are kept and told.
 const WINDOWS_KEPT: u64 = 4;
 
+/// Time after a window's end by which nodes that are reached have told their counts.
+const SETTLE: Duration = Duration::from_secs(2);
+/// Time before a window is due at which it is reported without nodes that are silent.
+const LAST_CALL: Duration = Duration::from_secs(4);
+
+/// When a peer was heard, as far as it concerns the counts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerTimes {
+    /// Last word of any kind.
+    pub heard: Option<Instant>,
+    /// Last word with its counts.
+    pub counted: Option<Instant>,
+}
+
+/// A window that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedWindow {
+    /// When it began.
+    pub start: Instant,
+    /// When it ended.
+    pub end: Instant,
+    /// Time after its end within which it is to be reported.
+    pub late: Duration,
+}
+
+impl EndedWindow {
+    /// Whether it may be reported: each peer that was there has told its counts, or
+    /// there is no more time to wait for those that are cut off.
+    pub fn is_settled(&self, mut peers: impl Iterator<Item = PeerTimes>, now: Instant) -> bool {
+        let ended = now.saturating_duration_since(self.end);
+        if ended < SETTLE || ended > self.late {
+            return false;
+        }
+        let told = |peer: PeerTimes| peer.counted.is_some_and(|at| at > self.end);
+        let was_there = |peer: PeerTimes| peer.heard.is_some_and(|at| at > self.start);
+        ended + LAST_CALL >= self.late || peers.all(|peer| told(peer) || !was_there(peer))
+    }
+}
+
 /// Where a count comes from: one start of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Source {
--- a/crates/pomeloridge_gateway/tests/usage.rs
+++ b/crates/pomeloridge_gateway/tests/usage.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
-use pomeloridge_gateway::{Source, TrueTime, UsageBook};
+use pomeloridge_gateway::{EndedWindow, PeerTimes, Source, TrueTime, UsageBook};
+use yare::parameterized;
 
 fn source(node: &str, life: u64) -> Source {
     Source {
@@ -29,6 +30,36 @@
     assert!(book.total(8).is_empty());
 }
 
+/// Pattern: the node that reports is cut off from others as a window ends; times in
+/// seconds after the window's start, the window lasts 5 s and is due 10 s after its end.
+#[parameterized(
+    all_told = { 7, &[(6, 6), (7, 6)], true },
+    too_early = { 6, &[(6, 6)], false },
+    one_is_cut_off = { 8, &[(6, 6), (4, 4)], false },
+    one_is_cut_off_to_the_end = { 11, &[(10, 10), (4, 4)], true },
+    one_was_gone_before = { 8, &[(6, 6), (0, 0)], true },
+    nobody_else = { 8, &[], true },
+    too_late = { 16, &[(15, 15)], false },
+)]
+fn a_window_waits_for_the_counts_of_those_that_were_there(
+    now: u64,
+    peers: &[(u64, u64)],
+    settled: bool,
+) {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let window = EndedWindow {
+        start,
+        end: at(5),
+        late: Duration::from_secs(10),
+    };
+    let times = peers.iter().map(|(heard, counted)| PeerTimes {
+        heard: Some(at(*heard)),
+        counted: Some(at(*counted)),
+    });
+    assert_eq!(window.is_settled(times, at(now)), settled);
+}
+
 #[test]
 fn a_late_word_takes_nothing_back() {
     let anna = Name::from("anna");
