Let a new holder of the duties hear all counts before it reports

Change: a new holder says so to all peers at once; peers tell from which window on their counts are whole, and only those count as told.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -16,7 +16,7 @@
 use crate::ports::UsageReport;
 use crate::state::State;
 use crate::usage::EndedWindow;
-use crate::{scale_duty, stage_duty};
+use crate::{peers, scale_duty, stage_duty};
 
 /// Pause between two looks at the lease while it is held.
 const HELD_PAUSE: Duration = Duration::from_millis(250);
@@ -55,7 +55,9 @@
             keeper.step().await;
         }
         let epoch = authority.holds().then(|| authority.epoch());
-        state.duty.set(epoch);
+        if state.duty.replace(epoch) != epoch && epoch.is_some() {
+            peers::spread_duty(&state);
+        }
         let pause = match (held, free) {
             (true, _) => HELD_PAUSE,
             (false, true) => FREE_PAUSE.max(state.retry_pause()),
@@ -83,7 +85,7 @@
         }
         let now_ms = state.time.borrow().unix_ms(state.now());
         let window_ms = window.as_millis() as u64;
-        let current = now_ms / window_ms;
+        let current = state.current_window(state.now());
         for index in current.saturating_sub(WINDOWS_BACK)..current {
             let ended = Duration::from_millis(now_ms - (index + 1) * window_ms);
             let Some(end) = state.now().checked_sub(ended) else {
@@ -94,7 +96,7 @@
                 end,
                 late,
             };
-            let settled = ended.is_settled(state.peers.borrow().times(), state.now());
+            let settled = ended.is_settled(state.peers.borrow().times(index), state.now());
             if reported.contains(&index) || !settled {
                 continue;
             }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -104,10 +104,10 @@
 /// Tells the counts of usage and the rates of work; also the last word of a node.
 pub(crate) async fn tell_counts(state: &State, socket: &UdpSocket) {
     let now = state.now();
-    let all = state.peers.borrow().has_new_holder(now);
+    let first = first_told(state, now);
     let counted = BeatWire {
-        usage: usage_wire(state, all),
-        counted: true,
+        usage: usage_wire(state, first),
+        counted_from: Some(first),
         work: work_wire(state, now),
         ..beat(state)
     };
@@ -115,6 +115,17 @@
     send(socket, &counted, addresses).await;
 }
 
+/// The first window whose counts are told: a new holder of the duties needs them all,
+/// others those that may have changed since they were last told.
+fn first_told(state: &State, now: Instant) -> u64 {
+    if state.peers.borrow().has_new_holder(now) {
+        return 0;
+    }
+    let changed_ms = state.time.borrow().unix_ms(now);
+    let changed_ms = changed_ms.saturating_sub(USAGE_SPAN.as_millis() as u64);
+    changed_ms / state.usage_window().as_millis() as u64
+}
+
 async fn send(socket: &UdpSocket, beat: &BeatWire, addresses: Vec<SocketAddr>) {
     let bytes = beat.encode_to_vec();
     for address in addresses {
@@ -179,6 +190,12 @@
     send_at_once(state, beat);
 }
 
+/// Tells all peers at once that this node holds the duties from now on.
+pub(crate) fn spread_duty(state: &Rc<State>) {
+    let addresses = state.peers.borrow().addresses();
+    send_to(state, introduction(state), addresses);
+}
+
 /// Tells peers at once that a newer configuration is in force here.
 pub(crate) fn spread_config(state: &Rc<State>) {
     send_at_once(state, introduction(state));
@@ -188,6 +205,10 @@
     let peers = state.peers.borrow();
     let addresses = peers.told_at_once(&state.name, state.now());
     drop(peers);
+    send_to(state, beat, addresses);
+}
+
+fn send_to(state: &Rc<State>, beat: BeatWire, addresses: Vec<SocketAddr>) {
     let state = Rc::clone(state);
     monoio::spawn(async move {
         let socket = state.socket.borrow().clone();
@@ -210,14 +231,10 @@
     work.collect()
 }
 
-/// This node's counts: of all windows that it keeps, or of those that may have changed
-/// since they were last told.
-fn usage_wire(state: &State, all: bool) -> Vec<UsageWire> {
+/// This node's counts of the windows from `first` on.
+fn usage_wire(state: &State, first: u64) -> Vec<UsageWire> {
     let book = state.usage.borrow();
-    let now_ms = state.time.borrow().unix_ms(state.now());
-    let changed_ms = now_ms.saturating_sub(USAGE_SPAN.as_millis() as u64);
-    let first = changed_ms / state.usage_window().as_millis() as u64;
-    let windows = book.own().filter(|(window, _)| all || *window >= first);
+    let windows = book.own().filter(|(window, _)| *window >= first);
     let lines = windows.flat_map(|(window, counts)| {
         counts.iter().map(move |(account, count)| UsageWire {
             window,
@@ -260,8 +277,8 @@
         let told = std::mem::take(&mut beat.work);
         peer.work = told.into_iter().map(<(Name, WorkRates)>::from).collect();
     }
-    if beat.counted {
-        peer.times.counted = Some(now);
+    if let Some(first) = beat.counted_from {
+        peer.covered(first, state.current_window(now), now);
     }
     drop(peers);
     let corrected = state.time.borrow_mut().heard(&name, beat.unix_ms, now);
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -1,6 +1,6 @@
 //! The other nodes as this one knows them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -11,7 +11,7 @@
 use pomeloridge_policy::work_meter::WorkRates;
 
 use super::USAGE_ROUNDS;
-use crate::usage::PeerTimes;
+use crate::usage::{PeerTimes, WINDOWS_KEPT};
 
 /// Silence after which a peer is not counted as live.
 const LIVE: Duration = Duration::from_secs(3);
@@ -25,7 +25,9 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) address: SocketAddr,
-    pub(super) times: PeerTimes,
+    pub(super) heard: Option<Instant>,
+    /// When it last told its counts of a window.
+    counted: BTreeMap<u64, Instant>,
     pub(super) listed: bool,
     /// Whether it is in this node's data centre, as far as it is known.
     pub(super) near: bool,
@@ -40,7 +42,8 @@
     fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            times: PeerTimes::default(),
+            heard: None,
+            counted: BTreeMap::new(),
             listed: false,
             near: false,
             duty: None,
@@ -49,6 +52,16 @@
         }
     }
 
+    /// Notes that the peer has told its counts of the windows from `first` on.
+    pub(super) fn covered(&mut self, first: u64, current: u64, now: Instant) {
+        let first = first.max(current.saturating_sub(WINDOWS_KEPT));
+        self.counted
+            .extend((first..=current).map(|window| (window, now)));
+        while self.counted.len() as u64 > WINDOWS_KEPT + 1 {
+            self.counted.pop_first();
+        }
+    }
+
     /// Notes which duties the peer says to hold.
     pub(super) fn holds(&mut self, epoch: Option<Epoch>, now: Instant) {
         let since = self.duty.filter(|(known, _)| Some(*known) == epoch);
@@ -115,9 +128,17 @@
         })
     }
 
-    /// When the peers were heard.
-    pub(crate) fn times(&self) -> impl Iterator<Item = PeerTimes> {
-        self.peers.values().map(|peer| peer.times)
+    /// When the peers were heard, and when they told their counts of a window.
+    pub(crate) fn times(&self, window: u64) -> impl Iterator<Item = PeerTimes> {
+        self.peers.values().map(move |peer| PeerTimes {
+            heard: peer.heard,
+            counted: peer.counted.get(&window).copied(),
+        })
+    }
+
+    /// Where the peers are reached.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
     }
 
     /// Whether a holder of the duties is new, and may not know earlier counts.
@@ -146,8 +167,7 @@
             peer.listed = true;
         }
         let silent = |peer: &Peer| {
-            peer.times
-                .heard
+            peer.heard
                 .is_none_or(|at| now.saturating_duration_since(at) > FORGET)
         };
         self.peers.retain(|_, peer| peer.listed || !silent(peer));
@@ -160,7 +180,7 @@
             log::info!("dependency name=node/{name} state=regained address={address}");
         }
         peer.address = address;
-        peer.times.heard = Some(now);
+        peer.heard = Some(now);
         peer
     }
 
@@ -204,5 +224,5 @@
 
 fn is_live(peer: &Peer, now: Instant) -> bool {
     let recent = |at| now.saturating_duration_since(at) < LIVE;
-    peer.times.heard.is_some_and(recent)
+    peer.heard.is_some_and(recent)
 }
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -54,9 +54,9 @@
     /// Hash of the name of the sender's data centre.
     #[prost(fixed32, tag = "15")]
     pub(super) centre: u32,
-    /// Whether `usage` holds all counts that may have changed of late.
-    #[prost(bool, tag = "16")]
-    pub(super) counted: bool,
+    /// First of the windows of which `usage` holds all counts of the sender.
+    #[prost(uint64, optional, tag = "16")]
+    pub(super) counted_from: Option<u64>,
 }
 
 /// Changes of the list of servers.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -267,9 +267,14 @@
     /// Counts a request that began to run.
     pub(crate) fn count_usage(&self, account: Option<&Name>) {
         let Some(account) = account else { return };
+        let window = self.current_window(self.now());
+        self.usage.borrow_mut().count(window, account);
+    }
+
+    /// The window of usage that a time falls into.
+    pub(crate) fn current_window(&self, now: Instant) -> u64 {
         let window = self.usage_window().as_millis() as u64;
-        let now_ms = self.time.borrow().unix_ms(self.now());
-        self.usage.borrow_mut().count(now_ms / window, account);
+        self.time.borrow().unix_ms(now) / window
     }
 
     pub(crate) fn usage_window(&self) -> Duration {
--- a/crates/pomeloridge_gateway/src/usage.rs
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -10,7 +10,7 @@
 use pomeloridge_base::id::Name;
 
 /// Windows that are kept and told.
-const WINDOWS_KEPT: u64 = 4;
+pub(crate) const WINDOWS_KEPT: u64 = 4;
 
 /// Time after a window's end by which nodes that are reached have told their counts.
 const SETTLE: Duration = Duration::from_secs(2);
@@ -22,7 +22,7 @@
 pub struct PeerTimes {
     /// Last word of any kind.
     pub heard: Option<Instant>,
-    /// Last word with its counts.
+    /// Last word with its counts of the window.
     pub counted: Option<Instant>,
 }
 
