--- a/crates/pomeloridge_gateway/src/usage.rs
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -15,7 +15,7 @@
 /// Time after a window's end by which nodes that are reached have told their counts.
 const SETTLE: Duration = Duration::from_secs(2);
 /// Time before a window is due at which it is reported without nodes that are silent.
-const LAST_CALL: Duration = Duration::from_secs(4);
+const LAST_CALL: Duration = Duration::from_millis(2500);
 
 /// When a peer was heard, as far as it concerns the counts.
 #[derive(Clone, Copy, Debug, Default)]
