Stop a server that callers go on connecting to

A server looked whether it was stopping only when no connection had come for 200 ms; callers that connect more often kept it serving for ever. Ruled out: callers that keep their connections open (those are closed after the answer), the pauses laid over the stop (seed 2 has none). Change: connections are accepted for 500 ms more once the server is stopping. Test: a_server_stops_under_constant_connections, failed before (still accepting after 2 s), passes.

--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -21,6 +21,8 @@
 
 /// How often an idle connection looks whether the server is stopping.
 const STOP_CHECK: Duration = Duration::from_millis(200);
+/// Time for which connections are still accepted while the server is stopping.
+const LAST_CONNECTIONS: Duration = Duration::from_millis(500);
 /// Bytes of a later request that are kept while an earlier one is answered.
 const PIPELINE_BYTES: usize = 64 * 1024;
 
@@ -46,10 +48,18 @@
     /// connection has ended.
     ///
     /// Connections that the kernel has accepted already are still served: closing
-    /// the listener under them would cut their requests.
+    /// the listener under them would cut their requests. Those that go on coming do
+    /// not keep it from stopping.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let open = Rc::new(Cell::new(0_usize));
+        let mut last = None;
         loop {
+            if (self.stopping)() {
+                let last = *last.get_or_insert_with(|| Instant::now() + LAST_CONNECTIONS);
+                if Instant::now() >= last {
+                    break;
+                }
+            }
             match monoio::time::timeout(STOP_CHECK, crate::net::accept(&listener)).await {
                 Ok(Ok((stream, peer))) => {
                     let server = Rc::clone(&self);
--- a/crates/pomeloridge_base/tests/http_guards.rs
+++ b/crates/pomeloridge_base/tests/http_guards.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,8 @@
 use monoio_http::common::request::Request as LibraryRequest;
 use monoio_http::h1::codec::decoder::{DirectWrapper, GenericHeadDecoder, RequestHeadDecoder};
 use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Limits, Outgoing, Request};
-use pomeloridge_base::http::{Responder, Response};
+use pomeloridge_base::http::{Responder, Response, Server};
+use pomeloridge_base::net::listen;
 use support::{raw, run, small_limits, start};
 use yare::parameterized;
 
@@ -183,3 +184,38 @@
         assert!(got.is_err(), "{got:?}");
     });
 }
+
+/// Time in which a server without a request in work has stopped.
+const STOP_TIME: Duration = Duration::from_secs(2);
+
+/// Pattern: callers go on connecting, more often than the server looks at its stop.
+#[test]
+fn a_server_stops_under_constant_connections() {
+    run(async {
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let stopping = Rc::new(Cell::new(false));
+        let asked = Rc::clone(&stopping);
+        let server = Server {
+            limits: Cell::new(Limits::default()),
+            handler: async |_, responder: &mut Responder| {
+                let _ = responder.send(Response::new(200, "")).await;
+            },
+            stopping: move || asked.get(),
+        };
+        let ended = Rc::new(Cell::new(false));
+        let serving = monoio::spawn(Rc::new(server).run(listener));
+        let callers = Rc::clone(&ended);
+        monoio::spawn(async move {
+            while !callers.get() {
+                let connection = Connection::open(address, ConnectOptions::default()).await;
+                drop(connection);
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+        });
+        stopping.set(true);
+        let stopped = monoio::time::timeout(STOP_TIME, serving).await;
+        ended.set(true);
+        assert!(stopped.is_ok(), "the server still accepts connections");
+    });
+}
