Soak the gateway on the fake of the fleet's platform

Gateways, the fake platform and relays between them run as separate processes; a seed draws pauses, kills, stops with restarts, reloads, links to the object service or the duties that are cut, silent, slow or frozen, and changes of the configuration with a key given or withdrawn; they overlap. Callers go on all the while, on kept connections. Checked: runs of each request against its route, the truth of "not run", streams in order and whole, keys and accounts at servers, one holder and one count for each window, and that afterwards every gateway is ready, knows the last configuration and stops. The start of a fleet moved from the tests to `launch`, one copy for both. The fake's engines now turn away unread what is marked so; they ran it before. Each check is shown to tell its breach.

--- /dev/null
+++ b/crates/pomeloridge_dev/src/launch/fleet.rs
@@ -0,0 +1,125 @@
+//! Gateways as separate processes before a fake of the fleet's platform.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use super::{Process, Relay};
+
+/// One gateway, with relays between it and the platform.
+pub struct Gateway {
+    /// The process.
+    pub process: Process,
+    /// Where callers ask.
+    pub caller: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Where other nodes reach it.
+    pub peer: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// Between it and the object service.
+    pub store: Relay,
+    /// Between it and the calls of the duties.
+    pub duties: Relay,
+    name: String,
+}
+
+impl Gateway {
+    fn start(
+        name: &str,
+        folder: &std::path::Path,
+        platform: [SocketAddr; 2],
+    ) -> Result<Self, String> {
+        let [store, duties] = platform;
+        let (store, duties) = (Relay::start(store)?, Relay::start(duties)?);
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        write_settings(name, folder, [any; 4], [store.address(), duties.address()])?;
+        let process = launch(name, folder)?;
+        let line = process.first["message"].as_str().unwrap_or_default();
+        let address = |key: &str| -> Result<SocketAddr, String> {
+            let mut words = line.split(' ').filter_map(|word| word.split_once('='));
+            let found = words.find(|(found, _)| *found == key);
+            let parsed = found.and_then(|(_, address)| address.parse().ok());
+            parsed.ok_or_else(|| format!("{name} printed no address `{key}`"))
+        };
+        Ok(Self {
+            caller: address("caller")?,
+            ready: address("ready")?,
+            peer: address("peer")?,
+            metrics: address("metrics")?,
+            store,
+            duties,
+            name: name.to_owned(),
+            process,
+        })
+    }
+}
+
+/// A fake platform and gateways before it.
+pub struct Fleet {
+    /// Where settings and logs are.
+    pub folder: PathBuf,
+    /// Where the fake takes the calls of the duties, and tells its history.
+    pub duties: SocketAddr,
+    /// Where the fake keeps objects.
+    pub store: SocketAddr,
+    /// The gateways.
+    pub gateways: Vec<Gateway>,
+    _platform: Process,
+}
+
+impl Fleet {
+    /// Starts a fake platform and so many gateways; `name` tells its folder from others.
+    pub fn start(name: &str, gateways: usize) -> Result<Self, String> {
+        let folder =
+            std::env::temp_dir().join(format!("pomeloridge-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let args = ["fleet".to_owned()];
+        let platform = Process::start("fleet", "pomeloridge_standin", &args, &folder)?;
+        let (store, duties) = (platform.address("store")?, platform.address("duties")?);
+        let start =
+            |index: usize| Gateway::start(&format!("front-{index}"), &folder, [store, duties]);
+        Ok(Self {
+            gateways: (0..gateways).map(start).collect::<Result<_, _>>()?,
+            folder,
+            duties,
+            store,
+            _platform: platform,
+        })
+    }
+
+    /// Starts a gateway that has ended again, at the same addresses.
+    pub fn restart(&mut self, index: usize) -> Result<(), String> {
+        let gateway = &mut self.gateways[index];
+        let listen = [gateway.caller, gateway.ready, gateway.peer, gateway.metrics];
+        let platform = [gateway.store.address(), gateway.duties.address()];
+        write_settings(&gateway.name, &self.folder, listen, platform)?;
+        gateway.process = launch(&gateway.name, &self.folder)?;
+        Ok(())
+    }
+}
+
+fn launch(name: &str, folder: &std::path::Path) -> Result<Process, String> {
+    let settings = folder.join(format!("{name}.ini"));
+    let settings = settings.to_string_lossy().into_owned();
+    let args = ["gateway".to_owned(), "--settings".to_owned(), settings];
+    Process::start(name, "pomeloridge", &args, folder)
+}
+
+fn write_settings(
+    name: &str,
+    folder: &std::path::Path,
+    listen: [SocketAddr; 4],
+    platform: [SocketAddr; 2],
+) -> Result<(), String> {
+    let [caller, ready, peer, metrics] = listen;
+    let [store, duties] = platform;
+    let text = format!(
+        "[node]\nname = {name}\ndata_centre = dc-1\n[listen]\ncaller = {caller}\n\
+         ready = {ready}\npeer = {peer}\nmetrics = {metrics}\n\
+         [platform]\nstore = {store}\nduties = {duties}\n[stop]\nunready_ms = 300\n\
+         [usage]\nwindow_ms = 1000\n[log]\nformat = json\n"
+    );
+    let file = folder.join(format!("{name}.ini"));
+    std::fs::write(file, text).map_err(|error| error.to_string())
+}
--- a/crates/pomeloridge_dev/src/lib.rs
+++ b/crates/pomeloridge_dev/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod caller;
 pub mod check;
 pub mod launch;
+pub mod soak;
 pub mod table;
--- a/crates/pomeloridge_dev/src/main.rs
+++ b/crates/pomeloridge_dev/src/main.rs
@@ -53,6 +53,16 @@
         #[arg(long)]
         hold: bool,
     },
+    /// Runs gateways on a fake of the fleet's platform under random faults; exit code 1
+    /// if a promise was broken.
+    Soak {
+        /// Number of seeds.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// First seed.
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+    },
     /// Runs deployments under failure and checks their histories; exit code 1 if
     /// a promise was broken.
     Check {
@@ -91,6 +101,9 @@
             let built = if no_build { Ok(()) } else { build_binaries() };
             built.and_then(|()| check(first, seeds, scenario.as_deref(), timing))
         }
+        Command::Soak { seeds, first } => {
+            build_binaries().map(|()| pomeloridge_dev::soak::run_all(first, seeds))
+        }
         Command::Latency => latency::run(),
     };
     match result {
--- /dev/null
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -0,0 +1,217 @@
+//! Callers that keep asking all kinds of requests and note what they get.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use http::Method;
+use monoio::time::sleep;
+use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, Unframed, call};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::launch::block_on;
+
+/// Callers at a time.
+const CALLERS: u64 = 10;
+/// Time after which a caller leaves.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// Longest pause of a caller between two requests, in ms.
+const PAUSE_MS: u64 = 40;
+/// One in so many requests meets a fault at its first server.
+const FAULT_SHARE: u32 = 8;
+/// Pause between two looks at readiness.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// The routes of the fake platform's configuration.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "lowercase")]
+pub enum Route {
+    /// May be repeated.
+    Read,
+    /// Must not be repeated.
+    Lodge,
+    /// A stream that may go on elsewhere.
+    Ask,
+    /// A stream that may not.
+    Note,
+}
+
+impl Route {
+    const ALL: [Self; 4] = [Self::Read, Self::Lodge, Self::Ask, Self::Note];
+
+    /// Whether its answer is a stream.
+    pub(super) fn streams(self) -> bool {
+        matches!(self, Self::Ask | Self::Note)
+    }
+
+    /// Runs of one request at most.
+    pub(super) fn most_runs(self) -> usize {
+        match self {
+            Self::Read | Self::Ask => 2,
+            Self::Lodge | Self::Note => 1,
+        }
+    }
+}
+
+/// One request and what came of it.
+#[derive(Debug)]
+pub struct Call {
+    /// Attempt id.
+    pub attempt: String,
+    /// Route.
+    pub route: Route,
+    /// `None` if no whole answer came.
+    pub answer: Option<Response>,
+}
+
+impl Call {
+    /// Status; 0 if no whole answer came.
+    pub(super) fn status(&self) -> u16 {
+        self.answer
+            .as_ref()
+            .map_or(0, |answer| answer.status.as_u16())
+    }
+}
+
+/// A request of a route with its own attempt id and the key of an account.
+pub(super) fn request(route: Route, attempt: &str, key: &str) -> Outgoing {
+    let method = match route {
+        Route::Read => Method::GET,
+        _ => Method::POST,
+    };
+    let message = Outgoing::new(method, format!("/{route}/x"))
+        .with("host", "fleet.example")
+        .with("pomeloridge-attempt-id", attempt)
+        .with("pomeloridge-deadline-ms", "3000")
+        .with("pomeloridge-key", key);
+    if !route.streams() {
+        return message;
+    }
+    // Some prompts are long enough to be read apart; part ids are hexadecimal.
+    let own = hash_of(attempt);
+    let tokens = if own.is_multiple_of(2) { 12_000 } else { 300 };
+    let parts = format!("a1:100,{own:x}:{}", tokens - 100);
+    message
+        .with("pomeloridge-model", "m")
+        .with("pomeloridge-token-counts", &format!("{tokens},8"))
+        .with("pomeloridge-prompt-prefix", &parts)
+        .body("a prompt")
+}
+
+fn hash_of(attempt: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    attempt.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Starts callers on a thread of their own; they end once `done` is set.
+pub(super) fn start(
+    gateways: Vec<SocketAddr>,
+    seed: u64,
+    done: Arc<AtomicBool>,
+) -> JoinHandle<Result<Vec<Call>, String>> {
+    std::thread::spawn(move || {
+        block_on(async move {
+            let callers = (0..CALLERS).map(|caller| {
+                let (gateways, done) = (gateways.clone(), Arc::clone(&done));
+                monoio::spawn(ask_on(gateways, seed, caller, done))
+            });
+            let mut calls = Vec::new();
+            for caller in callers.collect::<Vec<_>>() {
+                calls.extend(caller.await);
+            }
+            Ok(calls)
+        })
+    })
+}
+
+async fn ask_on(
+    gateways: Vec<SocketAddr>,
+    seed: u64,
+    caller: u64,
+    done: Arc<AtomicBool>,
+) -> Vec<Call> {
+    let mut rng = StdRng::seed_from_u64(seed * CALLERS + caller);
+    let mut kept: HashMap<SocketAddr, Connection> = HashMap::new();
+    let mut calls = Vec::new();
+    while !done.load(Ordering::Relaxed) {
+        let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
+        let attempt = format!("s{seed}c{caller}n{}", calls.len());
+        let mut message = request(route, &attempt, "key-of-anna");
+        if rng.random_range(0..FAULT_SHARE) == 0 {
+            let faults = ["lost", "shed", "error", "cut"];
+            message = message.with("x-fault", faults[rng.random_range(0..faults.len())]);
+        }
+        let gateway = gateways[rng.random_range(0..gateways.len())];
+        // Callers keep their connections for as long as they work.
+        let answer = ask(gateway, kept.remove(&gateway), &message).await;
+        let answer = answer.map(|(answer, connection)| {
+            if connection.reusable() {
+                kept.insert(gateway, connection);
+            }
+            answer
+        });
+        calls.push(Call {
+            attempt,
+            route,
+            answer: answer.ok(),
+        });
+        sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
+    }
+    calls
+}
+
+async fn ask(
+    gateway: SocketAddr,
+    kept: Option<Connection>,
+    message: &Outgoing,
+) -> Result<(Response, Connection), String> {
+    let options = ConnectOptions {
+        unframed: Unframed::UntilClose,
+        ..ConnectOptions::default()
+    };
+    let mut connection = match kept.filter(Connection::quiet) {
+        Some(connection) => connection,
+        None => Connection::open(gateway, options)
+            .await
+            .map_err(|fault| fault.to_string())?,
+    };
+    let answer = connection
+        .exchange(message, Instant::now() + PATIENCE)
+        .await;
+    Ok((answer.map_err(|fault| fault.to_string())?, connection))
+}
+
+/// Asks once on a fresh connection.
+pub(super) fn ask_once(gateway: SocketAddr, message: &Outgoing) -> Result<Response, String> {
+    block_on(async {
+        let answer = ask(gateway, None, message).await;
+        answer.map(|(answer, _)| answer)
+    })
+}
+
+/// Waits until all these say that they are ready; false if `time` passes before.
+pub(super) fn until_ready(gateways: Vec<SocketAddr>, time: Duration) -> Result<bool, String> {
+    block_on(async {
+        let end = Instant::now() + time;
+        for gateway in gateways {
+            let ready = async || {
+                let asked = call(gateway, &Outgoing::get("/-/readiness"), PATIENCE).await;
+                asked.is_ok_and(|answer| answer.status == 200)
+            };
+            while !ready().await {
+                if Instant::now() >= end {
+                    return Ok(false);
+                }
+                sleep(LOOK_PAUSE).await;
+            }
+        }
+        Ok(true)
+    })
+}
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -3,12 +3,11 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use http::Method;
 use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, Unframed, call};
-use pomeloridge_dev::launch::Process;
+use pomeloridge_dev::launch::Fleet;
 use serde_json::Value;
 use yare::parameterized;
 
@@ -17,74 +16,16 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 const CALL_TIME: Duration = Duration::from_secs(6);
 
-struct Gateway {
-    process: Process,
-    caller: SocketAddr,
-    ready: SocketAddr,
-    peer: SocketAddr,
-    metrics: SocketAddr,
-}
-
 /// A fake platform and gateways before it.
-struct Deployment {
-    folder: PathBuf,
-    duties: SocketAddr,
-    gateways: Vec<Gateway>,
-    _fleet: Process,
-}
+struct Deployment(Fleet);
 
 impl Deployment {
     fn start(name: &str, gateways: usize) -> Self {
-        let folder =
-            std::env::temp_dir().join(format!("pomeloridge-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let args = ["fleet".to_owned()];
-        let fleet = Process::start("fleet", "pomeloridge_standin", &args, &folder).unwrap();
-        let (store, duties) = (
-            fleet.address("store").unwrap(),
-            fleet.address("duties").unwrap(),
-        );
-        let start = |index: usize| {
-            let name = format!("front-{index}");
-            let settings = folder.join(format!("{name}.ini"));
-            let text = format!(
-                "[node]\nname = {name}\ndata_centre = dc-1\n[listen]\ncaller = 127.0.0.1:0\n\
-                 ready = 127.0.0.1:0\npeer = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n\
-                 [platform]\nstore = {store}\nduties = {duties}\n[stop]\nunready_ms = 300\n\
-                 [usage]\nwindow_ms = 1000\n[log]\nformat = json\n"
-            );
-            std::fs::write(&settings, text).unwrap();
-            let args = ["gateway", "--settings", settings.to_str().unwrap()];
-            let args = args.map(str::to_owned);
-            let process = Process::start(&name, "pomeloridge", &args, &folder).unwrap();
-            let line = process.first["message"].as_str().unwrap().to_owned();
-            let address = |key: &str| {
-                let mut words = line.split(' ').filter_map(|word| word.split_once('='));
-                words
-                    .find(|(found, _)| *found == key)
-                    .unwrap()
-                    .1
-                    .parse()
-                    .unwrap()
-            };
-            Gateway {
-                caller: address("caller"),
-                ready: address("ready"),
-                peer: address("peer"),
-                metrics: address("metrics"),
-                process,
-            }
-        };
-        Self {
-            gateways: (0..gateways).map(start).collect(),
-            folder,
-            duties,
-            _fleet: fleet,
-        }
+        Self(Fleet::start(name, gateways).unwrap())
     }
 
     async fn until_ready(&self) {
-        for gateway in &self.gateways {
+        for gateway in &self.0.gateways {
             until(async || {
                 let asked = call(gateway.ready, &Outgoing::get("/-/readiness"), CALL_TIME).await;
                 asked.is_ok_and(|answer| answer.status == 200)
@@ -94,7 +35,7 @@
     }
 
     async fn history(&self) -> Vec<Value> {
-        let answer = call(self.duties, &Outgoing::get("/-/history"), CALL_TIME)
+        let answer = call(self.0.duties, &Outgoing::get("/-/history"), CALL_TIME)
             .await
             .unwrap();
         serde_json::from_slice(&answer.body).unwrap()
@@ -108,7 +49,7 @@
     }
 
     async fn ask(&self, request: Outgoing) -> Result<Response, String> {
-        ask(self.gateways[0].caller, request).await
+        ask(self.0.gateways[0].caller, request).await
     }
 }
 
@@ -295,7 +236,7 @@
     let deployment = Deployment::start("leaving", 1);
     run(async {
         deployment.until_ready().await;
-        let caller = deployment.gateways[0].caller;
+        let caller = deployment.0.gateways[0].caller;
         let mut connection = Connection::open(caller, ConnectOptions::default())
             .await
             .unwrap();
@@ -323,7 +264,7 @@
     run(async {
         deployment.until_ready().await;
         for index in 0..30 {
-            let gateway = &deployment.gateways[index % 3];
+            let gateway = &deployment.0.gateways[index % 3];
             let asked = request(Method::GET, "read", &format!("u{index}"));
             assert_eq!(ask(gateway.caller, asked).await.unwrap().status, 200);
         }
@@ -358,12 +299,12 @@
     let mut deployment = Deployment::start("stop", 1);
     run(async {
         deployment.until_ready().await;
-        let caller = deployment.gateways[0].caller;
+        let caller = deployment.0.gateways[0].caller;
         let asked = monoio::spawn(ask(caller, generation("ask", "ab1", 200)));
         monoio::time::sleep(Duration::from_millis(40)).await;
-        deployment.gateways[0].process.stop();
+        deployment.0.gateways[0].process.stop();
         until(async || {
-            let ready = deployment.gateways[0].ready;
+            let ready = deployment.0.gateways[0].ready;
             let asked = call(ready, &Outgoing::get("/-/readiness"), CALL_TIME).await;
             asked.map_or(true, |answer| answer.status == 503)
         })
@@ -372,7 +313,7 @@
         assert_eq!(answer.status, 200, "{answer:?}");
         assert_eq!(events(&answer), [1, 2, 3, 4, 5, 6, 7, 8]);
     });
-    let ended = deployment.gateways[0].process.wait(PATIENCE);
+    let ended = deployment.0.gateways[0].process.wait(PATIENCE);
     assert!(ended.is_some_and(|status| status.success()));
 }
 
@@ -391,7 +332,9 @@
         let word = [0x0a, 1, b'p', 0x20, 99];
         let mut reads = Vec::new();
         for _ in 0..30 {
-            socket.send_to(&word, deployment.gateways[0].peer).unwrap();
+            socket
+                .send_to(&word, deployment.0.gateways[0].peer)
+                .unwrap();
             monoio::time::sleep(Duration::from_millis(15)).await;
             reads.extend(listener.accept());
         }
@@ -407,7 +350,7 @@
     run(async {
         deployment.until_ready().await;
         let read = async || {
-            let address = deployment.gateways[0].peer;
+            let address = deployment.0.gateways[0].peer;
             let connection = Connection::open(address, ConnectOptions::default()).await;
             let mut connection = connection.unwrap();
             let asked = Outgoing::get("/config");
@@ -433,7 +376,7 @@
         deployment.until_ready().await;
         let lodge = request(Method::POST, "lodge", "l1").with("x-fault", "lost");
         assert_eq!(deployment.ask(lodge).await.unwrap().status, 502);
-        let log = deployment.folder.join("front-0.out");
+        let log = deployment.0.folder.join("front-0.out");
         let trace = async || {
             let args = ["trace", "l1", log.to_str().unwrap()].map(str::to_owned);
             let program = std::env::current_exe().unwrap();
@@ -463,7 +406,7 @@
             "{story}"
         );
         let asked = Outgoing::get("/metrics");
-        let metrics = deployment.gateways[0].metrics;
+        let metrics = deployment.0.gateways[0].metrics;
         let answer = call(metrics, &asked, CALL_TIME).await.unwrap();
         let page = String::from_utf8(answer.body.to_vec()).unwrap();
         assert!(page.contains("pomeloridge_failed_total"), "{page}");
--- /dev/null
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -0,0 +1,89 @@
+//! The soak's checks, and a seeded run of it.
+//!
+//! `cargo dev soak` runs more seeds.
+
+use http::{HeaderMap, StatusCode};
+use pomeloridge_base::http::Response;
+use pomeloridge_dev::soak::{self, Call, Route, check};
+use serde_json::{Value, json};
+use yare::parameterized;
+
+fn run_of(attempt: &str) -> Value {
+    json!({ "path": "/x", "attempt": attempt, "stage": "", "key": false, "tenant": "anna",
+            "fault": "" })
+}
+
+fn call(route: Route, status: u16, body: &str) -> Call {
+    Call {
+        attempt: "a".to_owned(),
+        route,
+        answer: Some(Response::new(status, body.to_owned())),
+    }
+}
+
+fn report(window: u64, count: u64, fence: u64) -> Value {
+    json!({ "call": "/usage", "fence": fence.to_string(),
+            "body": { "windowIndex": window, "counts": { "anna": count } } })
+}
+
+fn stream(events: &[u64]) -> String {
+    let events = events.iter().map(|id| format!("id: {id}\ndata: t{id}\n\n"));
+    events.collect()
+}
+
+#[test]
+fn what_is_well_is_not_told() {
+    let whole = stream(&[1, 2, 3, 4, 5, 6, 7, 8]);
+    let calls = [call(Route::Ask, 200, &whole)];
+    let history = [run_of("a"), run_of("a"), report(1, 5, 1), report(1, 5, 2)];
+    assert_eq!(check(&calls, &history), Vec::<String>::new());
+}
+
+#[parameterized(
+    unsafe_twice = { Route::Lodge, 502, &[], 2 },
+    too_often = { Route::Read, 200, &[], 3 },
+    invented = { Route::Read, 200, &[], 0 },
+    event_twice = { Route::Ask, 200, &[1, 2, 2, 3, 4, 5, 6, 7, 8], 1 },
+    event_missing = { Route::Ask, 200, &[1, 2, 4, 5, 6, 7, 8], 2 },
+)]
+fn a_broken_promise_to_callers_is_told(route: Route, status: u16, events: &[u64], runs: usize) {
+    let calls = [call(route, status, &stream(events))];
+    let history = vec![run_of("a"); runs];
+    assert_eq!(check(&calls, &history).len(), 1);
+}
+
+#[test]
+fn a_false_not_run_is_told() {
+    let mut refused = call(Route::Read, 503, "");
+    let mut headers = HeaderMap::new();
+    headers.insert("pomeloridge-not-executed", "1".parse().unwrap());
+    refused.answer = Some(Response {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        headers,
+        ..Response::new(503, "")
+    });
+    assert_eq!(check(&[refused], &[run_of("a")]).len(), 1);
+}
+
+#[parameterized(
+    other_counts = { report(1, 5, 1), report(1, 6, 1) },
+    lower_fence = { report(1, 5, 2), report(2, 5, 1) },
+)]
+fn duties_done_badly_are_told(first: Value, second: Value) {
+    assert_eq!(check(&[], &[first, second]).len(), 1);
+}
+
+#[parameterized(
+    cuts_and_a_pause = { 1 },
+    stops_in_a_row = { 2 },
+)]
+fn a_seed_keeps_every_promise(seed: u64) {
+    let outcome = soak::run(seed).expect("the deployment runs");
+    assert!(
+        outcome.violations.is_empty(),
+        "seed {seed}: {:#?}; faults {:?}; see {}",
+        outcome.violations,
+        outcome.faults,
+        outcome.folder
+    );
+}
--- a/crates/pomeloridge_standin/src/fleet/server.rs
+++ b/crates/pomeloridge_standin/src/fleet/server.rs
@@ -74,6 +74,11 @@
             let _ = responder.send(Response::new(200, "{}")).await;
             return;
         }
+        let reads = stage == "prefill";
+        let first = !reads && FAILED.with_borrow_mut(|failed| failed.insert(attempt.to_owned()));
+        // What goes wrong on the first sending of a request.
+        let fault = request.header("x-fault").filter(|_| first);
+        let fault = fault.unwrap_or_default();
         let key_seen = request.headers.contains_key("pomeloridge-key");
         self.fleet.note(json!({
             "server": self.id, "attempt": attempt, "stage": stage, "path": request.uri.to_string(),
@@ -81,18 +86,17 @@
             "tenant": request.header("pomeloridge-tenant"), "key": key_seen,
             "deadline": request.header("pomeloridge-deadline-ms"),
             "last_event": request.header("last-event-id"),
-            "source": request.header("pomeloridge-kv-source"),
+            "source": request.header("pomeloridge-kv-source"), "fault": fault,
         }));
-        if stage == "prefill" {
+        if reads {
             let body = json!({ "kvHandle": format!("h-{attempt}"), "tokens": 10, "version": 1 });
             let _ = responder.send(Response::json(200, &body)).await;
             return;
         }
-        let first = FAILED.with_borrow_mut(|failed| failed.insert(attempt.to_owned()));
-        // What goes wrong on the first sending of a request.
-        let fault = request.header("x-fault").filter(|_| first);
-        let fault = fault.unwrap_or_default();
-        if self.stage.is_empty() {
+        if fault == "shed" {
+            let shed = Response::new(503, "full").with("pomeloridge-not-executed", "1");
+            let _ = responder.send(shed).await;
+        } else if self.stage.is_empty() {
             self.whole(attempt, fault, responder).await;
         } else {
             self.stream(request, attempt, fault, responder).await;
@@ -103,7 +107,6 @@
         let response = match fault {
             // The connection closes without an answer.
             "lost" => return,
-            "shed" => Response::new(503, "full").with("pomeloridge-not-executed", "1"),
             "error" => sealed(Response::new(500, "failed"), attempt),
             "late" => {
                 monoio::time::sleep(Duration::from_secs(30)).await;
