Name the request in the log that cannot be read

Cause: found while the soak was written: a request whose head cannot be read was logged as id=? only, so that nobody could get from its id to the cause. Test: the_logs_name_a_request_that_cannot_be_read.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -368,6 +368,25 @@
     });
 }
 
+/// A request that cannot be read is found by its id all the same.
+#[test]
+fn the_logs_name_a_request_that_cannot_be_read() {
+    let deployment = Deployment::start("unread", 1);
+    run(async {
+        deployment.until_ready().await;
+        let mut asked = generation("ask", "u1", 200);
+        asked.headers.remove("pomeloridge-token-counts");
+        let asked = asked.with("pomeloridge-token-counts", "many");
+        assert_eq!(deployment.ask(asked).await.unwrap().status, 400);
+        let log = deployment.0.folder.join("front-0.out");
+        until(async || {
+            let text = std::fs::read_to_string(&log).unwrap_or_default();
+            text.contains("request id=u1 choice=refuse")
+        })
+        .await;
+    });
+}
+
 /// A request's cause is found from the logs alone.
 #[test]
 fn the_logs_tell_why_a_request_failed() {
--- a/crates/pomeloridge_gateway/src/front.rs
+++ b/crates/pomeloridge_gateway/src/front.rs
@@ -26,9 +26,17 @@
         Ok(request) => request,
         Err(fault) => return refuse(state, &fault.into(), None, responder).await,
     };
+    let label = (state.ports.ingress.label)(&request);
     let inbound = match (state.ports.ingress.decode)(request) {
         Ok(inbound) => inbound,
-        Err(kind) => return refuse(state, &kind.into(), None, responder).await,
+        Err(kind) => {
+            log::info!(
+                "request id={} choice=refuse reason=\"its head cannot be read\" code={}",
+                label.as_deref().unwrap_or("?"),
+                kind.answer().code
+            );
+            return refuse(state, &kind.into(), None, responder).await;
+        }
     };
     let accepted = match accept(state, inbound) {
         Ok(accepted) => accepted,
--- a/crates/pomeloridge_gateway/src/ports.rs
+++ b/crates/pomeloridge_gateway/src/ports.rs
@@ -16,6 +16,8 @@
 pub struct IngressPort {
     /// Reads a request; an error is its final answer.
     pub decode: fn(Request) -> Result<Inbound, ErrorKind>,
+    /// The id for the log of a request that can't be read.
+    pub label: fn(&Request) -> Option<String>,
     /// Writes a refusal of the gateway's own.
     pub refusal: fn(&Refusal, Option<&Inbound>) -> Response,
     /// Whether a request asks if the node takes callers.
