Read changed settings again, on SIGHUP and without it

Cause: the platform tells by SIGHUP that the settings file has changed, and says that it may change without one; a gateway logged the signal and went on with what it had read. Change: the file is read on SIGHUP and every 5 s; settings that are read at use change at once, those of the start are named as held for a restart, a faulty file changes nothing. `[stop] grace_ms` was read nowhere and is gone. Test: changed_settings_are_read_again (process test, signal and no signal).

--- a/crates/pomeloridge/src/commands/gateway.rs
+++ b/crates/pomeloridge/src/commands/gateway.rs
@@ -27,7 +27,7 @@
         Ok(writer) => writer,
         Err(error) => return fail(&format!("logging cannot start: {error}")),
     };
-    let result = parts(settings).and_then(pomeloridge_gateway::run);
+    let result = parts(path, settings).and_then(pomeloridge_gateway::run);
     drop(writer);
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -35,7 +35,14 @@
     }
 }
 
-fn parts(settings: Checked) -> Result<Parts, String> {
+fn parts(path: &Path, settings: Checked) -> Result<Parts, String> {
+    let path = path.to_owned();
+    let read_again = move || {
+        load_table(&path, GATEWAY_SETTINGS).map_err(|problems| {
+            let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            problems.join("; ")
+        })
+    };
     let metrics = Metrics::new()?;
     let duties = settings.address("platform", "duties");
     Ok(Parts {
@@ -43,6 +50,7 @@
         clock: Rc::new(SystemClock),
         meter: metrics.meter.clone(),
         metrics: Box::new(move || metrics.page()),
+        read_again: Box::new(read_again),
         settings,
     })
 }
--- a/crates/pomeloridge_base/src/settings/check.rs
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -58,6 +58,17 @@
 #[derive(Clone, Debug)]
 pub struct Checked(Vec<(&'static Setting, String)>);
 
+/// What a newer file of settings comes to.
+#[derive(Clone, Debug)]
+pub struct Update {
+    /// The settings from now on.
+    pub settings: Checked,
+    /// Names of the settings that have changed.
+    pub applied: Vec<String>,
+    /// Names of those whose new values wait for a restart.
+    pub held: Vec<String>,
+}
+
 /// A secret that is never shown.
 #[derive(Clone)]
 pub struct Secret(pub Vec<u8>);
@@ -98,6 +109,30 @@
         &found.expect("the setting is in the table").1
     }
 
+    /// These settings with the values of a newer file, where they may change while the
+    /// program runs.
+    pub fn update(&self, newer: &Self, may_change: impl Fn(&Setting) -> bool) -> Update {
+        let mut update = Update {
+            settings: self.clone(),
+            applied: Vec::new(),
+            held: Vec::new(),
+        };
+        for (setting, value) in &mut update.settings.0 {
+            let new = newer.text(setting.section, setting.key);
+            if new == value {
+                continue;
+            }
+            let name = format!("{}.{}", setting.section, setting.key);
+            if may_change(setting) {
+                new.clone_into(value);
+                update.applied.push(name);
+            } else {
+                update.held.push(name);
+            }
+        }
+        update
+    }
+
     fn parsed<T: std::str::FromStr>(&self, section: &str, key: &str) -> T {
         let parsed = self.text(section, key).parse().ok();
         parsed.expect("checked when the settings were loaded")
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -119,7 +119,6 @@
     "platform" "watch_ms" Millis, Some("2500"), "Time after which an open watch is asked again.", "A watch that went silent is noticed after this time and the timeout.", "2500";
     "lease" "term_ms" Millis, Some("3000"), "Term of the lease on the duties.", "At least the time in which the platform forbids two holders to take turns.", "3000";
     "lease" "margin_ms" Millis, Some("500"), "Time added to the term before another node takes the lease.", "Covers clocks that run at different speeds.", "500";
-    "stop" "grace_ms" Millis, Some("8000"), "Time between SIGTERM and SIGKILL.", "Open requests may run on for most of it.", "8000";
     "stop" "unready_ms" Millis, Some("3000"), "Time between turning unready and refusing connections when stopping.", "The balancer asks once a second and needs two misses.", "3000";
     "repeats" "ratio" Fraction, Some("0.2"), "Repeats that the fleet may send for each request.", "Bounds the extra load on a service in trouble.", "0.2";
     "repeats" "slack" Count, Some("50"), "Repeats that the fleet may send on top in a window.", "Lets a quiet fleet repeat at all.", "50";
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -368,6 +368,36 @@
     });
 }
 
+/// Pattern: the settings file changes under a running node, with a signal and without.
+#[test]
+fn changed_settings_are_read_again() {
+    let deployment = Deployment::start("reload", 1);
+    run(async {
+        deployment.until_ready().await;
+        let folder = &deployment.0.folder;
+        let (file, log) = (folder.join("front-0.ini"), folder.join("front-0.out"));
+        let first = std::fs::read_to_string(&file).unwrap();
+        let logged = async |text: &str| {
+            until(async || {
+                let log = std::fs::read_to_string(&log).unwrap_or_default();
+                log.contains(text)
+            })
+            .await;
+        };
+        let changed = first
+            .replace("unready_ms = 300", "unready_ms = 400")
+            .replace("data_centre = dc-1", "data_centre = dc-2");
+        std::fs::write(&file, &changed).unwrap();
+        deployment.0.gateways[0].process.signal(libc::SIGHUP);
+        logged("applied=[stop.unready_ms] held_for_restart=[node.data_centre]").await;
+        // A file that is wrong changes nothing; no signal is needed to find that.
+        std::fs::write(&file, changed.replace("400", "soon")).unwrap();
+        logged("reload outcome=kept").await;
+        let read = request(Method::GET, "read", "r1");
+        assert_eq!(deployment.ask(read).await.unwrap().status, 200);
+    });
+}
+
 /// A request that cannot be read is found by its id all the same.
 #[test]
 fn the_logs_name_a_request_that_cannot_be_read() {
--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -33,8 +33,8 @@
         duty: Name::from("fleet"),
         holder: state.name.clone(),
         incarnation: Incarnation(state.life_id),
-        term: state.settings.time("lease", "term_ms"),
-        margin: state.settings.time("lease", "margin_ms"),
+        term: state.settings().time("lease", "term_ms"),
+        margin: state.settings().time("lease", "margin_ms"),
         absent: Absent::NeverHeld,
     };
     let keeper = Keeper::new(&state.store, claim);
@@ -72,7 +72,6 @@
 /// Reports each window once it has ended, while this node holds the duties.
 async fn report_usage(state: Rc<State>, authority: Authority) {
     let window = state.usage_window();
-    let late = state.settings.time("usage", "late_ms");
     let mut reported = BTreeSet::new();
     let mut epoch = None;
     loop {
@@ -86,6 +85,7 @@
         let now_ms = state.time.borrow().unix_ms(state.now());
         let window_ms = window.as_millis() as u64;
         let current = state.current_window(state.now());
+        let late = state.settings().time("usage", "late_ms");
         for index in current.saturating_sub(WINDOWS_BACK)..current {
             let ended = Duration::from_millis(now_ms - (index + 1) * window_ms);
             let Some(end) = state.now().checked_sub(ended) else {
--- a/crates/pomeloridge_gateway/src/life.rs
+++ b/crates/pomeloridge_gateway/src/life.rs
@@ -11,6 +11,9 @@
 /// Pause between two looks at whether a signal came.
 const SIGNAL_CHECK: Duration = Duration::from_millis(100);
 
+/// Looks for a signal between two reads of the settings without one.
+const RELOAD_ROUNDS: u32 = 50;
+
 /// Where the gateway is in its life.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
@@ -36,7 +39,8 @@
     }
 }
 
-/// Stops gracefully on SIGTERM or SIGINT, and reports SIGHUP.
+/// Stops gracefully on SIGTERM or SIGINT, and reads the settings again on SIGHUP; their
+/// file may also change without a signal.
 pub(crate) fn watch_signals(state: &Rc<State>) -> Result<(), String> {
     let flag = |signals: &[i32]| {
         let asked = Arc::new(AtomicBool::new(false));
@@ -50,9 +54,13 @@
     let reload = flag(&[signal_hook::consts::SIGHUP])?;
     let state = Rc::clone(state);
     monoio::spawn(async move {
-        while !stop.load(Ordering::Relaxed) {
-            if reload.swap(false, Ordering::Relaxed) {
-                log::info!("reload outcome=kept reason=\"settings are read at the start\"");
+        for round in 1.. {
+            if stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let asked = reload.swap(false, Ordering::Relaxed);
+            if asked || round % RELOAD_ROUNDS == 0 {
+                state.settings.reload(asked);
             }
             monoio::time::sleep(SIGNAL_CHECK).await;
         }
@@ -66,7 +74,7 @@
     let running = state.running.get();
     log::info!("stop phase=draining running={running}");
     state.life.0.set(Phase::Draining);
-    monoio::time::sleep(state.settings.time("stop", "unready_ms")).await;
+    monoio::time::sleep(state.settings().time("stop", "unready_ms")).await;
     log::info!("stop phase=closing running={}", state.running.get());
     state.life.0.set(Phase::Closing);
 }
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -51,8 +51,8 @@
         "start node={} data_centre={} store={} caller={caller_at} ready={ready_at} \
          peer={peer_at} metrics={metrics_at}",
         state.name,
-        state.settings.text("node", "data_centre"),
-        state.settings.text("platform", "store")
+        state.settings().text("node", "data_centre"),
+        state.settings().text("platform", "store")
     );
     *state.socket.borrow_mut() = Some(Rc::clone(&socket));
     life::watch_signals(&state)?;
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -86,10 +86,10 @@
 
 /// Tells the peers, in rounds, for as long as the node lives.
 pub(crate) async fn tell(state: Rc<State>, socket: Rc<UdpSocket>) {
-    let pause = state.settings.time("peers", "pause_ms");
-    let fan_out = state.settings.number("peers", "fan_out") as usize;
     loop {
-        monoio::time::sleep(pause).await;
+        let settings = state.settings();
+        monoio::time::sleep(settings.time("peers", "pause_ms")).await;
+        let fan_out = settings.number("peers", "fan_out") as usize;
         let addresses = state.peers.borrow_mut().next_round(fan_out);
         if addresses.is_empty() {
             continue;
@@ -140,10 +140,10 @@
 fn beat(state: &State) -> BeatWire {
     let now = state.now();
     let peers = state.peers.borrow();
-    let fan_out = state.settings.number("peers", "fan_out") as usize;
+    let fan_out = state.settings().number("peers", "fan_out") as usize;
     // Each peer is told once in so many rounds, and once more in case one is lost.
     let rounds = peers.rounds(fan_out) + 1;
-    let span = state.settings.time("peers", "pause_ms") * rounds;
+    let span = state.settings().time("peers", "pause_ms") * rounds;
     let mut dispatcher = state.dispatcher.borrow_mut();
     let placed = dispatcher.placed(span, now);
     let loads = dispatcher.own_loads().collect();
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::ports::Ports;
 use crate::register::Register;
 use crate::server_list::ServerList;
+use crate::settings::{LiveSettings, ReadAgain};
 use crate::true_time::TrueTime;
 use crate::usage::{Source, UsageBook};
 
@@ -33,6 +34,8 @@
 pub struct Parts {
     /// Checked settings.
     pub settings: Checked,
+    /// Reads their file again.
+    pub read_again: ReadAgain,
     /// Clock.
     pub clock: SharedClock,
     /// The platform.
@@ -53,7 +56,7 @@
 
 /// A gateway's state.
 pub(crate) struct State {
-    pub(crate) settings: Checked,
+    pub(crate) settings: LiveSettings,
     pub(crate) clock: SharedClock,
     pub(crate) ports: Ports,
     pub(crate) meter: Meter,
@@ -102,6 +105,7 @@
     pub(crate) fn new(parts: Parts, peer: SocketAddr) -> Rc<Self> {
         let Parts {
             settings,
+            read_again,
             clock,
             ports,
             meter,
@@ -149,7 +153,7 @@
             work: RefCell::default(),
             changing: RefCell::default(),
             duty: Cell::new(None),
-            settings,
+            settings: LiveSettings::new(settings, read_again),
             clock,
             ports,
             meter,
@@ -161,7 +165,12 @@
 
     /// Hash of the name of this node's data centre, as peers are told it.
     pub(crate) fn centre_hash(&self) -> u32 {
-        peers::rank(&Name::from(self.settings.text("node", "data_centre"))) as u32
+        peers::rank(&Name::from(self.settings().text("node", "data_centre"))) as u32
+    }
+
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Rc<Checked> {
+        self.settings.current()
     }
 
     pub(crate) fn now(&self) -> Instant {
@@ -178,7 +187,7 @@
 
     /// Whether the whole system starts for the first time.
     pub(crate) fn bootstrap(&self) -> bool {
-        self.settings.text("node", "bootstrap") == "true"
+        self.settings().text("node", "bootstrap") == "true"
     }
 
     /// Whether the node may be given callers.
@@ -214,14 +223,15 @@
 
     fn budget<T>(&self, service: &Name, act: impl FnOnce(&mut RepeatBudget, Instant) -> T) -> T {
         let limits = RepeatLimits {
-            ratio: self.settings.fraction("repeats", "ratio"),
-            slack: self.settings.number("repeats", "slack") as f64,
-            window: self.settings.time("repeats", "window_ms"),
+            ratio: self.settings().fraction("repeats", "ratio"),
+            slack: self.settings().number("repeats", "slack") as f64,
+            window: self.settings().time("repeats", "window_ms"),
         };
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| RepeatBudget::new(limits));
+        budget.bound(limits);
         act(budget, self.now())
     }
 
@@ -278,7 +288,7 @@
     }
 
     pub(crate) fn usage_window(&self) -> Duration {
-        self.settings.time("usage", "window_ms")
+        self.settings().time("usage", "window_ms")
     }
 
     /// Whether this node watches the object service, and does not only hear from peers.
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -120,7 +120,7 @@
     prefix: &str,
     after: Revision,
 ) -> Result<(Revision, Vec<Event>), PlatformError> {
-    let wait = state.settings.time("platform", "watch_ms");
+    let wait = state.settings().time("platform", "watch_ms");
     let watched = state.store.watch(prefix, after, wait).await?;
     Ok((watched.revision, watched.events))
 }
--- a/crates/pomeloridge_policy/src/repeat_budget.rs
+++ b/crates/pomeloridge_policy/src/repeat_budget.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Changes the bound; what is spent stays spent.
+    pub fn bound(&mut self, limits: RepeatLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request of a caller.
     pub fn request(&mut self, now: Instant) {
         self.slice(now).requests += 1;
