--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -96,7 +96,7 @@
                 end,
                 late,
             };
-            let settled = ended.is_settled(state.peers.borrow().times(index), state.now());
+            let settled = ended.is_settled(state.peers.borrow().usage_times(index), state.now());
             if reported.contains(&index) || !settled {
                 continue;
             }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -271,14 +271,14 @@
     let duty = (beat.duty > 0).then_some(Epoch(beat.duty));
     let mut peers = state.peers.borrow_mut();
     let peer = peers.heard(&name, address, now);
-    peer.holds(duty, now);
+    peer.note_duty(duty, now);
     peer.near = beat.centre == state.centre_hash();
     if !beat.work.is_empty() {
         let told = std::mem::take(&mut beat.work);
         peer.work = told.into_iter().map(<(Name, WorkRates)>::from).collect();
     }
     if let Some(first) = beat.counted_from {
-        peer.covered(first, state.current_window(now), now);
+        peer.note_counts(first, state.current_window(now), now);
     }
     drop(peers);
     let corrected = state.time.borrow_mut().heard(&name, beat.unix_ms, now);
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -53,7 +53,7 @@
     }
 
     /// Notes that the peer has told its counts of the windows from `first` on.
-    pub(super) fn covered(&mut self, first: u64, current: u64, now: Instant) {
+    pub(super) fn note_counts(&mut self, first: u64, current: u64, now: Instant) {
         let first = first.max(current.saturating_sub(WINDOWS_KEPT));
         self.counted
             .extend((first..=current).map(|window| (window, now)));
@@ -63,7 +63,7 @@
     }
 
     /// Notes which duties the peer says to hold.
-    pub(super) fn holds(&mut self, epoch: Option<Epoch>, now: Instant) {
+    pub(super) fn note_duty(&mut self, epoch: Option<Epoch>, now: Instant) {
         let since = self.duty.filter(|(known, _)| Some(*known) == epoch);
         self.duty = epoch.map(|epoch| (epoch, since.map_or(now, |(_, since)| since)));
     }
@@ -129,7 +129,7 @@
     }
 
     /// When the peers were heard, and when they told their counts of a window.
-    pub(crate) fn times(&self, window: u64) -> impl Iterator<Item = PeerTimes> {
+    pub(crate) fn usage_times(&self, window: u64) -> impl Iterator<Item = PeerTimes> {
         self.peers.values().map(move |peer| PeerTimes {
             heard: peer.heard,
             counted: peer.counted.get(&window).copied(),
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -231,7 +231,7 @@
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| RepeatBudget::new(limits));
-        budget.bound(limits);
+        budget.set_limits(limits);
         act(budget, self.now())
     }
 
--- a/crates/pomeloridge_policy/src/repeat_budget.rs
+++ b/crates/pomeloridge_policy/src/repeat_budget.rs
@@ -51,7 +51,7 @@
     }
 
     /// Changes the bound; what is spent stays spent.
-    pub fn bound(&mut self, limits: RepeatLimits) {
+    pub fn set_limits(&mut self, limits: RepeatLimits) {
         self.limits = limits;
     }
 
