Have one wire form of objects, and one way from an event to its object

`ListWire`, `ObjectWire` and `decode` are the platform crate's, `Event::object` serves all three places. `EventSplitter::rest` was called nowhere.

--- a/crates/pomeloridge_gateway/src/events.rs
+++ b/crates/pomeloridge_gateway/src/events.rs
@@ -44,12 +44,6 @@
         })
     }
 
-    /// What is left of an event that is not whole.
-    pub fn rest(&mut self) -> Bytes {
-        self.searched = 0;
-        self.buf.split().freeze()
-    }
-
     /// Whether the bytes so far end with a whole event.
     pub fn is_whole(&self) -> bool {
         self.buf.is_empty()
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -8,10 +8,8 @@
 use http::StatusCode;
 use pomeloridge_base::http::{Fault, Outgoing, Request, Responder, Response, call};
 use pomeloridge_base::id::Revision;
-use pomeloridge_platform::Object;
+use pomeloridge_platform::{ListWire, Object, ObjectWire};
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use crate::state::State;
 
@@ -29,33 +27,6 @@
 /// Code of the answer to a peer beyond those.
 const BUSY: u16 = 503;
 
-#[derive(Serialize, Deserialize)]
-struct ObjectWire {
-    key: String,
-    version: Revision,
-    value: Value,
-}
-
-impl From<ObjectWire> for Object {
-    fn from(wire: ObjectWire) -> Self {
-        Self {
-            key: wire.key,
-            version: wire.version,
-            value: wire.value,
-        }
-    }
-}
-
-impl From<Object> for ObjectWire {
-    fn from(object: Object) -> Self {
-        Self {
-            key: object.key,
-            version: object.version,
-            value: object.value,
-        }
-    }
-}
-
 /// Reads a peer's configuration.
 pub(crate) async fn read_config(address: SocketAddr) -> Result<Object, String> {
     let wire: ObjectWire = read(address, CONFIG_PATH).await?;
@@ -72,17 +43,10 @@
     serde_json::from_slice(&response.body).map_err(|error| error.to_string())
 }
 
-#[derive(Serialize, Deserialize)]
-struct ListWire {
-    revision: Revision,
-    objects: Vec<ObjectWire>,
-}
-
 /// Reads a peer's list of servers.
 pub(crate) async fn read_servers(address: SocketAddr) -> Result<(Revision, Vec<Object>), String> {
     let wire: ListWire = read(address, SERVERS_PATH).await?;
-    let objects = wire.objects.into_iter().map(Object::from);
-    Ok((wire.revision, objects.collect()))
+    Ok(wire.into())
 }
 
 /// Counts a peer that reads from this node until it is dropped.
@@ -167,8 +131,8 @@
     let list = state.server_list.borrow();
     match list.revision() {
         Some(revision) => {
-            let objects = list.objects().map(ObjectWire::from).collect();
-            Response::json(200, &ListWire { revision, objects })
+            let objects = list.objects().cloned().collect();
+            Response::json(200, &ListWire::from((revision, objects)))
         }
         None => Response::new(404, ""),
     }
--- a/crates/pomeloridge_gateway/src/server_list.rs
+++ b/crates/pomeloridge_gateway/src/server_list.rs
@@ -5,7 +5,6 @@
 
 use pomeloridge_base::id::Revision;
 use pomeloridge_platform::{Event, Object};
-use serde_json::Value;
 
 /// Changes of the list between two revisions.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,7 +30,7 @@
 #[derive(Debug, Default)]
 pub struct ServerList {
     revision: Option<Revision>,
-    objects: BTreeMap<String, (Revision, Value)>,
+    objects: BTreeMap<String, Object>,
 }
 
 impl ServerList {
@@ -41,12 +40,8 @@
     }
 
     /// The entries.
-    pub fn objects(&self) -> impl Iterator<Item = Object> {
-        self.objects.iter().map(|(key, (version, value))| Object {
-            key: key.clone(),
-            version: *version,
-            value: value.clone(),
-        })
+    pub fn objects(&self) -> impl Iterator<Item = &Object> {
+        self.objects.values()
     }
 
     /// Takes a whole list, unless a newer one is known.
@@ -57,7 +52,7 @@
         self.revision = Some(revision);
         let entries = objects.iter();
         self.objects = entries
-            .map(|object| (object.key.clone(), (object.version, object.value.clone())))
+            .map(|object| (object.key.clone(), object.clone()))
             .collect();
         true
     }
@@ -77,15 +72,10 @@
             .cloned()
             .collect();
         for event in &new {
-            match &event.value {
-                Some(value) => {
-                    let entry = (event.version, value.clone());
-                    self.objects.insert(event.key.clone(), entry);
-                }
-                None => {
-                    self.objects.remove(&event.key);
-                }
-            }
+            match event.object() {
+                Some(object) => self.objects.insert(event.key.clone(), object),
+                None => self.objects.remove(&event.key),
+            };
         }
         self.revision = Some(known.max(change.to));
         (Applied::Yes, new)
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -1,6 +1,6 @@
 //! Keeps the configuration and the list of servers current from the object service.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,7 +8,6 @@
 use pomeloridge_platform::{Event, Object, PlatformError};
 use pomeloridge_policy::dispatch::TargetInfo;
 
-use crate::config::ServingConfig;
 use crate::peers;
 use crate::server_list::{Applied, ListChange};
 use crate::state::{InForce, State};
@@ -85,8 +84,9 @@
             None => read_config(&state).await.map(Some),
             Some(revision) => match watch(&state, store.config_prefix, revision).await {
                 Ok((revision, events)) => {
-                    for event in events.iter().filter(|event| event.key == store.config_key) {
-                        adopt_event(&state, event);
+                    let changes = events.iter().filter(|event| event.key == store.config_key);
+                    for object in changes.filter_map(Event::object) {
+                        adopt(&state, &object);
                     }
                     if !events.is_empty() && state.config().is_some() {
                         peers::spread_config(&state);
@@ -138,17 +138,6 @@
     Ok(revision)
 }
 
-fn adopt_event(state: &State, event: &Event) {
-    if let Some(value) = &event.value {
-        let object = Object {
-            key: event.key.clone(),
-            version: event.version,
-            value: value.clone(),
-        };
-        adopt(state, &object);
-    }
-}
-
 /// Puts a configuration in force if it is newer than the one that is.
 pub(crate) fn adopt(state: &State, object: &Object) {
     let config = match (state.ports.store.config)(object) {
@@ -175,16 +164,12 @@
             .as_ref()
             .map_or(0, std::collections::HashMap::len)
     );
-    put_in_force(&state.config, config, object);
-    state.sync_servers();
-}
-
-fn put_in_force(place: &RefCell<Option<InForce>>, config: ServingConfig, object: &Object) {
-    *place.borrow_mut() = Some(InForce {
+    *state.config.borrow_mut() = Some(InForce {
         config: Rc::new(config),
         object: object.clone(),
         written: OnceCell::new(),
     });
+    state.sync_servers();
 }
 
 /// Reads the list of servers and follows its changes for as long as the node lives.
@@ -317,12 +302,7 @@
 
 fn apply(state: &State, event: &Event) -> bool {
     let name = (state.ports.store.server_name)(event);
-    let object = event.value.as_ref().map(|value| Object {
-        key: event.key.clone(),
-        version: event.version,
-        value: value.clone(),
-    });
-    let listed = object.as_ref().and_then(|object| entry(state, object));
+    let listed = event.object().and_then(|object| entry(state, &object));
     let mut register = state.register.borrow_mut();
     let Some((name, info)) = listed else {
         let gone = register.remove(&name, state.now());
--- a/crates/pomeloridge_gateway/tests/server_list.rs
+++ b/crates/pomeloridge_gateway/tests/server_list.rs
@@ -33,7 +33,7 @@
 }
 
 fn keys(list: &ServerList) -> Vec<String> {
-    list.objects().map(|object| object.key).collect()
+    list.objects().map(|object| object.key.clone()).collect()
 }
 
 #[test]
--- a/crates/pomeloridge_platform/src/form.rs
+++ b/crates/pomeloridge_platform/src/form.rs
@@ -123,7 +123,8 @@
     }
 }
 
-pub(crate) fn decode<T: DeserializeOwned>(response: &Response) -> Result<T, PlatformError> {
+/// Reads the JSON of an answer.
+pub fn decode<T: DeserializeOwned>(response: &Response) -> Result<T, PlatformError> {
     let read = serde_json::from_slice(&response.body);
     read.map_err(|error| PlatformError::Malformed(error.to_string()))
 }
--- a/crates/pomeloridge_platform/src/object.rs
+++ b/crates/pomeloridge_platform/src/object.rs
@@ -43,6 +43,17 @@
     pub value: Option<Value>,
 }
 
+impl Event {
+    /// The object after the change; `None` where it was deleted.
+    pub fn object(&self) -> Option<Object> {
+        self.value.as_ref().map(|value| Object {
+            key: self.key.clone(),
+            version: self.version,
+            value: value.clone(),
+        })
+    }
+}
+
 /// The answer of a watch.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Watched {
--- a/crates/pomeloridge_platform/src/wire.rs
+++ b/crates/pomeloridge_platform/src/wire.rs
@@ -13,8 +13,9 @@
 use crate::order::{Order, OrderAction, OrderReceipt, OrderStatus};
 use crate::usage::UsageReceipt;
 
-#[derive(Deserialize)]
-pub(crate) struct ObjectWire {
+/// An object.
+#[derive(Serialize, Deserialize)]
+pub struct ObjectWire {
     key: String,
     version: Revision,
     value: Value,
@@ -30,13 +31,24 @@
     }
 }
 
+impl From<Object> for ObjectWire {
+    fn from(object: Object) -> Self {
+        Self {
+            key: object.key,
+            version: object.version,
+            value: object.value,
+        }
+    }
+}
+
 #[derive(Deserialize)]
 pub(crate) struct VersionWire {
     pub(crate) version: Revision,
 }
 
-#[derive(Deserialize)]
-pub(crate) struct ListWire {
+/// Objects as they were at a revision.
+#[derive(Serialize, Deserialize)]
+pub struct ListWire {
     revision: Revision,
     objects: Vec<ObjectWire>,
 }
@@ -48,6 +60,15 @@
     }
 }
 
+impl From<(Revision, Vec<Object>)> for ListWire {
+    fn from((revision, objects): (Revision, Vec<Object>)) -> Self {
+        Self {
+            revision,
+            objects: objects.into_iter().map(ObjectWire::from).collect(),
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct EventWire {
     key: String,
