Count with one guard, and write a read's answer only for who may read

Read on: the change had three guards of its own that count until they are dropped (peers that read, reads under way, requests that run) beside the server's for its connections and the duties' for their tasks; `Counted` is all five. The two reads from peers were one function with small variations. A node serialised its whole list of servers for a peer and only then saw that two others were reading and answered 503; the answer is now written after the place is taken.

--- a/crates/pomeloridge/src/serve/duties.rs
+++ b/crates/pomeloridge/src/serve/duties.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::config::ConfigView;
+use pomeloridge_base::counted::Counted;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::settings::Settings;
 use pomeloridge_duties::demand::{Demand, DemandReport};
@@ -67,7 +68,7 @@
     let authority = keeper.authority();
     let held = authority.clone();
     let state = Rc::clone(state);
-    let task = Task::new(&state);
+    let task = Counted::new(&state.duties);
     monoio::spawn(async move {
         while !state.life.is_leaving() {
             let holds = held.holds();
@@ -90,22 +91,6 @@
     authority
 }
 
-/// Counts a task that must end before the node does.
-struct Task(Rc<State>);
-
-impl Task {
-    fn new(state: &Rc<State>) -> Self {
-        state.duties.set(state.duties.get() + 1);
-        Self(Rc::clone(state))
-    }
-}
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.duties.set(self.0.duties.get() - 1);
-    }
-}
-
 async fn usage_duty(state: Rc<State>, authority: Authority) {
     let options = UsageOptions {
         window: state.settings.time("usage", "window_ms"),
--- a/crates/pomeloridge/src/serve/state.rs
+++ b/crates/pomeloridge/src/serve/state.rs
@@ -52,7 +52,7 @@
     /// Authorities of the duties, set once their tasks have started.
     pub(crate) authorities: RefCell<Vec<(Name, Authority)>>,
     /// Tasks that must end before the node does.
-    pub(crate) duties: Cell<usize>,
+    pub(crate) duties: Rc<Cell<usize>>,
 }
 
 impl State {
@@ -80,7 +80,7 @@
             life: Life::new(),
             listed: Cell::new(false),
             authorities: RefCell::default(),
-            duties: Cell::new(0),
+            duties: Rc::default(),
             settings,
             clock,
             incarnation,
--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -18,6 +18,7 @@
 
 use super::wire::{Remaining, Wire, framing, left};
 use super::{Fault, Limits, Request, Response};
+use crate::counted::Counted;
 
 /// How often an idle connection looks whether the server is stopping.
 const STOP_CHECK: Duration = Duration::from_millis(200);
@@ -63,7 +64,7 @@
             match monoio::time::timeout(STOP_CHECK, crate::net::accept(&listener)).await {
                 Ok(Ok((stream, peer))) => {
                     let server = Rc::clone(&self);
-                    let guard = OpenConnection::new(&open);
+                    let guard = Counted::new(&open);
                     monoio::spawn(async move {
                         server.connection(stream, peer).await;
                         drop(guard);
@@ -162,22 +163,6 @@
     }
 }
 
-/// Counts a connection until it is dropped.
-struct OpenConnection(Rc<Cell<usize>>);
-
-impl OpenConnection {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(Rc::clone(open))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 fn asks_to_close(head: &RequestHead) -> bool {
     let close = |value: &http::HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
     head.version != Version::HTTP_11 || head.headers.get(CONNECTION).is_some_and(close)
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use pomeloridge_base::counted::Counted;
 use pomeloridge_base::error::{ErrorKind, Run};
 use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
@@ -22,6 +23,7 @@
     state: Rc<State>,
     server: TargetKey,
     key: SendKey,
+    _running: Counted,
 }
 
 impl Sent {
@@ -36,11 +38,11 @@
         let mut dispatcher = state.dispatcher.borrow_mut();
         let key = dispatcher.send(server, unread, prompt, now);
         drop(dispatcher);
-        state.running.set(state.running.get() + 1);
         Self {
             state: Rc::clone(state),
             server,
             key,
+            _running: Counted::new(&state.running),
         }
     }
 
@@ -59,7 +61,6 @@
 
 impl Drop for Sent {
     fn drop(&mut self) {
-        self.state.running.set(self.state.running.get() - 1);
         self.state.dispatcher.borrow_mut().end(self.key);
     }
 }
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -1,11 +1,11 @@
 //! The configuration as nodes read it from one another.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::StatusCode;
+use pomeloridge_base::counted::Counted;
 use pomeloridge_base::http::{Fault, Outgoing, Request, Responder, Response, call};
 use pomeloridge_base::id::Revision;
 use pomeloridge_platform::{ListWire, Object, ObjectWire};
@@ -49,26 +49,6 @@
     Ok(wire.into())
 }
 
-/// Counts a peer that reads from this node until it is dropped.
-struct Reader(Rc<Cell<usize>>);
-
-impl Reader {
-    /// `None` if as many as may read already.
-    fn start(readers: &Rc<Cell<usize>>) -> Option<Self> {
-        let count = readers.get();
-        (count < READERS).then(|| {
-            readers.set(count + 1);
-            Self(Rc::clone(readers))
-        })
-    }
-}
-
-impl Drop for Reader {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Answers peers and collectors.
 pub(crate) async fn handle(
     state: &Rc<State>,
@@ -77,10 +57,10 @@
 ) {
     let response = match request {
         Ok(request) if request.path() == CONFIG_PATH => {
-            return be_read(state, config(state), responder).await;
+            return be_read(state, config, responder).await;
         }
         Ok(request) if request.path() == SERVERS_PATH => {
-            return be_read(state, servers(state), responder).await;
+            return be_read(state, servers, responder).await;
         }
         Ok(request) if request.path() == METRICS_PATH => {
             Response::new(200, (state.metrics)()).with("content-type", "text/plain")
@@ -99,12 +79,12 @@
 
 /// Answers one of a few peers at a time; a read lasts until the peer has closed the
 /// connection, since a written answer may still wait for the link.
-async fn be_read(state: &State, response: Response, responder: &mut Responder) {
+async fn be_read(state: &State, write: fn(&State) -> Response, responder: &mut Responder) {
     responder.close_after();
-    let Some(reader) = Reader::start(&state.readers) else {
+    let Some(reader) = Counted::below(&state.readers, READERS) else {
         return send(Response::new(BUSY, ""), responder).await;
     };
-    send(response, responder).await;
+    send(write(state), responder).await;
     if monoio::time::timeout(READ_TIME, responder.gone())
         .await
         .is_err()
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use monoio::net::udp::UdpSocket;
+use pomeloridge_base::counted::Counted;
 use pomeloridge_base::id::{Epoch, Name};
 use pomeloridge_platform::{Expect, Object, PlatformError};
 use pomeloridge_policy::dispatch::Placed;
@@ -343,53 +344,41 @@
     }
 }
 
-/// Marks a read from peers as under way until it is dropped.
-struct Reading(Rc<Cell<bool>>);
-
-impl Reading {
-    /// `None` if one is under way: a word of each peer would start another.
-    fn start(mark: &Rc<Cell<bool>>) -> Option<Self> {
-        (!mark.replace(true)).then(|| Self(Rc::clone(mark)))
-    }
-}
-
-impl Drop for Reading {
-    fn drop(&mut self) {
-        self.0.set(false);
-    }
-}
-
 /// Reads the list of servers from a peer that knows a newer one.
 fn fetch_servers(state: &Rc<State>, address: SocketAddr) {
-    let Some(reading) = Reading::start(&state.reading_servers) else {
-        return;
-    };
-    let state = Rc::clone(state);
-    monoio::spawn(async move {
-        match internal::read_servers(address).await {
-            Ok((revision, objects)) => watch::replace_servers(&state, revision, &objects),
-            Err(error) => {
-                log::debug!("servers from {address} not read: {error}");
-                monoio::time::sleep(READ_PAUSE).await;
-            }
-        }
-        drop(reading);
+    let taken = Rc::clone(state);
+    read_apart(&state.reading_servers, "servers", address, async move {
+        let (revision, objects) = internal::read_servers(address).await?;
+        watch::replace_servers(&taken, revision, &objects);
+        Ok(())
     });
 }
 
 /// Reads a newer configuration from a peer, where the object service may be out of reach.
 fn fetch_config(state: &Rc<State>, address: SocketAddr) {
-    let Some(reading) = Reading::start(&state.reading_config) else {
+    let taken = Rc::clone(state);
+    read_apart(&state.reading_config, "config", address, async move {
+        let object = internal::read_config(address).await?;
+        watch::adopt(&taken, &object);
+        Ok(())
+    });
+}
+
+/// Reads from a peer in a task of its own, one of a kind at a time: a word of each peer
+/// would start another.
+fn read_apart(
+    under_way: &Rc<Cell<usize>>,
+    what: &'static str,
+    address: SocketAddr,
+    read: impl Future<Output = Result<(), String>> + 'static,
+) {
+    let Some(reading) = Counted::below(under_way, 1) else {
         return;
     };
-    let state = Rc::clone(state);
     monoio::spawn(async move {
-        match internal::read_config(address).await {
-            Ok(object) => watch::adopt(&state, &object),
-            Err(error) => {
-                log::debug!("config from {address} not read: {error}");
-                monoio::time::sleep(READ_PAUSE).await;
-            }
+        if let Err(error) = read.await {
+            log::debug!("{what} from {address} not read: {error}");
+            monoio::time::sleep(READ_PAUSE).await;
         }
         drop(reading);
     });
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -67,10 +67,10 @@
     pub(crate) life: Life,
     /// Where datagrams to peers leave.
     pub(crate) socket: RefCell<Option<Rc<UdpSocket>>>,
-    /// Whether the configuration is being read from a peer.
-    pub(crate) reading_config: Rc<Cell<bool>>,
-    /// Whether the list of servers is being read from a peer.
-    pub(crate) reading_servers: Rc<Cell<bool>>,
+    /// Reads of the configuration from a peer that are under way.
+    pub(crate) reading_config: Rc<Cell<usize>>,
+    /// Reads of the list of servers from a peer that are under way.
+    pub(crate) reading_servers: Rc<Cell<usize>>,
     /// Peers that read from this node.
     pub(crate) readers: Rc<Cell<usize>>,
     /// Where other nodes reach this one.
@@ -89,7 +89,7 @@
     pub(crate) budgets: RefCell<HashMap<Name, RepeatBudget>>,
     pub(crate) pool: Pool,
     /// Sendings that have not ended.
-    pub(crate) running: Cell<usize>,
+    pub(crate) running: Rc<Cell<usize>>,
     pub(crate) usage: RefCell<UsageBook>,
     pub(crate) time: RefCell<TrueTime>,
     pub(crate) peers: RefCell<Peers>,
@@ -146,7 +146,7 @@
             )),
             budgets: RefCell::default(),
             pool: Pool::default(),
-            running: Cell::new(0),
+            running: Rc::default(),
             usage: RefCell::new(UsageBook::new(source)),
             time: RefCell::new(TrueTime::new(now, clock.unix_ms())),
             peers: RefCell::default(),
