Take what stays the same out of the hot path, and read the clock once for a window

Read on: each request and each datagram looked settings up by name and parsed them, or hashed the data centre's name, although these change only when the file is read again; they are now kept, and the bound on repeats follows a reload. Ordering servers wrote the same line about a failure twice; the loop writes it. A hazard of this change: the current window and the time were read apart, so that a window that ended between the two gave a negative age (a panic in a debug build, a window left out for half a second in a release build). `EndedWindow::new` takes one time. Test: a_window_has_ended_only_by_the_time_that_is_asked_for.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -71,7 +71,6 @@
 
 /// Reports each window once it has ended, while this node holds the duties.
 async fn report_usage(state: Rc<State>, authority: Authority) {
-    let window = state.usage_window();
     let mut reported = BTreeSet::new();
     let mut epoch = None;
     loop {
@@ -82,22 +81,9 @@
         if epoch.replace(authority.epoch()) != Some(authority.epoch()) {
             reported.clear();
         }
-        let now_ms = state.time.borrow().unix_ms(state.now());
-        let window_ms = window.as_millis() as u64;
         let current = state.current_window(state.now());
-        let late = state.settings().time("usage", "late_ms");
         for index in current.saturating_sub(WINDOWS_BACK)..current {
-            let ended = Duration::from_millis(now_ms - (index + 1) * window_ms);
-            let Some(end) = state.now().checked_sub(ended) else {
-                continue;
-            };
-            let ended = EndedWindow {
-                start: end.checked_sub(window).unwrap_or(end),
-                end,
-                late,
-            };
-            let settled = ended.is_settled(state.peers.borrow().usage_times(index), state.now());
-            if reported.contains(&index) || !settled {
+            if reported.contains(&index) || !is_settled(&state, index) {
                 continue;
             }
             match report(&state, &authority, index).await {
@@ -113,6 +99,15 @@
     }
 }
 
+/// Whether a window may be reported now.
+fn is_settled(state: &State, index: u64) -> bool {
+    let now = state.now();
+    let now_ms = state.time.borrow().unix_ms(now);
+    let late = state.settings().time("usage", "late_ms");
+    let window = EndedWindow::new(index, state.usage_window, late, now, now_ms);
+    window.is_some_and(|window| window.is_settled(state.peers.borrow().usage_times(index), now))
+}
+
 async fn report(state: &State, authority: &Authority, window: u64) -> Result<(), PlatformError> {
     let permit = authority.permit().ok_or(PlatformError::Lapsed)?;
     let total = state.usage.borrow().total(window);
--- a/crates/pomeloridge_gateway/src/life.rs
+++ b/crates/pomeloridge_gateway/src/life.rs
@@ -60,7 +60,7 @@
             }
             let asked = reload.swap(false, Ordering::Relaxed);
             if asked || round % RELOAD_ROUNDS == 0 {
-                state.settings.reload(asked);
+                state.reload(asked);
             }
             monoio::time::sleep(SIGNAL_CHECK).await;
         }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -122,9 +122,7 @@
     if state.peers.borrow().has_new_holder(now) {
         return 0;
     }
-    let changed_ms = state.time.borrow().unix_ms(now);
-    let changed_ms = changed_ms.saturating_sub(USAGE_SPAN.as_millis() as u64);
-    changed_ms / state.usage_window().as_millis() as u64
+    state.current_window(now.checked_sub(USAGE_SPAN).unwrap_or(now))
 }
 
 async fn send(socket: &UdpSocket, beat: &BeatWire, addresses: Vec<SocketAddr>) {
@@ -141,10 +139,11 @@
 fn beat(state: &State) -> BeatWire {
     let now = state.now();
     let peers = state.peers.borrow();
-    let fan_out = state.settings().number("peers", "fan_out") as usize;
+    let settings = state.settings();
+    let fan_out = settings.number("peers", "fan_out") as usize;
     // Each peer is told once in so many rounds, and once more in case one is lost.
     let rounds = peers.rounds(fan_out) + 1;
-    let span = state.settings().time("peers", "pause_ms") * rounds;
+    let span = settings.time("peers", "pause_ms") * rounds;
     let mut dispatcher = state.dispatcher.borrow_mut();
     let placed = dispatcher.placed(span, now);
     let loads = dispatcher.own_loads().collect();
@@ -172,7 +171,7 @@
         duty: state.duty.get().map_or(0, |epoch| epoch.0),
         answered_ms: answered_ms(state, now),
         was_away: state.register.borrow().in_grace(),
-        centre: state.centre_hash(),
+        centre: state.centre,
         ..BeatWire::default()
     }
 }
@@ -273,7 +272,7 @@
     let mut peers = state.peers.borrow_mut();
     let peer = peers.heard(&name, address, now);
     peer.note_duty(duty, now);
-    peer.near = beat.centre == state.centre_hash();
+    peer.near = beat.centre == state.centre;
     if !beat.work.is_empty() {
         let told = std::mem::take(&mut beat.work);
         peer.work = told.into_iter().map(<(Name, WorkRates)>::from).collect();
--- a/crates/pomeloridge_gateway/src/scale_duty.rs
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -72,14 +72,21 @@
             continue;
         };
         for service in config.services.values() {
-            if let Some(scaling) = &service.scaling {
-                if settled {
-                    scaler.bring(&state, &authority, service, scaling).await;
-                } else {
-                    scaler
-                        .order_early(&state, &authority, service, scaling)
-                        .await;
-                }
+            let Some(scaling) = &service.scaling else {
+                continue;
+            };
+            let ordered = if settled {
+                scaler.bring(&state, &authority, service, scaling).await
+            } else {
+                scaler
+                    .order_early(&state, &authority, service, scaling)
+                    .await
+            };
+            if let Err(error) = ordered {
+                log::warn!(
+                    "scale service={} outcome=failed reason=\"{error}\"",
+                    service.name
+                );
             }
         }
     }
@@ -103,24 +110,18 @@
         authority: &Authority,
         service: &ServingService,
         scaling: &ServerScaling,
-    ) {
+    ) -> Result<(), PlatformError> {
         let servers = scaling.max / 2;
         if !state.bootstrap() || scaling.cheap_price.is_none() || servers == 0 {
-            return;
+            return Ok(());
         }
         for (data_centre, _) in &scaling.prices {
             let line = Line::new(service, data_centre, true);
-            if self.ordered.contains_key(&line) {
-                continue;
-            }
-            if let Err(error) = self.order(state, authority, line, servers).await {
-                log::warn!(
-                    "scale service={} outcome=failed reason=\"{error}\"",
-                    service.name
-                );
-                return;
+            if !self.ordered.contains_key(&line) {
+                self.order(state, authority, line, servers).await?;
             }
         }
+        Ok(())
     }
 
     async fn bring(
@@ -129,7 +130,7 @@
         authority: &Authority,
         service: &ServingService,
         scaling: &ServerScaling,
-    ) {
+    ) -> Result<(), PlatformError> {
         let view = self.view(state, service, scaling);
         let targets = targets(&view);
         for (target, centre) in targets.iter().zip(&view.centres) {
@@ -138,18 +139,12 @@
                 let wanted = if cheap { target.cheap } else { target.steady };
                 let line = Line::new(service, &target.data_centre, cheap);
                 let count = if cheap { centre.cheap } else { centre.steady };
-                if !self.is_due(&line, wanted, count.there, scaling, state.now()) {
-                    continue;
-                }
-                if let Err(error) = self.order(state, authority, line, wanted).await {
-                    log::warn!(
-                        "scale service={} outcome=failed reason=\"{error}\"",
-                        service.name
-                    );
-                    return;
+                if self.is_due(&line, wanted, count.there, scaling, state.now()) {
+                    self.order(state, authority, line, wanted).await?;
                 }
             }
         }
+        Ok(())
     }
 
     fn is_due(
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -62,6 +62,10 @@
     pub(crate) meter: Meter,
     pub(crate) metrics: Box<dyn Fn() -> String>,
     pub(crate) name: Name,
+    /// Hash of the name of this node's data centre, as peers are told it.
+    pub(crate) centre: u32,
+    /// Length of a window of usage.
+    pub(crate) usage_window: Duration,
     /// Drawn at the start, so that peers tell the starts of a node apart.
     pub(crate) life_id: u64,
     pub(crate) life: Life,
@@ -127,6 +131,8 @@
         let now = clock.now();
         Rc::new(Self {
             store,
+            centre: peers::rank(&data_centre) as u32,
+            usage_window: settings.time("usage", "window_ms"),
             life: Life::default(),
             peer_address: peer,
             socket: RefCell::default(),
@@ -163,11 +169,6 @@
         })
     }
 
-    /// Hash of the name of this node's data centre, as peers are told it.
-    pub(crate) fn centre_hash(&self) -> u32 {
-        peers::rank(&Name::from(self.settings().text("node", "data_centre"))) as u32
-    }
-
     /// The settings in force.
     pub(crate) fn settings(&self) -> Rc<Checked> {
         self.settings.current()
@@ -222,19 +223,31 @@
     }
 
     fn budget<T>(&self, service: &Name, act: impl FnOnce(&mut RepeatBudget, Instant) -> T) -> T {
-        let limits = RepeatLimits {
-            ratio: self.settings().fraction("repeats", "ratio"),
-            slack: self.settings().number("repeats", "slack") as f64,
-            window: self.settings().time("repeats", "window_ms"),
-        };
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| RepeatBudget::new(limits));
-        budget.set_limits(limits);
+            .or_insert_with(|| RepeatBudget::new(self.repeat_limits()));
         act(budget, self.now())
     }
 
+    fn repeat_limits(&self) -> RepeatLimits {
+        let settings = self.settings();
+        RepeatLimits {
+            ratio: settings.fraction("repeats", "ratio"),
+            slack: settings.number("repeats", "slack") as f64,
+            window: settings.time("repeats", "window_ms"),
+        }
+    }
+
+    /// Reads the settings again; `asked` logs also if nothing has changed.
+    pub(crate) fn reload(&self, asked: bool) {
+        self.settings.reload(asked);
+        let limits = self.repeat_limits();
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_limits(limits);
+        }
+    }
+
     /// Counts work of an engine: prompt tokens read and output tokens made.
     pub(crate) fn count_work(&self, service: &Name, read: u64, make: u64) {
         let now = self.now();
@@ -283,14 +296,10 @@
 
     /// The window of usage that a time falls into.
     pub(crate) fn current_window(&self, now: Instant) -> u64 {
-        let window = self.usage_window().as_millis() as u64;
+        let window = self.usage_window.as_millis() as u64;
         self.time.borrow().unix_ms(now) / window
     }
 
-    pub(crate) fn usage_window(&self) -> Duration {
-        self.settings().time("usage", "window_ms")
-    }
-
     /// Whether this node watches the object service, and does not only hear from peers.
     pub(crate) fn watches(&self) -> bool {
         let peers = self.peers.borrow().watcher_views(self.now());
--- a/crates/pomeloridge_gateway/src/usage.rs
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -38,6 +38,25 @@
 }
 
 impl EndedWindow {
+    /// The window of this index at `now`, which is `now_ms` since the Unix epoch; `None`
+    /// if it has not ended.
+    pub fn new(
+        index: u64,
+        length: Duration,
+        late: Duration,
+        now: Instant,
+        now_ms: u64,
+    ) -> Option<Self> {
+        let end_ms = (index + 1) * length.as_millis() as u64;
+        let ended = Duration::from_millis(now_ms.checked_sub(end_ms)?);
+        let end = now.checked_sub(ended)?;
+        Some(Self {
+            start: end.checked_sub(length).unwrap_or(end),
+            end,
+            late,
+        })
+    }
+
     /// Whether it may be reported: each peer that was there has told its counts, or
     /// there is no more time to wait for those that are cut off.
     pub fn is_settled(&self, mut peers: impl Iterator<Item = PeerTimes>, now: Instant) -> bool {
--- a/crates/pomeloridge_gateway/tests/usage.rs
+++ b/crates/pomeloridge_gateway/tests/usage.rs
@@ -30,6 +30,19 @@
     assert!(book.total(8).is_empty());
 }
 
+/// Pattern: a window ends between two reads of the clock.
+#[test]
+fn a_window_has_ended_only_by_the_time_that_is_asked_for() {
+    let now = Instant::now() + Duration::from_mins(1);
+    let (length, late) = (Duration::from_secs(5), Duration::from_secs(10));
+    let window = |now_ms| EndedWindow::new(2, length, late, now, now_ms);
+    assert!(window(14_999).is_none());
+    assert_eq!(window(15_000).unwrap().end, now);
+    let ended = window(17_000).unwrap();
+    assert_eq!(now - ended.end, Duration::from_secs(2));
+    assert_eq!(ended.end - ended.start, length);
+}
+
 /// Pattern: the node that reports is cut off from others as a window ends; times in
 /// seconds after the window's start, the window lasts 5 s and is due 10 s after its end.
 #[parameterized(
