Connect to servers in one place, and give a guarded call only its time

Read on: freeing memory on an engine took a kept connection or opened one, as a sending does, but with other options, and gave it to the same pool; a request that met such a connection would have refused an answer without a length that it accepts on every other. The pool now opens what it keeps. No test: the second way of opening is gone. A guarded call's connection options and deadline both follow from its time, which all three callers worked out for themselves; `call_fresh` takes the time.

--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -3,17 +3,14 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Unframed};
+use pomeloridge_base::http::{Connection, Fault};
 use pomeloridge_policy::dispatch::TargetKey;
 
 use crate::accept::Accepted;
+use crate::pool::Connected;
 use crate::request::{Dispatch, ReplyHead, SendStage};
 use crate::state::State;
 
-/// Time to connect to a server.
-const CONNECT: Duration = Duration::from_millis(300);
-/// Unacknowledged bytes after this time end a connection that has gone silent.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Answers to earlier requests that are passed over on one connection.
 const FOREIGN_ANSWERS: usize = 2;
 /// Bytes of a foreign answer that is passed over.
@@ -120,12 +117,13 @@
     }
     // Reading a prompt twice does no harm; only a run must not be repeated.
     let unrepeatable = !accepted.route.kind.repeatable() && stage != SendStage::Prefill;
-    let kept = state.pool.take(info.address, unrepeatable, state.now());
-    let was_kept = kept.is_some();
-    let mut connection = match kept {
-        Some(connection) => connection,
-        None => open(info.address, deadline).await?,
-    };
+    let connected = state
+        .pool
+        .connect(info.address, unrepeatable, deadline, state.now());
+    let Connected {
+        mut connection,
+        was_kept,
+    } = connected.await.map_err(|_| Failure::Unreachable)?;
     let dispatch = Dispatch {
         server: &info.id,
         account: accepted.account.as_ref(),
@@ -168,17 +166,6 @@
     }
 }
 
-async fn open(address: std::net::SocketAddr, deadline: Instant) -> Result<Connection, Failure> {
-    let options = ConnectOptions {
-        timeout: CONNECT.min(deadline.saturating_duration_since(Instant::now())),
-        user_timeout: Some(USER_TIMEOUT),
-        unframed: Unframed::UntilClose,
-        ..ConnectOptions::default()
-    };
-    let opened = Connection::open(address, options).await;
-    opened.map_err(|_| Failure::Unreachable)
-}
-
 /// Waits until a server has sent nothing to this node for all of `patience`.
 pub(crate) async fn until_silent(state: &State, server: TargetKey, patience: Option<Duration>) {
     let Some(patience) = patience else {
--- a/crates/pomeloridge_gateway/src/pool.rs
+++ b/crates/pomeloridge_gateway/src/pool.rs
@@ -1,12 +1,16 @@
-//! Idle connections to backend servers.
+//! Connections to backend servers, the idle ones kept.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::http::Connection;
+use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Unframed};
 
+/// Time to connect to a server.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Unacknowledged bytes after this time end a connection that has gone silent.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that an idle connection is kept if its server says nothing of it.
 const IDLE_DEFAULT: Duration = Duration::from_secs(4);
 /// Time before a server's own limit at which its connection is given up.
@@ -19,18 +23,46 @@
     until: Instant,
 }
 
+/// A connection to a server.
+pub(crate) struct Connected {
+    pub(crate) connection: Connection,
+    /// Whether it was idle before.
+    pub(crate) was_kept: bool,
+}
+
 /// The idle connections by server address.
 #[derive(Default)]
 pub(crate) struct Pool(RefCell<HashMap<SocketAddr, Vec<Idle>>>);
 
 impl Pool {
-    /// An idle connection that is still good; `unrepeatable` asks for a recent one.
-    pub(crate) fn take(
+    /// An idle connection that is still good, or a new one; `unrepeatable` asks for one
+    /// that was used a moment ago.
+    pub(crate) async fn connect(
         &self,
         address: SocketAddr,
         unrepeatable: bool,
+        deadline: Instant,
         now: Instant,
-    ) -> Option<Connection> {
+    ) -> Result<Connected, Fault> {
+        if let Some(connection) = self.take(address, unrepeatable, now) {
+            return Ok(Connected {
+                connection,
+                was_kept: true,
+            });
+        }
+        let options = ConnectOptions {
+            timeout: CONNECT.min(deadline.saturating_duration_since(now)),
+            user_timeout: Some(USER_TIMEOUT),
+            unframed: Unframed::UntilClose,
+            ..ConnectOptions::default()
+        };
+        Ok(Connected {
+            connection: Connection::open(address, options).await?,
+            was_kept: false,
+        })
+    }
+
+    fn take(&self, address: SocketAddr, unrepeatable: bool, now: Instant) -> Option<Connection> {
         let mut pool = self.0.borrow_mut();
         let idle = pool.get_mut(&address)?;
         while let Some(last) = idle.pop() {
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::http::{ConnectOptions, Connection};
 use pomeloridge_policy::dispatch::{Plan, TargetKey};
 
 use crate::accept::Accepted;
 use crate::attempt::Sent;
 use crate::exchange::{Exchange, Failure, Sending, exchange};
+use crate::pool::Connected;
 use crate::request::{MemorySource, SendStage};
 use crate::state::State;
 
@@ -54,13 +54,12 @@
 async fn release(state: &State, source: &MemorySource) {
     let message = (state.ports.server.release)(&source.handle);
     let deadline = Instant::now() + RELEASE_TIME;
-    let kept = state.pool.take(source.address, false, state.now());
-    let connection = match kept {
-        Some(connection) => Ok(connection),
-        None => Connection::open(source.address, ConnectOptions::default()).await,
-    };
-    let outcome = match connection {
-        Ok(mut connection) => {
+    let connected = state
+        .pool
+        .connect(source.address, false, deadline, state.now())
+        .await;
+    let outcome = match connected {
+        Ok(Connected { mut connection, .. }) => {
             let answer = connection.exchange(&message, deadline).await;
             if answer.is_ok() {
                 state.pool.put(connection, None, state.now());
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -7,9 +7,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::http::{Outgoing, Response};
 use pomeloridge_base::id::Name;
-use pomeloridge_platform::{Authority, PlatformError, call_fresh, write_options};
+use pomeloridge_platform::{Authority, PlatformError, call_fresh};
 use pomeloridge_policy::dispatch::{Stage, Target};
 use pomeloridge_policy::staging::{EngineView, StageChange, changes};
 
@@ -117,7 +116,7 @@
         target.ok_or(PlatformError::NotFound)?.info.address
     };
     let port = &state.ports.server;
-    let report = call(address, &(port.report)(), || true).await?;
+    let report = call_fresh(address, &(port.report)(), CALL_TIME, || true).await?;
     let seen = (port.state)(&report.body);
     let seen = seen.ok_or_else(|| PlatformError::Malformed("an engine's report".to_owned()))?;
     if seen.busy || seen.stage == change.stage {
@@ -131,7 +130,10 @@
         holder: state.name.clone(),
         epoch: permit.epoch(),
     };
-    let answer = call(address, &(port.order)(&order), || permit.allowed()).await?;
+    let answer = call_fresh(address, &(port.order)(&order), CALL_TIME, || {
+        permit.allowed()
+    })
+    .await?;
     log::info!(
         "stage server={} from={} to={} expected={} epoch={} status={}",
         change.id,
@@ -143,20 +145,3 @@
     );
     Ok(())
 }
-
-/// Calls an engine on a fresh connection, and only if `allowed` holds before the write.
-async fn call(
-    address: std::net::SocketAddr,
-    message: &Outgoing,
-    allowed: impl FnOnce() -> bool,
-) -> Result<Response, PlatformError> {
-    let deadline = Instant::now() + CALL_TIME;
-    call_fresh(
-        address,
-        message,
-        write_options(CALL_TIME),
-        deadline,
-        allowed,
-    )
-    .await
-}
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -221,13 +221,24 @@
         allowed: impl FnOnce() -> bool,
     ) -> Result<Response, PlatformError> {
         self.counts.add(kind);
-        let answer = call_fresh(self.address, &request, options, deadline, allowed).await?;
+        let answer = call_with(self.address, &request, options, deadline, allowed).await?;
         (self.form.accept)(answer)
     }
 }
 
-/// Calls on a fresh connection, and writes only if `allowed` holds directly before.
+/// Sends what changes something on a fresh connection, if `allowed` holds directly before
+/// the write; it ends within `time`, also in the kernel.
 pub async fn call_fresh(
+    address: SocketAddr,
+    request: &Outgoing,
+    time: Duration,
+    allowed: impl FnOnce() -> bool,
+) -> Result<Response, PlatformError> {
+    let deadline = Instant::now() + time;
+    call_with(address, request, write_options(time), deadline, allowed).await
+}
+
+async fn call_with(
     address: SocketAddr,
     request: &Outgoing,
     options: ConnectOptions,
