Keep the fake of the fleet's platform in `platform/`, with one set of callers

Read on: the fake and the soak spoke the platform's wire outside `platform/`, where only translation may; and the process tests and the soak each wrote callers' requests, sent them, asked for readiness and read streams. The fake is now a crate of its own, `platform/standin`, with the requests of callers, the history read into the project's words, and what operators do to the configuration; the process tests and the soak use these. The fake is a program of its own instead of a part of `pomeloridge_standin`.

--- a/crates/pomeloridge_dev/src/launch/fleet.rs
+++ b/crates/pomeloridge_dev/src/launch/fleet.rs
@@ -74,8 +74,7 @@
         let folder =
             std::env::temp_dir().join(format!("pomeloridge-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let args = ["fleet".to_owned()];
-        let platform = Process::start("fleet", "pomeloridge_standin", &args, &folder)?;
+        let platform = Process::start("fleet", "pomeloridge_fleet_standin", &[], &folder)?;
         let (store, duties) = (platform.address("store")?, platform.address("duties")?);
         let start =
             |index: usize| Gateway::start(&format!("front-{index}"), &folder, [store, duties]);
--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -1,7 +1,6 @@
 //! Callers that keep asking all kinds of requests and note what they get.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,7 +10,8 @@
 use derive_more::Display;
 use http::Method;
 use monoio::time::sleep;
-use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, Unframed, call};
+use pomeloridge_base::http::{Connection, Outgoing, Response};
+use pomeloridge_fleet_standin::caller::{self, ask, is_ready};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -19,8 +19,6 @@
 
 /// Callers at a time.
 const CALLERS: u64 = 10;
-/// Time after which a caller leaves.
-const PATIENCE: Duration = Duration::from_secs(6);
 /// Longest pause of a caller between two requests, in ms.
 const PAUSE_MS: u64 = 40;
 /// One in so many requests meets a fault at its first server.
@@ -79,35 +77,18 @@
     }
 }
 
-/// A request of a route with its own attempt id and the key of an account.
-pub(super) fn request(route: Route, attempt: &str, key: &str) -> Outgoing {
-    let method = match route {
-        Route::Read => Method::GET,
-        _ => Method::POST,
-    };
-    let message = Outgoing::new(method, format!("/{route}/x"))
-        .with("host", "fleet.example")
-        .with("pomeloridge-attempt-id", attempt)
-        .with("pomeloridge-deadline-ms", "3000")
-        .with("pomeloridge-key", key);
-    if !route.streams() {
-        return message;
+/// A request to a route with its own attempt id.
+pub(super) fn request(route: Route, attempt: &str) -> Outgoing {
+    // Some prompts are long enough to be read apart.
+    let long = attempt.len().is_multiple_of(2);
+    let name = route.to_string();
+    match route {
+        Route::Read => caller::request(Method::GET, &name, attempt),
+        Route::Lodge => caller::request(Method::POST, &name, attempt),
+        Route::Ask | Route::Note => {
+            caller::generation(&name, attempt, if long { 12_000 } else { 300 })
+        }
     }
-    // Some prompts are long enough to be read apart; part ids are hexadecimal.
-    let own = hash_of(attempt);
-    let tokens = if own.is_multiple_of(2) { 12_000 } else { 300 };
-    let parts = format!("a1:100,{own:x}:{}", tokens - 100);
-    message
-        .with("pomeloridge-model", "m")
-        .with("pomeloridge-token-counts", &format!("{tokens},8"))
-        .with("pomeloridge-prompt-prefix", &parts)
-        .body("a prompt")
-}
-
-fn hash_of(attempt: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    attempt.hash(&mut hasher);
-    hasher.finish()
 }
 
 /// Starts callers on a thread of their own; they end once `done` is set.
@@ -143,7 +124,7 @@
     while !done.load(Ordering::Relaxed) {
         let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
         let attempt = format!("s{seed}c{caller}n{}", calls.len());
-        let mut message = request(route, &attempt, "key-of-anna");
+        let mut message = request(route, &attempt);
         if rng.random_range(0..FAULT_SHARE) == 0 {
             let faults = ["lost", "shed", "error", "cut"];
             message = message.with("x-fault", faults[rng.random_range(0..faults.len())]);
@@ -167,27 +148,6 @@
     calls
 }
 
-async fn ask(
-    gateway: SocketAddr,
-    kept: Option<Connection>,
-    message: &Outgoing,
-) -> Result<(Response, Connection), String> {
-    let options = ConnectOptions {
-        unframed: Unframed::UntilClose,
-        ..ConnectOptions::default()
-    };
-    let mut connection = match kept.filter(Connection::quiet) {
-        Some(connection) => connection,
-        None => Connection::open(gateway, options)
-            .await
-            .map_err(|fault| fault.to_string())?,
-    };
-    let answer = connection
-        .exchange(message, Instant::now() + PATIENCE)
-        .await;
-    Ok((answer.map_err(|fault| fault.to_string())?, connection))
-}
-
 /// Asks once on a fresh connection.
 pub(super) fn ask_once(gateway: SocketAddr, message: &Outgoing) -> Result<Response, String> {
     block_on(async {
@@ -201,11 +161,7 @@
     block_on(async {
         let end = Instant::now() + time;
         for gateway in gateways {
-            let ready = async || {
-                let asked = call(gateway, &Outgoing::get("/-/readiness"), PATIENCE).await;
-                asked.is_ok_and(|answer| answer.status == 200)
-            };
-            while !ready().await {
+            while !is_ready(gateway).await {
                 if Instant::now() >= end {
                     return Ok(false);
                 }
--- a/crates/pomeloridge_dev/src/soak/director.rs
+++ b/crates/pomeloridge_dev/src/soak/director.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
+use pomeloridge_fleet_standin::operate::toggle_key;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::{Value, json};
 
 use super::GATEWAYS;
 use crate::launch::{Fleet, RelayMode, get_json, post_json};
@@ -179,17 +179,7 @@
 /// Gives the account its spare key, or withdraws it; whether it has it then.
 fn change(fleet: &Fleet) -> Result<bool, String> {
     let object = get_json(fleet.store, "/-/objects/config/main")?;
-    let mut spec = object["spec"].clone();
-    let version = spec["version"].as_u64().unwrap_or_default();
-    spec["version"] = json!(version + 1);
-    let keys = spec["tenants"][0]["apiKeys"].as_array().cloned();
-    let mut keys = keys.unwrap_or_default();
-    let had = keys.iter().any(|key| key == SPARE_KEY);
-    keys.retain(|key| key != SPARE_KEY);
-    if !had {
-        keys.push(json!(SPARE_KEY));
-    }
-    spec["tenants"][0]["apiKeys"] = Value::Array(keys);
-    post_json(fleet.duties, "/-/config", &spec)?;
-    Ok(!had)
+    let (next, has_key) = toggle_key(&object["spec"], SPARE_KEY);
+    post_json(fleet.duties, "/-/config", &next)?;
+    Ok(has_key)
 }
--- a/crates/pomeloridge_dev/src/soak/verdict.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use pomeloridge_fleet_standin::caller::{KEY, events, says_not_run, with_key};
+use pomeloridge_fleet_standin::history::Entry;
 use serde_json::Value;
 
 use super::callers::{Call, Route, ask_once, request, until_ready};
@@ -13,61 +15,59 @@
 const EVENTS: u64 = 8;
 /// Time after the last fault in which all is as without faults.
 const RECOVERY: Duration = Duration::from_secs(8);
-/// Statuses that say that the request did not run and will not.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
-
-/// The runs of one request: what servers received, but for prompts read apart and for
-/// what they turned away.
-fn runs<'a>(received: &HashMap<&str, Vec<&'a Value>>, call: &Call) -> Vec<&'a Value> {
-    let received = received.get(call.attempt.as_str());
-    let received = received.into_iter().flatten().copied();
-    let ran = |entry: &&Value| entry["stage"] != "prefill" && entry["fault"] != "shed";
-    received.filter(ran).collect()
-}
+/// Client account of all callers.
+const ACCOUNT: &str = "anna";
 
 /// What calls and history show to be broken.
 pub fn check(calls: &[Call], history: &[Value]) -> Vec<String> {
-    let mut received: HashMap<&str, Vec<&Value>> = HashMap::new();
-    for entry in history.iter().filter(|entry| !entry["path"].is_null()) {
-        let attempt = entry["attempt"].as_str().unwrap_or_default();
-        received.entry(attempt).or_default().push(entry);
-    }
+    let entries: Vec<Entry> = history.iter().filter_map(Entry::read).collect();
+    let mut runs: HashMap<&str, usize> = HashMap::new();
     let mut broken = Vec::new();
-    for call in calls {
-        let runs = runs(&received, call);
-        broken.extend(check_call(call, &runs));
-    }
-    for entry in received.values().flatten() {
-        if entry["key"] == true || entry["tenant"] != "anna" {
-            broken.push(format!("a server got a key or no account: {entry}"));
+    for entry in &entries {
+        let Entry::Sent {
+            attempt,
+            account,
+            key_seen,
+            ran,
+        } = entry
+        else {
+            continue;
+        };
+        *runs.entry(attempt).or_default() += usize::from(*ran);
+        if *key_seen || account != ACCOUNT {
+            broken.push(format!("a server got a key or no account: {entry:?}"));
         }
     }
-    broken.extend(check_duties(history));
+    for call in calls {
+        let runs = runs.get(call.attempt.as_str()).copied().unwrap_or_default();
+        broken.extend(check_call(call, runs));
+    }
+    broken.extend(check_duties(&entries));
     broken
 }
 
-fn check_call(call: &Call, runs: &[&Value]) -> Vec<String> {
+fn check_call(call: &Call, runs: usize) -> Vec<String> {
     let mut broken = Vec::new();
     let label = format!("{} {}", call.route, call.attempt);
-    if runs.len() > call.route.most_runs() {
-        broken.push(format!("{label}: {} runs: {runs:?}", runs.len()));
+    if runs > call.route.most_runs() {
+        broken.push(format!("{label}: {runs} runs"));
     }
     let Some(answer) = &call.answer else {
         return broken;
     };
-    if NOT_RUN.contains(&answer.status.as_u16()) && !runs.is_empty() {
-        broken.push(format!("{label}: said not to have run, and did: {runs:?}"));
+    if says_not_run(answer) && runs > 0 {
+        broken.push(format!(
+            "{label}: said not to have run, and did: {runs} runs"
+        ));
     }
-    if answer.status == 200 && runs.is_empty() {
+    if answer.status == 200 && runs == 0 {
         broken.push(format!("{label}: answered by nobody"));
     }
     if answer.status == 200 && call.route.streams() {
-        let text = String::from_utf8_lossy(&answer.body);
-        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
-        let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
+        let ids = events(answer);
         let in_order = ids.iter().copied().eq(1..=ids.len() as u64);
         let whole = ids.len() as u64 == EVENTS;
-        if !in_order || (!whole && call.route == Route::Ask && runs.len() < 2) {
+        if !in_order || (!whole && call.route == Route::Ask && runs < 2) {
             broken.push(format!("{label}: events {ids:?}"));
         }
     }
@@ -75,22 +75,24 @@
 }
 
 /// One holder at a time, and one count for each window.
-fn check_duties(history: &[Value]) -> Vec<String> {
+fn check_duties(entries: &[Entry]) -> Vec<String> {
     let mut broken = Vec::new();
-    let mut fence = 0;
+    let mut highest = 0;
     let mut windows: BTreeMap<u64, &Value> = BTreeMap::new();
-    for entry in history.iter().filter(|entry| !entry["call"].is_null()) {
-        let token = entry["fence"].as_str().and_then(|text| text.parse().ok());
-        let token: u64 = token.unwrap_or_default();
-        if token < fence {
-            broken.push(format!("a call by {token} after one by {fence}: {entry}"));
+    for entry in entries {
+        let Entry::Duty { fence, window } = entry else {
+            continue;
+        };
+        if *fence < highest {
+            broken.push(format!(
+                "a call by {fence} after one by {highest}: {entry:?}"
+            ));
         }
-        fence = fence.max(token);
-        let body = &entry["body"];
-        if let Some(window) = body["windowIndex"].as_u64() {
-            let first = windows.entry(window).or_insert(body);
-            if *first != body {
-                broken.push(format!("window {window} told as {first} and as {body}"));
+        highest = highest.max(*fence);
+        if let Some((window, counts)) = window {
+            let first = windows.entry(*window).or_insert(counts);
+            if *first != counts {
+                broken.push(format!("window {window} told as {first} and as {counts}"));
             }
         }
     }
@@ -109,8 +111,9 @@
     }
     let expected = if directed.spare_key { 200 } else { 401 };
     for (index, gateway) in fleet.gateways.iter().enumerate() {
-        for (key, status) in [("key-of-anna", 200), (SPARE_KEY, expected)] {
-            let message = request(Route::Read, &format!("after-{index}-{key}"), key);
+        for (key, status) in [(KEY, 200), (SPARE_KEY, expected)] {
+            let message = request(Route::Read, &format!("after-{index}-{key}"));
+            let message = with_key(message, key);
             let answer = ask_once(gateway.caller, &message);
             let got = answer.as_ref().map(|answer| answer.status.as_u16());
             if got != Ok(status) {
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
-use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, Unframed, call};
+use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, call};
 use pomeloridge_dev::launch::Fleet;
+use pomeloridge_fleet_standin::caller::{self, events, generation, is_ready, request};
 use serde_json::Value;
 use yare::parameterized;
 
@@ -26,11 +27,7 @@
 
     async fn until_ready(&self) {
         for gateway in &self.0.gateways {
-            until(async || {
-                let asked = call(gateway.ready, &Outgoing::get("/-/readiness"), CALL_TIME).await;
-                asked.is_ok_and(|answer| answer.status == 200)
-            })
-            .await;
+            until(async || is_ready(gateway.ready).await).await;
         }
     }
 
@@ -54,18 +51,8 @@
 }
 
 async fn ask(address: SocketAddr, request: Outgoing) -> Result<Response, String> {
-    let options = ConnectOptions {
-        unframed: Unframed::UntilClose,
-        ..ConnectOptions::default()
-    };
-    let mut connection = Connection::open(address, options)
-        .await
-        .map_err(|f| f.to_string())?;
-    let deadline = Instant::now() + CALL_TIME;
-    connection
-        .exchange(&request, deadline)
-        .await
-        .map_err(|f| f.to_string())
+    let answer = caller::ask(address, None, &request).await;
+    answer.map(|(answer, _)| answer)
 }
 
 async fn until(mut holds: impl AsyncFnMut() -> bool) {
@@ -84,31 +71,6 @@
     runtime.block_on(test);
 }
 
-fn request(method: Method, route: &str, attempt: &str) -> Outgoing {
-    Outgoing::new(method, format!("/{route}/x?q=1"))
-        .with("host", "fleet.example")
-        .with("pomeloridge-attempt-id", attempt)
-        .with("pomeloridge-deadline-ms", "3000")
-        .with("pomeloridge-key", "key-of-anna")
-}
-
-fn generation(route: &str, attempt: &str, tokens: u64) -> Outgoing {
-    request(Method::POST, route, attempt)
-        .with("pomeloridge-model", "m")
-        .with("pomeloridge-token-counts", &format!("{tokens},8"))
-        .with(
-            "pomeloridge-prompt-prefix",
-            &format!("a1:100,{attempt}:{}", tokens - 100),
-        )
-        .body("a prompt")
-}
-
-fn events(response: &Response) -> Vec<u64> {
-    let text = std::str::from_utf8(&response.body).unwrap();
-    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
-    ids.map(|id| id.parse().unwrap()).collect()
-}
-
 #[test]
 fn requests_of_all_kinds_are_served() {
     let deployment = Deployment::start("kinds", 1);
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -1,4 +1,4 @@
-//! The configuration as nodes read it from one another.
+//! What nodes read from one another over HTTP, and the metrics.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/pomeloridge_standin/src/lib.rs
+++ b/crates/pomeloridge_standin/src/lib.rs
@@ -5,7 +5,6 @@
 //! system against what really reached the outside.
 
 mod engine;
-mod fleet;
 mod history;
 mod leak;
 mod listen;
@@ -21,7 +20,6 @@
 use clap::{Parser, Subcommand};
 
 pub use engine::{BLOCK_BYTES, EngineArgs, blocks};
-pub use fleet::FleetArgs;
 pub use platform::PlatformArgs;
 pub use service::ServiceArgs;
 pub use token::{prompt_hash, token};
@@ -47,8 +45,6 @@
     Engine(EngineArgs),
     /// One plain service.
     Service(ServiceArgs),
-    /// The fleet's platform: store, backend servers and duties.
-    Fleet(FleetArgs),
 }
 
 /// Runs one stand-in until SIGTERM; fails if its address can't be taken.
@@ -64,7 +60,6 @@
             Part::Platform(args) => platform::run(args).await,
             Part::Engine(args) => engine::run(args).await,
             Part::Service(args) => service::run(args).await,
-            Part::Fleet(args) => fleet::run(args).await,
         }
     })
 }
