Drop a pause that could not be reached

Read on: the first read of the configuration always gives a revision to watch from, also of an empty list, so that the pause before another read was dead; an empty list is followed by a watch.

--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -12,8 +12,6 @@
 use crate::server_list::{Applied, ListChange};
 use crate::state::{InForce, State};
 
-/// Pause before a configuration that is not there yet is looked for again.
-const ABSENT_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two looks for lapsed servers.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two looks whether to watch, while peers do.
@@ -101,10 +99,6 @@
             Ok(revision) => {
                 dependency.answered(state.now());
                 state.store_heard.set(state.clock.stamp());
-                // A list that holds nothing yet is read again after a pause.
-                if after.is_none() && revision.is_none() {
-                    monoio::time::sleep(ABSENT_PAUSE).await;
-                }
                 after = revision;
             }
             Err(error) => {
