Log what tells the causes of repeats apart: fingerprint, server start, budget, server's notice

Change, no decision among it: `print=` (account, path and body) on the lines of a request, `born=` on the list's, `not_listening` apart from `unreachable`, `repeats choice=deny` with what was made and allowed, a line for what a server asks (Server-Leaving, Retry-After on 503), a counter of denied repeats.

Policy, gateway and adapter tests pass.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -6,6 +6,7 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
+use pomeloridge_policy::suspicion::Fingerprint;
 
 use crate::config::{Account, Route, RouteKind, ServingConfig};
 use crate::request::Inbound;
@@ -19,6 +20,8 @@
 /// A request that was let in.
 pub(crate) struct Accepted {
     pub(crate) inbound: Inbound,
+    /// The same for each return of the caller with this request.
+    pub(crate) print: Fingerprint,
     pub(crate) route: Rc<Route>,
     pub(crate) service: Name,
     pub(crate) account: Option<Name>,
@@ -77,7 +80,9 @@
             let patience = inbound.patience.unwrap_or(PATIENCE).min(route.timeout);
             let priority = account.as_ref().and_then(|account| account.priority);
             let account = account.map(|account| account.name);
+            let known = account.clone().unwrap_or_default();
             Ok(Accepted {
+                print: Fingerprint::of(&known, inbound.path(), &inbound.body),
                 rank: priority.unwrap_or(route.priority).min(LAST_RANK),
                 deadline: arrived + patience,
                 inbound,
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -138,9 +138,10 @@
         self.sent = now;
         self.prefilled |= plan.prefill.is_some();
         log::info!(
-            "request id={} choice=send route={} service={} server={} prefill={} unread={} \
-             fetch={} predicted_ms={} attempt={} left_ms={}",
+            "request id={} print={} choice=send route={} service={} server={} prefill={} \
+             unread={} fetch={} predicted_ms={} attempt={} left_ms={}",
             accepted.inbound.label(),
+            accepted.print,
             accepted.route.name,
             accepted.service,
             state.server_name(plan.run),
@@ -185,8 +186,9 @@
     pub(crate) fn failed(&mut self, server: TargetKey, failure: Failure) -> Result<(), Refusal> {
         let again = self.may_repeat(server, failure);
         log::info!(
-            "request id={} server={} failure={failure} again={}",
+            "request id={} print={} server={} failure={failure} again={}",
             self.accepted.inbound.label(),
+            self.accepted.print,
             self.state.server_name(server),
             again.is_ok()
         );
@@ -216,8 +218,9 @@
     /// The run that follows is the request's first.
     pub(crate) fn prefill_failed(&mut self, reader: TargetKey, failure: Failure) {
         log::info!(
-            "request id={} server={} failure={failure} choice=run_without_prefill",
+            "request id={} print={} server={} failure={failure} choice=run_without_prefill",
             self.accepted.inbound.label(),
+            self.accepted.print,
             self.state.server_name(reader)
         );
         // A prefill that was turned away counts as a repeat.
@@ -253,7 +256,7 @@
             return;
         }
         let dead = match failure {
-            Failure::Unreachable | Failure::Misdirected => true,
+            Failure::Unreachable | Failure::NotListening | Failure::Misdirected => true,
             // A server that answers others is slow, not gone.
             Failure::Silent => dispatcher.is_silent_since(server, self.sent),
             _ => false,
@@ -302,7 +305,9 @@
 /// The answer after the last attempt.
 fn final_kind(failure: Failure) -> ErrorKind {
     match failure {
-        Failure::Unreachable | Failure::Leaving | Failure::Misdirected => ErrorKind::NoServer,
+        Failure::Unreachable | Failure::NotListening | Failure::Leaving | Failure::Misdirected => {
+            ErrorKind::NoServer
+        }
         Failure::Refused => ErrorKind::Overloaded,
         Failure::Stale | Failure::Lost => ErrorKind::ServerLost,
         Failure::Broken => ErrorKind::ServerFault,
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One sending of a request to one server, up to the head of the answer.
 
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
@@ -8,7 +9,7 @@
 
 use crate::accept::Accepted;
 use crate::pool::Connected;
-use crate::request::{Dispatch, ReplyHead, SendStage};
+use crate::request::{Dispatch, Notice, ReplyHead, SendStage};
 use crate::state::State;
 
 /// Answers to earlier requests that are passed over on one connection.
@@ -22,6 +23,9 @@
     /// Nothing was written.
     #[display("unreachable")]
     Unreachable,
+    /// Nothing was written, as no process listens at the server's address.
+    #[display("not_listening")]
+    NotListening,
     /// Nothing was written, as the server takes no new requests.
     #[display("leaving")]
     Leaving,
@@ -50,13 +54,27 @@
     pub(crate) fn not_run(self) -> bool {
         matches!(
             self,
-            Self::Unreachable | Self::Leaving | Self::Refused | Self::Misdirected
+            Self::Unreachable
+                | Self::NotListening
+                | Self::Leaving
+                | Self::Refused
+                | Self::Misdirected
         )
     }
 
     /// Whether the request reached the server.
     pub(crate) fn arrived(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::Leaving)
+        !matches!(self, Self::Unreachable | Self::NotListening | Self::Leaving)
+    }
+
+    /// The failure that a fault before the write stands for.
+    pub(crate) fn before_write(fault: &Fault) -> Self {
+        match fault {
+            Fault::Connect(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                Self::NotListening
+            }
+            _ => Self::Unreachable,
+        }
     }
 
     /// The failure that a fault after the write stands for.
@@ -123,7 +141,9 @@
     let Connected {
         mut connection,
         was_kept,
-    } = connected.await.map_err(|_| Failure::Unreachable)?;
+    } = connected
+        .await
+        .map_err(|fault| Failure::before_write(&fault))?;
     let dispatch = Dispatch {
         server: &info.id,
         account: accepted.account.as_ref(),
@@ -147,6 +167,17 @@
     if head.misdirected {
         return Err(Failure::Misdirected);
     }
+    if head.notice != Notice::default() {
+        let back_in = head.notice.back_in.unwrap_or_default();
+        log::info!(
+            "request id={} print={} server={} notice leaving={} back_in_ms={}",
+            accepted.inbound.label(),
+            accepted.print,
+            info.id,
+            head.notice.leaving,
+            back_in.as_millis()
+        );
+    }
     if head.not_run {
         let idle = head.idle;
         if connection.body(FOREIGN_BYTES, deadline).await.is_ok() {
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -38,7 +38,7 @@
 pub use events::{Event, EventSplitter};
 pub use node::run;
 pub use register::Register;
-pub use request::{Dispatch, Handle, Inbound, MemorySource, ReplyHead, SendStage};
+pub use request::{Dispatch, Handle, Inbound, MemorySource, Notice, ReplyHead, SendStage};
 pub use server_list::{Applied, ListChange, ServerList};
 pub use settings::ReadAgain;
 pub use state::Parts;
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -103,6 +103,17 @@
     pub load: Option<(u32, u32)>,
     /// Time after which the server closes the connection if it is idle.
     pub idle: Option<Duration>,
+    /// What the server asks of this node.
+    pub notice: Notice,
+}
+
+/// What a server asks, with any answer, of the node that reads it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Time for which it wants no request of this node.
+    pub back_in: Option<Duration>,
+    /// Whether it is leaving.
+    pub leaving: bool,
 }
 
 impl ReplyHead {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -10,7 +10,7 @@
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::clock::{SharedClock, Stamp};
 use pomeloridge_base::id::{Epoch, Name};
-use pomeloridge_base::meter::Meter;
+use pomeloridge_base::meter::{Counter, Meter};
 use pomeloridge_base::settings::Checked;
 use pomeloridge_platform::{Client, Object};
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
@@ -209,7 +209,18 @@
     /// Charges a repeat to the node's part of the fleet's budget.
     pub(crate) fn may_repeat(&self, service: &Name) -> bool {
         let nodes = self.peers.borrow().live(self.now()) + 1;
-        self.budget(service, |budget, now| budget.spend(nodes, now))
+        let (standing, allowed) = self.budget(service, |budget, now| {
+            (budget.standing(nodes, now), budget.spend(nodes, now))
+        });
+        if !allowed {
+            self.meter.one(Counter::RepeatsDenied);
+            log::info!(
+                "repeats service={service} choice=deny made={} bound={:.1} nodes={nodes}",
+                standing.made,
+                standing.bound
+            );
+        }
+        allowed
     }
 
     /// Charges a repeat that was made already.
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -305,11 +305,12 @@
         }
         return gone;
     };
-    let (leaving, role) = (info.leaving, info.stage);
+    let (leaving, role, born) = (info.leaving, info.stage, info.born);
     let changed = register.put(name.clone(), info);
     if changed {
         log::info!(
-            "server id={name} choice=update leaving={leaving} stage={role} revision={}",
+            "server id={name} choice=update born={born} leaving={leaving} stage={role} \
+             revision={}",
             event.version
         );
     }
--- a/crates/pomeloridge_policy/src/repeat_budget.rs
+++ b/crates/pomeloridge_policy/src/repeat_budget.rs
@@ -34,6 +34,15 @@
     repeats: u32,
 }
 
+/// Repeats of the current window, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatStanding {
+    /// Made by this node.
+    pub made: u32,
+    /// Most that it may make.
+    pub bound: f64,
+}
+
 /// The repeats that one node makes at one service.
 #[derive(Debug)]
 pub struct RepeatBudget {
@@ -60,8 +69,8 @@
         self.slice(now).requests += 1;
     }
 
-    /// Counts a repeat if there is room for it; `nodes` share the fixed number.
-    pub fn spend(&mut self, nodes: usize, now: Instant) -> bool {
+    /// The repeats made and allowed; `nodes` share the fixed number.
+    pub fn standing(&mut self, nodes: usize, now: Instant) -> RepeatStanding {
         self.slice(now);
         let (requests, repeats) = self
             .slices
@@ -71,7 +80,16 @@
             });
         let share = f64::from(requests) * self.limits.ratio * SHARE_SPENT;
         let fixed = self.limits.slack * FIXED_SPENT / nodes.max(1) as f64;
-        if f64::from(repeats + 1) > share + fixed {
+        RepeatStanding {
+            made: repeats,
+            bound: share + fixed,
+        }
+    }
+
+    /// Counts a repeat if there is room for it; `nodes` share the fixed number.
+    pub fn spend(&mut self, nodes: usize, now: Instant) -> bool {
+        let standing = self.standing(nodes, now);
+        if f64::from(standing.made + 1) > standing.bound {
             return false;
         }
         self.slice(now).repeats += 1;
--- a/crates/pomeloridge_policy/src/suspicion.rs
+++ b/crates/pomeloridge_policy/src/suspicion.rs
@@ -23,7 +23,10 @@
 const ENTRIES_KEPT: usize = 4096;
 
 /// What makes two requests the same: account, route and body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+///
+/// Shown as its first bytes, which tell requests apart in a log.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display("{}", hex::encode(&_0[..8]))]
 pub struct Fingerprint(pub [u8; 32]);
 
 impl Fingerprint {
