Reproduce requests that end servers: in the fake platform, a test and the soak

Requests count by path over all attempts and gateways; the bound is the users' own, three more sendings after the third end.

--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -11,7 +11,7 @@
 use http::Method;
 use monoio::time::sleep;
 use pomeloridge_base::http::{Connection, Outgoing, Response};
-use pomeloridge_fleet_standin::caller::{self, ask, is_ready};
+use pomeloridge_fleet_standin::caller::{self, Crash, ask, is_ready};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -23,6 +23,10 @@
 const PAUSE_MS: u64 = 40;
 /// One in so many requests meets a fault at its first server.
 const FAULT_SHARE: u32 = 8;
+/// One in so many requests ends the server that works on it.
+const CRASH_SHARE: u32 = 20;
+/// Requests that do so in a run; each comes again and again, from all callers.
+const CRASHING: u64 = 2;
 /// Pause between two looks at readiness.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -91,6 +95,28 @@
     }
 }
 
+/// A request to any route, which may meet a fault at its first server.
+fn ordinary(rng: &mut StdRng, attempt: &str) -> (Route, Outgoing) {
+    let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
+    let mut message = request(route, attempt);
+    if rng.random_range(0..FAULT_SHARE) == 0 {
+        let faults = ["lost", "shed", "error", "cut"];
+        message = message.with("x-fault", faults[rng.random_range(0..faults.len())]);
+    }
+    (route, message)
+}
+
+/// A request that ends the server that works on it, the same for one number.
+fn crashing(number: u64, attempt: &str) -> (Route, Outgoing) {
+    let of = |count: usize| number as usize % count;
+    let route = Route::ALL[of(Route::ALL.len())];
+    let crash = Crash::ALL[of(Crash::ALL.len())];
+    (
+        route,
+        crash.by(request(route, attempt), &number.to_string()),
+    )
+}
+
 /// Starts callers on a thread of their own; they end once `done` is set.
 pub(super) fn start(
     gateways: Vec<SocketAddr>,
@@ -122,13 +148,12 @@
     let mut kept: HashMap<SocketAddr, Connection> = HashMap::new();
     let mut calls = Vec::new();
     while !done.load(Ordering::Relaxed) {
-        let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
         let attempt = format!("s{seed}c{caller}n{}", calls.len());
-        let mut message = request(route, &attempt);
-        if rng.random_range(0..FAULT_SHARE) == 0 {
-            let faults = ["lost", "shed", "error", "cut"];
-            message = message.with("x-fault", faults[rng.random_range(0..faults.len())]);
-        }
+        let (route, message) = if rng.random_range(0..CRASH_SHARE) == 0 {
+            crashing(seed + rng.random_range(0..CRASHING), &attempt)
+        } else {
+            ordinary(&mut rng, &attempt)
+        };
         let gateway = gateways[rng.random_range(0..gateways.len())];
         // Callers keep their connections for as long as they work.
         let answer = ask(gateway, kept.remove(&gateway), &message).await;
--- a/crates/pomeloridge_dev/src/soak/verdict.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pomeloridge_fleet_standin::caller::{KEY, events, says_not_run, with_key};
-use pomeloridge_fleet_standin::history::Entry;
+use pomeloridge_fleet_standin::history::{Entry, crashes};
 use serde_json::Value;
 
 use super::callers::{Call, Route, ask_once, request, until_ready};
@@ -15,6 +15,8 @@
 const EVENTS: u64 = 8;
 /// Time after the last fault in which all is as without faults.
 const RECOVERY: Duration = Duration::from_secs(8);
+/// Sendings of a request that ends servers, after it must be known, that are allowed.
+const SENT_ON: usize = 3;
 /// Client account of all callers.
 const ACCOUNT: &str = "anna";
 
@@ -29,6 +31,7 @@
             account,
             key_seen,
             ran,
+            ..
         } = entry
         else {
             continue;
@@ -43,9 +46,19 @@
         broken.extend(check_call(call, runs));
     }
     broken.extend(check_duties(&entries));
+    broken.extend(check_crashes(&entries));
     broken
 }
 
+/// A request that ends servers is no longer sent once it must be known.
+fn check_crashes(entries: &[Entry]) -> Vec<String> {
+    let crashes = crashes(entries).into_iter();
+    let sent_on = crashes.filter(|(_, crashes)| crashes.sent_on > SENT_ON);
+    sent_on
+        .map(|(path, crashes)| format!("{path}: {crashes:?}"))
+        .collect()
+}
+
 fn check_call(call: &Call, runs: usize) -> Vec<String> {
     let mut broken = Vec::new();
     let label = format!("{} {}", call.route, call.attempt);
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -8,7 +8,10 @@
 use http::Method;
 use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, call};
 use pomeloridge_dev::launch::Fleet;
-use pomeloridge_fleet_standin::caller::{self, events, generation, is_ready, request};
+use pomeloridge_fleet_standin::caller::{
+    self, Crash, events, generation, is_ready, request, says_not_run,
+};
+use pomeloridge_fleet_standin::history::{Crashes, Entry, KNOWN_ENDS, crashes};
 use serde_json::Value;
 use yare::parameterized;
 
@@ -16,6 +19,10 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 const CALL_TIME: Duration = Duration::from_secs(6);
+/// Further sendings of such a request that the users' pages allow.
+const SENT_ON: usize = 3;
+/// Time after which a caller comes back; a server is up again by then.
+const RETURN_PAUSE: Duration = Duration::from_millis(500);
 
 /// A fake platform and gateways before it.
 struct Deployment(Fleet);
@@ -45,6 +52,13 @@
         history.into_iter().filter(of).collect()
     }
 
+    /// What came of the requests with a path that ended servers.
+    async fn crashes(&self, path: &str) -> Crashes {
+        let history = self.history().await;
+        let entries: Vec<Entry> = history.iter().filter_map(Entry::read).collect();
+        crashes(&entries).get(path).copied().unwrap_or_default()
+    }
+
     async fn ask(&self, request: Outgoing) -> Result<Response, String> {
         ask(self.0.gateways[0].caller, request).await
     }
@@ -279,6 +293,46 @@
     assert!(ended.is_some_and(|status| status.success()));
 }
 
+/// A request that ends servers: as a call, as a run, while its prompt is read apart, and
+/// in the middle of a stream that may be resumed.
+#[parameterized(
+    call = { "read", Crash::Run, 0 },
+    unsafe_call = { "lodge", Crash::Run, 0 },
+    whole_run = { "ask", Crash::Run, 200 },
+    run_of_a_read_prompt = { "ask", Crash::Run, 12_000 },
+    reading = { "ask", Crash::Begin, 12_000 },
+    resumed_stream = { "ask", Crash::Midway, 200 },
+    lone_stream = { "note", Crash::Midway, 200 },
+)]
+fn a_request_that_ends_servers_is_not_sent_on(route: &str, crash: Crash, tokens: u64) {
+    let deployment = Deployment::start(&format!("ends-{route}-{crash}-{tokens}"), 3);
+    run(async {
+        deployment.until_ready().await;
+        let message = |attempt: &str| match tokens {
+            0 => request(Method::POST, route, attempt),
+            _ => generation(route, attempt, tokens),
+        };
+        let mut last = None;
+        // The caller comes back at each gateway in turn, under a new attempt.
+        for turn in 0..10 {
+            let gateway = &deployment.0.gateways[turn % 3];
+            let asked = crash.by(message(&format!("p{turn}")), "1");
+            last = ask(gateway.caller, asked).await.ok();
+            monoio::time::sleep(RETURN_PAUSE).await;
+        }
+        let path = crash.by(message("p"), "1").target;
+        let Crashes { ended, sent_on } = deployment.crashes(&path).await;
+        assert!(ended >= KNOWN_ENDS, "only {ended} servers ended");
+        assert!(sent_on <= SENT_ON, "sent on {sent_on} times; {ended} ended");
+        // It is refused at once, with a time to come back; others are served.
+        let last = last.expect("a refusal is an answer");
+        assert!(says_not_run(&last), "{last:?}");
+        assert!(last.headers.contains_key("retry-after"), "{last:?}");
+        let other = ask(deployment.0.gateways[0].caller, message("o")).await;
+        assert_eq!(other.unwrap().status, 200);
+    });
+}
+
 /// Pattern: a large configuration on small links; each word of a peer that names a newer
 /// one must not start another read of it.
 #[test]
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -70,6 +70,20 @@
     assert_eq!(check(&[], &[first, second]).len(), 1);
 }
 
+/// A request that ends servers counts by its path, under whatever attempts it comes.
+#[parameterized(
+    known_late = { 3, 3, 0 },
+    sent_on = { 3, 4, 1 },
+    not_known_yet = { 2, 9, 0 },
+)]
+fn a_request_that_is_sent_on_is_told(ended: usize, sent: usize, broken: usize) {
+    let end = json!({ "server": "f", "ended_by": "/x" });
+    let ends = std::iter::repeat_n(end, ended);
+    let sent = (0..sent).map(|attempt| run_of(&attempt.to_string()));
+    let history: Vec<Value> = ends.chain(sent).collect();
+    assert_eq!(check(&[], &history).len(), broken);
+}
+
 #[parameterized(
     cuts_and_a_pause = { 1 },
     stops_in_a_row = { 2 },
