Bar requests under which servers end, over all attempts, VMs and restarts

A request that crashes every server which begins to run it was sent on for as often as its caller came back; 10 to 30 servers ended in our test.

What a gateway learns from a failure was kept by attempt and by server; nothing was kept by request. Attempts of one request have different ids, so that each was judged as the first, at every VM. Class of fault: memory keyed by what changes with each try, not by what causes the failures.

Change: `policy::crashes` keeps by fingerprint (account, path, body) the starts of servers that ended while the request was there, on whatever stage or resumption. After three, with no whole answer since, it is barred: refused at once as not run with the time until it may come back, checked where a server is chosen and again directly before every write. A broken connection is no end: a refused connect is, or another start in the list, or silence and a lapsed entry; planned ends don't count. With two ends known, the third is looked for before the request is sent again. Nodes add up what each has seen (a set that only grows, so words may come in any order), tell peers at once from the second end on, and keep what is barred in the node's own object, which every node reads at its start before it counts as ready.

--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -37,6 +37,8 @@
         Failed: "pomeloridge_failed", "Requests that ended in an error after they were sent.";
         Cancelled: "pomeloridge_cancelled", "Requests whose caller went away.";
         Retries: "pomeloridge_retries", "Attempts after the first one.";
+        ServerEnds: "pomeloridge_server_ends", "Backend servers whose process ended while requests of this node were there.";
+        Quarantined: "pomeloridge_quarantined", "Requests refused since servers had ended under them.";
         RepeatsDenied: "pomeloridge_repeats_denied", "Repeats that this node's part of the fleet's budget had no room for.";
         Resumed: "pomeloridge_resumed", "Generations continued on another engine.";
         Tokens: "pomeloridge_output_tokens", "Output tokens sent to callers.";
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -333,6 +333,47 @@
     });
 }
 
+/// Guards against a restart that forgets which requests end servers: of one gateway, and
+/// of the whole fleet at once.
+#[parameterized(
+    one = { 1 },
+    all = { 3 },
+)]
+fn a_restart_does_not_forget_requests_that_end_servers(restarted: usize) {
+    let mut deployment = Deployment::start(&format!("forget-{restarted}"), 3);
+    let asked = |attempt: &str| Crash::Run.by(request(Method::POST, "lodge", attempt), "1");
+    let path = asked("p").target;
+    run(async {
+        deployment.until_ready().await;
+        for turn in 0..KNOWN_ENDS {
+            let gateway = &deployment.0.gateways[turn % 3];
+            let answer = ask(gateway.caller, asked(&format!("p{turn}"))).await;
+            assert_eq!(answer.unwrap().status, 502);
+            monoio::time::sleep(RETURN_PAUSE).await;
+        }
+        let store = deployment.0.store;
+        until(async || {
+            let nodes = Outgoing::get("/-/objects/pomeloridge-nodes");
+            let nodes = call(store, &nodes, CALL_TIME).await.unwrap();
+            String::from_utf8_lossy(&nodes.body).contains("\"print\"")
+        })
+        .await;
+    });
+    for index in 0..restarted {
+        deployment.0.gateways[index].process.kill();
+    }
+    for index in 0..restarted {
+        deployment.0.restart(index).unwrap();
+    }
+    run(async {
+        deployment.until_ready().await;
+        let answer = ask(deployment.0.gateways[0].caller, asked("q")).await;
+        assert!(says_not_run(&answer.unwrap()));
+        let Crashes { ended, sent_on } = deployment.crashes(&path).await;
+        assert_eq!((ended, sent_on), (KNOWN_ENDS, 0));
+    });
+}
+
 /// Pattern: a large configuration on small links; each word of a peer that names a newer
 /// one must not start another read of it.
 #[test]
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -7,10 +7,12 @@
 use pomeloridge_base::error::{ErrorKind, Run};
 use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
+use pomeloridge_policy::crashes::{KNOWN_ENDS, RunEnd, RunKey};
 use pomeloridge_policy::dispatch::{Plan, SendKey, TargetKey, Wanted};
 
 use crate::accept::Accepted;
 use crate::exchange::Failure;
+use crate::server_end;
 use crate::state::State;
 
 /// When a caller may come back to a service that has no free server.
@@ -23,6 +25,8 @@
     state: Rc<State>,
     server: TargetKey,
     key: SendKey,
+    run: Option<RunKey>,
+    end: RunEnd,
     _running: Counted,
 }
 
@@ -37,11 +41,15 @@
         let prompt = accepted.inbound.prompt.as_ref();
         let mut dispatcher = state.dispatcher.borrow_mut();
         let key = dispatcher.send(server, unread, prompt, now);
+        let start = dispatcher.target(server).map(|target| target.info.start());
         drop(dispatcher);
+        let mut crashes = state.crashes.borrow_mut();
         Self {
             state: Rc::clone(state),
             server,
             key,
+            run: start.map(|start| crashes.begin(accepted.print, start)),
+            end: RunEnd::Lost,
             _running: Counted::new(&state.running),
         }
     }
@@ -57,11 +65,27 @@
         dispatcher.prompt_read(self.key);
         dispatcher.answered(self.server, self.state.now());
     }
+
+    /// Notes how the request ended on the server; not told, it was lost there.
+    pub(crate) fn ended(&mut self, end: RunEnd) {
+        self.end = end;
+    }
+
+    /// Notes a failure, which may have left the server alive or untouched.
+    pub(crate) fn failed(&mut self, failure: Failure) {
+        if !failure.may_be_end() {
+            self.ended(RunEnd::Settled);
+        }
+    }
 }
 
 impl Drop for Sent {
     fn drop(&mut self) {
         self.state.dispatcher.borrow_mut().end(self.key);
+        if let Some(run) = self.run {
+            let now = self.state.now();
+            self.state.crashes.borrow_mut().end(run, self.end, now);
+        }
     }
 }
 
@@ -104,6 +128,20 @@
         if accepted.left(now).is_zero() {
             return Err(self.refusal(ErrorKind::DeadlinePassed));
         }
+        if let Some(left) = state.barred(accepted) {
+            state.meter.one(Counter::Quarantined);
+            log::info!(
+                "request id={} print={} choice=refuse reason=\"servers ended under it\" \
+                 left_ms={}",
+                accepted.inbound.label(),
+                accepted.print,
+                left.as_millis()
+            );
+            return Err(Refusal {
+                retry: Some(left),
+                ..self.refusal(ErrorKind::Quarantined)
+            });
+        }
         let wanted = Wanted {
             service: &accepted.service,
             prompt: accepted.inbound.prompt.as_ref(),
@@ -183,7 +221,12 @@
     }
 
     /// Takes in a failed attempt; `Ok` means that the request is sent again.
-    pub(crate) fn failed(&mut self, server: TargetKey, failure: Failure) -> Result<(), Refusal> {
+    pub(crate) async fn failed(
+        &mut self,
+        server: TargetKey,
+        failure: Failure,
+    ) -> Result<(), Refusal> {
+        self.look_for_end(server, failure).await;
         let again = self.may_repeat(server, failure);
         log::info!(
             "request id={} print={} server={} failure={failure} again={}",
@@ -198,6 +241,23 @@
         again
     }
 
+    /// Looks whether the server has ended; where one more end bars the request, that is
+    /// known before it is sent again.
+    async fn look_for_end(&self, server: TargetKey, failure: Failure) {
+        if !failure.may_be_end() {
+            return;
+        }
+        let state = self.state;
+        server_end::look(state, server);
+        let ends = state
+            .crashes
+            .borrow()
+            .ends(&self.accepted.print, state.now());
+        if ends + 1 >= KNOWN_ENDS {
+            server_end::looked(state, server).await;
+        }
+    }
+
     fn may_repeat(&mut self, server: TargetKey, failure: Failure) -> Result<(), Refusal> {
         self.note(server, failure);
         let kind = self.accepted.route.kind;
@@ -216,7 +276,8 @@
     /// Takes in a prefill that failed; its request runs without it.
     ///
     /// The run that follows is the request's first.
-    pub(crate) fn prefill_failed(&mut self, reader: TargetKey, failure: Failure) {
+    pub(crate) async fn prefill_failed(&mut self, reader: TargetKey, failure: Failure) {
+        self.look_for_end(reader, failure).await;
         log::info!(
             "request id={} print={} server={} failure={failure} choice=run_without_prefill",
             self.accepted.inbound.label(),
@@ -263,6 +324,9 @@
         };
         let ejected = dead && dispatcher.eject(server, now);
         drop(dispatcher);
+        if failure == Failure::NotListening {
+            server_end::ended(state, server);
+        }
         if ejected {
             state.meter.one(Counter::Ejections);
             log::info!(
@@ -310,7 +374,8 @@
         }
         Failure::Refused => ErrorKind::Overloaded,
         Failure::Stale | Failure::Lost => ErrorKind::ServerLost,
-        Failure::Broken => ErrorKind::ServerFault,
+        Failure::Barred => ErrorKind::Quarantined,
+        Failure::Broken | Failure::ServerError => ErrorKind::ServerFault,
         Failure::Silent => ErrorKind::DeadlinePassed,
     }
 }
--- a/crates/pomeloridge_gateway/src/call.rs
+++ b/crates/pomeloridge_gateway/src/call.rs
@@ -4,6 +4,7 @@
 
 use pomeloridge_base::http::Response;
 use pomeloridge_base::refusal::Refusal;
+use pomeloridge_policy::crashes::RunEnd;
 use pomeloridge_policy::dispatch::Plan;
 
 use crate::accept::Accepted;
@@ -23,7 +24,8 @@
         let failure = match attempt(state, accepted, plan).await {
             // A server's own failure is worth another try if nothing forbids it.
             Ok(response) if response.status.is_server_error() => {
-                if attempts.failed(plan.run, Failure::Broken).is_err() {
+                let again = attempts.failed(plan.run, Failure::ServerError).await;
+                if again.is_err() {
                     return Ok(response);
                 }
                 continue;
@@ -31,12 +33,12 @@
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
-        attempts.failed(plan.run, failure)?;
+        attempts.failed(plan.run, failure).await?;
     }
 }
 
 async fn attempt(state: &Rc<State>, accepted: &Accepted, plan: Plan) -> Result<Response, Failure> {
-    let sent = Sent::new(state, plan.run, 0, accepted);
+    let mut sent = Sent::new(state, plan.run, 0, accepted);
     let sending = Sending {
         server: plan.run,
         stage: SendStage::Run,
@@ -44,10 +46,22 @@
         last_event: None,
         patience: accepted.silence(),
     };
-    let exchanged = exchange(state, accepted, sending).await?;
+    let exchanged = exchange(state, accepted, sending).await;
+    let exchanged = exchanged.inspect_err(|failure| sent.failed(*failure))?;
     sent.prompt_read();
     state.count_usage(accepted.account.as_ref());
-    gather(state, accepted, exchanged).await
+    let response = gather(state, accepted, exchanged).await?;
+    sent.ended(end_of(&response));
+    Ok(response)
+}
+
+/// What a whole answer says of the request.
+pub(crate) fn end_of(response: &Response) -> RunEnd {
+    if response.status.is_success() {
+        RunEnd::Answered
+    } else {
+        RunEnd::Settled
+    }
 }
 
 /// Reads the rest of an answer.
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -29,6 +29,9 @@
     /// Nothing was written, as the server takes no new requests.
     #[display("leaving")]
     Leaving,
+    /// Nothing was written, as servers have ended under the request.
+    #[display("barred")]
+    Barred,
     /// The server refused it before any work.
     #[display("refused")]
     Refused,
@@ -47,6 +50,9 @@
     /// It was written, and its time ran out.
     #[display("silent")]
     Silent,
+    /// The server ran it and answered with a failure.
+    #[display("server_error")]
+    ServerError,
 }
 
 impl Failure {
@@ -57,6 +63,7 @@
             Self::Unreachable
                 | Self::NotListening
                 | Self::Leaving
+                | Self::Barred
                 | Self::Refused
                 | Self::Misdirected
         )
@@ -64,7 +71,15 @@
 
     /// Whether the request reached the server.
     pub(crate) fn arrived(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::NotListening | Self::Leaving)
+        !matches!(
+            self,
+            Self::Unreachable | Self::NotListening | Self::Leaving | Self::Barred
+        )
+    }
+
+    /// Whether the server's process may have ended under the request.
+    pub(crate) fn may_be_end(self) -> bool {
+        matches!(self, Self::Stale | Self::Lost | Self::Broken | Self::Silent)
     }
 
     /// The failure that a fault before the write stands for.
@@ -130,9 +145,7 @@
             source.map(|source| source.info.address),
         )
     };
-    if info.leaving {
-        return Err(Failure::Leaving);
-    }
+    may_write(state, accepted, server)?;
     // Reading a prompt twice does no harm; only a run must not be repeated.
     let unrepeatable = !accepted.route.kind.repeatable() && stage != SendStage::Prefill;
     let connected = state
@@ -144,6 +157,11 @@
     } = connected
         .await
         .map_err(|fault| Failure::before_write(&fault))?;
+    // Connecting takes time, in which others may have learnt more.
+    if let Err(failure) = may_write(state, accepted, server) {
+        state.pool.put(connection, None, state.now());
+        return Err(failure);
+    }
     let dispatch = Dispatch {
         server: &info.id,
         account: accepted.account.as_ref(),
@@ -188,6 +206,19 @@
     Ok(Exchange { connection, head })
 }
 
+/// Whether a request may still be written to a server: every sending passes here.
+fn may_write(state: &State, accepted: &Accepted, server: TargetKey) -> Result<(), Failure> {
+    if state.barred(accepted).is_some() {
+        return Err(Failure::Barred);
+    }
+    let dispatcher = state.dispatcher.borrow();
+    let target = dispatcher.target(server).ok_or(Failure::Unreachable)?;
+    if target.info.leaving {
+        return Err(Failure::Leaving);
+    }
+    Ok(())
+}
+
 fn note_answer(state: &State, server: TargetKey, head: &ReplyHead) {
     let now = state.now();
     let mut dispatcher = state.dispatcher.borrow_mut();
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod register;
 mod request;
 mod scale_duty;
+mod server_end;
 mod server_list;
 mod settings;
 mod stage_duty;
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -11,7 +11,7 @@
 use pomeloridge_base::net::listen;
 
 use crate::state::{Parts, State};
-use crate::{duties, front, internal, life, peers, watch};
+use crate::{duties, front, internal, life, peers, server_end, watch};
 
 /// Pause between two rounds of housekeeping.
 const SWEEP_PAUSE: Duration = Duration::from_secs(1);
@@ -122,10 +122,11 @@
     callers.run(listener).await;
 }
 
-/// Closes idle connections and applies the configuration's limits on callers.
+/// Closes idle connections, forgets what is old, and applies the configuration's limits on callers.
 async fn keep_house(state: Rc<State>, set_limits: impl Fn(Limits)) {
     loop {
         state.pool.sweep(state.now());
+        server_end::sweep(&state);
         if let Some(config) = state.config() {
             let limits = config.limits;
             set_limits(Limits {
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -2,6 +2,7 @@
 //! time of day and the configuration's revision, in datagrams of which only the
 //! latest matters. Nodes find one another through objects of their own.
 
+mod node_object;
 mod table;
 mod wire;
 
@@ -14,11 +15,10 @@
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::counted::Counted;
 use pomeloridge_base::id::{Epoch, Name};
-use pomeloridge_platform::{Expect, Object, PlatformError};
+use pomeloridge_platform::PutOutcome;
 use pomeloridge_policy::dispatch::Placed;
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
-use serde_json::json;
 
 use crate::server_list::{Applied, ListChange};
 use crate::state::State;
@@ -26,12 +26,14 @@
 use crate::{internal, watch};
 
 pub(crate) use table::{Peers, rank};
-use wire::{BeatWire, UsageWire, WorkWire};
+use wire::{BeatWire, CrashesWire, UsageWire, WorkWire};
 
-/// Prefix of the nodes' objects.
-const NODES_PREFIX: &str = "pomeloridge-nodes/";
 /// Pause between two reads of the nodes' objects; a node that starts tells the others.
 const LIST_PAUSE: Duration = Duration::from_secs(30);
+/// The same for a node that hears no peer.
+const ALONE_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between two looks whether to read or write objects now.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two tries while no node could be read or written.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Rounds between two that carry counts of usage and rates of work.
@@ -50,39 +52,48 @@
 pub(crate) async fn discover(state: Rc<State>) {
     let mut announced = false;
     loop {
+        if state.bars_changed.take() {
+            announced = false;
+        }
         if !announced {
-            announced = announce(&state).await.is_ok();
+            let written = node_object::write(&state).await;
+            announced = matches!(written, Ok(PutOutcome::Written(_)));
+            if !announced {
+                log::debug!("node object not written: {written:?}");
+            }
         }
-        let listed = state.store.list(NODES_PREFIX).await;
-        let pause = if listed.is_ok() && announced {
-            LIST_PAUSE
-        } else {
-            RETRY_PAUSE
-        };
+        let listed = state.store.list(node_object::PREFIX).await;
+        let done = listed.is_ok() && announced;
         if let Ok((_, objects)) = listed {
-            let nodes = objects.iter().filter_map(node).collect::<Vec<_>>();
-            let others = nodes.into_iter().filter(|(name, _)| *name != state.name);
-            let now = state.now();
-            state.peers.borrow_mut().listed(others.collect(), now);
+            let nodes = objects
+                .iter()
+                .filter_map(|object| node_object::read(&state, object));
+            let others = nodes.filter(|(name, _)| *name != state.name).collect();
+            state.peers.borrow_mut().listed(others, state.now());
+        }
+        if done {
+            rest(&state).await;
+        } else {
+            monoio::time::sleep(RETRY_PAUSE).await;
         }
-        monoio::time::sleep(pause).await;
     }
 }
 
-async fn announce(state: &State) -> Result<(), PlatformError> {
-    let key = format!("{NODES_PREFIX}{}", state.name);
-    let address = state.peer_address.to_string();
-    let found = state.store.get(&key).await?;
-    let value = json!({ "address": address, "life": state.life_id });
-    let expect = Expect::found(found.as_ref());
-    state.store.put_confirmed(&key, value, expect).await?;
-    Ok(())
+/// Waits until the nodes' objects are read again, or this node's is to be written.
+async fn rest(state: &State) {
+    let since = state.now();
+    while !state.bars_changed.get() && !is_rested(state, since) {
+        monoio::time::sleep(LOOK_PAUSE).await;
+    }
 }
 
-fn node(object: &Object) -> Option<(Name, SocketAddr)> {
-    let name = object.key.strip_prefix(NODES_PREFIX)?;
-    let address = object.value.get("address")?.as_str()?.parse().ok()?;
-    Some((Name::from(name), address))
+fn is_rested(state: &State, since: Instant) -> bool {
+    let now = state.now();
+    let rested = now.saturating_duration_since(since);
+    let peers = state.peers.borrow();
+    // Only the object service tells a node that is cut off from its peers.
+    let alone = peers.known() > 0 && peers.live(now) == 0;
+    rested >= if alone { ALONE_PAUSE } else { LIST_PAUSE }
 }
 
 /// Tells the peers, in rounds, for as long as the node lives.
@@ -151,6 +162,7 @@
         loads: Some(loads),
         placed: Some(placed.as_slice().into()),
         changing: state.changing.borrow().clone(),
+        crashes: crashes_wire(state, now),
         servers: state
             .server_list
             .borrow()
@@ -190,6 +202,21 @@
     send_at_once(state, beat);
 }
 
+/// Tells all peers at once of requests under which servers have ended.
+pub(crate) fn spread_crashes(state: &Rc<State>) {
+    let beat = BeatWire {
+        crashes: crashes_wire(state, state.now()),
+        ..introduction(state)
+    };
+    let addresses = state.peers.borrow().addresses();
+    send_to(state, beat, addresses);
+}
+
+fn crashes_wire(state: &State, now: Instant) -> Vec<CrashesWire> {
+    let told = state.crashes.borrow().told(now);
+    told.into_iter().map(CrashesWire::from).collect()
+}
+
 /// Tells all peers at once that this node holds the duties from now on.
 pub(crate) fn spread_duty(state: &Rc<State>) {
     let addresses = state.peers.borrow().addresses();
@@ -285,6 +312,7 @@
     if let Some(by) = corrected {
         log::info!("time choice=correct by_ms={by} reason=\"median of the nodes\"");
     }
+    take_in_crashes(state, std::mem::take(&mut beat.crashes), &name);
     take_in_store(state, &beat, &name, address);
     if beat.change.is_some() || beat.servers == 0 {
         // Words about the store alone say nothing of loads.
@@ -313,6 +341,19 @@
     drop(usage);
 }
 
+/// Takes in what a peer tells of requests that ended servers.
+fn take_in_crashes(state: &State, told: Vec<CrashesWire>, name: &Name) {
+    let told = told.into_iter().filter_map(|wire| match wire.try_into() {
+        Ok(shared) => Some(shared),
+        Err(error) => {
+            log::warn!("crashes from={name} choice=ignore reason=\"{error}\"");
+            None
+        }
+    });
+    let told: Vec<_> = told.collect();
+    node_object::take_in_crashes(state, &told, name.as_str(), state.now());
+}
+
 /// Takes in what a peer tells of the object service.
 fn take_in_store(state: &Rc<State>, beat: &BeatWire, name: &Name, address: SocketAddr) {
     let now = state.now();
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -72,33 +72,41 @@
 /// The other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    pub(super) peers: HashMap<Name, Peer>,
+    by_name: HashMap<Name, Peer>,
     pub(super) round: u64,
+    /// Whether the nodes' objects have been read.
+    pub(super) was_listed: bool,
 }
 
 impl Peers {
     pub(super) fn answered(&mut self, name: &Name, answered: Option<Instant>) {
-        if let Some(peer) = self.peers.get_mut(name) {
+        if let Some(peer) = self.by_name.get_mut(name) {
             peer.answered = answered;
         }
     }
 
     /// Peers that are known.
     pub(crate) fn known(&self) -> usize {
-        self.peers.len()
+        self.by_name.len()
     }
 
     /// Peers that were heard of late.
     pub(crate) fn live(&self, now: Instant) -> usize {
-        self.peers
+        self.by_name
             .values()
             .filter(|peer| is_live(peer, now))
             .count()
     }
 
+    /// Whether this node has read the nodes' objects or hears peers: either tells it what
+    /// the fleet has barred.
+    pub(crate) fn has_met(&self, now: Instant) -> bool {
+        self.was_listed || self.live(now) > 0
+    }
+
     /// Whether a peer that was heard of late holds the duties.
     pub(crate) fn duty_held(&self, now: Instant) -> bool {
-        let mut live = self.peers.values().filter(|peer| is_live(peer, now));
+        let mut live = self.by_name.values().filter(|peer| is_live(peer, now));
         live.any(|peer| peer.duty.is_some())
     }
 
@@ -121,7 +129,7 @@
     /// The peers in this node's data centre, and those in others.
     fn by_distance(&self) -> [Vec<SocketAddr>; 2] {
         [true, false].map(|near| {
-            let peers = self.peers.values().filter(|peer| peer.near == near);
+            let peers = self.by_name.values().filter(|peer| peer.near == near);
             let mut addresses: Vec<SocketAddr> = peers.map(|peer| peer.address).collect();
             addresses.sort_unstable();
             addresses
@@ -130,7 +138,7 @@
 
     /// When the peers were heard, and when they told their counts of a window.
     pub(crate) fn usage_times(&self, window: u64) -> impl Iterator<Item = PeerTimes> {
-        self.peers.values().map(move |peer| PeerTimes {
+        self.by_name.values().map(move |peer| PeerTimes {
             heard: peer.heard,
             counted: peer.counted.get(&window).copied(),
         })
@@ -138,19 +146,19 @@
 
     /// Where the peers are reached.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
+        self.by_name.values().map(|peer| peer.address).collect()
     }
 
     /// Whether a holder of the duties is new, and may not know earlier counts.
     pub(super) fn has_new_holder(&self, now: Instant) -> bool {
-        let mut holders = self.peers.values().filter_map(|peer| peer.duty);
+        let mut holders = self.by_name.values().filter_map(|peer| peer.duty);
         holders.any(|(_, since)| now.saturating_duration_since(since) < NEW_HOLDER)
     }
 
     /// Those that are told the counts of usage in this round: whoever reports them, and
     /// a few that know them should this node be killed.
     pub(super) fn next_counted(&self) -> Vec<SocketAddr> {
-        let holders = self.peers.values().filter(|peer| peer.duty.is_some());
+        let holders = self.by_name.values().filter(|peer| peer.duty.is_some());
         let mut addresses: Vec<SocketAddr> = holders.map(|peer| peer.address).collect();
         let others = self.by_distance().concat();
         addresses.extend(turn(others, USAGE_COPIES, self.round / USAGE_ROUNDS));
@@ -158,11 +166,12 @@
     }
 
     pub(super) fn listed(&mut self, nodes: Vec<(Name, SocketAddr)>, now: Instant) {
-        for peer in self.peers.values_mut() {
+        self.was_listed = true;
+        for peer in self.by_name.values_mut() {
             peer.listed = false;
         }
         for (name, address) in nodes {
-            let peer = self.peers.entry(name).or_insert(Peer::new(address));
+            let peer = self.by_name.entry(name).or_insert(Peer::new(address));
             peer.address = address;
             peer.listed = true;
         }
@@ -170,12 +179,15 @@
             peer.heard
                 .is_none_or(|at| now.saturating_duration_since(at) > FORGET)
         };
-        self.peers.retain(|_, peer| peer.listed || !silent(peer));
+        self.by_name.retain(|_, peer| peer.listed || !silent(peer));
     }
 
     pub(super) fn heard(&mut self, name: &Name, address: SocketAddr, now: Instant) -> &mut Peer {
-        let known = self.peers.contains_key(name);
-        let peer = self.peers.entry(name.clone()).or_insert(Peer::new(address));
+        let known = self.by_name.contains_key(name);
+        let peer = self
+            .by_name
+            .entry(name.clone())
+            .or_insert(Peer::new(address));
         if !known || !is_live(peer, now) {
             log::info!("dependency name=node/{name} state=regained address={address}");
         }
@@ -186,7 +198,7 @@
 
     /// The live peers, for the choice of those that watch the object service.
     pub(crate) fn watcher_views(&self, now: Instant) -> Vec<PeerView> {
-        let live = self.peers.iter().filter(|(_, peer)| is_live(peer, now));
+        let live = self.by_name.iter().filter(|(_, peer)| is_live(peer, now));
         let views = live.map(|(name, peer)| PeerView {
             rank: rank(name),
             answered: peer.answered.map(|at| now.saturating_duration_since(at)),
@@ -198,14 +210,14 @@
     pub(super) fn told_at_once(&self, own: &Name, now: Instant) -> Vec<SocketAddr> {
         let own = rank(own);
         let watchers = watcher_ranks(own, &self.watcher_views(now));
-        let told = self.peers.iter();
+        let told = self.by_name.iter();
         let told = told.filter(|(name, _)| tells(own, &watchers, rank(name)));
         told.map(|(_, peer)| peer.address).collect()
     }
 
     /// The rates of a service's work at the live peers.
     pub(crate) fn work(&self, service: &Name, now: Instant) -> WorkRates {
-        let live = self.peers.values().filter(|peer| is_live(peer, now));
+        let live = self.by_name.values().filter(|peer| is_live(peer, now));
         let work = live.flat_map(|peer| &peer.work);
         let work = work.filter(|(name, _)| name == service);
         work.fold(WorkRates::default(), |sum, (_, rates)| WorkRates {
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -1,11 +1,13 @@
 //! The datagrams between nodes.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::{Name, Revision};
 use pomeloridge_platform::Event;
+use pomeloridge_policy::crashes::{SharedCrashes, StartId};
 use pomeloridge_policy::dispatch::{OwnLoad, PeerLoad, Placed};
 use pomeloridge_policy::parts::Part;
+use pomeloridge_policy::suspicion::Fingerprint;
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
@@ -57,6 +59,55 @@
     /// First of the windows of which `usage` holds all counts of the sender.
     #[prost(uint64, optional, tag = "16")]
     pub(super) counted_from: Option<u64>,
+    /// Requests under which servers have ended.
+    #[prost(message, repeated, tag = "17")]
+    pub(super) crashes: Vec<CrashesWire>,
+}
+
+/// A request under which servers have ended.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct CrashesWire {
+    #[prost(bytes = "vec", tag = "1")]
+    print: Vec<u8>,
+    /// Starts of the servers, and below the times since.
+    #[prost(fixed64, repeated, tag = "2")]
+    starts: Vec<u64>,
+    #[prost(uint64, repeated, tag = "3")]
+    ages_ms: Vec<u64>,
+    /// Time since the request was answered whole, if it was.
+    #[prost(uint64, optional, tag = "4")]
+    cleared_ms: Option<u64>,
+}
+
+impl From<SharedCrashes> for CrashesWire {
+    fn from(shared: SharedCrashes) -> Self {
+        let millis = |age: Duration| age.as_millis() as u64;
+        Self {
+            print: shared.print.0.to_vec(),
+            starts: shared.ends.iter().map(|(start, _)| start.0).collect(),
+            ages_ms: shared.ends.iter().map(|(_, age)| millis(*age)).collect(),
+            cleared_ms: shared.cleared.map(millis),
+        }
+    }
+}
+
+/// A request's fingerprint has not 32 bytes.
+#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
+pub(super) struct PrintFault;
+
+impl TryFrom<CrashesWire> for SharedCrashes {
+    type Error = PrintFault;
+
+    fn try_from(wire: CrashesWire) -> Result<Self, Self::Error> {
+        let print = wire.print.try_into().map_err(|_| PrintFault)?;
+        let starts = wire.starts.into_iter().map(StartId);
+        let ages = wire.ages_ms.into_iter().map(Duration::from_millis);
+        Ok(Self {
+            print: Fingerprint(print),
+            ends: starts.zip(ages).collect(),
+            cleared: wire.cleared_ms.map(Duration::from_millis),
+        })
+    }
 }
 
 /// Changes of the list of servers.
--- a/crates/pomeloridge_gateway/src/pool.rs
+++ b/crates/pomeloridge_gateway/src/pool.rs
@@ -50,16 +50,26 @@
                 was_kept: true,
             });
         }
+        Ok(Connected {
+            connection: self.open(address, deadline, now).await?,
+            was_kept: false,
+        })
+    }
+
+    /// A new connection.
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<Connection, Fault> {
         let options = ConnectOptions {
             timeout: CONNECT.min(deadline.saturating_duration_since(now)),
             user_timeout: Some(USER_TIMEOUT),
             unframed: Unframed::UntilClose,
             ..ConnectOptions::default()
         };
-        Ok(Connected {
-            connection: Connection::open(address, options).await?,
-            was_kept: false,
-        })
+        Connection::open(address, options).await
     }
 
     fn take(&self, address: SocketAddr, unrepeatable: bool, now: Instant) -> Option<Connection> {
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use pomeloridge_policy::crashes::RunEnd;
 use pomeloridge_policy::dispatch::{Plan, TargetKey};
 
 use crate::accept::Accepted;
@@ -84,7 +85,7 @@
     plan: Plan,
     reader: TargetKey,
 ) -> Result<ReadPrompt, Failure> {
-    let sent = Sent::new(state, reader, plan.unread, accepted);
+    let mut sent = Sent::new(state, reader, plan.unread, accepted);
     let deadline = accepted.deadline;
     let sending = Sending {
         server: reader,
@@ -96,7 +97,9 @@
     let Exchange {
         mut connection,
         head,
-    } = exchange(state, accepted, sending).await?;
+    } = exchange(state, accepted, sending)
+        .await
+        .inspect_err(|failure| sent.failed(*failure))?;
     let body = connection.body(ANSWER_BYTES, deadline).await;
     let body = body.map_err(|fault| Failure::after_write(&fault))?;
     let address = connection.address();
@@ -104,6 +107,7 @@
     let handle = (state.ports.server.handle)(&body).filter(|_| head.status.is_success());
     let handle = handle.ok_or(Failure::Broken)?;
     sent.prompt_read();
+    sent.ended(RunEnd::Settled);
     Ok(ReadPrompt {
         state: Rc::clone(state),
         source: MemorySource {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -13,18 +13,21 @@
 use pomeloridge_base::meter::{Counter, Meter};
 use pomeloridge_base::settings::Checked;
 use pomeloridge_platform::{Client, Object};
+use pomeloridge_policy::crashes::Crashes;
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
 use pomeloridge_policy::watchers::{is_cut_off, must_watch, retry_pause};
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
+use crate::accept::Accepted;
 use crate::config::ServingConfig;
 use crate::life::Life;
 use crate::peers::{self, Peers};
 use crate::pool::Pool;
 use crate::ports::Ports;
 use crate::register::Register;
+use crate::server_end::{self, Looks};
 use crate::server_list::ServerList;
 use crate::settings::{LiveSettings, ReadAgain};
 use crate::true_time::TrueTime;
@@ -92,6 +95,12 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) budgets: RefCell<HashMap<Name, RepeatBudget>>,
     pub(crate) pool: Pool,
+    /// Requests that may have ended servers.
+    pub(crate) crashes: RefCell<Crashes>,
+    /// Looks at servers where a request was lost.
+    pub(crate) looks: RefCell<Looks>,
+    /// Whether requests were barred that this node's object does not name yet.
+    pub(crate) bars_changed: Cell<bool>,
     /// Sendings that have not ended.
     pub(crate) running: Rc<Cell<usize>>,
     pub(crate) usage: RefCell<UsageBook>,
@@ -152,6 +161,9 @@
             )),
             budgets: RefCell::default(),
             pool: Pool::default(),
+            crashes: RefCell::default(),
+            looks: RefCell::default(),
+            bars_changed: Cell::new(false),
             running: Rc::default(),
             usage: RefCell::new(UsageBook::new(source)),
             time: RefCell::new(TrueTime::new(now, clock.unix_ms())),
@@ -195,6 +207,7 @@
     pub(crate) fn ready(&self) -> bool {
         self.config.borrow().is_some()
             && self.listed.get()
+            && self.peers.borrow().has_met(self.now())
             && !self.life.is_stopping()
             && !self.cut_off()
     }
@@ -206,6 +219,12 @@
         is_cut_off(peers.known(), peers.live(self.now()), silence)
     }
 
+    /// Time for which a request must not reach a server; `None` if it may.
+    pub(crate) fn barred(&self, accepted: &Accepted) -> Option<Duration> {
+        let crashes = self.crashes.borrow();
+        crashes.barred(&accepted.print, self.now())
+    }
+
     /// Charges a repeat to the node's part of the fleet's budget.
     pub(crate) fn may_repeat(&self, service: &Name) -> bool {
         let nodes = self.peers.borrow().live(self.now()) + 1;
@@ -335,7 +354,9 @@
             capacity: capacity(&info.service).unwrap_or_default(),
             ..info
         });
-        self.dispatcher.borrow_mut().sync(list.collect());
+        let departed = self.dispatcher.borrow_mut().sync(list.collect());
+        drop(register);
+        server_end::departed(self, &departed);
     }
 
     /// A server's name for the log.
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -11,11 +11,12 @@
 use pomeloridge_base::http::{Fault, Responder, Response};
 use pomeloridge_base::meter::Timer;
 use pomeloridge_base::refusal::Refusal;
+use pomeloridge_policy::crashes::RunEnd;
 use pomeloridge_policy::dispatch::Plan;
 
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, Sent};
-use crate::call::gather;
+use crate::call::{end_of, gather};
 use crate::events::EventSplitter;
 use crate::exchange::{Exchange, Failure, Sending, exchange, until_silent};
 use crate::prefill::{ReadPrompt, read_prompt};
@@ -109,7 +110,7 @@
                 Err(Stop::Caller) => return StreamEnd::Gone,
                 Err(Stop::Server(failure)) => failure,
             };
-            if let Err(refusal) = attempts.failed(plan.run, failure) {
+            if let Err(refusal) = attempts.failed(plan.run, failure).await {
                 return self.ended(refusal, failure);
             }
         }
@@ -134,7 +135,7 @@
         // Memory that is moved need not be read here.
         let unread = if prompt.is_some() { 0 } else { plan.unread };
         self.state.count_work(&accepted.service, plan.unread, 0);
-        let sent = Sent::new(self.state, plan.run, unread, accepted);
+        let mut sent = Sent::new(self.state, plan.run, unread, accepted);
         let sending = Sending {
             server: plan.run,
             stage: prompt
@@ -146,7 +147,9 @@
         };
         let started = exchange(self.state, accepted, sending);
         let exchanged = monoio::select! {
-            exchanged = started => exchanged.map_err(Stop::Server)?,
+            exchanged = started => {
+                exchanged.inspect_err(|failure| sent.failed(*failure)).map_err(Stop::Server)?
+            }
             () = responder.gone() => return Err(Stop::Caller),
         };
         if let Some(prompt) = &mut prompt {
@@ -156,7 +159,9 @@
             self.count();
             sent.prompt_read();
             let response = gather(self.state, accepted, exchanged).await;
-            return response.map(Some).map_err(Stop::Server);
+            let response = response.map_err(Stop::Server)?;
+            sent.ended(end_of(&response));
+            return Ok(Some(response));
         }
         if !exchanged.head.status.is_success() || !exchanged.head.sealed {
             return Err(Stop::Server(Failure::Broken));
@@ -164,7 +169,7 @@
         if self.head.is_none() && !self.started {
             self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
         }
-        self.pass_on(exchanged, &sent, responder).await?;
+        self.pass_on(exchanged, &mut sent, responder).await?;
         Ok(None)
     }
 
@@ -182,16 +187,19 @@
             read = read_prompt(self.state, self.accepted, plan, reader) => read,
             () = responder.gone() => return Err(Stop::Caller),
         };
-        read.map(Some).map_err(|failure| {
-            attempts.prefill_failed(reader, failure);
-            Stop::Server(failure)
-        })
+        match read {
+            Ok(read) => Ok(Some(read)),
+            Err(failure) => {
+                attempts.prefill_failed(reader, failure).await;
+                Err(Stop::Server(failure))
+            }
+        }
     }
 
     async fn pass_on(
         &mut self,
         exchanged: Exchange,
-        sent: &Sent,
+        sent: &mut Sent,
         responder: &mut Responder,
     ) -> Result<(), Stop> {
         let Exchange {
@@ -218,6 +226,7 @@
         if !events.is_whole() {
             return Err(Stop::Server(Failure::Broken));
         }
+        sent.ended(RunEnd::Answered);
         self.start(responder).await?;
         responder.finish().await.map_err(|_| Stop::Caller)?;
         self.state.pool.put(connection, head.idle, self.state.now());
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -115,6 +115,15 @@
     draw: u64,
 }
 
+/// A start of a server that the list no longer names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departed {
+    /// What the list said of it.
+    pub info: TargetInfo,
+    /// Whether another start has its identity or its address.
+    pub replaced: bool,
+}
+
 /// A shared part that a server was given to read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Placed {
@@ -138,11 +147,24 @@
         }
     }
 
-    /// Takes the list of servers; one with the same identity keeps its state.
-    pub fn sync(&mut self, list: Vec<TargetInfo>) {
+    /// Takes the list of servers; one with the same identity keeps its state. Gives those
+    /// that the list no longer names.
+    pub fn sync(&mut self, list: Vec<TargetInfo>) -> Vec<Departed> {
         let same = |target: &Target, info: &TargetInfo| target.info.is_same_start(info);
-        self.targets
-            .retain(|_, target| list.iter().any(|info| same(target, info)));
+        let mut departed = Vec::new();
+        self.targets.retain(|_, target| {
+            let listed = list.iter().any(|info| same(target, info));
+            if !listed {
+                let old = &target.info;
+                let takes_place =
+                    |info: &TargetInfo| info.id == old.id || info.address == old.address;
+                departed.push(Departed {
+                    info: old.clone(),
+                    replaced: list.iter().any(takes_place),
+                });
+            }
+            listed
+        });
         for info in list {
             match self.targets.values_mut().find(|target| same(target, &info)) {
                 Some(target) => target.update(info),
@@ -151,6 +173,7 @@
                 }
             }
         }
+        departed
     }
 
     /// A server of the current list.
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -8,6 +8,7 @@
 use pomeloridge_base::id::Name;
 
 use super::load::{OwnLoad, PeerWords, ReportedLoad};
+use crate::crashes::StartId;
 use crate::eject::Ejection;
 use crate::parts::PartCache;
 
@@ -58,6 +59,13 @@
 }
 
 impl TargetInfo {
+    /// This start of the server, the same on every node.
+    pub fn start(&self) -> StartId {
+        let mut hasher = DefaultHasher::new();
+        (self.id.as_bytes(), self.born).hash(&mut hasher);
+        StartId(hasher.finish())
+    }
+
     /// Whether both tell of one start of a server.
     pub fn is_same_start(&self, other: &Self) -> bool {
         self.id == other.id && self.born == other.born && self.address == other.address
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod candidate;
 pub mod capacity;
 pub mod counter;
+pub mod crashes;
 pub mod demand;
 pub mod dispatch;
 pub mod eject;
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the request path's decisions.
 
 mod admission;
+mod crashes;
 mod demand;
 mod dispatch;
 mod fairness;
