Don't refuse as not run what a server may have run before another turned it away

Cause: the kind of the final answer was taken from the latest failure, whatever the one before it had been. Only repeatable requests are sent on after a failure that may have run, so that non-idempotent ones were not concerned.

Change: the kind is that of the latest failure after which the request may have run. The fake platform takes a fault for each sending in turn.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -174,6 +174,28 @@
     });
 }
 
+/// Guards against a "not run" of a request that a server had run, where a later server
+/// turned it away or could not be reached.
+#[parameterized(
+    call = { "read", 0, 502 },
+    stream = { "ask", 200, 502 },
+)]
+fn what_may_have_run_is_not_refused_as_not_run(route: &str, tokens: u64, status: u16) {
+    let deployment = Deployment::start(&format!("ran-{route}"), 1);
+    run(async {
+        deployment.until_ready().await;
+        let asked = match tokens {
+            0 => request(Method::POST, route, "n1"),
+            _ => generation(route, "n1", tokens),
+        };
+        // Lost by one server, turned away by the other; there is no third.
+        let answer = deployment.ask(asked.with("x-fault", "lost,shed")).await;
+        let answer = answer.unwrap();
+        assert_eq!(deployment.received("n1").await.len(), 2);
+        assert_eq!(answer.status, status, "{answer:?}");
+    });
+}
+
 #[test]
 fn a_request_without_an_answer_ends_at_its_deadline() {
     let deployment = Deployment::start("deadline", 1);
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -101,7 +101,8 @@
     refused: usize,
     /// Whether its prompt was sent to be read apart; that is tried once.
     prefilled: bool,
-    last: Option<Failure>,
+    /// The latest failure after which it may have run.
+    ran: Option<Failure>,
     /// When the latest sending was decided.
     sent: Instant,
 }
@@ -116,7 +117,7 @@
             arrivals: 0,
             refused: 0,
             prefilled: false,
-            last: None,
+            ran: None,
             sent: accepted.arrived,
         }
     }
@@ -293,7 +294,6 @@
 
     /// Takes in what a failure says of the server.
     fn note(&mut self, server: TargetKey, failure: Failure) {
-        self.last = Some(failure);
         if failure != Failure::Stale {
             self.tried.push(server);
         }
@@ -304,6 +304,7 @@
             self.refused += usize::from(failure.arrived());
         } else {
             self.runs += 1;
+            self.ran = Some(failure);
         }
         self.eject_if_dead(server, failure);
     }
@@ -341,7 +342,7 @@
         let run = self.run();
         // "Not run" stands only where no server may have run it.
         let kind = match (kind.answer().run, run) {
-            (Run::NotRun, Run::Unknown) => self.last.map_or(ErrorKind::ServerLost, final_kind),
+            (Run::NotRun, Run::Unknown) => self.ran.map_or(ErrorKind::ServerLost, final_kind),
             _ => kind,
         };
         Refusal {
