Keep to the time for which a server wants no request

A server that turned a request away with 503 and Retry-After was asked again after 250 ms, whatever it had said.

Cause: the header was not read; a refusal took the server out for a fixed time, and as the last one it was tried within that. Class of fault: a word of a server is replaced by a guess.

Change: the adapter reads Retry-After of a 503; the dispatcher passes the server over for so long, also as the last resort, for runs, prompts read apart, releases of memory and orders of stages; checked again directly before the write. While no server wants a request it is refused at once with the time of the first return, spread by a quarter.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -12,6 +12,7 @@
     self, Crash, events, generation, is_ready, request, says_not_run,
 };
 use pomeloridge_fleet_standin::history::{Crashes, Entry, KNOWN_ENDS, crashes};
+use pomeloridge_fleet_standin::server::AWAY;
 use serde_json::Value;
 use yare::parameterized;
 
@@ -21,6 +22,10 @@
 const CALL_TIME: Duration = Duration::from_secs(6);
 /// Further sendings of such a request that the users' pages allow.
 const SENT_ON: usize = 3;
+/// Time after a server's word to stay away in which requests to it may be under way.
+const NOTICE_GRACE: Duration = Duration::from_millis(500);
+/// Requests that may reach it after that, within the time that it named.
+const WITHIN_NOTICE: usize = 2;
 /// Time after which a caller comes back; a server is up again by then.
 const RETURN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -315,6 +320,79 @@
     assert!(ended.is_some_and(|status| status.success()));
 }
 
+impl Deployment {
+    /// Asks so many times, one after the other; gives how many reached a server.
+    async fn arrivals(&self, server: &Value, label: &str, count: usize) -> usize {
+        for number in 0..count {
+            let asked = request(Method::GET, "read", &format!("{label}-{number}"));
+            assert_eq!(self.ask(asked).await.unwrap().status, 200);
+        }
+        let history = self.history().await;
+        let there = history.iter().filter(|entry| entry["server"] == *server);
+        let attempts = there.filter_map(|entry| entry["attempt"].as_str());
+        attempts.filter(|id| id.starts_with(label)).count()
+    }
+
+    /// The server that a request's first sending reached.
+    async fn first_server(&self, attempt: &str) -> Value {
+        self.received(attempt).await[0]["server"].clone()
+    }
+}
+
+/// Guards against requests to a server within the time for which it has asked for none.
+#[test]
+fn a_server_is_left_alone_for_the_time_that_it_names() {
+    let deployment = Deployment::start("away", 1);
+    run(async {
+        deployment.until_ready().await;
+        let started = Instant::now();
+        let asked = request(Method::POST, "lodge", "w").with("x-fault", "away");
+        assert_eq!(deployment.ask(asked).await.unwrap().status, 200);
+        let server = deployment.first_server("w").await;
+        monoio::time::sleep(NOTICE_GRACE).await;
+        let arrived = deployment.arrivals(&server, "within", 20).await;
+        assert!(started.elapsed() < AWAY, "the asking took too long");
+        assert!(arrived <= WITHIN_NOTICE, "{arrived} arrived");
+        monoio::time::sleep(AWAY).await;
+        assert!(deployment.arrivals(&server, "after", 20).await > 0);
+    });
+}
+
+/// Guards against a caller that waits, or is sent on, while every server wants nothing.
+#[test]
+fn a_request_that_no_server_wants_is_refused_with_the_time_to_come_back() {
+    let deployment = Deployment::start("all-away", 1);
+    run(async {
+        deployment.until_ready().await;
+        let asked = request(Method::POST, "lodge", "w").with("x-fault", "away,away");
+        let refused = deployment.ask(asked).await.unwrap();
+        let retry = |answer: &Response| -> f64 {
+            let value = answer.headers["retry-after"].to_str().unwrap();
+            value.parse().unwrap()
+        };
+        assert_eq!(refused.status, 503);
+        assert!(retry(&refused) > AWAY.as_secs_f64() * 0.8, "{refused:?}");
+        let started = Instant::now();
+        let next = deployment.ask(request(Method::POST, "lodge", "n")).await;
+        assert_eq!(next.unwrap().status, 503);
+        assert!(started.elapsed() < Duration::from_millis(100));
+        assert!(deployment.received("n").await.is_empty());
+    });
+}
+
+/// Guards against requests to a server that is leaving, though its entry does not say so.
+#[test]
+fn a_server_that_says_that_it_leaves_gets_nothing_more() {
+    let deployment = Deployment::start("says-leaving", 1);
+    run(async {
+        deployment.until_ready().await;
+        let asked = request(Method::POST, "lodge", "w").with("x-fault", "leaving");
+        assert_eq!(deployment.ask(asked).await.unwrap().status, 200);
+        let server = deployment.first_server("w").await;
+        assert_eq!(deployment.arrivals(&server, "later", 20).await, 0);
+    });
+}
+
 /// A request that ends servers: as a call, as a run, while its prompt is read apart, and
 /// in the middle of a stream that may be resumed.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -17,6 +17,8 @@
 
 /// When a caller may come back to a service that has no free server.
 const COME_BACK: Duration = Duration::from_millis(400);
+/// Part of a servers' time by which callers return later than it, at most.
+const RETURN_SPREAD: f64 = 1.25;
 /// Sendings of one request that a server refused unread, at most.
 const REFUSED_SENDS: usize = 3;
 
@@ -157,7 +159,7 @@
                 accepted.service,
                 self.tried.len()
             );
-            return Err(self.refusal(ErrorKind::NoServer));
+            return Err(self.no_server(now));
         };
         if self.arrivals == 0 && accepted.gives_up_before(plan.first) {
             log::info!(
@@ -352,6 +354,20 @@
         }
     }
 
+    /// The refusal while no server takes the request: it may come back once one wants
+    /// requests again, not all at that very moment.
+    fn no_server(&self, now: Instant) -> Refusal {
+        let dispatcher = self.state.dispatcher.borrow();
+        let first = dispatcher.first_return(&self.accepted.service, now);
+        let refusal = self.refusal(ErrorKind::NoServer);
+        Refusal {
+            retry: first.map_or(refusal.retry, |first| {
+                Some(first.mul_f64(rand::random_range(1.0..RETURN_SPREAD)))
+            }),
+            ..refusal
+        }
+    }
+
     /// When the queue is short enough again, spread so that callers don't return together.
     fn come_back(&self, predicted: Duration) -> Duration {
         let wait = predicted.saturating_sub(self.accepted.route.target);
@@ -370,9 +386,11 @@
 /// The answer after the last attempt.
 fn final_kind(failure: Failure) -> ErrorKind {
     match failure {
-        Failure::Unreachable | Failure::NotListening | Failure::Leaving | Failure::Misdirected => {
-            ErrorKind::NoServer
-        }
+        Failure::Unreachable
+        | Failure::NotListening
+        | Failure::Leaving
+        | Failure::Away
+        | Failure::Misdirected => ErrorKind::NoServer,
         Failure::Refused => ErrorKind::Overloaded,
         Failure::Stale | Failure::Lost => ErrorKind::ServerLost,
         Failure::Barred => ErrorKind::Quarantined,
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -29,6 +29,9 @@
     /// Nothing was written, as the server takes no new requests.
     #[display("leaving")]
     Leaving,
+    /// Nothing was written, as the server wants no request of this node for now.
+    #[display("away")]
+    Away,
     /// Nothing was written, as servers have ended under the request.
     #[display("barred")]
     Barred,
@@ -63,6 +66,7 @@
             Self::Unreachable
                 | Self::NotListening
                 | Self::Leaving
+                | Self::Away
                 | Self::Barred
                 | Self::Refused
                 | Self::Misdirected
@@ -73,7 +77,7 @@
     pub(crate) fn arrived(self) -> bool {
         !matches!(
             self,
-            Self::Unreachable | Self::NotListening | Self::Leaving | Self::Barred
+            Self::Unreachable | Self::NotListening | Self::Leaving | Self::Away | Self::Barred
         )
     }
 
@@ -185,17 +189,7 @@
     if head.misdirected {
         return Err(Failure::Misdirected);
     }
-    if head.notice != Notice::default() {
-        let back_in = head.notice.back_in.unwrap_or_default();
-        log::info!(
-            "request id={} print={} server={} notice leaving={} back_in_ms={}",
-            accepted.inbound.label(),
-            accepted.print,
-            info.id,
-            head.notice.leaving,
-            back_in.as_millis()
-        );
-    }
+    keep_notice(state, accepted, server, head.notice);
     if head.not_run {
         let idle = head.idle;
         if connection.body(FOREIGN_BYTES, deadline).await.is_ok() {
@@ -216,9 +210,32 @@
     if target.info.leaving {
         return Err(Failure::Leaving);
     }
+    if target.away(state.now()).is_some() {
+        return Err(Failure::Away);
+    }
     Ok(())
 }
 
+/// Keeps to what a server asks of this node.
+fn keep_notice(state: &State, accepted: &Accepted, server: TargetKey, notice: Notice) {
+    if notice == Notice::default() {
+        return;
+    }
+    let back_in = notice.back_in.unwrap_or_default();
+    let now = state.now();
+    state
+        .dispatcher
+        .borrow_mut()
+        .turned_away(server, back_in, now);
+    log::info!(
+        "server id={} choice=keep_notice leaving={} back_in_ms={} by=\"request {}\"",
+        state.server_name(server),
+        notice.leaving,
+        back_in.as_millis(),
+        accepted.inbound.label()
+    );
+}
+
 fn note_answer(state: &State, server: TargetKey, head: &ReplyHead) {
     let now = state.now();
     let mut dispatcher = state.dispatcher.borrow_mut();
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -51,8 +51,12 @@
     }
 }
 
-/// Frees memory on an engine; it is freed by time if the engine can't be reached.
+/// Frees memory on an engine; it is freed by time if the engine can't be reached, or wants
+/// nothing of this node.
 async fn release(state: &State, source: &MemorySource) {
+    if state.is_away(source.address) {
+        return;
+    }
     let message = (state.ports.server.release)(&source.handle);
     let deadline = Instant::now() + RELEASE_TIME;
     let connected = state
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -90,7 +90,9 @@
     let engines = dispatcher
         .targets()
         .map(|(_, target)| target)
-        .filter(|target| target.info.service == *service && !target.info.leaving);
+        .filter(|target| target.info.service == *service && !target.info.leaving)
+        // An order would be one more request.
+        .filter(|target| target.away(now).is_none());
     let views = engines.map(|target| {
         let ordered = ordered.get(&target.info.id).map(|(stage, _)| *stage);
         EngineView {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -359,6 +359,14 @@
         server_end::departed(self, &departed);
     }
 
+    /// Whether the server at an address wants nothing of this node for now.
+    pub(crate) fn is_away(&self, address: SocketAddr) -> bool {
+        let now = self.now();
+        let dispatcher = self.dispatcher.borrow();
+        let mut targets = dispatcher.targets().map(|(_, target)| target);
+        targets.any(|target| target.info.address == address && target.away(now).is_some())
+    }
+
     /// A server's name for the log.
     pub(crate) fn server_name(&self, key: TargetKey) -> Name {
         let dispatcher = self.dispatcher.borrow();
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -386,6 +386,22 @@
         }
     }
 
+    /// Keeps to a server's word for how long it wants no request of this node.
+    pub fn turned_away(&mut self, key: TargetKey, time: Duration, now: Instant) {
+        if let Some(target) = self.targets.get_mut(key) {
+            let until = now + time;
+            target.away = Some(target.away.map_or(until, |known| known.max(until)));
+        }
+    }
+
+    /// Time until a first server of a service wants requests of this node again; `None`
+    /// if none has asked to be left alone.
+    pub fn first_return(&self, service: &Name, now: Instant) -> Option<Duration> {
+        let of_service = self.targets.values();
+        let of_service = of_service.filter(|target| target.info.service == *service);
+        of_service.filter_map(|target| target.away(now)).min()
+    }
+
     /// Passes engines over that were ordered to another stage, until the list shows it.
     pub fn changing(&mut self, servers: &[u32], now: Instant) {
         for target in self.targets.values_mut() {
@@ -419,6 +435,7 @@
         let fits = |(key, target): &(TargetKey, &Target)| {
             target.info.service == *wanted.service
                 && !target.info.leaving
+                && target.away(now).is_none()
                 && !wanted.tried.contains(key)
                 && (last_resort || (target.ejection.may_try(now) && !target.is_changing(now)))
         };
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -85,6 +85,8 @@
     pub(super) heard: Option<Instant>,
     /// Until when it is taken to change its stage.
     pub(super) changing: Option<Instant>,
+    /// Until when it wants no request of this node.
+    pub(super) away: Option<Instant>,
     pub(super) parts: PartCache,
     pub(super) hash: u32,
 }
@@ -101,6 +103,7 @@
             ejection: Ejection::default(),
             heard: None,
             changing: None,
+            away: None,
             parts: PartCache::new(info.capacity),
             hash: hasher.finish() as u32,
             info,
@@ -137,6 +140,12 @@
         self.changing.is_some_and(|until| now < until)
     }
 
+    /// Time for which it still wants no request of this node.
+    pub fn away(&self, now: Instant) -> Option<Duration> {
+        let left = self.away?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Whether it is out of use after failures.
     pub fn is_ejected(&self) -> bool {
         self.ejection.is_ejected()
--- a/crates/pomeloridge_policy/tests/policy/crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/crashes.rs
@@ -135,7 +135,8 @@
         let told = there.told(now);
         now += ms(100);
         here.merge(&told, now);
-        (here.sweep(now), there.sweep(now));
+        here.sweep(now);
+        there.sweep(now);
     }
     assert!(here.told(now).is_empty() && there.told(now).is_empty());
 }
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -464,3 +464,28 @@
     }
     assert!(counts.values().all(|count| *count == 10), "{counts:?}");
 }
+
+/// Pattern: a server turns requests away and says for how long it wants none. It is not
+/// even tried as the last one.
+#[test]
+fn a_server_that_wants_nothing_is_not_tried_as_a_last_resort() {
+    let mut fleet = fleet(&[("d1", Stage::Decode), ("d2", Stage::Decode)]);
+    let (d1, d2) = (key(&fleet, "d1"), key(&fleet, "d2"));
+    let now = Instant::now();
+    let service = Name::from("model");
+    assert_eq!(fleet.first_return(&service, now), None);
+    fleet.turned_away(d1, Duration::from_mins(1), now);
+    let short = prompt(100, None, 1);
+    for _ in 0..20 {
+        assert_eq!(choose(&mut fleet, &short, &[]).unwrap().run, d2);
+    }
+    fleet.turned_away(d2, Duration::from_secs(30), now);
+    assert_eq!(choose(&mut fleet, &short, &[]), None);
+    let first = fleet.first_return(&service, now);
+    assert_eq!(first, Some(Duration::from_secs(30)));
+    // A shorter word does not take back a longer one; a zero one says nothing.
+    fleet.turned_away(d1, Duration::ZERO, now);
+    let later = now + Duration::from_secs(59);
+    assert!(fleet.target(d1).unwrap().away(later).is_some());
+    assert!(fleet.target(d2).unwrap().away(later).is_none());
+}
