Send nothing more to a server that says in an answer that it is leaving

Cause: only the entry's state was read.

An end of such a server is planned and implicates no request.

--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -207,7 +207,7 @@
     }
     let dispatcher = state.dispatcher.borrow();
     let target = dispatcher.target(server).ok_or(Failure::Unreachable)?;
-    if target.info.leaving {
+    if target.is_leaving() {
         return Err(Failure::Leaving);
     }
     if target.away(state.now()).is_some() {
@@ -222,11 +222,14 @@
         return;
     }
     let back_in = notice.back_in.unwrap_or_default();
-    let now = state.now();
-    state
-        .dispatcher
-        .borrow_mut()
-        .turned_away(server, back_in, now);
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.turned_away(server, back_in, state.now());
+    let news = notice.leaving && dispatcher.said_leaving(server);
+    drop(dispatcher);
+    if !news && back_in.is_zero() {
+        // A leaving server says so in each of its answers.
+        return;
+    }
     log::info!(
         "server id={} choice=keep_notice leaving={} back_in_ms={} by=\"request {}\"",
         state.server_name(server),
--- a/crates/pomeloridge_gateway/src/server_end.rs
+++ b/crates/pomeloridge_gateway/src/server_end.rs
@@ -77,7 +77,7 @@
 fn looked_at(state: &State, server: TargetKey) -> Option<TargetInfo> {
     let dispatcher = state.dispatcher.borrow();
     let target = dispatcher.target(server)?;
-    (!target.info.leaving).then(|| target.info.clone())
+    (!target.is_leaving()).then(|| target.info.clone())
 }
 
 /// Notes that no process listens at a server's address any more, and tells peers of
@@ -93,7 +93,7 @@
 
 /// Notes servers that the list no longer names.
 pub(crate) fn departed(state: &State, departed: &[Departed]) {
-    for Departed { info, replaced } in departed.iter().filter(|gone| !gone.info.leaving) {
+    for Departed { info, replaced, .. } in departed.iter().filter(|gone| !gone.leaving) {
         let unreached = state.looks.borrow_mut().unreached.remove(&info.start());
         if *replaced {
             note_end(state, info, "replaced");
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -90,7 +90,7 @@
     let engines = dispatcher
         .targets()
         .map(|(_, target)| target)
-        .filter(|target| target.info.service == *service && !target.info.leaving)
+        .filter(|target| target.info.service == *service && !target.is_leaving())
         // An order would be one more request.
         .filter(|target| target.away(now).is_none());
     let views = engines.map(|target| {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -120,6 +120,8 @@
 pub struct Departed {
     /// What the list said of it.
     pub info: TargetInfo,
+    /// Whether it was leaving.
+    pub leaving: bool,
     /// Whether another start has its identity or its address.
     pub replaced: bool,
 }
@@ -159,6 +161,7 @@
                 let takes_place =
                     |info: &TargetInfo| info.id == old.id || info.address == old.address;
                 departed.push(Departed {
+                    leaving: target.is_leaving(),
                     info: old.clone(),
                     replaced: list.iter().any(takes_place),
                 });
@@ -394,6 +397,12 @@
         }
     }
 
+    /// Notes that a server said itself that it is leaving; says whether that is news.
+    pub fn said_leaving(&mut self, key: TargetKey) -> bool {
+        let target = self.targets.get_mut(key);
+        target.is_some_and(|target| !std::mem::replace(&mut target.said_leaving, true))
+    }
+
     /// Time until a first server of a service wants requests of this node again; `None`
     /// if none has asked to be left alone.
     pub fn first_return(&self, service: &Name, now: Instant) -> Option<Duration> {
@@ -434,7 +443,7 @@
     fn fitting(&self, wanted: &Wanted<'_>, now: Instant, last_resort: bool) -> Vec<TargetKey> {
         let fits = |(key, target): &(TargetKey, &Target)| {
             target.info.service == *wanted.service
-                && !target.info.leaving
+                && !target.is_leaving()
                 && target.away(now).is_none()
                 && !wanted.tried.contains(key)
                 && (last_resort || (target.ejection.may_try(now) && !target.is_changing(now)))
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -85,6 +85,8 @@
     pub(super) heard: Option<Instant>,
     /// Until when it is taken to change its stage.
     pub(super) changing: Option<Instant>,
+    /// Whether it said itself that it is leaving, which its entry may not say yet.
+    pub(super) said_leaving: bool,
     /// Until when it wants no request of this node.
     pub(super) away: Option<Instant>,
     pub(super) parts: PartCache,
@@ -103,6 +105,7 @@
             ejection: Ejection::default(),
             heard: None,
             changing: None,
+            said_leaving: false,
             away: None,
             parts: PartCache::new(info.capacity),
             hash: hasher.finish() as u32,
@@ -140,6 +143,11 @@
         self.changing.is_some_and(|until| now < until)
     }
 
+    /// Whether it takes no new requests, by its entry or by its own word.
+    pub fn is_leaving(&self) -> bool {
+        self.info.leaving || self.said_leaving
+    }
+
     /// Time for which it still wants no request of this node.
     pub fn away(&self, now: Instant) -> Option<Duration> {
         let left = self.away?.saturating_duration_since(now);
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -489,3 +489,27 @@
     assert!(fleet.target(d1).unwrap().away(later).is_some());
     assert!(fleet.target(d2).unwrap().away(later).is_none());
 }
+
+/// Pattern: a server says with its answers that it leaves, before its entry does.
+#[test]
+fn a_server_that_says_that_it_leaves_stays_out_until_it_starts_anew() {
+    let mut fleet = fleet(&[("d1", Stage::Decode)]);
+    let d1 = key(&fleet, "d1");
+    let short = prompt(100, None, 1);
+    assert!(fleet.said_leaving(d1));
+    assert!(!fleet.said_leaving(d1), "it was known");
+    // Its entry changes in other respects.
+    let changed = TargetInfo {
+        slots: 64,
+        ..engine("d1", Stage::Decode)
+    };
+    fleet.sync(vec![changed]);
+    assert_eq!(choose(&mut fleet, &short, &[]), None);
+    let anew = TargetInfo {
+        born: 2,
+        ..engine("d1", Stage::Decode)
+    };
+    let departed = fleet.sync(vec![anew]);
+    assert!(departed[0].leaving && departed[0].replaced);
+    assert!(choose(&mut fleet, &short, &[]).is_some());
+}
