Leave the fixed number of repeats alone after a restart until the window has passed

Nodes that are killed again and again spend their parts of the fleet's fixed number of repeats anew after each start.

Cause: counts live in the process; half of the fixed number was held back, which covers one restart of all nodes within a window and no more. Class of fault: a bound over time kept by a memory that is shorter than that time.

Change: a node spends its part only from a window after its start on, unless it has no object yet, so that no earlier start of it can have spent any.

Figures: the_fleet_stays_within_its_bound with restarts among its steps fails before (in the first cases) and holds since. It has shorter pauses than before, so that windows are full; a node that starts again is now a case of its own.

--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -74,8 +74,12 @@
 pub(super) async fn write(state: &State) -> Result<PutOutcome, PlatformError> {
     let key = format!("{PREFIX}{}", state.name);
     let found = state.store.get(&key).await?;
-    if let Some(found) = &found {
-        read(state, found);
+    match &found {
+        Some(found) => {
+            read(state, found);
+        }
+        // No earlier start of this node can have spent any of the budget.
+        None => state.fixed_from.set(state.now()),
     }
     let now = state.now();
     let now_ms = state.time.borrow().unix_ms(now);
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -15,7 +15,7 @@
 use pomeloridge_platform::{Client, Object};
 use pomeloridge_policy::crashes::Crashes;
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
-use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
+use pomeloridge_policy::repeat_budget::{FixedPart, RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
 use pomeloridge_policy::watchers::{is_cut_off, must_watch, retry_pause};
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
@@ -93,6 +93,8 @@
     /// Whether the list of servers has been read.
     pub(crate) listed: Cell<bool>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
+    /// From when on this node may spend its part of the fixed number of repeats.
+    pub(crate) fixed_from: Cell<Instant>,
     pub(crate) budgets: RefCell<HashMap<Name, RepeatBudget>>,
     pub(crate) pool: Pool,
     /// Requests that may have ended servers.
@@ -159,6 +161,7 @@
                 EngineModel::default(),
                 life_id,
             )),
+            fixed_from: Cell::new(repeat_limits(&settings).fixed_from(now)),
             budgets: RefCell::default(),
             pool: Pool::default(),
             crashes: RefCell::default(),
@@ -227,16 +230,20 @@
 
     /// Charges a repeat to the node's part of the fleet's budget.
     pub(crate) fn may_repeat(&self, service: &Name) -> bool {
-        let nodes = self.peers.borrow().live(self.now()) + 1;
+        let part = FixedPart {
+            nodes: self.peers.borrow().live(self.now()) + 1,
+            from: self.fixed_from.get(),
+        };
         let (standing, allowed) = self.budget(service, |budget, now| {
-            (budget.standing(nodes, now), budget.spend(nodes, now))
+            (budget.standing(part, now), budget.spend(part, now))
         });
         if !allowed {
             self.meter.one(Counter::RepeatsDenied);
             log::info!(
-                "repeats service={service} choice=deny made={} bound={:.1} nodes={nodes}",
+                "repeats service={service} choice=deny made={} bound={:.1} nodes={}",
                 standing.made,
-                standing.bound
+                standing.bound,
+                part.nodes
             );
         }
         allowed
@@ -261,12 +268,7 @@
     }
 
     fn repeat_limits(&self) -> RepeatLimits {
-        let settings = self.settings();
-        RepeatLimits {
-            ratio: settings.fraction("repeats", "ratio"),
-            slack: settings.number("repeats", "slack") as f64,
-            window: settings.time("repeats", "window_ms"),
-        }
+        repeat_limits(&self.settings())
     }
 
     /// Reads the settings again; `asked` logs also if nothing has changed.
@@ -376,3 +378,11 @@
             .unwrap_or_default()
     }
 }
+
+fn repeat_limits(settings: &Checked) -> RepeatLimits {
+    RepeatLimits {
+        ratio: settings.fraction("repeats", "ratio"),
+        slack: settings.number("repeats", "slack") as f64,
+        window: settings.time("repeats", "window_ms"),
+    }
+}
--- a/crates/pomeloridge_policy/src/repeat_budget.rs
+++ b/crates/pomeloridge_policy/src/repeat_budget.rs
@@ -2,7 +2,9 @@
 //!
 //! The fleet may repeat a share of a service's requests in any sliding window,
 //! and a fixed number on top. A node needs no agreement with its peers: it spends
-//! the share on its own requests and an equal part of the fixed number.
+//! the share on its own requests and an equal part of the fixed number. A node that has
+//! just started does not know what an earlier start of it has spent, and leaves the fixed
+//! number alone until that is out of the window.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -12,8 +14,8 @@
 /// Part of the share that is spent; the rest covers requests that peers count
 /// in another slice.
 const SHARE_SPENT: f64 = 0.85;
-/// Part of the fixed number that is spent; the rest covers nodes that restart
-/// and start with a fresh count.
+/// Part of the fixed number that is spent; the rest covers repeats that arrive later than
+/// they were counted.
 const FIXED_SPENT: f64 = 0.5;
 
 /// The fleet's bound on repeats.
@@ -34,6 +36,23 @@
     repeats: u32,
 }
 
+impl RepeatLimits {
+    /// When a node that starts at `start` may spend its part of the fixed number: what an
+    /// earlier start of it has spent is out of the window then.
+    pub fn fixed_from(&self, start: Instant) -> Instant {
+        start + self.window + SLICE
+    }
+}
+
+/// A node's part of the fixed number.
+#[derive(Clone, Copy, Debug)]
+pub struct FixedPart {
+    /// Nodes that share the number.
+    pub nodes: usize,
+    /// From when on the node may spend its part.
+    pub from: Instant,
+}
+
 /// Repeats of the current window, for the log.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatStanding {
@@ -69,8 +88,8 @@
         self.slice(now).requests += 1;
     }
 
-    /// The repeats made and allowed; `nodes` share the fixed number.
-    pub fn standing(&mut self, nodes: usize, now: Instant) -> RepeatStanding {
+    /// The repeats made and allowed.
+    pub fn standing(&mut self, part: FixedPart, now: Instant) -> RepeatStanding {
         self.slice(now);
         let (requests, repeats) = self
             .slices
@@ -79,16 +98,20 @@
                 (requests + slice.requests, repeats + slice.repeats)
             });
         let share = f64::from(requests) * self.limits.ratio * SHARE_SPENT;
-        let fixed = self.limits.slack * FIXED_SPENT / nodes.max(1) as f64;
+        let fixed = if now >= part.from {
+            self.limits.slack * FIXED_SPENT / part.nodes.max(1) as f64
+        } else {
+            0.0
+        };
         RepeatStanding {
             made: repeats,
             bound: share + fixed,
         }
     }
 
-    /// Counts a repeat if there is room for it; `nodes` share the fixed number.
-    pub fn spend(&mut self, nodes: usize, now: Instant) -> bool {
-        let standing = self.standing(nodes, now);
+    /// Counts a repeat if there is room for it.
+    pub fn spend(&mut self, part: FixedPart, now: Instant) -> bool {
+        let standing = self.standing(part, now);
         if f64::from(standing.made + 1) > standing.bound {
             return false;
         }
--- a/crates/pomeloridge_policy/tests/policy/repeat_budget.rs
+++ b/crates/pomeloridge_policy/tests/policy/repeat_budget.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_policy::parts::{Part, PartCache};
-use pomeloridge_policy::repeat_budget::{RepeatBudget, RepeatLimits};
+use pomeloridge_policy::repeat_budget::{FixedPart, RepeatBudget, RepeatLimits};
 use pomeloridge_policy::work_meter::WorkMeter;
 use proptest::prelude::*;
 
@@ -14,14 +14,28 @@
     window: Duration::from_secs(10),
 };
 
+fn part(nodes: usize, from: Instant) -> FixedPart {
+    FixedPart { nodes, from }
+}
+
 #[test]
 fn a_quiet_node_may_repeat_a_little() {
     let now = Instant::now();
     let mut budget = RepeatBudget::new(LIMITS);
-    let made = (0..100).filter(|_| budget.spend(6, now)).count();
+    let made = (0..100).filter(|_| budget.spend(part(6, now), now)).count();
     assert_eq!(made, 4);
     // The window passes.
-    assert!(budget.spend(6, now + Duration::from_secs(11)));
+    assert!(budget.spend(part(6, now), now + Duration::from_secs(11)));
+}
+
+/// Guards against nodes that start with a fresh count and spend the fixed number anew.
+#[test]
+fn a_node_that_starts_again_leaves_the_fixed_number_alone_for_a_window() {
+    let now = Instant::now();
+    let mut budget = RepeatBudget::new(LIMITS);
+    let again = part(6, LIMITS.fixed_from(now));
+    assert!(!budget.spend(again, now + LIMITS.window));
+    assert!(budget.spend(again, now + Duration::from_secs(11)));
 }
 
 #[test]
@@ -31,31 +45,36 @@
     for _ in 0..4 {
         budget.charge(now);
     }
-    assert!(!budget.spend(6, now));
+    assert!(!budget.spend(part(6, now), now));
 }
 
 proptest! {
-    /// Whatever the load and however many nodes, the fleet stays within its bound in
-    /// every window.
+    /// Whatever the load, however many nodes, and however often they are killed and start
+    /// again, the fleet stays within its bound in every window.
     #[test]
     fn the_fleet_stays_within_its_bound(
         nodes in 1_usize..8,
-        steps in proptest::collection::vec((0_usize..8, 0_u64..400, any::<bool>()), 1..400),
+        steps in proptest::collection::vec((0_usize..8, 0_u64..60, 0_u8..8), 1..400),
     ) {
         let start = Instant::now();
         let mut now = start;
-        let mut budgets: Vec<RepeatBudget> = (0..nodes).map(|_| RepeatBudget::new(LIMITS)).collect();
+        let first = |_| (RepeatBudget::new(LIMITS), start);
+        let mut budgets: Vec<(RepeatBudget, Instant)> = (0..nodes).map(first).collect();
         let mut log = Vec::new();
-        for (node, pause, repeat) in steps {
+        for (node, pause, step) in steps {
             now += Duration::from_millis(pause);
-            let budget = &mut budgets[node % nodes];
-            if repeat {
-                if budget.spend(nodes, now) {
-                    log.push((now, true));
+            let (budget, from) = &mut budgets[node % nodes];
+            match step {
+                0 => (*budget, *from) = (RepeatBudget::new(LIMITS), LIMITS.fixed_from(now)),
+                1..4 => {
+                    budget.request(now);
+                    log.push((now, false));
+                }
+                _ => {
+                    if budget.spend(part(nodes, *from), now) {
+                        log.push((now, true));
+                    }
                 }
-            } else {
-                budget.request(now);
-                log.push((now, false));
             }
         }
         for (end, _) in &log {
@@ -72,32 +91,36 @@
     }
 }
 
-fn part(id: u64, tokens: u64) -> Part {
+fn prompt_part(id: u64, tokens: u64) -> Part {
     Part { id, tokens }
 }
 
 #[test]
 fn only_leading_parts_count_as_held() {
     let mut cache = PartCache::new(1000);
-    cache.read(&[part(1, 100), part(2, 200)]);
+    cache.read(&[prompt_part(1, 100), prompt_part(2, 200)]);
     assert_eq!(
-        cache.leading(&[part(1, 100), part(2, 200), part(3, 50)]),
+        cache.leading(&[prompt_part(1, 100), prompt_part(2, 200), prompt_part(3, 50)]),
         300
     );
-    assert_eq!(cache.leading(&[part(3, 50), part(2, 200)]), 0);
+    assert_eq!(cache.leading(&[prompt_part(3, 50), prompt_part(2, 200)]), 0);
 }
 
 #[test]
 fn the_least_recently_used_parts_yield() {
     let mut cache = PartCache::new(300);
-    cache.read(&[part(1, 100), part(2, 100), part(3, 100)]);
-    cache.read(&[part(1, 100)]);
-    cache.read(&[part(4, 100)]);
-    assert_eq!(cache.leading(&[part(1, 100)]), 100);
-    assert_eq!(cache.leading(&[part(2, 100)]), 0);
+    cache.read(&[
+        prompt_part(1, 100),
+        prompt_part(2, 100),
+        prompt_part(3, 100),
+    ]);
+    cache.read(&[prompt_part(1, 100)]);
+    cache.read(&[prompt_part(4, 100)]);
+    assert_eq!(cache.leading(&[prompt_part(1, 100)]), 100);
+    assert_eq!(cache.leading(&[prompt_part(2, 100)]), 0);
     cache.resize(100);
-    assert_eq!(cache.leading(&[part(4, 100)]), 100);
-    assert_eq!(cache.leading(&[part(1, 100)]), 0);
+    assert_eq!(cache.leading(&[prompt_part(4, 100)]), 100);
+    assert_eq!(cache.leading(&[prompt_part(1, 100)]), 0);
 }
 
 #[test]
