Divide the fixed number of repeats by all known nodes, not by those that are heard

Nodes that are cut off from one another each spend up to the whole of the fleet's fixed number of repeats.

Cause: the number was divided by the peers that were heard of late, so that a node's part grew as it was cut off; the design says the reverse.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -26,6 +26,8 @@
 const NOTICE_GRACE: Duration = Duration::from_millis(500);
 /// Requests that may reach it after that, within the time that it named.
 const WITHIN_NOTICE: usize = 2;
+/// Silence after which a node no longer counts a peer as live.
+const UNHEARD: Duration = Duration::from_millis(3500);
 /// Time after which a caller comes back; a server is up again by then.
 const RETURN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -525,6 +527,37 @@
     });
 }
 
+/// Guards against nodes that are cut off from one another and each spend the whole of the
+/// fleet's budget of repeats.
+#[test]
+fn a_gateway_that_hears_no_peer_keeps_to_its_part_of_the_budget() {
+    let deployment = Deployment::start("alone", 3);
+    run(async {
+        deployment.until_ready().await;
+        let log = deployment.0.folder.join("front-0.out");
+        let logged = || std::fs::read_to_string(&log).unwrap_or_default();
+        let hears = |peer: &str| logged().contains(&format!("name=node/{peer} state=regained"));
+        until(async || hears("front-1") && hears("front-2")).await;
+        for peer in &deployment.0.gateways[1..] {
+            peer.process.pause();
+        }
+        monoio::time::sleep(UNHEARD).await;
+        let mut number = 0;
+        until(async || {
+            number += 1;
+            let asked = request(Method::GET, "read", &format!("x{number}"));
+            // With no room for a repeat the loss is the caller's.
+            let answer = deployment.ask(asked.with("x-fault", "lost")).await;
+            answer.unwrap().status == 502
+        })
+        .await;
+        until(async || logged().contains("choice=deny")).await;
+        let log = logged();
+        let denied = log.lines().find(|line| line.contains("choice=deny"));
+        assert!(denied.unwrap().contains("nodes=3"), "{denied:?}");
+    });
+}
+
 /// Pattern: the settings file changes under a running node, with a signal and without.
 #[test]
 fn changed_settings_are_read_again() {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -231,7 +231,8 @@
     /// Charges a repeat to the node's part of the fleet's budget.
     pub(crate) fn may_repeat(&self, service: &Name) -> bool {
         let part = FixedPart {
-            nodes: self.peers.borrow().live(self.now()) + 1,
+            // Those that are not heard may be cut off, and spend their parts.
+            nodes: self.peers.borrow().known() + 1,
             from: self.fixed_from.get(),
         };
         let (standing, allowed) = self.budget(service, |budget, now| {
--- a/crates/pomeloridge_policy/src/repeat_budget.rs
+++ b/crates/pomeloridge_policy/src/repeat_budget.rs
@@ -47,7 +47,7 @@
 /// A node's part of the fixed number.
 #[derive(Clone, Copy, Debug)]
 pub struct FixedPart {
-    /// Nodes that share the number.
+    /// Nodes that share the number, whether they are heard or not.
     pub nodes: usize,
     /// From when on the node may spend its part.
     pub from: Instant,
