Check the quarantine after each lost call to a plain service, and tell peers first

A call that loses servers was sent to four of them within one request although it was quarantined after two, and its caller could come back at a peer that had not heard of the losses.

Cause: generations check after each failure and tell peers before they go on; calls to plain services checked only at their turn.

Change: one check for both, after each failure, and peers are told at once.

--- a/crates/pomeloridge_caller/src/front.rs
+++ b/crates/pomeloridge_caller/src/front.rs
@@ -19,7 +19,7 @@
 use pomeloridge_policy::prefix::PrefixHints;
 use pomeloridge_policy::retry::RetryBudget;
 use pomeloridge_policy::routing::Router;
-use pomeloridge_policy::suspicion::Suspicions;
+use pomeloridge_policy::suspicion::{Fingerprint, Suspicions, Treatment};
 use rand::rngs::StdRng;
 
 use crate::answer::{self, Refusal};
@@ -128,6 +128,23 @@
         }
     }
 
+    /// Refuses a request that is quarantined; `written` if a server may have had it.
+    pub(crate) fn check_quarantine(
+        &self,
+        fingerprint: &Fingerprint,
+        written: bool,
+    ) -> Result<(), Refusal> {
+        let suspicions = self.policy.suspicions.borrow();
+        match suspicions.treatment(fingerprint, self.clock.now()) {
+            Treatment::Normal | Treatment::Apart => Ok(()),
+            Treatment::Refuse(left) => Err(Refusal {
+                retry: Some(left),
+                run: written.then_some(Run::Unknown),
+                ..Refusal::from(ErrorKind::Quarantined)
+            }),
+        }
+    }
+
     /// Checks everything that can be checked before a turn is waited for.
     fn accept(&self, request: Result<Request, Fault>) -> Result<Accepted, Refusal> {
         let request = request?;
--- a/crates/pomeloridge_caller/src/recovery.rs
+++ b/crates/pomeloridge_caller/src/recovery.rs
@@ -8,7 +8,6 @@
 use pomeloridge_base::meter::Counter;
 use pomeloridge_policy::retry::{Attempt, Progress, RetryVerdict};
 use pomeloridge_policy::server::ServerKey;
-use pomeloridge_policy::suspicion::Treatment;
 
 use crate::answer::Refusal;
 use crate::generation_run::{End, GenerationRun};
@@ -23,16 +22,8 @@
 
 impl GenerationRun<'_> {
     pub(crate) fn check_quarantine(&self) -> Result<(), Refusal> {
-        let now = self.front.clock.now();
-        let suspicions = self.front.policy.suspicions.borrow();
-        match suspicions.treatment(&self.fingerprint, now) {
-            Treatment::Normal | Treatment::Apart => Ok(()),
-            Treatment::Refuse(left) => Err(Refusal {
-                retry: Some(left),
-                run: self.written.then_some(Run::Unknown),
-                ..Refusal::from(ErrorKind::Quarantined)
-            }),
-        }
+        let front = self.front;
+        front.check_quarantine(&self.fingerprint, self.written)
     }
 
     pub(crate) fn is_suspect(&self) -> bool {
--- a/crates/pomeloridge_caller/src/service.rs
+++ b/crates/pomeloridge_caller/src/service.rs
@@ -13,7 +13,7 @@
 use pomeloridge_base::meter::Counter;
 use pomeloridge_policy::retry::{Attempt, Progress, RetryVerdict};
 use pomeloridge_policy::server::{ServerKey, Work};
-use pomeloridge_policy::suspicion::{Fingerprint, Treatment};
+use pomeloridge_policy::suspicion::Fingerprint;
 
 use crate::answer::Refusal;
 use crate::auth::shared_headers;
@@ -87,17 +87,7 @@
 
 impl ServiceCall<'_> {
     async fn turn(&self) -> Result<Turn, Refusal> {
-        let now = self.front.clock.now();
-        let treatment = {
-            let suspicions = self.front.policy.suspicions.borrow();
-            suspicions.treatment(&self.fingerprint, now)
-        };
-        if let Treatment::Refuse(left) = treatment {
-            return Err(Refusal {
-                retry: Some(left),
-                ..Refusal::from(ErrorKind::Quarantined)
-            });
-        }
+        self.front.check_quarantine(&self.fingerprint, false)?;
         Turn::wait(self.front, self.accepted, &self.id, self.pool, CALL_WORK).await
     }
 
@@ -166,6 +156,11 @@
                     drop(in_flight);
                     tried.push(server);
                     written |= !error.not_run();
+                    if error == BackendError::Lost {
+                        // Before the call is sent again or refused, the peers must know.
+                        (front.spread)().await;
+                    }
+                    front.check_quarantine(&self.fingerprint, written)?;
                     self.after_failure(error, attempts, written)?;
                 }
             }
--- a/crates/pomeloridge_caller/tests/service.rs
+++ b/crates/pomeloridge_caller/tests/service.rs
@@ -33,6 +33,34 @@
     });
 }
 
+/// Guards against a call that goes on losing servers although it is quarantined, within
+/// one request and when its caller comes back.
+#[parameterized(
+    repeated = { Method::GET, 1 },
+    sent_again = { Method::POST, 2 },
+)]
+fn a_call_that_loses_servers_is_quarantined(method: Method, requests: usize) {
+    run(async {
+        let services: Vec<_> = (0..4)
+            .map(|_| Fake::start(vec![Act::LoseAfterRun]))
+            .collect();
+        let refs: Vec<_> = services.iter().collect();
+        let deployment = Deployment::start(&[], &refs);
+        let call = Outgoing::new(method, "/filings").json(&json!({"parcel": "a"}));
+        let call = with_key(call, KEY);
+        for _ in 0..requests {
+            let response = deployment.send(&call).await.unwrap();
+            assert_eq!(body_of(&response)["error"]["run"], "unknown");
+        }
+        let refused = deployment.send(&call).await.unwrap();
+        assert_eq!(body_of(&refused)["error"]["code"], "quarantined");
+        assert_eq!(body_of(&refused)["error"]["run"], "not run");
+        assert_eq!(services.iter().map(Fake::runs).sum::<usize>(), 2);
+        // Peers are told of each loss before the caller can come back at one of them.
+        assert_eq!(deployment.spread.get(), 2);
+    });
+}
+
 #[test]
 fn a_refusal_by_one_server_goes_to_another() {
     run(async {
--- a/crates/pomeloridge_caller/tests/support/mod.rs
+++ b/crates/pomeloridge_caller/tests/support/mod.rs
@@ -268,6 +268,8 @@
     pub gate: Rc<Cell<Option<ErrorKind>>>,
     /// Configuration in force.
     pub config: Rc<RefCell<ConfigView>>,
+    /// How often peers were told of suspects at once.
+    pub spread: Rc<Cell<usize>>,
 }
 
 impl Deployment {
@@ -298,6 +300,8 @@
         let bills = Rc::new(RefCell::new(Vec::new()));
         let gate = Rc::new(Cell::new(None::<ErrorKind>));
         let (billed, closed) = (Rc::clone(&bills), Rc::clone(&gate));
+        let spread = Rc::new(Cell::new(0));
+        let told = Rc::clone(&spread);
         let front = Front {
             clock: Rc::clone(&clock),
             config: Rc::clone(&config),
@@ -309,7 +313,10 @@
                 billed.borrow_mut().push(usage);
                 Box::pin(async {})
             }),
-            spread: Box::new(|| Box::pin(async {})),
+            spread: Box::new(move || {
+                told.set(told.get() + 1);
+                Box::pin(async {})
+            }),
             node: Name::from("node"),
             claims: claims(&objects),
             meter: Meter::none(),
@@ -324,6 +331,7 @@
             bills,
             gate,
             config,
+            spread,
         }
     }
 
