Add up the losses that nodes of the own interface have seen under one request

A caller who comes back at another node before that has heard of the first loss costs a third engine: each node knew one loss, and of two suspicions the later one was kept.

Change: suspicions of losses of different engines make a quarantine when they are merged, as they do at one node.

Figures: losses_of_different_engines_add_up_between_nodes fails before, passes since; the other nine tests of suspicions pass unchanged.

--- a/crates/pomeloridge_policy/src/suspicion.rs
+++ b/crates/pomeloridge_policy/src/suspicion.rs
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Whether another node found another engine lost under the request.
+    fn is_other_loss(&self, other: &Self) -> bool {
+        let suspects = [self, other].map(|entry| entry.standing == Standing::Suspect);
+        suspects == [true; 2] && self.engine != other.engine
+    }
+
     fn left(&self, now: Instant) -> Duration {
         let age = now.saturating_duration_since(self.at);
         self.ttl().saturating_sub(age)
@@ -193,12 +199,16 @@
             let Some(at) = now.checked_sub(peer.age) else {
                 continue;
             };
-            let entry = Entry {
+            let mut entry = Entry {
                 standing: peer.standing,
                 at,
                 engine: peer.engine.clone(),
             };
             let known = self.live(&peer.fingerprint, now);
+            if let Some(known) = known.filter(|known| known.is_other_loss(&entry)) {
+                entry.standing = Standing::Quarantined;
+                entry.at = at.max(known.at);
+            }
             // An entry that expired here a moment earlier than at the peer must
             // not come back from there.
             let lasts = entry.left(now) > MERGE_SLACK;
--- a/crates/pomeloridge_policy/tests/policy/suspicion.rs
+++ b/crates/pomeloridge_policy/tests/policy/suspicion.rs
@@ -109,6 +109,21 @@
     assert!(!here.is_suspect(&print("a"), now + ms(600)));
 }
 
+/// Guards against a caller who comes back at another node before that has heard of the
+/// first loss.
+#[test]
+fn losses_of_different_engines_add_up_between_nodes() {
+    let now = Instant::now();
+    let (mut here, mut there) = (Suspicions::default(), Suspicions::default());
+    here.engine_lost(&name("e1"), &running(&["a", "b"], false), now);
+    there.engine_lost(&name("e2"), &running(&["a"], false), now);
+    there.engine_lost(&name("e1"), &running(&["b"], false), now);
+    there.merge(&here.export(now + ms(100)), now + ms(100));
+    let treatment = there.treatment(&print("a"), now + ms(100));
+    assert!(matches!(treatment, Treatment::Refuse(_)));
+    assert!(there.is_suspect(&print("b"), now + ms(100)), "one engine");
+}
+
 #[test]
 fn a_late_message_does_not_undo() {
     let now = Instant::now();
