--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -405,6 +405,7 @@
     reading = { "ask", Crash::Begin, 12_000 },
     resumed_stream = { "ask", Crash::Midway, 200 },
     lone_stream = { "note", Crash::Midway, 200 },
+    restarted_at_once = { "ask", Crash::Restart, 200 },
 )]
 fn a_request_that_ends_servers_is_not_sent_on(route: &str, crash: Crash, tokens: u64) {
     let deployment = Deployment::start(&format!("ends-{route}-{crash}-{tokens}"), 3);
