Look a moment later whether a server that still took a connection is there

What callers would see: a request ends one or two servers more than it has to, where only the look at a server can tell of the end.

The fake's process closes its connections a moment before its port, as a process may that ends; the look's connection was still taken by the dying port, and only the list told of the end.

Change: a look keeps its connection for 50 ms and connects once more if it has been closed by then. Ejections by a look are counted and logged like the others.

Tests: an_end_is_known_before_the_server_is_back (the server stays away, so that the list can't tell; 3 ended, 0 sent on). The soak takes the number of gateways as an argument.

--- a/crates/pomeloridge_dev/src/launch/fleet.rs
+++ b/crates/pomeloridge_dev/src/launch/fleet.rs
@@ -71,10 +71,16 @@
 impl Fleet {
     /// Starts a fake platform and so many gateways; `name` tells its folder from others.
     pub fn start(name: &str, gateways: usize) -> Result<Self, String> {
+        Self::start_with(name, gateways, &[])
+    }
+
+    /// The same with arguments for the fake.
+    pub fn start_with(name: &str, gateways: usize, args: &[&str]) -> Result<Self, String> {
+        let args: Vec<String> = args.iter().map(ToString::to_string).collect();
         let folder =
             std::env::temp_dir().join(format!("pomeloridge-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let platform = Process::start("fleet", "pomeloridge_fleet_standin", &[], &folder)?;
+        let platform = Process::start("fleet", "pomeloridge_fleet_standin", &args, &folder)?;
         let (store, duties) = (platform.address("store")?, platform.address("duties")?);
         let start =
             |index: usize| Gateway::start(&format!("front-{index}"), &folder, [store, duties]);
--- a/crates/pomeloridge_dev/src/main.rs
+++ b/crates/pomeloridge_dev/src/main.rs
@@ -62,6 +62,9 @@
         /// First seed.
         #[arg(long, default_value_t = 1)]
         first: u64,
+        /// Gateways in each run.
+        #[arg(long, default_value_t = pomeloridge_dev::soak::GATEWAYS)]
+        gateways: usize,
     },
     /// Runs deployments under failure and checks their histories; exit code 1 if
     /// a promise was broken.
@@ -101,9 +104,11 @@
             let built = if no_build { Ok(()) } else { build_binaries() };
             built.and_then(|()| check(first, seeds, scenario.as_deref(), timing))
         }
-        Command::Soak { seeds, first } => {
-            build_binaries().map(|()| pomeloridge_dev::soak::run_all(first, seeds))
-        }
+        Command::Soak {
+            seeds,
+            first,
+            gateways,
+        } => build_binaries().map(|()| pomeloridge_dev::soak::run_all(first, seeds, gateways)),
         Command::Latency => latency::run(),
     };
     match result {
--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -17,8 +17,6 @@
 
 use crate::launch::block_on;
 
-/// Callers at a time.
-const CALLERS: u64 = 10;
 /// Longest pause of a caller between two requests, in ms.
 const PAUSE_MS: u64 = 40;
 /// One in so many requests meets a fault at its first server.
@@ -27,6 +25,8 @@
 const CRASH_SHARE: u32 = 20;
 /// Requests that do so in a run; each comes again and again, from all callers.
 const CRASHING: u64 = 2;
+/// What they do; the servers are soon back, so that others can be served.
+const CRASHES: [Crash; 4] = [Crash::Begin, Crash::Run, Crash::Midway, Crash::Restart];
 /// Pause between two looks at readiness.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -110,7 +110,7 @@
 fn crashing(number: u64, attempt: &str) -> (Route, Outgoing) {
     let of = |count: usize| number as usize % count;
     let route = Route::ALL[of(Route::ALL.len())];
-    let crash = Crash::ALL[of(Crash::ALL.len())];
+    let crash = CRASHES[of(CRASHES.len())];
     (
         route,
         crash.by(request(route, attempt), &number.to_string()),
@@ -121,13 +121,15 @@
 pub(super) fn start(
     gateways: Vec<SocketAddr>,
     seed: u64,
+    callers: u64,
     done: Arc<AtomicBool>,
 ) -> JoinHandle<Result<Vec<Call>, String>> {
     std::thread::spawn(move || {
         block_on(async move {
-            let callers = (0..CALLERS).map(|caller| {
+            let callers = (0..callers).map(|caller| {
                 let (gateways, done) = (gateways.clone(), Arc::clone(&done));
-                monoio::spawn(ask_on(gateways, seed, caller, done))
+                let rng = StdRng::seed_from_u64(seed * callers + caller);
+                monoio::spawn(ask_on(gateways, seed, (caller, rng), done))
             });
             let mut calls = Vec::new();
             for caller in callers.collect::<Vec<_>>() {
@@ -141,10 +143,9 @@
 async fn ask_on(
     gateways: Vec<SocketAddr>,
     seed: u64,
-    caller: u64,
+    (caller, mut rng): (u64, StdRng),
     done: Arc<AtomicBool>,
 ) -> Vec<Call> {
-    let mut rng = StdRng::seed_from_u64(seed * CALLERS + caller);
     let mut kept: HashMap<SocketAddr, Connection> = HashMap::new();
     let mut calls = Vec::new();
     while !done.load(Ordering::Relaxed) {
--- a/crates/pomeloridge_dev/src/soak/director.rs
+++ b/crates/pomeloridge_dev/src/soak/director.rs
@@ -12,7 +12,7 @@
 
 /// Time during which faults begin.
 const FAULT_TIME: Duration = Duration::from_secs(8);
-/// Most faults in a run.
+/// Most faults in a run of the usual size; larger ones have more.
 const FAULTS: usize = 7;
 /// Time that a gateway has to end after SIGTERM.
 const GRACE: Duration = Duration::from_secs(8);
@@ -60,9 +60,6 @@
     to: Duration,
 }
 
-/// A gateway that was told to stop, by its process id.
-type Stopping = [Option<u32>; GATEWAYS];
-
 /// What was done.
 #[derive(Debug, Default)]
 pub(super) struct Directed {
@@ -71,18 +68,20 @@
     pub(super) spare_key: bool,
     /// What went wrong meanwhile.
     pub(super) violations: Vec<String>,
-    stopping: Stopping,
+    /// Process ids of the gateways that were told to stop.
+    stopping: Vec<Option<u32>>,
 }
 
-fn plan(seed: u64) -> Vec<Planned> {
+fn plan(seed: u64, gateways: usize) -> Vec<Planned> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let count = rng.random_range(3..=FAULTS);
+    let most = (FAULTS * gateways / GATEWAYS).max(FAULTS);
+    let count = rng.random_range(3..=most);
     let planned = (0..count).map(|_| {
         let from = rng.random_range(300..FAULT_TIME.as_millis() as u64);
         let long = rng.random_range(200..4000);
         Planned {
             fault: Fault::ALL[rng.random_range(0..Fault::ALL.len())],
-            gateway: rng.random_range(0..GATEWAYS),
+            gateway: rng.random_range(0..gateways),
             from: Duration::from_millis(from),
             to: Duration::from_millis(from + long),
         }
@@ -95,8 +94,11 @@
 /// Plays a seed's faults, and ends every one.
 pub(super) fn direct(fleet: &mut Fleet, seed: u64) -> Result<Directed, String> {
     let start = Instant::now();
-    let plan = plan(seed);
-    let mut directed = Directed::default();
+    let plan = plan(seed, fleet.gateways.len());
+    let mut directed = Directed {
+        stopping: vec![None; fleet.gateways.len()],
+        ..Directed::default()
+    };
     let edges = plan
         .iter()
         .flat_map(|planned| [(planned.from, true, planned), (planned.to, false, planned)]);
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -21,8 +21,12 @@
 pub use callers::{Call, Route};
 pub use verdict::check;
 
-/// Gateways in a run.
-const GATEWAYS: usize = 4;
+/// Gateways in a run of the usual size.
+pub const GATEWAYS: usize = 4;
+/// Callers for each of them.
+const CALLERS: f64 = 2.5;
+/// Most callers in a run: one thread asks for all of them.
+const MOST_CALLERS: u64 = 60;
 /// Time in which started gateways are ready.
 const START_TIME: Duration = Duration::from_secs(20);
 
@@ -41,16 +45,17 @@
     pub folder: String,
 }
 
-/// Runs one seed.
-pub fn run(seed: u64) -> Result<Outcome, String> {
-    let mut fleet = Fleet::start(&format!("soak-{seed}"), GATEWAYS)?;
+/// Runs one seed with so many gateways.
+pub fn run(seed: u64, gateways: usize) -> Result<Outcome, String> {
+    let mut fleet = Fleet::start(&format!("soak-{seed}"), gateways)?;
     let ready = fleet.gateways.iter().map(|gateway| gateway.ready);
     if !callers::until_ready(ready.collect(), START_TIME)? {
         return Err("the gateways are not ready".to_owned());
     }
     let done = Arc::new(AtomicBool::new(false));
     let addresses = fleet.gateways.iter().map(|gateway| gateway.caller);
-    let asking = callers::start(addresses.collect(), seed, Arc::clone(&done));
+    let callers = ((gateways as f64 * CALLERS) as u64).min(MOST_CALLERS);
+    let asking = callers::start(addresses.collect(), seed, callers, Arc::clone(&done));
     let directed = director::direct(&mut fleet, seed);
     done.store(true, Ordering::Relaxed);
     let asked = asking
@@ -77,10 +82,10 @@
 }
 
 /// Runs seeds and prints a line for each; false if something was broken.
-pub fn run_all(first: u64, seeds: u64) -> bool {
+pub fn run_all(first: u64, seeds: u64, gateways: usize) -> bool {
     let mut failed = 0;
     for seed in first..first + seeds {
-        match run(seed) {
+        match run(seed, gateways) {
             Ok(outcome) => {
                 let ok = outcome.violations.is_empty();
                 let word = if ok { "ok  " } else { "FAIL" };
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -436,6 +436,26 @@
     });
 }
 
+/// Guards against an end that is known only once the server is listed anew.
+#[test]
+fn an_end_is_known_before_the_server_is_back() {
+    let fleet = Fleet::start_with("slow-ends", 3, &["--plain", "8"]).unwrap();
+    let deployment = Deployment(fleet);
+    let asked = |attempt: &str| Crash::Slow.by(request(Method::POST, "lodge", attempt), "1");
+    run(async {
+        deployment.until_ready().await;
+        for turn in 0..6 {
+            let gateway = &deployment.0.gateways[turn % 3];
+            let answer = ask(gateway.caller, asked(&format!("p{turn}"))).await;
+            let is_known = turn >= KNOWN_ENDS;
+            assert_eq!(says_not_run(&answer.unwrap()), is_known, "turn {turn}");
+            monoio::time::sleep(RETURN_PAUSE).await;
+        }
+        let Crashes { ended, sent_on } = deployment.crashes(&asked("p").target).await;
+        assert_eq!((ended, sent_on), (KNOWN_ENDS, 0));
+    });
+}
+
 /// Guards against a restart that forgets which requests end servers: of one gateway, and
 /// of the whole fleet at once.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -325,18 +325,13 @@
             Failure::Silent => dispatcher.is_silent_since(server, self.sent),
             _ => false,
         };
-        let ejected = dead && dispatcher.eject(server, now);
         drop(dispatcher);
+        if dead {
+            state.eject(server, failure);
+        }
         if failure == Failure::NotListening {
             server_end::ended(state, server);
         }
-        if ejected {
-            state.meter.one(Counter::Ejections);
-            log::info!(
-                "server id={} choice=eject reason={failure}",
-                state.server_name(server)
-            );
-        }
     }
 
     /// A refusal that says truthfully whether the request has run.
--- a/crates/pomeloridge_gateway/src/server_end.rs
+++ b/crates/pomeloridge_gateway/src/server_end.rs
@@ -7,9 +7,11 @@
 //! of the requests that it cut.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use pomeloridge_base::http::{Connection, Fault};
 use pomeloridge_base::meter::Counter;
 use pomeloridge_policy::crashes::{KNOWN_ENDS, StartId};
 use pomeloridge_policy::dispatch::{Departed, TargetInfo, TargetKey};
@@ -20,6 +22,8 @@
 
 /// Time for a look at a server, with the connection that it opens.
 const LOOK_TIME: Duration = Duration::from_millis(400);
+/// Time after which a connection to a server that was ending is closed.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
 /// Pause between two looks whether the look of another task has ended.
 const WAIT_PAUSE: Duration = Duration::from_millis(5);
 /// Time for which a server that could not be reached may have ended; its entry lapses
@@ -46,12 +50,11 @@
     }
     let state = Rc::clone(state);
     monoio::spawn(async move {
-        let now = state.now();
-        match state.pool.open(info.address, now + LOOK_TIME, now).await {
+        match connect(&state, info.address).await {
             // The connection serves the next request.
             Ok(connection) => state.pool.put(connection, None, state.now()),
             Err(fault) if Failure::before_write(&fault) == Failure::NotListening => {
-                state.dispatcher.borrow_mut().eject(server, state.now());
+                state.eject(server, Failure::NotListening);
                 ended(&state, server);
             }
             Err(_) => {
@@ -63,6 +66,22 @@
     });
 }
 
+/// A connection to a server that is still there a moment later: a process that ends may
+/// close its connections before its port.
+async fn connect(state: &State, address: SocketAddr) -> Result<Connection, Fault> {
+    let open = async || {
+        let now = state.now();
+        state.pool.open(address, now + LOOK_TIME, now).await
+    };
+    let connection = open().await?;
+    monoio::time::sleep(SETTLE_TIME).await;
+    if connection.quiet() {
+        Ok(connection)
+    } else {
+        open().await
+    }
+}
+
 /// Waits until a look at a server, if there is one, has ended.
 pub(crate) async fn looked(state: &State, server: TargetKey) {
     let Some(start) = looked_at(state, server).map(|info| info.start()) else {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -22,6 +22,7 @@
 
 use crate::accept::Accepted;
 use crate::config::ServingConfig;
+use crate::exchange::Failure;
 use crate::life::Life;
 use crate::peers::{self, Peers};
 use crate::pool::Pool;
@@ -362,6 +363,18 @@
         server_end::departed(self, &departed);
     }
 
+    /// Takes a server out of use after a failure that says that it is gone.
+    pub(crate) fn eject(&self, server: TargetKey, reason: Failure) {
+        let ejected = self.dispatcher.borrow_mut().eject(server, self.now());
+        if ejected {
+            self.meter.one(Counter::Ejections);
+            log::info!(
+                "server id={} choice=eject reason={reason}",
+                self.server_name(server)
+            );
+        }
+    }
+
     /// Whether the server at an address wants nothing of this node for now.
     pub(crate) fn is_away(&self, address: SocketAddr) -> bool {
         let now = self.now();
