--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -497,6 +497,48 @@
     });
 }
 
+/// Guards against an older version that comes back, as a stale read of the object service
+/// or a peer does.
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let deployment = Deployment::start("older", 2);
+    run(async {
+        deployment.until_ready().await;
+        let read = Outgoing::get("/-/objects/config/main");
+        let found = call(deployment.0.store, &read, CALL_TIME).await.unwrap();
+        let found: Value = serde_json::from_slice(&found.body).unwrap();
+        let write = async |version: u64, key: &str| {
+            let mut config = found["spec"].clone();
+            config["version"] = version.into();
+            config["tenants"][0]["apiKeys"] = serde_json::json!([key]);
+            let write = Outgoing::new(Method::POST, "/-/config").json(&config);
+            call(deployment.0.duties, &write, CALL_TIME).await.unwrap();
+        };
+        let status = async |gateway: usize, key: &str, attempt: &str| {
+            let gateway = deployment.0.gateways[gateway].caller;
+            let asked = caller::with_key(request(Method::GET, "read", attempt), key);
+            ask(gateway, asked).await.unwrap().status.as_u16()
+        };
+        write(50, "new-key").await;
+        for gateway in [0, 1] {
+            until(async || status(gateway, "new-key", "n").await == 200).await;
+        }
+        write(40, "old-key").await;
+        write(51, "last-key").await;
+        for gateway in [0, 1] {
+            // Whatever was written before the last version has been read by then.
+            until(async || status(gateway, "last-key", "l").await == 200).await;
+            assert_eq!(status(gateway, "old-key", "o").await, 401);
+        }
+        write(45, "old-key").await;
+        monoio::time::sleep(RETURN_PAUSE).await;
+        for gateway in [0, 1] {
+            assert_eq!(status(gateway, "old-key", "p").await, 401);
+            assert_eq!(status(gateway, "last-key", "q").await, 200);
+        }
+    });
+}
+
 /// Pattern: a large configuration on small links; each word of a peer that names a newer
 /// one must not start another read of it.
 #[test]
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -95,14 +95,8 @@
 }
 
 fn config(state: &State) -> Response {
-    match state.config.borrow().as_ref() {
-        Some(in_force) => {
-            let written = in_force.written.get_or_init(|| {
-                let wire = ObjectWire::from(in_force.object.clone());
-                Response::json(200, &wire).body
-            });
-            Response::new(200, written.clone())
-        }
+    match state.config.borrow().written() {
+        Some(written) => Response::new(200, written),
         None => Response::new(404, ""),
     }
 }
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod call;
 mod config;
+mod config_register;
 mod duties;
 mod events;
 mod exchange;
@@ -36,6 +37,7 @@
 pub use config::{
     Account, RequestLimits, Route, RouteKind, ServerScaling, ServingConfig, ServingService, Share,
 };
+pub use config_register::{Adopted, ConfigRegister};
 pub use events::{Event, EventSplitter};
 pub use node::run;
 pub use register::Register;
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -1,18 +1,17 @@
 //! What the gateway's tasks share.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::clock::{SharedClock, Stamp};
 use pomeloridge_base::id::{Epoch, Name};
 use pomeloridge_base::meter::{Counter, Meter};
 use pomeloridge_base::settings::Checked;
-use pomeloridge_platform::{Client, Object};
+use pomeloridge_platform::Client;
 use pomeloridge_policy::crashes::Crashes;
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{FixedPart, RepeatBudget, RepeatLimits};
@@ -22,6 +21,7 @@
 
 use crate::accept::Accepted;
 use crate::config::ServingConfig;
+use crate::config_register::ConfigRegister;
 use crate::exchange::Failure;
 use crate::life::Life;
 use crate::peers::{self, Peers};
@@ -50,14 +50,6 @@
     pub metrics: Box<dyn Fn() -> String>,
 }
 
-/// The version of the configuration that is in force, with the object it was read from.
-pub(crate) struct InForce {
-    pub(crate) config: Rc<ServingConfig>,
-    pub(crate) object: Object,
-    /// As peers read it, once one has.
-    pub(crate) written: OnceCell<Bytes>,
-}
-
 /// A gateway's state.
 pub(crate) struct State {
     pub(crate) settings: LiveSettings,
@@ -84,7 +76,7 @@
     /// Where other nodes reach this one.
     pub(crate) peer_address: SocketAddr,
     pub(crate) store: Client,
-    pub(crate) config: RefCell<Option<InForce>>,
+    pub(crate) config: RefCell<ConfigRegister>,
     pub(crate) register: RefCell<Register>,
     pub(crate) server_list: RefCell<ServerList>,
     /// When the object service last answered this node's watch of the servers.
@@ -196,10 +188,7 @@
 
     /// The configuration in force.
     pub(crate) fn config(&self) -> Option<Rc<ServingConfig>> {
-        let in_force = self.config.borrow();
-        in_force
-            .as_ref()
-            .map(|in_force| Rc::clone(&in_force.config))
+        self.config.borrow().config()
     }
 
     /// Whether the whole system starts for the first time.
@@ -209,7 +198,7 @@
 
     /// Whether the node may be given callers.
     pub(crate) fn ready(&self) -> bool {
-        self.config.borrow().is_some()
+        self.config().is_some()
             && self.listed.get()
             && self.peers.borrow().has_met(self.now())
             && !self.life.is_stopping()
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -1,6 +1,7 @@
 //! Keeps the configuration and the list of servers current from the object service.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::Cell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,9 +9,10 @@
 use pomeloridge_platform::{Event, Object, PlatformError};
 use pomeloridge_policy::dispatch::TargetInfo;
 
+use crate::config_register::Adopted;
 use crate::peers;
 use crate::server_list::{Applied, ListChange};
-use crate::state::{InForce, State};
+use crate::state::State;
 
 /// Pause between two looks for lapsed servers.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(250);
@@ -144,25 +146,17 @@
             return;
         }
     };
-    let known = state.config().map(|config| config.version);
-    if known.is_some_and(|known| known >= config.version) {
+    let (version, routes) = (config.version, config.routes.len());
+    let accounts = config.accounts.as_ref().map_or(0, HashMap::len);
+    let adopted = state.config.borrow_mut().adopt(config, object.clone());
+    let Adopted::Newer(before) = adopted else {
         return;
-    }
+    };
     log::info!(
-        "config version={} revision={} choice=adopt before={known:?} routes={} accounts={}",
-        config.version,
-        object.version,
-        config.routes.len(),
-        config
-            .accounts
-            .as_ref()
-            .map_or(0, std::collections::HashMap::len)
+        "config version={version} revision={} choice=adopt before={before:?} routes={routes} \
+         accounts={accounts}",
+        object.version
     );
-    *state.config.borrow_mut() = Some(InForce {
-        config: Rc::new(config),
-        object: object.clone(),
-        written: OnceCell::new(),
-    });
     state.sync_servers();
 }
 
