Time calls to the object service and of the duties

Histograms at the metrics address for calls of the object service (watches aside, which last for as long as nothing changes) and for orders and reports of the duties' holder, beside first piece, pause and whole request. Guarded by the_metrics_time_requests_and_calls.

--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -56,6 +56,8 @@
         Gap: "pomeloridge_token_gap_seconds", "Time between two tokens of a stream.";
         Total: "pomeloridge_request_seconds", "Time from a request's arrival to the end of its answer.";
         Wait: "pomeloridge_admission_wait_seconds", "Time a request waited for its turn.";
+        StoreCall: "pomeloridge_store_call_seconds", "Time of a gateway's call to the object service, watches aside.";
+        DutyCall: "pomeloridge_duty_call_seconds", "Time of a gateway's call that orders servers or stages, or reports usage.";
     }
 }
 
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -670,6 +670,36 @@
     });
 }
 
+/// What an operator looks at first: are requests, store and duties as fast as usual?
+#[test]
+fn the_metrics_time_requests_and_calls() {
+    let deployment = Deployment::start("metrics", 1);
+    run(async {
+        deployment.until_ready().await;
+        let asked = generation("ask", "m1", 200);
+        assert_eq!(deployment.ask(asked).await.unwrap().status, 200);
+        let timed = [
+            "request",
+            "first_token",
+            "token_gap",
+            "store_call",
+            "duty_call",
+        ];
+        // Usage is reported some seconds after its window.
+        until(async || {
+            let metrics = deployment.0.gateways[0].metrics;
+            let page = call(metrics, &Outgoing::get("/metrics"), CALL_TIME).await;
+            let page = String::from_utf8(page.unwrap().body.to_vec()).unwrap();
+            timed.iter().all(|timer| {
+                let count = format!("pomeloridge_{timer}_seconds_count");
+                let line = page.lines().find(|line| line.starts_with(&count));
+                line.is_some_and(|line| !line.ends_with(" 0"))
+            })
+        })
+        .await;
+    });
+}
+
 /// A request's cause is found from the logs alone.
 #[test]
 fn the_logs_tell_why_a_request_failed() {
--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -135,7 +135,8 @@
     let requests: u64 = report.counts.iter().map(|(_, count)| count).sum();
     let epoch = permit.epoch();
     let allowed = Box::new(move || permit.allowed());
-    (state.ports.duty.usage)(report, allowed).await?;
+    let reported = (state.ports.duty.usage)(report, allowed);
+    state.duty_call(reported).await?;
     log::info!("usage window={window} outcome=reported requests={requests} epoch={epoch}");
     Ok(())
 }
--- a/crates/pomeloridge_gateway/src/scale_duty.rs
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -188,7 +188,8 @@
             epoch: permit.epoch(),
         };
         let allowed = Box::new(move || permit.allowed());
-        let outcome = (state.ports.duty.scale)(order.clone(), allowed).await;
+        let ordered = (state.ports.duty.scale)(order.clone(), allowed);
+        let outcome = state.duty_call(ordered).await;
         log::info!(
             "scale service={} data_centre={} cheap={} servers={servers} epoch={} outcome={}",
             line.service,
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -132,10 +132,9 @@
         holder: state.name.clone(),
         epoch: permit.epoch(),
     };
-    let answer = call_fresh(address, &(port.order)(&order), CALL_TIME, || {
-        permit.allowed()
-    })
-    .await?;
+    let message = (port.order)(&order);
+    let ordered = call_fresh(address, &message, CALL_TIME, || permit.allowed());
+    let answer = state.duty_call(ordered).await?;
     log::info!(
         "stage server={} from={} to={} expected={} epoch={} status={}",
         change.id,
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -9,9 +9,9 @@
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::clock::{SharedClock, Stamp};
 use pomeloridge_base::id::{Epoch, Name};
-use pomeloridge_base::meter::{Counter, Meter};
+use pomeloridge_base::meter::{Counter, Meter, Timer};
 use pomeloridge_base::settings::Checked;
-use pomeloridge_platform::Client;
+use pomeloridge_platform::{CallKind, Client};
 use pomeloridge_policy::crashes::Crashes;
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{FixedPart, RepeatBudget, RepeatLimits};
@@ -128,6 +128,13 @@
             Rc::clone(&clock),
             ports.store.form,
         );
+        let timed = meter.clone();
+        let store = store.observed(Rc::new(move |kind, time| {
+            // A watch lasts for as long as nothing changes.
+            if kind != CallKind::Watch {
+                timed.time(Timer::StoreCall, time);
+            }
+        }));
         let source = Source {
             node: name.clone(),
             life: life_id,
@@ -364,6 +371,15 @@
         }
     }
 
+    /// Makes a call that only the holder of the duties makes, and notes its time.
+    pub(crate) async fn duty_call<T>(&self, call: impl Future<Output = T>) -> T {
+        let started = self.now();
+        let outcome = call.await;
+        let time = self.now().saturating_duration_since(started);
+        self.meter.time(Timer::DutyCall, time);
+        outcome
+    }
+
     /// Whether the server at an address wants nothing of this node for now.
     pub(crate) fn is_away(&self, address: SocketAddr) -> bool {
         let now = self.now();
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -23,6 +23,9 @@
 /// Shortest timeout that is given to the kernel, which takes 0 for none.
 const SHORTEST_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Told of each call's kind and time.
+pub type Observe = Rc<dyn Fn(CallKind, Duration)>;
+
 /// The platform, as one node calls it; a clone shares the counts.
 #[derive(Clone)]
 pub struct Client {
@@ -31,6 +34,7 @@
     clock: SharedClock,
     counts: Rc<CallCounts>,
     form: ObjectForm,
+    observe: Option<Observe>,
 }
 
 impl Client {
@@ -52,6 +56,16 @@
             timeout,
             clock,
             counts: Rc::default(),
+            observe: None,
+        }
+    }
+
+    /// The same client, which tells of its calls.
+    #[must_use]
+    pub fn observed(self, observe: Observe) -> Self {
+        Self {
+            observe: Some(observe),
+            ..self
         }
     }
 
@@ -221,8 +235,12 @@
         allowed: impl FnOnce() -> bool,
     ) -> Result<Response, PlatformError> {
         self.counts.add(kind);
-        let answer = call_with(self.address, &request, options, deadline, allowed).await?;
-        (self.form.accept)(answer)
+        let started = Instant::now();
+        let answer = call_with(self.address, &request, options, deadline, allowed).await;
+        if let Some(observe) = &self.observe {
+            observe(kind, started.elapsed());
+        }
+        (self.form.accept)(answer?)
     }
 }
 
--- a/crates/pomeloridge_platform/src/lib.rs
+++ b/crates/pomeloridge_platform/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use authority::{Authority, Permit, time_left, wait_out};
 pub use call::{CallCounts, CallKind};
-pub use client::{Client, call_fresh, write_options};
+pub use client::{Client, Observe, call_fresh, write_options};
 pub use error::PlatformError;
 pub use fleet::{BackendServer, ServerKind, ServerState, Vm};
 pub use form::{ObjectForm, Page, accept_status, decode};
