End the process though nobody reads its log

What operators would see: a collector that reads no more holds up a planned stop until the process is killed, with the requests that it would have answered by then.

Cause: the end of the process waited without bound for a place in the channel of lines, and for the writer, which was blocked in the write.

Change: the writer is told by a flag, and waited for 500 ms at most.

--- a/crates/pomeloridge/src/logging.rs
+++ b/crates/pomeloridge/src/logging.rs
@@ -4,10 +4,10 @@
 //! channel to a writer, which is flushed when the process ends.
 
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
-use std::thread::JoinHandle;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, channel, sync_channel};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::LevelFilter;
 use pomeloridge_base::settings::Checked;
@@ -15,19 +15,38 @@
 /// Lines that may wait for the writer; beyond them lines are dropped, not waited for.
 const WAITING_LINES: usize = 16 * 1024;
 
-/// Ends the writer when dropped, after its last line.
+/// Time for which the end of the process waits for the last lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(500);
+
+/// Ends the writer when dropped, after its last line if that can be written.
 pub(crate) struct Writer {
     lines: SyncSender<Option<String>>,
-    thread: Option<JoinHandle<()>>,
+    stopping: Arc<AtomicBool>,
+    ended: Receiver<()>,
 }
 
 impl Drop for Writer {
     fn drop(&mut self) {
-        let _ = self.lines.send(None);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+        self.stopping.store(true, Ordering::SeqCst);
+        // Wakes a writer that waits for a line; one with a full channel sees the flag.
+        let _ = self.lines.try_send(None);
+        // Where nobody reads the output, its last lines are lost.
+        let _ = self.ended.recv_timeout(LAST_LINES);
+    }
+}
+
+/// Writes lines until the process ends.
+fn write_lines(mut out: Box<dyn Write>, waiting: &Receiver<Option<String>>, stopping: &AtomicBool) {
+    loop {
+        let line = if stopping.load(Ordering::SeqCst) {
+            waiting.try_recv().ok()
+        } else {
+            waiting.recv().ok()
+        };
+        let Some(Some(line)) = line else { break };
+        let _ = out.write_all(line.as_bytes());
     }
+    let _ = out.flush();
 }
 
 /// Where and how many lines are written.
@@ -43,12 +62,12 @@
 pub(crate) fn start(settings: &Checked, output: Output) -> Result<Writer, String> {
     let (lines, waiting) = sync_channel::<Option<String>>(WAITING_LINES);
     let Output { to, per_second } = output;
-    let thread = std::thread::spawn(move || {
-        let mut out = to();
-        while let Ok(Some(line)) = waiting.recv() {
-            let _ = out.write_all(line.as_bytes());
-        }
-        let _ = out.flush();
+    let stopping = Arc::new(AtomicBool::new(false));
+    let (end, ended) = channel();
+    let flag = Arc::clone(&stopping);
+    std::thread::spawn(move || {
+        write_lines(to(), &waiting, &flag);
+        let _ = end.send(());
     });
     let json = settings.text("log", "format") == "json";
     let node = settings.text("node", "name").to_owned();
@@ -75,7 +94,8 @@
         .map_err(|error| error.to_string())?;
     Ok(Writer {
         lines,
-        thread: Some(thread),
+        stopping,
+        ended,
     })
 }
 
--- /dev/null
+++ b/crates/pomeloridge_dev/tests/logging.rs
@@ -0,0 +1,131 @@
+//! Logging under load: bounded, counted where lines are dropped, and never waited for.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::process::{Child, ChildStdout, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use pomeloridge_dev::launch::{Fleet, block_on};
+use pomeloridge_fleet_standin::caller::{ask, is_ready, request};
+use serde_json::Value;
+
+/// Time in which a gateway is ready, and in which a stopped one has ended.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Requests that write more than a pipe holds.
+const REQUESTS: usize = 1500;
+
+/// A gateway whose standard output is read by the test; it is ended when dropped.
+struct Gateway {
+    child: Child,
+    out: BufReader<ChildStdout>,
+    first: String,
+}
+
+impl Gateway {
+    /// Starts a second gateway of a deployment with some settings more.
+    fn start(fleet: &Fleet, more: &str) -> Self {
+        let first = fleet.folder.join("front-0.ini");
+        let settings = std::fs::read_to_string(first).unwrap();
+        let settings = settings.replace("name = front-0", "name = front-9");
+        let file = fleet.folder.join("front-9.ini");
+        std::fs::write(&file, settings + more).unwrap();
+        let program = std::env::current_exe().unwrap();
+        let program = program.ancestors().nth(2).unwrap().join("pomeloridge");
+        let mut child = Command::new(program)
+            .args(["gateway", "--settings", file.to_str().unwrap()])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut out = BufReader::new(child.stdout.take().unwrap());
+        let mut first = String::new();
+        out.read_line(&mut first).unwrap();
+        Self { child, out, first }
+    }
+
+    fn address(&self, key: &str) -> SocketAddr {
+        let line: Value = serde_json::from_str(&self.first).unwrap();
+        let words = line["message"].as_str().unwrap().split(' ');
+        let mut words = words.filter_map(|word| word.split_once('='));
+        let (_, address) = words.find(|(found, _)| *found == key).unwrap();
+        address.parse().unwrap()
+    }
+
+    /// Asks so many times on one connection; all must be answered.
+    fn ask(&self, count: usize) {
+        let (caller, ready) = (self.address("caller"), self.address("ready"));
+        block_on(async {
+            while !is_ready(ready).await {
+                monoio::time::sleep(Duration::from_millis(50)).await;
+            }
+            let mut kept = None;
+            for number in 0..count {
+                let asked = request(Method::GET, "read", &format!("g{number}"));
+                let (answer, connection) = ask(caller, kept.take(), &asked).await?;
+                assert_eq!(answer.status, 200);
+                kept = connection.reusable().then_some(connection);
+            }
+            Ok::<(), String>(())
+        })
+        .unwrap();
+    }
+
+    fn stop(&mut self) {
+        // SAFETY: the process is a child of this one and has not been waited for.
+        unsafe { libc::kill(self.child.id().cast_signed(), libc::SIGTERM) };
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = (self.child.kill(), self.child.wait());
+    }
+}
+
+/// Guards against a collector that reads no more: requests, and the stop of the process,
+/// must not wait for it.
+#[test]
+fn a_blocked_output_holds_up_neither_requests_nor_the_stop() {
+    let fleet = Fleet::start("blocked-log", 1).unwrap();
+    let mut gateway = Gateway::start(&fleet, "lines_per_s = 100000\n");
+    gateway.ask(REQUESTS);
+    gateway.stop();
+    let end = Instant::now() + PATIENCE;
+    while gateway.child.try_wait().unwrap().is_none() {
+        assert!(Instant::now() < end, "the process did not end");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against lines that are missing without a word, and against a word that a
+/// collector of JSON can't read.
+#[test]
+fn dropped_lines_are_counted() {
+    let fleet = Fleet::start("bounded-log", 1).unwrap();
+    let mut gateway = Gateway::start(&fleet, "lines_per_s = 50\n");
+    let started = Instant::now();
+    gateway.ask(REQUESTS);
+    let seconds = started.elapsed().as_secs() + 1;
+    // The next second tells what was dropped in the last one.
+    std::thread::sleep(Duration::from_millis(1100));
+    gateway.ask(10);
+    gateway.stop();
+    let (mut written, mut dropped) = (0, 0);
+    for line in gateway.out.by_ref().lines() {
+        let line: Value = serde_json::from_str(&line.unwrap()).expect("a line is JSON");
+        let message = line["message"].as_str().unwrap();
+        written += u64::from(message.contains("id=g"));
+        let count = message.strip_prefix("log dropped=");
+        dropped += count.map_or(0, |count| count.parse::<u64>().unwrap());
+    }
+    // Each request writes a line when it is sent and one when it is answered.
+    let all = 2 * (REQUESTS as u64 + 10);
+    assert!(
+        written <= 50 * (seconds + 3),
+        "{written} lines in {seconds} s"
+    );
+    assert!(
+        written + dropped >= all,
+        "{written} written, {dropped} dropped"
+    );
+}
