Count every dropped log line, in the form of the log

What operators would see: one line of text among lines of JSON, which a collector can't read; and lines missing without a word, where a slow reader lets the channel fill.

Cause: the count was written apart from the other lines, and only lines beyond the rate were counted.

--- a/crates/pomeloridge/src/logging.rs
+++ b/crates/pomeloridge/src/logging.rs
@@ -6,10 +6,10 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, channel, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, channel, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use log::LevelFilter;
+use log::{Level, LevelFilter};
 use pomeloridge_base::settings::Checked;
 
 /// Lines that may wait for the writer; beyond them lines are dropped, not waited for.
@@ -77,18 +77,21 @@
         .level(level(settings.text("log", "level")))
         .chain(fern::Output::call(move |record| {
             let Some(dropped) = bound.take() else { return };
+            let line = if json { json_line } else { text_line };
             if dropped > 0 {
-                let line = format!("{} WARN {node} log dropped={dropped}\n", unix_ms());
-                let _ = sink.try_send(Some(line));
+                let text = format!("log dropped={dropped}");
+                let missing = line(&node, Level::Warn, module_path!(), &text);
+                if sink.try_send(Some(missing)).is_err() {
+                    bound.drop_lines(dropped);
+                }
+            }
+            // A full channel means that the writer can't keep up; the request path must
+            // not wait for it.
+            let text = record.args().to_string();
+            let line = line(&node, record.level(), record.target(), &text);
+            if sink.try_send(Some(line)).is_err() {
+                bound.drop_lines(1);
             }
-            let line = if json {
-                json_line(&node, record)
-            } else {
-                text_line(&node, record)
-            };
-            // A full channel means that the writer can't keep up; the request
-            // path must not wait for it.
-            if let Err(TrySendError::Disconnected(_)) = sink.try_send(Some(line)) {}
         }))
         .apply()
         .map_err(|error| error.to_string())?;
@@ -129,9 +132,14 @@
         if self.lines.fetch_add(1, Ordering::Relaxed) < self.per_second {
             return Some(dropped);
         }
-        self.dropped.fetch_add(1 + dropped, Ordering::Relaxed);
+        self.drop_lines(1 + dropped);
         None
     }
+
+    /// Counts lines that were not written.
+    fn drop_lines(&self, count: u64) {
+        self.dropped.fetch_add(count, Ordering::Relaxed);
+    }
 }
 
 fn level(word: &str) -> LevelFilter {
@@ -148,23 +156,17 @@
     since.unwrap_or_default().as_millis()
 }
 
-fn text_line(node: &str, record: &log::Record<'_>) -> String {
-    format!(
-        "{} {} {node} {} {}\n",
-        unix_ms(),
-        record.level(),
-        record.target(),
-        record.args()
-    )
+fn text_line(node: &str, level: Level, target: &str, text: &str) -> String {
+    format!("{} {level} {node} {target} {text}\n", unix_ms())
 }
 
-fn json_line(node: &str, record: &log::Record<'_>) -> String {
+fn json_line(node: &str, level: Level, target: &str, text: &str) -> String {
     let line = serde_json::json!({
         "at": unix_ms() as u64,
-        "level": record.level().as_str(),
+        "level": level.as_str(),
         "node": node,
-        "target": record.target(),
-        "message": record.args().to_string(),
+        "target": target,
+        "message": text,
     });
     format!("{line}\n")
 }
