Put a request's story together with `explain`, from logs or from a node

A request's story now has the lines that name only its fingerprint, so that the reason why it is barred stands in it though it was found under another attempt. `trace` is gone; its tests call `explain` and check the same lines.

--- a/crates/pomeloridge/src/args.rs
+++ b/crates/pomeloridge/src/args.rs
@@ -42,18 +42,6 @@
         #[arg(long)]
         gateway: bool,
     },
-    /// Prints a request's story from the logs of several gateways.
-    ///
-    /// Lines about the servers that it was sent to are shown as well.
-    Trace {
-        /// The request's identifier.
-        id: String,
-        /// Log files; standard input if there are none.
-        files: Vec<PathBuf>,
-        /// Prints one JSON object a line.
-        #[arg(long)]
-        json: bool,
-    },
     /// Commands for operators, sent to any node.
     #[command(flatten)]
     Operator(OperatorCommand),
--- a/crates/pomeloridge/src/commands/trace.rs
+++ b/crates/pomeloridge/src/commands/explain.rs
@@ -1,14 +1,14 @@
-//! `pomeloridge trace`: a request's story from the logs of several nodes.
+//! `pomeloridge explain`: a request's story from the logs of several gateways.
 
 use std::collections::BTreeSet;
 use std::fs::File;
-use std::io::{self, BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, IsTerminal};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use serde_json::json;
 
-use super::fail;
+use super::{EXIT_USAGE, fail};
 
 /// Time around a request's lines in which lines about its servers belong to its story.
 const MARGIN_MS: u64 = 2_000;
@@ -26,6 +26,10 @@
 
 /// Prints what the logs tell of a request, in time order.
 pub(crate) fn run(id: &str, files: &[PathBuf], as_json: bool) -> ExitCode {
+    if files.is_empty() && io::stdin().is_terminal() {
+        eprintln!("name log files, pipe logs in, or ask a node with --node IP:PORT");
+        return ExitCode::from(EXIT_USAGE);
+    }
     let mut lines = Vec::new();
     for file in files {
         let read = File::open(file).and_then(|open| read_lines(BufReader::new(open), &mut lines));
@@ -110,11 +114,20 @@
                 .filter_map(|key| value(&line.text, key))
                 .any(|server| servers.contains(server))
     };
-    let mut story: Vec<Line> = lines
+    // What is known of the request under other attempts names its fingerprint alone.
+    let prints: BTreeSet<&str> = of_request
         .iter()
-        .filter(|line| value(&line.text, "id") == Some(id) || about_servers(line))
-        .cloned()
+        .filter_map(|line| value(&line.text, "print"))
         .collect();
+    let about_print = |line: &Line| {
+        let print = line.text.strip_prefix("request ");
+        let print = print.filter(|text| text.starts_with("print="));
+        print.is_some_and(|text| value(text, "print").is_some_and(|p| prints.contains(p)))
+    };
+    let belongs = |line: &&Line| {
+        value(&line.text, "id") == Some(id) || about_servers(line) || about_print(line)
+    };
+    let mut story: Vec<Line> = lines.iter().filter(belongs).cloned().collect();
     story.sort_by_key(|line| line.at_ms);
     story
 }
--- a/crates/pomeloridge/src/commands/mod.rs
+++ b/crates/pomeloridge/src/commands/mod.rs
@@ -1,10 +1,10 @@
 //! One module a command.
 
 pub(crate) mod check;
+pub(crate) mod explain;
 pub(crate) mod gateway;
 pub(crate) mod operator;
 pub(crate) mod serve;
-pub(crate) mod trace;
 
 /// Exit code for faults in settings or arguments.
 pub(crate) const EXIT_USAGE: u8 = 2;
--- a/crates/pomeloridge/src/main.rs
+++ b/crates/pomeloridge/src/main.rs
@@ -10,6 +10,8 @@
 
 use clap::Parser;
 
+use pomeloridge_operator::cli::OperatorCommand;
+
 use args::{Args, Command};
 
 fn main() -> ExitCode {
@@ -17,7 +19,11 @@
         Command::Serve { settings } => commands::serve::run(&settings),
         Command::Gateway { settings } => commands::gateway::run(&settings),
         Command::Check { settings, gateway } => commands::check::run(&settings, gateway),
-        Command::Trace { id, files, json } => commands::trace::run(&id, &files, json),
+        Command::Operator(OperatorCommand::Explain { connect, id, files })
+            if connect.node.is_none() =>
+        {
+            commands::explain::run(&id, &files, connect.json)
+        }
         Command::Operator(command) => commands::operator::run(&command),
     }
 }
--- a/crates/pomeloridge/tests/trace.rs
+++ b/crates/pomeloridge/tests/explain.rs
@@ -11,11 +11,15 @@
 1250 INFO a gateway::front request id=r2 outcome=answered
 1400 INFO a gateway::front request id=r1 outcome=refused code=server_lost
 9000 INFO b gateway::attempt server id=i-1 choice=eject reason=silent
+510 INFO a gateway::peers request print=f4 choice=bar by=b
+500 INFO b gateway::server_end request print=f4 choice=bar ends=3 by=own
+400 INFO b gateway::attempt request id=r4 print=f4 server=i-2 failure=lost again=false
+2000 INFO a gateway::attempt request id=r3 print=f4 choice=refuse reason=\"servers ended under it\"
 ";
 
-fn trace(args: &[&str]) -> Output {
+fn explain(args: &[&str]) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_pomeloridge"))
-        .arg("trace")
+        .arg("explain")
         .args(args)
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
@@ -33,7 +37,7 @@
 
 #[test]
 fn the_story_is_in_time_order_with_its_servers() {
-    let out = trace(&["r1"]);
+    let out = explain(&["r1"]);
     assert!(out.status.success());
     let text = String::from_utf8(out.stdout).unwrap();
     let lines: Vec<&str> = text.lines().collect();
@@ -50,15 +54,31 @@
 
 #[test]
 fn the_story_is_given_as_json() {
-    let out = trace(&["r2", "--json"]);
+    let out = explain(&["r2", "--json"]);
     let line: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
     assert_eq!(line["at"], 1250);
     assert_eq!(line["message"], "request id=r2 outcome=answered");
 }
 
+/// Guards against a refusal whose reason stands under another attempt of the caller.
+#[test]
+fn the_story_tells_what_barred_the_request() {
+    let out = explain(&["r3"]);
+    let text = String::from_utf8(out.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "500 b request print=f4 choice=bar ends=3 by=own",
+            "510 a request print=f4 choice=bar by=b",
+            "2000 a request id=r3 print=f4 choice=refuse reason=\"servers ended under it\"",
+        ]
+    );
+}
+
 #[test]
 fn a_request_that_is_not_there_is_said_so() {
-    let out = trace(&["r9"]);
+    let out = explain(&["r9"]);
     assert!(!out.status.success());
     assert!(String::from_utf8(out.stderr).unwrap().contains("r9"));
 }
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -710,7 +710,7 @@
         assert_eq!(deployment.ask(lodge).await.unwrap().status, 502);
         let log = deployment.0.folder.join("front-0.out");
         let trace = async || {
-            let args = ["trace", "l1", log.to_str().unwrap()].map(str::to_owned);
+            let args = ["explain", "l1", log.to_str().unwrap()].map(str::to_owned);
             let program = std::env::current_exe().unwrap();
             let program = program.ancestors().nth(2).unwrap().join("pomeloridge");
             let out = std::process::Command::new(program)
--- a/crates/pomeloridge_operator/src/cli/command.rs
+++ b/crates/pomeloridge_operator/src/cli/command.rs
@@ -85,12 +85,19 @@
         connect: Connect,
     },
     /// Shows the decisions that were made for a request.
+    ///
+    /// With `--node` that node is asked. Without it the request's story is put together
+    /// from the logs of several gateways, in time order, with the lines about the servers
+    /// that it was sent to.
     Explain {
         /// Which node is asked, and as whom.
         #[command(flatten)]
         connect: Connect,
         /// Request id, as the caller was given it.
         id: String,
+        /// Log files; standard input if there are none.
+        #[arg(conflicts_with = "node")]
+        files: Vec<PathBuf>,
     },
     /// Shows the usage of client accounts.
     Usage {
