Let a run whose prompt could not be read apart pass the budget of repeats

With all logs on, 457 of 781 failures up to 18 s are prompts that an engine had not begun to read when it was given up (`failure=silent choice=run_without_prefill`).

Cause: the run after such a prefill was counted as a repeat, but never refused one: the budget's only way in without a question. Ruled out: other repeats (75 `again=true`, all asked for), a node's part of the fixed number (91 of 182 in all).

The run now asks; without room the request is refused as not run, which it is.

`prompts_whose_reading_fails_keep_to_the_budget` fails on the code before.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -26,6 +26,10 @@
 const NOTICE_GRACE: Duration = Duration::from_millis(500);
 /// Requests that may reach it after that, within the time that it named.
 const WITHIN_NOTICE: usize = 2;
+/// Requests whose prompts are not read, and the default bound on their repeats.
+const READ_REQUESTS: usize = 100;
+const REPEAT_RATIO: f64 = 0.2;
+const REPEAT_SLACK: f64 = 50.0;
 /// Silence after which a node no longer counts a peer as live.
 const UNHEARD: Duration = Duration::from_millis(3500);
 /// Time after which a caller comes back; a server is up again by then.
@@ -621,6 +625,28 @@
     });
 }
 
+/// Guards against prompts whose reading fails, and whose runs were sent on without room in
+/// the fleet's budget of repeats.
+#[test]
+fn prompts_whose_reading_fails_keep_to_the_budget() {
+    let deployment = Deployment(Fleet::start_with("read-budget", 1, &["--prefill", "8"]).unwrap());
+    run(async {
+        deployment.until_ready().await;
+        let mut repeats = 0;
+        for number in 0..READ_REQUESTS {
+            let id = format!("b{number}");
+            let asked = generation("ask", &id, 12_000).with("x-read-fault", "lost");
+            let answer = deployment.ask(asked).await.unwrap();
+            let arrivals = deployment.received(&id).await.len();
+            repeats += arrivals.saturating_sub(1);
+            // A prompt that was read has not run.
+            assert!(answer.status == 200 || says_not_run(&answer), "{answer:?}");
+        }
+        let bound = READ_REQUESTS as f64 * REPEAT_RATIO + REPEAT_SLACK;
+        assert!(repeats as f64 <= bound, "{repeats} repeats, bound {bound}");
+    });
+}
+
 /// Pattern: the settings file changes under a running node, with a signal and without.
 #[test]
 fn changed_settings_are_read_again() {
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -276,22 +276,34 @@
         Ok(())
     }
 
-    /// Takes in a prefill that failed; its request runs without it.
+    /// Takes in a prefill that failed; `Ok` means that its request runs without it.
     ///
-    /// The run that follows is the request's first.
-    pub(crate) async fn prefill_failed(&mut self, reader: TargetKey, failure: Failure) {
+    /// The run is the request's first, but where the prefill reached an engine the two
+    /// together count as a repeat.
+    pub(crate) async fn prefill_failed(
+        &mut self,
+        reader: TargetKey,
+        failure: Failure,
+    ) -> Result<(), Refusal> {
         self.look_for_end(reader, failure).await;
+        self.eject_if_dead(reader, failure);
+        let runs = !failure.arrived() || self.state.may_repeat(&self.accepted.service);
         log::info!(
-            "request id={} print={} server={} failure={failure} choice=run_without_prefill",
+            "request id={} print={} server={} failure={failure} choice={}",
             self.accepted.inbound.label(),
             self.accepted.print,
-            self.state.server_name(reader)
+            self.state.server_name(reader),
+            if runs {
+                "run_without_prefill"
+            } else {
+                "refuse"
+            }
         );
-        // A prefill that was turned away counts as a repeat.
-        if failure.arrived() {
-            self.state.charge_repeat(&self.accepted.service);
+        if runs {
+            Ok(())
+        } else {
+            Err(self.refusal(ErrorKind::Overloaded))
         }
-        self.eject_if_dead(reader, failure);
     }
 
     /// Takes in what a failure says of the server.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -247,11 +247,6 @@
         allowed
     }
 
-    /// Charges a repeat that was made already.
-    pub(crate) fn charge_repeat(&self, service: &Name) {
-        self.budget(service, RepeatBudget::charge);
-    }
-
     /// Counts a caller's request for a service.
     pub(crate) fn count_request(&self, service: &Name) {
         self.budget(service, RepeatBudget::request);
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -96,9 +96,7 @@
             };
             let prompt = match self.read_prompt(plan, &mut attempts, responder).await {
                 Ok(prompt) => prompt,
-                Err(Stop::Caller) => return StreamEnd::Gone,
-                // A prompt that was not read apart is read by the run.
-                Err(Stop::Server(_)) => None,
+                Err(end) => return end,
             };
             let plan = match &prompt {
                 Some(_) => attempts.choose_maker(plan),
@@ -173,26 +171,27 @@
         Ok(None)
     }
 
-    /// Has the prompt read apart where the plan says so.
+    /// Has the prompt read apart where the plan says so; one that could not be is read by
+    /// the run.
     async fn read_prompt(
         &self,
         plan: Plan,
         attempts: &mut Attempts<'_>,
         responder: &mut Responder,
-    ) -> Result<Option<ReadPrompt>, Stop> {
+    ) -> Result<Option<ReadPrompt>, StreamEnd> {
         let Some(reader) = plan.prefill else {
             return Ok(None);
         };
         let read = monoio::select! {
             read = read_prompt(self.state, self.accepted, plan, reader) => read,
-            () = responder.gone() => return Err(Stop::Caller),
+            () = responder.gone() => return Err(StreamEnd::Gone),
         };
         match read {
             Ok(read) => Ok(Some(read)),
-            Err(failure) => {
-                attempts.prefill_failed(reader, failure).await;
-                Err(Stop::Server(failure))
-            }
+            Err(failure) => match attempts.prefill_failed(reader, failure).await {
+                Ok(()) => Ok(None),
+                Err(refusal) => Err(self.ended(refusal, failure)),
+            },
         }
     }
 
--- a/crates/pomeloridge_policy/src/repeat_budget.rs
+++ b/crates/pomeloridge_policy/src/repeat_budget.rs
@@ -119,11 +119,6 @@
         true
     }
 
-    /// Counts a repeat that was made, whether there is room for it or not.
-    pub fn charge(&mut self, now: Instant) {
-        self.slice(now).repeats += 1;
-    }
-
     fn slice(&mut self, now: Instant) -> &mut Slice {
         let window = self.limits.window;
         let old = |slice: &Slice| now.saturating_duration_since(slice.start) > window + SLICE;
