Abort connections whose exchange has not ended in good order

Cause: an attempt that a node ends closes its connection in good order, so that the system goes on sending what the peer has not acknowledged. Class: an end that is known only to the process. The same class, at the other side: a request that waited, with its caller's end behind it, for a process that was frozen or slow was sent to a server before its connection was looked at.

The guard that owns a connection now aborts it unless its exchange has ended in good order, for backend servers, the platform and peers alike, and logs how many bytes were unacknowledged. Each sending's user time-out is bounded by its deadline, for a process that can't act then. A request whose caller has gone is not sent at all.

--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -1,18 +1,25 @@
 //! The client's side: a connection that is used for one exchange at a time.
+//!
+//! A connection whose exchange has not ended in good order is aborted, not closed: the
+//! system would go on sending what was written, and it might arrive seconds later at a
+//! server that has left, or at another one that has its address.
 
+use std::io;
 use std::net::SocketAddr;
-use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
 
 use bytes::{BufMut, Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 
-use super::wire::{Remaining, Wire, framing};
+use super::wire::{Remaining, Wire, framing, left};
 use super::{Fault, Response};
+use crate::net;
 
 /// Bytes that a response's head may have.
 const HEAD_BYTES: usize = 64 * 1024;
+/// Shortest time that is given to the system, which takes 0 for none.
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(1);
 /// Bytes that one chunk of a response may have.
 const PIECE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -142,13 +149,41 @@
     clean: bool,
     keep: bool,
     unframed: Unframed,
+    /// Time for which unacknowledged bytes are sent again at most.
+    user_timeout: Option<Duration>,
+    /// The one of these that is in force at the socket.
+    timeout_set: Option<Duration>,
     used: Instant,
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.clean {
+            return;
+        }
+        let stream = &self.wire.stream;
+        let left = net::unacknowledged(stream);
+        let socket = net::socket(stream);
+        let aborted = socket2::SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+        if let Err(error) = aborted {
+            log::warn!(
+                "connection to={} choice=abort outcome=\"{error}\"",
+                self.address
+            );
+        } else if left.as_ref().is_ok_and(|left| *left > 0) {
+            log::info!(
+                "connection to={} choice=abort unacknowledged={}",
+                self.address,
+                left.unwrap_or_default()
+            );
+        }
+    }
+}
+
 impl Connection {
     /// Opens a connection.
     pub async fn open(address: SocketAddr, options: ConnectOptions) -> Result<Self, Fault> {
-        let stream = crate::net::connect(address, options.timeout)
+        let stream = net::connect(address, options.timeout)
             .await
             .map_err(Fault::Connect)?;
         set_options(&stream, options).map_err(Fault::Connect)?;
@@ -160,6 +195,8 @@
             clean: true,
             keep: true,
             unframed: options.unframed,
+            user_timeout: options.user_timeout,
+            timeout_set: options.user_timeout,
             used: Instant::now(),
         })
     }
@@ -181,12 +218,8 @@
 
     /// Whether the peer has sent nothing, and not closed, since the last exchange ended.
     pub fn quiet(&self) -> bool {
-        // SAFETY: the descriptor is open for as long as the stream is borrowed.
-        let fd = unsafe { std::os::fd::BorrowedFd::borrow_raw(self.wire.stream.as_raw_fd()) };
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
-        let peeked = socket2::SockRef::from(&fd).recv_with_flags(&mut byte, flags);
-        matches!(peeked, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+        let peeked = net::peek(&self.wire.stream);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Time since the last exchange ended.
@@ -211,11 +244,27 @@
         if !allowed() {
             return Err(Fault::Timeout);
         }
+        self.bound_by(deadline)?;
         self.clean = false;
         self.written = true;
         self.wire.write(bytes, deadline).await
     }
 
+    /// Has the system give up unacknowledged bytes at the deadline, also where this process
+    /// can't: it may be frozen then.
+    fn bound_by(&mut self, deadline: Instant) -> Result<(), Fault> {
+        let Some(longest) = self.user_timeout else {
+            return Ok(());
+        };
+        let wanted = Some(longest.min(left(deadline)?).max(SHORTEST_TIMEOUT));
+        if wanted != self.timeout_set {
+            let socket = net::socket(&self.wire.stream);
+            socket2::SockRef::from(&socket).set_tcp_user_timeout(wanted)?;
+            self.timeout_set = wanted;
+        }
+        Ok(())
+    }
+
     /// Reads the head of the response.
     pub async fn head(&mut self, deadline: Instant) -> Result<Incoming, Fault> {
         loop {
@@ -315,10 +364,9 @@
     framing(headers)
 }
 
-fn set_options(stream: &monoio::net::TcpStream, options: ConnectOptions) -> std::io::Result<()> {
-    // SAFETY: the descriptor is open for as long as `stream` is borrowed.
-    let fd = unsafe { std::os::fd::BorrowedFd::borrow_raw(stream.as_raw_fd()) };
-    let socket = socket2::SockRef::from(&fd);
+fn set_options(stream: &monoio::net::TcpStream, options: ConnectOptions) -> io::Result<()> {
+    let socket = net::socket(stream);
+    let socket = socket2::SockRef::from(&socket);
     if options.linger_zero {
         socket.set_linger(Some(Duration::ZERO))?;
     }
--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -19,6 +19,7 @@
 use super::wire::{Remaining, Wire, framing, left};
 use super::{Fault, Limits, Request, Response};
 use crate::counted::Counted;
+use crate::net;
 
 /// How often an idle connection looks whether the server is stopping.
 const STOP_CHECK: Duration = Duration::from_millis(200);
@@ -283,6 +284,14 @@
         Ok(())
     }
 
+    /// Whether the peer has closed the connection already.
+    pub fn is_gone(&self) -> bool {
+        match net::peek(&self.wire.stream) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Waits until the peer has closed the connection.
     ///
     /// Bytes of a next request that come meanwhile are kept, up to a bound.
--- a/crates/pomeloridge_base/tests/http_guards.rs
+++ b/crates/pomeloridge_base/tests/http_guards.rs
@@ -16,7 +16,8 @@
 use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Limits, Outgoing, Request};
 use pomeloridge_base::http::{Responder, Response, Server};
 use pomeloridge_base::net::listen;
-use support::{raw, run, small_limits, start};
+use support::runtime::run;
+use support::{raw, small_limits, start};
 use yare::parameterized;
 
 /// Answers 200 with the body's length, and each fault with its status.
--- a/crates/pomeloridge_base/tests/support/mod.rs
+++ b/crates/pomeloridge_base/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A server and raw clients on loopback in one runtime.
 
-use std::future::Future;
+pub mod runtime;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,15 +10,6 @@
 use monoio::net::TcpStream;
 use pomeloridge_base::http::{Fault, Limits, Request, Responder, Server};
 
-/// Runs a future on a runtime of its own.
-pub fn run<F: Future>(future: F) -> F::Output {
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    runtime.block_on(future)
-}
-
 /// Limits small enough for tests to reach.
 pub fn small_limits() -> Limits {
     Limits {
--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -2,14 +2,15 @@
 //! platform; what servers and duties received decides.
 
 use std::future::Future;
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use http::Method;
 use pomeloridge_base::http::{ConnectOptions, Connection, Outgoing, Response, call};
 use pomeloridge_dev::launch::Fleet;
 use pomeloridge_fleet_standin::caller::{
-    self, Crash, events, generation, is_ready, request, says_not_run,
+    self, Crash, KEY, events, generation, is_ready, request, says_not_run,
 };
 use pomeloridge_fleet_standin::history::{Crashes, Entry, KNOWN_ENDS, crashes};
 use pomeloridge_fleet_standin::server::AWAY;
@@ -625,6 +626,40 @@
     });
 }
 
+/// Guards against requests that are sent on though their callers have left before they
+/// were read.
+#[test]
+fn a_request_whose_caller_left_while_the_gateway_was_frozen_is_not_sent_on() {
+    let deployment = Deployment::start("left-unread", 1);
+    run(async {
+        deployment.until_ready().await;
+        // Leaves connections to the servers that can be written to at once.
+        for number in 0..4 {
+            let asked = request(Method::GET, "read", &format!("k{number}"));
+            assert_eq!(deployment.ask(asked).await.unwrap().status, 200);
+        }
+        let gateway = &deployment.0.gateways[0];
+        gateway.process.pause();
+        for number in 0..4 {
+            let mut caller = TcpStream::connect(gateway.caller).unwrap();
+            write!(
+                caller,
+                "GET /read/x HTTP/1.1\r\nhost: fleet.example\r\npomeloridge-key: {KEY}\r\n\
+                 pomeloridge-attempt-id: l{number}\r\npomeloridge-deadline-ms: 3000\r\n\r\n"
+            )
+            .unwrap();
+        }
+        gateway.process.resume();
+        let asked = request(Method::GET, "read", "after");
+        assert_eq!(deployment.ask(asked).await.unwrap().status, 200);
+        monoio::time::sleep(NOTICE_GRACE).await;
+        for number in 0..4 {
+            let received = deployment.received(&format!("l{number}")).await;
+            assert!(received.is_empty(), "{received:?}");
+        }
+    });
+}
+
 /// Guards against prompts whose reading fails, and whose runs were sent on without room in
 /// the fleet's budget of repeats.
 #[test]
--- a/crates/pomeloridge_gateway/src/front.rs
+++ b/crates/pomeloridge_gateway/src/front.rs
@@ -46,6 +46,10 @@
         }
     };
     state.count_request(&accepted.service);
+    // The request may have waited for a process that was slow or frozen.
+    if responder.is_gone() {
+        return gone(state, &accepted);
+    }
     if let RouteKind::Stream { .. } = accepted.route.kind {
         stream(state, &accepted, responder).await;
     } else {
