Learn the engines' speed, and give up a silent one by what it could have done

The log of a request: 44,276 tokens unread, 302 ms predicted, where reading alone takes 710 ms; given up as silent after 700 ms or 1.2 s, begun again elsewhere.

Cause: the model of an engine was a constant, fitted to the first two deployments. It fills queues beyond what callers wait for, orders half the servers that the load needs, divides the stages wrongly, and calls an engine silent that is behind its work.

Each service's engines are now measured: time to read a prompt with nothing known ahead, pace of pieces, time from moved memory to the first piece, tokens of an answer; medians of the latest samples scale the model. A silent server is given up after 700 ms and twice the prediction.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -6,6 +6,7 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
+use pomeloridge_policy::patience::{silence, stream_patience};
 use pomeloridge_policy::suspicion::Fingerprint;
 
 use crate::config::{Account, Route, RouteKind, ServingConfig};
@@ -30,25 +31,16 @@
     pub(crate) deadline: Instant,
 }
 
-/// Callers leave a stream whose first piece does not come within this time, or
-/// within some multiples of its targets.
-const STREAM_PATIENCE: Duration = Duration::from_secs(2);
-/// Multiple of the target for the first piece.
-const TARGET_PATIENCE: u32 = 4;
-/// Multiple of the longest pause that is on time.
-const GAP_PATIENCE: u32 = 8;
 /// Part of the callers' patience that a prediction may take.
 const PREDICTED_PART: f64 = 0.9;
 
-/// Silence of a server after which a request is repeated elsewhere.
-const REPEAT_SILENCE: Duration = Duration::from_millis(700);
-
 impl Accepted {
-    /// Time after which a silent server is given up; `None` where the request may not
-    /// be repeated, so that giving up gains nothing.
-    pub(crate) fn silence(&self) -> Option<Duration> {
+    /// Time after which a server that was to send something within `predicted`, and is
+    /// silent, is given up; `None` where the request may not be repeated, so that giving up
+    /// gains nothing.
+    pub(crate) fn silence(&self, predicted: Duration) -> Option<Duration> {
         let repeatable = self.route.kind.repeatable();
-        repeatable.then_some(REPEAT_SILENCE)
+        repeatable.then(|| silence(predicted))
     }
 
     /// Whether the caller will have left before a first piece that comes after `first`.
@@ -56,10 +48,8 @@
         if !matches!(self.route.kind, RouteKind::Stream { .. }) {
             return false;
         }
-        let gap = self.route.gap.unwrap_or_default() * GAP_PATIENCE;
-        let target = self.route.target * TARGET_PATIENCE;
-        let patience = STREAM_PATIENCE.max(target).max(gap);
-        let patience = patience.min(self.deadline.saturating_duration_since(self.arrived));
+        let longest = self.deadline.saturating_duration_since(self.arrived);
+        let patience = stream_patience(self.route.target, self.route.gap, longest);
         first > patience.mul_f64(PREDICTED_PART)
     }
 
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::accept::Accepted;
 use crate::exchange::Failure;
+use crate::pace::Pace;
 use crate::server_end;
 use crate::state::State;
 
@@ -63,9 +64,23 @@
 
     /// Notes that the server has read the prompt.
     pub(crate) fn prompt_read(&self) {
+        let now = self.state.now();
         let mut dispatcher = self.state.dispatcher.borrow_mut();
-        dispatcher.prompt_read(self.key);
-        dispatcher.answered(self.server, self.state.now());
+        dispatcher.prompt_read(self.key, now);
+        dispatcher.answered(self.server, now);
+    }
+
+    /// Notes the pace at which the server made the pieces of a whole stream, or of the rest
+    /// of one.
+    pub(crate) fn made(&self, pace: Pace, rest: bool) {
+        let now = self.state.now();
+        let mut dispatcher = self.state.dispatcher.borrow_mut();
+        if let Some((tokens, span)) = pace.after_first() {
+            dispatcher.made(self.server, tokens, span, now);
+        }
+        if !rest {
+            dispatcher.output(self.server, pace.tokens());
+        }
     }
 
     /// Notes how the request ended on the server; not told, it was lost there.
--- a/crates/pomeloridge_gateway/src/call.rs
+++ b/crates/pomeloridge_gateway/src/call.rs
@@ -44,7 +44,7 @@
         stage: SendStage::Run,
         fetch: None,
         last_event: None,
-        patience: accepted.silence(),
+        patience: accepted.silence(plan.first),
     };
     let exchanged = exchange(state, accepted, sending).await;
     let exchanged = exchanged.inspect_err(|failure| sent.failed(*failure))?;
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod internal;
 mod life;
 mod node;
+mod pace;
 mod peers;
 mod pool;
 pub mod ports;
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -5,6 +5,7 @@
 
 use pomeloridge_policy::crashes::RunEnd;
 use pomeloridge_policy::dispatch::{Plan, TargetKey};
+use pomeloridge_policy::patience::silence;
 
 use crate::accept::Accepted;
 use crate::attempt::Sent;
@@ -17,10 +18,6 @@
 const ANSWER_BYTES: usize = 64 * 1024;
 /// Time that the release of memory may take.
 const RELEASE_TIME: Duration = Duration::from_millis(500);
-/// A silent engine is given up after this many times the predicted time, and a fixed time.
-const PATIENCE_FACTOR: u32 = 3;
-/// Fixed part of the time after which a silent engine is given up.
-const PATIENCE_FLOOR: Duration = Duration::from_millis(300);
 
 /// Memory of a prompt that has been read; dropping it frees the memory.
 pub(crate) struct ReadPrompt {
@@ -96,7 +93,7 @@
         stage: SendStage::Prefill,
         fetch: plan.fetch,
         last_event: None,
-        patience: Some(plan.first * PATIENCE_FACTOR + PATIENCE_FLOOR),
+        patience: Some(silence(plan.first)),
     };
     let Exchange {
         mut connection,
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -300,14 +300,14 @@
     pub(crate) fn stage_load(&self, service: &Name) -> StageLoad {
         let rates = self.work_rates(service);
         let config = self.config();
-        let service = config.as_ref().and_then(|c| c.services.get(service));
-        let Some(engine) = service.and_then(|service| service.engine) else {
+        let known = config.as_ref().and_then(|c| c.services.get(service));
+        let Some(engine) = known.and_then(|service| service.engine) else {
             return StageLoad::default();
         };
         let dispatcher = self.dispatcher.borrow();
-        let model = dispatcher.model();
+        let model = dispatcher.model(service);
         StageLoad {
-            read: rates.read / model.read_rate,
+            read: rates.read / model.read_capacity(),
             make: rates.make / model.make_rate(engine.slots),
         }
     }
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use crate::call::{end_of, gather};
 use crate::events::EventSplitter;
 use crate::exchange::{Exchange, Failure, Sending, exchange, until_silent};
+use crate::pace::Pace;
 use crate::prefill::{ReadPrompt, read_prompt};
 use crate::request::SendStage;
 use crate::state::State;
@@ -141,7 +142,7 @@
                 .map_or(SendStage::Run, |prompt| SendStage::RunFrom(prompt.source())),
             fetch: plan.fetch.filter(|_| prompt.is_none()),
             last_event: self.last_event,
-            patience: accepted.silence(),
+            patience: accepted.silence(plan.first),
         };
         let started = exchange(self.state, accepted, sending);
         let exchanged = monoio::select! {
@@ -206,8 +207,12 @@
             head,
         } = exchanged;
         let mut events = EventSplitter::default();
+        let mut pace = Pace::default();
+        let rest = self.last_event.is_some();
         loop {
-            let silence = self.accepted.silence();
+            let silence = self
+                .accepted
+                .silence(self.accepted.route.gap.unwrap_or_default());
             let piece = monoio::select! {
                 piece = connection.next(self.accepted.deadline) => piece,
                 () = until_silent(self.state, sent.server(), silence) => Err(Fault::Timeout),
@@ -220,11 +225,13 @@
             if !events.push(&piece) {
                 return Err(Stop::Server(Failure::Broken));
             }
-            self.pass_events(&mut events, responder).await?;
+            let made = self.pass_events(&mut events, responder).await?;
+            pace.piece(made, self.state.now());
         }
         if !events.is_whole() {
             return Err(Stop::Server(Failure::Broken));
         }
+        sent.made(pace, rest);
         sent.ended(RunEnd::Answered);
         self.start(responder).await?;
         responder.finish().await.map_err(|_| Stop::Caller)?;
@@ -232,12 +239,12 @@
         Ok(())
     }
 
-    /// Passes on every whole event that has come.
+    /// Passes on every whole event that has come; gives the tokens that they hold.
     async fn pass_events(
         &mut self,
         events: &mut EventSplitter,
         responder: &mut Responder,
-    ) -> Result<(), Stop> {
+    ) -> Result<u64, Stop> {
         let mut pieces = Vec::new();
         let mut made = 0;
         while let Some(event) = events.next_event() {
@@ -250,13 +257,14 @@
             pieces.extend_from_slice(&event.bytes);
         }
         if pieces.is_empty() {
-            return Ok(());
+            return Ok(made);
         }
         self.state.count_work(&self.accepted.service, 0, made);
         self.start(responder).await?;
         self.note_piece();
         let passed: Result<(), Fault> = responder.chunk(&pieces).await;
-        passed.map_err(|_| Stop::Caller)
+        passed.map_err(|_| Stop::Caller)?;
+        Ok(made)
     }
 
     /// When the pieces came.
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -8,12 +8,13 @@
 //! prediction adds the unread prompts ahead, as this node sent them and as its
 //! peers last told, and takes off the shared parts that the engine holds.
 
+mod calibration;
 mod engine_model;
 mod load;
 mod target;
 
 use std::cmp::Reverse;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
@@ -23,6 +24,8 @@
 pub use load::{OwnLoad, PeerLoad, ReportedLoad};
 pub use target::{Stage, Target, TargetInfo, TargetKey};
 
+use calibration::Calibration;
+
 use crate::parts::Part;
 
 slotmap::new_key_type! {
@@ -100,13 +103,39 @@
 struct Send {
     target: TargetKey,
     unread: u64,
+    /// What is learnt from the time to the end of its reading.
+    sample: Option<Sample>,
+}
+
+/// A sending whose time tells of the engine and not of its queue.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at: Instant,
+    kind: SampleKind,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum SampleKind {
+    /// So many tokens are read, with nothing ahead.
+    Reading(u64),
+    /// A request goes on from memory of so many tokens, with a place free.
+    First(u64),
+}
+
+/// What is known of the engines of a service.
+#[derive(Debug)]
+struct Engines {
+    seen: Calibration,
+    model: EngineModel,
 }
 
 /// The servers as this node sees them, and what it has sent to them.
 #[derive(Debug)]
 pub struct Dispatcher {
     data_centre: Name,
-    model: EngineModel,
+    /// Speeds that predictions start from.
+    first_model: EngineModel,
+    engines: HashMap<Name, Engines>,
     targets: SlotMap<TargetKey, Target>,
     sends: SlotMap<SendKey, Send>,
     placed: VecDeque<(Instant, Placed)>,
@@ -140,7 +169,8 @@
     pub fn new(data_centre: Name, model: EngineModel, seed: u64) -> Self {
         Self {
             data_centre,
-            model,
+            first_model: model,
+            engines: HashMap::new(),
             targets: SlotMap::with_key(),
             sends: SlotMap::with_key(),
             placed: VecDeque::new(),
@@ -189,9 +219,22 @@
         self.targets.iter()
     }
 
-    /// The model by which engines are predicted.
-    pub fn model(&self) -> &EngineModel {
-        &self.model
+    /// The model by which a service's engines are predicted.
+    pub fn model(&self, service: &Name) -> &EngineModel {
+        let engines = self.engines.get(service);
+        engines.map_or(&self.first_model, |engines| &engines.model)
+    }
+
+    /// Takes in what was seen of a service's engines.
+    fn learn(&mut self, service: &Name, see: impl FnOnce(&mut Calibration)) {
+        let first = self.first_model;
+        let engines = self.engines.entry(service.clone());
+        let engines = engines.or_insert_with(|| Engines {
+            seen: Calibration::default(),
+            model: first,
+        });
+        see(&mut engines.seen);
+        engines.model = engines.seen.apply(first);
     }
 
     /// Chooses where a request goes; `None` if no server may take it.
@@ -266,7 +309,8 @@
         let cost = |key: &TargetKey| {
             let target = &self.targets[*key];
             let rotation = target.hash as usize ^ self.turn;
-            let delay = self.model.queueing(target, now) + self.model.pause(target.running(now));
+            let model = self.model(&target.info.service);
+            let delay = model.queueing(target, now) + model.pause(target.running(now));
             let moved = self.transfer(reader, *key, tokens);
             (delay + moved + self.distance(target), rotation % 64)
         };
@@ -276,7 +320,7 @@
     /// Time to move the memory of so many tokens from one engine to another.
     fn transfer(&self, from: TargetKey, to: TargetKey, tokens: u64) -> Duration {
         let centre = |key| self.targets.get(key).map(|target| &target.info.data_centre);
-        let time = self.model.transfer(tokens);
+        let time = self.first_model.transfer(tokens);
         if centre(from) == centre(to) {
             time
         } else {
@@ -292,6 +336,10 @@
         prompt: Option<&PromptShape>,
         now: Instant,
     ) -> SendKey {
+        let sample = prompt.and_then(|prompt| {
+            let kind = self.targets.get(key)?.sample(unread, prompt.tokens, now)?;
+            Some(Sample { at: now, kind })
+        });
         if let Some(target) = self.targets.get_mut(key) {
             target.own.running += 1;
             target.own.unread += unread;
@@ -308,11 +356,56 @@
         self.sends.insert(Send {
             target: key,
             unread,
+            sample,
         })
     }
 
     /// Notes that the server has read the request's prompt.
-    pub fn prompt_read(&mut self, key: SendKey) {
+    pub fn prompt_read(&mut self, key: SendKey, now: Instant) {
+        let Some(send) = self.sends.get_mut(key) else {
+            return;
+        };
+        let (target, sample) = (send.target, send.sample.take());
+        self.settle(key);
+        let service = self.targets.get(target).map(|target| &target.info.service);
+        if let (Some(sample), Some(service)) = (sample, service.cloned()) {
+            self.learn_from(&service, sample, now);
+        }
+    }
+
+    fn learn_from(&mut self, service: &Name, sample: Sample, now: Instant) {
+        let seen = now.saturating_duration_since(sample.at);
+        let first = self.first_model;
+        self.learn(service, |calibration| match sample.kind {
+            SampleKind::Reading(unread) => {
+                calibration.read(seen, first.reading(Stage::Prefill, 0, unread));
+            }
+            SampleKind::First(tokens) => {
+                calibration.first_piece(seen.saturating_sub(first.transfer(tokens)));
+            }
+        });
+    }
+
+    /// Notes that an engine made so many tokens of a request in `span`.
+    pub fn made(&mut self, key: TargetKey, tokens: u64, span: Duration, now: Instant) {
+        let Some(target) = self.targets.get(key) else {
+            return;
+        };
+        let predicted = self.first_model.making(target.running(now), tokens as u32);
+        let service = target.info.service.clone();
+        self.learn(&service, |seen| seen.made(span, predicted));
+    }
+
+    /// Notes the output tokens of a request that an engine answered whole.
+    pub fn output(&mut self, key: TargetKey, tokens: u64) {
+        if let Some(target) = self.targets.get(key) {
+            let service = target.info.service.clone();
+            self.learn(&service, |seen| seen.output(tokens));
+        }
+    }
+
+    /// Takes a request's prompt off what its server has to read.
+    fn settle(&mut self, key: SendKey) {
         let Some(send) = self.sends.get_mut(key) else {
             return;
         };
@@ -324,7 +417,7 @@
 
     /// Ends a request on its server.
     pub fn end(&mut self, key: SendKey) {
-        self.prompt_read(key);
+        self.settle(key);
         if let Some(send) = self.sends.remove(key)
             && let Some(target) = self.targets.get_mut(send.target)
         {
@@ -496,7 +589,9 @@
                 prefill: Some(read.run),
                 first: read.first
                     + self.transfer(read.run, run, prompt.tokens)
-                    + self.model.queueing(&self.targets[run], now),
+                    + self
+                        .model(&self.targets[run].info.service)
+                        .queueing(&self.targets[run], now),
                 ..read
             })
         });
@@ -533,7 +628,8 @@
                 unread
             };
             let ahead = target.unread(now);
-            let first = self.model.first_piece(target, ahead + expected, now);
+            let model = self.model(&target.info.service);
+            let first = model.first_piece(target, ahead + expected, now);
             let fetch_time = fetch.map_or(Duration::ZERO, |(from, _)| {
                 self.transfer(from, *key, fetched)
             });
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -44,6 +44,10 @@
     pub transfer_setup: Duration,
     /// Time that a move takes for each token.
     pub transfer_token: Duration,
+    /// Factor on the time to read prompts, as it was seen.
+    pub reading_scale: f64,
+    /// Factor on the time to make tokens, as it was seen.
+    pub making_scale: f64,
 }
 
 /// Batch up to which a step stays short.
@@ -71,6 +75,8 @@
             chunk: 2048,
             transfer_setup: Duration::from_millis(3),
             transfer_token: Duration::from_nanos(520),
+            reading_scale: 1.0,
+            making_scale: 1.0,
         }
     }
 }
@@ -90,21 +96,35 @@
         }
         let ahead = (target.running(now) + 1).saturating_sub(target.info.slots);
         let slots = target.info.slots.max(1);
-        let step = self.step + self.step_slot * slots;
-        step * self.output / slots * ahead
+        self.step_time(slots) * self.output / slots * ahead
+    }
+
+    /// Time of one step of a batch of `running` requests.
+    fn step_time(&self, running: u32) -> Duration {
+        (self.step + self.step_slot * running).mul_f64(self.making_scale)
+    }
+
+    /// Time in which a batch of `running` requests makes so many tokens of each.
+    pub(super) fn making(&self, running: u32, tokens: u32) -> Duration {
+        self.step_time(running) * tokens
     }
 
     /// Time that a batch of `running` requests adds to the pause between two pieces.
     pub fn pause(&self, running: u32) -> Duration {
-        self.step_slot * running * self.piece_tokens
+        (self.step_slot * running * self.piece_tokens).mul_f64(self.making_scale)
     }
 
     /// Output tokens that a decode engine of so many slots makes in a second, at a
     /// batch that keeps pauses short.
     pub fn make_rate(&self, slots: u32) -> f64 {
         let batch = slots.min(EASY_BATCH);
-        let step = self.step + self.step_slot * batch;
-        f64::from(batch) / step.as_secs_f64() * MAKE_USE
+        f64::from(batch) / self.step_time(batch).as_secs_f64() * MAKE_USE
+    }
+
+    /// Prompt tokens that a prefill engine reads in a second, its steps counted.
+    pub fn read_capacity(&self) -> f64 {
+        let time = self.reading(Stage::Prefill, 0, self.chunk);
+        self.chunk as f64 / time.as_secs_f64()
     }
 
     /// Time to read prompt tokens on an engine with a batch of `running` requests.
@@ -126,7 +146,7 @@
             Stage::Prefill => Duration::ZERO,
             Stage::Decode | Stage::Whole => reading * running / INTERFERENCE_BATCH,
         };
-        reading + step * steps as u32 + others
+        (reading + step * steps as u32 + others).mul_f64(self.reading_scale)
     }
 
     /// Time to move the memory of a prompt to another engine.
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -7,11 +7,15 @@
 use derive_more::Display;
 use pomeloridge_base::id::Name;
 
+use super::SampleKind;
 use super::load::{OwnLoad, PeerWords, ReportedLoad};
 use crate::crashes::StartId;
 use crate::eject::Ejection;
 use crate::parts::PartCache;
 
+/// Tokens from which on the time to read a prompt tells the engine's speed.
+const SAMPLE_TOKENS: u64 = 1000;
+
 slotmap::new_key_type! {
     /// A server in the dispatcher's arena.
     pub struct TargetKey;
@@ -133,6 +137,21 @@
         self.own.unread + self.peers.sum(now).unread
     }
 
+    /// What the time of a sending would tell of the engine, if it would tell something.
+    pub(super) fn sample(&self, unread: u64, tokens: u64, now: Instant) -> Option<SampleKind> {
+        match self.info.stage {
+            Stage::Prefill => {
+                let alone = self.unread(now) == 0 && unread >= SAMPLE_TOKENS;
+                alone.then_some(SampleKind::Reading(unread))
+            }
+            Stage::Decode => {
+                let moved = unread == 0 && self.running(now) < self.info.slots;
+                moved.then_some(SampleKind::First(tokens))
+            }
+            Stage::Whole => None,
+        }
+    }
+
     /// Hash of its identity, the same on every node.
     pub fn hash(&self) -> u32 {
         self.hash
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ledger;
 pub mod load;
 pub mod parts;
+pub mod patience;
 pub mod prefix;
 pub(crate) mod queue;
 pub mod repeat_budget;
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -102,7 +102,7 @@
     let send = fleet.send(busy, 12_000, None, now);
     let second = choose(&mut fleet, &prompt(12_000, None, 2), &[]).unwrap();
     assert_ne!(second.prefill, Some(busy));
-    fleet.prompt_read(send);
+    fleet.prompt_read(send, now);
     fleet.end(send);
     assert_eq!(fleet.target(busy).unwrap().unread(now), 0);
     assert_eq!(fleet.target(busy).unwrap().running(now), 0);
