Tell servers that can't be had from a stale fence, and order them elsewhere

A refusal while the holder still has its lease is now logged as `sold_out`, the pause doubles up to 24 s, and the other data centres take the share meanwhile. The test `other_data_centres_take_the_share_of_one_that_is_sold_out` fails before.

--- a/crates/pomeloridge_gateway/src/scale_duty.rs
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -16,8 +16,10 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Time beyond a server's start after which an order without effect is repeated.
 const REPEAT_MARGIN: Duration = Duration::from_secs(3);
-/// Pause before cheap servers are ordered again that could not be had.
+/// Pause before servers are ordered again that could not be had; doubles each time.
 const SOLD_OUT_PAUSE: Duration = Duration::from_secs(3);
+/// Doublings of that pause at most.
+const SOLD_OUT_DOUBLINGS: u32 = 3;
 /// Time after the first entry of a server by which those of all live ones are there.
 const SETTLE: Duration = Duration::from_secs(3);
 
@@ -44,7 +46,17 @@
 struct Ordered {
     servers: u32,
     at: Instant,
-    sold_out: bool,
+    /// Times in a row that none could be had.
+    sold_out: u32,
+}
+
+impl Ordered {
+    /// Whether none are to be had for now.
+    fn is_sold_out(&self, now: Instant) -> bool {
+        let doublings = self.sold_out.saturating_sub(1).min(SOLD_OUT_DOUBLINGS);
+        let pause = SOLD_OUT_PAUSE * 2_u32.pow(doublings);
+        self.sold_out > 0 && now.saturating_duration_since(self.at) <= pause
+    }
 }
 
 #[derive(Default)]
@@ -136,6 +148,9 @@
         for (target, centre) in targets.iter().zip(&view.centres) {
             // Room is made before it is filled: the bounds hold for both kinds together.
             for cheap in [false, true] {
+                if cheap && centre.sold_out {
+                    continue;
+                }
                 let wanted = if cheap { target.cheap } else { target.steady };
                 let line = Line::new(service, &target.data_centre, cheap);
                 let count = if cheap { centre.cheap } else { centre.steady };
@@ -157,19 +172,20 @@
     ) -> bool {
         match self.ordered.get(line) {
             None => wanted != there,
+            Some(last) if last.sold_out > 0 => wanted != there && !last.is_sold_out(now),
             Some(last) if last.servers != wanted => true,
             Some(last) => {
                 let age = now.saturating_duration_since(last.at);
-                let pause = if last.sold_out {
-                    SOLD_OUT_PAUSE
-                } else {
-                    scaling.boot + REPEAT_MARGIN
-                };
-                wanted != there && age > pause
+                wanted != there && age > scaling.boot + REPEAT_MARGIN
             }
         }
     }
 
+    fn is_sold_out(&self, line: &Line, now: Instant) -> bool {
+        let last = self.ordered.get(line);
+        last.is_some_and(|last| last.is_sold_out(now))
+    }
+
     async fn order(
         &mut self,
         state: &State,
@@ -190,25 +206,29 @@
         let allowed = Box::new(move || permit.allowed());
         let ordered = (state.ports.duty.scale)(order.clone(), allowed);
         let outcome = state.duty_call(ordered).await;
+        // The platform has one status for a stale fence and for "none are to be had". A fence
+        // whose holder still has its lease is not stale.
+        let sold_out = matches!(outcome, Err(PlatformError::Stale)) && authority.holds();
         log::info!(
             "scale service={} data_centre={} cheap={} servers={servers} epoch={} outcome={}",
             line.service,
             line.data_centre,
             line.cheap,
             order.epoch,
-            outcome
-                .as_ref()
-                .map_or_else(ToString::to_string, |()| "ordered".to_owned())
+            match &outcome {
+                Ok(()) => "ordered".to_owned(),
+                Err(_) if sold_out => "sold_out".to_owned(),
+                Err(error) => format!("\"{error}\""),
+            }
         );
-        // None can be had there; the fence is this holder's own.
-        let sold_out = line.cheap && matches!(outcome, Err(PlatformError::Stale));
+        let refused = self.ordered.get(&line).map_or(0, |last| last.sold_out);
         if !sold_out {
             outcome?;
         }
         let ordered = Ordered {
             servers,
             at: now,
-            sold_out,
+            sold_out: if sold_out { refused + 1 } else { 0 },
         };
         self.ordered.insert(line, ordered);
         Ok(())
@@ -233,7 +253,7 @@
             let line = Line::new(service, data_centre, cheap);
             let coming = self.ordered.get(&line).filter(|last| {
                 let age = now.saturating_duration_since(last.at);
-                !last.sold_out && age < scaling.boot + REPEAT_MARGIN
+                last.sold_out == 0 && age < scaling.boot + REPEAT_MARGIN
             });
             Count {
                 there,
@@ -244,6 +264,7 @@
             data_centre: data_centre.clone(),
             steady: count(data_centre, false),
             cheap: count(data_centre, true),
+            sold_out: self.is_sold_out(&Line::new(service, data_centre, true), now),
         });
         ScalingView {
             centres: centres.collect(),
--- a/crates/pomeloridge_policy/src/scaling.rs
+++ b/crates/pomeloridge_policy/src/scaling.rs
@@ -3,7 +3,8 @@
 //! Pattern answered: a fleet whose cheap servers cost a small part of the others
 //! but may be reclaimed, all of a data centre at once. Cheap servers are spread so
 //! that the loss of any one data centre leaves enough; the others are released
-//! once cheap ones stand in for them, and ordered where cheap ones can't be had.
+//! once cheap ones stand in for them, and ordered where cheap ones can't be had. While a
+//! data centre has none to give, the others take its share.
 
 use pomeloridge_base::id::Name;
 
@@ -33,6 +34,8 @@
     pub steady: Count,
     /// Cheap servers.
     pub cheap: Count,
+    /// Whether no more cheap ones are to be had there for now.
+    pub sold_out: bool,
 }
 
 /// What the decision is made from.
@@ -89,15 +92,20 @@
         CentreTarget {
             data_centre: centre.data_centre.clone(),
             steady,
-            cheap: each.min(view.max.saturating_sub(steady)),
+            cheap: if centre.sold_out {
+                centre.cheap.there
+            } else {
+                each.min(view.max.saturating_sub(steady))
+            },
         }
     };
     view.centres.iter().map(&mut target).collect()
 }
 
-/// Cheap servers wanted in each data centre.
+/// Cheap servers wanted in each data centre where there are some to be had.
 fn share(view: &ScalingView) -> u32 {
-    let centres = view.centres.len().max(1) as u32;
+    let open = view.centres.iter().filter(|centre| !centre.sold_out);
+    let centres = open.count().max(1) as u32;
     let base = (f64::from(view.max) * BASE_PART).ceil() as u32;
     let even = needed(view.load, TARGET_USE).div_ceil(centres);
     let after_loss = needed(view.load, LOSS_USE).div_ceil(centres.saturating_sub(1).max(1));
--- a/crates/pomeloridge_policy/tests/policy/scaling.rs
+++ b/crates/pomeloridge_policy/tests/policy/scaling.rs
@@ -19,6 +19,7 @@
         data_centre: Name::from(format!("dc-{index}")),
         steady: there(*steady),
         cheap: there(*cheap),
+        sold_out: false,
     });
     ScalingView {
         centres: centres.collect(),
@@ -50,6 +51,25 @@
     assert!(ordered.iter().all(|target| target.cheap == 3));
 }
 
+/// Pattern: all cheap servers of a data centre are reclaimed, and none can be had there for
+/// a while.
+#[test]
+fn other_data_centres_take_the_share_of_one_that_is_sold_out() {
+    let mut view = view(&[(0, 5), (0, 5), (0, 0)], 3.5);
+    view.max = 12;
+    view.centres[2].sold_out = true;
+    let ordered = numbers(&targets(&view));
+    assert_eq!(ordered[2].1, 0, "{ordered:?}");
+    // Either of the others carries the load alone.
+    assert!(
+        ordered[..2].iter().all(|(_, cheap)| *cheap >= 9),
+        "{ordered:?}"
+    );
+    view.centres[2].sold_out = false;
+    let ordered = numbers(&targets(&view));
+    assert!(ordered.iter().all(|(_, cheap)| *cheap >= 9), "{ordered:?}");
+}
+
 /// Pattern: all cheap servers of a data centre are reclaimed, and none can be had.
 #[test]
 fn after_a_reclaim_what_the_load_lacks_is_ordered_dear() {
