Take figures of the platform that have a fraction

The platform's bounds may be fractions. Windows were rendered as their seconds with three zeros behind, so that 7.5 s would have been 7.5 ms and refused as well; the ratio was held to 1.

The gateway's settings have kinds for seconds and for amounts with a fraction, with bounds beyond which a value is refused with place and fix. `a_platforms_figures_may_have_fractions` fails before.

--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -15,8 +15,10 @@
     Count,
     /// A whole number of bytes, at least 1.
     Bytes,
-    /// A number from 0 to 1.
-    Fraction,
+    /// A number of seconds above 0; it may have a fraction.
+    Seconds,
+    /// A number of at least 0; it may have a fraction.
+    Amount,
     /// One of the listed words.
     Choice(&'static [&'static str]),
     /// A secret of at least 16 bytes; never shown.
@@ -60,7 +62,7 @@
 }
 
 use SettingKind::{
-    Address, Addresses, Bytes, Choice, Count, Fraction, Millis, Secret, Text, Tokens,
+    Address, Addresses, Amount, Bytes, Choice, Count, Millis, Seconds, Secret, Text, Tokens,
 };
 
 settings! {
@@ -120,11 +122,11 @@
     "lease" "term_ms" Millis, Some("3000"), "Term of the lease on the duties.", "At least the time in which the platform forbids two holders to take turns.", "3000";
     "lease" "margin_ms" Millis, Some("500"), "Time added to the term before another node takes the lease.", "Covers clocks that run at different speeds.", "500";
     "stop" "unready_ms" Millis, Some("3000"), "Time between turning unready and refusing connections when stopping.", "The balancer asks once a second and needs two misses.", "3000";
-    "repeats" "ratio" Fraction, Some("0.2"), "Repeats that the fleet may send for each request.", "Bounds the extra load on a service in trouble.", "0.2";
-    "repeats" "slack" Count, Some("50"), "Repeats that the fleet may send on top in a window.", "Lets a quiet fleet repeat at all.", "50";
-    "repeats" "window_ms" Millis, Some("10000"), "Window over which repeats are counted.", "The platform's own window.", "10000";
-    "usage" "window_ms" Millis, Some("5000"), "Length of a usage window.", "The platform's own window.", "5000";
-    "usage" "late_ms" Millis, Some("10000"), "Time after a window's end by which its report is due.", "Later reports count as missing.", "10000";
+    "repeats" "ratio" Amount, Some("0.2"), "Repeats that the fleet may send for each request.", "Bounds the extra load on a service in trouble.", "0.2";
+    "repeats" "slack" Amount, Some("50"), "Repeats that the fleet may send on top in a window.", "Lets a quiet fleet repeat at all.", "50";
+    "repeats" "window_s" Seconds, Some("10"), "Window over which repeats are counted.", "The platform's own window.", "10";
+    "usage" "window_s" Seconds, Some("5"), "Length of a usage window.", "The platform's own window.", "5";
+    "usage" "late_s" Seconds, Some("10"), "Time after a window's end by which its report is due.", "Later reports count as missing.", "10";
     "peers" "pause_ms" Millis, Some("100"), "Time between two datagrams to a peer.", "Shorter keeps loads fresher and costs processor time.", "100";
     "peers" "fan_out" Count, Some("8"), "Peers that are sent a datagram in one round at most.", "Bounds a node's cost as the fleet grows.", "8";
     "log" "format" Choice(&["text", "json"]), Some("text"), "Form of log lines.", "JSON for collectors, text for people.", "json";
--- a/crates/pomeloridge_base/tests/settings.rs
+++ b/crates/pomeloridge_base/tests/settings.rs
@@ -1,6 +1,8 @@
 //! Settings are checked as a whole, with place, problem and fix.
 
-use pomeloridge_base::settings::{SETTINGS, parse};
+use std::time::Duration;
+
+use pomeloridge_base::settings::{GATEWAY_SETTINGS, SETTINGS, parse, parse_table};
 use yare::parameterized;
 
 const GOOD: &str = "\
@@ -77,3 +79,48 @@
         assert!(own.is_none(), "{own:?}");
     }
 }
+
+const GATEWAY: &str = "\
+[node]
+name = front-1
+data_centre = tln-a
+[listen]
+caller = 127.0.0.1:0
+ready = 127.0.0.1:0
+peer = 127.0.0.1:0
+metrics = 127.0.0.1:0
+[platform]
+store = 127.0.0.1:7000
+duties = 127.0.0.1:7001
+";
+
+/// Guards against a fleet that does not start since a figure of its platform is no whole
+/// number.
+#[test]
+fn a_platforms_figures_may_have_fractions() {
+    let figures = "[repeats]\nratio = 1.25\nslack = 33.1578947368421\nwindow_s = 7.5\n\
+                   [usage]\nwindow_s = 2.5\nlate_s = 10\n";
+    let settings = parse_table(&format!("{GATEWAY}{figures}"), GATEWAY_SETTINGS).unwrap();
+    assert!((settings.amount("repeats", "slack") - 33.157_894).abs() < 0.001);
+    assert!((settings.amount("repeats", "ratio") - 1.25).abs() < 0.001);
+    assert_eq!(
+        settings.time("repeats", "window_s"),
+        Duration::from_millis(7500)
+    );
+    assert_eq!(
+        settings.time("usage", "window_s"),
+        Duration::from_millis(2500)
+    );
+}
+
+#[parameterized(
+    negative = { "[repeats]\nslack = -1\n", "line 13: [repeats] slack: `-1` is not a number of at least 0; write for example `slack = 50`" },
+    endless = { "[repeats]\nslack = inf\n", "line 13: [repeats] slack: `inf` is not a number of at least 0; write for example `slack = 50`" },
+    zero = { "[usage]\nwindow_s = 0\n", "line 13: [usage] window_s: `0` is not a number of seconds from 0.001 to 86400; write for example `window_s = 5`" },
+    huge = { "[usage]\nlate_s = 1e300\n", "line 13: [usage] late_s: `1e300` is not a number of seconds from 0.001 to 86400; write for example `late_s = 10`" },
+)]
+fn a_figure_outside_its_bounds_names_line_and_fix(more: &str, expected: &str) {
+    let problems = parse_table(&format!("{GATEWAY}{more}"), GATEWAY_SETTINGS).unwrap_err();
+    let texts: Vec<_> = problems.iter().map(ToString::to_string).collect();
+    assert_eq!(texts, [expected]);
+}
--- a/crates/pomeloridge_dev/src/launch/fleet.rs
+++ b/crates/pomeloridge_dev/src/launch/fleet.rs
@@ -123,7 +123,7 @@
         "[node]\nname = {name}\ndata_centre = dc-1\n[listen]\ncaller = {caller}\n\
          ready = {ready}\npeer = {peer}\nmetrics = {metrics}\n\
          [platform]\nstore = {store}\nduties = {duties}\n[stop]\nunready_ms = 300\n\
-         [usage]\nwindow_ms = 1000\n[log]\nformat = json\n"
+         [usage]\nwindow_s = 1\n[log]\nformat = json\n"
     );
     let file = folder.join(format!("{name}.ini"));
     std::fs::write(file, text).map_err(|error| error.to_string())
--- a/crates/pomeloridge_dev/src/reference.rs
+++ b/crates/pomeloridge_dev/src/reference.rs
@@ -99,7 +99,8 @@
         SettingKind::Millis => "milliseconds, a whole number of at least 1".to_owned(),
         SettingKind::Count => "a whole number of at least 1".to_owned(),
         SettingKind::Bytes => "bytes, a whole number of at least 1".to_owned(),
-        SettingKind::Fraction => "a number from 0 to 1".to_owned(),
+        SettingKind::Seconds => "seconds; may have a fraction".to_owned(),
+        SettingKind::Amount => "a number of at least 0; may have a fraction".to_owned(),
         SettingKind::Choice(words) => {
             let words: Vec<String> = words.iter().map(|word| format!("`{word}`")).collect();
             format!("one of {}", words.join(", "))
--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -103,7 +103,7 @@
 fn is_settled(state: &State, index: u64) -> bool {
     let now = state.now();
     let now_ms = state.time.borrow().unix_ms(now);
-    let late = state.settings().time("usage", "late_ms");
+    let late = state.settings().time("usage", "late_s");
     let window = EndedWindow::new(index, state.usage_window, late, now, now_ms);
     window.is_some_and(|window| window.is_settled(state.peers.borrow().usage_times(index), now))
 }
--- a/crates/pomeloridge_gateway/src/settings.rs
+++ b/crates/pomeloridge_gateway/src/settings.rs
@@ -13,9 +13,9 @@
     ("platform", "watch_ms"),
     ("repeats", "ratio"),
     ("repeats", "slack"),
-    ("repeats", "window_ms"),
+    ("repeats", "window_s"),
     ("stop", "unready_ms"),
-    ("usage", "late_ms"),
+    ("usage", "late_s"),
 ];
 
 /// Reads and checks the file again; an error is what is wrong with it.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -143,7 +143,7 @@
         Rc::new(Self {
             store,
             centre: peers::rank(&data_centre) as u32,
-            usage_window: settings.time("usage", "window_ms"),
+            usage_window: settings.time("usage", "window_s"),
             life: Life::default(),
             peer_address: peer,
             socket: RefCell::default(),
@@ -395,8 +395,8 @@
 
 fn repeat_limits(settings: &Checked) -> RepeatLimits {
     RepeatLimits {
-        ratio: settings.fraction("repeats", "ratio"),
-        slack: settings.number("repeats", "slack") as f64,
-        window: settings.time("repeats", "window_ms"),
+        ratio: settings.amount("repeats", "ratio"),
+        slack: settings.amount("repeats", "slack"),
+        window: settings.time("repeats", "window_s"),
     }
 }
