Let few nodes call the object service, and tell other data centres less

Causes, from the calls by kind on the small twin (18 nodes, 788 calls of the service) and from the sizes of words: each change of a server is a call of each of 15 nodes that watch, and servers come by the dozen; a node that watches and is lost makes all others turn to the service; every node looks at the lease as the fleet starts; each node reads before it writes its object, and reads the others' every 30 s; each node tells each far one its loads every 1.2 s, which is 60,000 datagrams a second at 295 nodes.

- Those that watch grow with the root of the nodes; the others step in one after the other, by their place in the ranking, both for the watch and for the lease.
What is listed but not yet heard has its place, so that a fleet that starts needs no words for that.
- A node that watches gathers changes for 200 ms; a node creates its object unread.
- A large fleet tells far peers every 5 s that a node is there and what versions it knows.
One node of each data centre tells the loads of all of its nodes every 1.2 s, as do those that watch, hold the duties or have just started.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -48,9 +48,13 @@
 /// Keeps the lease; nodes that hear its holder leave the object service alone.
 async fn keep(state: Rc<State>, mut keeper: Keeper) {
     let authority = keeper.authority();
+    let mut free_since = None;
     while !state.life.is_stopping() {
-        let held = authority.holds();
-        let free = !held && !state.peers.borrow().duty_held(state.now());
+        let (now, held) = (state.now(), authority.holds());
+        let free = !held && !state.peers.borrow().duty_held(now);
+        free_since = free.then(|| free_since.unwrap_or(now));
+        let free = free_since
+            .is_some_and(|since| state.is_candidate(now.saturating_duration_since(since)));
         if held || free {
             keeper.step().await;
         }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -7,7 +7,7 @@
 mod wire;
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,7 +29,7 @@
 use wire::{BeatWire, CrashesWire, UsageWire, WorkWire};
 
 /// Pause between two reads of the nodes' objects; a node that starts tells the others.
-const LIST_PAUSE: Duration = Duration::from_secs(30);
+const LIST_PAUSE: Duration = Duration::from_mins(2);
 /// The same for a node that hears no peer.
 const ALONE_PAUSE: Duration = Duration::from_secs(2);
 /// Pause between two looks whether to read or write objects now.
@@ -45,6 +45,8 @@
 /// Age of a peer's last answer up to which the object service is there for it; above
 /// the time that a watch may wait, and below that in which entries lapse.
 const ANSWERED: Duration = Duration::from_secs(3);
+/// Time for which a node that has started tells others in short turns.
+const NEW: Duration = Duration::from_secs(3);
 /// Bytes of the largest datagram that is read.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -68,7 +70,7 @@
             let nodes = objects
                 .iter()
                 .filter_map(|object| node_object::read(&state, object));
-            let others = nodes.filter(|(name, _)| *name != state.name).collect();
+            let others = nodes.filter(|node| node.name != state.name).collect();
             state.peers.borrow_mut().listed(others, state.now());
         }
         if done {
@@ -102,11 +104,18 @@
         let settings = state.settings();
         monoio::time::sleep(settings.time("peers", "pause_ms")).await;
         let fan_out = settings.number("peers", "fan_out") as usize;
-        let addresses = state.peers.borrow_mut().next_round(fan_out);
-        if addresses.is_empty() {
+        let words = Words::of(&state, fan_out);
+        let [near, far] = state.peers.borrow_mut().next_round(fan_out, words.awaited);
+        if near.is_empty() && far.is_empty() {
             continue;
         }
-        send(&socket, &beat(&state), addresses).await;
+        let beat = beat(&state, &words, fan_out);
+        if words.large {
+            send(&socket, &beat, near).await;
+            send(&socket, &far_beat(&state, beat, &words), far).await;
+        } else {
+            send(&socket, &beat, [near, far].concat()).await;
+        }
         if state.peers.borrow().round.is_multiple_of(USAGE_ROUNDS) {
             tell_counts(&state, &socket).await;
         }
@@ -121,7 +130,7 @@
         usage: usage_wire(state, first),
         counted_from: Some(first),
         work: work_wire(state, now),
-        ..beat(state)
+        ..introduction(state)
     };
     let addresses = state.peers.borrow().next_counted();
     send(socket, &counted, addresses).await;
@@ -147,14 +156,53 @@
     }
 }
 
-fn beat(state: &State) -> BeatWire {
+/// What is told in a round, and how often.
+struct Words {
+    /// Whether peers of other data centres are told less.
+    large: bool,
+    /// Whether peers in other data centres wait for this node's words: it has just started,
+    /// calls the object service, holds the duties or speaks for its data centre.
+    awaited: bool,
+    /// The peers that it speaks for.
+    spoken_for: Option<HashSet<Name>>,
+}
+
+impl Words {
+    fn of(state: &State, fan_out: usize) -> Self {
+        let now = state.now();
+        let peers = state.peers.borrow();
+        let spoken_for = peers.spoken_for(&state.name, now);
+        let is_new = now.saturating_duration_since(state.started) < NEW;
+        let calls = state.store_answered.get().is_some() || state.duty.get().is_some();
+        Self {
+            large: peers.is_large(fan_out),
+            awaited: is_new || calls || spoken_for.is_some(),
+            spoken_for,
+        }
+    }
+}
+
+/// The word to a peer in another data centre of a large fleet: who speaks for a data centre
+/// tells the loads of all of its nodes.
+fn far_beat(state: &State, near: BeatWire, words: &Words) -> BeatWire {
+    let spoken_for = words.spoken_for.as_ref();
+    let loads = spoken_for.map(|peers| {
+        let loads = state.dispatcher.borrow().loads_with(peers, state.now());
+        loads.into_iter().collect()
+    });
+    BeatWire {
+        loads: None,
+        centre_loads: loads,
+        ..near
+    }
+}
+
+fn beat(state: &State, words: &Words, fan_out: usize) -> BeatWire {
     let now = state.now();
     let peers = state.peers.borrow();
-    let settings = state.settings();
-    let fan_out = settings.number("peers", "fan_out") as usize;
     // Each peer is told once in so many rounds, and once more in case one is lost.
-    let rounds = peers.rounds(fan_out) + 1;
-    let span = settings.time("peers", "pause_ms") * rounds;
+    let rounds = peers.rounds(fan_out, words.awaited) + 1;
+    let span = state.settings().time("peers", "pause_ms") * rounds;
     let mut dispatcher = state.dispatcher.borrow_mut();
     let placed = dispatcher.placed(span, now);
     let loads = dispatcher.own_loads().collect();
@@ -314,14 +362,16 @@
     }
     take_in_crashes(state, std::mem::take(&mut beat.crashes), &name);
     take_in_store(state, &beat, &name, address);
-    if beat.change.is_some() || beat.servers == 0 {
-        // Words about the store alone say nothing of loads.
-        return;
-    }
-    let loads = beat.loads.unwrap_or_default().told(now);
     let placed: Vec<Placed> = beat.placed.unwrap_or_default().into();
     let mut dispatcher = state.dispatcher.borrow_mut();
-    dispatcher.peer_loads(&name, &loads);
+    // Words about the store alone say nothing of loads.
+    if let Some(loads) = beat.loads {
+        dispatcher.peer_loads(&name, &loads.told(now));
+    }
+    if let Some(loads) = beat.centre_loads {
+        let centre = Name::from(format!("centre/{:08x}", beat.centre));
+        dispatcher.peer_loads(&centre, &loads.told(now));
+    }
     dispatcher.peer_placed(&placed);
     dispatcher.changing(&beat.changing, now);
     drop(dispatcher);
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -9,7 +9,9 @@
 use pomeloridge_policy::crashes::{SharedCrashes, StartId};
 use pomeloridge_policy::suspicion::Fingerprint;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
+use super::table::Listed;
 use crate::state::State;
 
 /// Prefix of the nodes' objects.
@@ -20,6 +22,9 @@
 struct NodeWire {
     address: SocketAddr,
     life: u64,
+    /// Hash of the name of its data centre.
+    #[serde(default)]
+    centre: u32,
     #[serde(default)]
     barred: Vec<BarredWire>,
 }
@@ -73,33 +78,44 @@
 /// Writes this node's object, with what an earlier start of it had barred.
 pub(super) async fn write(state: &State) -> Result<PutOutcome, PlatformError> {
     let key = format!("{PREFIX}{}", state.name);
-    let found = state.store.get(&key).await?;
-    match &found {
-        Some(found) => {
-            read(state, found);
+    // Most starts are of a new node, which need not read before it writes.
+    let created = state
+        .store
+        .put_confirmed(&key, value(state)?, Expect::Absent);
+    match created.await? {
+        PutOutcome::Conflict(Some(found)) => {
+            read(state, &found);
+            let expect = Expect::Version(found.version);
+            state.store.put_confirmed(&key, value(state)?, expect).await
+        }
+        PutOutcome::Written(version) => {
+            // No earlier start of this node can have spent any of the budget.
+            state.fixed_from.set(state.now());
+            Ok(PutOutcome::Written(version))
         }
-        // No earlier start of this node can have spent any of the budget.
-        None => state.fixed_from.set(state.now()),
+        outcome => Ok(outcome),
     }
+}
+
+fn value(state: &State) -> Result<Value, PlatformError> {
     let now = state.now();
     let now_ms = state.time.borrow().unix_ms(now);
     let barred = state.crashes.borrow().all_barred(now);
     let wire = NodeWire {
         address: state.peer_address,
         life: state.life_id,
+        centre: state.centre,
         barred: barred
             .iter()
             .map(|shared| BarredWire::new(shared, now_ms))
             .collect(),
     };
     let value = serde_json::to_value(wire);
-    let value = value.map_err(|error| PlatformError::Malformed(error.to_string()))?;
-    let expect = Expect::found(found.as_ref());
-    state.store.put_confirmed(&key, value, expect).await
+    value.map_err(|error| PlatformError::Malformed(error.to_string()))
 }
 
-/// Takes in a node's object; gives its name and address if it can be read.
-pub(super) fn read(state: &State, object: &Object) -> Option<(Name, SocketAddr)> {
+/// Takes in a node's object; gives what it says if it can be read.
+pub(super) fn read(state: &State, object: &Object) -> Option<Listed> {
     let name = object.key.strip_prefix(PREFIX)?;
     let wire = match NodeWire::deserialize(&object.value) {
         Ok(wire) => wire,
@@ -113,7 +129,11 @@
     let barred = wire.barred.into_iter();
     let barred: Vec<SharedCrashes> = barred.filter_map(|wire| wire.shared(now_ms)).collect();
     take_in_crashes(state, &barred, name, now);
-    Some((Name::from(name), wire.address))
+    Some(Listed {
+        name: Name::from(name),
+        address: wire.address,
+        near: wire.centre == state.centre,
+    })
 }
 
 /// Takes in what another node knows of requests that ended servers.
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -1,12 +1,12 @@
 //! The other nodes as this one knows them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::{Epoch, Name};
-use pomeloridge_policy::telling::{rounds, turn, turns};
+use pomeloridge_policy::telling::{is_large, rounds, turn, turns};
 use pomeloridge_policy::watchers::{PeerView, tells, watcher_ranks};
 use pomeloridge_policy::work_meter::WorkRates;
 
@@ -15,6 +15,8 @@
 
 /// Silence after which a peer is not counted as live.
 const LIVE: Duration = Duration::from_secs(3);
+/// The same for a peer in another data centre, where it only holds a place in an order.
+const FAR_LIVE: Duration = Duration::from_secs(12);
 /// Silence after which a peer that is not listed is forgotten.
 const FORGET: Duration = Duration::from_secs(20);
 /// Peers besides the holder that are told the counts in one of those rounds.
@@ -29,6 +31,8 @@
     /// When it last told its counts of a window.
     counted: BTreeMap<u64, Instant>,
     pub(super) listed: bool,
+    /// When it was first listed.
+    known: Option<Instant>,
     /// Whether it is in this node's data centre, as far as it is known.
     pub(super) near: bool,
     /// Fencing token that the peer says to hold the duties by, and since when.
@@ -45,6 +49,7 @@
             heard: None,
             counted: BTreeMap::new(),
             listed: false,
+            known: None,
             near: false,
             duty: None,
             work: Vec::new(),
@@ -69,6 +74,14 @@
     }
 }
 
+/// A node as its object says.
+pub(super) struct Listed {
+    pub(super) name: Name,
+    pub(super) address: SocketAddr,
+    /// Whether it is in this node's data centre.
+    pub(super) near: bool,
+}
+
 /// The other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -110,20 +123,37 @@
         live.any(|peer| peer.duty.is_some())
     }
 
-    /// The peers that are told in this round: all in turn, a bounded number each time.
-    pub(super) fn next_round(&mut self, fan_out: usize) -> Vec<SocketAddr> {
+    /// The peers that are told in this round, near ones and others: all in turn, a bounded
+    /// number each time.
+    pub(super) fn next_round(&mut self, fan_out: usize, awaited: bool) -> [Vec<SocketAddr>; 2] {
         self.round += 1;
         let [near, far] = self.by_distance();
-        let each = turns(near.len(), far.len(), fan_out);
-        let mut told = turn(near, each.near, self.round);
-        told.extend(turn(far, each.far, self.round));
-        told
+        let each = turns(near.len(), far.len(), fan_out, awaited);
+        [
+            turn(near, each.near, self.round),
+            turn(far, each.far, self.round),
+        ]
     }
 
     /// Rounds in which every peer is told once.
-    pub(super) fn rounds(&self, fan_out: usize) -> u32 {
+    pub(super) fn rounds(&self, fan_out: usize, awaited: bool) -> u32 {
         let [near, far] = self.by_distance();
-        rounds(near.len(), far.len(), fan_out) as u32
+        rounds(near.len(), far.len(), fan_out, awaited) as u32
+    }
+
+    /// Whether there are so many peers that those of other data centres are told less.
+    pub(super) fn is_large(&self, fan_out: usize) -> bool {
+        is_large(self.by_name.len(), fan_out)
+    }
+
+    /// The live peers of this node's data centre, if it is the first of them, and so the one
+    /// that tells the loads of all to the other data centres.
+    pub(super) fn spoken_for(&self, own: &Name, now: Instant) -> Option<HashSet<Name>> {
+        let near = self.by_name.iter();
+        let near = near.filter(|(_, peer)| peer.near && is_live(peer, now));
+        let near: HashSet<Name> = near.map(|(name, _)| name.clone()).collect();
+        let own = rank(own);
+        near.iter().all(|name| rank(name) > own).then_some(near)
     }
 
     /// The peers in this node's data centre, and those in others.
@@ -160,20 +190,33 @@
     pub(super) fn next_counted(&self) -> Vec<SocketAddr> {
         let holders = self.by_name.values().filter(|peer| peer.duty.is_some());
         let mut addresses: Vec<SocketAddr> = holders.map(|peer| peer.address).collect();
-        let others = self.by_distance().concat();
+        let [near, far] = self.by_distance();
+        // Words to the own data centre cost least, but one node there may be alone.
+        let others = if near.len() < USAGE_COPIES {
+            [near, far].concat()
+        } else {
+            near
+        };
         addresses.extend(turn(others, USAGE_COPIES, self.round / USAGE_ROUNDS));
         addresses
     }
 
-    pub(super) fn listed(&mut self, nodes: Vec<(Name, SocketAddr)>, now: Instant) {
+    pub(super) fn listed(&mut self, nodes: Vec<Listed>, now: Instant) {
         self.was_listed = true;
         for peer in self.by_name.values_mut() {
             peer.listed = false;
         }
-        for (name, address) in nodes {
+        for Listed {
+            name,
+            address,
+            near,
+        } in nodes
+        {
             let peer = self.by_name.entry(name).or_insert(Peer::new(address));
             peer.address = address;
+            peer.near = near;
             peer.listed = true;
+            peer.known.get_or_insert(now);
         }
         let silent = |peer: &Peer| {
             peer.heard
@@ -188,7 +231,7 @@
             .by_name
             .entry(name.clone())
             .or_insert(Peer::new(address));
-        if !known || !is_live(peer, now) {
+        if !known || !holds_place(peer, now) {
             log::info!("dependency name=node/{name} state=regained address={address}");
         }
         peer.address = address;
@@ -196,9 +239,11 @@
         peer
     }
 
-    /// The live peers, for the choice of those that watch the object service.
-    pub(crate) fn watcher_views(&self, now: Instant) -> Vec<PeerView> {
-        let live = self.by_name.iter().filter(|(_, peer)| is_live(peer, now));
+    /// The live peers, for the choice of those that call the object service; one that has
+    /// just been listed counts before it is heard.
+    pub(crate) fn caller_views(&self, now: Instant) -> Vec<PeerView> {
+        let live = self.by_name.iter();
+        let live = live.filter(|(_, peer)| holds_place(peer, now) || is_new(peer, now));
         let views = live.map(|(name, peer)| PeerView {
             rank: rank(name),
             answered: peer.answered.map(|at| now.saturating_duration_since(at)),
@@ -209,7 +254,7 @@
     /// The peers that this node tells at once of what it has just read.
     pub(super) fn told_at_once(&self, own: &Name, now: Instant) -> Vec<SocketAddr> {
         let own = rank(own);
-        let watchers = watcher_ranks(own, &self.watcher_views(now));
+        let watchers = watcher_ranks(own, &self.caller_views(now));
         let told = self.by_name.iter();
         let told = told.filter(|(name, _)| tells(own, &watchers, rank(name)));
         told.map(|(_, peer)| peer.address).collect()
@@ -234,6 +279,20 @@
     hasher.finish()
 }
 
+/// Whether a peer has been listed for a moment only, and not been heard yet.
+fn is_new(peer: &Peer, now: Instant) -> bool {
+    let recent = |at| now.saturating_duration_since(at) < LIVE;
+    peer.heard.is_none() && peer.known.is_some_and(recent)
+}
+
+/// Whether a peer takes its place among those that call the object service; one in another
+/// data centre may be heard seldom.
+fn holds_place(peer: &Peer, now: Instant) -> bool {
+    let span = if peer.near { LIVE } else { FAR_LIVE };
+    let recent = |at| now.saturating_duration_since(at) < span;
+    peer.heard.is_some_and(recent)
+}
+
 fn is_live(peer: &Peer, now: Instant) -> bool {
     let recent = |at| now.saturating_duration_since(at) < LIVE;
     peer.heard.is_some_and(recent)
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -62,6 +62,9 @@
     /// Requests under which servers have ended.
     #[prost(message, repeated, tag = "17")]
     pub(super) crashes: Vec<CrashesWire>,
+    /// Loads that the nodes of the sender's data centre have put on servers.
+    #[prost(message, optional, tag = "18")]
+    pub(super) centre_loads: Option<LoadsWire>,
 }
 
 /// A request under which servers have ended.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -16,7 +16,7 @@
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{FixedPart, RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
-use pomeloridge_policy::watchers::{is_cut_off, must_watch, retry_pause};
+use pomeloridge_policy::watchers::{is_cut_off, lacks_watchers, must_call, retry_pause};
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::accept::Accepted;
@@ -64,6 +64,8 @@
     pub(crate) usage_window: Duration,
     /// Drawn at the start, so that peers tell the starts of a node apart.
     pub(crate) life_id: u64,
+    /// When this node started.
+    pub(crate) started: Instant,
     pub(crate) life: Life,
     /// Where datagrams to peers leave.
     pub(crate) socket: RefCell<Option<Rc<UdpSocket>>>,
@@ -83,6 +85,8 @@
     pub(crate) store_answered: Cell<Option<Instant>>,
     /// When the object service last answered this node at all, or when the node started.
     pub(crate) store_heard: Cell<Stamp>,
+    /// Since when too few other nodes watch the object service.
+    unwatched: Cell<Option<Instant>>,
     /// Whether the list of servers has been read.
     pub(crate) listed: Cell<bool>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
@@ -155,6 +159,7 @@
             server_list: RefCell::default(),
             store_answered: Cell::new(None),
             store_heard: Cell::new(clock.stamp()),
+            unwatched: Cell::new(None),
             listed: Cell::new(false),
             dispatcher: RefCell::new(Dispatcher::new(
                 data_centre,
@@ -181,6 +186,7 @@
             metrics,
             name,
             life_id,
+            started: now,
         })
     }
 
@@ -327,13 +333,27 @@
 
     /// Whether this node watches the object service, and does not only hear from peers.
     pub(crate) fn watches(&self) -> bool {
-        let peers = self.peers.borrow().watcher_views(self.now());
-        must_watch(peers::rank(&self.name), &peers)
+        let (now, rank) = (self.now(), peers::rank(&self.name));
+        let peers = self.peers.borrow().caller_views(now);
+        if !lacks_watchers(rank, &peers) {
+            self.unwatched.set(None);
+            return false;
+        }
+        let since = self.unwatched.get().unwrap_or(now);
+        self.unwatched.set(Some(since));
+        must_call(rank, &peers, now.saturating_duration_since(since))
+    }
+
+    /// Whether this node looks at the lease of the duties, `free` after it last heard of a
+    /// holder.
+    pub(crate) fn is_candidate(&self, free: Duration) -> bool {
+        let peers = self.peers.borrow().caller_views(self.now());
+        must_call(peers::rank(&self.name), &peers, free)
     }
 
     /// Pause after a call of the object service that failed.
     pub(crate) fn retry_pause(&self) -> Duration {
-        let peers = self.peers.borrow().watcher_views(self.now());
+        let peers = self.peers.borrow().caller_views(self.now());
         retry_pause(peers::rank(&self.name), &peers)
     }
 
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -18,6 +18,9 @@
 const EXPIRE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two looks whether to watch, while peers do.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after changes of the servers: they come and go by the dozen, and each change would
+/// be a call of its own.
+const GATHER_PAUSE: Duration = Duration::from_millis(200);
 /// Silence of the object service that counts as an outage in which entries lapse.
 const OUTAGE: Duration = Duration::from_millis(1500);
 
@@ -70,13 +73,14 @@
     let store = state.ports.store;
     let dependency = Dependency::new("store/config");
     let mut after = None;
+    let mut was_read = false;
     loop {
         if after.is_some() && !state.watches() {
             // Peers tell of newer versions; what they missed is read on return.
             after = None;
             dependency.left();
         }
-        if after.is_none() && state.config().is_some() && !state.watches() {
+        if after.is_none() && was_read && !state.watches() {
             monoio::time::sleep(FOLLOW_PAUSE).await;
             continue;
         }
@@ -101,6 +105,7 @@
             Ok(revision) => {
                 dependency.answered(state.now());
                 state.store_heard.set(state.clock.stamp());
+                was_read = true;
                 after = revision;
             }
             Err(error) => {
@@ -245,10 +250,14 @@
         to: revision,
         events,
     };
-    if !change.events.is_empty() {
+    let news = !change.events.is_empty();
+    if news {
         peers::spread(state, &change);
     }
     change_servers(state, &change);
+    if news {
+        monoio::time::sleep(GATHER_PAUSE).await;
+    }
     Ok(Some(revision))
 }
 
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -14,7 +14,7 @@
 mod target;
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
@@ -468,6 +468,20 @@
         loaded.map(|target| (target.hash, target.own))
     }
 
+    /// What this node and some of its peers have put on the servers, for peers that don't
+    /// hear those.
+    pub fn loads_with(&self, peers: &HashSet<Name>, now: Instant) -> Vec<(u32, OwnLoad)> {
+        let loads = self.targets.values().map(|target| {
+            let others = target.peers.sum_of(|name| peers.contains(name), now);
+            let load = OwnLoad {
+                unread: target.own.unread + others.unread,
+                running: target.own.running + others.running,
+            };
+            (target.hash, load)
+        });
+        loads.filter(|(_, load)| load.running > 0).collect()
+    }
+
     /// Takes a server out that could not be reached; says whether it was in before.
     pub fn eject(&mut self, key: TargetKey, now: Instant) -> bool {
         let target = self.targets.get_mut(key);
--- a/crates/pomeloridge_policy/src/dispatch/load.rs
+++ b/crates/pomeloridge_policy/src/dispatch/load.rs
@@ -62,8 +62,16 @@
     }
 
     pub(super) fn sum(&self, now: Instant) -> OwnLoad {
+        self.sum_of(|_| true, now)
+    }
+
+    /// The sum of some peers' words.
+    pub(super) fn sum_of(&self, of: impl Fn(&Name) -> bool, now: Instant) -> OwnLoad {
         let recent = |load: &PeerLoad| now.saturating_duration_since(load.at) < PEER_WORD_TTL;
-        let recent = self.0.iter().filter(|(_, load)| recent(load));
+        let recent = self
+            .0
+            .iter()
+            .filter(|(name, load)| recent(load) && of(name));
         recent.fold(OwnLoad::default(), |sum, (_, peer)| OwnLoad {
             unread: sum.unread + peer.load.unread,
             running: sum.running + peer.load.running,
--- a/crates/pomeloridge_policy/src/telling.rs
+++ b/crates/pomeloridge_policy/src/telling.rs
@@ -3,10 +3,14 @@
 //! Pattern answered: words to every peer in every round fill small links once a fleet
 //! has dozens of nodes, and bytes between data centres are dear, while most work stays
 //! in its data centre. A large fleet tells peers of the own data centre in short turns
-//! and the others in longer ones; a small fleet tells all.
+//! and the others in longer ones, in which one node of each data centre tells the loads of
+//! all; a small fleet tells all.
 
-/// Rounds in which each peer in another data centre is told once, in a large fleet.
+/// Rounds in which each peer in another data centre is told once, in a large fleet, by a
+/// node that others wait for.
 const FAR_ROUNDS: usize = 12;
+/// The same by any other node.
+const FAR_ROUNDS_OTHERS: usize = 50;
 
 /// Peers that are told in each round, of those in the own data centre and of the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,20 +21,31 @@
     pub far: usize,
 }
 
-/// Decides the turns of a node with so many peers that tells `fan_out` peers at a time.
-pub fn turns(near: usize, far: usize, fan_out: usize) -> Turns {
-    if near + far <= fan_out {
+/// Whether nodes other than this one tell its peers apart by their data centres.
+pub fn is_large(peers: usize, fan_out: usize) -> bool {
+    peers > fan_out
+}
+
+/// Decides the turns of a node with so many peers that tells `fan_out` peers at a time;
+/// `awaited` if others wait for its words.
+pub fn turns(near: usize, far: usize, fan_out: usize, awaited: bool) -> Turns {
+    if !is_large(near + far, fan_out) {
         return Turns { near, far };
     }
+    let rounds = if awaited {
+        FAR_ROUNDS
+    } else {
+        FAR_ROUNDS_OTHERS
+    };
     Turns {
         near: near.min(fan_out),
-        far: far.div_ceil(FAR_ROUNDS),
+        far: far.div_ceil(rounds),
     }
 }
 
 /// Rounds in which every peer is told once.
-pub fn rounds(near: usize, far: usize, fan_out: usize) -> usize {
-    let turns = turns(near, far, fan_out);
+pub fn rounds(near: usize, far: usize, fan_out: usize, awaited: bool) -> usize {
+    let turns = turns(near, far, fan_out, awaited);
     let rounds = |peers: usize, each: usize| peers.div_ceil(each.max(1));
     rounds(near, turns.near).max(rounds(far, turns.far))
 }
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -1,17 +1,21 @@
-//! Which nodes watch the object service, and which hear its changes from those.
+//! Which nodes call the object service for all: watch it, or look at the lease of the duties.
 //!
 //! Pattern answered: every call of the object service costs, and calls that grow with
-//! the nodes are not affordable. A few nodes watch; they are the same in every view,
-//! by a ranking of names. A node that does not hear enough of them watches itself.
-//! While the service turns all away, only the first nodes ask it often.
+//! the nodes are not affordable. A few nodes call; they are the same in every view, by a
+//! ranking of names. Where too few of them are answered, the others step in one after the
+//! other, not all at once. While the service turns all away, only the first nodes ask it
+//! often.
 
 use std::time::Duration;
 
-/// Nodes that watch, at least.
-const WATCHERS_LEAST: usize = 3;
-/// Nodes for each one that watches.
-const NODES_PER_WATCHER: usize = 20;
-/// Pause after a failed call, for the nodes that watch first.
+/// Nodes that call, at least.
+const CALLERS_LEAST: usize = 3;
+/// Of a large fleet so many call for each of the root of its nodes: each tells on what it
+/// reads to a part of the others.
+const CALLERS_PER_ROOT: f64 = 1.0 / 3.0;
+/// Time over which the others step in where too few are answered.
+const STEP_IN: Duration = Duration::from_secs(1);
+/// Pause after a failed call, for the nodes that call first.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failed call, for the others; they hear of the service's return from
 /// those.
@@ -29,17 +33,28 @@
     pub answered: Option<Duration>,
 }
 
-/// Whether a node with this rank must watch the object service itself.
-pub fn must_watch(rank: u64, peers: &[PeerView]) -> bool {
+/// Whether too few of the nodes before this one watch the object service.
+pub fn lacks_watchers(rank: u64, peers: &[PeerView]) -> bool {
     let fresh = |peer: &&PeerView| peer.answered.is_some_and(|age| age < FRESH);
     let before = peers.iter().filter(|peer| peer.rank < rank).filter(fresh);
-    before.count() < watchers(peers)
+    before.count() < callers(peers)
 }
 
-/// Nodes that are to watch among a node's peers and itself.
-fn watchers(peers: &[PeerView]) -> usize {
-    let nodes = peers.len() + 1;
-    WATCHERS_LEAST.max(nodes.div_ceil(NODES_PER_WATCHER))
+/// Whether a node calls the object service `lacking` after too few others did.
+pub fn must_call(rank: u64, peers: &[PeerView], lacking: Duration) -> bool {
+    let first = callers(peers);
+    let place = peers.iter().filter(|peer| peer.rank < rank).count();
+    let Some(behind) = (place + 1).checked_sub(first) else {
+        return true;
+    };
+    let others = (peers.len() + 1).saturating_sub(first).max(1);
+    lacking >= STEP_IN.mul_f64(behind as f64 / others as f64)
+}
+
+/// Nodes that are to call among a node's peers and itself.
+fn callers(peers: &[PeerView]) -> usize {
+    let root = ((peers.len() + 1) as f64).sqrt();
+    CALLERS_LEAST.max((root * CALLERS_PER_ROOT).ceil() as usize)
 }
 
 /// Pause after a call of the object service that failed, for a node with this rank.
@@ -48,7 +63,7 @@
 /// fleet that asks as often as one node does pays for thousands of calls.
 pub fn retry_pause(rank: u64, peers: &[PeerView]) -> Duration {
     let before = peers.iter().filter(|peer| peer.rank < rank);
-    if before.count() < watchers(peers) {
+    if before.count() < callers(peers) {
         RETRY_PAUSE
     } else {
         RETRY_PAUSE_OTHERS
