Introduce nodes to one another as they start, and pack the lists that they tell

- A node says that it is there as soon as it has read the others' objects; who calls the object service or holds the duties answers at once.
A node calls for others only once it knows them, or after 1 s.
- Changes of the list and whole objects go packed (`flate2`), with a bound on what they come to.
`what_unpacks_to_too_much_is_refused`, `entries_of_servers_take_little_room`.
- A gap in the changes is read from a peer after 200 ms, in which changes told in another order come; in a large fleet reads from other data centres are spread over 0.5 s more.
- The others step in over 2 s, since words of those that call take a part of a second.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -60,7 +60,7 @@
         }
         let epoch = authority.holds().then(|| authority.epoch());
         if state.duty.replace(epoch) != epoch && epoch.is_some() {
-            peers::spread_duty(&state);
+            peers::introduce(&state);
         }
         let pause = match (held, free) {
             (true, _) => HELD_PAUSE,
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -11,6 +11,7 @@
 use pomeloridge_platform::{ListWire, Object, ObjectWire};
 use serde::de::DeserializeOwned;
 
+use crate::packed::{pack, unpack};
 use crate::state::State;
 
 /// Path of the configuration.
@@ -33,14 +34,15 @@
     Ok(wire.into())
 }
 
-/// Reads JSON from a peer.
+/// Reads packed JSON from a peer.
 async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, String> {
     let response = call(address, &Outgoing::get(path), READ_TIME).await;
     let response = response.map_err(|fault| fault.to_string())?;
     if response.status != StatusCode::OK {
         return Err(format!("status {}", response.status));
     }
-    serde_json::from_slice(&response.body).map_err(|error| error.to_string())
+    let body = unpack(&response.body).map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
 
 /// Reads a peer's list of servers.
@@ -84,7 +86,15 @@
     let Some(reader) = Counted::below(&state.readers, READERS) else {
         return send(Response::new(BUSY, ""), responder).await;
     };
-    send(write(state), responder).await;
+    let mut response = write(state);
+    match pack(&response.body) {
+        Ok(packed) => response.body = packed.into(),
+        Err(error) => {
+            log::error!("answer to a peer not packed: {error}");
+            response = Response::new(500, "");
+        }
+    }
+    send(response, responder).await;
     if monoio::time::timeout(READ_TIME, responder.gone())
         .await
         .is_err()
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod life;
 mod node;
 mod pace;
+mod packed;
 mod peers;
 mod pool;
 pub mod ports;
@@ -41,6 +42,7 @@
 pub use config_register::{Adopted, ConfigRegister};
 pub use events::{Event, EventSplitter};
 pub use node::run;
+pub use packed::{pack, unpack};
 pub use register::Register;
 pub use request::{Dispatch, Handle, Inbound, MemorySource, Notice, ReplyHead, SendStage};
 pub use server_list::{Applied, ListChange, ServerList};
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -14,7 +14,7 @@
 
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::counted::Counted;
-use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_base::id::{Epoch, Name, Revision};
 use pomeloridge_platform::PutOutcome;
 use pomeloridge_policy::dispatch::Placed;
 use pomeloridge_policy::work_meter::WorkRates;
@@ -26,7 +26,7 @@
 use crate::{internal, watch};
 
 pub(crate) use table::{Peers, rank};
-use wire::{BeatWire, CrashesWire, UsageWire, WorkWire};
+use wire::{BeatWire, ChangeWire, CrashesWire, UsageWire, WorkWire};
 
 /// Pause between two reads of the nodes' objects; a node that starts tells the others.
 const LIST_PAUSE: Duration = Duration::from_mins(2);
@@ -38,6 +38,10 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Rounds between two that carry counts of usage and rates of work.
 const USAGE_ROUNDS: u64 = 4;
+/// Time in which changes of the list of servers that were told in another order come.
+const GAP_PAUSE: Duration = Duration::from_millis(200);
+/// Time over which the nodes of a data centre spread their reads from another one.
+const FAR_READ_SPREAD: Duration = Duration::from_millis(500);
 /// Pause after a read that failed; the next word of a peer starts another.
 const READ_PAUSE: Duration = Duration::from_millis(50);
 /// Time after a window's end for which its counts are told on.
@@ -71,7 +75,13 @@
                 .iter()
                 .filter_map(|object| node_object::read(&state, object));
             let others = nodes.filter(|node| node.name != state.name).collect();
-            state.peers.borrow_mut().listed(others, state.now());
+            let mut peers = state.peers.borrow_mut();
+            let is_first = !peers.was_listed;
+            peers.listed(others, state.now());
+            drop(peers);
+            if is_first {
+                introduce(&state);
+            }
         }
         if done {
             rest(&state).await;
@@ -173,15 +183,19 @@
         let peers = state.peers.borrow();
         let spoken_for = peers.spoken_for(&state.name, now);
         let is_new = now.saturating_duration_since(state.started) < NEW;
-        let calls = state.store_answered.get().is_some() || state.duty.get().is_some();
         Self {
             large: peers.is_large(fan_out),
-            awaited: is_new || calls || spoken_for.is_some(),
+            awaited: is_new || acts_for_all(state) || spoken_for.is_some(),
             spoken_for,
         }
     }
 }
 
+/// Whether this node calls the object service for others, or holds the duties.
+fn acts_for_all(state: &State) -> bool {
+    state.store_answered.get().is_some() || state.duty.get().is_some()
+}
+
 /// The word to a peer in another data centre of a large fleet: who speaks for a data centre
 /// tells the loads of all of its nodes.
 fn far_beat(state: &State, near: BeatWire, words: &Words) -> BeatWire {
@@ -243,11 +257,16 @@
 
 /// Tells peers at once of changes that the object service has told.
 pub(crate) fn spread(state: &Rc<State>, change: &ListChange) {
-    let beat = BeatWire {
-        change: Some(change.into()),
-        ..introduction(state)
-    };
-    send_at_once(state, beat);
+    match ChangeWire::try_from(change) {
+        Ok(change) => {
+            let beat = BeatWire {
+                change: Some(change),
+                ..introduction(state)
+            };
+            send_at_once(state, beat);
+        }
+        Err(fault) => log::error!("servers choice=tell outcome=failed reason=\"{fault}\""),
+    }
 }
 
 /// Tells all peers at once of requests under which servers have ended.
@@ -265,8 +284,9 @@
     told.into_iter().map(CrashesWire::from).collect()
 }
 
-/// Tells all peers at once that this node holds the duties from now on.
-pub(crate) fn spread_duty(state: &Rc<State>) {
+/// Tells all peers at once that this node is there, and whether it calls the object
+/// service or holds the duties from now on: those that don't hear so would do the same.
+pub(crate) fn introduce(state: &Rc<State>) {
     let addresses = state.peers.borrow().addresses();
     send_to(state, introduction(state), addresses);
 }
@@ -345,6 +365,7 @@
     }
     let duty = (beat.duty > 0).then_some(Epoch(beat.duty));
     let mut peers = state.peers.borrow_mut();
+    let is_new = !peers.has_heard(&name);
     let peer = peers.heard(&name, address, now);
     peer.note_duty(duty, now);
     peer.near = beat.centre == state.centre;
@@ -356,6 +377,9 @@
         peer.note_counts(first, state.current_window(now), now);
     }
     drop(peers);
+    if is_new && acts_for_all(state) {
+        send_to(state, introduction(state), vec![address]);
+    }
     let corrected = state.time.borrow_mut().heard(&name, beat.unix_ms, now);
     if let Some(by) = corrected {
         log::info!("time choice=correct by_ms={by} reason=\"median of the nodes\"");
@@ -414,30 +438,63 @@
         watch::store_was_there(state);
     }
     let known = state.config().map_or(0, |config| config.version);
+    let near = beat.centre == state.centre;
     if beat.config > known {
-        fetch_config(state, address);
+        fetch_config(state, address, beat.config, near);
     }
-    let applied = beat.change.clone().map(ListChange::try_from);
-    let gap = match applied {
-        Some(Ok(change)) => watch::change_servers(state, &change) == Applied::Gap,
+    let change = beat.change.clone().map(ListChange::try_from);
+    let missing = match change {
+        Some(Ok(change)) => (watch::change_servers(state, &change) == Applied::Gap)
+            .then_some((change.to, Some(change))),
         Some(Err(error)) => {
             log::warn!("servers from={name} choice=read_list reason=\"{error}\"");
-            true
+            Some((Revision(u64::MAX), None))
         }
         None => {
-            let known = state.server_list.borrow().revision();
-            beat.servers > known.map_or(0, |revision| revision.0)
+            lacks_servers(state, Revision(beat.servers)).then_some((Revision(beat.servers), None))
         }
     };
-    if gap && !state.watches() {
-        fetch_servers(state, address);
+    if let Some((revision, change)) = missing
+        && !state.watches()
+    {
+        fetch_servers(state, address, revision, change, near);
     }
 }
 
-/// Reads the list of servers from a peer that knows a newer one.
-fn fetch_servers(state: &Rc<State>, address: SocketAddr) {
+fn lacks_servers(state: &State, revision: Revision) -> bool {
+    let known = state.server_list.borrow().revision();
+    revision > known.unwrap_or_default()
+}
+
+/// Time to wait before a whole object is read from a peer: words that bring it may be on
+/// their way, and in a large fleet a peer of the own data centre may have it first.
+fn reading_pause(state: &State, near: bool) -> Duration {
+    let fan_out = state.settings().number("peers", "fan_out") as usize;
+    if near || !state.peers.borrow().is_large(fan_out) {
+        return Duration::ZERO;
+    }
+    rand::random_range(Duration::ZERO..FAR_READ_SPREAD)
+}
+
+/// Reads the list of servers from a peer that knows a newer one, unless the changes come
+/// by themselves; `change` came before those that it builds on.
+fn fetch_servers(
+    state: &Rc<State>,
+    address: SocketAddr,
+    revision: Revision,
+    change: Option<ListChange>,
+    near: bool,
+) {
     let taken = Rc::clone(state);
+    let pause = GAP_PAUSE + reading_pause(state, near);
     read_apart(&state.reading_servers, "servers", address, async move {
+        monoio::time::sleep(pause).await;
+        if let Some(change) = change {
+            watch::change_servers(&taken, &change);
+        }
+        if !lacks_servers(&taken, revision) {
+            return Ok(());
+        }
         let (revision, objects) = internal::read_servers(address).await?;
         watch::replace_servers(&taken, revision, &objects);
         Ok(())
@@ -445,9 +502,17 @@
 }
 
 /// Reads a newer configuration from a peer, where the object service may be out of reach.
-fn fetch_config(state: &Rc<State>, address: SocketAddr) {
+fn fetch_config(state: &Rc<State>, address: SocketAddr, version: u64, near: bool) {
     let taken = Rc::clone(state);
+    let pause = reading_pause(state, near);
     read_apart(&state.reading_config, "config", address, async move {
+        monoio::time::sleep(pause).await;
+        if taken
+            .config()
+            .is_some_and(|config| config.version >= version)
+        {
+            return Ok(());
+        }
         let object = internal::read_config(address).await?;
         watch::adopt(&taken, &object);
         Ok(())
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -225,6 +225,12 @@
         self.by_name.retain(|_, peer| peer.listed || !silent(peer));
     }
 
+    /// Whether a node has told this one anything before.
+    pub(super) fn has_heard(&self, name: &Name) -> bool {
+        let peer = self.by_name.get(name);
+        peer.is_some_and(|peer| peer.heard.is_some())
+    }
+
     pub(super) fn heard(&mut self, name: &Name, address: SocketAddr, now: Instant) -> &mut Peer {
         let known = self.by_name.contains_key(name);
         let peer = self
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -11,6 +11,7 @@
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
+use crate::packed::{pack, unpack};
 use crate::server_list::ListChange;
 
 /// A datagram to a peer.
@@ -120,7 +121,14 @@
     from: u64,
     #[prost(uint64, tag = "2")]
     to: u64,
-    #[prost(message, repeated, tag = "3")]
+    /// [`EventsWire`], packed.
+    #[prost(bytes = "vec", tag = "4")]
+    events: Vec<u8>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct EventsWire {
+    #[prost(message, repeated, tag = "1")]
     events: Vec<EventWire>,
 }
 
@@ -135,8 +143,21 @@
     value: Option<Vec<u8>>,
 }
 
-impl From<&ListChange> for ChangeWire {
-    fn from(change: &ListChange) -> Self {
+/// Why changes of the list of servers can't be written or read.
+#[derive(Debug, derive_more::Display, derive_more::From)]
+pub(super) enum ChangeFault {
+    /// They can't be packed or unpacked.
+    Packed(std::io::Error),
+    /// They are no changes.
+    Message(prost::DecodeError),
+    /// An entry is no JSON.
+    Entry(serde_json::Error),
+}
+
+impl TryFrom<&ListChange> for ChangeWire {
+    type Error = ChangeFault;
+
+    fn try_from(change: &ListChange) -> Result<Self, Self::Error> {
         let events = change.events.iter().map(|event| EventWire {
             key: event.key.clone(),
             version: event.version.0,
@@ -145,21 +166,26 @@
                 .as_ref()
                 .map(|value| value.to_string().into_bytes()),
         });
-        Self {
+        let events = EventsWire {
+            events: events.collect(),
+        };
+        Ok(Self {
             from: change.from.0,
             to: change.to.0,
-            events: events.collect(),
-        }
+            events: pack(&events.encode_to_vec())?,
+        })
     }
 }
 
 impl TryFrom<ChangeWire> for ListChange {
-    type Error = serde_json::Error;
+    type Error = ChangeFault;
 
     fn try_from(wire: ChangeWire) -> Result<Self, Self::Error> {
-        let events = wire.events.into_iter().map(|event| {
+        let events = unpack(&wire.events)?;
+        let events = EventsWire::decode(events.as_slice())?.events;
+        let events = events.into_iter().map(|event| {
             let value = event.value.map(|json| serde_json::from_slice(&json));
-            Ok(Event {
+            Ok::<_, ChangeFault>(Event {
                 key: event.key,
                 version: Revision(event.version),
                 value: value.transpose()?,
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -34,6 +34,9 @@
 use crate::true_time::TrueTime;
 use crate::usage::{Source, UsageBook};
 
+/// Time for which a node that starts waits for the list of the others.
+const PEERS_WAIT: Duration = Duration::from_secs(1);
+
 /// What a gateway is made of.
 pub struct Parts {
     /// Checked settings.
@@ -334,6 +337,9 @@
     /// Whether this node watches the object service, and does not only hear from peers.
     pub(crate) fn watches(&self) -> bool {
         let (now, rank) = (self.now(), peers::rank(&self.name));
+        if self.awaits_peers(now) {
+            return false;
+        }
         let peers = self.peers.borrow().caller_views(now);
         if !lacks_watchers(rank, &peers) {
             self.unwatched.set(None);
@@ -347,10 +353,19 @@
     /// Whether this node looks at the lease of the duties, `free` after it last heard of a
     /// holder.
     pub(crate) fn is_candidate(&self, free: Duration) -> bool {
+        if self.awaits_peers(self.now()) {
+            return false;
+        }
         let peers = self.peers.borrow().caller_views(self.now());
         must_call(peers::rank(&self.name), &peers, free)
     }
 
+    /// Whether this node has just started and can't know yet who else is there.
+    fn awaits_peers(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.started);
+        age < PEERS_WAIT && !self.peers.borrow().has_met(now)
+    }
+
     /// Pause after a call of the object service that failed.
     pub(crate) fn retry_pause(&self) -> Duration {
         let peers = self.peers.borrow().caller_views(self.now());
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -185,7 +185,10 @@
         match result {
             Ok(revision) => {
                 lost = revision.is_none();
-                state.store_answered.set(Some(state.now()));
+                let before = state.store_answered.replace(Some(state.now()));
+                if before.is_none() && state.watches() {
+                    peers::introduce(&state);
+                }
                 state.store_heard.set(state.clock.stamp());
             }
             Err(error) => {
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -14,7 +14,7 @@
 /// reads to a part of the others.
 const CALLERS_PER_ROOT: f64 = 1.0 / 3.0;
 /// Time over which the others step in where too few are answered.
-const STEP_IN: Duration = Duration::from_secs(1);
+const STEP_IN: Duration = Duration::from_secs(2);
 /// Pause after a failed call, for the nodes that call first.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failed call, for the others; they hear of the service's return from
