Let the nodes that watch stand in different data centres, and say at once when they fail

The three nodes that watched were the three of data centre fyn-c, whose links failed at about 5 s. Their calls failed at 8.07 s and 9.70 s, the others turned to the object service at 11.2 s, once the last answer that those three had told was 3.5 s old and each had waited for its turn to step in.

The data centres take turns in the ranking; a node tells the older of its two watches, and none once a call has failed; the others step in each 7 ms.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -250,8 +250,12 @@
     }
 }
 
+/// Time since both of the node's watches were answered.
 fn answered_ms(state: &State, now: Instant) -> Option<u64> {
-    let answered = state.store_answered.get()?;
+    let answered = state
+        .store_answered
+        .get()?
+        .min(state.config_answered.get()?);
     Some(now.saturating_duration_since(answered).as_millis() as u64)
 }
 
@@ -368,7 +372,7 @@
     let is_new = !peers.has_heard(&name);
     let peer = peers.heard(&name, address, now);
     peer.note_duty(duty, now);
-    peer.near = beat.centre == state.centre;
+    peer.centre = beat.centre;
     if !beat.work.is_empty() {
         let told = std::mem::take(&mut beat.work);
         peer.work = told.into_iter().map(<(Name, WorkRates)>::from).collect();
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -132,7 +132,7 @@
     Some(Listed {
         name: Name::from(name),
         address: wire.address,
-        near: wire.centre == state.centre,
+        centre: wire.centre,
     })
 }
 
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -7,7 +7,7 @@
 
 use pomeloridge_base::id::{Epoch, Name};
 use pomeloridge_policy::telling::{is_large, rounds, turn, turns};
-use pomeloridge_policy::watchers::{PeerView, tells, watcher_ranks};
+use pomeloridge_policy::watchers::{PeerView, Ranked, tells, watcher_ranks};
 use pomeloridge_policy::work_meter::WorkRates;
 
 use super::USAGE_ROUNDS;
@@ -33,8 +33,8 @@
     pub(super) listed: bool,
     /// When it was first listed.
     known: Option<Instant>,
-    /// Whether it is in this node's data centre, as far as it is known.
-    pub(super) near: bool,
+    /// Hash of the name of its data centre; 0 before that is known.
+    pub(super) centre: u32,
     /// Fencing token that the peer says to hold the duties by, and since when.
     duty: Option<(Epoch, Instant)>,
     pub(super) work: Vec<(Name, WorkRates)>,
@@ -50,7 +50,7 @@
             counted: BTreeMap::new(),
             listed: false,
             known: None,
-            near: false,
+            centre: 0,
             duty: None,
             work: Vec::new(),
             answered: None,
@@ -78,13 +78,15 @@
 pub(super) struct Listed {
     pub(super) name: Name,
     pub(super) address: SocketAddr,
-    /// Whether it is in this node's data centre.
-    pub(super) near: bool,
+    /// Hash of the name of its data centre.
+    pub(super) centre: u32,
 }
 
 /// The other nodes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
+    /// Hash of the name of this node's data centre.
+    centre: u32,
     by_name: HashMap<Name, Peer>,
     pub(super) round: u64,
     /// Whether the nodes' objects have been read.
@@ -92,6 +94,25 @@
 }
 
 impl Peers {
+    /// No other node, seen from a data centre.
+    pub(crate) fn new(centre: u32) -> Self {
+        Self {
+            centre,
+            by_name: HashMap::new(),
+            round: 0,
+            was_listed: false,
+        }
+    }
+
+    /// Whether a peer takes its place among those that call the object service; one in
+    /// another data centre may be heard seldom.
+    fn holds_place(&self, peer: &Peer, now: Instant) -> bool {
+        let is_near = peer.centre == self.centre;
+        let span = if is_near { LIVE } else { FAR_LIVE };
+        let recent = |at| now.saturating_duration_since(at) < span;
+        peer.heard.is_some_and(recent)
+    }
+
     pub(super) fn answered(&mut self, name: &Name, answered: Option<Instant>) {
         if let Some(peer) = self.by_name.get_mut(name) {
             peer.answered = answered;
@@ -150,7 +171,7 @@
     /// that tells the loads of all to the other data centres.
     pub(super) fn spoken_for(&self, own: &Name, now: Instant) -> Option<HashSet<Name>> {
         let near = self.by_name.iter();
-        let near = near.filter(|(_, peer)| peer.near && is_live(peer, now));
+        let near = near.filter(|(_, peer)| peer.centre == self.centre && is_live(peer, now));
         let near: HashSet<Name> = near.map(|(name, _)| name.clone()).collect();
         let own = rank(own);
         near.iter().all(|name| rank(name) > own).then_some(near)
@@ -159,7 +180,10 @@
     /// The peers in this node's data centre, and those in others.
     fn by_distance(&self) -> [Vec<SocketAddr>; 2] {
         [true, false].map(|near| {
-            let peers = self.by_name.values().filter(|peer| peer.near == near);
+            let peers = self
+                .by_name
+                .values()
+                .filter(|peer| (peer.centre == self.centre) == near);
             let mut addresses: Vec<SocketAddr> = peers.map(|peer| peer.address).collect();
             addresses.sort_unstable();
             addresses
@@ -209,12 +233,12 @@
         for Listed {
             name,
             address,
-            near,
+            centre,
         } in nodes
         {
             let peer = self.by_name.entry(name).or_insert(Peer::new(address));
             peer.address = address;
-            peer.near = near;
+            peer.centre = centre;
             peer.listed = true;
             peer.known.get_or_insert(now);
         }
@@ -232,14 +256,12 @@
     }
 
     pub(super) fn heard(&mut self, name: &Name, address: SocketAddr, now: Instant) -> &mut Peer {
-        let known = self.by_name.contains_key(name);
-        let peer = self
-            .by_name
-            .entry(name.clone())
-            .or_insert(Peer::new(address));
-        if !known || !holds_place(peer, now) {
+        let known = self.by_name.get(name);
+        if !known.is_some_and(|peer| self.holds_place(peer, now)) {
             log::info!("dependency name=node/{name} state=regained address={address}");
         }
+        let peer = self.by_name.entry(name.clone());
+        let peer = peer.or_insert(Peer::new(address));
         peer.address = address;
         peer.heard = Some(now);
         peer
@@ -249,9 +271,12 @@
     /// just been listed counts before it is heard.
     pub(crate) fn caller_views(&self, now: Instant) -> Vec<PeerView> {
         let live = self.by_name.iter();
-        let live = live.filter(|(_, peer)| holds_place(peer, now) || is_new(peer, now));
+        let live = live.filter(|(_, peer)| self.holds_place(peer, now) || is_new(peer, now));
         let views = live.map(|(name, peer)| PeerView {
-            rank: rank(name),
+            node: Ranked {
+                rank: rank(name),
+                centre: peer.centre,
+            },
             answered: peer.answered.map(|at| now.saturating_duration_since(at)),
         });
         views.collect()
@@ -291,14 +316,6 @@
     peer.heard.is_none() && peer.known.is_some_and(recent)
 }
 
-/// Whether a peer takes its place among those that call the object service; one in another
-/// data centre may be heard seldom.
-fn holds_place(peer: &Peer, now: Instant) -> bool {
-    let span = if peer.near { LIVE } else { FAR_LIVE };
-    let recent = |at| now.saturating_duration_since(at) < span;
-    peer.heard.is_some_and(recent)
-}
-
 fn is_live(peer: &Peer, now: Instant) -> bool {
     let recent = |at| now.saturating_duration_since(at) < LIVE;
     peer.heard.is_some_and(recent)
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -16,7 +16,7 @@
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::repeat_budget::{FixedPart, RepeatBudget, RepeatLimits};
 use pomeloridge_policy::staging::StageLoad;
-use pomeloridge_policy::watchers::{is_cut_off, lacks_watchers, must_call, retry_pause};
+use pomeloridge_policy::watchers::{Ranked, is_cut_off, lacks_watchers, must_call, retry_pause};
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::accept::Accepted;
@@ -86,6 +86,8 @@
     pub(crate) server_list: RefCell<ServerList>,
     /// When the object service last answered this node's watch of the servers.
     pub(crate) store_answered: Cell<Option<Instant>>,
+    /// The same for its watch of the configuration.
+    pub(crate) config_answered: Cell<Option<Instant>>,
     /// When the object service last answered this node at all, or when the node started.
     pub(crate) store_heard: Cell<Stamp>,
     /// Since when too few other nodes watch the object service.
@@ -147,9 +149,10 @@
             life: life_id,
         };
         let now = clock.now();
+        let centre = peers::rank(&data_centre) as u32;
         Rc::new(Self {
             store,
-            centre: peers::rank(&data_centre) as u32,
+            centre,
             usage_window: settings.time("usage", "window_s"),
             life: Life::default(),
             peer_address: peer,
@@ -161,6 +164,7 @@
             register: RefCell::default(),
             server_list: RefCell::default(),
             store_answered: Cell::new(None),
+            config_answered: Cell::new(None),
             store_heard: Cell::new(clock.stamp()),
             unwatched: Cell::new(None),
             listed: Cell::new(false),
@@ -178,7 +182,7 @@
             running: Rc::default(),
             usage: RefCell::new(UsageBook::new(source)),
             time: RefCell::new(TrueTime::new(now, clock.unix_ms())),
-            peers: RefCell::default(),
+            peers: RefCell::new(Peers::new(centre)),
             work: RefCell::default(),
             changing: RefCell::default(),
             duty: Cell::new(None),
@@ -336,18 +340,18 @@
 
     /// Whether this node watches the object service, and does not only hear from peers.
     pub(crate) fn watches(&self) -> bool {
-        let (now, rank) = (self.now(), peers::rank(&self.name));
+        let (now, own) = (self.now(), self.ranked());
         if self.awaits_peers(now) {
             return false;
         }
         let peers = self.peers.borrow().caller_views(now);
-        if !lacks_watchers(rank, &peers) {
+        if !lacks_watchers(own, &peers) {
             self.unwatched.set(None);
             return false;
         }
         let since = self.unwatched.get().unwrap_or(now);
         self.unwatched.set(Some(since));
-        must_call(rank, &peers, now.saturating_duration_since(since))
+        must_call(own, &peers, now.saturating_duration_since(since))
     }
 
     /// Whether this node looks at the lease of the duties, `free` after it last heard of a
@@ -357,7 +361,15 @@
             return false;
         }
         let peers = self.peers.borrow().caller_views(self.now());
-        must_call(peers::rank(&self.name), &peers, free)
+        must_call(self.ranked(), &peers, free)
+    }
+
+    /// This node among those that may call the object service.
+    fn ranked(&self) -> Ranked {
+        Ranked {
+            rank: peers::rank(&self.name),
+            centre: self.centre,
+        }
     }
 
     /// Whether this node has just started and can't know yet who else is there.
@@ -369,7 +381,7 @@
     /// Pause after a call of the object service that failed.
     pub(crate) fn retry_pause(&self) -> Duration {
         let peers = self.peers.borrow().caller_views(self.now());
-        retry_pause(peers::rank(&self.name), &peers)
+        retry_pause(self.ranked(), &peers)
     }
 
     /// Hands the register's servers to the dispatcher.
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -78,6 +78,7 @@
         if after.is_some() && !state.watches() {
             // Peers tell of newer versions; what they missed is read on return.
             after = None;
+            state.config_answered.set(None);
             dependency.left();
         }
         if after.is_none() && was_read && !state.watches() {
@@ -105,10 +106,12 @@
             Ok(revision) => {
                 dependency.answered(state.now());
                 state.store_heard.set(state.clock.stamp());
+                state.config_answered.set(Some(state.now()));
                 was_read = true;
                 after = revision;
             }
             Err(error) => {
+                state.config_answered.set(None);
                 dependency.failed(&error, state.now());
                 monoio::time::sleep(state.retry_pause()).await;
             }
@@ -192,6 +195,8 @@
                 state.store_heard.set(state.clock.stamp());
             }
             Err(error) => {
+                // Others need not wait until the last answer is old.
+                state.store_answered.set(None);
                 dependency.failed(&error, state.now());
                 monoio::time::sleep(state.retry_pause()).await;
             }
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -2,10 +2,12 @@
 //!
 //! Pattern answered: every call of the object service costs, and calls that grow with
 //! the nodes are not affordable. A few nodes call; they are the same in every view, by a
-//! ranking of names. Where too few of them are answered, the others step in one after the
+//! ranking of names in which the data centres take turns, so that trouble of one leaves
+//! others. Where too few of them are answered, the others step in one after the
 //! other, not all at once. While the service turns all away, only the first nodes ask it
 //! often.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Nodes that call, at least.
@@ -13,8 +15,8 @@
 /// Of a large fleet so many call for each of the root of its nodes: each tells on what it
 /// reads to a part of the others.
 const CALLERS_PER_ROOT: f64 = 1.0 / 3.0;
-/// Time over which the others step in where too few are answered.
-const STEP_IN: Duration = Duration::from_secs(2);
+/// Time from one of the others to the next, as they step in where too few are answered.
+const STEP_IN: Duration = Duration::from_millis(7);
 /// Pause after a failed call, for the nodes that call first.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failed call, for the others; they hear of the service's return from
@@ -24,31 +26,60 @@
 /// that a watch may wait.
 const FRESH: Duration = Duration::from_millis(3500);
 
+/// A node in the ranking.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ranked {
+    /// Hash of its name.
+    pub rank: u64,
+    /// Hash of the name of its data centre.
+    pub centre: u32,
+}
+
 /// A live peer.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerView {
-    /// Hash of its name.
-    pub rank: u64,
+    /// The peer.
+    pub node: Ranked,
     /// Time since the object service last answered it; `None` if it does not watch.
     pub answered: Option<Duration>,
 }
 
+/// The peers that come before a node: the first of each data centre, then the second of
+/// each, and so on.
+fn before(own: Ranked, peers: &[PeerView]) -> impl Iterator<Item = &PeerView> {
+    let mut nodes: Vec<(Ranked, Option<&PeerView>)> = peers
+        .iter()
+        .map(|peer| (peer.node, Some(peer)))
+        .chain([(own, None)])
+        .collect();
+    nodes.sort_unstable_by_key(|(node, _)| node.rank);
+    let mut seen: HashMap<u32, usize> = HashMap::new();
+    let mut ordered: Vec<(usize, u64, Option<&PeerView>)> = nodes
+        .into_iter()
+        .map(|(node, peer)| {
+            let turn = seen.entry(node.centre).or_default();
+            *turn += 1;
+            (*turn, node.rank, peer)
+        })
+        .collect();
+    ordered.sort_unstable_by_key(|(turn, rank, _)| (*turn, *rank));
+    ordered.into_iter().map_while(|(.., peer)| peer)
+}
+
 /// Whether too few of the nodes before this one watch the object service.
-pub fn lacks_watchers(rank: u64, peers: &[PeerView]) -> bool {
+pub fn lacks_watchers(own: Ranked, peers: &[PeerView]) -> bool {
     let fresh = |peer: &&PeerView| peer.answered.is_some_and(|age| age < FRESH);
-    let before = peers.iter().filter(|peer| peer.rank < rank).filter(fresh);
-    before.count() < callers(peers)
+    before(own, peers).filter(fresh).count() < callers(peers)
 }
 
 /// Whether a node calls the object service `lacking` after too few others did.
-pub fn must_call(rank: u64, peers: &[PeerView], lacking: Duration) -> bool {
+pub fn must_call(own: Ranked, peers: &[PeerView], lacking: Duration) -> bool {
     let first = callers(peers);
-    let place = peers.iter().filter(|peer| peer.rank < rank).count();
+    let place = before(own, peers).count();
     let Some(behind) = (place + 1).checked_sub(first) else {
         return true;
     };
-    let others = (peers.len() + 1).saturating_sub(first).max(1);
-    lacking >= STEP_IN.mul_f64(behind as f64 / others as f64)
+    lacking >= STEP_IN * behind as u32
 }
 
 /// Nodes that are to call among a node's peers and itself.
@@ -57,13 +88,12 @@
     CALLERS_LEAST.max((root * CALLERS_PER_ROOT).ceil() as usize)
 }
 
-/// Pause after a call of the object service that failed, for a node with this rank.
+/// Pause after a call of the object service that failed.
 ///
 /// Pattern: in an outage no node watches freshly, so that every node must; a large
 /// fleet that asks as often as one node does pays for thousands of calls.
-pub fn retry_pause(rank: u64, peers: &[PeerView]) -> Duration {
-    let before = peers.iter().filter(|peer| peer.rank < rank);
-    if before.count() < callers(peers) {
+pub fn retry_pause(own: Ranked, peers: &[PeerView]) -> Duration {
+    if before(own, peers).count() < callers(peers) {
         RETRY_PAUSE
     } else {
         RETRY_PAUSE_OTHERS
@@ -98,7 +128,7 @@
 /// The ranks of the nodes that watch, this one among them, in order.
 pub fn watcher_ranks(rank: u64, peers: &[PeerView]) -> Vec<u64> {
     let fresh = |peer: &&PeerView| peer.answered.is_some_and(|age| age < FRESH);
-    let watching = peers.iter().filter(fresh).map(|peer| peer.rank);
+    let watching = peers.iter().filter(fresh).map(|peer| peer.node.rank);
     let mut ranks: Vec<u64> = watching.chain([rank]).collect();
     ranks.sort_unstable();
     ranks
