--- a/crates/pomeloridge_policy/src/telling.rs
+++ b/crates/pomeloridge_policy/src/telling.rs
@@ -21,7 +21,7 @@
     pub far: usize,
 }
 
-/// Whether nodes other than this one tell its peers apart by their data centres.
+/// Whether a fleet is so large that peers in other data centres are told less.
 pub fn is_large(peers: usize, fan_out: usize) -> bool {
     peers > fan_out
 }
