Log the request rates that servers name as their limits

Decodes `Server-Limit` and logs each change and each malformed value. Nothing acts on it yet.

`a_named_limit_is_decoded` and `a_malformed_limit_is_an_error` cover the decoding.

--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -231,10 +231,11 @@
 
 /// Applies the backoff or the departure that a server announced in a response.
 fn apply_notice(state: &State, accepted: &Accepted, server: TargetKey, notice: Notice) {
-    if notice == Notice::default() {
+    apply_limit(state, accepted, server, notice);
+    let retry_after = notice.retry_after.unwrap_or_default();
+    if !notice.leaving && retry_after.is_zero() {
         return;
     }
-    let retry_after = notice.retry_after.unwrap_or_default();
     let mut dispatcher = state.dispatcher.borrow_mut();
     dispatcher.set_backoff(server, retry_after, state.now());
     let newly_leaving = notice.leaving && dispatcher.mark_leaving(server);
@@ -252,6 +253,32 @@
     );
 }
 
+/// Records the request rate that a server named in a response.
+fn apply_limit(state: &State, accepted: &Accepted, server: TargetKey, notice: Notice) {
+    let by = accepted.inbound.label();
+    let limit = match notice.rate_limit.transpose() {
+        Ok(limit) => limit,
+        Err(reason) => {
+            let server = state.server_name(server);
+            log::info!(
+                "server id={server} choice=ignore_limit reason=\"{reason}\" by=\"request {by}\""
+            );
+            return;
+        }
+    };
+    let is_new = state.dispatcher.borrow_mut().record_limit(server, limit);
+    if !is_new {
+        return;
+    }
+    let server = state.server_name(server);
+    match limit {
+        Some(limit) => {
+            log::info!("server id={server} choice=learn_limit per_s={limit} by=\"request {by}\"")
+        }
+        None => log::info!("server id={server} choice=drop_limit by=\"request {by}\""),
+    }
+}
+
 fn record_response(state: &State, server: TargetKey, head: &ResponseHead) {
     let now = state.now();
     let mut dispatcher = state.dispatcher.borrow_mut();
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::dispatch::{PromptShape, ReportedLoad};
+use pomeloridge_policy::rate_limit::{InvalidRateLimit, RateLimit};
 
 /// A request as received from a caller.
 #[derive(Clone, Debug)]
@@ -103,17 +104,19 @@
     pub load: Option<(u32, u32)>,
     /// Time after which the server closes an idle connection, if given.
     pub idle: Option<Duration>,
-    /// Backoff or departure that the server announces.
+    /// Backoff, departure or request rate that the server announces.
     pub notice: Notice,
 }
 
 /// Announcement of a server in the head of a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Time for which this node must send the server no requests.
     pub retry_after: Option<Duration>,
     /// Whether the server is leaving.
     pub leaving: bool,
+    /// Request rate that the server takes from the whole fleet, if it names one.
+    pub rate_limit: Option<Result<RateLimit, InvalidRateLimit>>,
 }
 
 impl ResponseHead {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -27,6 +27,7 @@
 use calibration::Calibration;
 
 use crate::prompt_cache::PromptPart;
+use crate::rate_limit::RateLimit;
 
 slotmap::new_key_type! {
     /// Key of a request in flight on a server.
@@ -536,6 +537,13 @@
         }
     }
 
+    /// Records the request rate that a server names as its limit, if any. Returns whether that
+    /// is a change.
+    pub fn record_limit(&mut self, key: TargetKey, limit: Option<RateLimit>) -> bool {
+        let target = self.targets.get_mut(key);
+        target.is_some_and(|target| std::mem::replace(&mut target.rate_limit, limit) != limit)
+    }
+
     /// Records that a server announced that it is leaving. Returns whether that is new.
     pub fn mark_leaving(&mut self, key: TargetKey) -> bool {
         let target = self.targets.get_mut(key);
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -12,6 +12,7 @@
 use crate::crashes::ServerIncarnation;
 use crate::ejection::Ejection;
 use crate::prompt_cache::PromptCache;
+use crate::rate_limit::RateLimit;
 
 /// Minimum prompt length whose prefill time shows the engine's speed, in tokens.
 const MIN_SAMPLE_TOKENS: u64 = 1000;
@@ -95,6 +96,8 @@
     pub(super) announced_leaving: bool,
     /// Until when it asked this node to send no requests.
     pub(super) backoff_until: Option<Instant>,
+    /// Request rate that it named as its limit in its latest response.
+    pub(super) rate_limit: Option<RateLimit>,
     pub(super) prompt_cache: PromptCache,
     pub(super) id_hash: u32,
 }
@@ -113,6 +116,7 @@
             stage_change_until: None,
             announced_leaving: false,
             backoff_until: None,
+            rate_limit: None,
             prompt_cache: PromptCache::new(info.kv_capacity),
             id_hash: hasher.finish() as u32,
             info,
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod prefix;
 pub mod prompt_cache;
 pub(crate) mod queue;
+pub mod rate_limit;
 pub mod retry;
 pub mod routing;
 pub mod rules;
