Share the limit that a server names among the nodes

The gateways did not read `Server-Limit`: a limit on a server that holds for all nodes together was not known to the design, which had limits of the server's own load and back-offs for one node.

In each turn of 20 s, as many nodes as the limit has requests a second are the server's senders, by rendezvous hashing over all known nodes, silent ones included; each paces its equal part, and no other node sends. The parts add up to the limit without a call between the nodes. Every call to a server is counted where it is written (runs, prefills, retries, releases); orders to change the stage pass limited engines over. Heartbeats carry what servers last said, with its age; a node that has just started learns it from the answer to its first message and sends nothing for 5 s. A response without a limit ends it only if its request was sent later. What a limit does not let through goes to another server or is refused at once as not run.

--- a/crates/pomeloridge_dev/tests/server_limits.rs
+++ b/crates/pomeloridge_dev/tests/server_limits.rs
@@ -1,7 +1,6 @@
 //! Tests of the request rates that backend servers name as their limits, against gateways
 //! as separate processes on a fake of the fleet's platform.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -9,9 +8,7 @@
 use monoio::time::sleep;
 use pomeloridge_base::http::{OutgoingRequest, Response};
 use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json};
-use pomeloridge_fleet_standin::caller::{
-    self, generation, is_not_run, is_ready, request, send_request,
-};
+use pomeloridge_fleet_standin::caller::{generation, is_not_run, is_ready, request, send_request};
 use pomeloridge_fleet_standin::history::{Entry, LimitCounts, count_over_limits};
 use serde_json::{Value, json};
 use yare::parameterized;
@@ -22,15 +19,29 @@
 /// Time for which a limited server is watched.
 const WATCHED_TIME: Duration = Duration::from_secs(6);
 /// Pause between two requests of a caller; each gateway has one.
-const PAUSE: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_millis(60);
 /// Time within which a request is refused that no server can take.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
+/// Requests that a limit of 1 a second allows in `TOLD_TIME * 2`, according to the users'
+/// documentation.
+const MAX_WITHIN_LIMIT: usize = 8;
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after its start in which a gateway leaves limited servers to the others.
+const SETTLING_TIME: Duration = Duration::from_secs(6);
+/// Time within which all gateways learn that a limit has changed, as the fleet asks a server with
+/// a limit of 0 once in 4 s.
+const LEARNING_TIME: Duration = Duration::from_secs(10);
 
 /// Starts gateways and waits until they have been up for so long that they may send to limited
 /// servers.
 fn start(name: &str) -> Fleet {
     let fleet = Fleet::start(name, GATEWAYS).unwrap();
+    wait_until_ready(&fleet);
+    std::thread::sleep(SETTLING_TIME);
+    fleet
+}
+
+fn wait_until_ready(fleet: &Fleet) {
     let end = Instant::now() + TIMEOUT;
     for gateway in &fleet.gateways {
         while !block_on(is_ready(gateway.ready)) {
@@ -38,13 +49,8 @@
             std::thread::sleep(Duration::from_millis(50));
         }
     }
-    std::thread::sleep(SETTLING_TIME);
-    fleet
 }
 
-/// Time after its start in which a gateway leaves limited servers to the others.
-const SETTLING_TIME: Duration = Duration::from_secs(6);
-
 fn set_limits(fleet: &Fleet, limits: &Value) {
     post_json(fleet.duties, "/-/limits", limits).unwrap();
 }
@@ -144,3 +150,67 @@
         .filter(|answered| answered.answer.status != 200);
     assert_eq!(failed.count(), 0);
 }
+
+/// Guards against requests that wait for, or are sent to, servers that have all named a limit.
+#[test]
+fn requests_over_the_limits_of_all_servers_are_refused_at_once() {
+    let fleet = start("limit-all");
+    set_limits(&fleet, &json!({ "filings-0": "2.5", "filings-1": "0" }));
+    let answers = send_for(&fleet, WATCHED_TIME, read);
+    assert_eq!(over_limits(&fleet), []);
+    let served = answers
+        .iter()
+        .filter(|answered| answered.answer.status == 200);
+    assert!(served.count() > 8, "the limit allows more");
+    let refused = answers
+        .iter()
+        .filter(|answered| answered.answer.status != 200);
+    for Answered { answer, took } in refused {
+        assert!(is_not_run(answer), "{answer:?}");
+        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+        assert!(*took < REFUSAL_TIME, "{took:?}");
+    }
+}
+
+/// Guards against gateways that forget a limit with their process, and use the server freely.
+#[test]
+fn a_restarted_gateway_keeps_to_a_known_limit() {
+    let mut fleet = start("limit-restart");
+    set_limits(&fleet, &json!({ "filings-0": "2.5" }));
+    send_for(&fleet, TOLD_TIME, read);
+    for gateway in 0..GATEWAYS {
+        fleet.gateways[gateway].process.kill();
+        fleet.restart(gateway).unwrap();
+        wait_until_ready(&fleet);
+        send_for(&fleet, TOLD_TIME, read);
+    }
+    assert_eq!(over_limits(&fleet), []);
+}
+
+/// Guards against servers that stay unused after the end of their limit, at gateways that have
+/// no part of it, or for a malformed limit.
+#[parameterized(
+    ended = { "ended", json!({ "filings-0": "1" }), json!({ "filings-0": null }) },
+    raised = { "raised", json!({ "filings-0": "0" }), json!({ "filings-0": "10000" }) },
+    malformed = { "malformed", json!({ "filings-0": "few" }), json!({}) },
+)]
+fn a_server_without_a_limit_takes_its_part(name: &str, limits: Value, later: Value) {
+    let fleet = start(&format!("limit-{name}"));
+    set_limits(&fleet, &limits);
+    send_for(&fleet, TOLD_TIME * 2, read);
+    set_limits(&fleet, &later);
+    send_for(&fleet, LEARNING_TIME, read);
+    let before = arrivals(&fleet, "filings-0");
+    let sent = send_for(&fleet, TOLD_TIME * 2, read).len();
+    let arrived = arrivals(&fleet, "filings-0") - before;
+    assert!(arrived > MAX_WITHIN_LIMIT, "{arrived} of {sent}");
+}
+
+/// Returns the number of calls that reached a server.
+fn arrivals(fleet: &Fleet, name: &str) -> usize {
+    let history = history(fleet);
+    let arrivals = history
+        .iter()
+        .filter(|entry| matches!(entry, Entry::Arrived { server, .. } if server == name));
+    arrivals.count()
+}
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -176,10 +176,15 @@
         let plan = state.dispatcher.borrow_mut().choose(&request, now);
         let Some(plan) = plan else {
             log::info!(
-                "request id={} choice=refuse service={} tried={} reason=\"no server available\"",
+                "request id={} choice=refuse service={} tried={} over_limit={} \
+                 reason=\"no server available\"",
                 accepted.inbound.label(),
                 accepted.service,
-                self.tried.len()
+                self.tried.len(),
+                state
+                    .dispatcher
+                    .borrow()
+                    .over_limit_count(&accepted.service, now)
             );
             return Err(self.no_server_refusal(now));
         };
@@ -393,14 +398,14 @@
     }
 
     /// Builds the refusal for a service without an available server. The retry delay lasts until
-    /// the first server's backoff ends, with jitter so that callers don't retry all at once.
+    /// the first server takes requests again after its backoff or by its limit, with jitter so that callers don't retry all at once.
     fn no_server_refusal(&self, now: Instant) -> Refusal {
         let dispatcher = self.state.dispatcher.borrow();
-        let backoff_left = dispatcher.shortest_backoff(&self.accepted.service, now);
+        let wait = dispatcher.shortest_wait(&self.accepted.service, now);
         let refusal = self.refusal(ErrorKind::NoServer);
         Refusal {
-            retry_after: backoff_left.map_or(refusal.retry_after, |backoff_left| {
-                Some(backoff_left.mul_f64(rand::random_range(1.0..MAX_RETRY_JITTER_FACTOR)))
+            retry_after: wait.map_or(refusal.retry_after, |wait| {
+                Some(wait.mul_f64(rand::random_range(1.0..MAX_RETRY_JITTER_FACTOR)))
             }),
             ..refusal
         }
@@ -431,6 +436,7 @@
         | Failure::NotListening
         | Failure::Leaving
         | Failure::BackingOff
+        | Failure::OverLimit
         | Failure::Misdirected => ErrorKind::NoServer,
         Failure::Refused => ErrorKind::Overloaded,
         Failure::StaleConnection | Failure::ConnectionLost => ErrorKind::ServerLost,
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::accept::Accepted;
 use crate::pool::Connected;
 use crate::request::{Dispatch, Notice, ResponseHead, SendStage};
+use crate::server_limits;
 use crate::state::State;
 
 /// Number of late responses to earlier requests that are skipped on one connection.
@@ -32,6 +33,9 @@
     /// The server has asked this node to back off; nothing was sent.
     #[display("away")]
     BackingOff,
+    /// The server's limit lets this node send nothing now; nothing was sent.
+    #[display("over_limit")]
+    OverLimit,
     /// The request is quarantined, as it may have crashed servers; nothing was sent.
     #[display("barred")]
     Quarantined,
@@ -67,6 +71,7 @@
                 | Self::NotListening
                 | Self::Leaving
                 | Self::BackingOff
+                | Self::OverLimit
                 | Self::Quarantined
                 | Self::Refused
                 | Self::Misdirected
@@ -81,6 +86,7 @@
                 | Self::NotListening
                 | Self::Leaving
                 | Self::BackingOff
+                | Self::OverLimit
                 | Self::Quarantined
         )
     }
@@ -171,10 +177,11 @@
         .await
         .map_err(|fault| Failure::before_write(&fault))?;
     // The server's state or the quarantine may have changed while connecting.
-    if let Err(failure) = check_sendable(state, accepted, server) {
+    if let Err(failure) = begin_send(state, accepted, server) {
         state.pool.put(connection, None, state.now());
         return Err(failure);
     }
+    let sent_at = state.now();
     let dispatch = Dispatch {
         server: &info.id,
         account: accepted.account.as_ref(),
@@ -198,6 +205,7 @@
     if head.misdirected {
         return Err(Failure::Misdirected);
     }
+    server_limits::record_response(state, server, &head, sent_at, accepted.inbound.label());
     apply_notice(state, accepted, server, head.notice);
     if head.not_run {
         let idle = head.idle;
@@ -226,12 +234,21 @@
     if target.backoff(state.now()).is_some() {
         return Err(Failure::BackingOff);
     }
+    if !target.is_within_limit(state.now()) {
+        return Err(Failure::OverLimit);
+    }
     Ok(())
 }
 
+/// Checks whether a request may be sent to a server, and counts it against the server's limit.
+fn begin_send(state: &State, accepted: &Accepted, server: TargetKey) -> Result<(), Failure> {
+    check_sendable(state, accepted, server)?;
+    let is_allowed = state.dispatcher.borrow_mut().try_send(server, state.now());
+    is_allowed.then_some(()).ok_or(Failure::OverLimit)
+}
+
 /// Applies the backoff or the departure that a server announced in a response.
 fn apply_notice(state: &State, accepted: &Accepted, server: TargetKey, notice: Notice) {
-    apply_limit(state, accepted, server, notice);
     let retry_after = notice.retry_after.unwrap_or_default();
     if !notice.leaving && retry_after.is_zero() {
         return;
@@ -253,32 +270,6 @@
     );
 }
 
-/// Records the request rate that a server named in a response.
-fn apply_limit(state: &State, accepted: &Accepted, server: TargetKey, notice: Notice) {
-    let by = accepted.inbound.label();
-    let limit = match notice.rate_limit.transpose() {
-        Ok(limit) => limit,
-        Err(reason) => {
-            let server = state.server_name(server);
-            log::info!(
-                "server id={server} choice=ignore_limit reason=\"{reason}\" by=\"request {by}\""
-            );
-            return;
-        }
-    };
-    let is_new = state.dispatcher.borrow_mut().record_limit(server, limit);
-    if !is_new {
-        return;
-    }
-    let server = state.server_name(server);
-    match limit {
-        Some(limit) => {
-            log::info!("server id={server} choice=learn_limit per_s={limit} by=\"request {by}\"")
-        }
-        None => log::info!("server id={server} choice=drop_limit by=\"request {by}\""),
-    }
-}
-
 fn record_response(state: &State, server: TargetKey, head: &ResponseHead) {
     let now = state.now();
     let mut dispatcher = state.dispatcher.borrow_mut();
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod prefill;
 mod request;
 mod scale_duty;
+mod server_limits;
 mod server_list;
 mod server_registry;
 mod settings;
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -19,17 +19,17 @@
 use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::id::{Epoch, Name, Revision};
 use pomeloridge_platform::PutOutcome;
-use pomeloridge_policy::dispatch::PartPlacement;
+use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement};
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
 use crate::server_list::{ApplyOutcome, ServerListDelta};
 use crate::state::State;
 use crate::usage::{Counts, UsageSource};
-use crate::{internal, watch};
+use crate::{internal, server_limits, watch};
 
 pub(crate) use table::{Peers, name_hash};
-use wire::{CrashesWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
+use wire::{CrashesWire, LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
 
 /// Interval between reads of the node objects. It may be long, as a node that starts announces
 /// itself to the others.
@@ -126,6 +126,7 @@
         let settings = state.settings();
         monoio::time::sleep(settings.time("peers", "pause_ms")).await;
         let fan_out = settings.number("peers", "fan_out") as usize;
+        server_limits::update_places(&state);
         let plan = RoundPlan::new(&state, fan_out);
         let [local, remote] = state
             .peers
@@ -250,6 +251,7 @@
         placed: Some(placed.as_slice().into()),
         changing: state.changing_engines.borrow().clone(),
         crashes: crashes_wire(state, now),
+        limits: limits_wire(&dispatcher, now),
         servers: state
             .server_list
             .borrow()
@@ -309,6 +311,11 @@
     send_to(state, message, addresses);
 }
 
+fn limits_wire(dispatcher: &Dispatcher, now: Instant) -> Vec<LimitWire> {
+    let reports = dispatcher.limit_reports(now);
+    reports.into_iter().map(LimitWire::from).collect()
+}
+
 fn crashes_wire(state: &State, now: Instant) -> Vec<CrashesWire> {
     let reports = state.crashes.borrow().export(now);
     reports.into_iter().map(CrashesWire::from).collect()
@@ -402,6 +409,8 @@
     let mut peers = state.peers.borrow_mut();
     let is_new = !peers.has_heard_from(&name);
     let peer = peers.record_heard(&name, address, now);
+    let has_restarted = peer.incarnation != message.incarnation;
+    peer.incarnation = message.incarnation;
     peer.record_duty(duty, now);
     peer.data_centre_hash = message.data_centre_hash;
     if !message.work.is_empty() {
@@ -415,6 +424,15 @@
     if is_new && has_fleet_role(state) {
         send_to(state, base_message(state), vec![address]);
     }
+    let limits = limits_wire(&state.dispatcher.borrow(), now);
+    if has_restarted && !limits.is_empty() {
+        // The new process knows no limits.
+        let message = PeerMessage {
+            limits,
+            ..base_message(state)
+        };
+        send_to(state, message, vec![address]);
+    }
     let correction = state
         .fleet_clock
         .borrow_mut()
@@ -423,6 +441,7 @@
         log::info!("time choice=correct by_ms={by} reason=\"median of all nodes' clocks\"");
     }
     handle_crashes(state, std::mem::take(&mut message.crashes), &name);
+    handle_limits(state, std::mem::take(&mut message.limits), &name);
     handle_store_state(state, &message, &name, address);
     let placed: Vec<PartPlacement> = message.placed.unwrap_or_default().into();
     let mut dispatcher = state.dispatcher.borrow_mut();
@@ -468,6 +487,19 @@
     node_object::merge_crashes(state, &reports, name.as_str(), state.now());
 }
 
+/// Handles a peer's reports of the limits that servers named.
+fn handle_limits(state: &State, limits: Vec<LimitWire>, name: &Name) {
+    let reports = limits.into_iter().filter_map(|wire| {
+        let report = wire.try_into();
+        report
+            .inspect_err(|error| {
+                log::warn!("limits from={name} choice=ignore reason=\"{error}\"");
+            })
+            .ok()
+    });
+    server_limits::merge(state, &reports.collect::<Vec<_>>(), name);
+}
+
 /// Handles a peer's view of the object service: whether the service answers the peer, and the
 /// peer's versions of the configuration and the server list. Reads what is newer.
 fn handle_store_state(state: &Rc<State>, message: &PeerMessage, name: &Name, address: SocketAddr) {
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -31,6 +31,8 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     pub(super) address: SocketAddr,
+    /// Incarnation that was heard last; 0 if none was.
+    pub(super) incarnation: u64,
     pub(super) last_heard: Option<Instant>,
     /// When its counts of each window were last received.
     counts_received: BTreeMap<u64, Instant>,
@@ -52,6 +54,7 @@
     fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            incarnation: 0,
             last_heard: None,
             counts_received: BTreeMap::new(),
             listed: false,
@@ -217,6 +220,11 @@
         })
     }
 
+    /// Returns the hashes of the names of all known peers.
+    pub(crate) fn known_hashes(&self) -> Vec<u64> {
+        self.by_name.keys().map(name_hash).collect()
+    }
+
     /// Returns the addresses of all peers.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.by_name.values().map(|peer| peer.address).collect()
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -7,6 +7,7 @@
 use pomeloridge_policy::crashes::{CrashReport, ServerIncarnation};
 use pomeloridge_policy::dispatch::{NodeLoad, PartPlacement, PeerLoad};
 use pomeloridge_policy::prompt_cache::PromptPart;
+use pomeloridge_policy::rate_limit::{InvalidRateLimit, LimitReport, RateLimit};
 use pomeloridge_policy::suspicion::Fingerprint;
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
@@ -66,6 +67,45 @@
     /// Total loads that the nodes of the sender's data centre have put on servers.
     #[prost(message, optional, tag = "18")]
     pub(super) data_centre_loads: Option<LoadsWire>,
+    /// Limits that servers have named lately.
+    #[prost(message, repeated, tag = "19")]
+    pub(super) limits: Vec<LimitWire>,
+}
+
+/// A server's limit.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct LimitWire {
+    /// Incarnation of the server.
+    #[prost(fixed64, tag = "1")]
+    server: u64,
+    /// Requests a second; absent if the server no longer names a limit.
+    #[prost(double, optional, tag = "2")]
+    per_second: Option<f64>,
+    /// Time since the server stated it, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+impl From<LimitReport> for LimitWire {
+    fn from(report: LimitReport) -> Self {
+        Self {
+            server: report.server.0,
+            per_second: report.limit.map(RateLimit::per_second),
+            age_ms: report.age.as_millis() as u64,
+        }
+    }
+}
+
+impl TryFrom<LimitWire> for LimitReport {
+    type Error = InvalidRateLimit;
+
+    fn try_from(wire: LimitWire) -> Result<Self, Self::Error> {
+        Ok(Self {
+            server: ServerIncarnation(wire.server),
+            limit: wire.per_second.map(RateLimit::try_from).transpose()?,
+            age: Duration::from_millis(wire.age_ms),
+        })
+    }
 }
 
 /// A request during which servers crashed.
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -49,10 +49,10 @@
     }
 }
 
-/// Releases a KV cache on an engine. If the engine can't be reached or has asked this node to
-/// back off, its own timeout releases the KV cache.
+/// Releases a KV cache on an engine. If the engine can't be reached, has asked this node to back
+/// off or has a limit that is used up, its own timeout releases the KV cache.
 async fn release(state: &State, source: &KvSource) {
-    if state.is_backing_off(source.address) {
+    if !state.begin_call(source.address) {
         return;
     }
     let message = (state.ports.server.release)(&source.handle);
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -94,8 +94,7 @@
         .targets()
         .map(|(_, target)| target)
         .filter(|target| target.info.service == *service && !target.is_leaving())
-        // A server that asked this node to back off gets no orders either.
-        .filter(|target| target.backoff(now).is_none());
+        .filter(|target| takes_orders(target, now));
     let views = engines.map(|target| {
         let new_stage = pending.get(&target.info.id).map(|(stage, _)| *stage);
         EngineView {
@@ -109,6 +108,12 @@
     views.collect()
 }
 
+/// Returns whether an engine may be called. One that asked this node to back off or that names a
+/// limit gets no orders either.
+fn takes_orders(target: &Target, now: Instant) -> bool {
+    target.backoff(now).is_none() && target.rate_limit().is_none()
+}
+
 /// Orders an engine to change its stage, unless it is busy with an order or has the stage already.
 async fn order(
     state: &State,
@@ -121,8 +126,14 @@
         let target = targets.find(|target| target.info.id == change.id);
         target.ok_or(PlatformError::NotFound)?.info.address
     };
+    // Whether the engine takes orders may change before each call.
+    let may_call = || {
+        let dispatcher = state.dispatcher.borrow();
+        let mut targets = dispatcher.targets().map(|(_, target)| target);
+        targets.any(|target| target.info.id == change.id && takes_orders(target, state.now()))
+    };
     let port = &state.ports.server;
-    let report = call_on_new_connection(address, &(port.report)(), CALL_TIMEOUT, || true).await?;
+    let report = call_on_new_connection(address, &(port.report)(), CALL_TIMEOUT, may_call).await?;
     let engine = (port.state)(&report.body);
     let engine = engine.ok_or_else(|| PlatformError::Malformed("engine report".to_owned()))?;
     if engine.busy || engine.stage == change.stage {
@@ -137,7 +148,9 @@
         epoch: permit.epoch(),
     };
     let message = (port.order)(&order);
-    let call = call_on_new_connection(address, &message, CALL_TIMEOUT, || permit.allowed());
+    let call = call_on_new_connection(address, &message, CALL_TIMEOUT, || {
+        may_call() && permit.allowed()
+    });
     let answer = state.timed_duty_call(call).await?;
     log::info!(
         "stage server={} from={} to={} expected={} epoch={} status={}",
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -430,12 +430,20 @@
         outcome
     }
 
-    /// Whether the server at an address has asked this node to back off.
-    pub(crate) fn is_backing_off(&self, address: SocketAddr) -> bool {
+    /// Checks whether the server at an address may be called now, and counts the call against
+    /// the server's limit.
+    pub(crate) fn begin_call(&self, address: SocketAddr) -> bool {
         let now = self.now();
-        let dispatcher = self.dispatcher.borrow();
-        let mut targets = dispatcher.targets().map(|(_, target)| target);
-        targets.any(|target| target.info.address == address && target.backoff(now).is_some())
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let mut targets = dispatcher.targets();
+        let target = targets.find(|(_, target)| target.info.address == address);
+        let target = target.map(|(key, target)| (key, target.backoff(now).is_some()));
+        drop(targets);
+        match target {
+            Some((_, true)) => false,
+            Some((key, false)) => dispatcher.try_send(key, now),
+            None => true,
+        }
     }
 
     /// Returns a server's name for the log, empty if it is no longer listed.
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -10,6 +10,7 @@
 
 mod calibration;
 mod engine_model;
+mod limits;
 mod load;
 mod target;
 
@@ -26,8 +27,8 @@
 
 use calibration::Calibration;
 
+use crate::hash::splitmix64;
 use crate::prompt_cache::PromptPart;
-use crate::rate_limit::RateLimit;
 
 slotmap::new_key_type! {
     /// Key of a request in flight on a server.
@@ -284,8 +285,11 @@
             return None;
         }
         let prefill_engines = eligible.iter().copied();
-        let prefill_engines =
-            prefill_engines.filter(|key| self.targets[*key].info.stage == Stage::Prefill);
+        // An engine with a limit takes too few requests to be the home of a part.
+        let prefill_engines = prefill_engines.filter(|key| {
+            let target = &self.targets[*key];
+            target.info.stage == Stage::Prefill && target.rate_limit().is_none()
+        });
         prefill_engines.max_by_key(|key| {
             splitmix64(splitmix64(part.id) ^ u64::from(self.targets[*key].id_hash))
         })
@@ -537,25 +541,18 @@
         }
     }
 
-    /// Records the request rate that a server names as its limit, if any. Returns whether that
-    /// is a change.
-    pub fn record_limit(&mut self, key: TargetKey, limit: Option<RateLimit>) -> bool {
-        let target = self.targets.get_mut(key);
-        target.is_some_and(|target| std::mem::replace(&mut target.rate_limit, limit) != limit)
-    }
-
     /// Records that a server announced that it is leaving. Returns whether that is new.
     pub fn mark_leaving(&mut self, key: TargetKey) -> bool {
         let target = self.targets.get_mut(key);
         target.is_some_and(|target| !std::mem::replace(&mut target.announced_leaving, true))
     }
 
-    /// Returns the time until the first backoff of a service's servers ends, or `None` if
-    /// no server has asked for one.
-    pub fn shortest_backoff(&self, service: &Name, now: Instant) -> Option<Duration> {
+    /// Returns the time until the first of a service's servers may be sent a request again after
+    /// its backoff or by its limit, or `None` if there is no such server.
+    pub fn shortest_wait(&self, service: &Name, now: Instant) -> Option<Duration> {
         let of_service = self.targets.values();
         let of_service = of_service.filter(|target| target.info.service == *service);
-        of_service.filter_map(|target| target.backoff(now)).min()
+        of_service.filter_map(|target| target.wait(now)).min()
     }
 
     /// Excludes engines that were ordered to change their stage until the server list shows
@@ -600,6 +597,7 @@
             target.info.service == *request.service
                 && !target.is_leaving()
                 && target.backoff(now).is_none()
+                && target.is_within_limit(now)
                 && !request.tried.contains(key)
                 && (last_resort || (target.ejection.may_try(now) && !target.is_changing_stage(now)))
         };
@@ -760,11 +758,3 @@
         }
     }
 }
-
-/// Hashes a number with `SplitMix64`.
-fn splitmix64(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -12,7 +12,7 @@
 use crate::crashes::ServerIncarnation;
 use crate::ejection::Ejection;
 use crate::prompt_cache::PromptCache;
-use crate::rate_limit::RateLimit;
+use crate::rate_limit::{RateLimit, ServerLimit};
 
 /// Minimum prompt length whose prefill time shows the engine's speed, in tokens.
 const MIN_SAMPLE_TOKENS: u64 = 1000;
@@ -96,10 +96,12 @@
     pub(super) announced_leaving: bool,
     /// Until when it asked this node to send no requests.
     pub(super) backoff_until: Option<Instant>,
-    /// Request rate that it named as its limit in its latest response.
-    pub(super) rate_limit: Option<RateLimit>,
+    /// Request rate that it takes from the whole fleet, or that such a limit has ended; `None` if
+    /// it has named none.
+    pub(super) rate_limit: Option<ServerLimit>,
     pub(super) prompt_cache: PromptCache,
     pub(super) id_hash: u32,
+    pub(super) incarnation: ServerIncarnation,
 }
 
 impl Target {
@@ -119,6 +121,7 @@
             rate_limit: None,
             prompt_cache: PromptCache::new(info.kv_capacity),
             id_hash: hasher.finish() as u32,
+            incarnation: info.incarnation(),
             info,
         }
     }
@@ -186,6 +189,26 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns the request rate that it takes from the whole fleet, if it names one.
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        self.rate_limit.as_ref()?.limit()
+    }
+
+    /// Returns whether its limit, if any, lets this node send a request now.
+    pub fn is_within_limit(&self, now: Instant) -> bool {
+        let limit = self.rate_limit.as_ref();
+        limit.is_none_or(|limit| limit.admits(now))
+    }
+
+    /// Returns the time for which this node must still send it no requests, by its backoff or its
+    /// limit. `None` if it takes requests now, or if this node has no part of its limit.
+    pub fn wait(&self, now: Instant) -> Option<Duration> {
+        let limit = self.rate_limit.as_ref();
+        let limited = limit.map_or(Some(Duration::ZERO), |limit| limit.wait(now))?;
+        let wait = limited.max(self.backoff(now).unwrap_or_default());
+        (!wait.is_zero()).then_some(wait)
+    }
+
     /// Returns whether it is ejected after failures.
     pub fn is_ejected(&self) -> bool {
         self.ejection.is_ejected()
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -502,7 +502,7 @@
     let (d1, d2) = (key(&dispatcher, "d1"), key(&dispatcher, "d2"));
     let now = Instant::now();
     let service = Name::from("model");
-    assert_eq!(dispatcher.shortest_backoff(&service, now), None);
+    assert_eq!(dispatcher.shortest_wait(&service, now), None);
     dispatcher.set_backoff(d1, Duration::from_mins(1), now);
     let short = prompt(100, None, 1);
     for _ in 0..20 {
@@ -510,7 +510,7 @@
     }
     dispatcher.set_backoff(d2, Duration::from_secs(30), now);
     assert_eq!(choose(&mut dispatcher, &short, &[]), None);
-    let first = dispatcher.shortest_backoff(&service, now);
+    let first = dispatcher.shortest_wait(&service, now);
     assert_eq!(first, Some(Duration::from_secs(30)));
     // A shorter backoff does not replace a longer one, and zero has no effect.
     dispatcher.set_backoff(d1, Duration::ZERO, now);
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -9,6 +9,7 @@
 mod fleet_retry_budget;
 mod heartbeat_schedule;
 mod prefix;
+mod rate_limit;
 mod retry;
 mod routing;
 mod rules;
