Test that a gateway cut from its peers leaves them their part of a limit

Three of four gateways are paused until the fourth counts none of them as live; a server with a limit of 2.5 then gets at most a quarter of the 20 requests in 4 s that all may send.

--- a/crates/pomeloridge_dev/tests/server_limits.rs
+++ b/crates/pomeloridge_dev/tests/server_limits.rs
@@ -7,7 +7,7 @@
 use http::Method;
 use monoio::time::sleep;
 use pomeloridge_base::http::{OutgoingRequest, Response};
-use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json};
+use pomeloridge_dev::launch::{Fleet, Gateway, block_on, get_json, post_json};
 use pomeloridge_fleet_standin::caller::{generation, is_not_run, is_ready, request, send_request};
 use pomeloridge_fleet_standin::history::{Entry, LimitCounts, count_over_limits};
 use serde_json::{Value, json};
@@ -22,6 +22,12 @@
 const PAUSE: Duration = Duration::from_millis(60);
 /// Time within which a request is refused that no server can take.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
+/// Window in which requests are counted, and the requests that a limit of 2.5 a second allows in
+/// it, according to the users' documentation.
+const WINDOW: Duration = Duration::from_secs(4);
+const ALLOWED: usize = 20;
+/// Time without heartbeats after which a gateway no longer counts a peer as live.
+const PEER_TIMEOUT: Duration = Duration::from_millis(3500);
 /// Requests that a limit of 1 a second allows in `TOLD_TIME * 2`, according to the users'
 /// documentation.
 const MAX_WITHIN_LIMIT: usize = 8;
@@ -73,11 +79,16 @@
     time: Duration,
     message: impl Fn(usize) -> OutgoingRequest + Copy + 'static,
 ) -> Vec<Answered> {
-    let addresses: Vec<SocketAddr> = fleet
-        .gateways
-        .iter()
-        .map(|gateway| gateway.caller)
-        .collect();
+    send_to(&fleet.gateways, time, message)
+}
+
+/// Sends requests to some gateways for a time, and returns the answers.
+fn send_to(
+    gateways: &[Gateway],
+    time: Duration,
+    message: impl Fn(usize) -> OutgoingRequest + Copy + 'static,
+) -> Vec<Answered> {
+    let addresses: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.caller).collect();
     block_on(async move {
         let end = Instant::now() + time;
         let callers = addresses.into_iter().enumerate();
@@ -187,6 +198,23 @@
     assert_eq!(over_limits(&fleet), []);
 }
 
+/// Guards against a gateway that hears nothing of its peers and uses their part of a limit.
+#[test]
+fn a_gateway_cut_from_its_peers_leaves_them_their_part() {
+    let fleet = start("limit-cut");
+    set_limits(&fleet, &json!({ "filings-0": "2.5" }));
+    send_for(&fleet, TOLD_TIME, read);
+    // Paused peers are as silent as those that a cut separates.
+    for peer in &fleet.gateways[1..] {
+        peer.process.pause();
+    }
+    std::thread::sleep(PEER_TIMEOUT);
+    let before = arrivals(&fleet, "filings-0");
+    send_to(&fleet.gateways[..1], WINDOW, read);
+    let arrived = arrivals(&fleet, "filings-0") - before;
+    assert!(arrived <= ALLOWED / GATEWAYS, "{arrived}");
+}
+
 /// Guards against servers that stay unused after the end of their limit, at gateways that have
 /// no part of it, or for a malformed limit.
 #[parameterized(
