Share the connections that a server takes among the nodes

Each gateway opened as many connections as it had requests, and a server resets those over its maximum, which a caller whose request must not be retried sees as 502.

A gateway now has at most an equal part, silent nodes counted, and at least one. Open connections are counted by a guard that they hold until they are closed; at the maximum an idle one makes room, else the request goes elsewhere or is refused at once as not run. Checks that look for a crash are not counted, one for each server. Releases of KV caches are no longer sent to addresses of servers that are not listed.

--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -14,6 +14,7 @@
 
 use super::buffered::{BufferedStream, Remaining, framing, time_left};
 use super::{Fault, Response};
+use crate::count_guard::CountGuard;
 use crate::net;
 
 /// Maximum size of a response's head.
@@ -156,6 +157,8 @@
     /// Value of `TCP_USER_TIMEOUT` at the socket.
     user_timeout: Option<Duration>,
     idle_since: Instant,
+    /// Counts the connection until it is closed.
+    count: Option<CountGuard>,
 }
 
 impl Drop for Connection {
@@ -200,9 +203,15 @@
             max_user_timeout: options.user_timeout,
             user_timeout: options.user_timeout,
             idle_since: Instant::now(),
+            count: None,
         })
     }
 
+    /// Counts the connection until it is closed.
+    pub fn count_while_open(&mut self, count: CountGuard) {
+        self.count = Some(count);
+    }
+
     /// Returns the server's address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/pomeloridge_dev/tests/server_limits.rs
+++ b/crates/pomeloridge_dev/tests/server_limits.rs
@@ -26,6 +26,8 @@
 /// it, according to the users' documentation.
 const WINDOW: Duration = Duration::from_secs(4);
 const ALLOWED: usize = 20;
+/// Connections that the fake's servers take from all gateways together.
+const CONNECTIONS: usize = 100;
 /// Time without heartbeats after which a gateway no longer counts a peer as live.
 const PEER_TIMEOUT: Duration = Duration::from_millis(3500);
 /// Requests that a limit of 1 a second allows in `TOLD_TIME * 2`, according to the users'
@@ -242,3 +244,36 @@
         .filter(|entry| matches!(entry, Entry::Arrived { server, .. } if server == name));
     arrivals.count()
 }
+
+/// Guards against gateways that each open as many connections to a server as it takes from all
+/// of them together.
+#[test]
+fn gateways_share_the_connections_of_a_server() {
+    let fleet = start("limit-connections");
+    let gateway = fleet.gateways[0].caller;
+    let started = Instant::now();
+    let answers = block_on(async move {
+        let calls = (0..CONNECTIONS).map(|number| {
+            let late = request(Method::POST, "lodge", &format!("l{number}"));
+            monoio::spawn(answer(gateway, late.with_header("x-fault", "late")))
+        });
+        let mut answers = Vec::new();
+        for call in calls.collect::<Vec<_>>() {
+            answers.push(call.await);
+        }
+        answers
+    });
+    for server in ["filings-0", "filings-1"] {
+        let arrived = arrivals(&fleet, server);
+        assert!(arrived <= CONNECTIONS / GATEWAYS, "{server}: {arrived}");
+    }
+    // The others are not kept waiting for a connection.
+    assert!(started.elapsed() < TIMEOUT);
+    let refused = answers.iter().filter(|call| call.answer.status == 503);
+    let refused: Vec<&Answered> = refused.collect();
+    assert!(refused.len() >= CONNECTIONS - 2 * (CONNECTIONS / GATEWAYS));
+    for Answered { answer, took } in refused {
+        assert!(is_not_run(answer), "{answer:?}");
+        assert!(*took < REFUSAL_TIME, "{took:?}");
+    }
+}
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -8,7 +8,7 @@
 use pomeloridge_policy::dispatch::TargetKey;
 
 use crate::accept::Accepted;
-use crate::pool::Connected;
+use crate::pool::{Connected, ConnectionNeeds, PoolError};
 use crate::request::{Dispatch, Notice, ResponseHead, SendStage};
 use crate::server_limits;
 use crate::state::State;
@@ -33,7 +33,8 @@
     /// The server has asked this node to back off; nothing was sent.
     #[display("away")]
     BackingOff,
-    /// The server's limit lets this node send nothing now; nothing was sent.
+    /// The server's limit lets this node send nothing now, or all connections that this node may
+    /// have to it are in use; nothing was sent.
     #[display("over_limit")]
     OverLimit,
     /// The request is quarantined, as it may have crashed servers; nothing was sent.
@@ -121,6 +122,15 @@
     }
 }
 
+impl From<PoolError> for Failure {
+    fn from(error: PoolError) -> Self {
+        match error {
+            PoolError::Full => Self::OverLimit,
+            PoolError::Connect(fault) => Self::before_write(&fault),
+        }
+    }
+}
+
 /// A response whose head has been read.
 pub(crate) struct Exchange {
     pub(crate) connection: Connection,
@@ -166,16 +176,17 @@
     };
     check_sendable(state, accepted, server)?;
     // A prefill may safely be repeated, even if the route does not allow the run to be.
-    let require_fresh = !accepted.route.kind.is_retryable() && stage != SendStage::Prefill;
+    let needs = ConnectionNeeds {
+        is_fresh: !accepted.route.kind.is_retryable() && stage != SendStage::Prefill,
+        max_open: state.max_connections(&info.service),
+    };
     let connected = state
         .pool
-        .connect(info.address, require_fresh, deadline, state.now());
+        .connect(info.address, needs, deadline, state.now());
     let Connected {
         mut connection,
         is_reused,
-    } = connected
-        .await
-        .map_err(|fault| Failure::before_write(&fault))?;
+    } = connected.await.map_err(Failure::from)?;
     // The server's state or the quarantine may have changed while connecting.
     if let Err(failure) = begin_send(state, accepted, server) {
         state.pool.put(connection, None, state.now());
--- a/crates/pomeloridge_gateway/src/pool.rs
+++ b/crates/pomeloridge_gateway/src/pool.rs
@@ -1,10 +1,13 @@
-//! Pool of idle connections to backend servers.
+//! Pool of idle connections to backend servers, and the count of all open ones.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use derive_more::{Display, From};
+use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::http::{ConnectOptions, Connection, Fault, Unframed};
 
 /// Timeout for connecting to a server.
@@ -30,33 +33,71 @@
     pub(crate) is_reused: bool,
 }
 
-/// Idle connections by server address.
+/// Connections by server address.
 #[derive(Default)]
-pub(crate) struct Pool(RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>);
+pub(crate) struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Numbers of open connections, the idle ones included.
+    open: RefCell<HashMap<SocketAddr, Rc<Cell<usize>>>>,
+}
+
+/// Why the pool has no connection for a request, or why the exchange on it failed.
+#[derive(Debug, Display, From)]
+pub(crate) enum PoolError {
+    /// All connections that this node may have to the server are in use.
+    #[display("all connections are in use")]
+    Full,
+    /// The connection could not be opened, or it failed.
+    Connect(Fault),
+}
+
+/// Requirements on a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionNeeds {
+    /// Whether an idle connection is only reused within [`MAX_FRESH_IDLE`].
+    pub(crate) is_fresh: bool,
+    /// Number of connections that this node may have to the server.
+    pub(crate) max_open: usize,
+}
 
 impl Pool {
-    /// Returns an idle connection that is still usable, or opens a new one. With `require_fresh`,
-    /// an idle connection is only reused within [`MAX_FRESH_IDLE`].
+    /// Returns an idle connection that is still usable, or opens a new one.
     pub(crate) async fn connect(
         &self,
         address: SocketAddr,
-        require_fresh: bool,
+        needs: ConnectionNeeds,
         deadline: Instant,
         now: Instant,
-    ) -> Result<Connected, Fault> {
-        if let Some(connection) = self.take(address, require_fresh, now) {
+    ) -> Result<Connected, PoolError> {
+        if let Some(connection) = self.take(address, needs.is_fresh, now) {
             return Ok(Connected {
                 connection,
                 is_reused: true,
             });
         }
+        let count = self.count(address, needs.max_open).ok_or(PoolError::Full)?;
+        let mut connection = self.open(address, deadline, now).await?;
+        connection.count_while_open(count);
         Ok(Connected {
-            connection: self.open(address, deadline, now).await?,
+            connection,
             is_reused: false,
         })
     }
 
-    /// Opens a new connection.
+    /// Counts a connection that is about to be opened, unless the maximum is reached. Idle
+    /// connections are closed to make room for it.
+    fn count(&self, address: SocketAddr, max_open: usize) -> Option<CountGuard> {
+        let count = Rc::clone(self.open.borrow_mut().entry(address).or_default());
+        if count.get() >= max_open
+            && let Some(idle) = self.idle.borrow_mut().get_mut(&address)
+            && !idle.is_empty()
+        {
+            idle.remove(0);
+        }
+        CountGuard::try_new(&count, max_open)
+    }
+
+    /// Opens a new connection, which is not counted.
     pub(crate) async fn open(
         &self,
         address: SocketAddr,
@@ -73,7 +114,7 @@
     }
 
     fn take(&self, address: SocketAddr, require_fresh: bool, now: Instant) -> Option<Connection> {
-        let mut pool = self.0.borrow_mut();
+        let mut pool = self.idle.borrow_mut();
         let idle = pool.get_mut(&address)?;
         while let Some(last) = idle.pop() {
             let is_fresh = last.connection.idle_time() < MAX_FRESH_IDLE;
@@ -105,7 +146,7 @@
             expires_at: now + idle_timeout,
             connection,
         };
-        let mut pool = self.0.borrow_mut();
+        let mut pool = self.idle.borrow_mut();
         pool.entry(idle.connection.address())
             .or_default()
             .push(idle);
@@ -113,10 +154,12 @@
 
     /// Closes the expired connections.
     pub(crate) fn sweep(&self, now: Instant) {
-        let mut pool = self.0.borrow_mut();
+        let mut pool = self.idle.borrow_mut();
         for idle in pool.values_mut() {
             idle.retain(|idle| now < idle.expires_at);
         }
         pool.retain(|_, idle| !idle.is_empty());
+        drop(pool);
+        self.open.borrow_mut().retain(|_, count| count.get() > 0);
     }
 }
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -10,7 +10,7 @@
 use crate::accept::Accepted;
 use crate::attempt::InFlightAttempt;
 use crate::exchange::{Exchange, Failure, SendParams, exchange};
-use crate::pool::Connected;
+use crate::pool::{Connected, ConnectionNeeds, PoolError};
 use crate::request::{KvSource, SendStage};
 use crate::state::State;
 
@@ -52,14 +52,18 @@
 /// Releases a KV cache on an engine. If the engine can't be reached, has asked this node to back
 /// off or has a limit that is used up, its own timeout releases the KV cache.
 async fn release(state: &State, source: &KvSource) {
-    if !state.begin_call(source.address) {
+    let Some(max_open) = state.begin_call(source.address) else {
         return;
-    }
+    };
+    let needs = ConnectionNeeds {
+        is_fresh: false,
+        max_open,
+    };
     let message = (state.ports.server.release)(&source.handle);
     let deadline = Instant::now() + RELEASE_TIMEOUT;
     let connected = state
         .pool
-        .connect(source.address, false, deadline, state.now())
+        .connect(source.address, needs, deadline, state.now())
         .await;
     let outcome = match connected {
         Ok(Connected { mut connection, .. }) => {
@@ -67,13 +71,13 @@
             if response.is_ok() {
                 state.pool.put(connection, None, state.now());
             }
-            response.map(|_| ())
+            response.map(|_| ()).map_err(PoolError::Connect)
         }
-        Err(fault) => Err(fault),
+        Err(error) => Err(error),
     };
-    if let Err(fault) = outcome {
+    if let Err(error) = outcome {
         log::info!(
-            "memory handle={} server={} choice=release outcome=\"{fault}\"",
+            "memory handle={} server={} choice=release outcome=\"{error}\"",
             source.handle,
             source.address
         );
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -430,20 +430,29 @@
         outcome
     }
 
+    /// Returns the number of connections that this node may have to a server of a service: an
+    /// equal part of those that the server takes from all nodes.
+    pub(crate) fn max_connections(&self, service: &Name) -> usize {
+        let config = self.config();
+        let service = config.as_ref().and_then(|c| c.services.get(service));
+        let nodes = self.peers.borrow().known_count() + 1;
+        service.map_or(usize::MAX, |service| (service.connections / nodes).max(1))
+    }
+
     /// Checks whether the server at an address may be called now, and counts the call against
-    /// the server's limit.
-    pub(crate) fn begin_call(&self, address: SocketAddr) -> bool {
+    /// the server's limit. Returns the number of connections that this node may have to it.
+    pub(crate) fn begin_call(&self, address: SocketAddr) -> Option<usize> {
         let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
         let mut targets = dispatcher.targets();
         let target = targets.find(|(_, target)| target.info.address == address);
-        let target = target.map(|(key, target)| (key, target.backoff(now).is_some()));
+        let (key, target) = target?;
+        let service = target.info.service.clone();
+        let is_backing_off = target.backoff(now).is_some();
         drop(targets);
-        match target {
-            Some((_, true)) => false,
-            Some((key, false)) => dispatcher.try_send(key, now),
-            None => true,
-        }
+        let is_allowed = !is_backing_off && dispatcher.try_send(key, now);
+        drop(dispatcher);
+        is_allowed.then(|| self.max_connections(&service))
     }
 
     /// Returns a server's name for the log, empty if it is no longer listed.
--- a/crates/pomeloridge_policy/src/rules.rs
+++ b/crates/pomeloridge_policy/src/rules.rs
@@ -28,6 +28,11 @@
         "A limit holds for all nodes together, and a node that has to ask the others before it sends would be slow, or unsafe while it is cut off. With a part for each of hundreds of nodes, the first requests of all would be more than the limit."
         "None. A limit below 0.5 requests a second, and one of 0, counts as 0.5, so that the fleet learns of its end."
         "Of 300 nodes, 3 send to a server with a limit of 3, one request a second each; 10 s later, 3 others do.";
+    SERVER_CONNECTIONS "connections to a server"
+        "A gateway has at most an equal part of the connections that a server takes from all nodes, and at least one. At that number an idle connection is closed for a new one; if all are in use, the request goes to another server or is refused at once as not run."
+        "A server resets connections over its maximum, and with them requests that may have run."
+        "`maxConnections` of a service. Silent nodes count, as they may be cut off and hold connections."
+        "A server takes 96 connections from 6 nodes: each may have 16, whatever its callers send.";
     RANDOM_DRAW "two random servers"
         "Two candidates are drawn at random and scored; the lower score wins."
         "Otherwise, nodes with load data of different age would all choose the server that looks best."
