Treat a limit by whether all nodes send under it, and log a malformed one once

Read on the finished change: a limit that lets every node send in each turn (a huge one, say) kept an engine from orders and from being the home of shared prompt parts; a malformed limit was logged with each response; and a caller could be told to come back within milliseconds for one place that all refused callers were told of.

--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -398,14 +398,16 @@
     }
 
     /// Builds the refusal for a service without an available server. The retry delay lasts until
-    /// the first server takes requests again after its backoff or by its limit, with jitter so that callers don't retry all at once.
+    /// the first server takes requests again after its backoff or by its limit, with jitter so
+    /// that callers don't retry all at once.
     fn no_server_refusal(&self, now: Instant) -> Refusal {
         let dispatcher = self.state.dispatcher.borrow();
         let wait = dispatcher.shortest_wait(&self.accepted.service, now);
         let refusal = self.refusal(ErrorKind::NoServer);
         Refusal {
             retry_after: wait.map_or(refusal.retry_after, |wait| {
-                Some(wait.mul_f64(rand::random_range(1.0..MAX_RETRY_JITTER_FACTOR)))
+                let spread = wait.mul_f64(rand::random_range(1.0..MAX_RETRY_JITTER_FACTOR));
+                Some(spread.max(DEFAULT_RETRY_AFTER))
             }),
             ..refusal
         }
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -126,7 +126,7 @@
     fn from(error: PoolError) -> Self {
         match error {
             PoolError::Full => Self::OverLimit,
-            PoolError::Connect(fault) => Self::before_write(&fault),
+            PoolError::Connection(fault) => Self::before_write(&fault),
         }
     }
 }
--- a/crates/pomeloridge_gateway/src/pool.rs
+++ b/crates/pomeloridge_gateway/src/pool.rs
@@ -41,14 +41,14 @@
     open: RefCell<HashMap<SocketAddr, Rc<Cell<usize>>>>,
 }
 
-/// Why the pool has no connection for a request, or why the exchange on it failed.
+/// Why an exchange over the pool failed.
 #[derive(Debug, Display, From)]
 pub(crate) enum PoolError {
     /// All connections that this node may have to the server are in use.
     #[display("all connections are in use")]
     Full,
     /// The connection could not be opened, or it failed.
-    Connect(Fault),
+    Connection(Fault),
 }
 
 /// Requirements on a connection.
@@ -84,8 +84,8 @@
         })
     }
 
-    /// Counts a connection that is about to be opened, unless the maximum is reached. Idle
-    /// connections are closed to make room for it.
+    /// Counts a connection that is about to be opened, unless the maximum is reached. An idle
+    /// connection is closed to make room for it.
     fn count(&self, address: SocketAddr, max_open: usize) -> Option<CountGuard> {
         let count = Rc::clone(self.open.borrow_mut().entry(address).or_default());
         if count.get() >= max_open
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -71,7 +71,7 @@
             if response.is_ok() {
                 state.pool.put(connection, None, state.now());
             }
-            response.map(|_| ()).map_err(PoolError::Connect)
+            response.map(|_| ()).map_err(PoolError::Connection)
         }
         Err(error) => Err(error),
     };
--- a/crates/pomeloridge_gateway/src/server_limits.rs
+++ b/crates/pomeloridge_gateway/src/server_limits.rs
@@ -26,10 +26,13 @@
     let limit = match head.notice.rate_limit.transpose() {
         Ok(limit) => limit,
         Err(reason) => {
-            let server = state.server_name(server);
-            log::info!(
-                "server id={server} choice=ignore_limit reason=\"{reason}\" by=\"request {by}\""
-            );
+            let is_new = state.dispatcher.borrow_mut().record_malformed_limit(server);
+            if is_new {
+                log::info!(
+                    "server id={} choice=ignore_limit reason=\"{reason}\" by=\"request {by}\"",
+                    state.server_name(server)
+                );
+            }
             return;
         }
     };
--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -108,10 +108,22 @@
     views.collect()
 }
 
-/// Returns whether an engine may be called. One that asked this node to back off or that names a
-/// limit gets no orders either.
+/// Returns whether an engine takes orders. One that asked this node to back off, or that takes so
+/// few requests that this node can't send to it in every turn, gets none.
 fn takes_orders(target: &Target, now: Instant) -> bool {
-    target.backoff(now).is_none() && target.rate_limit().is_none()
+    target.backoff(now).is_none() && !target.is_scarce()
+}
+
+/// Checks directly before a call whether an engine still takes orders, and counts the call against
+/// its limit.
+fn begin_call(state: &State, engine: &Name) -> bool {
+    let now = state.now();
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    let key = dispatcher
+        .targets()
+        .find(|(_, target)| target.info.id == *engine && takes_orders(target, now))
+        .map(|(key, _)| key);
+    key.is_some_and(|key| dispatcher.try_send(key, now))
 }
 
 /// Orders an engine to change its stage, unless it is busy with an order or has the stage already.
@@ -126,12 +138,7 @@
         let target = targets.find(|target| target.info.id == change.id);
         target.ok_or(PlatformError::NotFound)?.info.address
     };
-    // Whether the engine takes orders may change before each call.
-    let may_call = || {
-        let dispatcher = state.dispatcher.borrow();
-        let mut targets = dispatcher.targets().map(|(_, target)| target);
-        targets.any(|target| target.info.id == change.id && takes_orders(target, state.now()))
-    };
+    let may_call = || begin_call(state, &change.id);
     let port = &state.ports.server;
     let report = call_on_new_connection(address, &(port.report)(), CALL_TIMEOUT, may_call).await?;
     let engine = (port.state)(&report.body);
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -285,10 +285,10 @@
             return None;
         }
         let prefill_engines = eligible.iter().copied();
-        // An engine with a limit takes too few requests to be the home of a part.
+        // The home of a part must be the same engine whichever nodes are its senders.
         let prefill_engines = prefill_engines.filter(|key| {
             let target = &self.targets[*key];
-            target.info.stage == Stage::Prefill && target.rate_limit().is_none()
+            target.info.stage == Stage::Prefill && !target.is_scarce()
         });
         prefill_engines.max_by_key(|key| {
             splitmix64(splitmix64(part.id) ^ u64::from(self.targets[*key].id_hash))
--- a/crates/pomeloridge_policy/src/dispatch/limits.rs
+++ b/crates/pomeloridge_policy/src/dispatch/limits.rs
@@ -24,6 +24,7 @@
         let Some(target) = self.targets.get_mut(key) else {
             return false;
         };
+        target.has_malformed_limit = false;
         match (&mut target.rate_limit, limit) {
             (None, None) => false,
             (None, Some(_)) => {
@@ -35,6 +36,12 @@
         }
     }
 
+    /// Records that a server named a malformed limit. Returns whether that is new.
+    pub fn record_malformed_limit(&mut self, key: TargetKey) -> bool {
+        let target = self.targets.get_mut(key);
+        target.is_some_and(|target| !std::mem::replace(&mut target.has_malformed_limit, true))
+    }
+
     /// Merges the reports of a peer. Returns the servers whose limit is another one now.
     pub fn merge_limits(
         &mut self,
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -99,6 +99,8 @@
     /// Request rate that it takes from the whole fleet, or that such a limit has ended; `None` if
     /// it has named none.
     pub(super) rate_limit: Option<ServerLimit>,
+    /// Whether its latest response named a malformed limit.
+    pub(super) has_malformed_limit: bool,
     pub(super) prompt_cache: PromptCache,
     pub(super) id_hash: u32,
     pub(super) incarnation: ServerIncarnation,
@@ -119,6 +121,7 @@
             announced_leaving: false,
             backoff_until: None,
             rate_limit: None,
+            has_malformed_limit: false,
             prompt_cache: PromptCache::new(info.kv_capacity),
             id_hash: hasher.finish() as u32,
             incarnation: info.incarnation(),
@@ -194,6 +197,12 @@
         self.rate_limit.as_ref()?.limit()
     }
 
+    /// Returns whether it takes so few requests that only some nodes may send to it in a turn.
+    pub fn is_scarce(&self) -> bool {
+        let limit = self.rate_limit.as_ref();
+        limit.is_some_and(|limit| !limit.is_ample())
+    }
+
     /// Returns whether its limit, if any, lets this node send a request now.
     pub fn is_within_limit(&self, now: Instant) -> bool {
         let limit = self.rate_limit.as_ref();
--- a/crates/pomeloridge_policy/src/rate_limit.rs
+++ b/crates/pomeloridge_policy/src/rate_limit.rs
@@ -48,13 +48,18 @@
 
     /// Returns the requests a second that a node may send.
     pub fn share(self, place: SenderPlace) -> f64 {
-        let senders = (self.0.ceil() as usize).clamp(1, place.nodes.max(1));
+        let senders = self.senders(place.nodes);
         if place.rank < senders {
             self.0.max(MIN_RATE) / senders as f64
         } else {
             0.0
         }
     }
+
+    /// Returns how many of the nodes send in a turn.
+    fn senders(self, nodes: usize) -> usize {
+        (self.0.ceil() as usize).clamp(1, nodes.max(1))
+    }
 }
 
 impl TryFrom<f64> for RateLimit {
@@ -109,6 +114,8 @@
     /// Limit; `None` if the server no longer names one.
     limit: Option<RateLimit>,
     stated_at: Instant,
+    /// Whether all nodes may send in each turn.
+    is_ample: bool,
     /// Requests a second that this node may send.
     rate: f64,
     /// Requests that this node may send now.
@@ -123,6 +130,7 @@
         Self {
             limit,
             stated_at,
+            is_ample: false,
             rate: 0.0,
             tokens: 0.0,
             refilled_at: now,
@@ -133,6 +141,11 @@
         self.limit
     }
 
+    /// Returns whether there is no limit, or one that lets all nodes send in each turn.
+    pub(crate) fn is_ample(&self) -> bool {
+        self.limit.is_none() || self.is_ample
+    }
+
     /// Replaces an older statement by the node's own observation. Returns whether the limit is
     /// another one.
     pub(crate) fn update(&mut self, limit: Option<RateLimit>, stated_at: Instant) -> bool {
@@ -164,6 +177,8 @@
         self.tokens = self.available(now);
         self.refilled_at = now;
         let limit = self.limit.zip(place);
+        self.is_ample =
+            limit.is_some_and(|(limit, place)| limit.senders(place.nodes) == place.nodes);
         self.rate = limit.map_or(0.0, |(limit, place)| limit.share(place));
         self.tokens = self.tokens.min(self.burst());
     }
--- a/crates/pomeloridge_policy/tests/policy/rate_limit.rs
+++ b/crates/pomeloridge_policy/tests/policy/rate_limit.rs
@@ -344,3 +344,36 @@
     assert!(wait <= Duration::from_secs(1), "{wait:?}");
     assert!(node.dispatcher.choose(&request, now + wait).is_some());
 }
+
+/// Guards against engines that get no orders, or no shared prompts, for a limit that does not
+/// bind, and against orders that depend on which nodes are the senders.
+#[parameterized(
+    fewer_than_nodes = { 6.0, true },
+    one_for_each_node = { 6.1, false },
+    huge = { 1e18, false },
+    zero = { 0.0, true },
+)]
+fn a_limit_is_scarce_if_not_all_nodes_send_in_a_turn(per_second: f64, scarce: bool) {
+    let (mut node, now) = (Node::new(1), Instant::now());
+    let is_scarce = |node: &Node| node.dispatcher.target(node.server).unwrap().is_scarce();
+    assert!(!is_scarce(&node));
+    node.is_told(Some(limit(per_second)), now);
+    assert!(is_scarce(&node), "its place is not known yet");
+    for turn in 0..10 {
+        node.update(&[2, 3, 4, 5, 6, 7], turn * 20_000, now);
+        assert_eq!(is_scarce(&node), scarce);
+    }
+}
+
+/// Guards against a log line for each response with a malformed limit.
+#[test]
+fn a_malformed_limit_is_reported_once() {
+    let (mut node, now) = (Node::new(1), Instant::now());
+    let key = node.server;
+    node.is_told(Some(limit(3.0)), now);
+    assert!(node.dispatcher.record_malformed_limit(key));
+    assert!(!node.dispatcher.record_malformed_limit(key));
+    assert_eq!(node.limit(), Some(limit(3.0)));
+    node.is_told(Some(limit(3.0)), now);
+    assert!(node.dispatcher.record_malformed_limit(key));
+}
