--- a/crates/pomeloridge_dev/tests/server_limits.rs
+++ b/crates/pomeloridge_dev/tests/server_limits.rs
@@ -37,7 +37,7 @@
 /// Time after its start in which a gateway leaves limited servers to the others.
 const SETTLING_TIME: Duration = Duration::from_secs(6);
 /// Time within which all gateways learn that a limit has changed, as the fleet asks a server with
-/// a limit of 0 once in 4 s.
+/// a limit of 0 once in 2 s.
 const LEARNING_TIME: Duration = Duration::from_secs(10);
 
 /// Starts gateways and waits until they have been up for so long that they may send to limited
