Log why an answer ends early: silence, missing retries, closed connections

A caller whose answer broke off could be traced to `failure=silent again=false` only. The log did not say how long the server had been silent, whether it was listed, what kept the request from being repeated, nor that a kept connection was closed as idle or for a stop; a caller that closed its connection looked the same as one whose connection failed.

- `choice=give_up` with `listed=`, `silent_ms=` and `timeout_ms=`.
- `again=false by=`: kind, attempts, refusals or budget; a passed deadline has a line of its own.
- `outcome=caller_gone reason=` with the fault of the connection.
- `connection from= choice=close reason=`: idle, stopping or broken.
- `outcome=cut reason=` names the failure of the last attempt where no server was available for the next one; it was `unreachable`.

No decision changes.

--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{BufMut, Bytes, BytesMut};
+use derive_more::Display;
 use http::header::CONNECTION;
 use http::{HeaderMap, StatusCode, Version};
 use monoio::io::sink::SinkExt;
@@ -88,7 +89,21 @@
     /// Serves a connection until it is closed.
     pub async fn serve_connection(&self, stream: TcpStream, peer: SocketAddr) {
         let mut responder = Responder::new(stream, self.limits.get().write_time);
-        while self.wait_for_request(&mut responder).await {
+        let mut requests = 0_u64;
+        loop {
+            if let Err(reason) = self.wait_for_request(&mut responder).await {
+                // Callers close their connections all the time; the others may cross a request.
+                let level = match reason {
+                    CloseReason::Peer => log::Level::Debug,
+                    _ => log::Level::Info,
+                };
+                log::log!(
+                    level,
+                    "connection from={peer} choice=close reason={reason} requests={requests}"
+                );
+                return;
+            }
+            requests += 1;
             let request = self.read_request(&mut responder, peer).await;
             let Some(request) = request.transpose() else {
                 return;
@@ -102,21 +117,24 @@
         }
     }
 
-    /// Waits for the first byte of a request; returns false if the connection is to be closed.
-    async fn wait_for_request(&self, responder: &mut Responder) -> bool {
+    /// Waits for the first byte of a request, or returns why the connection is to be closed.
+    async fn wait_for_request(&self, responder: &mut Responder) -> Result<(), CloseReason> {
         let idle_end = Instant::now() + self.limits.get().idle_time;
         while responder.stream.buf.is_empty() {
             let now = Instant::now();
-            if (self.stopping)() || now >= idle_end {
-                return false;
+            if (self.stopping)() {
+                return Err(CloseReason::Stopping);
+            }
+            if now >= idle_end {
+                return Err(CloseReason::Idle);
             }
             match responder.stream.fill(now + STOP_POLL_INTERVAL).await {
-                Ok(0) => return false,
+                Ok(0) => return Err(CloseReason::Peer),
                 Ok(_) | Err(Fault::Timeout) => {}
-                Err(_) => return false,
+                Err(_) => return Err(CloseReason::Broken),
             }
         }
-        true
+        Ok(())
     }
 
     async fn read_request(
@@ -173,6 +191,19 @@
     head.version != Version::HTTP_11 || head.headers.get(CONNECTION).is_some_and(close)
 }
 
+/// Why a connection without a request is closed.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum CloseReason {
+    #[display("idle")]
+    Idle,
+    #[display("stopping")]
+    Stopping,
+    #[display("peer")]
+    Peer,
+    #[display("broken")]
+    Broken,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Progress {
     NotStarted,
@@ -296,11 +327,12 @@
         }
     }
 
-    /// Waits until the peer has closed the connection.
+    /// Waits until the peer has closed the connection, and returns how: [`Fault::Closed`] after
+    /// an ordinary close, or the error of the connection.
     ///
     /// Pipelined requests are buffered meanwhile; when they are too large, the future never
     /// completes.
-    pub async fn closed(&mut self) {
+    pub async fn closed(&mut self) -> Fault {
         let far = Duration::from_hours(1);
         loop {
             if self.stream.buf.len() > MAX_PIPELINED_BYTES {
@@ -308,9 +340,9 @@
                 continue;
             }
             match self.stream.fill(Instant::now() + far).await {
-                Ok(0) => return,
+                Ok(0) => return Fault::Closed,
                 Ok(_) | Err(Fault::Timeout) => {}
-                Err(_) => return,
+                Err(fault) => return fault,
             }
         }
     }
--- a/crates/pomeloridge_caller/src/generation_run.rs
+++ b/crates/pomeloridge_caller/src/generation_run.rs
@@ -73,7 +73,7 @@
             permit = AdmissionPermit::acquire(frontend, self.accepted, &self.id, &pool, work) => {
                 permit?
             }
-            () = responder.closed() => return Err(GenerationError::CallerDisconnected),
+            _ = responder.closed() => return Err(GenerationError::CallerDisconnected),
         };
         loop {
             self.attempts += 1;
@@ -166,7 +166,7 @@
             ) => {
                 chosen.map_err(|kind| self.selection_error(kind))
             }
-            () = responder.closed() => Err(GenerationError::CallerDisconnected),
+            _ = responder.closed() => Err(GenerationError::CallerDisconnected),
         }
     }
 
@@ -201,13 +201,13 @@
             ) => {
                 started.map_err(AttemptError::Backend)?
             }
-            () = responder.closed() => return Err(AttemptError::CallerDisconnected),
+            _ = responder.closed() => return Err(AttemptError::CallerDisconnected),
         };
         let mut last = None;
         loop {
             let event = monoio::select! {
                 event = generation.next(deadline) => event.map_err(AttemptError::Backend)?,
-                () = responder.closed() => return Err(AttemptError::CallerDisconnected),
+                _ = responder.closed() => return Err(AttemptError::CallerDisconnected),
             };
             let now = frontend.clock.now();
             deadline = self.accepted.deadline.min(now + gap);
--- a/crates/pomeloridge_caller/src/service.rs
+++ b/crates/pomeloridge_caller/src/service.rs
@@ -45,7 +45,7 @@
     };
     let permit = monoio::select! {
         permit = call.acquire_permit() => permit,
-        () = responder.closed() => {
+        _ = responder.closed() => {
             frontend.meter.increment(Counter::Cancelled);
             return;
         }
--- a/crates/pomeloridge_caller/tests/support/mod.rs
+++ b/crates/pomeloridge_caller/tests/support/mod.rs
@@ -173,7 +173,7 @@
     }
     match action {
         Action::Disconnect(_) | Action::DisconnectAfterRun => {}
-        Action::Stall => responder.closed().await,
+        Action::Stall => drop(responder.closed().await),
         Action::Truncate(_) => responder.finish().await.unwrap(),
         Action::Answer | Action::Cross | Action::Refuse => {
             let done = json!({"request_id": id, "done": true});
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use derive_more::Display;
 use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::error::{ErrorKind, RunStatus};
 use pomeloridge_base::meter::Counter;
@@ -112,6 +113,23 @@
     }
 }
 
+/// Why a failed request is not retried.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum RetryBlocker {
+    /// It may have run, and the route does not allow it to run twice.
+    #[display("kind")]
+    Kind,
+    /// The route's attempts are used up.
+    #[display("attempts")]
+    Attempts,
+    /// Too many servers have refused it.
+    #[display("refusals")]
+    Refusals,
+    /// This node's part of the service's retry budget is spent.
+    #[display("budget")]
+    Budget,
+}
+
 /// The attempts made so far for one request.
 pub(crate) struct Attempts<'a> {
     state: &'a Rc<State>,
@@ -151,6 +169,10 @@
         let (state, accepted) = (self.state, self.accepted);
         let now = state.now();
         if accepted.time_left(now).is_zero() {
+            log::info!(
+                "request id={} choice=refuse reason=\"deadline passed\"",
+                accepted.inbound.label()
+            );
             return Err(self.refusal(ErrorKind::DeadlinePassed));
         }
         if let Some(quarantine_left) = state.quarantine_left(accepted) {
@@ -264,16 +286,23 @@
         self.probe_for_crash(server, failure).await;
         let retry = self.check_retry(server, failure);
         log::info!(
-            "request id={} print={} server={} failure={failure} again={}",
+            "request id={} print={} server={} failure={failure} again={}{}",
             self.accepted.inbound.label(),
             self.accepted.fingerprint,
             self.state.server_name(server),
-            retry.is_ok()
+            retry.is_ok(),
+            retry
+                .err()
+                .map(|blocker| format!(" by={blocker}"))
+                .unwrap_or_default()
         );
-        if retry.is_ok() {
-            self.state.meter.increment(Counter::Retries);
+        match retry {
+            Ok(()) => {
+                self.state.meter.increment(Counter::Retries);
+                Ok(())
+            }
+            Err(_) => Err(self.refusal(final_error_kind(failure))),
         }
-        retry
     }
 
     /// Starts a probe of a server that may have crashed. If one more crash would quarantine the
@@ -293,18 +322,22 @@
         }
     }
 
-    fn check_retry(&mut self, server: TargetKey, failure: Failure) -> Result<(), Refusal> {
+    fn check_retry(&mut self, server: TargetKey, failure: Failure) -> Result<(), RetryBlocker> {
         self.record_failure(server, failure);
         let kind = self.accepted.route.kind;
         if !failure.not_run() && !kind.is_retryable() {
-            return Err(self.refusal(final_error_kind(failure)));
+            return Err(RetryBlocker::Kind);
+        }
+        if self.possible_runs >= self.accepted.route.max_attempts {
+            return Err(RetryBlocker::Attempts);
+        }
+        if self.refusals >= MAX_REFUSED_SENDS {
+            return Err(RetryBlocker::Refusals);
         }
-        let exhausted = self.possible_runs >= self.accepted.route.max_attempts
-            || self.refusals >= MAX_REFUSED_SENDS;
         // Only an attempt that reached a server makes the next one a retry.
         let is_retry = self.deliveries > 0;
-        if exhausted || (is_retry && !self.state.try_spend_retry(&self.accepted.service)) {
-            return Err(self.refusal(final_error_kind(failure)));
+        if is_retry && !self.state.try_spend_retry(&self.accepted.service) {
+            return Err(RetryBlocker::Budget);
         }
         Ok(())
     }
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -209,7 +209,7 @@
     }
     let head = monoio::select! {
         head = read_head(state, accepted, &mut connection, deadline) => head,
-        () = wait_for_silence(state, server, silence_timeout) => Err(Failure::TimedOut),
+        () = wait_for_silence(state, accepted, server, silence_timeout) => Err(Failure::TimedOut),
     };
     let head = head.map_err(|failure| stale_if_reused(is_reused, failure))?;
     record_response(state, server, &head);
@@ -294,6 +294,7 @@
 /// `None` waits forever.
 pub(crate) async fn wait_for_silence(
     state: &State,
+    accepted: &Accepted,
     server: TargetKey,
     silence_timeout: Option<Duration>,
 ) {
@@ -303,7 +304,20 @@
     loop {
         let since = state.now();
         monoio::time::sleep(silence_timeout).await;
-        if state.dispatcher.borrow().is_silent_since(server, since) {
+        let dispatcher = state.dispatcher.borrow();
+        if dispatcher.is_silent_since(server, since) {
+            let silence = dispatcher.silence(server, state.now());
+            log::info!(
+                "request id={} choice=give_up server={} listed={} silent_ms={} timeout_ms={}",
+                accepted.inbound.label(),
+                dispatcher
+                    .target(server)
+                    .map(|target| target.info.id.clone())
+                    .unwrap_or_default(),
+                dispatcher.target(server).is_some(),
+                silence.map_or_else(|| "unknown".to_owned(), |time| time.as_millis().to_string()),
+                silence_timeout.as_millis()
+            );
             return;
         }
     }
--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -48,7 +48,7 @@
     state.count_request(&accepted.service);
     // The caller may have left while this process was slow or frozen.
     if responder.is_closed() {
-        return record_caller_gone(state, &accepted);
+        return record_caller_gone(state, &accepted, &Fault::Closed);
     }
     if let RouteKind::Stream { .. } = accepted.route.kind {
         handle_stream(state, &accepted, responder).await;
@@ -60,7 +60,7 @@
 async fn handle_unary(state: &Rc<State>, accepted: &Accepted, responder: &mut Responder) {
     let outcome = monoio::select! {
         outcome = unary::run(state, accepted) => outcome,
-        () = responder.closed() => return record_caller_gone(state, accepted),
+        fault = responder.closed() => return record_caller_gone(state, accepted, &fault),
     };
     match outcome {
         Ok(response) => send_response(state, accepted, response, responder).await,
@@ -88,7 +88,7 @@
                 elapsed_ms(state, accepted)
             );
         }
-        StreamOutcome::CallerGone => record_caller_gone(state, accepted),
+        StreamOutcome::CallerGone(fault) => record_caller_gone(state, accepted, &fault),
     }
 }
 
@@ -101,7 +101,7 @@
     let status = response.status;
     match responder.send(response).await {
         Ok(()) => record_answered(state, accepted, status, StreamTiming::default()),
-        Err(_) => record_caller_gone(state, accepted),
+        Err(fault) => record_caller_gone(state, accepted, &fault),
     }
 }
 
@@ -121,10 +121,10 @@
     );
 }
 
-fn record_caller_gone(state: &State, accepted: &Accepted) {
+fn record_caller_gone(state: &State, accepted: &Accepted, fault: &Fault) {
     state.meter.increment(Counter::Cancelled);
     log::info!(
-        "request id={} outcome=caller_gone total_ms={}",
+        "request id={} outcome=caller_gone reason=\"{fault}\" total_ms={}",
         accepted.inbound.label(),
         elapsed_ms(state, accepted)
     );
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -34,8 +34,8 @@
     Refused(Refusal),
     /// The stream failed after a part of it had been forwarded.
     Truncated(Failure),
-    /// The caller closed its connection.
-    CallerGone,
+    /// The caller closed its connection, or it failed.
+    CallerGone(Fault),
 }
 
 /// Latencies of a stream as the caller sees them.
@@ -49,7 +49,7 @@
 
 enum AttemptError {
     Server(Failure),
-    CallerGone,
+    CallerGone(Fault),
 }
 
 /// The response stream of one request, across all its attempts.
@@ -90,10 +90,11 @@
     /// Runs the request and forwards its events to the caller.
     pub(crate) async fn run(&mut self, responder: &mut Responder) -> StreamOutcome {
         let mut attempts = Attempts::new(self.state, self.accepted);
+        let mut last_failure = Failure::Unreachable;
         loop {
             let plan = match attempts.choose() {
                 Ok(plan) => plan,
-                Err(refusal) => return self.final_outcome(refusal, Failure::Unreachable),
+                Err(refusal) => return self.final_outcome(refusal, last_failure),
             };
             let prompt = match self
                 .prefill_if_planned(plan, &mut attempts, responder)
@@ -109,12 +110,13 @@
             let failure = match self.attempt(plan, prompt, responder).await {
                 Ok(None) => return StreamOutcome::Complete,
                 Ok(Some(response)) => return StreamOutcome::NotStreamed(response),
-                Err(AttemptError::CallerGone) => return StreamOutcome::CallerGone,
+                Err(AttemptError::CallerGone(fault)) => return StreamOutcome::CallerGone(fault),
                 Err(AttemptError::Server(failure)) => failure,
             };
             if let Err(refusal) = attempts.handle_failure(plan.server, failure).await {
                 return self.final_outcome(refusal, failure);
             }
+            last_failure = failure;
         }
     }
 
@@ -160,7 +162,7 @@
                     .inspect_err(|failure| in_flight.record_failure(*failure))
                     .map_err(AttemptError::Server)?
             }
-            () = responder.closed() => return Err(AttemptError::CallerGone),
+            fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
         };
         if let Some(prompt) = &mut prompt {
             prompt.mark_taken();
@@ -197,7 +199,7 @@
         };
         let prefilled = monoio::select! {
             prefilled = prefill(self.state, self.accepted, plan, prefill_server) => prefilled,
-            () = responder.closed() => return Err(StreamOutcome::CallerGone),
+            fault = responder.closed() => return Err(StreamOutcome::CallerGone(fault)),
         };
         match prefilled {
             Ok(prompt) => Ok(Some(prompt)),
@@ -230,10 +232,10 @@
                 .silence_timeout(self.accepted.route.gap_target.unwrap_or_default());
             let chunk = monoio::select! {
                 chunk = connection.read_chunk(self.accepted.deadline) => chunk,
-                () = wait_for_silence(self.state, in_flight.server(), silence_timeout) => {
+                () = wait_for_silence(self.state, self.accepted, in_flight.server(), silence_timeout) => {
                     Err(Fault::Timeout)
                 }
-                () = responder.closed() => return Err(AttemptError::CallerGone),
+                fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
             };
             let chunk =
                 chunk.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
@@ -252,10 +254,7 @@
         in_flight.record_output(rate, is_continuation);
         in_flight.set_outcome(RunOutcome::Answered);
         self.send_head(responder).await?;
-        responder
-            .finish()
-            .await
-            .map_err(|_| AttemptError::CallerGone)?;
+        responder.finish().await.map_err(AttemptError::CallerGone)?;
         self.state.pool.put(connection, head.idle, self.state.now());
         Ok(())
     }
@@ -285,7 +284,7 @@
         self.send_head(responder).await?;
         self.record_chunk();
         let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
-        sent.map_err(|_| AttemptError::CallerGone)?;
+        sent.map_err(AttemptError::CallerGone)?;
         Ok(tokens)
     }
 
@@ -310,7 +309,7 @@
     async fn send_head(&mut self, responder: &mut Responder) -> Result<(), AttemptError> {
         if let Some((status, headers)) = self.head.take() {
             let sent = responder.start(status, &headers).await;
-            sent.map_err(|_| AttemptError::CallerGone)?;
+            sent.map_err(AttemptError::CallerGone)?;
             self.head_sent = true;
         }
         Ok(())
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -574,6 +574,13 @@
         }
     }
 
+    /// Returns the time since this node last received anything from a server; `None` if it never
+    /// did or the server is no longer listed.
+    pub fn silence(&self, key: TargetKey, now: Instant) -> Option<Duration> {
+        let last_heard = self.targets.get(key)?.last_heard?;
+        Some(now.saturating_duration_since(last_heard))
+    }
+
     /// Returns whether this node has received nothing from a server since `since`.
     pub fn is_silent_since(&self, key: TargetKey, since: Instant) -> bool {
         let last_heard = self.targets.get(key).and_then(|target| target.last_heard);
--- a/crates/pomeloridge_standin/src/engine/generate.rs
+++ b/crates/pomeloridge_standin/src/engine/generate.rs
@@ -208,7 +208,7 @@
             }
             monoio::select! {
                 () = self.signal.wait(seen) => {}
-                () = responder.closed() => return Ok(()),
+                _ = responder.closed() => return Ok(()),
             }
         }
     }
--- a/crates/pomeloridge_standin/src/platform/calls.rs
+++ b/crates/pomeloridge_standin/src/platform/calls.rs
@@ -124,7 +124,7 @@
         Call::Watch => {
             monoio::select! {
                 answer = watch(platform, request) => answer,
-                () = responder.closed() => return None,
+                _ = responder.closed() => return None,
             }
         }
         Call::Vms => Ok(vms(platform)),
