Give up a silent server only if another may take the request over

Callers saw streams that ended midway and 504 long before their deadlines, for requests at sound servers that were silent for a second and went on.

A silent server was given up first, and only then the gateway looked whether the request might be repeated: attempts left, retry budget, another server. Where one was missing the request was lost, although its server still worked on it.

The order is turned round. A request whose server is silent reserves a retry: an attempt left, a place in the retry budget (charged at once, since many requests decide at the same moment) and a server that takes it and is not ejected. Until it has one, it goes on waiting, at most to its deadline; a server that is silent since the request was sent is still ejected for others. The same holds for a prefill. A retry is no longer charged for a request whose deadline has passed. Nothing is given up earlier than before, so that the limit on time at a dead server is unchanged where another one is there.

--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! The attempts of one request: which server it is sent to, whether it is retried, and the
 //! final refusal.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,7 @@
 use crate::accept::Accepted;
 use crate::crash_detection;
 use crate::exchange::Failure;
+use crate::silence::SilentWork;
 use crate::state::State;
 use crate::token_rate::TokenRate;
 
@@ -62,10 +64,6 @@
         }
     }
 
-    pub(crate) fn server(&self) -> TargetKey {
-        self.server
-    }
-
     /// Records that the server has prefilled the prompt.
     pub(crate) fn record_prefill_done(&self) {
         let now = self.state.now();
@@ -115,7 +113,7 @@
 
 /// Why a failed request is not retried.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-enum RetryBlocker {
+pub(crate) enum RetryBlocker {
     /// It may have run, and the route does not allow it to run twice.
     #[display("kind")]
     Kind,
@@ -128,6 +126,12 @@
     /// This node's part of the service's retry budget is spent.
     #[display("budget")]
     Budget,
+    /// No other server takes it.
+    #[display("servers")]
+    Servers,
+    /// Its deadline has passed.
+    #[display("deadline")]
+    Deadline,
 }
 
 /// The attempts made so far for one request.
@@ -147,6 +151,8 @@
     last_run_failure: Option<Failure>,
     /// When the latest attempt was planned.
     last_sent_at: Instant,
+    /// Whether the retry after the running attempt has been charged to the budget.
+    retry_reserved: Cell<bool>,
 }
 
 impl<'a> Attempts<'a> {
@@ -161,9 +167,19 @@
             prefill_tried: false,
             last_run_failure: None,
             last_sent_at: accepted.arrived_at,
+            retry_reserved: Cell::new(false),
         }
     }
 
+    pub(crate) fn accepted(&self) -> &'a Accepted {
+        self.accepted
+    }
+
+    /// Returns the request's id for the log.
+    pub(crate) fn label(&self) -> &str {
+        self.accepted.inbound.label()
+    }
+
     /// Chooses the server of the next attempt, or returns the final refusal.
     pub(crate) fn choose(&mut self) -> Result<Plan, Refusal> {
         let (state, accepted) = (self.state, self.accepted);
@@ -334,11 +350,56 @@
         if self.refusals >= MAX_REFUSED_SENDS {
             return Err(RetryBlocker::Refusals);
         }
+        if self.accepted.time_left(self.state.now()).is_zero() {
+            return Err(RetryBlocker::Deadline);
+        }
         // Only an attempt that reached a server makes the next one a retry.
-        let is_retry = self.deliveries > 0;
-        if is_retry && !self.state.try_spend_retry(&self.accepted.service) {
+        let is_charged = self.deliveries > 0 && !self.retry_reserved.take();
+        if is_charged && !self.state.try_spend_retry(&self.accepted.service) {
+            return Err(RetryBlocker::Budget);
+        }
+        Ok(())
+    }
+
+    /// Reserves a retry of a request whose server is silent, if another server may take it over
+    /// now. A server that is silent since the request was sent is ejected in any case.
+    pub(crate) fn reserve_retry(
+        &self,
+        server: TargetKey,
+        work: SilentWork,
+    ) -> Result<(), RetryBlocker> {
+        let reserved = self.try_reserve(server, work);
+        if reserved.is_err() {
+            self.eject_if_dead(server, Failure::TimedOut);
+        }
+        reserved
+    }
+
+    fn try_reserve(&self, server: TargetKey, work: SilentWork) -> Result<(), RetryBlocker> {
+        let (state, accepted) = (self.state, self.accepted);
+        let runs = self.possible_runs + u32::from(work == SilentWork::Run);
+        if runs >= accepted.route.max_attempts {
+            return Err(RetryBlocker::Attempts);
+        }
+        if self.refusals >= MAX_REFUSED_SENDS {
+            return Err(RetryBlocker::Refusals);
+        }
+        let mut tried = self.tried.clone();
+        tried.push(server);
+        let request = DispatchRequest {
+            service: &accepted.service,
+            prompt: accepted.inbound.prompt.as_ref(),
+            tried: &tried,
+            allow_separate_prefill: false,
+        };
+        let now = state.now();
+        if !state.dispatcher.borrow().has_server(&request, now) {
+            return Err(RetryBlocker::Servers);
+        }
+        if !state.has_retry(&accepted.service) || !state.try_spend_retry(&accepted.service) {
             return Err(RetryBlocker::Budget);
         }
+        self.retry_reserved.set(true);
         Ok(())
     }
 
@@ -353,8 +414,9 @@
     ) -> Result<(), Refusal> {
         self.probe_for_crash(prefill_server, failure).await;
         self.eject_if_dead(prefill_server, failure);
-        let run_anyway =
-            !failure.reached_server() || self.state.try_spend_retry(&self.accepted.service);
+        let run_anyway = !failure.reached_server()
+            || self.retry_reserved.take()
+            || self.state.try_spend_retry(&self.accepted.service);
         log::info!(
             "request id={} print={} server={} failure={failure} choice={}",
             self.accepted.inbound.label(),
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one server and reads the head of the response.
 
 use std::io::ErrorKind;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use derive_more::Display;
 use pomeloridge_base::http::{Connection, Fault};
@@ -11,6 +11,7 @@
 use crate::pool::{Connected, ConnectionNeeds, PoolError};
 use crate::request::{Dispatch, Notice, ResponseHead, SendStage};
 use crate::server_limits;
+use crate::silence::SilenceWatch;
 use crate::state::State;
 
 /// Number of late responses to earlier requests that are skipped on one connection.
@@ -138,32 +139,30 @@
 }
 
 /// Parameters of one attempt at one server.
-pub(crate) struct SendParams {
-    /// Server that the request is sent to.
-    pub(crate) server: TargetKey,
+pub(crate) struct SendParams<'a> {
+    /// Server that the request is sent to, and when it is given up.
+    pub(crate) watch: SilenceWatch<'a>,
     /// Part of the request that the server is to run.
     pub(crate) stage: SendStage,
     /// Engine from which the KV cache of shared prompt parts is fetched.
     pub(crate) fetch: Option<TargetKey>,
     /// Last event that the caller has received.
     pub(crate) last_event: Option<u64>,
-    /// Time after which a server that sends nothing to this node is given up.
-    pub(crate) silence_timeout: Option<Duration>,
 }
 
 /// Sends a request to a server and reads the head of its response.
 pub(crate) async fn exchange(
     state: &State,
     accepted: &Accepted,
-    params: SendParams,
+    params: SendParams<'_>,
 ) -> Result<Exchange, Failure> {
     let SendParams {
-        server,
+        watch,
         stage,
         fetch,
         last_event,
-        silence_timeout,
     } = params;
+    let server = watch.server;
     let deadline = accepted.deadline;
     let (info, fetch) = {
         let dispatcher = state.dispatcher.borrow();
@@ -209,7 +208,7 @@
     }
     let head = monoio::select! {
         head = read_head(state, accepted, &mut connection, deadline) => head,
-        () = wait_for_silence(state, accepted, server, silence_timeout) => Err(Failure::TimedOut),
+        () = watch.given_up(state) => Err(Failure::TimedOut),
     };
     let head = head.map_err(|failure| stale_if_reused(is_reused, failure))?;
     record_response(state, server, &head);
@@ -290,39 +289,6 @@
     }
 }
 
-/// Waits until a server has sent nothing to this node for the whole of `silence_timeout`;
-/// `None` waits forever.
-pub(crate) async fn wait_for_silence(
-    state: &State,
-    accepted: &Accepted,
-    server: TargetKey,
-    silence_timeout: Option<Duration>,
-) {
-    let Some(silence_timeout) = silence_timeout else {
-        return std::future::pending().await;
-    };
-    loop {
-        let since = state.now();
-        monoio::time::sleep(silence_timeout).await;
-        let dispatcher = state.dispatcher.borrow();
-        if dispatcher.is_silent_since(server, since) {
-            let silence = dispatcher.silence(server, state.now());
-            log::info!(
-                "request id={} choice=give_up server={} listed={} silent_ms={} timeout_ms={}",
-                accepted.inbound.label(),
-                dispatcher
-                    .target(server)
-                    .map(|target| target.info.id.clone())
-                    .unwrap_or_default(),
-                dispatcher.target(server).is_some(),
-                silence.map_or_else(|| "unknown".to_owned(), |time| time.as_millis().to_string()),
-                silence_timeout.as_millis()
-            );
-            return;
-        }
-    }
-}
-
 /// Reads the head of the response to this request, skipping late responses to earlier ones.
 async fn read_head(
     state: &State,
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod server_list;
 mod server_registry;
 mod settings;
+mod silence;
 mod stage_duty;
 mod state;
 mod stream;
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -7,11 +7,11 @@
 use pomeloridge_policy::dispatch::{Plan, TargetKey};
 use pomeloridge_policy::timeouts::silence_timeout;
 
-use crate::accept::Accepted;
-use crate::attempt::InFlightAttempt;
+use crate::attempt::{Attempts, InFlightAttempt};
 use crate::exchange::{Exchange, Failure, SendParams, exchange};
 use crate::pool::{Connected, ConnectionNeeds, PoolError};
 use crate::request::{KvSource, SendStage};
+use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
 
 /// Longest body of a response to a prefill.
@@ -87,18 +87,23 @@
 /// Prefills a prompt on the plan's prefill engine.
 pub(crate) async fn prefill(
     state: &Rc<State>,
-    accepted: &Accepted,
+    attempts: &Attempts<'_>,
     plan: Plan,
     prefill_server: TargetKey,
 ) -> Result<PrefilledPrompt, Failure> {
+    let accepted = attempts.accepted();
     let mut in_flight = InFlightAttempt::new(state, prefill_server, plan.prefill_tokens, accepted);
     let deadline = accepted.deadline;
     let params = SendParams {
-        server: prefill_server,
+        watch: SilenceWatch {
+            attempts,
+            server: prefill_server,
+            work: SilentWork::Prefill,
+            timeout: Some(silence_timeout(plan.ttft)),
+        },
         stage: SendStage::Prefill,
         fetch: plan.fetch_from,
         last_event: None,
-        silence_timeout: Some(silence_timeout(plan.ttft)),
     };
     let Exchange {
         mut connection,
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -246,13 +246,24 @@
         crashes.quarantine_left(&accepted.fingerprint, self.now())
     }
 
-    /// Charges a retry to this node's share of the fleet's budget; returns whether it is allowed.
-    pub(crate) fn try_spend_retry(&self, service: &Name) -> bool {
-        let share = AllowanceShare {
+    /// Returns this node's share of the fleet's fixed retry allowance.
+    fn allowance_share(&self) -> AllowanceShare {
+        AllowanceShare {
             // Silent nodes may still be running, cut off, and spend their shares.
             nodes: self.peers.borrow().known_count() + 1,
             available_from: self.allowance_from.get(),
-        };
+        }
+    }
+
+    /// Returns whether this node's share of the fleet's budget allows one more retry.
+    pub(crate) fn has_retry(&self, service: &Name) -> bool {
+        let share = self.allowance_share();
+        self.with_budget(service, |budget, now| budget.usage(share, now).has_room())
+    }
+
+    /// Charges a retry to this node's share of the fleet's budget; returns whether it is allowed.
+    pub(crate) fn try_spend_retry(&self, service: &Name) -> bool {
+        let share = self.allowance_share();
         let (usage, allowed) = self.with_budget(service, |budget, now| {
             (budget.usage(share, now), budget.try_spend(share, now))
         });
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -17,9 +17,10 @@
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, InFlightAttempt};
 use crate::events::EventSplitter;
-use crate::exchange::{Exchange, Failure, SendParams, exchange, wait_for_silence};
+use crate::exchange::{Exchange, Failure, SendParams, exchange};
 use crate::prefill::{PrefilledPrompt, prefill};
 use crate::request::SendStage;
+use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
 use crate::token_rate::TokenRate;
 use crate::unary::{read_response, run_outcome};
@@ -107,7 +108,7 @@
                 Some(_) => attempts.choose_decode_engine(plan),
                 None => plan,
             };
-            let failure = match self.attempt(plan, prompt, responder).await {
+            let failure = match self.attempt(plan, prompt, &attempts, responder).await {
                 Ok(None) => return StreamOutcome::Complete,
                 Ok(Some(response)) => return StreamOutcome::NotStreamed(response),
                 Err(AttemptError::CallerGone(fault)) => return StreamOutcome::CallerGone(fault),
@@ -134,6 +135,7 @@
         &mut self,
         plan: Plan,
         mut prompt: Option<PrefilledPrompt>,
+        attempts: &Attempts<'_>,
         responder: &mut Responder,
     ) -> Result<Option<Response>, AttemptError> {
         let accepted = self.accepted;
@@ -146,14 +148,19 @@
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
         let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, accepted);
-        let params = SendParams {
+        let watch = SilenceWatch {
+            attempts,
             server: plan.server,
+            work: SilentWork::Run,
+            timeout: accepted.silence_timeout(plan.ttft),
+        };
+        let params = SendParams {
+            watch,
             stage: prompt
                 .as_ref()
                 .map_or(SendStage::Run, |prompt| SendStage::RunFrom(prompt.source())),
             fetch: plan.fetch_from.filter(|_| prompt.is_none()),
             last_event: self.last_event,
-            silence_timeout: accepted.silence_timeout(plan.ttft),
         };
         let exchanging = exchange(self.state, accepted, params);
         let exchanged = monoio::select! {
@@ -181,7 +188,12 @@
         if self.head.is_none() && !self.head_sent {
             self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
         }
-        self.forward_response(exchanged, &mut in_flight, responder)
+        let gap = accepted.route.gap_target.unwrap_or_default();
+        let watch = SilenceWatch {
+            timeout: accepted.silence_timeout(gap),
+            ..watch
+        };
+        self.forward_response(exchanged, watch, &mut in_flight, responder)
             .await?;
         Ok(None)
     }
@@ -198,7 +210,7 @@
             return Ok(None);
         };
         let prefilled = monoio::select! {
-            prefilled = prefill(self.state, self.accepted, plan, prefill_server) => prefilled,
+            prefilled = prefill(self.state, attempts, plan, prefill_server) => prefilled,
             fault = responder.closed() => return Err(StreamOutcome::CallerGone(fault)),
         };
         match prefilled {
@@ -216,6 +228,7 @@
     async fn forward_response(
         &mut self,
         exchanged: Exchange,
+        watch: SilenceWatch<'_>,
         in_flight: &mut InFlightAttempt,
         responder: &mut Responder,
     ) -> Result<(), AttemptError> {
@@ -227,14 +240,9 @@
         let mut rate = TokenRate::default();
         let is_continuation = self.last_event.is_some();
         loop {
-            let silence_timeout = self
-                .accepted
-                .silence_timeout(self.accepted.route.gap_target.unwrap_or_default());
             let chunk = monoio::select! {
                 chunk = connection.read_chunk(self.accepted.deadline) => chunk,
-                () = wait_for_silence(self.state, self.accepted, in_flight.server(), silence_timeout) => {
-                    Err(Fault::Timeout)
-                }
+                () = watch.given_up(self.state) => Err(Fault::Timeout),
                 fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
             };
             let chunk =
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -11,6 +11,7 @@
 use crate::attempt::{Attempts, InFlightAttempt};
 use crate::exchange::{Exchange, Failure, SendParams, exchange};
 use crate::request::SendStage;
+use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
 
 /// Longest response body that is accepted from a server.
@@ -21,7 +22,7 @@
     let mut attempts = Attempts::new(state, accepted);
     loop {
         let plan = attempts.choose()?;
-        let failure = match attempt(state, accepted, plan).await {
+        let failure = match attempt(state, &attempts, plan).await {
             // A server error is retried if allowed; otherwise the caller gets the response.
             Ok(response) if response.status.is_server_error() => {
                 let retry = attempts
@@ -39,14 +40,23 @@
     }
 }
 
-async fn attempt(state: &Rc<State>, accepted: &Accepted, plan: Plan) -> Result<Response, Failure> {
+async fn attempt(
+    state: &Rc<State>,
+    attempts: &Attempts<'_>,
+    plan: Plan,
+) -> Result<Response, Failure> {
+    let accepted = attempts.accepted();
     let mut in_flight = InFlightAttempt::new(state, plan.server, 0, accepted);
     let params = SendParams {
-        server: plan.server,
+        watch: SilenceWatch {
+            attempts,
+            server: plan.server,
+            work: SilentWork::Run,
+            timeout: accepted.silence_timeout(plan.ttft),
+        },
         stage: SendStage::Run,
         fetch: None,
         last_event: None,
-        silence_timeout: accepted.silence_timeout(plan.ttft),
     };
     let exchanged = exchange(state, accepted, params).await;
     let exchanged = exchanged.inspect_err(|failure| in_flight.record_failure(*failure))?;
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -261,6 +261,11 @@
         Some(plan)
     }
 
+    /// Returns whether a server may take a request now, other than as a last resort.
+    pub fn has_server(&self, request: &DispatchRequest<'_>, now: Instant) -> bool {
+        self.plan(request, now, false).is_some()
+    }
+
     fn plan(&self, request: &DispatchRequest<'_>, now: Instant, last_resort: bool) -> Option<Plan> {
         let eligible = self.eligible(request, now, last_resort);
         let Some(prompt) = request.prompt else {
--- a/crates/pomeloridge_policy/src/fleet_retry_budget.rs
+++ b/crates/pomeloridge_policy/src/fleet_retry_budget.rs
@@ -62,6 +62,13 @@
     pub limit: f64,
 }
 
+impl RetryUsage {
+    /// Returns whether one more retry may be sent.
+    pub fn has_room(&self) -> bool {
+        f64::from(self.used + 1) <= self.limit
+    }
+}
+
 /// Counts the retries that one node sends to one service.
 #[derive(Debug)]
 pub struct FleetRetryBudget {
@@ -112,7 +119,7 @@
     /// Counts a retry if the budget allows one more, and returns whether it does.
     pub fn try_spend(&mut self, allowance: AllowanceShare, now: Instant) -> bool {
         let usage = self.usage(allowance, now);
-        if f64::from(usage.used + 1) > usage.limit {
+        if !usage.has_room() {
             return false;
         }
         self.current_slice(now).retries += 1;
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -431,6 +431,28 @@
     assert!(!dispatcher.is_silent_since(d, sent));
 }
 
+/// Guards against giving up a silent engine for one that can't take its requests.
+#[test]
+fn an_ejected_engine_takes_no_request_over() {
+    let mut dispatcher = dispatcher(&[("d", Stage::Decode), ("e", Stage::Decode)]);
+    let (d, e) = (key(&dispatcher, "d"), key(&dispatcher, "e"));
+    let now = Instant::now();
+    let (service, prompt) = (Name::from("model"), prompt(200, None, 1));
+    let (one, both) = ([d], [d, e]);
+    let request = |tried| DispatchRequest {
+        service: &service,
+        prompt: Some(&prompt),
+        tried,
+        allow_separate_prefill: false,
+    };
+    assert!(dispatcher.has_server(&request(&one), now));
+    assert!(!dispatcher.has_server(&request(&both), now));
+    dispatcher.eject(e, now);
+    assert!(!dispatcher.has_server(&request(&one), now));
+    // As a last resort, a new request is still sent to an ejected engine.
+    assert!(dispatcher.choose(&request(&one), now).is_some());
+}
+
 #[test]
 fn a_full_batch_raises_the_predicted_ttft() {
     let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
