--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -17,9 +17,10 @@
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, InFlightAttempt};
 use crate::events::EventSplitter;
-use crate::exchange::{Exchange, Failure, SendParams, exchange, wait_for_silence};
+use crate::exchange::{Exchange, Failure, SendParams, exchange};
 use crate::prefill::{PrefilledPrompt, prefill};
 use crate::request::SendStage;
+use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
 use crate::token_rate::TokenRate;
 use crate::unary::{read_response, run_outcome};
@@ -34,8 +35,8 @@
     Refused(Refusal),
     /// The stream failed after a part of it had been forwarded.
     Truncated(Failure),
-    /// The caller closed its connection.
-    CallerGone,
+    /// The caller closed its connection, or it failed.
+    CallerGone(Fault),
 }
 
 /// Latencies of a stream as the caller sees them.
@@ -49,7 +50,7 @@
 
 enum AttemptError {
     Server(Failure),
-    CallerGone,
+    CallerGone(Fault),
 }
 
 /// The response stream of one request, across all its attempts.
@@ -90,10 +91,11 @@
     /// Runs the request and forwards its events to the caller.
     pub(crate) async fn run(&mut self, responder: &mut Responder) -> StreamOutcome {
         let mut attempts = Attempts::new(self.state, self.accepted);
+        let mut last_failure = Failure::Unreachable;
         loop {
             let plan = match attempts.choose() {
                 Ok(plan) => plan,
-                Err(refusal) => return self.final_outcome(refusal, Failure::Unreachable),
+                Err(refusal) => return self.final_outcome(refusal, last_failure),
             };
             let prompt = match self
                 .prefill_if_planned(plan, &mut attempts, responder)
@@ -106,15 +108,16 @@
                 Some(_) => attempts.choose_decode_engine(plan),
                 None => plan,
             };
-            let failure = match self.attempt(plan, prompt, responder).await {
+            let failure = match self.attempt(plan, prompt, &attempts, responder).await {
                 Ok(None) => return StreamOutcome::Complete,
                 Ok(Some(response)) => return StreamOutcome::NotStreamed(response),
-                Err(AttemptError::CallerGone) => return StreamOutcome::CallerGone,
+                Err(AttemptError::CallerGone(fault)) => return StreamOutcome::CallerGone(fault),
                 Err(AttemptError::Server(failure)) => failure,
             };
             if let Err(refusal) = attempts.handle_failure(plan.server, failure).await {
                 return self.final_outcome(refusal, failure);
             }
+            last_failure = failure;
         }
     }
 
@@ -132,6 +135,7 @@
         &mut self,
         plan: Plan,
         mut prompt: Option<PrefilledPrompt>,
+        attempts: &Attempts<'_>,
         responder: &mut Responder,
     ) -> Result<Option<Response>, AttemptError> {
         let accepted = self.accepted;
@@ -144,14 +148,19 @@
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
         let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, accepted);
-        let params = SendParams {
+        let watch = SilenceWatch {
+            attempts,
             server: plan.server,
+            work: SilentWork::Run,
+            timeout: accepted.silence_timeout(plan.ttft),
+        };
+        let params = SendParams {
+            watch,
             stage: prompt
                 .as_ref()
                 .map_or(SendStage::Run, |prompt| SendStage::RunFrom(prompt.source())),
             fetch: plan.fetch_from.filter(|_| prompt.is_none()),
             last_event: self.last_event,
-            silence_timeout: accepted.silence_timeout(plan.ttft),
         };
         let exchanging = exchange(self.state, accepted, params);
         let exchanged = monoio::select! {
@@ -160,7 +169,7 @@
                     .inspect_err(|failure| in_flight.record_failure(*failure))
                     .map_err(AttemptError::Server)?
             }
-            () = responder.closed() => return Err(AttemptError::CallerGone),
+            fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
         };
         if let Some(prompt) = &mut prompt {
             prompt.mark_taken();
@@ -179,7 +188,12 @@
         if self.head.is_none() && !self.head_sent {
             self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
         }
-        self.forward_response(exchanged, &mut in_flight, responder)
+        let gap = accepted.route.gap_target.unwrap_or_default();
+        let watch = SilenceWatch {
+            timeout: accepted.silence_timeout(gap),
+            ..watch
+        };
+        self.forward_response(exchanged, watch, &mut in_flight, responder)
             .await?;
         Ok(None)
     }
@@ -196,8 +210,8 @@
             return Ok(None);
         };
         let prefilled = monoio::select! {
-            prefilled = prefill(self.state, self.accepted, plan, prefill_server) => prefilled,
-            () = responder.closed() => return Err(StreamOutcome::CallerGone),
+            prefilled = prefill(self.state, attempts, plan, prefill_server) => prefilled,
+            fault = responder.closed() => return Err(StreamOutcome::CallerGone(fault)),
         };
         match prefilled {
             Ok(prompt) => Ok(Some(prompt)),
@@ -214,6 +228,7 @@
     async fn forward_response(
         &mut self,
         exchanged: Exchange,
+        watch: SilenceWatch<'_>,
         in_flight: &mut InFlightAttempt,
         responder: &mut Responder,
     ) -> Result<(), AttemptError> {
@@ -225,15 +240,10 @@
         let mut rate = TokenRate::default();
         let is_continuation = self.last_event.is_some();
         loop {
-            let silence_timeout = self
-                .accepted
-                .silence_timeout(self.accepted.route.gap_target.unwrap_or_default());
             let chunk = monoio::select! {
                 chunk = connection.read_chunk(self.accepted.deadline) => chunk,
-                () = wait_for_silence(self.state, in_flight.server(), silence_timeout) => {
-                    Err(Fault::Timeout)
-                }
-                () = responder.closed() => return Err(AttemptError::CallerGone),
+                () = watch.given_up(self.state) => Err(Fault::Timeout),
+                fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
             };
             let chunk =
                 chunk.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
@@ -252,10 +262,7 @@
         in_flight.record_output(rate, is_continuation);
         in_flight.set_outcome(RunOutcome::Answered);
         self.send_head(responder).await?;
-        responder
-            .finish()
-            .await
-            .map_err(|_| AttemptError::CallerGone)?;
+        responder.finish().await.map_err(AttemptError::CallerGone)?;
         self.state.pool.put(connection, head.idle, self.state.now());
         Ok(())
     }
@@ -285,7 +292,7 @@
         self.send_head(responder).await?;
         self.record_chunk();
         let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
-        sent.map_err(|_| AttemptError::CallerGone)?;
+        sent.map_err(AttemptError::CallerGone)?;
         Ok(tokens)
     }
 
@@ -310,7 +317,7 @@
     async fn send_head(&mut self, responder: &mut Responder) -> Result<(), AttemptError> {
         if let Some((status, headers)) = self.head.take() {
             let sent = responder.start(status, &headers).await;
-            sent.map_err(|_| AttemptError::CallerGone)?;
+            sent.map_err(AttemptError::CallerGone)?;
             self.head_sent = true;
         }
         Ok(())
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -261,6 +261,11 @@
         Some(plan)
     }
 
+    /// Returns whether a server may take a request now, other than as a last resort.
+    pub fn has_server(&self, request: &DispatchRequest<'_>, now: Instant) -> bool {
+        self.plan(request, now, false).is_some()
+    }
+
     fn plan(&self, request: &DispatchRequest<'_>, now: Instant, last_resort: bool) -> Option<Plan> {
         let eligible = self.eligible(request, now, last_resort);
         let Some(prompt) = request.prompt else {
@@ -574,6 +579,13 @@
         }
     }
 
+    /// Returns the time since this node last received anything from a server; `None` if it never
+    /// did or the server is no longer listed.
+    pub fn silence(&self, key: TargetKey, now: Instant) -> Option<Duration> {
+        let last_heard = self.targets.get(key)?.last_heard?;
+        Some(now.saturating_duration_since(last_heard))
+    }
+
     /// Returns whether this node has received nothing from a server since `since`.
     pub fn is_silent_since(&self, key: TargetKey, since: Instant) -> bool {
         let last_heard = self.targets.get(key).and_then(|target| target.last_heard);
