--- a/crates/pomeloridge_platform/src/lib.rs
+++ b/crates/pomeloridge_platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod fleet;
 pub mod intent;
+pub mod json;
 pub mod lease;
 mod lease_manager;
 mod object;
