Let a server that has begun a stream pause for a second and a half

A resumable stream of a sound server that paused for 1.4 s was moved after 1.2 s; where the next server then refused it, or failed, the caller's stream was cut.

The timeout of a begun stream was that of a request without an answer: 0.7 s and twice the gap target, 1.0 s on a route with a gap target of 150 ms, which is within what a sound server may be silent. It is 1.5 s and twice the gap target now, once a server has sent part of the stream; a stream is late by then wherever it goes on, so that leaving earlier gains nothing. A server that has sent nothing yet is still given up after 0.7 s and twice the predicted time. A stream on a lost server that sends no reset goes on 0.8 s later than before.

--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -187,6 +187,9 @@
     streams_before_the_first_event = { &[], "pause-1-1400", Kind::Stream, SILENT },
     streams_before_the_head = { &[], "pause-0-1400", Kind::Stream, SILENT },
     streams_of_the_only_engine = { &["--decode", "1"], "pause-4-1400", Kind::Stream, SILENT },
+    streams_of_the_only_engine_for_longer = {
+        &["--decode", "1"], "pause-4-2300", Kind::Stream, SILENT
+    },
     stream_twice = { &[], "pause-4-1400,pause-6-1400", Kind::Stream, 1 },
     stream_twice_before_the_head = { &[], "pause-0-1400,pause-0-1400", Kind::Stream, 1 },
     calls = { &[], "pause-0-1400", Kind::Call, SILENT },
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -7,7 +7,7 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
 use pomeloridge_policy::suspicion::Fingerprint;
-use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout};
+use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout, stream_silence_timeout};
 
 use crate::config::{Account, Route, RouteKind, ServingConfig};
 use crate::request::Inbound;
@@ -42,6 +42,12 @@
         repeatable.then(|| silence_timeout(predicted))
     }
 
+    /// Returns the same for a server that has sent part of the stream.
+    pub(crate) fn stream_silence_timeout(&self) -> Option<Duration> {
+        let repeatable = self.route.kind.is_retryable();
+        repeatable.then(|| stream_silence_timeout(self.route.gap_target.unwrap_or_default()))
+    }
+
     /// Whether the caller is likely to give up before a first chunk that arrives after
     /// `predicted`.
     pub(crate) fn caller_gives_up_before(&self, predicted: Duration) -> bool {
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -188,11 +188,6 @@
         if self.head.is_none() && !self.head_sent {
             self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
         }
-        let gap = accepted.route.gap_target.unwrap_or_default();
-        let watch = SilenceWatch {
-            timeout: accepted.silence_timeout(gap),
-            ..watch
-        };
         self.forward_response(exchanged, watch, &mut in_flight, responder)
             .await?;
         Ok(None)
@@ -228,7 +223,7 @@
     async fn forward_response(
         &mut self,
         exchanged: Exchange,
-        watch: SilenceWatch<'_>,
+        mut watch: SilenceWatch<'_>,
         in_flight: &mut InFlightAttempt,
         responder: &mut Responder,
     ) -> Result<(), AttemptError> {
@@ -239,6 +234,8 @@
         let mut events = EventSplitter::default();
         let mut rate = TokenRate::default();
         let is_continuation = self.last_event.is_some();
+        let gap = self.accepted.route.gap_target.unwrap_or_default();
+        watch.timeout = self.accepted.silence_timeout(gap);
         loop {
             let chunk = monoio::select! {
                 chunk = connection.read_chunk(self.accepted.deadline) => chunk,
@@ -254,6 +251,7 @@
                 return Err(AttemptError::Server(Failure::InvalidResponse));
             }
             let tokens = self.forward_events(&mut events, responder).await?;
+            watch.timeout = self.accepted.stream_silence_timeout();
             rate.record(tokens, self.state.now());
         }
         if !events.is_empty() {
--- a/crates/pomeloridge_policy/tests/policy/engine_speed.rs
+++ b/crates/pomeloridge_policy/tests/policy/engine_speed.rs
@@ -7,7 +7,7 @@
     DispatchRequest, Dispatcher, EngineModel, Plan, PromptShape, Stage, TargetInfo,
 };
 use pomeloridge_policy::prompt_cache::PromptPart;
-use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout};
+use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout, stream_silence_timeout};
 use yare::parameterized;
 
 use crate::support::ms;
@@ -156,6 +156,18 @@
     assert!(silence_timeout(queued) > queued * 2);
 }
 
+/// Guards against giving up a sound engine that pauses for a second or so amid a stream, and
+/// against staying for long at one that is lost.
+#[parameterized(
+    no_target = { 0 },
+    short_gap = { 150 },
+    long_gap = { 250 },
+)]
+fn a_begun_stream_outlasts_a_pause_of_a_second(gap: u64) {
+    let timeout = stream_silence_timeout(ms(gap));
+    assert!(timeout >= ms(1500) && timeout <= ms(2000), "{timeout:?}");
+}
+
 #[parameterized(
     short_targets = { 300, Some(150), 8000, 2000 },
     long_target = { 800, Some(250), 8000, 3200 },
