Hear a server whose entry is gone while it works on requests

A stream of a server that had been removed from the list, or was listed with another start, was given up at its first longer pause and cut or run again elsewhere, although the server was sending the events of other streams.

The time at which a server was last heard was kept with its entry. Without the entry nothing it sent was recorded, and `is_silent_since` held whatever it sent. The times are kept by server key now, until the server is neither listed nor has a request of this node. They can't be in a map by slot: a new entry takes the slot of the removed one.

--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -142,6 +142,9 @@
     base_model: EngineModel,
     service_models: HashMap<Name, ServiceModel>,
     targets: SlotMap<TargetKey, Target>,
+    /// When this node last received data from each server. A server that is no longer listed stays
+    /// here as long as it may still be working on requests.
+    heard: HashMap<TargetKey, Instant>,
     in_flight: SlotMap<InFlightKey, InFlight>,
     placements: VecDeque<(Instant, PartPlacement)>,
     /// Counts requests, to alternate between servers of equal cost.
@@ -179,6 +182,7 @@
             base_model: model,
             service_models: HashMap::new(),
             targets: SlotMap::with_key(),
+            heard: HashMap::new(),
             in_flight: SlotMap::with_key(),
             placements: VecDeque::new(),
             rotation: 0,
@@ -206,6 +210,10 @@
             }
             listed
         });
+        let (targets, in_flight) = (&self.targets, &self.in_flight);
+        self.heard.retain(|key, _| {
+            targets.contains_key(*key) || in_flight.values().any(|sent| sent.target == *key)
+        });
         for info in list {
             match self.targets.values_mut().find(|target| same(target, &info)) {
                 Some(target) => target.update(info),
@@ -527,8 +535,8 @@
 
     /// Ejects a server for a short time after it refused a request without reading it.
     pub fn record_refusal(&mut self, key: TargetKey, now: Instant) {
+        self.record_activity(key, now);
         if let Some(target) = self.targets.get_mut(key) {
-            target.last_heard = Some(now);
             target.ejection.eject(REFUSAL_PROBE_DELAY, now);
         }
     }
@@ -574,22 +582,19 @@
 
     /// Records that data arrived from a server.
     pub fn record_activity(&mut self, key: TargetKey, now: Instant) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.last_heard = Some(now);
-        }
+        self.heard.insert(key, now);
     }
 
     /// Returns the time since this node last received anything from a server; `None` if it never
-    /// did or the server is no longer listed.
+    /// did.
     pub fn silence(&self, key: TargetKey, now: Instant) -> Option<Duration> {
-        let last_heard = self.targets.get(key)?.last_heard?;
-        Some(now.saturating_duration_since(last_heard))
+        let last_heard = self.heard.get(&key)?;
+        Some(now.saturating_duration_since(*last_heard))
     }
 
     /// Returns whether this node has received nothing from a server since `since`.
     pub fn is_silent_since(&self, key: TargetKey, since: Instant) -> bool {
-        let last_heard = self.targets.get(key).and_then(|target| target.last_heard);
-        last_heard.is_none_or(|at| at < since)
+        self.heard.get(&key).is_none_or(|at| *at < since)
     }
 
     /// Ends a server's ejection after a response. Returns whether it was ejected.
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -88,8 +88,6 @@
     pub(super) peer_loads: PeerLoads,
     pub(super) report: Option<ReportedLoad>,
     pub(super) ejection: Ejection,
-    /// When this node last received data from it.
-    pub(super) last_heard: Option<Instant>,
     /// Until when it is assumed to be changing its stage.
     pub(super) stage_change_until: Option<Instant>,
     /// Whether it announced that it is leaving; its entry may not show that yet.
@@ -116,7 +114,6 @@
             peer_loads: PeerLoads::default(),
             report: None,
             ejection: Ejection::default(),
-            last_heard: None,
             stage_change_until: None,
             announced_leaving: false,
             backoff_until: None,
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -8,6 +8,7 @@
     TargetInfo, TargetKey,
 };
 use pomeloridge_policy::prompt_cache::PromptPart;
+use yare::parameterized;
 
 const CAPACITY: u64 = 500_000;
 const SEED: u64 = 7;
@@ -431,6 +432,40 @@
     assert!(!dispatcher.is_silent_since(d, sent));
 }
 
+/// Guards against taking an engine for silent that answers other requests, because its entry is
+/// gone or shows another start.
+#[parameterized(
+    removed = { &[] },
+    replaced = { &[2] },
+)]
+fn an_engine_that_is_no_longer_listed_is_heard(starts: &[u64]) {
+    let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
+    let d = key(&dispatcher, "d");
+    let sent = Instant::now();
+    let running = dispatcher.begin(d, 0, None, sent);
+    dispatcher.record_activity(d, sent + Duration::from_millis(5));
+    let list = |start: &u64| TargetInfo {
+        started_unix_ms: *start,
+        ..engine("d", Stage::Decode)
+    };
+    dispatcher.sync(starts.iter().map(list).collect());
+    assert!(!dispatcher.is_silent_since(d, sent));
+    let later = sent + Duration::from_millis(10);
+    assert!(dispatcher.is_silent_since(d, later));
+    // The other start is not the one that works on the request.
+    let listed: Vec<TargetKey> = dispatcher.targets().map(|(key, _)| key).collect();
+    for other in listed {
+        dispatcher.record_activity(other, later);
+    }
+    assert!(dispatcher.is_silent_since(d, later));
+    dispatcher.record_activity(d, later);
+    assert!(!dispatcher.is_silent_since(d, later));
+    // Nothing is kept for it once it has no requests.
+    dispatcher.end(running);
+    dispatcher.sync(starts.iter().map(list).collect());
+    assert!(dispatcher.silence(d, later).is_none());
+}
+
 /// Guards against giving up a silent engine for one that can't take its requests.
 #[test]
 fn an_ejected_engine_takes_no_request_over() {
