Tell copies of a refusal from the answer to the next request

What callers saw: 'not run, try again' (503) for requests that a server had run or was running, and requests that must run once ran at a second server, after a server had written an earlier refusal once more on a kept connection.

Cause: an answer without an attempt id was taken as the answer to the request sent last. A copy that the server writes without the id, or whose original had none, counted as a refusal of a request that the server runs.

An answer without an id is now skipped if the latest refusal on the connection named its request, and a sealed one on any reused connection. A request that must not be repeated takes no idle connection on which its server has refused anything, since a refusal without an id can't be told from its copy. A connection on which an answer was skipped is not used again.

Left: a repeatable request may still be told 'not run' by a copy where the server names no request in any of its refusals.

--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -157,10 +157,21 @@
     /// Value of `TCP_USER_TIMEOUT` at the socket.
     user_timeout: Option<Duration>,
     idle_since: Instant,
+    /// The latest refusal on this connection.
+    last_refusal: Option<RefusalMark>,
     /// Counts the connection until it is closed.
     count: Option<CountGuard>,
 }
 
+/// How a refusal says which request it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalMark {
+    /// It names the request.
+    Named,
+    /// It names no request, so that a copy of it can't be told from a later one.
+    Unnamed,
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         if self.complete {
@@ -203,6 +214,7 @@
             max_user_timeout: options.user_timeout,
             user_timeout: options.user_timeout,
             idle_since: Instant::now(),
+            last_refusal: None,
             count: None,
         })
     }
@@ -227,6 +239,22 @@
         self.complete && self.keep_alive && self.stream.buf.is_empty()
     }
 
+    /// Makes the connection unusable for another request, as the peer sent a response that
+    /// belongs to none.
+    pub fn mark_faulty(&mut self) {
+        self.keep_alive = false;
+    }
+
+    /// Records that the peer refused a request.
+    pub fn record_refusal(&mut self, mark: RefusalMark) {
+        self.last_refusal = Some(mark);
+    }
+
+    /// Returns how the latest refusal on this connection named its request, if there was one.
+    pub fn last_refusal(&self) -> Option<RefusalMark> {
+        self.last_refusal
+    }
+
     /// Returns whether the connection is open and the peer has sent nothing since the last
     /// exchange.
     pub fn is_idle(&self) -> bool {
@@ -295,7 +323,7 @@
             }
             let close = |value: &http::HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
             let headers = &head.headers;
-            self.keep_alive = !headers.get(http::header::CONNECTION).is_some_and(close);
+            self.keep_alive &= !headers.get(http::header::CONNECTION).is_some_and(close);
             self.remaining = match response_framing(head.status, headers)? {
                 Some(remaining) => remaining,
                 None if self.unframed == Unframed::UntilClose => {
--- a/crates/pomeloridge_base/src/http/mod.rs
+++ b/crates/pomeloridge_base/src/http/mod.rs
@@ -10,7 +10,9 @@
 mod message;
 mod server;
 
-pub use client::{ConnectOptions, Connection, HttpResponseHead, OutgoingRequest, Unframed, call};
+pub use client::{
+    ConnectOptions, Connection, HttpResponseHead, OutgoingRequest, RefusalMark, Unframed, call,
+};
 pub use fault::Fault;
 pub use message::{Limits, Request, Response};
 pub use server::{Responder, Server};
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -1,10 +1,10 @@
 //! Sends a request to one server and reads the head of the response.
 
 use std::io::ErrorKind;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use derive_more::Display;
-use pomeloridge_base::http::{Connection, Fault};
+use pomeloridge_base::http::{Connection, Fault, RefusalMark};
 use pomeloridge_policy::dispatch::TargetKey;
 
 use crate::accept::Accepted;
@@ -208,7 +208,7 @@
         return Err(stale_if_reused(is_reused, Failure::after_write(&fault)));
     }
     let head = monoio::select! {
-        head = read_head(state, accepted, &mut connection, deadline) => head,
+        head = read_head(state, accepted, &mut connection, is_reused) => head,
         () = wait_for_silence(state, server, silence_timeout) => Err(Failure::TimedOut),
     };
     let head = head.map_err(|failure| stale_if_reused(is_reused, failure))?;
@@ -220,6 +220,10 @@
     apply_notice(state, accepted, server, head.notice);
     if head.not_run {
         let idle = head.idle;
+        connection.record_refusal(match head.id {
+            Some(_) => RefusalMark::Named,
+            None => RefusalMark::Unnamed,
+        });
         if connection
             .read_body(MAX_SKIPPED_BODY_BYTES, deadline)
             .await
@@ -314,27 +318,46 @@
     state: &State,
     accepted: &Accepted,
     connection: &mut Connection,
-    deadline: Instant,
+    is_reused: bool,
 ) -> Result<ResponseHead, Failure> {
+    let deadline = accepted.deadline;
     for _ in 0..=MAX_SKIPPED_RESPONSES {
         let incoming = connection.read_head(deadline).await;
         let incoming = incoming.map_err(|fault| Failure::after_write(&fault))?;
         let head = (state.ports.server.head)(incoming);
-        let is_own = head.id.as_ref().is_none_or(|id| *id == accepted.inbound.id);
-        if is_own {
+        if is_own(accepted, connection, &head, is_reused) {
             return Ok(head);
         }
         log::info!(
-            "request id={} choice=skip_answer reason=\"response to request {:?}\"",
+            "request id={} choice=skip_answer status={} reason=\"response to request {:?}\"",
             accepted.inbound.label(),
+            head.status.as_u16(),
             head.id
         );
+        connection.mark_faulty();
         let skipped = connection.read_body(MAX_SKIPPED_BODY_BYTES, deadline).await;
         skipped.map_err(|fault| Failure::after_write(&fault))?;
     }
     Err(Failure::InvalidResponse)
 }
 
+/// Returns whether a response belongs to this request rather than to an earlier one on the
+/// connection.
+fn is_own(
+    accepted: &Accepted,
+    connection: &Connection,
+    head: &ResponseHead,
+    is_reused: bool,
+) -> bool {
+    match &head.id {
+        Some(id) => *id == accepted.inbound.id,
+        // The server names the request in its refusals, so this is a copy of an earlier one.
+        None if head.not_run => connection.last_refusal() != Some(RefusalMark::Named),
+        // Servers name the request in what they seal.
+        None => !(is_reused && head.sealed),
+    }
+}
+
 /// Classifies a lost connection as stale if it was reused, as the server may have closed it
 /// before the request was sent.
 fn stale_if_reused(is_reused: bool, failure: Failure) -> Failure {
--- a/crates/pomeloridge_gateway/src/pool.rs
+++ b/crates/pomeloridge_gateway/src/pool.rs
@@ -54,7 +54,8 @@
 /// Requirements on a connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionNeeds {
-    /// Whether an idle connection is only reused within [`MAX_FRESH_IDLE`].
+    /// Whether an idle connection is only reused within [`MAX_FRESH_IDLE`], and if its server
+    /// has refused nothing on it: a copy of that refusal may follow.
     pub(crate) is_fresh: bool,
     /// Number of connections that this node may have to the server.
     pub(crate) max_open: usize,
@@ -116,12 +117,17 @@
     fn take(&self, address: SocketAddr, require_fresh: bool, now: Instant) -> Option<Connection> {
         let mut pool = self.idle.borrow_mut();
         let idle = pool.get_mut(&address)?;
+        if require_fresh {
+            let is_fresh = |idle: &IdleConnection| {
+                idle.connection.idle_time() < MAX_FRESH_IDLE
+                    && idle.connection.last_refusal().is_none()
+            };
+            let fresh = idle.iter().rposition(is_fresh)?;
+            let fresh = idle.remove(fresh);
+            let is_usable = now < fresh.expires_at && fresh.connection.is_idle();
+            return is_usable.then_some(fresh.connection);
+        }
         while let Some(last) = idle.pop() {
-            let is_fresh = last.connection.idle_time() < MAX_FRESH_IDLE;
-            if require_fresh && !is_fresh {
-                idle.push(last);
-                return None;
-            }
             if now < last.expires_at && last.connection.is_idle() {
                 return Some(last.connection);
             }
