Answer 502 where a server's status wrongly guarantees that nothing has run

What callers saw: a 503, which guarantees that the request has not run and will not, for a request that a server had run and then failed with 503, 429 or 408, without its statement that it has not run the request.

Cause: a server's error is passed on as it is once the request may not be sent on, whatever its status means to callers.

Left: nothing known.

--- a/crates/pomeloridge_dev/tests/repeated_refusals.rs
+++ b/crates/pomeloridge_dev/tests/repeated_refusals.rs
@@ -107,3 +107,20 @@
         }
     }
 }
+
+/// Guards against a server's answer after a run that callers take for the guarantee that the
+/// request has not run.
+#[parameterized(
+    call = { "lodge" },
+    stream = { "note" },
+)]
+fn an_unproven_refusal_is_not_passed_on(route: &str) {
+    let fleet = Fleet::start(&format!("unproven-{route}"), 1).unwrap();
+    let answer = block_on(async {
+        wait_until_ready(&fleet).await;
+        let unproven = message(route, "p1").with_header("x-fault", "full");
+        send(fleet.gateways[0].caller, &unproven).await
+    });
+    assert!(!is_not_run(&answer), "{answer:?}");
+    assert_eq!(sent(&fleet, "p1"), 1);
+}
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use http::StatusCode;
 use pomeloridge_base::http::{Connection, Fault, RefusalMark};
 use pomeloridge_policy::dispatch::TargetKey;
 
@@ -233,6 +234,9 @@
         }
         return Err(Failure::Refused);
     }
+    if guarantees_not_run(head.status) {
+        return Err(Failure::ServerError);
+    }
     Ok(Exchange { connection, head })
 }
 
@@ -358,6 +362,17 @@
     }
 }
 
+/// Returns whether callers take a status for the guarantee that their request has not run. A
+/// server gives that guarantee by other means, so its response can't be passed on.
+fn guarantees_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Classifies a lost connection as stale if it was reused, as the server may have closed it
 /// before the request was sent.
 fn stale_if_reused(is_reused: bool, failure: Failure) -> Failure {
