Keep later servers' answers out of a stream that has begun

What callers saw: the text of a server's error in the middle of their stream, which then ended as if it were complete.

The next server's answer must now have the content type of the head that was sent, and its events must have ids; otherwise the server has failed.

Errors, refusals, unsealed answers, parts of events and broken connections were kept out before.

Left: events with ids of another run, and an empty sealed stream of the right type, are taken as the continuation.

--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -7,7 +7,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, StatusCode};
 use pomeloridge_base::http::{Fault, Responder, Response};
 use pomeloridge_base::meter::Timer;
 use pomeloridge_base::refusal::Refusal;
@@ -59,6 +60,8 @@
     /// Head of the first response, until it is forwarded.
     head: Option<(StatusCode, HeaderMap)>,
     head_sent: bool,
+    /// Content type in the forwarded head.
+    content_type: Option<HeaderValue>,
     usage_counted: bool,
     last_event: Option<u64>,
     last_chunk_at: Option<Instant>,
@@ -79,6 +82,7 @@
             accepted,
             head: None,
             head_sent: false,
+            content_type: None,
             usage_counted: false,
             last_event: accepted.inbound.last_event,
             last_chunk_at: None,
@@ -178,6 +182,10 @@
         }
         if self.head.is_none() && !self.head_sent {
             self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
+        } else if self.head_sent
+            && exchanged.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref()
+        {
+            return Err(AttemptError::Server(Failure::InvalidResponse));
         }
         self.forward_response(exchanged, &mut in_flight, responder)
             .await?;
@@ -224,6 +232,7 @@
         let mut events = EventSplitter::default();
         let mut rate = TokenRate::default();
         let is_continuation = self.last_event.is_some();
+        let is_resumed = self.head_sent;
         loop {
             let silence_timeout = self
                 .accepted
@@ -243,7 +252,9 @@
             if !events.push(&chunk) {
                 return Err(AttemptError::Server(Failure::InvalidResponse));
             }
-            let tokens = self.forward_events(&mut events, responder).await?;
+            let tokens = self
+                .forward_events(&mut events, is_resumed, responder)
+                .await?;
             rate.record(tokens, self.state.now());
         }
         if !events.is_empty() {
@@ -261,15 +272,21 @@
     }
 
     /// Forwards the complete events received so far, except those that the caller already has.
-    /// Returns the number of tokens in all of them.
+    /// Returns the number of tokens in all of them. An event without an id is none of a stream
+    /// that another server began.
     async fn forward_events(
         &mut self,
         events: &mut EventSplitter,
+        is_resumed: bool,
         responder: &mut Responder,
     ) -> Result<u64, AttemptError> {
         let mut bytes = Vec::new();
-        let mut tokens = 0;
+        let (mut tokens, mut is_foreign) = (0, false);
         while let Some(event) = events.next_event() {
+            is_foreign = is_resumed && event.id.is_none();
+            if is_foreign {
+                break;
+            }
             tokens += self.tokens_per_event;
             let seen = event.id.zip(self.last_event);
             if seen.is_some_and(|(id, last)| id <= last) {
@@ -278,14 +295,16 @@
             self.last_event = event.id.or(self.last_event);
             bytes.extend_from_slice(&event.bytes);
         }
-        if bytes.is_empty() {
-            return Ok(tokens);
+        if !bytes.is_empty() {
+            self.state.count_work(&self.accepted.service, 0, tokens);
+            self.send_head(responder).await?;
+            self.record_chunk();
+            let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
+            sent.map_err(|_| AttemptError::CallerGone)?;
+        }
+        if is_foreign {
+            return Err(AttemptError::Server(Failure::InvalidResponse));
         }
-        self.state.count_work(&self.accepted.service, 0, tokens);
-        self.send_head(responder).await?;
-        self.record_chunk();
-        let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
-        sent.map_err(|_| AttemptError::CallerGone)?;
         Ok(tokens)
     }
 
@@ -309,6 +328,7 @@
     /// Sends the response head if it has not been sent yet.
     async fn send_head(&mut self, responder: &mut Responder) -> Result<(), AttemptError> {
         if let Some((status, headers)) = self.head.take() {
+            self.content_type = headers.get(CONTENT_TYPE).cloned();
             let sent = responder.start(status, &headers).await;
             sent.map_err(|_| AttemptError::CallerGone)?;
             self.head_sent = true;
