Send the head of the server whose stream follows

What callers saw: the head of one server, with its seal, above the events of another, where the first one had sent its head and no event.

Cause: the first head was kept until an event was forwarded, also when its server had been given up by then.

--- a/crates/pomeloridge_dev/tests/broken_streams.rs
+++ b/crates/pomeloridge_dev/tests/broken_streams.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::http::{ConnectOptions, Connection, OutgoingRequest, Unframed};
-use pomeloridge_dev::launch::{Fleet, block_on};
+use pomeloridge_dev::launch::{Fleet, block_on, get_json};
 use pomeloridge_fleet_standin::caller::{generation, is_ready};
+use serde_json::Value;
 use yare::parameterized;
 
 /// Timeout of conditions and of a whole stream.
@@ -20,6 +21,8 @@
 #[derive(Debug)]
 struct Received {
     status: u16,
+    /// Server that wrote the head.
+    server: String,
     text: String,
     is_complete: bool,
 }
@@ -38,6 +41,8 @@
     let mut connection = Connection::open(gateway.caller, options).await.unwrap();
     connection.send(request, end).await.unwrap();
     let head = connection.read_head(end).await.unwrap();
+    let server = head.headers.get("x-server");
+    let server = server.map_or("", |server| server.to_str().unwrap());
     let mut text = Vec::new();
     let is_complete = loop {
         match connection.read_chunk(end).await {
@@ -48,6 +53,7 @@
     };
     Received {
         status: head.status.as_u16(),
+        server: server.to_owned(),
         text: String::from_utf8(text).unwrap(),
         is_complete,
     }
@@ -59,6 +65,15 @@
     events.collect::<Vec<_>>().concat()
 }
 
+/// Returns the servers that received the request, in order.
+fn servers(fleet: &Fleet, attempt: &str) -> Vec<String> {
+    let history: Value = get_json(fleet.duties, "/-/history").unwrap();
+    let sent = history.as_array().unwrap().iter();
+    let sent = sent.filter(|entry| entry["attempt"] == attempt && entry["path"].is_string());
+    sent.map(|entry| entry["server"].as_str().unwrap().to_owned())
+        .collect()
+}
+
 /// Guards against the text or the head of a later server's answer in a stream that another
 /// server began, and against a stream that ends as complete before its last event.
 #[parameterized(
@@ -85,6 +100,7 @@
         let request = generation("ask", &attempt, 200);
         let request = request.with_header("x-fault", &format!("{first},{next}"));
         let received = block_on(receive(&fleet, &request));
+        let sent = servers(&fleet, &attempt);
         let is_unstarted = matches!(first, "head" | "lost");
         if received.status != 200 {
             // Nothing of a stream was sent yet, so this is an answer of its own.
@@ -92,9 +108,16 @@
             assert!(!NOT_RUN.contains(&received.status), "{first}: {received:?}");
             continue;
         }
-        if is_unstarted && matches!(next, "text" | "not-events") {
-            // A sealed success is a whole answer of its own.
-            continue;
+        if is_unstarted {
+            let streamed = sent.last().unwrap();
+            assert!(
+                received.server.is_empty() || received.server == *streamed,
+                "the head is not of the server that streamed, {first}: {received:?} {sent:?}"
+            );
+            if matches!(next, "text" | "not-events") {
+                // A sealed success is a whole answer of its own.
+                continue;
+            }
         }
         let whole = events(EVENTS);
         assert!(whole.starts_with(&received.text), "{first}: {received:?}");
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -57,7 +57,7 @@
 pub(crate) struct Stream<'a> {
     state: &'a Rc<State>,
     accepted: &'a Accepted,
-    /// Head of the first response, until it is forwarded.
+    /// Head of the response that is being read, until it is forwarded.
     head: Option<(StatusCode, HeaderMap)>,
     head_sent: bool,
     /// Content type in the forwarded head.
@@ -180,11 +180,9 @@
         if !exchanged.head.status.is_success() || !exchanged.head.sealed {
             return Err(AttemptError::Server(Failure::InvalidResponse));
         }
-        if self.head.is_none() && !self.head_sent {
+        if !self.head_sent {
             self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
-        } else if self.head_sent
-            && exchanged.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref()
-        {
+        } else if exchanged.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref() {
             return Err(AttemptError::Server(Failure::InvalidResponse));
         }
         self.forward_response(exchanged, &mut in_flight, responder)
