End a broken stream of events without ids

Events came twice in a resumable stream whose events have no ids: the next server can't tell where to continue, and its stream was forwarded from the start.

--- a/crates/pomeloridge_dev/tests/broken_streams.rs
+++ b/crates/pomeloridge_dev/tests/broken_streams.rs
@@ -12,8 +12,9 @@
 /// Timeout of conditions and of a whole stream.
 const TIMEOUT: Duration = Duration::from_secs(10);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Events of a whole stream.
+/// Events of a whole stream, and those before it breaks off.
 const EVENTS: usize = 8;
+const CUT_AFTER: usize = 3;
 /// Statuses that guarantee that the request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -127,3 +128,15 @@
         );
     }
 }
+
+/// Guards against events that come twice, as another server can't tell where to continue.
+#[test]
+fn a_stream_of_events_without_ids_is_not_continued() {
+    let fleet = Fleet::start("broken-unnumbered", 1).unwrap();
+    let request = generation("ask", "u1", 200).with_header("x-fault", "bare-cut");
+    let received = block_on(receive(&fleet, &request));
+    let sent = (1..=CUT_AFTER).map(|event| format!("data: t{event}\n\n"));
+    let sent = sent.collect::<Vec<_>>().concat();
+    assert_eq!((received.text, received.is_complete), (sent, false));
+    assert_eq!(servers(&fleet, "u1").len(), 1);
+}
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -62,6 +62,8 @@
     head_sent: bool,
     /// Content type in the forwarded head.
     content_type: Option<HeaderValue>,
+    /// Whether an event without an id was forwarded, so that no other server can continue.
+    is_unnumbered: bool,
     usage_counted: bool,
     last_event: Option<u64>,
     last_chunk_at: Option<Instant>,
@@ -83,6 +85,7 @@
             head: None,
             head_sent: false,
             content_type: None,
+            is_unnumbered: false,
             usage_counted: false,
             last_event: accepted.inbound.last_event,
             last_chunk_at: None,
@@ -119,6 +122,13 @@
             if let Err(refusal) = attempts.handle_failure(plan.server, failure).await {
                 return self.final_outcome(refusal, failure);
             }
+            if self.is_unnumbered {
+                log::info!(
+                    "request id={} choice=cut reason=\"the events have no ids\"",
+                    self.accepted.inbound.label()
+                );
+                return StreamOutcome::Truncated(failure);
+            }
         }
     }
 
@@ -290,6 +300,7 @@
             if seen.is_some_and(|(id, last)| id <= last) {
                 continue;
             }
+            self.is_unnumbered |= event.id.is_none();
             self.last_event = event.id.or(self.last_event);
             bytes.extend_from_slice(&event.bytes);
         }
