--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -7,7 +7,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, StatusCode};
 use pomeloridge_base::http::{Fault, Responder, Response};
 use pomeloridge_base::meter::Timer;
 use pomeloridge_base::refusal::Refusal;
@@ -57,9 +58,13 @@
 pub(crate) struct Stream<'a> {
     state: &'a Rc<State>,
     accepted: &'a Accepted,
-    /// Head of the first response, until it is forwarded.
+    /// Head of the response that is being read, until it is forwarded.
     head: Option<(StatusCode, HeaderMap)>,
     head_sent: bool,
+    /// Content type in the forwarded head.
+    content_type: Option<HeaderValue>,
+    /// Whether an event without an id was forwarded, so that no other server can continue.
+    is_unnumbered: bool,
     usage_counted: bool,
     last_event: Option<u64>,
     last_chunk_at: Option<Instant>,
@@ -80,6 +85,8 @@
             accepted,
             head: None,
             head_sent: false,
+            content_type: None,
+            is_unnumbered: false,
             usage_counted: false,
             last_event: accepted.inbound.last_event,
             last_chunk_at: None,
@@ -118,6 +125,13 @@
                 return self.final_outcome(refusal, failure);
             }
             last_failure = failure;
+            if self.is_unnumbered {
+                log::info!(
+                    "request id={} choice=cut reason=\"the events have no ids\"",
+                    self.accepted.inbound.label()
+                );
+                return StreamOutcome::Truncated(failure);
+            }
         }
     }
 
@@ -185,8 +199,10 @@
         if !exchanged.head.status.is_success() || !exchanged.head.sealed {
             return Err(AttemptError::Server(Failure::InvalidResponse));
         }
-        if self.head.is_none() && !self.head_sent {
+        if !self.head_sent {
             self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
+        } else if exchanged.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref() {
+            return Err(AttemptError::Server(Failure::InvalidResponse));
         }
         self.forward_response(exchanged, watch, &mut in_flight, responder)
             .await?;
@@ -236,6 +252,7 @@
         let is_continuation = self.last_event.is_some();
         let gap = self.accepted.route.gap_target.unwrap_or_default();
         watch.timeout = self.accepted.silence_timeout(gap);
+        let is_resumed = self.head_sent;
         loop {
             let chunk = monoio::select! {
                 chunk = connection.read_chunk(self.accepted.deadline) => chunk,
@@ -250,7 +267,9 @@
             if !events.push(&chunk) {
                 return Err(AttemptError::Server(Failure::InvalidResponse));
             }
-            let tokens = self.forward_events(&mut events, responder).await?;
+            let tokens = self
+                .forward_events(&mut events, is_resumed, responder)
+                .await?;
             watch.timeout = self.accepted.stream_silence_timeout();
             rate.record(tokens, self.state.now());
         }
@@ -266,31 +285,40 @@
     }
 
     /// Forwards the complete events received so far, except those that the caller already has.
-    /// Returns the number of tokens in all of them.
+    /// Returns the number of tokens in all of them. An event without an id is none of a stream
+    /// that another server began.
     async fn forward_events(
         &mut self,
         events: &mut EventSplitter,
+        is_resumed: bool,
         responder: &mut Responder,
     ) -> Result<u64, AttemptError> {
         let mut bytes = Vec::new();
-        let mut tokens = 0;
+        let (mut tokens, mut is_foreign) = (0, false);
         while let Some(event) = events.next_event() {
+            is_foreign = is_resumed && event.id.is_none();
+            if is_foreign {
+                break;
+            }
             tokens += self.tokens_per_event;
             let seen = event.id.zip(self.last_event);
             if seen.is_some_and(|(id, last)| id <= last) {
                 continue;
             }
+            self.is_unnumbered |= event.id.is_none();
             self.last_event = event.id.or(self.last_event);
             bytes.extend_from_slice(&event.bytes);
         }
-        if bytes.is_empty() {
-            return Ok(tokens);
+        if !bytes.is_empty() {
+            self.state.count_work(&self.accepted.service, 0, tokens);
+            self.send_head(responder).await?;
+            self.record_chunk();
+            let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
+            sent.map_err(AttemptError::CallerGone)?;
+        }
+        if is_foreign {
+            return Err(AttemptError::Server(Failure::InvalidResponse));
         }
-        self.state.count_work(&self.accepted.service, 0, tokens);
-        self.send_head(responder).await?;
-        self.record_chunk();
-        let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
-        sent.map_err(AttemptError::CallerGone)?;
         Ok(tokens)
     }
 
@@ -314,6 +342,7 @@
     /// Sends the response head if it has not been sent yet.
     async fn send_head(&mut self, responder: &mut Responder) -> Result<(), AttemptError> {
         if let Some((status, headers)) = self.head.take() {
+            self.content_type = headers.get(CONTENT_TYPE).cloned();
             let sent = responder.start(status, &headers).await;
             sent.map_err(AttemptError::CallerGone)?;
             self.head_sent = true;
