Show what a store that comes back from an older copy breaks

- servers_that_leave_after_a_restore_get_no_requests: requests reach a server whose entry was removed 2 s before;
- changes_at_revisions_that_are_given_out_again_are_seen: 401 at all four gateways for a key that was added 4 s before;
- a_fencing_token_has_one_holder_across_a_restore: `{1: {"front-0", "front-2"}}`.

Two more pass, and guard what the fixes could break: servers whose entries are missing for a while, and a leaving server whose entry is ready again.

--- /dev/null
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -0,0 +1,266 @@
+//! Tests of an object store that comes back from an older copy of itself, against gateways as
+//! separate processes on a fake of the fleet's platform.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use pomeloridge_base::http::{OutgoingRequest, call};
+use pomeloridge_dev::launch::{Fleet, RelayMode, block_on, get_json, post_json, put_json};
+use pomeloridge_fleet_standin::caller::{is_ready, request, send_request, with_key};
+use serde_json::{Value, json};
+
+const GATEWAYS: usize = 4;
+const TIMEOUT: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const CALL_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time within which gateways apply a change of the configuration or of the server list,
+/// according to the users' documentation.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+/// Time for which callers ask on after the store is back.
+const WATCHED_TIME: Duration = Duration::from_secs(5);
+/// Writes that raise the store's revision in the part that is lost.
+const LOST_WRITES: u64 = 20;
+/// Age of a copy that holds nothing, in milliseconds.
+const EMPTY_AGE_MS: u64 = 3_600_000;
+
+struct Store {
+    fleet: Fleet,
+    /// Number of the next request.
+    next: u64,
+}
+
+impl Store {
+    fn start(name: &str) -> Self {
+        let fleet = Fleet::start(&format!("era-{name}"), GATEWAYS).unwrap();
+        for gateway in &fleet.gateways {
+            wait_until(|| block_on(is_ready(gateway.ready)));
+        }
+        let next = 0;
+        Self { fleet, next }
+    }
+
+    fn object(&self, key: &str) -> Value {
+        get_json(self.fleet.store, &format!("/-/objects/{key}")).unwrap()["spec"].clone()
+    }
+
+    fn put(&self, key: &str, spec: &Value) {
+        let name = key.split_once('/').unwrap().1;
+        let body = json!({ "metadata": { "name": name }, "spec": spec });
+        put_json(self.fleet.store, &format!("/-/objects/{key}"), &body).unwrap();
+    }
+
+    fn delete(&self, key: &str) {
+        let message = OutgoingRequest::new(Method::DELETE, format!("/-/objects/{key}"));
+        block_on(call(self.fleet.store, &message, CALL_TIMEOUT)).unwrap();
+    }
+
+    /// Raises the store's revision by changes of an entry that mean nothing to gateways.
+    fn raise_revision(&self) {
+        let mut entry = self.object("servers/filings-1");
+        for _ in 0..LOST_WRITES {
+            let next = entry["sequence"].as_u64().unwrap() + 1;
+            entry["sequence"] = next.into();
+            self.put("servers/filings-1", &entry);
+        }
+    }
+
+    /// Brings the store back from a copy and waits until it answers.
+    fn restore(&self, age_ms: u64, rewrite_ms: u64) {
+        let before = self.restored();
+        let plan = json!({ "age_ms": age_ms, "away_ms": 300, "rewrite_ms": rewrite_ms });
+        post_json(self.fleet.duties, "/-/restore", &plan).unwrap();
+        wait_until(|| self.restored() > before);
+    }
+
+    fn restored(&self) -> usize {
+        let history = self.history();
+        let restored = history.iter().filter(|entry| entry["era"].is_u64());
+        restored.count()
+    }
+
+    fn history(&self) -> Vec<Value> {
+        let history = get_json(self.fleet.duties, "/-/history").unwrap();
+        history.as_array().unwrap().clone()
+    }
+
+    /// Adds a key to the configuration.
+    fn add_key(&self, key: &str) {
+        let mut config = self.object("config/main");
+        config["version"] = (config["version"].as_u64().unwrap() + 1).into();
+        let keys = config["tenants"][0]["apiKeys"].as_array_mut().unwrap();
+        keys.push(key.into());
+        post_json(self.fleet.duties, "/-/config", &config).unwrap();
+    }
+
+    /// Sends a read with a key to a gateway; returns the status.
+    fn status(&mut self, gateway: usize, key: &str) -> u16 {
+        self.next += 1;
+        let message = request(Method::GET, "read", &format!("k{}", self.next));
+        status(self.fleet.gateways[gateway].caller, &with_key(message, key))
+    }
+
+    /// Sends reads to all gateways for a time; returns the statuses.
+    fn read_for(&mut self, time: Duration, label: &str) -> Vec<u16> {
+        let end = Instant::now() + time;
+        let mut statuses = Vec::new();
+        while Instant::now() < end {
+            for gateway in &self.fleet.gateways {
+                self.next += 1;
+                let message = request(Method::GET, "read", &format!("{label}-{}", self.next));
+                statuses.push(status(gateway.caller, &message));
+            }
+        }
+        statuses
+    }
+
+    /// Returns how many of the reads with a label reached a server.
+    fn reads_at(&self, server: &str, label: &str) -> usize {
+        let label = format!("{label}-");
+        let is_read = |entry: &&Value| {
+            let attempt = entry["attempt"].as_str().unwrap_or_default();
+            entry["server"] == server && entry["path"].is_string() && attempt.starts_with(&label)
+        };
+        self.history().iter().filter(is_read).count()
+    }
+
+    fn cut_store(&self, mode: RelayMode) {
+        for gateway in &self.fleet.gateways {
+            gateway.store.set(mode);
+        }
+    }
+}
+
+fn status(gateway: SocketAddr, message: &OutgoingRequest) -> u16 {
+    let (answer, _) = block_on(send_request(gateway, None, message)).unwrap();
+    answer.status.as_u16()
+}
+
+fn wait_until(mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < end, "the condition was not met in time");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Guards against gateways that take the server list of a restored store for an older one, and
+/// go on sending to servers that have left since.
+#[test]
+fn servers_that_leave_after_a_restore_get_no_requests() {
+    let mut store = Store::start("leave");
+    let started = Instant::now();
+    store.raise_revision();
+    std::thread::sleep(APPLY_TIME);
+    let age = started.elapsed() + POLL_INTERVAL;
+    store.restore(age.as_millis() as u64, 500);
+    std::thread::sleep(APPLY_TIME);
+    store.delete("servers/filings-0");
+    std::thread::sleep(APPLY_TIME);
+    let statuses = store.read_for(APPLY_TIME, "left");
+    assert!(statuses.iter().all(|status| *status == 200));
+    assert_eq!(store.reads_at("filings-0", "left"), 0);
+}
+
+/// Guards against watches that go on from a revision that a restored store has given out again,
+/// and so miss the changes before it.
+#[test]
+fn changes_at_revisions_that_are_given_out_again_are_seen() {
+    let mut store = Store::start("again");
+    let started = Instant::now();
+    store.raise_revision();
+    std::thread::sleep(APPLY_TIME);
+    store.cut_store(RelayMode::Cut);
+    let age = started.elapsed() + POLL_INTERVAL;
+    store.restore(age.as_millis() as u64, 60_000);
+    store.add_key("key-of-the-new-era");
+    store.delete("servers/filings-0");
+    store.raise_revision();
+    store.raise_revision();
+    store.cut_store(RelayMode::Pass);
+    std::thread::sleep(APPLY_TIME * 2);
+    let statuses: Vec<u16> = (0..GATEWAYS)
+        .map(|gateway| store.status(gateway, "key-of-the-new-era"))
+        .collect();
+    assert_eq!(statuses, [200; GATEWAYS]);
+    store.read_for(APPLY_TIME, "again");
+    assert_eq!(store.reads_at("filings-0", "again"), 0);
+}
+
+/// Guards against a lease whose number is given out again once the store has lost the lease: the
+/// platform and the servers could not tell the two holders' calls apart.
+#[test]
+fn a_fencing_token_has_one_holder_across_a_restore() {
+    let mut store = Store::start("fence");
+    let duty_calls = |store: &Store| {
+        let history = store.history();
+        let calls = history
+            .into_iter()
+            .filter(|entry| entry["call"].is_string());
+        calls.collect::<Vec<Value>>()
+    };
+    store.read_for(APPLY_TIME, "before");
+    wait_until(|| !duty_calls(&store).is_empty());
+    let first = duty_calls(&store)[0]["holder"].as_str().unwrap().to_owned();
+    let index: usize = first.rsplit('-').next().unwrap().parse().unwrap();
+    store.fleet.gateways[index].store.set(RelayMode::Cut);
+    store.restore(EMPTY_AGE_MS, 500);
+    wait_until(|| {
+        store.read_for(POLL_INTERVAL, "after");
+        let calls = duty_calls(&store);
+        calls.iter().any(|call| call["holder"] != first.as_str())
+    });
+    store.fleet.gateways[index].store.set(RelayMode::Pass);
+    store.read_for(WATCHED_TIME, "later");
+    let mut holders: BTreeMap<u64, BTreeSet<String>> = BTreeMap::new();
+    let mut reported: BTreeMap<u64, Vec<Value>> = BTreeMap::new();
+    let mut fences = Vec::new();
+    for call in duty_calls(&store) {
+        let fence = call["fence"].as_str().unwrap().parse().unwrap();
+        let holder = call["holder"].as_str().unwrap().to_owned();
+        holders.entry(fence).or_default().insert(holder);
+        fences.push(fence);
+        if let Some(window) = call["body"]["windowIndex"].as_u64() {
+            let counts = reported.entry(window).or_default();
+            counts.push(call["body"]["counts"].clone());
+            counts.dedup();
+        }
+    }
+    assert!(holders.values().all(|of| of.len() == 1), "{holders:?}");
+    assert!(fences.is_sorted(), "{fences:?}");
+    assert!(reported.values().all(|counts| counts.len() == 1));
+}
+
+/// Guards against gateways that lose the servers whose entries a restored store lacks.
+#[test]
+fn requests_are_served_while_entries_are_missing_after_a_restore() {
+    let mut store = Store::start("missing");
+    store.raise_revision();
+    std::thread::sleep(APPLY_TIME);
+    store.restore(EMPTY_AGE_MS, 1500);
+    let statuses = store.read_for(WATCHED_TIME, "kept");
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    for server in ["filings-0", "filings-1"] {
+        assert!(store.reads_at(server, "kept") > 0, "{server} got nothing");
+    }
+}
+
+/// Guards against gateways that send to a server again because a restored store has lost that it
+/// is leaving.
+#[test]
+fn a_leaving_server_gets_no_requests_from_a_restored_entry() {
+    let mut store = Store::start("leaving");
+    std::thread::sleep(POLL_INTERVAL);
+    let started = Instant::now();
+    let mut entry = store.object("servers/filings-0");
+    entry["state"] = "draining".into();
+    store.put("servers/filings-0", &entry);
+    store.raise_revision();
+    std::thread::sleep(APPLY_TIME);
+    let age = started.elapsed();
+    store.restore(age.as_millis() as u64, 1500);
+    let statuses = store.read_for(WATCHED_TIME, "stays");
+    assert!(statuses.iter().all(|status| *status == 200));
+    assert_eq!(store.reads_at("filings-0", "stays"), 0);
+}
