Follow a store that is back from an older copy

Callers saw requests sent to servers that had left, and 401 for keys that had been added, after the store was back from an older copy: a restored store gives out revisions again, and gateways took a revision for the same state, or a lower one for an older state, of a store that loses nothing. Watches went on from a revision that meant another state, and lists with a lower revision than the highest seen were ignored for good.

The client reads the era from all responses and keeps it in the high bits of each revision, so that lists, changes and watches compare by era first, at nodes that watch and at those that hear from peers; the datagrams stay as they are. A watch or a conditional write from a revision of an earlier era counts as too old or as a conflict.

A restored list is not the truth yet. Servers without an entry are kept for the grace time, at all nodes, and an entry that would bring back a server that has left or restarted is withheld until it is written again or the grace time is over.

Left: a node that starts in the new era knows no server that the copy has wrongly, and sends to it until the server has written its entry again.

--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -43,7 +43,7 @@
     /// Hashes of the engines that the duty holder has ordered to change their stage.
     #[prost(fixed32, repeated, tag = "10")]
     pub(super) changing: Vec<u32>,
-    /// Revision of the server list; 0 until it has been read.
+    /// Revision of the server list with its era; 0 until the list has been read.
     #[prost(uint64, tag = "11")]
     pub(super) servers: u64,
     /// Time since the object service last answered the sender's watches, in milliseconds.
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -235,9 +235,20 @@
 
 /// Replaces the server list by one read from the object service or a peer.
 pub(crate) fn replace_server_list(state: &State, revision: Revision, objects: &[Object]) {
+    let known = state.server_list.borrow().revision();
     if !state.server_list.borrow_mut().replace(revision, objects) {
         return;
     }
+    // The list may come from a peer that has noticed the new era first.
+    state.store.record_era(revision.era());
+    if known.is_some_and(|known| known.era() < revision.era()) {
+        log::warn!(
+            "servers revision={revision} choice=keep_missing reason=\"the store is back from an \
+             older copy\""
+        );
+        let mut registry = state.server_registry.borrow_mut();
+        registry.store_restored(state.now());
+    }
     if !state.server_list_loaded.get() {
         // A node that has just started cannot tell whether entries expired in an outage before.
         state
@@ -365,11 +376,20 @@
     }
 }
 
-/// Removes servers whose entries are still missing after the grace time.
+/// Removes servers whose entries are still missing after the grace time, and accepts those that
+/// a restored service lists as they were.
 fn remove_expired(state: &State) {
-    let expired = state.server_registry.borrow_mut().expire(state.now());
+    let mut registry = state.server_registry.borrow_mut();
+    let accepted = registry.accept_withheld(state.now());
+    let expired = registry.expire(state.now());
+    drop(registry);
+    if !accepted.is_empty() {
+        log::info!("servers choice=update restored={accepted:?}");
+    }
     if !expired.is_empty() {
         log::info!("servers choice=remove lapsed={expired:?}");
+    }
+    if !accepted.is_empty() || !expired.is_empty() {
         state.sync_servers();
     }
 }
--- a/crates/pomeloridge_gateway/tests/server_list.rs
+++ b/crates/pomeloridge_gateway/tests/server_list.rs
@@ -1,6 +1,6 @@
 //! Tests of the server list that nodes pass on to one another.
 
-use pomeloridge_base::id::Revision;
+use pomeloridge_base::id::{Era, Revision};
 use pomeloridge_gateway::{ApplyOutcome, ServerList, ServerListDelta};
 use pomeloridge_platform::{Event, Object};
 use serde_json::{Value, json};
@@ -77,3 +77,23 @@
     assert!(!list.replace(Revision(4), &[]));
     assert_eq!(keys(&list), ["servers/a"]);
 }
+
+/// Guards against nodes that take the list of a restored service for an older one.
+#[test]
+fn list_of_a_later_era_replaces_one_of_a_higher_number() {
+    let mut list = list();
+    let restored = |number| Revision::in_era(Era(2), number);
+    let change = ServerListDelta {
+        from: restored(2),
+        to: restored(3),
+        events: vec![],
+    };
+    assert_eq!(list.apply(&change).0, ApplyOutcome::Gap);
+    assert!(list.replace(restored(2), &[]));
+    assert_eq!(list.apply(&change).0, ApplyOutcome::Applied);
+    // A peer that has not noticed the restore yet sends changes of the earlier era.
+    let earlier = delta(5, 9, vec![event("servers/c", 9, Some(json!(3)))]);
+    assert_eq!(list.apply(&earlier).1.len(), 0);
+    assert_eq!(list.revision(), Some(restored(3)));
+    assert_eq!(keys(&list), Vec::<String>::new());
+}
--- a/crates/pomeloridge_gateway/tests/server_registry.rs
+++ b/crates/pomeloridge_gateway/tests/server_registry.rs
@@ -137,3 +137,81 @@
     };
     assert!(registry.upsert(name, leaving));
 }
+
+fn leaving(id: &str) -> (Name, TargetInfo) {
+    let (name, info) = server(id);
+    let leaving = true;
+    (name, TargetInfo { leaving, ..info })
+}
+
+fn restarted(id: &str) -> (Name, TargetInfo) {
+    let (name, info) = server(id);
+    let started_unix_ms = 2;
+    (
+        name,
+        TargetInfo {
+            started_unix_ms,
+            ..info
+        },
+    )
+}
+
+/// Returns a registry of a server that stays, one that leaves and one that has been removed.
+fn before_restore(now: Instant) -> ServerRegistry {
+    let mut registry = ServerRegistry::default();
+    registry.replace(vec![server("i-1"), leaving("i-2"), server("i-3")], now);
+    registry.remove(&Name::from("i-3"), now);
+    registry
+}
+
+fn is_leaving(registry: &ServerRegistry, id: &str) -> bool {
+    let mut servers = registry.servers();
+    servers.any(|info| info.id.as_str() == id && info.leaving)
+}
+
+/// Guards against servers that come back because a restored service lists them as they were.
+#[test]
+fn restored_list_brings_no_server_back() {
+    let now = Instant::now();
+    let mut registry = before_restore(now);
+    registry.store_restored(now);
+    registry.replace(vec![server("i-1"), server("i-2"), server("i-3")], now);
+    assert_eq!(ids(&registry), ["i-1", "i-2"]);
+    assert!(is_leaving(&registry, "i-2"));
+    // A peer had no outage, but its list has lost the same entries.
+    registry.end_grace(now);
+    assert_eq!(registry.accept_withheld(now), Vec::<Name>::new());
+    let (name, info) = leaving("i-2");
+    registry.upsert(name, info);
+    registry.remove(&Name::from("i-3"), now);
+    let end = now + Duration::from_secs(3);
+    assert!(registry.accept_withheld(end).is_empty());
+    assert!(registry.expire(end).is_empty());
+    assert_eq!(ids(&registry), ["i-1", "i-2"]);
+    assert!(is_leaving(&registry, "i-2"));
+}
+
+#[test]
+fn restored_list_stands_after_the_grace_time() {
+    let now = Instant::now();
+    let mut registry = before_restore(now);
+    registry.store_restored(now);
+    registry.replace(vec![server("i-2"), server("i-3")], now);
+    assert_eq!(ids(&registry), ["i-1", "i-2"]);
+    let end = now + Duration::from_secs(3);
+    assert_eq!(registry.accept_withheld(end).len(), 2);
+    assert_eq!(registry.expire(end), [Name::from("i-1")]);
+    assert_eq!(ids(&registry), ["i-2", "i-3"]);
+    assert!(!is_leaving(&registry, "i-2"));
+}
+
+#[test]
+fn restored_list_does_not_undo_a_restart() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.replace(vec![restarted("i-1")], now);
+    registry.store_restored(now);
+    registry.replace(vec![server("i-1"), restarted("i-2")], now);
+    let mut servers = registry.servers();
+    assert!(servers.all(|info| info.started_unix_ms == 2));
+}
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -1,22 +1,27 @@
 //! Calls to the platform, each on a new connection and with a deadline.
 //!
+//! The object service may be restored from an older copy of itself, which begins a new era. It
+//! then gives out again the revisions that it has lost. The client adds the era of each response
+//! to the revisions in it, so that they compare as in a service that loses nothing.
+//!
 //! On a new connection it is certain whether any byte of a call was written, and the
 //! connection cannot have died unnoticed while idle.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::clock::SharedClock;
 use pomeloridge_base::http::{ConnectOptions, Connection, OutgoingRequest, Response};
-use pomeloridge_base::id::Revision;
+use pomeloridge_base::id::{Era, Revision};
 use serde_json::Value;
 
 use crate::call_counts::{CallCounts, CallKind};
 use crate::codec::{ObjectCodec, decode};
 use crate::error::PlatformError;
 use crate::fleet::{BackendServer, Vm};
-use crate::object::{Changes, Expect, Object};
+use crate::object::{Changes, Event, Expect, Object};
 use crate::order::OrderStatus;
 use crate::wire::{OrdersWire, ServersWire, VmsWire, convert_list};
 
@@ -26,7 +31,7 @@
 /// Called after each call with its kind and duration.
 pub type CallObserver = Rc<dyn Fn(CallKind, Duration)>;
 
-/// Client of the platform; clones share the call counts.
+/// Client of the platform; clones share the call counts and the era.
 #[derive(Clone)]
 pub struct Client {
     address: SocketAddr,
@@ -35,6 +40,8 @@
     counts: Rc<CallCounts>,
     codec: ObjectCodec,
     observer: Option<CallObserver>,
+    /// Highest era of the object service that is known; `None` before the first.
+    era: Rc<Cell<Option<Era>>>,
 }
 
 impl Client {
@@ -57,6 +64,7 @@
             clock,
             counts: Rc::default(),
             observer: None,
+            era: Rc::default(),
         }
     }
 
@@ -93,11 +101,41 @@
         &self.counts
     }
 
+    /// Returns the highest era of the object service that is known.
+    pub fn era(&self) -> Era {
+        self.era.get().unwrap_or_default()
+    }
+
+    /// Records an era of the object service that a response or another node has named.
+    pub fn record_era(&self, era: Era) {
+        let (era, known) = (era.min(Era::MAX), self.era.get());
+        if known.is_some_and(|known| known >= era) {
+            return;
+        }
+        self.era.set(Some(era));
+        if let Some(before) = known {
+            log::warn!(
+                "store era={era} before={before} choice=read_again reason=\"the service is back \
+                 from an older copy\""
+            );
+        }
+    }
+
+    /// Returns the era of a response. One that names none counts as of the known era.
+    fn era_of(&self, response: &Response) -> Era {
+        let named = (self.codec.era)(response);
+        named.map_or_else(|| self.era(), |era| era.min(Era::MAX))
+    }
+
     /// Reads an object; `None` if there is none.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         let request = (self.codec.get)(check_key(key)?);
         let response = self.call(CallKind::Get, request).await;
-        match response.and_then(|response| (self.codec.object)(key, &response)) {
+        let decode = |response| {
+            let object = (self.codec.object)(key, &response)?;
+            Ok(in_era(object, self.era_of(&response)))
+        };
+        match response.and_then(decode) {
             Ok(object) => Ok(Some(object)),
             Err(PlatformError::NotFound) => Ok(None),
             Err(error) => Err(error),
@@ -122,23 +160,46 @@
         expect: Expect,
         allowed: impl FnOnce() -> bool,
     ) -> Result<Revision, PlatformError> {
+        let expect = self.expect_on_wire(expect)?;
         let request = (self.codec.put)(check_key(key)?, value, expect);
         let response = self
             .write(CallKind::Put, request, self.timeout, allowed)
             .await?;
-        (self.codec.version)(&response)
+        self.written_version(&response)
+    }
+
+    /// Returns the precondition as the service knows it. A version of an earlier era holds no
+    /// more, but the service may have given out its number again.
+    fn expect_on_wire(&self, expect: Expect) -> Result<Expect, PlatformError> {
+        match expect {
+            Expect::Version(version) if version.era() < self.era() => {
+                Err(PlatformError::Conflict {
+                    current: Revision::default(),
+                })
+            }
+            Expect::Version(version) => Ok(Expect::Version(Revision(version.number()))),
+            Expect::Any | Expect::Absent => Ok(expect),
+        }
+    }
+
+    fn written_version(&self, response: &Response) -> Result<Revision, PlatformError> {
+        let version = (self.codec.version)(response)?;
+        Ok(Revision::in_era(self.era_of(response), version.0))
     }
 
     /// Deletes an object if `expect` holds, and returns the revision of the deletion.
     pub async fn delete(&self, key: &str, expect: Expect) -> Result<Revision, PlatformError> {
+        let expect = self.expect_on_wire(expect)?;
         let request = (self.codec.delete)(check_key(key)?, expect);
         let response = self
             .write(CallKind::Delete, request, self.timeout, || true)
             .await?;
-        (self.codec.version)(&response)
+        self.written_version(&response)
     }
 
     /// Reads all objects under a prefix, with the revision at which they were read.
+    ///
+    /// Begins again if the service is restored between two pages.
     pub async fn list(&self, prefix: &str) -> Result<(Revision, Vec<Object>), PlatformError> {
         let prefix = check_key(prefix)?;
         let mut objects = Vec::new();
@@ -148,9 +209,15 @@
             let request = (self.codec.list)(prefix, next.as_deref());
             let response = self.call(CallKind::List, request).await?;
             let page = (self.codec.page)(prefix, &response)?;
-            objects.extend(page.objects);
+            let era = self.era_of(&response);
+            let read_at = Revision::in_era(era, page.revision.0);
             // A watch from the first page's revision reports changes made during the listing.
-            let revision = *first.get_or_insert(page.revision);
+            let revision = *first.get_or_insert(read_at);
+            if revision.era() != era {
+                (objects, first, next) = (Vec::new(), None, None);
+                continue;
+            }
+            objects.extend(page.objects.into_iter().map(|object| in_era(object, era)));
             next = page.next;
             if next.is_none() {
                 return Ok((revision, objects));
@@ -159,6 +226,9 @@
     }
 
     /// Waits up to `wait` for changes under a prefix after a revision.
+    ///
+    /// A revision of an earlier era is too old, even if the service has given out its number
+    /// again.
     pub async fn watch(
         &self,
         prefix: &str,
@@ -166,10 +236,25 @@
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
         let prefix = check_key(prefix)?;
-        let request = (self.codec.watch)(prefix, after, wait);
+        if after.era() < self.era() {
+            return Err(PlatformError::TooOld);
+        }
+        let request = (self.codec.watch)(prefix, Revision(after.number()), wait);
         let deadline = Instant::now() + wait + self.timeout;
         let response = self.call_until(CallKind::Watch, request, deadline).await?;
-        (self.codec.changes)(prefix, &response)
+        let era = self.era_of(&response);
+        if era != after.era() {
+            return Err(PlatformError::TooOld);
+        }
+        let changes = (self.codec.changes)(prefix, &response)?;
+        let events = changes.events.into_iter().map(|event| Event {
+            version: Revision::in_era(era, event.version.0),
+            ..event
+        });
+        Ok(Changes {
+            revision: Revision::in_era(era, changes.revision.0),
+            events: events.collect(),
+        })
     }
 
     /// Lists the VMs; the platform's list lags behind.
@@ -246,7 +331,18 @@
         if let Some(observer) = &self.observer {
             observer(kind, started.elapsed());
         }
-        (self.codec.check)(response?)
+        let response = response?;
+        if let Some(era) = (self.codec.era)(&response) {
+            self.record_era(era);
+        }
+        (self.codec.check)(response)
+    }
+}
+
+fn in_era(object: Object, era: Era) -> Object {
+    Object {
+        version: Revision::in_era(era, object.version.0),
+        ..object
     }
 }
 
--- a/crates/pomeloridge_platform/src/codec.rs
+++ b/crates/pomeloridge_platform/src/codec.rs
@@ -1,13 +1,14 @@
 //! Codecs for an object service: encode calls as requests and decode responses.
 //!
-//! The client handles connections, deadlines and authority. A codec only translates, so
-//! that leases, intents and seals work on any platform.
+//! The client handles connections, deadlines, eras and authority. A codec only translates, so
+//! that leases, intents and seals work on any platform. Its revisions are those on the wire,
+//! without the era.
 
 use std::time::Duration;
 
 use http::{Method, StatusCode};
 use pomeloridge_base::http::{Fault, OutgoingRequest, Response};
-use pomeloridge_base::id::Revision;
+use pomeloridge_base::id::{Era, Revision};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -39,6 +40,8 @@
     pub list: fn(&str, Option<&str>) -> OutgoingRequest,
     /// Encodes a wait for changes under a prefix.
     pub watch: fn(&str, Revision, Duration) -> OutgoingRequest,
+    /// Decodes the era of the service that sent a response; `None` if it names none.
+    pub era: fn(&Response) -> Option<Era>,
     /// Converts the status of a failed response into an error.
     pub check: fn(Response) -> Result<Response, PlatformError>,
     /// Decodes an object; the key is that of the call.
@@ -69,6 +72,7 @@
                     "/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}"
                 ))
             },
+            era: |_| None,
             check: check_response,
             object: |_, response| Ok(decode::<ObjectWire>(response)?.into()),
             version: |response| Ok(decode::<VersionWire>(response)?.version),
--- a/crates/pomeloridge_platform/tests/client.rs
+++ b/crates/pomeloridge_platform/tests/client.rs
@@ -7,7 +7,7 @@
 
 use pomeloridge_base::clock::ManualClock;
 use pomeloridge_base::http::Response;
-use pomeloridge_base::id::Revision;
+use pomeloridge_base::id::{Era, Revision};
 use pomeloridge_platform::{CallKind, Client, Expect, PlatformError, ServerKind, ServerState};
 use serde_json::json;
 use support::{Loss, client, run};
@@ -63,6 +63,51 @@
     });
 }
 
+/// Guards against a revision that a restored service gives out again and that is taken for the
+/// one before.
+#[test]
+fn revisions_of_a_restored_service_are_newer() {
+    run(async |fake, address| {
+        fake.era.set(1);
+        let client = client(address, &clock());
+        let empty = fake.copy();
+        let first = client.put("servers/a", &json!(1), Expect::Absent).await;
+        let (listed, _) = client.list("servers/").await.unwrap();
+        assert_eq!((first.unwrap(), client.era()), (listed, Era(1)));
+        fake.restore(&empty);
+        let wait = Duration::from_millis(1);
+        let watched = client.watch("servers/", listed, wait).await;
+        assert!(matches!(watched, Err(PlatformError::TooOld)), "{watched:?}");
+        assert_eq!(client.era(), Era(2));
+        let again = client.put("servers/b", &json!(2), Expect::Absent).await;
+        let again = again.unwrap();
+        assert_eq!(again.number(), listed.number());
+        assert!(again > listed);
+        // The object is at the same number by accident only.
+        let other = json!(3);
+        let replaced = client.put("servers/b", &other, Expect::Version(listed));
+        let replaced = replaced.await;
+        assert!(matches!(replaced, Err(PlatformError::Conflict { .. })));
+        assert_eq!(fake.value("servers/b"), json!(2));
+        let found = client.get("servers/b").await.unwrap().unwrap();
+        assert_eq!(found.version, again);
+        let watched = client.watch("servers/", again, wait).await.unwrap();
+        assert_eq!(watched.revision, again);
+    });
+}
+
+#[test]
+fn a_response_without_an_era_counts_as_of_the_known_one() {
+    run(async |fake, address| {
+        fake.era.set(3);
+        let client = client(address, &clock());
+        client.put("k", &json!(1), Expect::Any).await.unwrap();
+        fake.era.set(0);
+        let found = client.get("k").await.unwrap().unwrap();
+        assert_eq!(found.version.era(), Era(3));
+    });
+}
+
 #[test]
 fn a_refused_connection_sends_nothing() {
     run(async |_fake, _address| {
--- a/crates/pomeloridge_platform/tests/support/mod.rs
+++ b/crates/pomeloridge_platform/tests/support/mod.rs
@@ -11,9 +11,9 @@
 
 use pomeloridge_base::clock::ManualClock;
 use pomeloridge_base::http::{Limits, Request, Responder, Response, Server};
-use pomeloridge_base::id::{Incarnation, Name, Revision};
+use pomeloridge_base::id::{Era, Incarnation, Name, Revision};
 use pomeloridge_platform::lease::LeaseConfig;
-use pomeloridge_platform::{Client, LeaseManager};
+use pomeloridge_platform::{Client, LeaseManager, ObjectCodec};
 use serde_json::{Value, json};
 
 /// Long enough that call deadlines, which are fractions of it in real time, never pass.
@@ -44,10 +44,22 @@
     Closed,
 }
 
+/// Header of the responses that names the era.
+const ERA: &str = "era";
+
+/// A copy of the objects.
+#[derive(Clone, Debug, Default)]
+pub struct Copied {
+    objects: BTreeMap<String, (u64, Value)>,
+    revision: u64,
+}
+
 #[derive(Default)]
 pub struct Fake {
     pub objects: RefCell<BTreeMap<String, (u64, Value)>>,
     pub revision: Cell<u64>,
+    /// Era that all responses name; 0 if they name none.
+    pub era: Cell<u64>,
     pub outage: Cell<bool>,
     pub loss: Cell<Option<Loss>>,
     pub lose_reads: Cell<u32>,
@@ -88,7 +100,7 @@
                     shared.wait_for(Gate::Open).await;
                 }
                 if let Some(response) = response {
-                    let _ = responder.send(response).await;
+                    let _ = responder.send(shared.in_era(response)).await;
                 }
             },
             stopping: || false,
@@ -132,6 +144,28 @@
         Revision(version)
     }
 
+    /// Returns a copy of the objects.
+    pub fn copy(&self) -> Copied {
+        Copied {
+            objects: self.objects.borrow().clone(),
+            revision: self.revision.get(),
+        }
+    }
+
+    /// Comes back from a copy, in a new era.
+    pub fn restore(&self, copy: &Copied) {
+        *self.objects.borrow_mut() = copy.objects.clone();
+        self.revision.set(copy.revision);
+        self.era.set(self.era.get() + 1);
+    }
+
+    fn in_era(&self, response: Response) -> Response {
+        match self.era.get() {
+            0 => response,
+            era => response.with_header(ERA, &era.to_string()),
+        }
+    }
+
     fn close_gate(&self) -> bool {
         let armed = self.gate.get() == Gate::Armed;
         if armed {
@@ -247,7 +281,20 @@
 }
 
 pub fn client(address: SocketAddr, clock: &Rc<ManualClock>) -> Client {
-    Client::new(address, CALL_TIME, Rc::clone(clock) as _)
+    let codec = ObjectCodec {
+        era: |response| {
+            response
+                .headers
+                .get(ERA)?
+                .to_str()
+                .ok()?
+                .parse()
+                .ok()
+                .map(Era)
+        },
+        ..ObjectCodec::native()
+    };
+    Client::with_codec(address, CALL_TIME, Rc::clone(clock) as _, codec)
 }
 
 pub fn config(holder: &str) -> LeaseConfig {
