Wait for the fake's entries before the tests of restored stores begin

Once, with two of the tests at a time, changes_at_revisions_that_are_given_out_again_are_seen ended with a 404 of the fake store for an object, which the copy did not hold: the copy is said to be 50 ms older than the test's start. Gateways can be ready before the fake's servers have registered; that this was the cause is not shown by a run. The test now begins 200 ms after the objects are there.

--- a/crates/pomeloridge_dev/tests/store_era.rs
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -37,14 +37,21 @@
         for gateway in &fleet.gateways {
             wait_until(|| block_on(is_ready(gateway.ready)));
         }
-        let next = 0;
-        Self { fleet, next }
+        let store = Self { fleet, next: 0 };
+        wait_until(|| store.has("config/main") && store.has("servers/filings-1"));
+        // Copies that are said to be younger than the test hold the entries and the configuration.
+        std::thread::sleep(POLL_INTERVAL * 4);
+        store
     }
 
     fn object(&self, key: &str) -> Value {
         get_json(self.fleet.store, &format!("/-/objects/{key}")).unwrap()["spec"].clone()
     }
 
+    fn has(&self, key: &str) -> bool {
+        get_json(self.fleet.store, &format!("/-/objects/{key}")).is_ok()
+    }
+
     fn put(&self, key: &str, spec: &Value) {
         let name = key.split_once('/').unwrap().1;
         let body = json!({ "metadata": { "name": name }, "spec": spec });
@@ -251,7 +258,6 @@
 #[test]
 fn a_leaving_server_gets_no_requests_from_a_restored_entry() {
     let mut store = Store::start("leaving");
-    std::thread::sleep(POLL_INTERVAL);
     let started = Instant::now();
     let mut entry = store.object("servers/filings-0");
     entry["state"] = "draining".into();
