Keep one holder to a fencing token when the store has lost the lease

Two nodes made calls with one fencing token: the store was back from an older copy, without the lease or with an earlier one, and a node counted on from what it found, while the holder still had authority; or a former holder found its own lease again and resumed it.

What a restored store holds says nothing about who held the lease last. A lease whose epoch is of another era is neither resumed nor renewed, and a write that the store answers in another era than the lease's grants nothing, as it may have replaced another lease whose version was given out again. Others wait for a term and the margin from when they first see the era. The last holder takes the lease again at once while it has authority: nobody else can have taken it, as all others wait longer. The epoch of an acquisition follows from the version that it replaces, era first, so that no two acquisitions get the same and none a lower one, even where a late write of an earlier era erases one. Without eras, epochs count from 1 as before. A holder whose object was gone renewed it in vain until its process ended, as a 404 was an error; it is now taken as a lost lease.

A missing lease is taken at once only if no era was lost: era 0 or 1, and none before it seen.

--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -42,6 +42,8 @@
     observer: Option<CallObserver>,
     /// Highest era of the object service that is known; `None` before the first.
     era: Rc<Cell<Option<Era>>>,
+    /// Whether the era has risen since the first one.
+    has_risen: Rc<Cell<bool>>,
 }
 
 impl Client {
@@ -65,6 +67,7 @@
             counts: Rc::default(),
             observer: None,
             era: Rc::default(),
+            has_risen: Rc::default(),
         }
     }
 
@@ -106,6 +109,11 @@
         self.era.get().unwrap_or_default()
     }
 
+    /// Returns whether the object service may have lost changes since it first started.
+    pub fn may_lack_objects(&self) -> bool {
+        self.has_risen.get() || self.era().is_restored()
+    }
+
     /// Records an era of the object service that a response or another node has named.
     pub fn record_era(&self, era: Era) {
         let (era, known) = (era.min(Era::MAX), self.era.get());
@@ -114,6 +122,7 @@
         }
         self.era.set(Some(era));
         if let Some(before) = known {
+            self.has_risen.set(true);
             log::warn!(
                 "store era={era} before={before} choice=read_again reason=\"the service is back \
                  from an older copy\""
--- a/crates/pomeloridge_platform/src/lease.rs
+++ b/crates/pomeloridge_platform/src/lease.rs
@@ -3,11 +3,17 @@
 //! Clocks are not compared between VMs. A holder measures its term on its own clock.
 //! Another node takes the lease over once the object has stayed at the same version for
 //! the term plus a margin, on that node's own clock.
+//!
+//! A service that is restored from an older copy may have lost any write of a lease, so what it
+//! holds says nothing about who held the lease last. That holder's authority counts from a write
+//! before the restore. Another node therefore waits for a term and a margin from when it first
+//! sees the new era, and writes an epoch of that era, higher than all before. The holder itself
+//! need not wait while it has authority, as no other node can have taken the lease meanwhile.
 
 use std::time::Duration;
 
 use pomeloridge_base::clock::Stamp;
-use pomeloridge_base::id::{Epoch, Incarnation, Name};
+use pomeloridge_base::id::{Epoch, Era, Incarnation, Name, Revision};
 
 /// A lease is renewed once 1/N of its term has passed.
 const RENEWALS_PER_TERM: u32 = 3;
@@ -19,7 +25,7 @@
     pub holder: Name,
     /// Incarnation of that node.
     pub incarnation: Incarnation,
-    /// Number of acquisitions so far; also the fencing token of the holder's writes.
+    /// Rises with each acquisition; also the fencing token of the holder's writes.
     pub epoch: Epoch,
     /// Time for which a renewal is valid.
     pub term: Duration,
@@ -50,7 +56,7 @@
     /// It may have been deleted while the lease was held, so a term must be waited for.
     #[default]
     Deleted,
-    /// The lease was never held: the service loses no objects and nobody deletes leases.
+    /// The lease was never held, unless a restored service has lost it: nobody deletes leases.
     NeverHeld,
 }
 
@@ -115,12 +121,32 @@
     is_free || unchanged_for >= term.saturating_add(config.margin)
 }
 
+/// Returns whether a lease that was read is not the last one, as the service was restored since
+/// it was acquired.
+pub fn is_outdated(lease: &Lease, version: Revision) -> bool {
+    lease.epoch.era() != version.era()
+}
+
+/// Returns whether a lease that a restored service has lost or holds as it was may be taken over,
+/// once the service has been seen in its era for `seen_for`.
+pub fn may_take_lost(lease: Option<&Lease>, config: &LeaseConfig, seen_for: Duration) -> bool {
+    let term = lease.map_or(config.term, |lease| lease.term.max(config.term));
+    seen_for >= term.saturating_add(config.margin)
+}
+
 /// Returns whether a lease last renewed `elapsed` ago must be renewed.
 pub fn is_renewal_due(elapsed: Duration, term: Duration) -> bool {
     elapsed >= term / RENEWALS_PER_TERM
 }
 
-/// Returns the epoch of the next acquisition, given the highest epoch that this node has seen.
-pub fn next_epoch(highest: Epoch) -> Epoch {
-    Epoch(highest.0 + 1)
+/// Returns the epoch of the next acquisition, given the highest epoch that this node has seen and
+/// the version of the lease that it replaces.
+///
+/// In a service with eras it follows from that version, which only one write can replace.
+pub fn next_epoch(highest: Epoch, replaced: Revision) -> Epoch {
+    let next = highest.0 + 1;
+    match replaced.era() {
+        Era(0) => Epoch(next),
+        _ => Epoch(next.max(replaced.0 + 1)),
+    }
 }
--- a/crates/pomeloridge_platform/src/lease_manager.rs
+++ b/crates/pomeloridge_platform/src/lease_manager.rs
@@ -10,7 +10,8 @@
 use crate::confirmed_put::{PutOutcome, new_nonce};
 use crate::error::PlatformError;
 use crate::lease::{
-    Lease, LeaseConfig, Ownership, SentWrite, is_renewal_due, may_take, next_epoch, ownership,
+    Lease, LeaseConfig, MissingLease, Ownership, SentWrite, is_outdated, is_renewal_due, may_take,
+    may_take_lost, next_epoch, ownership,
 };
 use crate::object::{Expect, Object};
 use crate::observation::Observation;
@@ -140,13 +141,22 @@
         if self.held.is_some() {
             return Ok(());
         }
-        // A missing object counts as version 0.
-        self.observe(found.as_ref().map(|object| object.version));
+        // A missing object counts as version 0 of the era.
+        let missing = Revision::in_era(self.client.era(), 0);
+        let version = found.as_ref().map_or(missing, |object| object.version);
+        self.observation.record(version, self.client.clock().now());
         let unchanged_for = self.observation.unchanged_for(self.client.clock().now());
-        if !may_take(lease.as_ref(), &self.config, unchanged_for) {
+        let is_allowed = if self.is_lost(lease.as_ref(), version) {
+            let is_last_holder =
+                self.authority.holds() && self.authority.epoch().era() < version.era();
+            is_last_holder || may_take_lost(lease.as_ref(), &self.config, unchanged_for)
+        } else {
+            may_take(lease.as_ref(), &self.config, unchanged_for)
+        };
+        if !is_allowed {
             return Ok(());
         }
-        let epoch = next_epoch(self.highest);
+        let epoch = next_epoch(self.highest, version);
         let old_term = lease.as_ref().map_or(self.config.term, |lease| lease.term);
         log::info!(
             "lease duty={} epoch={epoch} choice=take from={:?} seen_ms={} term_ms={}",
@@ -160,6 +170,17 @@
             .await
     }
 
+    /// Returns whether the service may have lost the last writes of the lease.
+    fn is_lost(&self, lease: Option<&Lease>, version: Revision) -> bool {
+        match lease {
+            Some(lease) => is_outdated(lease, version),
+            None => {
+                self.config.when_missing == MissingLease::NeverHeld
+                    && self.client.may_lack_objects()
+            }
+        }
+    }
+
     /// Writes this node's lease and applies the outcome.
     async fn write_own(
         &mut self,
@@ -175,12 +196,20 @@
             stamp,
             old_term,
         });
-        match self.write(&lease, expect).await? {
+        let outcome = match self.write(&lease, expect).await {
+            Err(PlatformError::NotFound) => PutOutcome::Conflict(None),
+            outcome => outcome?,
+        };
+        match outcome {
+            PutOutcome::Written(version) if is_outdated(&lease, version) => self.drop_outdated(),
             PutOutcome::Written(version) => self.hold(version, lease, Some(stamp), old_term),
             PutOutcome::Conflict(Some(object)) | PutOutcome::Unconfirmed(Some(object)) => {
                 self.apply(&object)?;
             }
             // The object is missing or could not be read; the next step reads it again.
+            PutOutcome::Conflict(None) if self.client.era() > lease.epoch.era() => {
+                self.drop_outdated();
+            }
             PutOutcome::Conflict(None) => self.lose("the lease object is gone"),
             PutOutcome::Unconfirmed(None) => {}
         }
@@ -197,6 +226,10 @@
     fn apply(&mut self, object: &Object) -> Result<Option<Lease>, PlatformError> {
         let lease = Lease::from(parse::<LeaseRecord>(&object.value)?);
         self.highest = self.highest.max(lease.epoch);
+        if is_outdated(&lease, object.version) {
+            self.drop_outdated();
+            return Ok(Some(lease));
+        }
         match ownership(&lease, &self.config, &self.sent) {
             Ownership::Own(sent) => {
                 let old_term = sent.as_ref().map_or(lease.term, |sent| sent.old_term);
@@ -233,14 +266,29 @@
     }
 
     fn lose(&mut self, reason: &str) {
-        if let Some(held) = self.held.take() {
+        // Without the lease, this node may still have authority from before a restore.
+        if self.held.take().is_some() || self.authority.holds() {
             self.authority.end();
             let duty = &self.config.duty;
-            let epoch = held.lease.epoch;
+            let epoch = self.authority.epoch();
             log::info!("lease duty={duty} epoch={epoch} choice=stop reason={reason:?}");
         }
     }
 
+    /// Gives up a lease that a restored service no longer has as it was. Authority lasts until its
+    /// term ends, as no other node can take the lease before.
+    fn drop_outdated(&mut self) {
+        if let Some(held) = self.held.take() {
+            let duty = &self.config.duty;
+            log::info!(
+                "lease duty={duty} epoch={} choice=take_again left_ms={} reason=\"the object \
+                 service is back from an older copy\"",
+                held.lease.epoch,
+                self.authority.left().as_millis()
+            );
+        }
+    }
+
     /// Logs the first of several consecutive failures, and the recovery.
     fn log_failures(&mut self, error: Option<&PlatformError>) {
         let duty = &self.config.duty;
@@ -251,9 +299,4 @@
         }
         self.is_failing = error.is_some();
     }
-
-    fn observe(&mut self, version: Option<Revision>) {
-        let version = version.unwrap_or_default();
-        self.observation.record(version, self.client.clock().now());
-    }
 }
--- a/crates/pomeloridge_platform/tests/lease.rs
+++ b/crates/pomeloridge_platform/tests/lease.rs
@@ -1,9 +1,10 @@
 //! A lease has at most one holder at a time, even if writes are lost or late and nodes are
-//! suspended.
+//! suspended, and even if the object service is restored from an older copy.
 
 mod support;
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -214,6 +215,93 @@
     });
 }
 
+/// Guards against a fencing token that two holders get, as the service has lost the lease of the
+/// first.
+#[test]
+fn a_lost_lease_is_taken_after_a_term_and_with_a_higher_epoch() {
+    run(async |fake, address| {
+        fake.era.set(1);
+        let mut a = Node::eager(&fake, address, "a", 1);
+        let mut b = Node::eager(&fake, address, "b", 1);
+        let empty = fake.copy();
+        a.lease.step().await;
+        assert!(a.holds(), "a lease that was never held is free");
+        fake.restore(&empty);
+        b.lease.step().await;
+        fake.advance((TERM + MARGIN).saturating_sub(SLICE));
+        b.lease.step().await;
+        assert!(!a.holds() && !b.holds());
+        fake.advance(SLICE);
+        b.lease.step().await;
+        assert!(b.holds());
+        assert!(b.epoch() > a.epoch());
+        a.lease.step().await;
+        assert!(!a.holds());
+    });
+}
+
+#[test]
+fn the_last_holder_takes_a_lost_lease_again_at_once() {
+    run(async |fake, address| {
+        fake.era.set(1);
+        let mut a = Node::eager(&fake, address, "a", 1);
+        let empty = fake.copy();
+        a.lease.step().await;
+        let (first, permit) = (a.epoch(), a.lease.authority().permit().unwrap());
+        for _ in 0..2 {
+            fake.restore(&empty);
+            fake.advance(TERM / 3);
+            a.lease.step().await;
+            a.lease.step().await;
+            assert_eq!(a.lease.authority().left(), TERM);
+        }
+        assert!(a.epoch() > first);
+        assert!(!permit.allowed(), "the earlier tenure has ended");
+    });
+}
+
+/// Guards against a holder that takes an object of a new era for its own, because its version was
+/// given out again.
+#[test]
+fn a_renewal_that_replaces_another_lease_by_accident_holds_nothing() {
+    run(async |fake, address| {
+        fake.era.set(1);
+        let mut a = Node::eager(&fake, address, "a", 1);
+        let mut b = Node::eager(&fake, address, "b", 1);
+        let empty = fake.copy();
+        a.lease.step().await;
+        fake.restore(&empty);
+        b.lease.step().await;
+        a.clock.suspend(TERM);
+        b.clock.advance(TERM + MARGIN);
+        b.lease.step().await;
+        assert!(b.holds());
+        a.lease.step().await;
+        assert!(!a.holds(), "the lease is at the version of the former one");
+    });
+}
+
+/// Guards against the copy of a lease that was released or renewed in the lost part.
+#[test]
+fn a_lease_of_an_earlier_era_is_not_resumed() {
+    run(async |fake, address| {
+        fake.era.set(1);
+        let mut a = Node::eager(&fake, address, "a", 1);
+        let mut b = Node::eager(&fake, address, "b", 1);
+        a.lease.step().await;
+        let copy = fake.copy();
+        a.lease.release().await;
+        b.lease.step().await;
+        assert!(b.holds());
+        fake.restore(&copy);
+        a.lease.step().await;
+        assert!(b.holds() && !a.holds());
+        fake.advance(TERM);
+        a.lease.step().await;
+        assert!(!a.holds());
+    });
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Op {
     Step(usize),
@@ -227,11 +315,31 @@
     Overtake(usize, u64),
     Deliver,
     Outage(bool),
+    /// The platform copies its objects.
+    Copy,
+    /// The platform is restored from the last copy.
+    Restore,
+    /// A node starts anew, without memory.
+    Restart(usize),
 }
 
 fn ops() -> impl Strategy<Value = Vec<Op>> {
-    let loss = prop_oneof![Just(Loss::Response), Just(Loss::Write), Just(Loss::Late)];
+    prop::collection::vec(op(), 10..60)
+}
+
+fn ops_with_restores() -> impl Strategy<Value = Vec<Op>> {
     let op = prop_oneof![
+        20 => op(),
+        1 => Just(Op::Copy),
+        2 => Just(Op::Restore),
+        1 => (0..2usize).prop_map(Op::Restart),
+    ];
+    prop::collection::vec(op, 10..60)
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let loss = prop_oneof![Just(Loss::Response), Just(Loss::Write), Just(Loss::Late)];
+    prop_oneof![
         6 => (0..2usize).prop_map(Op::Step),
         1 => (0..2usize).prop_map(Op::Release),
         5 => (1..90u64).prop_map(Op::Advance),
@@ -242,8 +350,7 @@
         3 => (0..2usize, 0..95u64).prop_map(|(node, by)| Op::Overtake(node, by)),
         1 => Just(Op::Deliver),
         1 => any::<bool>().prop_map(Op::Outage),
-    ];
-    prop::collection::vec(op, 10..60)
+    ]
 }
 
 /// Runs a schedule. Each advance of the clocks advances the second node's clock by another
@@ -271,6 +378,44 @@
     })
 }
 
+/// Runs a schedule with restores of the platform.
+fn schedule_with_restores(ops: &[Op]) -> Result<(), TestCaseError> {
+    run(async |fake, address| {
+        fake.era.set(1);
+        let start = |index: usize, start| Node::eager(&fake, address, ["a", "b"][index], start);
+        let mut nodes = [start(0, 1), start(1, 1)];
+        let mut starts = 1;
+        let mut copy = fake.copy();
+        let mut holders: BTreeMap<u64, usize> = BTreeMap::new();
+        for op in ops {
+            match op {
+                Op::Copy => copy = fake.copy(),
+                Op::Restore => fake.restore(&copy),
+                Op::Restart(node) => {
+                    starts += 1;
+                    nodes[*node] = start(*node, starts);
+                }
+                op => apply(op, &fake, &mut nodes, 0).await,
+            }
+            let [a, b] = &nodes;
+            prop_assert!(!(a.holds() && b.holds()), "two holders after {op:?}");
+            for (index, node) in nodes.iter().enumerate() {
+                if !node.holds() {
+                    continue;
+                }
+                let holder = *holders.entry(node.epoch()).or_insert(index);
+                prop_assert!(holder == index, "one epoch, two holders after {op:?}");
+                let highest = holders.last_key_value().map(|(epoch, _)| *epoch);
+                prop_assert!(
+                    highest == Some(node.epoch()),
+                    "the epoch decreased after {op:?}"
+                );
+            }
+        }
+        Ok(())
+    })
+}
+
 async fn apply(op: &Op, fake: &Fake, nodes: &mut [Node; 2], drift: u32) {
     let secs = Duration::from_secs;
     match *op {
@@ -299,20 +444,24 @@
         }
         Op::Deliver => fake.deliver(),
         Op::Outage(outage) => fake.outage.set(outage),
+        Op::Copy | Op::Restore | Op::Restart(_) => {}
     }
 }
 
 fn schedules(drift: u32) -> Result<(), String> {
+    runner(200)
+        .run(&ops(), |ops| schedule(&ops, drift))
+        .map_err(|error| error.to_string())
+}
+
+fn runner(cases: u32) -> TestRunner {
     println!("seed {SEED:#x}");
-    let config = Config {
-        cases: 200,
+    TestRunner::new(Config {
+        cases,
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(SEED),
         ..Config::default()
-    };
-    TestRunner::new(config)
-        .run(&ops(), |ops| schedule(&ops, drift))
-        .map_err(|error| error.to_string())
+    })
 }
 
 #[test]
@@ -325,3 +474,10 @@
     let error = schedules(2).unwrap_err();
     assert!(error.contains("two holders"), "{error}");
 }
+
+/// Guards against two holders, or two with one fencing token, once the service has lost leases.
+#[test]
+fn no_schedule_with_restores_leads_to_two_holders() {
+    let outcome = runner(1000).run(&ops_with_restores(), |ops| schedule_with_restores(&ops));
+    outcome.unwrap();
+}
--- a/crates/pomeloridge_platform/tests/support/mod.rs
+++ b/crates/pomeloridge_platform/tests/support/mod.rs
@@ -317,9 +317,23 @@
 
 impl Node {
     pub fn new(fake: &Fake, address: SocketAddr, name: &str) -> Self {
+        Self::with_config(fake, address, config(name))
+    }
+
+    /// Creates an incarnation of a node that takes a missing lease at once, as gateways do.
+    pub fn eager(fake: &Fake, address: SocketAddr, name: &str, incarnation: u64) -> Self {
+        let config = LeaseConfig {
+            incarnation: Incarnation(incarnation),
+            when_missing: pomeloridge_platform::lease::MissingLease::NeverHeld,
+            ..config(name)
+        };
+        Self::with_config(fake, address, config)
+    }
+
+    fn with_config(fake: &Fake, address: SocketAddr, config: LeaseConfig) -> Self {
         let clock = fake.clock();
         let client = client(address, &clock);
-        let lease = LeaseManager::new(&client, config(name));
+        let lease = LeaseManager::new(&client, config);
         Self {
             clock,
             client,
