Report a window with one count when the store has lost its seal

A window that was sealed and reported could be sealed again with other counts, as the store was back from an older copy without the seal: the platform got two reports of one window that differ.

The holder keeps the seals that it has confirmed, writes them again, and reports only their counts. A window that another holder may have sealed in the lost part is reported only with a seal of the present era; else it is skipped, with a line in the log. Another holder may have sealed it if it ended long enough before the new era was seen, unless this node has had authority since before then without a break, which lasts through a restore if it takes the lease again at once. A seal holds the epoch of its holder: one of another era may be a late write that landed after the restore, and counts only if its counts are the same.

Left: windows in doubt are missed, at most those that ended in the seconds before the restore; peers are not told the counts of seals.

--- a/crates/pomeloridge/src/serve/store.rs
+++ b/crates/pomeloridge/src/serve/store.rs
@@ -129,6 +129,7 @@
         | PlatformError::Outage
         | PlatformError::Stale
         | PlatformError::Differs
+        | PlatformError::InDoubt
         | PlatformError::TooOld
         | PlatformError::Lapsed => ErrorKind::PlatformDown,
     }
--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -10,13 +10,13 @@
 
 use pomeloridge_base::id::{Incarnation, Name};
 use pomeloridge_platform::lease::{LeaseConfig, MissingLease};
-use pomeloridge_platform::usage::{Seal, UsageCounts, seal};
+use pomeloridge_platform::usage::{Seal, UsageCounts, find_seal, seal};
 use pomeloridge_platform::{Authority, LeaseManager, PlatformError};
 use serde_json::Value;
 
 use crate::ports::UsageReport;
 use crate::state::State;
-use crate::usage::EndedWindow;
+use crate::usage::{EndedWindow, WINDOWS_KEPT};
 use crate::{peers, scale_duty, stage_duty};
 
 /// Interval between lease checks while this node holds the lease.
@@ -78,6 +78,7 @@
 /// Reports each usage window after its end, while this node holds the duties.
 async fn report_usage(state: Rc<State>, authority: Authority) {
     let mut reported = BTreeSet::new();
+    let mut seals = BTreeMap::new();
     let mut epoch = None;
     loop {
         monoio::time::sleep(USAGE_INTERVAL).await;
@@ -89,13 +90,24 @@
         }
         let current = state.usage_window_at(state.now());
         for index in current.saturating_sub(WINDOWS_CHECKED)..current {
-            if reported.contains(&index) || !is_window_reportable(&state, index) {
+            if reported.contains(&index) {
                 continue;
             }
-            match report(&state, &authority, index).await {
+            let Some(window) = ended_window(&state, index) else {
+                continue;
+            };
+            let now = state.now();
+            if !window.is_reportable(state.peers.borrow().usage_times(index), now) {
+                continue;
+            }
+            match report(&state, &authority, index, window, &mut seals).await {
                 Ok(()) => {
                     reported.insert(index);
                 }
+                Err(error @ PlatformError::InDoubt) => {
+                    log::warn!("usage window={index} outcome=skipped reason=\"{error}\"");
+                    reported.insert(index);
+                }
                 Err(error) => {
                     log::warn!("usage window={index} outcome=failed reason=\"{error}\"");
                     break;
@@ -105,31 +117,36 @@
     }
 }
 
-/// Returns whether a window may be reported now.
-fn is_window_reportable(state: &State, index: u64) -> bool {
+/// Returns a window if it has ended.
+fn ended_window(state: &State, index: u64) -> Option<EndedWindow> {
     let now = state.now();
     let now_ms = state.fleet_clock.borrow().unix_ms(now);
     let report_deadline = state.settings().time("usage", "late_s");
-    let window = EndedWindow::new(index, state.usage_window, report_deadline, now, now_ms);
-    window.is_some_and(|window| window.is_reportable(state.peers.borrow().usage_times(index), now))
+    EndedWindow::new(index, state.usage_window, report_deadline, now, now_ms)
 }
 
-/// Seals a window's counts and reports them.
-async fn report(state: &State, authority: &Authority, window: u64) -> Result<(), PlatformError> {
+/// Seals a window's counts and reports them. `seals` are those that this node has confirmed; a
+/// window's counts stay the same even if the object service has lost its seal.
+async fn report(
+    state: &State,
+    authority: &Authority,
+    window: u64,
+    ended: EndedWindow,
+    seals: &mut BTreeMap<u64, Seal>,
+) -> Result<(), PlatformError> {
     let permit = authority.permit().ok_or(PlatformError::Lapsed)?;
-    let total = state.usage.borrow().total(window);
-    let accounts: BTreeMap<Name, UsageCounts> = total
-        .into_iter()
-        .map(|(account, requests)| {
-            let counts = UsageCounts {
-                requests,
-                ..UsageCounts::default()
-            };
-            (account, counts)
-        })
-        .collect();
-    let sealed = Seal::new(window.to_string(), &accounts, Value::Null)?;
-    let sealed = seal(&state.store, &permit, sealed).await?;
+    let (lost_before, held_since) = (state.store.lost_before(), authority.held_since());
+    let sealed = match seals.get(&window) {
+        Some(known) => seal(&state.store, &permit, known.clone()).await?,
+        None if ended.may_lack_seal(lost_before, held_since) => {
+            find_seal(&state.store, &permit, &window.to_string()).await?
+        }
+        None => seal(&state.store, &permit, counted(state, window)?).await?,
+    };
+    seals.insert(window, sealed.clone());
+    while seals.len() as u64 > WINDOWS_KEPT {
+        seals.pop_first();
+    }
     let counts = sealed.counts()?.into_iter();
     let report = UsageReport {
         window,
@@ -147,3 +164,19 @@
     log::info!("usage window={window} outcome=reported requests={requests} epoch={epoch}");
     Ok(())
 }
+
+/// Returns the seal of a window with the counts that this node knows.
+fn counted(state: &State, window: u64) -> Result<Seal, PlatformError> {
+    let total = state.usage.borrow().total(window);
+    let accounts: BTreeMap<Name, UsageCounts> = total
+        .into_iter()
+        .map(|(account, requests)| {
+            let counts = UsageCounts {
+                requests,
+                ..UsageCounts::default()
+            };
+            (account, counts)
+        })
+        .collect();
+    Seal::new(window.to_string(), &accounts, Value::Null)
+}
--- a/crates/pomeloridge_gateway/src/usage.rs
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -17,6 +17,8 @@
 /// Time before a window's report deadline from which it is reported without the counts of
 /// silent nodes.
 const FINAL_REPORT_MARGIN: Duration = Duration::from_millis(2500);
+/// Difference allowed between two nodes' estimates of the time of day.
+const CLOCK_MARGIN: Duration = Duration::from_secs(1);
 
 /// Times of a peer's messages that decide whether a window is reportable.
 #[derive(Clone, Copy, Debug, Default)]
@@ -72,6 +74,17 @@
     }
 }
 
+impl EndedWindow {
+    /// Returns whether another node may have sealed the window and the object service may have
+    /// lost the seal. The service may lack what was written before `lost_before`; this node alone
+    /// may have sealed windows since `held_since`.
+    pub fn may_lack_seal(&self, lost_before: Option<Instant>, held_since: Option<Instant>) -> bool {
+        let sealed_from = self.end + SETTLE_TIME;
+        let may_be_lost = lost_before.is_some_and(|lost| sealed_from < lost + CLOCK_MARGIN);
+        may_be_lost && held_since.is_none_or(|held| sealed_from < held + CLOCK_MARGIN)
+    }
+}
+
 /// The source of counts: one incarnation of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UsageSource {
--- a/crates/pomeloridge_gateway/tests/usage.rs
+++ b/crates/pomeloridge_gateway/tests/usage.rs
@@ -128,3 +128,26 @@
     assert_eq!(time.observe(&Name::from("e"), 1_005_000, now), None);
     assert_eq!(time.unix_ms(now), 1_000_000);
 }
+
+/// Guards against a second report of a window, with other counts, whose seal the object service
+/// has lost. Times are in seconds; the window ends at 10 and is sealed from 12 on.
+#[parameterized(
+    never_restored = { None, Some(20), false },
+    may_be_lost = { Some(15), Some(20), true },
+    may_be_lost_without_authority = { Some(15), None, true },
+    sealed_by_this_node_only = { Some(15), Some(5), false },
+    holder_before_may_have_sealed = { Some(15), Some(12), true },
+    sealed_later = { Some(10), Some(20), false },
+    clocks_may_differ = { Some(12), Some(20), true },
+)]
+fn window_may_lack_its_seal(lost_before: Option<u64>, held_since: Option<u64>, expected: bool) {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let window = EndedWindow {
+        start: at(5),
+        end: at(10),
+        report_deadline: Duration::from_secs(10),
+    };
+    let may_lack = window.may_lack_seal(lost_before.map(at), held_since.map(at));
+    assert_eq!(may_lack, expected);
+}
--- a/crates/pomeloridge_platform/src/authority.rs
+++ b/crates/pomeloridge_platform/src/authority.rs
@@ -39,6 +39,8 @@
     old_term: Duration,
     /// When this tenure began.
     taken_at: Instant,
+    /// Since when this node has had authority, in this tenure and those directly before.
+    held_since: Instant,
 }
 
 /// This node's authority over one duty; clones share it.
@@ -89,6 +91,12 @@
             .unwrap_or_default()
     }
 
+    /// Returns since when this node has had authority without a break; `None` without authority.
+    pub fn held_since(&self) -> Option<Instant> {
+        let grant = self.grant.get().filter(|_| self.holds())?;
+        Some(grant.held_since)
+    }
+
     /// Returns a permit to act in the current tenure; `None` without authority.
     pub fn permit(&self) -> Option<Permit> {
         self.holds().then(|| Permit {
@@ -113,16 +121,20 @@
     /// `stamp` must have been taken before the call that renewed the lease was sent.
     pub(crate) fn grant(&self, epoch: Epoch, stamp: Stamp, term: Duration, old_term: Duration) {
         let current = self.grant.get().filter(|grant| grant.epoch == epoch);
+        let now = self.clock.now();
         let initial = Grant {
             epoch,
             stamp: None,
             term,
             old_term,
-            taken_at: self.clock.now(),
+            taken_at: now,
+            held_since: self.held_since().unwrap_or(now),
         };
+        let held_since = initial.held_since;
         self.grant.set(Some(Grant {
             stamp: Some(stamp),
             term,
+            held_since,
             ..current.unwrap_or(initial)
         }));
     }
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -42,8 +42,8 @@
     observer: Option<CallObserver>,
     /// Highest era of the object service that is known; `None` before the first.
     era: Rc<Cell<Option<Era>>>,
-    /// Whether the era has risen since the first one.
-    has_risen: Rc<Cell<bool>>,
+    /// When the era was first seen, if the service may have lost changes before.
+    lost_before: Rc<Cell<Option<Instant>>>,
 }
 
 impl Client {
@@ -67,7 +67,7 @@
             counts: Rc::default(),
             observer: None,
             era: Rc::default(),
-            has_risen: Rc::default(),
+            lost_before: Rc::default(),
         }
     }
 
@@ -109,9 +109,10 @@
         self.era.get().unwrap_or_default()
     }
 
-    /// Returns whether the object service may have lost changes since it first started.
-    pub fn may_lack_objects(&self) -> bool {
-        self.has_risen.get() || self.era().is_restored()
+    /// Returns the time before which the object service may have lost changes, `None` if it was
+    /// never restored. The restore itself may have been earlier.
+    pub fn lost_before(&self) -> Option<Instant> {
+        self.lost_before.get()
     }
 
     /// Records an era of the object service that a response or another node has named.
@@ -121,8 +122,10 @@
             return;
         }
         self.era.set(Some(era));
+        if known.is_some() || era.is_restored() {
+            self.lost_before.set(Some(self.clock.now()));
+        }
         if let Some(before) = known {
-            self.has_risen.set(true);
             log::warn!(
                 "store era={era} before={before} choice=read_again reason=\"the service is back \
                  from an older copy\""
--- a/crates/pomeloridge_platform/src/error.rs
+++ b/crates/pomeloridge_platform/src/error.rs
@@ -24,6 +24,8 @@
     Stale,
     /// the usage window was already reported with different counts
     Differs,
+    /// the usage window may have been reported with counts that the platform has lost
+    InDoubt,
     /// the watch starts at a revision that the platform no longer stores
     TooOld,
     /// the platform refused the request with status {0}
--- a/crates/pomeloridge_platform/src/lease_manager.rs
+++ b/crates/pomeloridge_platform/src/lease_manager.rs
@@ -176,7 +176,7 @@
             Some(lease) => is_outdated(lease, version),
             None => {
                 self.config.when_missing == MissingLease::NeverHeld
-                    && self.client.may_lack_objects()
+                    && self.client.lost_before().is_some()
             }
         }
     }
--- a/crates/pomeloridge_platform/src/records.rs
+++ b/crates/pomeloridge_platform/src/records.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pomeloridge_base::id::{Epoch, Incarnation, Name};
+use pomeloridge_base::id::{Epoch, Era, Incarnation, Name};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -88,18 +88,27 @@
     accounts: Value,
     #[serde(default)]
     included: Value,
+    /// Epoch of the holder that sealed the window.
+    #[serde(default)]
+    epoch: Epoch,
     nonce: String,
 }
 
 impl SealRecord {
-    pub(crate) fn new(seal: &Seal, nonce: String) -> Self {
+    pub(crate) fn new(seal: &Seal, epoch: Epoch, nonce: String) -> Self {
         Self {
             accounts: seal.accounts.clone(),
             included: seal.included.clone(),
+            epoch,
             nonce,
         }
     }
 
+    /// Returns whether the window was sealed in an era of the object service.
+    pub(crate) fn is_of(&self, era: Era) -> bool {
+        self.epoch.era() == era
+    }
+
     pub(crate) fn into_seal(self, window: &str) -> Seal {
         Seal {
             window: window.to_owned(),
--- a/crates/pomeloridge_platform/src/usage.rs
+++ b/crates/pomeloridge_platform/src/usage.rs
@@ -1,9 +1,13 @@
 //! Usage windows: each is sealed once and reported only with the sealed counts.
+//!
+//! An object service that is restored from an older copy may have lost a seal whose counts were
+//! reported. A window that may have been sealed in an earlier era is therefore reported only by a
+//! node that knows the counts of its seal, or with a seal of the present era.
 
 use std::collections::BTreeMap;
 
 use pomeloridge_base::http::OutgoingRequest;
-use pomeloridge_base::id::Name;
+use pomeloridge_base::id::{Era, Name};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -73,21 +77,34 @@
 
 /// Seals a window and returns the seal in force, which is the earlier one if there is one.
 ///
-/// After an error, including [`PlatformError::Unconfirmed`], the window must not be
-/// reported yet; the call may be repeated.
+/// A window that may have been sealed in an earlier era must be sealed with the counts of that
+/// seal. After an error, including [`PlatformError::Unconfirmed`], the window must not be
+/// reported yet; the call may be repeated, except after [`PlatformError::InDoubt`].
 pub async fn seal(client: &Client, permit: &Permit, seal: Seal) -> Result<Seal, PlatformError> {
+    let era = permit.epoch().era();
     let key = format!("{USAGE_PREFIX}{}", seal.window);
-    let value = encode(&SealRecord::new(&seal, new_nonce()))?;
-    let put = client.put_confirmed_if(&key, value, Expect::Absent, || permit.allowed());
-    match put.await? {
+    let value = encode(&SealRecord::new(&seal, permit.epoch(), new_nonce()))?;
+    let allowed = || permit.allowed() && client.era() <= era;
+    match client
+        .put_confirmed_if(&key, value, Expect::Absent, allowed)
+        .await?
+    {
+        // The service was restored meanwhile, so this is not the only seal.
+        PutOutcome::Written(version) if version.era() != era => Err(PlatformError::Lapsed),
         PutOutcome::Written(_) => {
             log::info!("usage window={} choice=seal", seal.window);
             Ok(seal)
         }
         // The object never changes, so the one found is the seal.
         PutOutcome::Conflict(Some(object)) | PutOutcome::Unconfirmed(Some(object)) => {
+            let found = read_seal_of(&object, era);
+            if matches!(found, Err(PlatformError::InDoubt))
+                && read_seal(&object)?.accounts == seal.accounts
+            {
+                return Ok(seal);
+            }
             log::info!("usage window={} choice=keep_earlier_seal", seal.window);
-            read_seal(&object)
+            found
         }
         PutOutcome::Conflict(None) => Err(PlatformError::NotFound),
         PutOutcome::Unconfirmed(None) => Err(PlatformError::Unconfirmed(
@@ -96,6 +113,27 @@
     }
 }
 
+/// Reads the seal of a window that may have been sealed in an earlier era by another node.
+///
+/// Fails with [`PlatformError::InDoubt`] unless it was sealed in the era of the permit.
+pub async fn find_seal(
+    client: &Client,
+    permit: &Permit,
+    window: &str,
+) -> Result<Seal, PlatformError> {
+    let found = client.get(&format!("{USAGE_PREFIX}{window}")).await?;
+    let object = found.ok_or(PlatformError::InDoubt)?;
+    read_seal_of(&object, permit.epoch().era())
+}
+
+/// Decodes a seal, if it was written in this era by a holder of this era.
+fn read_seal_of(object: &Object, era: Era) -> Result<Seal, PlatformError> {
+    if object.version.era() != era || !parse::<SealRecord>(&object.value)?.is_of(era) {
+        return Err(PlatformError::InDoubt);
+    }
+    read_seal(object)
+}
+
 /// Reads all sealed windows.
 pub async fn read_seals(client: &Client) -> Result<Vec<Seal>, PlatformError> {
     let (_, objects) = client.list(USAGE_PREFIX).await?;
