Write node objects again when the store has lost them

After the store was back from an older copy, a node's object stayed lost until the node quarantined another request: nodes that started did not find it, requests that it had quarantined were forgotten by a fleet that restarts, and peers dropped a silent node although it may only be cut off.

Each node reads the node objects again once the era has risen, within a second at random, and writes its own again if the copy lacks it, has an earlier incarnation's, or lacks quarantined requests. A peer whose object was lost, not removed, stays known. In a restored store a new object no longer shows that there was no earlier incarnation, so the fixed part of the retry budget is not granted at once for it.

--- a/crates/pomeloridge_dev/tests/store_era.rs
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -239,6 +239,22 @@
     assert!(reported.values().all(|counts| counts.len() == 1));
 }
 
+/// Guards against nodes that a restored store does not know: nodes that start would not find
+/// them, and the requests that they have quarantined would be lost.
+#[test]
+fn nodes_write_their_objects_again_after_a_restore() {
+    let store = Store::start("nodes");
+    let nodes = || {
+        let listed = get_json(store.fleet.store, "/-/objects/pomeloridge-nodes").unwrap();
+        listed["items"].as_array().unwrap().len()
+    };
+    wait_until(|| nodes() == GATEWAYS);
+    for _ in 0..2 {
+        store.restore(EMPTY_AGE_MS, 500);
+        wait_until(|| nodes() == GATEWAYS);
+    }
+}
+
 /// Guards against gateways that lose the servers whose entries a restored store lacks.
 #[test]
 fn requests_are_served_while_entries_are_missing_after_a_restore() {
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -17,7 +17,7 @@
 
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::count_guard::CountGuard;
-use pomeloridge_base::id::{Epoch, Name, Revision};
+use pomeloridge_base::id::{Epoch, Era, Name, Revision};
 use pomeloridge_platform::PutOutcome;
 use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement};
 use pomeloridge_policy::work_meter::WorkRates;
@@ -38,6 +38,9 @@
 const ISOLATED_DISCOVERY_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between checks whether node objects are to be read or written now.
 const DISCOVERY_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum random delay of the read after a restore of the object service, which all nodes learn
+/// of at about the same time.
+const MAX_RESTORE_DELAY: Duration = Duration::from_secs(1);
 /// Delay after a failure to read or write node objects or to receive datagrams.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Number of heartbeat rounds from one message with usage counts and work rates to the next.
@@ -61,46 +64,60 @@
 
 /// Writes this node's object and reads those of the other nodes, until the process ends.
 pub(crate) async fn discover(state: Rc<State>) {
-    let mut is_written = false;
+    // Era in which this node's object was last seen as it should be.
+    let mut written: Option<Era> = None;
     loop {
         if state.quarantine_changed.take() {
-            is_written = false;
+            written = None;
         }
-        if !is_written {
-            let outcome = node_object::write(&state).await;
-            is_written = matches!(outcome, Ok(PutOutcome::Written(_)));
-            if !is_written {
-                log::debug!("node object not written: {outcome:?}");
+        if written.is_none() {
+            match node_object::write(&state).await {
+                Ok(PutOutcome::Written(version)) => written = Some(version.era()),
+                outcome => log::debug!("node object not written: {outcome:?}"),
             }
         }
         let listing = state.store.list(node_object::KEY_PREFIX).await;
-        let is_done = listing.is_ok() && is_written;
-        if let Ok((_, objects)) = listing {
+        let era = listing.as_ref().ok().map(|(revision, _)| revision.era());
+        if let Ok((_, objects)) = &listing
+            && written < era
+            && written.is_some()
+        {
+            written = era.filter(|_| node_object::is_current(&state, objects));
+            if written.is_none() {
+                log::info!(
+                    "node choice=write_again reason=\"the store has lost this node's object\""
+                );
+            }
+        }
+        if let Ok((revision, objects)) = listing {
             let nodes = objects
                 .iter()
                 .filter_map(|object| node_object::read(&state, object));
             let others = nodes.filter(|node| node.name != state.name).collect();
             let mut peers = state.peers.borrow_mut();
             let is_first_listing = !peers.has_read_nodes;
-            peers.update_nodes(others, state.now());
+            peers.update_nodes(others, revision.era(), state.now());
             drop(peers);
             if is_first_listing {
                 announce(&state);
             }
         }
-        if is_done {
-            wait_for_next_discovery(&state).await;
-        } else {
-            monoio::time::sleep(RETRY_DELAY).await;
+        match era {
+            Some(era) if written.is_some() => wait_for_next_discovery(&state, era).await,
+            _ => monoio::time::sleep(RETRY_DELAY).await,
         }
     }
 }
 
-/// Waits until the node objects are due to be read again or this node's object has to be
-/// rewritten.
-async fn wait_for_next_discovery(state: &State) {
+/// Waits until the node objects are due to be read again, this node's object has to be
+/// rewritten, or the object service, last read in `era`, has been restored.
+async fn wait_for_next_discovery(state: &State, era: Era) {
     let since = state.now();
     while !state.quarantine_changed.get() && !is_discovery_due(state, since) {
+        if state.store.era() > era {
+            let delay = rand::random_range(Duration::ZERO..MAX_RESTORE_DELAY);
+            return monoio::time::sleep(delay).await;
+        }
         monoio::time::sleep(DISCOVERY_POLL_INTERVAL).await;
     }
 }
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -1,6 +1,7 @@
 //! Node objects in the object service. A node's object holds its address for peers and the
 //! requests that it has quarantined, so that these survive a restart of the whole fleet.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -95,7 +96,7 @@
                 .put_confirmed(&key, encode(state)?, expect)
                 .await
         }
-        PutOutcome::Written(version) => {
+        PutOutcome::Written(version) if state.store.lost_before().is_none() => {
             // There is no earlier incarnation that could have spent any of the retry budget.
             state.allowance_from.set(state.now());
             Ok(PutOutcome::Written(version))
@@ -104,6 +105,27 @@
     }
 }
 
+/// Returns whether a listing contains this node's object with all quarantined requests. A
+/// restored service may have lost the object or hold an older one.
+pub(super) fn is_current(state: &State, objects: &[Object]) -> bool {
+    let own = objects
+        .iter()
+        .find(|object| object.key.strip_prefix(KEY_PREFIX) == Some(state.name.as_str()));
+    let Some(Ok(wire)) = own.map(|object| NodeWire::deserialize(&object.value)) else {
+        return false;
+    };
+    let listed: HashSet<&str> = wire
+        .barred
+        .iter()
+        .map(|barred| barred.print.as_str())
+        .collect();
+    let quarantined = state.crashes.borrow().export_quarantined(state.now());
+    let mut prints = quarantined
+        .iter()
+        .map(|report| hex::encode(report.fingerprint.0));
+    wire.life == state.incarnation && prints.all(|print| listed.contains(print.as_str()))
+}
+
 /// Returns the value of this node's object.
 fn encode(state: &State) -> Result<Value, PlatformError> {
     let now = state.now();
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_base::id::{Epoch, Era, Name};
 use pomeloridge_policy::heartbeat_schedule::{
     is_large_fleet, peers_for_round, peers_per_round, rounds_to_cover,
 };
@@ -36,8 +36,10 @@
     pub(super) last_heard: Option<Instant>,
     /// When its counts of each window were last received.
     counts_received: BTreeMap<u64, Instant>,
-    /// Whether its node object was in the latest listing.
+    /// Whether its node object was in the latest listing, or in one of an earlier era and lost.
     pub(super) listed: bool,
+    /// Era of the object service in which its node object was last listed.
+    listed_era: Era,
     /// When its node object was first listed.
     first_listed: Option<Instant>,
     /// Hash of the name of its data centre; 0 until it is known.
@@ -58,6 +60,7 @@
             last_heard: None,
             counts_received: BTreeMap::new(),
             listed: false,
+            listed_era: Era::default(),
             first_listed: None,
             data_centre_hash: 0,
             duty: None,
@@ -259,11 +262,12 @@
     }
 
     /// Updates the table from a listing of the node objects, and removes peers that are neither
-    /// listed nor heard.
-    pub(super) fn update_nodes(&mut self, nodes: Vec<ListedNode>, now: Instant) {
+    /// listed nor heard. A node that is cut off can't write its object again after a restore of
+    /// the object service, and stays.
+    pub(super) fn update_nodes(&mut self, nodes: Vec<ListedNode>, era: Era, now: Instant) {
         self.has_read_nodes = true;
         for peer in self.by_name.values_mut() {
-            peer.listed = false;
+            peer.listed &= peer.listed_era < era;
         }
         for ListedNode {
             name,
@@ -275,6 +279,7 @@
             peer.address = address;
             peer.data_centre_hash = data_centre_hash;
             peer.listed = true;
+            peer.listed_era = era;
             peer.first_listed.get_or_insert(now);
         }
         let is_silent = |peer: &Peer| {
