Log the prompt parts of requests that are sent and that fail

Crashes under different requests with one part in common could not be told from unrelated ones: no line named a request's parts. Lines with `choice=send` and `failure=` now end with the parts that other requests may share, eight at most.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -6,6 +6,7 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
+use pomeloridge_policy::dispatch::PromptShape;
 use pomeloridge_policy::suspicion::Fingerprint;
 use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout};
 
@@ -15,6 +16,8 @@
 
 /// Time that a caller is assumed to wait if its request has no deadline.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
 /// Lowest priority that engines accept; 0 is the highest.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -54,6 +57,15 @@
         predicted > caller_timeout.mul_f64(MAX_PREDICTED_FRACTION)
     }
 
+    /// Returns the identifiers of the prompt parts that other requests may share, for the log.
+    pub(crate) fn part_labels(&self) -> String {
+        let prompt = self.inbound.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], PromptShape::shared_parts).iter();
+        let labels = parts.take(MAX_LOGGED_PARTS);
+        let labels: Vec<String> = labels.map(|part| format!("{:x}", part.id)).collect();
+        labels.join(",")
+    }
+
     /// Returns the time until the request's deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -207,7 +207,7 @@
         self.prefill_tried |= plan.prefill.is_some();
         log::info!(
             "request id={} print={} choice=send route={} service={} server={} prefill={} \
-             unread={} fetch={} predicted_ms={} attempt={} left_ms={}",
+             unread={} fetch={} predicted_ms={} attempt={} left_ms={} parts={}",
             accepted.inbound.label(),
             accepted.fingerprint,
             accepted.route.name,
@@ -222,7 +222,8 @@
                 .unwrap_or_default(),
             plan.ttft.as_millis(),
             self.deliveries + 1,
-            accepted.time_left(now).as_millis()
+            accepted.time_left(now).as_millis(),
+            accepted.part_labels()
         );
         Ok(plan)
     }
@@ -264,11 +265,12 @@
         self.probe_for_crash(server, failure).await;
         let retry = self.check_retry(server, failure);
         log::info!(
-            "request id={} print={} server={} failure={failure} again={}",
+            "request id={} print={} server={} failure={failure} again={} parts={}",
             self.accepted.inbound.label(),
             self.accepted.fingerprint,
             self.state.server_name(server),
-            retry.is_ok()
+            retry.is_ok(),
+            self.accepted.part_labels()
         );
         if retry.is_ok() {
             self.state.meter.increment(Counter::Retries);
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -69,7 +69,7 @@
 
 impl PromptShape {
     /// Returns the parts that other requests may share: all but the last.
-    fn shared_parts(&self) -> &[PromptPart] {
+    pub fn shared_parts(&self) -> &[PromptPart] {
         let count = self.parts.len().saturating_sub(1);
         &self.parts[..count]
     }
