Quarantine prompt parts that crash engines, over all nodes

Callers saw requests with one part of a prompt crash engine after engine, and lost the answers that these engines were writing. Crashes were counted by the hash of the whole request; requests with the part are all different, so none of them reached the count.

`policy::part_crashes` keeps, for each start of a server that ended, the shared parts of the prompts that waited for an answer there. An answer that begins clears its parts; of several parts that explain the same crashes the one without an answer for longest is quarantined, so that what sound requests share with the deadly ones is not.

Left: a part that is deadly only with another; what a domain of engines lost at once does with parts that had no answer yet.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -1,5 +1,7 @@
 //! Routing and authentication of a request, before a server is chosen.
 
+use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,6 +9,7 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
 use pomeloridge_policy::dispatch::PromptShape;
+use pomeloridge_policy::part_crashes::PartId;
 use pomeloridge_policy::suspicion::Fingerprint;
 use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout};
 
@@ -32,6 +35,20 @@
     pub(crate) priority: u8,
     pub(crate) arrived_at: Instant,
     pub(crate) deadline: Instant,
+    /// Prompt parts that other requests may share, in order.
+    pub(crate) shared_parts: Vec<PartId>,
+    pub(crate) trial: Cell<Trial>,
+}
+
+/// Whether a request may be sent in spite of a quarantined part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Trial {
+    #[default]
+    None,
+    /// It may be sent once.
+    Granted,
+    /// It has been sent.
+    Sent,
 }
 
 /// Maximum predicted time to the first chunk, as a fraction of the time that the caller waits.
@@ -59,10 +76,8 @@
 
     /// Returns the identifiers of the prompt parts that other requests may share, for the log.
     pub(crate) fn part_labels(&self) -> String {
-        let prompt = self.inbound.prompt.as_ref();
-        let parts = prompt.map_or(&[][..], PromptShape::shared_parts).iter();
-        let labels = parts.take(MAX_LOGGED_PARTS);
-        let labels: Vec<String> = labels.map(|part| format!("{:x}", part.id)).collect();
+        let parts = self.shared_parts.iter().take(MAX_LOGGED_PARTS);
+        let labels: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
         labels.join(",")
     }
 
@@ -91,6 +106,8 @@
                 fingerprint: Fingerprint::of(&account_name, inbound.path(), &inbound.body),
                 priority: priority.unwrap_or(route.priority).min(LOWEST_PRIORITY),
                 deadline: arrived_at + caller_timeout,
+                shared_parts: shared_parts(&inbound),
+                trial: Cell::default(),
                 inbound,
                 route,
                 service,
@@ -102,6 +119,15 @@
     }
 }
 
+/// Returns each prompt part that other requests may share once, in order.
+fn shared_parts(inbound: &Inbound) -> Vec<PartId> {
+    let prompt = inbound.prompt.as_ref();
+    let parts = prompt.map_or(&[][..], PromptShape::shared_parts).iter();
+    let mut seen = HashSet::new();
+    let parts = parts.map(|part| part.id);
+    parts.filter(|part| seen.insert(*part)).collect()
+}
+
 type RouteMatch = (Rc<Route>, Option<Account>, Name);
 
 fn resolve(state: &State, inbound: &Inbound) -> Result<RouteMatch, ErrorKind> {
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -10,10 +10,12 @@
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::crashes::{QUARANTINE_CRASHES, RunKey, RunOutcome};
 use pomeloridge_policy::dispatch::{DispatchRequest, InFlightKey, Plan, TargetKey};
+use pomeloridge_policy::part_crashes::PartRunKey;
 
-use crate::accept::Accepted;
+use crate::accept::{Accepted, Trial};
 use crate::crash_detection;
 use crate::exchange::Failure;
+use crate::part_quarantine;
 use crate::state::State;
 use crate::token_rate::TokenRate;
 
@@ -30,6 +32,8 @@
     server: TargetKey,
     key: InFlightKey,
     run: Option<RunKey>,
+    /// The run as one of the prompt's parts, if the server is to answer the prompt.
+    part_run: Option<PartRunKey>,
     outcome: RunOutcome,
     _in_flight: CountGuard,
 }
@@ -56,6 +60,7 @@
             key,
             run: incarnation
                 .map(|incarnation| crashes.start_run(accepted.fingerprint, incarnation)),
+            part_run: None,
             outcome: RunOutcome::Lost,
             _in_flight: CountGuard::new(&state.in_flight),
         }
@@ -65,6 +70,20 @@
         self.server
     }
 
+    /// Records that the server is to answer the prompt, not only to read it.
+    pub(crate) fn watch_parts(&mut self, accepted: &Accepted) {
+        self.part_run = part_quarantine::start_run(&self.state, self.server, accepted);
+    }
+
+    /// Records that the server has sent whole events of the answer.
+    pub(crate) fn record_events(&self) {
+        if let Some(run) = self.part_run {
+            let now = self.state.now();
+            let cleared = self.state.parts.borrow_mut().record_output(run, now);
+            part_quarantine::record_cleared(&self.state, &cleared);
+        }
+    }
+
     /// Records that the server has prefilled the prompt.
     pub(crate) fn record_prefill_done(&self) {
         let now = self.state.now();
@@ -109,6 +128,13 @@
                 .borrow_mut()
                 .finish_run(run, self.outcome, now);
         }
+        if let Some(run) = self.part_run {
+            let now = self.state.now();
+            let mut parts = self.state.parts.borrow_mut();
+            let cleared = parts.finish_run(run, self.outcome, now);
+            drop(parts);
+            part_quarantine::record_cleared(&self.state, &cleared);
+        }
     }
 }
 
@@ -153,14 +179,16 @@
         if accepted.time_left(now).is_zero() {
             return Err(self.refusal(ErrorKind::DeadlinePassed));
         }
+        part_quarantine::grant_trial(state, accepted);
         if let Some(quarantine_left) = state.quarantine_left(accepted) {
             state.meter.increment(Counter::Quarantined);
             log::info!(
                 "request id={} print={} choice=refuse reason=\"servers ended under it\" \
-                 left_ms={}",
+                 left_ms={} parts={}",
                 accepted.inbound.label(),
                 accepted.fingerprint,
-                quarantine_left.as_millis()
+                quarantine_left.as_millis(),
+                accepted.part_labels()
             );
             return Err(Refusal {
                 retry_after: Some(quarantine_left),
@@ -171,7 +199,9 @@
             service: &accepted.service,
             prompt: accepted.inbound.prompt.as_ref(),
             tried: &self.tried,
-            allow_separate_prefill: !self.prefill_tried && accepted.inbound.last_event.is_none(),
+            allow_separate_prefill: !self.prefill_tried
+                && accepted.inbound.last_event.is_none()
+                && accepted.trial.get() == Trial::None,
         };
         let plan = state.dispatcher.borrow_mut().choose(&request, now);
         let Some(plan) = plan else {
@@ -290,7 +320,8 @@
             .crashes
             .borrow()
             .crash_count(&self.accepted.fingerprint, state.now());
-        if crashes + 1 >= QUARANTINE_CRASHES {
+        let parts = &self.accepted.shared_parts;
+        if crashes + 1 >= QUARANTINE_CRASHES || state.parts.borrow().is_nearly_quarantined(parts) {
             crash_detection::wait_for_probe(state, server).await;
         }
     }
--- a/crates/pomeloridge_gateway/src/crash_detection.rs
+++ b/crates/pomeloridge_gateway/src/crash_detection.rs
@@ -16,6 +16,7 @@
 use pomeloridge_policy::dispatch::{RemovedTarget, TargetInfo, TargetKey};
 
 use crate::exchange::Failure;
+use crate::part_quarantine;
 use crate::peers;
 use crate::state::State;
 
@@ -112,19 +113,16 @@
     (!target.is_leaving()).then(|| target.info.clone())
 }
 
-/// Records that no process listens at a server's address any more, and notifies peers at once if
-/// a request has been involved in several crashes.
+/// Records that no process listens at a server's address any more.
 pub(crate) fn record_crash(state: &Rc<State>, server: TargetKey) {
     let Some(info) = crash_candidate(state, server) else {
         return;
     };
-    if count_crash(state, &info, "not listening") >= MIN_ANNOUNCED_CRASHES {
-        peers::announce_crashes(state);
-    }
+    count_crash(state, &info, "not listening");
 }
 
 /// Records crashes of servers that the server list no longer contains.
-pub(crate) fn record_removed(state: &State, removed: &[RemovedTarget]) {
+pub(crate) fn record_removed(state: &Rc<State>, removed: &[RemovedTarget]) {
     for RemovedTarget { info, replaced, .. } in removed.iter().filter(|server| !server.leaving) {
         let unreachable = state
             .crash_probes
@@ -143,21 +141,23 @@
 pub(crate) fn sweep(state: &State) {
     let now = state.now();
     state.crashes.borrow_mut().sweep(now);
+    part_quarantine::sweep(state);
     let mut probes = state.crash_probes.borrow_mut();
     let is_recent = |at: Instant| now.saturating_duration_since(at) < UNREACHABLE_TTL;
     probes.unreachable.retain(|_, at| is_recent(*at));
 }
 
-/// Counts a crash for each request that was on the server. Returns the highest crash count
-/// among these requests.
-fn count_crash(state: &State, info: &TargetInfo, reason: &str) -> usize {
+/// Counts a crash for each request that was on the server, and for the prompt parts of those
+/// that waited for their answers. Notifies peers at once if one of them has been involved in
+/// several crashes.
+fn count_crash(state: &Rc<State>, info: &TargetInfo, reason: &str) {
     let now = state.now();
     let affected = state
         .crashes
         .borrow_mut()
         .record_crash(info.incarnation(), now);
     if affected.is_empty() {
-        return 0;
+        return;
     }
     state.meter.increment(Counter::ServerCrashes);
     log::info!(
@@ -185,5 +185,8 @@
     if max_crashes >= QUARANTINE_CRASHES {
         state.quarantine_changed.set(true);
     }
-    max_crashes
+    let max_part_crashes = part_quarantine::record_crash(state, info.incarnation());
+    if max_crashes.max(max_part_crashes) >= MIN_ANNOUNCED_CRASHES {
+        peers::announce_crashes(state);
+    }
 }
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use pomeloridge_policy::dispatch::TargetKey;
 
 use crate::accept::Accepted;
+use crate::part_quarantine;
 use crate::pool::{Connected, ConnectionNeeds, PoolError};
 use crate::request::{Dispatch, Notice, ResponseHead, SendStage};
 use crate::server_limits;
@@ -255,6 +256,9 @@
 fn begin_send(state: &State, accepted: &Accepted, server: TargetKey) -> Result<(), Failure> {
     check_sendable(state, accepted, server)?;
     let is_allowed = state.dispatcher.borrow_mut().try_send(server, state.now());
+    if is_allowed {
+        part_quarantine::record_send(accepted);
+    }
     is_allowed.then_some(()).ok_or(Failure::OverLimit)
 }
 
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod internal;
 mod lifecycle;
 mod node;
+mod part_quarantine;
 mod peers;
 mod pool;
 pub mod ports;
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/part_quarantine.rs
@@ -0,0 +1,141 @@
+//! Prompt parts that crash engines: which requests wait for answers, the quarantine of parts, and
+//! the trials by which it ends.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_policy::crashes::{QUARANTINE_CRASHES, ServerIncarnation};
+use pomeloridge_policy::dispatch::TargetKey;
+use pomeloridge_policy::part_crashes::{PartId, PartReport, PartRunKey, PartVerdict, trial_turn};
+use pomeloridge_policy::rate_limit::sender_place;
+
+use crate::accept::{Accepted, Trial};
+use crate::peers;
+use crate::state::State;
+
+/// Time after its start in which a node starts no trials: it may not know its peers yet.
+const SETTLING_TIME: Duration = Duration::from_secs(5);
+/// Number of crashes from which a suspect part is logged.
+const MIN_LOGGED_CRASHES: usize = QUARANTINE_CRASHES - 1;
+/// Maximum number of suspects that are logged for a crash.
+const MAX_LOGGED_SUSPECTS: usize = 8;
+
+/// Records that a server is to answer a request with shared prompt parts.
+pub(crate) fn start_run(
+    state: &State,
+    server: TargetKey,
+    accepted: &Accepted,
+) -> Option<PartRunKey> {
+    if accepted.shared_parts.is_empty() {
+        return None;
+    }
+    let dispatcher = state.dispatcher.borrow();
+    let server = dispatcher.target(server)?.info.incarnation();
+    let mut parts = state.parts.borrow_mut();
+    let whole = accepted.fingerprint.leading_number();
+    Some(parts.start_run(accepted.shared_parts.clone(), whole, server))
+}
+
+/// Records the crash of a server. Returns the highest number of crashes of a suspect part.
+pub(crate) fn record_crash(state: &State, server: ServerIncarnation) -> usize {
+    let suspects = state.parts.borrow_mut().record_crash(server, state.now());
+    let logged = suspects.counts.iter();
+    let logged = logged.filter(|(_, crashes)| *crashes >= MIN_LOGGED_CRASHES);
+    for (part, crashes) in logged.take(MAX_LOGGED_SUSPECTS) {
+        log::info!("part id={part:x} choice=suspect ends={crashes} by=own");
+    }
+    record_quarantined(state, &suspects.quarantined, "own");
+    let counts = suspects.counts.iter().map(|(_, crashes)| *crashes);
+    counts.max().unwrap_or_default()
+}
+
+/// Merges a peer's report.
+pub(crate) fn merge(state: &State, report: &PartReport, by: &str, now: Instant) {
+    let quarantined = state.parts.borrow_mut().merge(report, now);
+    record_quarantined(state, &quarantined, by);
+}
+
+fn record_quarantined(state: &State, parts: &[PartId], by: &str) {
+    for part in parts {
+        log::info!("part id={part:x} choice=bar by={by}");
+        state.quarantine_changed.set(true);
+    }
+}
+
+/// Records that an answer has ended the quarantine of parts, and tells peers at once.
+pub(crate) fn record_cleared(state: &Rc<State>, parts: &[PartId]) {
+    for part in parts {
+        log::info!("part id={part:x} choice=lift reason=\"an answer began\"");
+    }
+    if !parts.is_empty() {
+        state.quarantine_changed.set(true);
+        peers::announce_crashes(state);
+    }
+}
+
+/// Forgets what has expired.
+pub(crate) fn sweep(state: &State) {
+    for part in state.parts.borrow_mut().sweep(state.now()) {
+        log::info!("part id={part:x} choice=lift reason=\"expired\"");
+        state.quarantine_changed.set(true);
+    }
+}
+
+/// Lets the request through if it has a quarantined part and this node is to find out whether
+/// that still crashes engines.
+pub(crate) fn grant_trial(state: &State, accepted: &Accepted) {
+    if accepted.trial.get() != Trial::None {
+        return;
+    }
+    let now = state.now();
+    let turn = current_turn(state, now);
+    let verdict = verdict(state, accepted, turn, now);
+    if let (PartVerdict::Trial(part), Some(turn)) = (verdict, turn) {
+        state.parts.borrow_mut().start_trial(part, turn);
+        accepted.trial.set(Trial::Granted);
+        log::info!(
+            "request id={} part={part:x} choice=try reason=\"quarantine over\"",
+            accepted.inbound.label()
+        );
+    }
+}
+
+/// Records that the request is sent to a server; a trial is not repeated.
+pub(crate) fn record_send(accepted: &Accepted) {
+    if accepted.trial.get() == Trial::Granted {
+        accepted.trial.set(Trial::Sent);
+    }
+}
+
+/// Returns how long the request remains quarantined for one of its prompt parts.
+pub(crate) fn left(state: &State, accepted: &Accepted) -> Option<Duration> {
+    let now = state.now();
+    match verdict(state, accepted, None, now) {
+        PartVerdict::Allowed | PartVerdict::Trial(_) => None,
+        // A trial is still allowed unless another crash has made the quarantine longer.
+        PartVerdict::Quarantined { is_over: true, .. }
+            if accepted.trial.get() == Trial::Granted =>
+        {
+            None
+        }
+        PartVerdict::Quarantined { left, .. } => Some(left),
+    }
+}
+
+fn verdict(state: &State, accepted: &Accepted, turn: Option<u64>, now: Instant) -> PartVerdict {
+    let is_trial_node = |part: PartId, turn: u64| {
+        let peers = state.peers.borrow().known_hashes();
+        let own = peers::name_hash(&state.name);
+        sender_place(own, &peers, ServerIncarnation(part), turn).rank == 0
+    };
+    let parts = state.parts.borrow();
+    parts.verdict(&accepted.shared_parts, turn, is_trial_node, now)
+}
+
+/// Returns the turn in which this node may start a trial now.
+fn current_turn(state: &State, now: Instant) -> Option<u64> {
+    let age = now.saturating_duration_since(state.started);
+    let is_settled = age >= SETTLING_TIME && state.peers.borrow().is_initialized(now);
+    let unix_ms = state.fleet_clock.borrow().unix_ms(now);
+    trial_turn(unix_ms).filter(|_| is_settled)
+}
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -1,5 +1,5 @@
 //! Node objects in the object service. A node's object holds its address for peers and the
-//! requests that it has quarantined, so that these survive a restart of the whole fleet.
+//! requests and prompt parts that it has quarantined, so that these survive a restart of the whole fleet.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -7,11 +7,13 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_platform::{Expect, Object, PlatformError, PutOutcome};
 use pomeloridge_policy::crashes::{CrashReport, ServerIncarnation};
+use pomeloridge_policy::part_crashes::{PartCrash, PartReport, Suspect};
 use pomeloridge_policy::suspicion::Fingerprint;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use super::table::ListedNode;
+use crate::part_quarantine;
 use crate::state::State;
 
 /// Prefix of the keys of node objects.
@@ -29,6 +31,55 @@
     /// Quarantined requests.
     #[serde(default)]
     barred: Vec<QuarantinedWire>,
+    /// Crashes of the engines that quarantined prompt parts have crashed.
+    #[serde(default)]
+    barred_parts: Vec<PartCrashWire>,
+}
+
+/// The stored form of a crash with the prompt parts that are suspects.
+#[derive(Deserialize, Serialize)]
+struct PartCrashWire {
+    #[serde(flatten)]
+    crash: CrashWire,
+    parts: Vec<SuspectWire>,
+}
+
+/// The stored form of a prompt part that has crashed servers.
+#[derive(Deserialize, Serialize)]
+struct SuspectWire {
+    /// Identifier of the part in hexadecimal.
+    part: String,
+    /// Number of parts before it in the prompt.
+    depth: u32,
+}
+
+impl PartCrashWire {
+    fn new(crash: &PartCrash, now_ms: u64) -> Self {
+        let parts = crash.suspects.iter().map(|suspect| SuspectWire {
+            part: format!("{:x}", suspect.part),
+            depth: suspect.depth,
+        });
+        Self {
+            crash: CrashWire::new(crash.server, crash.age, now_ms),
+            parts: parts.collect(),
+        }
+    }
+
+    /// Returns `None` if the server incarnation or a part is malformed.
+    fn decode(&self, now_ms: u64) -> Option<PartCrash> {
+        let (server, age) = self.crash.decode(now_ms)?;
+        let suspects = self.parts.iter();
+        let suspects = suspects.map(|suspect| {
+            let part = u64::from_str_radix(&suspect.part, 16).ok()?;
+            let depth = suspect.depth;
+            Some(Suspect { part, depth })
+        });
+        Some(PartCrash {
+            server,
+            age,
+            suspects: suspects.collect::<Option<_>>()?,
+        })
+    }
 }
 
 /// The stored form of a quarantined request: one that has crashed servers.
@@ -50,12 +101,27 @@
     at: u64,
 }
 
+impl CrashWire {
+    fn new(server: ServerIncarnation, age: Duration, now_ms: u64) -> Self {
+        Self {
+            start: format!("{:x}", server.0),
+            at: now_ms.saturating_sub(age.as_millis() as u64),
+        }
+    }
+
+    /// Returns the server and the time since the crash, or `None` if the incarnation is
+    /// malformed.
+    fn decode(&self, now_ms: u64) -> Option<(ServerIncarnation, Duration)> {
+        let start = u64::from_str_radix(&self.start, 16).ok()?;
+        let age = Duration::from_millis(now_ms.saturating_sub(self.at));
+        Some((ServerIncarnation(start), age))
+    }
+}
+
 impl QuarantinedWire {
     fn new(report: &CrashReport, now_ms: u64) -> Self {
-        let crashes = report.crashes.iter().map(|(start, age)| CrashWire {
-            start: format!("{:x}", start.0),
-            at: now_ms.saturating_sub(age.as_millis() as u64),
-        });
+        let crashes = report.crashes.iter();
+        let crashes = crashes.map(|(start, age)| CrashWire::new(*start, *age, now_ms));
         Self {
             print: hex::encode(report.fingerprint.0),
             ends: crashes.collect(),
@@ -66,11 +132,7 @@
     fn decode(self, now_ms: u64) -> Option<CrashReport> {
         let mut fingerprint = Fingerprint([0; 32]);
         hex::decode_to_slice(self.print, &mut fingerprint.0).ok()?;
-        let crashes = self.ends.into_iter().map(|crash| {
-            let start = u64::from_str_radix(&crash.start, 16).ok()?;
-            let age = Duration::from_millis(now_ms.saturating_sub(crash.at));
-            Some((ServerIncarnation(start), age))
-        });
+        let crashes = self.ends.iter().map(|crash| crash.decode(now_ms));
         Some(CrashReport {
             fingerprint,
             crashes: crashes.collect::<Option<_>>()?,
@@ -109,6 +171,7 @@
     let now = state.now();
     let now_ms = state.fleet_clock.borrow().unix_ms(now);
     let quarantined = state.crashes.borrow().export_quarantined(now);
+    let parts = state.parts.borrow().export_quarantined(now);
     let wire = NodeWire {
         address: state.peer_address,
         life: state.incarnation,
@@ -117,6 +180,11 @@
             .iter()
             .map(|report| QuarantinedWire::new(report, now_ms))
             .collect(),
+        barred_parts: parts
+            .crashes
+            .iter()
+            .map(|crash| PartCrashWire::new(crash, now_ms))
+            .collect(),
     };
     serde_json::to_value(wire).map_err(|error| PlatformError::Malformed(error.to_string()))
 }
@@ -137,6 +205,12 @@
     let quarantined: Vec<CrashReport> =
         quarantined.filter_map(|wire| wire.decode(now_ms)).collect();
     merge_crashes(state, &quarantined, name, now);
+    let crashes = wire.barred_parts.iter();
+    let parts = PartReport {
+        crashes: crashes.filter_map(|crash| crash.decode(now_ms)).collect(),
+        answers: Vec::new(),
+    };
+    part_quarantine::merge(state, &parts, name, now);
     Some(ListedNode {
         name: Name::from(name),
         address: wire.address,
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -6,6 +6,7 @@
 use pomeloridge_platform::Event;
 use pomeloridge_policy::crashes::{CrashReport, ServerIncarnation};
 use pomeloridge_policy::dispatch::{NodeLoad, PartPlacement, PeerLoad};
+use pomeloridge_policy::part_crashes::{PartCrash, PartReport, Suspect};
 use pomeloridge_policy::prompt_cache::PromptPart;
 use pomeloridge_policy::rate_limit::{InvalidRateLimit, LimitReport, RateLimit};
 use pomeloridge_policy::suspicion::Fingerprint;
@@ -70,6 +71,69 @@
     /// Limits that servers have named lately.
     #[prost(message, repeated, tag = "19")]
     pub(super) limits: Vec<LimitWire>,
+    /// Prompt parts that may have crashed engines.
+    #[prost(message, optional, tag = "20")]
+    pub(super) parts: Option<PartsWire>,
+}
+
+/// Crashes with the prompt parts that are suspects, and answers, stored by column.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct PartsWire {
+    /// Incarnations of the crashed servers.
+    #[prost(fixed64, repeated, tag = "1")]
+    servers: Vec<u64>,
+    /// Times since the crashes.
+    #[prost(uint64, repeated, tag = "2")]
+    ages_ms: Vec<u64>,
+    /// Numbers of suspects of the crashes, which `suspects` holds one after the other.
+    #[prost(uint32, repeated, tag = "3")]
+    counts: Vec<u32>,
+    #[prost(fixed64, repeated, tag = "4")]
+    suspects: Vec<u64>,
+    #[prost(uint32, repeated, tag = "7")]
+    depths: Vec<u32>,
+    /// Parts on which answers began at the sender, and the times since then.
+    #[prost(fixed64, repeated, tag = "5")]
+    answered: Vec<u64>,
+    #[prost(uint64, repeated, tag = "6")]
+    answered_ms: Vec<u64>,
+}
+
+impl From<&PartReport> for PartsWire {
+    fn from(report: &PartReport) -> Self {
+        let millis = |age: Duration| age.as_millis() as u64;
+        let crashes = || report.crashes.iter();
+        let answers = || report.answers.iter();
+        let suspects = || crashes().flat_map(|crash| &crash.suspects);
+        Self {
+            servers: crashes().map(|crash| crash.server.0).collect(),
+            ages_ms: crashes().map(|crash| millis(crash.age)).collect(),
+            counts: crashes().map(|crash| crash.suspects.len() as u32).collect(),
+            suspects: suspects().map(|suspect| suspect.part).collect(),
+            depths: suspects().map(|suspect| suspect.depth).collect(),
+            answered: answers().map(|(part, _)| *part).collect(),
+            answered_ms: answers().map(|(_, age)| millis(*age)).collect(),
+        }
+    }
+}
+
+impl From<PartsWire> for PartReport {
+    fn from(wire: PartsWire) -> Self {
+        let suspects = wire.suspects.into_iter().zip(wire.depths);
+        let mut suspects = suspects.map(|(part, depth)| Suspect { part, depth });
+        let crashes = wire.servers.into_iter().zip(wire.ages_ms).zip(wire.counts);
+        let crashes = crashes.map(|((server, age), count)| PartCrash {
+            server: ServerIncarnation(server),
+            age: Duration::from_millis(age),
+            suspects: suspects.by_ref().take(count as usize).collect(),
+        });
+        let crashes = crashes.collect();
+        let ages = wire.answered_ms.into_iter().map(Duration::from_millis);
+        Self {
+            crashes,
+            answers: wire.answered.into_iter().zip(ages).collect(),
+        }
+    }
 }
 
 /// A server's limit.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -15,6 +15,7 @@
 use pomeloridge_policy::crashes::CrashTracker;
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::fleet_retry_budget::{AllowanceShare, FleetRetryBudget, FleetRetryLimits};
+use pomeloridge_policy::part_crashes::PartTracker;
 use pomeloridge_policy::stage_assignment::StageLoad;
 use pomeloridge_policy::watchers::{
     RankedNode, is_cut_off, lacks_watchers, must_call_store, retry_delay,
@@ -28,6 +29,7 @@
 use crate::exchange::Failure;
 use crate::fleet_clock::FleetClock;
 use crate::lifecycle::Lifecycle;
+use crate::part_quarantine;
 use crate::peers::{self, Peers};
 use crate::pool::Pool;
 use crate::ports::Ports;
@@ -105,8 +107,14 @@
     pub(crate) pool: Pool,
     /// Requests that may have crashed servers.
     pub(crate) crashes: RefCell<CrashTracker>,
+    /// Prompt parts that may have crashed engines.
+    pub(crate) parts: RefCell<PartTracker>,
     /// Probes of servers on which a request was lost.
     pub(crate) crash_probes: RefCell<CrashProbes>,
+    /// Whether there are crashes that peers have not been told of at once.
+    pub(crate) crash_news: Cell<bool>,
+    /// Number of running announcements of crashes.
+    pub(crate) crash_announcements: Rc<Cell<usize>>,
     /// Whether requests were quarantined that this node's object does not contain yet.
     pub(crate) quarantine_changed: Cell<bool>,
     /// Number of attempts in flight.
@@ -183,7 +191,10 @@
             retry_budgets: RefCell::default(),
             pool: Pool::default(),
             crashes: RefCell::default(),
+            parts: RefCell::default(),
             crash_probes: RefCell::default(),
+            crash_news: Cell::new(false),
+            crash_announcements: Rc::default(),
             quarantine_changed: Cell::new(false),
             in_flight: Rc::default(),
             usage: RefCell::new(UsageLedger::new(source)),
@@ -243,7 +254,8 @@
     /// Returns how long the request remains quarantined, or `None` if it is not.
     pub(crate) fn quarantine_left(&self, accepted: &Accepted) -> Option<Duration> {
         let crashes = self.crashes.borrow();
-        crashes.quarantine_left(&accepted.fingerprint, self.now())
+        let left = crashes.quarantine_left(&accepted.fingerprint, self.now());
+        left.or_else(|| part_quarantine::left(self, accepted))
     }
 
     /// Charges a retry to this node's share of the fleet's budget; returns whether it is allowed.
@@ -397,7 +409,7 @@
     }
 
     /// Passes the registered servers to the dispatcher.
-    pub(crate) fn sync_servers(&self) {
+    pub(crate) fn sync_servers(self: &Rc<Self>) {
         let config = self.config();
         let capacity = |service: &Name| {
             let service = config.as_ref()?.services.get(service)?;
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -144,6 +144,7 @@
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
         let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, accepted);
+        in_flight.watch_parts(accepted);
         let params = SendParams {
             server: plan.server,
             stage: prompt
@@ -244,6 +245,9 @@
                 return Err(AttemptError::Server(Failure::InvalidResponse));
             }
             let tokens = self.forward_events(&mut events, responder).await?;
+            if tokens > 0 {
+                in_flight.record_events();
+            }
             rate.record(tokens, self.state.now());
         }
         if !events.is_empty() {
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -41,6 +41,7 @@
 
 async fn attempt(state: &Rc<State>, accepted: &Accepted, plan: Plan) -> Result<Response, Failure> {
     let mut in_flight = InFlightAttempt::new(state, plan.server, 0, accepted);
+    in_flight.watch_parts(accepted);
     let params = SendParams {
         server: plan.server,
         stage: SendStage::Run,
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -137,7 +137,7 @@
 }
 
 /// Reads the configuration. Returns the revision to watch from.
-async fn read_config(state: &State) -> Result<Revision, PlatformError> {
+async fn read_config(state: &Rc<State>) -> Result<Revision, PlatformError> {
     let store = state.ports.store;
     let (revision, objects) = state.store.list(store.config_prefix).await?;
     for object in objects
@@ -150,7 +150,7 @@
 }
 
 /// Activates a configuration if it is newer than the active one.
-pub(crate) fn adopt_config(state: &State, object: &Object) {
+pub(crate) fn adopt_config(state: &Rc<State>, object: &Object) {
     let config = match (state.ports.store.config)(object) {
         Ok(config) => config,
         Err(error) => {
@@ -224,7 +224,7 @@
 }
 
 async fn read_servers(
-    state: &State,
+    state: &Rc<State>,
     dependency: &DependencyLog,
 ) -> Result<Revision, PlatformError> {
     let (revision, objects) = state.store.list(state.ports.store.servers_prefix).await?;
@@ -234,7 +234,7 @@
 }
 
 /// Replaces the server list by one read from the object service or a peer.
-pub(crate) fn replace_server_list(state: &State, revision: Revision, objects: &[Object]) {
+pub(crate) fn replace_server_list(state: &Rc<State>, revision: Revision, objects: &[Object]) {
     if !state.server_list.borrow_mut().replace(revision, objects) {
         return;
     }
@@ -292,7 +292,7 @@
 }
 
 /// Applies changes of the server list that came from the object service or a peer.
-pub(crate) fn apply_server_delta(state: &State, change: &ServerListDelta) -> ApplyOutcome {
+pub(crate) fn apply_server_delta(state: &Rc<State>, change: &ServerListDelta) -> ApplyOutcome {
     let (applied, new) = state.server_list.borrow_mut().apply(change);
     let mut changed = false;
     for event in &new {
@@ -331,7 +331,7 @@
 }
 
 /// Applies one change to the server registry. Returns whether the registry changed.
-fn apply_event(state: &State, event: &Event) -> bool {
+fn apply_event(state: &Rc<State>, event: &Event) -> bool {
     let name = (state.ports.store.server_name)(event);
     let listed = event
         .object()
@@ -357,7 +357,7 @@
 }
 
 /// Ends the grace time for removed entries if only this node had lost the object service.
-pub(crate) fn end_removal_grace(state: &State) {
+pub(crate) fn end_removal_grace(state: &Rc<State>) {
     if state.server_registry.borrow().in_grace() && state.server_list.borrow().revision().is_some()
     {
         state.server_registry.borrow_mut().end_grace(state.now());
@@ -366,7 +366,7 @@
 }
 
 /// Removes servers whose entries are still missing after the grace time.
-fn remove_expired(state: &State) {
+fn remove_expired(state: &Rc<State>) {
     let expired = state.server_registry.borrow_mut().expire(state.now());
     if !expired.is_empty() {
         log::info!("servers choice=remove lapsed={expired:?}");
@@ -375,7 +375,7 @@
 }
 
 /// Passes the changed servers on to the dispatcher.
-fn sync_dispatcher(state: &State, revision: Revision) {
+fn sync_dispatcher(state: &Rc<State>, revision: Revision) {
     state.sync_servers();
     let servers = state.server_registry.borrow().servers().count();
     log::debug!("servers revision={revision} count={servers}");
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod heartbeat_schedule;
 pub mod in_flight;
 pub mod load;
+pub mod part_crashes;
 pub mod peer_usage;
 pub mod prefix;
 pub mod prompt_cache;
--- a/crates/pomeloridge_policy/src/suspicion.rs
+++ b/crates/pomeloridge_policy/src/suspicion.rs
@@ -13,6 +13,8 @@
 use pomeloridge_base::id::Name;
 use sha2::{Digest, Sha256};
 
+use crate::prefix::leading_number;
+
 /// Time after which a suspicion expires.
 pub const SUSPECT_TTL: Duration = Duration::from_mins(2);
 /// Time for which a request is quarantined.
@@ -39,6 +41,11 @@
         }
         Self(hash.finalize().into())
     }
+
+    /// Returns the first 8 bytes as a number.
+    pub fn leading_number(&self) -> u64 {
+        leading_number(&self.0)
+    }
 }
 
 /// A request in flight on an engine.
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -8,6 +8,7 @@
 mod fairness;
 mod fleet_retry_budget;
 mod heartbeat_schedule;
+mod part_crashes;
 mod prefix;
 mod rate_limit;
 mod retry;
