Count a trial of a quarantined part as a crash until it is answered

A trial is now recorded as it is sent, told to all peers at once, and makes the quarantine longer whatever becomes of it; one that is not sent costs nothing.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -45,8 +45,8 @@
 pub(crate) enum Trial {
     #[default]
     None,
-    /// It may be sent once.
-    Granted,
+    /// It may be sent once to find out whether a part still crashes engines.
+    Granted(PartId),
     /// It has been sent.
     Sent,
 }
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one server and reads the head of the response.
 
 use std::io::ErrorKind;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
@@ -154,7 +155,7 @@
 
 /// Sends a request to a server and reads the head of its response.
 pub(crate) async fn exchange(
-    state: &State,
+    state: &Rc<State>,
     accepted: &Accepted,
     params: SendParams,
 ) -> Result<Exchange, Failure> {
@@ -253,11 +254,11 @@
 }
 
 /// Checks whether a request may be sent to a server, and counts it against the server's limit.
-fn begin_send(state: &State, accepted: &Accepted, server: TargetKey) -> Result<(), Failure> {
+fn begin_send(state: &Rc<State>, accepted: &Accepted, server: TargetKey) -> Result<(), Failure> {
     check_sendable(state, accepted, server)?;
     let is_allowed = state.dispatcher.borrow_mut().try_send(server, state.now());
     if is_allowed {
-        part_quarantine::record_send(accepted);
+        part_quarantine::record_send(state, accepted);
     }
     is_allowed.then_some(()).ok_or(Failure::OverLimit)
 }
--- a/crates/pomeloridge_gateway/src/part_quarantine.rs
+++ b/crates/pomeloridge_gateway/src/part_quarantine.rs
@@ -90,21 +90,27 @@
     let now = state.now();
     let turn = current_turn(state, now);
     let verdict = verdict(state, accepted, turn, now);
-    if let (PartVerdict::Trial(part), Some(turn)) = (verdict, turn) {
-        state.parts.borrow_mut().start_trial(part, turn);
-        accepted.trial.set(Trial::Granted);
-        log::info!(
-            "request id={} part={part:x} choice=try reason=\"quarantine over\"",
-            accepted.inbound.label()
-        );
+    if let PartVerdict::Trial(part) = verdict {
+        accepted.trial.set(Trial::Granted(part));
     }
 }
 
-/// Records that the request is sent to a server; a trial is not repeated.
-pub(crate) fn record_send(accepted: &Accepted) {
-    if accepted.trial.get() == Trial::Granted {
-        accepted.trial.set(Trial::Sent);
-    }
+/// Records that the request is sent to a server. A trial is not repeated; all peers are told of
+/// it at once.
+pub(crate) fn record_send(state: &Rc<State>, accepted: &Accepted) {
+    let Trial::Granted(part) = accepted.trial.get() else {
+        return;
+    };
+    accepted.trial.set(Trial::Sent);
+    log::info!(
+        "request id={} part={part:x} choice=try reason=\"quarantine over\"",
+        accepted.inbound.label()
+    );
+    let mut parts = state.parts.borrow_mut();
+    parts.record_trial(part, rand::random(), state.now());
+    drop(parts);
+    state.quarantine_changed.set(true);
+    peers::announce_crashes(state);
 }
 
 /// Returns how long the request remains quarantined for one of its prompt parts.
@@ -112,9 +118,9 @@
     let now = state.now();
     match verdict(state, accepted, None, now) {
         PartVerdict::Allowed | PartVerdict::Trial(_) => None,
-        // A trial is still allowed unless another crash has made the quarantine longer.
+        // A trial is still allowed unless a crash or another trial has made the quarantine longer.
         PartVerdict::Quarantined { is_over: true, .. }
-            if accepted.trial.get() == Trial::Granted =>
+            if matches!(accepted.trial.get(), Trial::Granted(_)) =>
         {
             None
         }
--- a/crates/pomeloridge_policy/src/part_crashes.rs
+++ b/crates/pomeloridge_policy/src/part_crashes.rs
@@ -20,7 +20,8 @@
 //! an answer at another server clears it.
 //!
 //! A quarantine ends with an answer. After some time, longer after each crash, one node at a
-//! time may send one request with the part to find out.
+//! time may send one request with the part as a trial. Until it is answered it counts as a crash, so
+//! that each trial makes the quarantine longer, whatever becomes of it.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -45,8 +46,8 @@
 /// Longest quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_hours(24);
 /// Time between two crashes from which the later one makes the quarantine longer. Requests that
-/// were under way together may crash several servers.
-const STEP_TIME: Duration = Duration::from_secs(1);
+/// were under way together may crash several servers, and a trial one some time after it was sent.
+const STEP_TIME: Duration = Duration::from_secs(2);
 /// Time for which a crash counts that has led to no quarantine, and for which a quarantine that
 /// has ended is remembered.
 const CRASH_TTL: Duration = QUARANTINE_TTL;
@@ -75,8 +76,7 @@
 pub const DOMINANT_CRASHES: usize = 2;
 /// Length of a turn, in which one node may send a request with a quarantined part.
 const TRIAL_TURN: Duration = Duration::from_secs(4);
-/// Time from the start of a turn in which the request may be sent; its outcome is known to all
-/// nodes by the end.
+/// Time from the start of a turn in which the request may be sent; all nodes know of it by the end.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
 
 slotmap::new_key_type! {
@@ -214,8 +214,6 @@
     counts: HashMap<PartId, usize>,
     /// Derived from the crashes.
     quarantines: HashMap<PartId, Quarantine>,
-    /// Turn in which this node last sent a request with a quarantined part.
-    trials: HashMap<PartId, u64>,
 }
 
 /// Returns the turn in which a trial may be started at a time of day; `None` late in a turn.
@@ -379,11 +377,7 @@
         let Some(part) = over else {
             return PartVerdict::Allowed;
         };
-        let is_untried = |turn: &u64| self.trials.get(&part) != Some(turn);
-        if turn
-            .filter(is_untried)
-            .is_some_and(|turn| is_trial_node(part, turn))
-        {
+        if turn.is_some_and(|turn| is_trial_node(part, turn)) {
             return PartVerdict::Trial(part);
         }
         PartVerdict::Quarantined {
@@ -393,9 +387,20 @@
         }
     }
 
-    /// Records that this node sends a request with a quarantined part in a turn.
-    pub fn start_trial(&mut self, part: PartId, turn: u64) {
-        self.trials.insert(part, turn);
+    /// Records that this node sends a request with a quarantined part as a trial. `trial` is a
+    /// random number.
+    pub fn record_trial(&mut self, part: PartId, trial: u64, now: Instant) {
+        let depths = self.crashes.values();
+        let depths = depths.filter_map(|crash| crash.suspects.get(&part));
+        let depth = depths.max().copied().unwrap_or_default();
+        let crash = Crash {
+            at: now,
+            suspects: BTreeMap::from([(part, depth)]),
+            updated: Some(now),
+        };
+        self.crashes.insert(ServerIncarnation(trial), crash);
+        self.evict_crashes();
+        self.derive();
     }
 
     /// Returns whether one more crash may quarantine one of these parts.
@@ -519,7 +524,6 @@
             self.derive();
         }
         let is_quarantined = |part: &PartId| self.quarantines.contains_key(part);
-        self.trials.retain(|part, _| is_quarantined(part));
         let known = quarantines.into_keys();
         known.filter(|part| !is_quarantined(part)).collect()
     }
--- a/crates/pomeloridge_policy/tests/policy/part_crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/part_crashes.rs
@@ -221,10 +221,24 @@
     assert_ne!(verdict(&tracker, false, TURN, now), trial);
     assert_ne!(verdict(&tracker, true, None, now), trial);
     assert_eq!(verdict(&tracker, true, TURN, now), trial);
-    tracker.start_trial(DEADLY, 7);
-    assert_ne!(verdict(&tracker, true, TURN, now), trial);
-    assert_eq!(verdict(&tracker, true, Some(8), now), trial);
-    // Late in a turn, another node might start the next trial before the outcome is known.
+    // Whatever becomes of the trial, it makes the quarantine longer, also at other nodes.
+    tracker.record_trial(DEADLY, 99, now);
+    let mut other = PartTracker::default();
+    other.merge(&tracker.export(now), now);
+    for tracker in [&tracker, &other] {
+        assert_eq!(left(tracker, DEADLY, now), Some(Duration::from_secs(12)));
+    }
+    crash(&mut tracker, 4, &[&[SYSTEM, DEADLY]], now + ms(1_900));
+    assert_eq!(
+        left(&tracker, DEADLY, now + ms(1_900)),
+        Some(Duration::from_secs(12))
+    );
+    let now = now + Duration::from_secs(14);
+    tracker.record_trial(DEADLY, 100, now);
+    assert_eq!(left(&tracker, DEADLY, now), Some(Duration::from_secs(72)));
+    answer(&mut tracker, &[SYSTEM, DEADLY], now + ms(1));
+    assert!(is_allowed(&tracker, &[SYSTEM, DEADLY], now + ms(1)));
+    // Late in a turn, another node might start the next trial before it knows of this one.
     assert_eq!(trial_turn(8_000), Some(2));
     assert_eq!(trial_turn(10_000), None);
 }
