--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! another in the same data centre and remote to the others. In a large fleet, remote peers
 //! receive fewer messages.
 
+mod crash_news;
 mod node_object;
 mod table;
 mod wire;
@@ -20,19 +21,17 @@
 use pomeloridge_base::id::{Epoch, Name, Revision};
 use pomeloridge_platform::PutOutcome;
 use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement};
-use pomeloridge_policy::part_crashes::PartReport;
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
 use crate::server_list::{ApplyOutcome, ServerListDelta};
 use crate::state::State;
 use crate::usage::{Counts, UsageSource};
-use crate::{internal, part_quarantine, server_limits, watch};
+use crate::{internal, server_limits, watch};
 
+pub(crate) use crash_news::announce_crashes;
 pub(crate) use table::{Peers, name_hash};
-use wire::{
-    CrashesWire, LimitWire, PartsWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire,
-};
+use wire::{LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
 
 /// Interval between reads of the node objects. It may be long, as a node that starts announces
 /// itself to the others.
@@ -59,9 +58,6 @@
 const MAX_STORE_ANSWER_AGE: Duration = Duration::from_secs(3);
 /// Time after its start for which a node sends to remote peers at the higher rate.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
-/// Shortest pause between two announcements of crashes, and what each peer adds to it.
-const MIN_ANNOUNCE_PAUSE: Duration = Duration::from_millis(20);
-const ANNOUNCE_PAUSE_PER_PEER: Duration = Duration::from_millis(2);
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -256,8 +252,8 @@
         loads: Some(loads),
         placed: Some(placed.as_slice().into()),
         changing: state.changing_engines.borrow().clone(),
-        crashes: crashes_wire(state, now),
-        parts: parts_wire(state, now),
+        crashes: crash_news::crashes_wire(state, now),
+        parts: crash_news::parts_wire(state, now),
         limits: limits_wire(&dispatcher, now),
         servers: state
             .server_list
@@ -308,52 +304,11 @@
     }
 }
 
-/// Sends the requests and prompt parts during which servers crashed to all peers at once. What
-/// changes within a pause after an announcement, which is longer in a large fleet, is sent at its end.
-pub(crate) fn announce_crashes(state: &Rc<State>) {
-    if state.crash_news.replace(true) {
-        return;
-    }
-    let Some(task) = CountGuard::try_new(&state.crash_announcements, 1) else {
-        return;
-    };
-    let state = Rc::clone(state);
-    monoio::spawn(async move {
-        while state.crash_news.replace(false) {
-            let addresses = state.peers.borrow().addresses();
-            let pause = MIN_ANNOUNCE_PAUSE + ANNOUNCE_PAUSE_PER_PEER * addresses.len() as u32;
-            send_to(&state, crashes_message(&state), addresses);
-            monoio::time::sleep(pause).await;
-        }
-        drop(task);
-    });
-}
-
-fn crashes_message(state: &State) -> PeerMessage {
-    let now = state.now();
-    PeerMessage {
-        crashes: crashes_wire(state, now),
-        parts: parts_wire(state, now),
-        ..base_message(state)
-    }
-}
-
-/// Returns the report of suspect prompt parts, unless it is empty.
-fn parts_wire(state: &State, now: Instant) -> Option<PartsWire> {
-    let report = state.parts.borrow().export(now);
-    (report != PartReport::default()).then(|| PartsWire::from(&report))
-}
-
 fn limits_wire(dispatcher: &Dispatcher, now: Instant) -> Vec<LimitWire> {
     let reports = dispatcher.limit_reports(now);
     reports.into_iter().map(LimitWire::from).collect()
 }
 
-fn crashes_wire(state: &State, now: Instant) -> Vec<CrashesWire> {
-    let reports = state.crashes.borrow().export(now);
-    reports.into_iter().map(CrashesWire::from).collect()
-}
-
 /// Announces this node to all peers at once, and whether it now calls the object service or
 /// holds the duties: peers that don't know would take the same role.
 pub(crate) fn announce(state: &Rc<State>) {
@@ -461,7 +416,7 @@
         send_limits(state, address);
     }
     if has_restarted {
-        send_quarantines(state, address);
+        crash_news::send_quarantines(state, address);
     }
     let correction = state
         .fleet_clock
@@ -470,10 +425,7 @@
     if let Some(by) = correction {
         log::info!("time choice=correct by_ms={by} reason=\"median of all nodes' clocks\"");
     }
-    handle_crashes(state, std::mem::take(&mut message.crashes), &name);
-    if let Some(parts) = message.parts.take() {
-        part_quarantine::merge(state, &parts.into(), name.as_str(), now);
-    }
+    crash_news::handle(state, &mut message, &name);
     handle_limits(state, std::mem::take(&mut message.limits), &name);
     handle_store_state(state, &message, &name, address);
     let placed: Vec<PartPlacement> = message.placed.unwrap_or_default().into();
@@ -505,29 +457,6 @@
     drop(usage);
 }
 
-/// Handles a peer's reports of requests that crashed servers.
-fn handle_crashes(state: &State, crashes: Vec<CrashesWire>, name: &Name) {
-    let reports = crashes
-        .into_iter()
-        .filter_map(|wire| match wire.try_into() {
-            Ok(report) => Some(report),
-            Err(error) => {
-                log::warn!("crashes from={name} choice=ignore reason=\"{error}\"");
-                None
-            }
-        });
-    let reports: Vec<_> = reports.collect();
-    node_object::merge_crashes(state, &reports, name.as_str(), state.now());
-}
-
-/// Tells a process that has just started which requests and prompt parts are quarantined.
-fn send_quarantines(state: &Rc<State>, address: SocketAddr) {
-    let message = crashes_message(state);
-    if !message.crashes.is_empty() || message.parts.is_some() {
-        send_to(state, message, vec![address]);
-    }
-}
-
 /// Tells a process that has just started, and so knows no limits, those of the servers.
 fn send_limits(state: &Rc<State>, address: SocketAddr) {
     let limits = limits_wire(&state.dispatcher.borrow(), state.now());
