Tell a node that bars a request of the answers that it does not know of

Callers at a gateway that had been killed and started again were refused what all others served (KNOWN-RED.txt, `read` refused with "servers ended under it"). It had read crashes from an object older than the answers that had cleared them, and the others had long ceased to send the clearing, or had never kept it as they knew of no crash. A node now remembers when it last answered a request, 4096 at most, and says so when it gets older crashes.

--- a/crates/pomeloridge_policy/src/crashes.rs
+++ b/crates/pomeloridge_policy/src/crashes.rs
@@ -37,6 +37,9 @@
 /// Maximum number of requests whose crashes are remembered; those with the fewest are
 /// evicted first.
 const MAX_RECORDS: usize = 4096;
+/// Maximum number of requests whose latest complete answer is remembered; the oldest answers are
+/// evicted first.
+const MAX_ANSWERS: usize = 4096;
 /// Age difference below which a peer reports an event that is already known.
 const MERGE_TOLERANCE: Duration = Duration::from_secs(1);
 
@@ -131,6 +134,8 @@
     runs: SlotMap<RunKey, Run>,
     lost_count: usize,
     records: HashMap<Fingerprint, Record>,
+    /// When requests were last answered completely at this node.
+    answers: HashMap<Fingerprint, Instant>,
 }
 
 impl CrashTracker {
@@ -157,6 +162,10 @@
         let Some(run) = self.runs.remove(key) else {
             return;
         };
+        if outcome == RunOutcome::Answered {
+            self.answers.insert(run.fingerprint, now);
+            self.evict_answers();
+        }
         if outcome == RunOutcome::Answered
             && let Some(record) = self.records.get_mut(&run.fingerprint)
             && !record.crash_ages(now).is_empty()
@@ -261,6 +270,15 @@
                     record.add(*server, at);
                 }
             }
+            let latest = report.crashes.iter().map(|(_, age)| *age).min();
+            let latest = latest.and_then(|age| now.checked_sub(age));
+            if let Some((answered, latest)) = self.answers.get(&report.fingerprint).zip(latest)
+                && *answered > latest
+            {
+                // The peer does not know of the answer.
+                record.cleared = record.cleared.max(Some(*answered));
+                record.updated = Some(now);
+            }
             if !was_quarantined && record.quarantine_left(now).is_some() {
                 quarantined.push(report.fingerprint);
             }
@@ -271,6 +289,8 @@
 
     /// Removes expired runs and records.
     pub fn sweep(&mut self, now: Instant) {
+        self.answers
+            .retain(|_, at| now.saturating_duration_since(*at) < CRASH_TTL);
         let is_old = |at: Instant| now.saturating_duration_since(at) >= LOST_RUN_TTL;
         self.remove_lost(|run| run.lost_at.is_some_and(is_old));
         self.records.retain(|_, record| !record.is_expired(now));
@@ -284,6 +304,17 @@
         self.lost_count = lost.count();
     }
 
+    fn evict_answers(&mut self) {
+        if self.answers.len() <= MAX_ANSWERS {
+            return;
+        }
+        let mut times: Vec<Instant> = self.answers.values().copied().collect();
+        times.sort_unstable();
+        // Some more than needed, so that not every answer evicts one.
+        let oldest_kept = times[MAX_ANSWERS / 4];
+        self.answers.retain(|_, at| *at >= oldest_kept);
+    }
+
     fn evict_excess(&mut self, now: Instant) {
         while self.records.len() > MAX_RECORDS {
             let lowest = self.records.iter().min_by_key(|(_, record)| {
--- a/crates/pomeloridge_policy/tests/policy/crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/crashes.rs
@@ -135,6 +135,32 @@
     assert_eq!(here.crash_count(&fingerprint("q"), now + ms(20)), 0);
 }
 
+/// Guards against a restarted node that refuses what the others serve, on crashes that it read
+/// from an old object (KNOWN-RED.txt, `read` at a gateway that had been killed).
+#[parameterized(
+    known_crashes = { true },
+    unknown_crashes = { false },
+)]
+fn a_node_that_answered_since_clears_old_crashes_at_others(is_known: bool) {
+    let start = Instant::now();
+    let (mut serving, mut restarted) = (CrashTracker::default(), CrashTracker::default());
+    for server in 1..=QUARANTINE_CRASHES as u64 {
+        crash(&mut restarted, server, &["q"], start);
+    }
+    if is_known {
+        serving.merge(&restarted.export(start), start);
+    }
+    let answered_at = start + ms(100);
+    let answered = serving.start_run(fingerprint("q"), ServerIncarnation(9));
+    serving.finish_run(answered, RunOutcome::Answered, answered_at);
+    // The clearing itself is no longer exported.
+    let now = start + Duration::from_mins(1);
+    serving.merge(&restarted.export(now), now);
+    assert_eq!(serving.quarantine_left(&fingerprint("q"), now), None);
+    restarted.merge(&serving.export(now), now);
+    assert_eq!(restarted.quarantine_left(&fingerprint("q"), now), None);
+}
+
 /// Guards against nodes that refresh each other's crash records without end.
 #[test]
 fn a_crash_exchanged_back_and_forth_still_expires() {
