--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! another in the same data centre and remote to the others. In a large fleet, remote peers
 //! receive fewer messages.
 
+mod crash_news;
 mod node_object;
 mod table;
 mod wire;
@@ -28,8 +29,9 @@
 use crate::usage::{Counts, UsageSource};
 use crate::{internal, server_limits, watch};
 
+pub(crate) use crash_news::announce_crashes;
 pub(crate) use table::{Peers, name_hash};
-use wire::{CrashesWire, LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
+use wire::{LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
 
 /// Interval between reads of the node objects. It may be long, as a node that starts announces
 /// itself to the others.
@@ -267,7 +269,8 @@
         loads: Some(loads),
         placed: Some(placed.as_slice().into()),
         changing: state.changing_engines.borrow().clone(),
-        crashes: crashes_wire(state, now),
+        crashes: crash_news::crashes_wire(state, now),
+        parts: crash_news::parts_wire(state, now),
         limits: limits_wire(&dispatcher, now),
         servers: state
             .server_list
@@ -318,26 +321,11 @@
     }
 }
 
-/// Sends the requests during which servers crashed to all peers at once.
-pub(crate) fn announce_crashes(state: &Rc<State>) {
-    let message = PeerMessage {
-        crashes: crashes_wire(state, state.now()),
-        ..base_message(state)
-    };
-    let addresses = state.peers.borrow().addresses();
-    send_to(state, message, addresses);
-}
-
 fn limits_wire(dispatcher: &Dispatcher, now: Instant) -> Vec<LimitWire> {
     let reports = dispatcher.limit_reports(now);
     reports.into_iter().map(LimitWire::from).collect()
 }
 
-fn crashes_wire(state: &State, now: Instant) -> Vec<CrashesWire> {
-    let reports = state.crashes.borrow().export(now);
-    reports.into_iter().map(CrashesWire::from).collect()
-}
-
 /// Announces this node to all peers at once, and whether it now calls the object service or
 /// holds the duties: peers that don't know would take the same role.
 pub(crate) fn announce(state: &Rc<State>) {
@@ -444,6 +432,9 @@
     if has_restarted && message.data_centre_hash == state.data_centre_hash {
         send_limits(state, address);
     }
+    if has_restarted {
+        crash_news::send_quarantines(state, address);
+    }
     let correction = state
         .fleet_clock
         .borrow_mut()
@@ -451,7 +442,7 @@
     if let Some(by) = correction {
         log::info!("time choice=correct by_ms={by} reason=\"median of all nodes' clocks\"");
     }
-    handle_crashes(state, std::mem::take(&mut message.crashes), &name);
+    crash_news::handle(state, &mut message, &name);
     handle_limits(state, std::mem::take(&mut message.limits), &name);
     handle_store_state(state, &message, &name, address);
     let placed: Vec<PartPlacement> = message.placed.unwrap_or_default().into();
@@ -483,21 +474,6 @@
     drop(usage);
 }
 
-/// Handles a peer's reports of requests that crashed servers.
-fn handle_crashes(state: &State, crashes: Vec<CrashesWire>, name: &Name) {
-    let reports = crashes
-        .into_iter()
-        .filter_map(|wire| match wire.try_into() {
-            Ok(report) => Some(report),
-            Err(error) => {
-                log::warn!("crashes from={name} choice=ignore reason=\"{error}\"");
-                None
-            }
-        });
-    let reports: Vec<_> = reports.collect();
-    node_object::merge_crashes(state, &reports, name.as_str(), state.now());
-}
-
 /// Tells a process that has just started, and so knows no limits, those of the servers.
 fn send_limits(state: &Rc<State>, address: SocketAddr) {
     let limits = limits_wire(&state.dispatcher.borrow(), state.now());
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -162,6 +162,7 @@
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
         let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, accepted);
+        in_flight.watch_parts(accepted);
         let watch = SilenceWatch {
             attempts,
             server: plan.server,
@@ -271,6 +272,9 @@
                 .forward_events(&mut events, is_resumed, responder)
                 .await?;
             watch.timeout = self.accepted.stream_silence_timeout();
+            if tokens > 0 {
+                in_flight.record_events();
+            }
             rate.record(tokens, self.state.now());
         }
         if !events.is_empty() {
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -47,6 +47,7 @@
 ) -> Result<Response, Failure> {
     let accepted = attempts.accepted();
     let mut in_flight = InFlightAttempt::new(state, plan.server, 0, accepted);
+    in_flight.watch_parts(accepted);
     let params = SendParams {
         watch: SilenceWatch {
             attempts,
