Answer a request that arrives while its connection is about to be closed

A request on a kept connection got neither an answer nor a refusal, but a reset, where it arrived just as the connection reached its idle time or the process stopped; more often the shorter the idle time of a new configuration was.

The server decided to close by the clock alone. Other requests share its thread, so that a request may wait in the kernel for as long as they keep it busy; closing then resets it unread. The socket is asked for input before a connection without a request is closed, and what has arrived is read and answered. A request that arrives after that still crosses the close, within the same turn of the thread.

--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -121,12 +121,18 @@
     async fn wait_for_request(&self, responder: &mut Responder) -> Result<(), CloseReason> {
         let idle_end = Instant::now() + self.limits.get().idle_time;
         while responder.stream.buf.is_empty() {
+            let is_stopping = (self.stopping)();
             let now = Instant::now();
-            if (self.stopping)() {
-                return Err(CloseReason::Stopping);
-            }
-            if now >= idle_end {
-                return Err(CloseReason::Idle);
+            let reason = if is_stopping {
+                Some(CloseReason::Stopping)
+            } else {
+                (now >= idle_end).then_some(CloseReason::Idle)
+            };
+            // A request may have arrived that was not read yet because other tasks were busy.
+            if let Some(reason) = reason
+                && !responder.has_input()
+            {
+                return Err(reason);
             }
             match responder.stream.fill(now + STOP_POLL_INTERVAL).await {
                 Ok(0) => return Err(CloseReason::Peer),
@@ -327,6 +333,11 @@
         }
     }
 
+    /// Returns whether bytes wait to be read.
+    fn has_input(&self) -> bool {
+        net::peek(&self.stream.stream).is_ok_and(|count| count > 0)
+    }
+
     /// Waits until the peer has closed the connection, and returns how: [`Fault::Closed`] after
     /// an ordinary close, or the error of the connection.
     ///
