Apply a longer idle time to connections that already wait

Callers that follow the configuration reuse connections that have been idle for most of its idle time. After a configuration with a longer one, connections that were waiting were still closed after the old one, under the next request where the two met.

The end of the wait was set when it began. The longer of the idle times that were in force since counts now; a shorter one still applies from the next request on.

--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -34,7 +34,7 @@
 /// The handler also receives the error of a request that could not be read, so that each port
 /// refuses it in its own format; the connection is closed afterwards.
 pub struct Server<H, S> {
-    /// Limits; a change applies from the next request on.
+    /// Limits; a change applies from the next request on, a longer idle time at once.
     pub limits: Cell<Limits>,
     /// Handles a request.
     pub handler: H,
@@ -119,14 +119,16 @@
 
     /// Waits for the first byte of a request, or returns why the connection is to be closed.
     async fn wait_for_request(&self, responder: &mut Responder) -> Result<(), CloseReason> {
-        let idle_end = Instant::now() + self.limits.get().idle_time;
+        let idle_since = Instant::now();
+        let mut idle_time = self.limits.get().idle_time;
         while responder.stream.buf.is_empty() {
             let is_stopping = (self.stopping)();
             let now = Instant::now();
+            idle_time = idle_time.max(self.limits.get().idle_time);
             let reason = if is_stopping {
                 Some(CloseReason::Stopping)
             } else {
-                (now >= idle_end).then_some(CloseReason::Idle)
+                (now >= idle_since + idle_time).then_some(CloseReason::Idle)
             };
             // A request may have arrived that was not read yet because other tasks were busy.
             if let Some(reason) = reason
--- a/crates/pomeloridge_base/tests/idle_close.rs
+++ b/crates/pomeloridge_base/tests/idle_close.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::http::{Limits, Responder, Response, Server};
@@ -53,3 +54,36 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
     });
 }
+
+/// Guards against closing a connection after an idle time that a new configuration has extended.
+#[test]
+fn a_longer_idle_time_holds_for_connections_that_wait() {
+    run(async {
+        let listener = pomeloridge_base::net::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        caller.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        let (stream, peer) = pomeloridge_base::net::accept(&listener).await.unwrap();
+        let limits = |idle_time| Limits {
+            idle_time,
+            ..Limits::default()
+        };
+        let server = Rc::new(Server {
+            limits: Cell::new(limits(IDLE_TIME)),
+            handler: async |_, responder: &mut Responder| {
+                responder.close_after();
+                responder.send(Response::new(200, "")).await.unwrap();
+            },
+            stopping: || false,
+        });
+        let serving = Rc::clone(&server);
+        let task = monoio::spawn(async move { serving.serve_connection(stream, peer).await });
+        monoio::time::sleep(IDLE_TIME / 2).await;
+        server.limits.set(limits(IDLE_TIME * 20));
+        monoio::time::sleep(IDLE_TIME * 5).await;
+        caller.write_all(REQUEST).unwrap();
+        task.await;
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    });
+}
