Test silent prefill engines, and new requests while all servers are silent

A silent prefill engine is left for a decode engine that reads the prompt itself; servers that are all ejected for their silence still get new requests as a last resort.

--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -17,9 +17,13 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Prompt that needs no separate prefill, in tokens.
 const SHORT_PROMPT: u64 = 200;
+/// Prompt with a separate prefill, in tokens.
+const LONG_PROMPT: u64 = 12_000;
 const ALL_EVENTS: [u64; 8] = [1, 2, 3, 4, 5, 6, 7, 8];
 /// Requests that fall silent at the same time: more than the gateway may repeat.
 const SILENT: usize = 40;
+/// Long prompts that one prefill engine can read in time.
+const PREFILLS: usize = 8;
 /// Requests that make room for some retries in the budget.
 const EARLIER: usize = 40;
 
@@ -204,6 +208,41 @@
     assert!(incomplete.is_empty(), "{incomplete:#?}");
 }
 
+/// Guards against losing requests whose prefill engine is silent for a second or so.
+#[parameterized(
+    repeatable = { "ask" },
+    unrepeatable = { "note" },
+)]
+fn a_silent_prefill_engine_loses_no_request(route: &str) {
+    let fleet = start(&format!("prefill-{route}"), &["--decode", "1"]);
+    let requests = (0..PREFILLS).map(|number| {
+        let id = format!("p{number}");
+        let message = generation(route, &id, LONG_PROMPT);
+        (id, message.with_header("x-read-fault", "pause-0-1800"))
+    });
+    let outcomes = send_at_once(&fleet, requests.collect(), || {});
+    let incomplete = incomplete(&outcomes, Kind::Stream);
+    assert!(incomplete.is_empty(), "{incomplete:#?}");
+}
+
+/// Guards against ejecting all servers of a service because they are silent, so that new
+/// requests are refused.
+#[parameterized(
+    calls = { Kind::Call },
+    streams = { Kind::Stream },
+)]
+fn new_requests_are_served_while_all_servers_are_silent(kind: Kind) {
+    let fleet = start(&format!("ejected-{}", kind as u8), &[]);
+    let silent = requests(SILENT, "s", "pause-0-1400,pause-0-1400", kind);
+    let outcomes = send_at_once(&fleet, silent, || {
+        wait_until(|| !log_lines(&fleet, "choice=eject reason=silent").is_empty());
+        let new = send_at_once(&fleet, requests(8, "n", "", kind), || {});
+        assert!(incomplete(&new, kind).is_empty(), "{new:?}");
+    });
+    let incomplete = incomplete(&outcomes, kind);
+    assert!(incomplete.is_empty(), "{incomplete:#?}");
+}
+
 /// Guards against giving up a stream of a sound server that is silent for a second or so: no
 /// other server may accept it.
 #[test]
