Decode the lists of peers and of the platform one entry at a time

What callers saw: nothing yet; found while testing odd entries of servers. One entry that nests 125 levels or more can be read from the object service, but not within the list that nodes read from one another, which adds levels, so that a node that depends on its peers never got the list. In the project's own interface, one entry with a price of another type hid all backend servers.

Cause: these lists were decoded as a whole, as those of the store were.

Left: an object that a call reads by itself is an error to its caller, as before.

--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -9,7 +9,6 @@
 use pomeloridge_base::http::{Fault, OutgoingRequest, Request, Responder, Response, call};
 use pomeloridge_base::id::Revision;
 use pomeloridge_platform::{ListWire, Object, ObjectWire};
-use serde::de::DeserializeOwned;
 
 use crate::compression::{compress, decompress};
 use crate::state::State;
@@ -30,24 +29,25 @@
 
 /// Reads a peer's configuration.
 pub(crate) async fn read_config(address: SocketAddr) -> Result<Object, String> {
-    let wire: ObjectWire = read(address, CONFIG_PATH).await?;
+    let text = read(address, CONFIG_PATH).await?;
+    let wire: ObjectWire = serde_json::from_slice(&text).map_err(|error| error.to_string())?;
     Ok(wire.into())
 }
 
 /// Reads compressed JSON from a peer.
-async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, String> {
+async fn read(address: SocketAddr, path: &str) -> Result<Vec<u8>, String> {
     let response = call(address, &OutgoingRequest::get(path), READ_TIMEOUT).await;
     let response = response.map_err(|fault| fault.to_string())?;
     if response.status != StatusCode::OK {
         return Err(format!("status {}", response.status));
     }
-    let body = decompress(&response.body).map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    decompress(&response.body).map_err(|error| error.to_string())
 }
 
 /// Reads a peer's server list.
 pub(crate) async fn read_servers(address: SocketAddr) -> Result<(Revision, Vec<Object>), String> {
-    let wire: ListWire = read(address, SERVERS_PATH).await?;
+    let text = read(address, SERVERS_PATH).await?;
+    let wire = ListWire::decode(&text).map_err(|error| error.to_string())?;
     Ok(wire.into())
 }
 
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -13,12 +13,13 @@
 use serde_json::Value;
 
 use crate::call_counts::{CallCounts, CallKind};
-use crate::codec::{ObjectCodec, decode};
+use crate::codec::ObjectCodec;
 use crate::error::PlatformError;
 use crate::fleet::{BackendServer, Vm};
+use crate::json::{decode_list, decode_text};
 use crate::object::{Changes, Expect, Object};
 use crate::order::OrderStatus;
-use crate::wire::{OrdersWire, ServersWire, VmsWire, convert_list};
+use crate::wire::{ServerWire, StatusWire, VmWire, convert_list};
 
 /// Shortest timeout passed to the kernel, which treats 0 as no timeout.
 const MIN_KERNEL_TIMEOUT: Duration = Duration::from_millis(1);
@@ -177,21 +178,21 @@
         let response = self
             .call(CallKind::Vms, OutgoingRequest::get("/vms"))
             .await?;
-        Ok(convert_list(decode::<VmsWire>(&response)?.vms))
+        convert_list::<VmWire, _>(&response.body, "vms")
     }
 
     /// Lists the backend servers.
     pub async fn servers(&self) -> Result<Vec<BackendServer>, PlatformError> {
         let request = OutgoingRequest::get("/backends");
         let response = self.call(CallKind::Servers, request).await?;
-        Ok(convert_list(decode::<ServersWire>(&response)?.servers))
+        convert_list::<ServerWire, _>(&response.body, "servers")
     }
 
     /// Lists the orders that the platform has on record.
     pub async fn orders(&self) -> Result<Vec<OrderStatus>, PlatformError> {
         let request = OutgoingRequest::get("/orders");
         let response = self.call(CallKind::Orders, request).await?;
-        let wires = decode::<OrdersWire>(&response)?.orders;
+        let wires = decode_list(&response.body, "orders", decode_text::<StatusWire>)?;
         Ok(wires.into_iter().map(OrderStatus::from).collect())
     }
 
--- a/crates/pomeloridge_platform/src/codec.rs
+++ b/crates/pomeloridge_platform/src/codec.rs
@@ -73,14 +73,14 @@
             object: |_, response| Ok(decode::<ObjectWire>(response)?.into()),
             version: |response| Ok(decode::<VersionWire>(response)?.version),
             page: |_, response| {
-                let (revision, objects) = decode::<ListWire>(response)?.into();
+                let (revision, objects) = ListWire::decode(&response.body)?.into();
                 Ok(Page {
                     revision,
                     objects,
                     next: None,
                 })
             },
-            changes: |_, response| Ok(decode::<WatchWire>(response)?.into()),
+            changes: |_, response| Ok(WatchWire::decode(&response.body)?.into()),
         }
     }
 }
--- a/crates/pomeloridge_platform/src/json.rs
+++ b/crates/pomeloridge_platform/src/json.rs
@@ -4,6 +4,62 @@
 //! Only strings and brackets are followed: a part may nest deeply, and it may contain numbers
 //! that are out of range or bytes that are not UTF-8.
 
+use serde::de::DeserializeOwned;
+
+use crate::error::PlatformError;
+
+/// Most characters of a reason that are logged.
+const MAX_REASON_CHARS: usize = 100;
+/// Most malformed elements of one list that are logged.
+const MAX_LOGGED: usize = 8;
+
+/// Decodes a member of an object.
+pub fn decode_member<T: DeserializeOwned>(text: &[u8], name: &str) -> Result<T, PlatformError> {
+    let found = member(text, name).ok_or_else(|| malformed(&format!("no `{name}`")))?;
+    let decoded = serde_json::from_slice(found);
+    decoded.map_err(|error| malformed(&format!("`{name}`: {}", shorten(&error.to_string()))))
+}
+
+/// Returns the elements of a member of an object.
+pub fn list<'a>(text: &'a [u8], name: &str) -> Result<Vec<&'a [u8]>, PlatformError> {
+    let found = member(text, name).and_then(elements);
+    found.ok_or_else(|| malformed(&format!("no list `{name}`")))
+}
+
+/// Decodes the elements of a member of an object; logs and skips those that cannot be decoded.
+pub(crate) fn decode_list<T>(
+    text: &[u8],
+    name: &str,
+    decode: impl Fn(&[u8]) -> Result<T, PlatformError>,
+) -> Result<Vec<T>, PlatformError> {
+    let mut skipped = 0;
+    let elements = list(text, name)?.into_iter().filter_map(|element| {
+        let decoded = decode(element).inspect_err(|error| {
+            skipped += 1;
+            if skipped <= MAX_LOGGED {
+                log::warn!("list name={name} choice=skip reason=\"{error}\"");
+            }
+        });
+        decoded.ok()
+    });
+    Ok(elements.collect())
+}
+
+/// Decodes a text as a whole.
+pub(crate) fn decode_text<T: DeserializeOwned>(text: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(text).map_err(|error| malformed(&shorten(&error.to_string())))
+}
+
+/// Returns the start of a text that may be long.
+pub fn shorten(text: &str) -> String {
+    text.chars().take(MAX_REASON_CHARS).collect()
+}
+
+/// Returns the error of a malformed response.
+pub fn malformed(reason: &str) -> PlatformError {
+    PlatformError::Malformed(reason.to_owned())
+}
+
 /// Returns the elements of an array, or `None` if the text is not an array.
 pub fn elements(text: &[u8]) -> Option<Vec<&[u8]>> {
     split(text, b'[', b']')
--- a/crates/pomeloridge_platform/src/wire.rs
+++ b/crates/pomeloridge_platform/src/wire.rs
@@ -4,11 +4,13 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use pomeloridge_base::id::{Epoch, Name, Revision};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::error::PlatformError;
 use crate::fleet::{BackendServer, ServerKind, ServerState, Vm};
+use crate::json::{decode_list, decode_member, decode_text, member};
 use crate::object::{Changes, Event, Object};
 use crate::order::{Order, OrderAction, OrderReceipt, OrderStatus};
 use crate::usage::UsageReceipt;
@@ -47,12 +49,22 @@
 }
 
 /// Wire format of a list of objects at one revision.
-#[derive(Serialize, Deserialize)]
+#[derive(Serialize)]
 pub struct ListWire {
     revision: Revision,
     objects: Vec<ObjectWire>,
 }
 
+impl ListWire {
+    /// Decodes a list; an object that cannot be decoded is skipped.
+    pub fn decode(text: &[u8]) -> Result<Self, PlatformError> {
+        Ok(Self {
+            revision: decode_member(text, "revision")?,
+            objects: decode_list(text, "objects", decode_text)?,
+        })
+    }
+}
+
 impl From<ListWire> for (Revision, Vec<Object>) {
     fn from(wire: ListWire) -> Self {
         let objects = wire.objects.into_iter().map(Object::from);
@@ -69,13 +81,32 @@
     }
 }
 
-#[derive(Deserialize)]
 struct EventWire {
     key: String,
     version: Revision,
     value: Option<Value>,
 }
 
+impl EventWire {
+    /// Decodes a change. A value that cannot be decoded becomes JSON null, as the value before it
+    /// no longer holds.
+    fn decode(text: &[u8]) -> Result<Self, PlatformError> {
+        let key: String = decode_member(text, "key")?;
+        let value = member(text, "value").filter(|value| *value != b"null");
+        let value = value.map(|value| {
+            decode_text(value).unwrap_or_else(|error| {
+                log::warn!("object key={key:?} choice=ignore reason=\"{error}\"");
+                Value::Null
+            })
+        });
+        Ok(Self {
+            version: decode_member(text, "version")?,
+            key,
+            value,
+        })
+    }
+}
+
 impl From<EventWire> for Event {
     fn from(wire: EventWire) -> Self {
         Self {
@@ -86,12 +117,20 @@
     }
 }
 
-#[derive(Deserialize)]
 pub(crate) struct WatchWire {
     revision: Revision,
     events: Vec<EventWire>,
 }
 
+impl WatchWire {
+    pub(crate) fn decode(text: &[u8]) -> Result<Self, PlatformError> {
+        Ok(Self {
+            revision: decode_member(text, "revision")?,
+            events: decode_list(text, "events", EventWire::decode)?,
+        })
+    }
+}
+
 impl From<WatchWire> for Changes {
     fn from(wire: WatchWire) -> Self {
         Self {
@@ -109,11 +148,6 @@
     state: String,
 }
 
-#[derive(Deserialize)]
-pub(crate) struct VmsWire {
-    pub(crate) vms: Vec<VmWire>,
-}
-
 impl TryFrom<VmWire> for Vm {
     type Error = PlatformError;
 
@@ -150,11 +184,6 @@
     leave_at: Option<u64>,
 }
 
-#[derive(Deserialize)]
-pub(crate) struct ServersWire {
-    pub(crate) servers: Vec<ServerWire>,
-}
-
 impl TryFrom<ServerWire> for BackendServer {
     type Error = PlatformError;
 
@@ -258,11 +287,6 @@
     }
 }
 
-#[derive(Deserialize)]
-pub(crate) struct OrdersWire {
-    pub(crate) orders: Vec<StatusWire>,
-}
-
 #[derive(Serialize)]
 pub(crate) struct UsageWire<'a> {
     pub(crate) window: &'a str,
@@ -285,21 +309,17 @@
     }
 }
 
-/// Converts the entries of a list, and logs and skips invalid ones.
+/// Decodes and converts the entries of a list, and logs and skips invalid ones.
 ///
 /// A single invalid entry must not hide the rest of the fleet.
-pub(crate) fn convert_list<W, T>(wires: Vec<W>) -> Vec<T>
+pub(crate) fn convert_list<W, T>(text: &[u8], name: &str) -> Result<Vec<T>, PlatformError>
 where
-    T: TryFrom<W, Error = PlatformError>,
+    W: DeserializeOwned,
+    T: TryFrom<W, Error: Into<PlatformError>>,
 {
-    let convert = |wire| match T::try_from(wire) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            log::warn!("skipped an entry of the platform's list: {error}");
-            None
-        }
-    };
-    wires.into_iter().filter_map(convert).collect()
+    decode_list(text, name, |entry| {
+        T::try_from(decode_text::<W>(entry)?).map_err(Into::into)
+    })
 }
 
 fn address(text: &str) -> Result<SocketAddr, PlatformError> {
