Bound the times that servers' responses give

What callers saw: all requests of a gateway broken off at once; found while testing odd entries of servers.

Cause: a point in time that is so far ahead overflows, which panics.

--- a/crates/pomeloridge_dev/tests/odd_entries.rs
+++ b/crates/pomeloridge_dev/tests/odd_entries.rs
@@ -121,6 +121,23 @@
     });
 }
 
+/// Guards against times in a server's response that are out of range and end the process.
+#[parameterized(
+    idle_timeout = { "endless" },
+    backoff = { "away-endless" },
+)]
+fn odd_times_in_responses_are_bounded(fault: &str) {
+    let fleet = Fleet::start(&format!("odd-{fault}"), 1).unwrap();
+    block_on(async {
+        wait_until_ready(&fleet).await;
+        let gateway = fleet.gateways[0].caller;
+        let odd = request(Method::GET, "read", "t1").with_header("x-fault", fault);
+        let sent = send_request(gateway, None, &odd).await;
+        assert_eq!(sent.unwrap().0.status, 200);
+        assert_eq!(read(gateway).await.status, 200);
+    });
+}
+
 /// Guards against a server that stays in use after its entry was replaced by an unreadable one.
 #[parameterized(
     deep = { "deep", nested(DEEP).into_bytes() },
--- a/crates/pomeloridge_gateway/src/pool.rs
+++ b/crates/pomeloridge_gateway/src/pool.rs
@@ -16,6 +16,8 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an idle connection is kept if its server gives no idle timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time for which an idle connection is kept.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
 /// Margin before the server's idle timeout at which a connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// Longest idle time of a connection that is reused for a request that must not be retried.
@@ -146,7 +148,7 @@
             return;
         }
         let idle_timeout = server_idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
-            timeout.saturating_sub(IDLE_MARGIN)
+            timeout.min(MAX_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN)
         });
         let idle = IdleConnection {
             expires_at: now + idle_timeout,
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -37,6 +37,8 @@
 
 /// Delay before the first probe of an unreachable server.
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(500);
+/// Longest time for which a server may ask for no requests.
+const MAX_BACKOFF: Duration = Duration::from_hours(24);
 /// Delay before a server that refused a request without reading it is probed.
 const REFUSAL_PROBE_DELAY: Duration = Duration::from_millis(250);
 /// Time after which an engine ordered to change its stage is used again, even if the
@@ -532,7 +534,7 @@
     /// never replaces a longer one.
     pub fn set_backoff(&mut self, key: TargetKey, time: Duration, now: Instant) {
         if let Some(target) = self.targets.get_mut(key) {
-            let until = now + time;
+            let until = now + time.min(MAX_BACKOFF);
             target.backoff_until = Some(
                 target
                     .backoff_until
