Let a panic end only its task

Cause: all tasks of a gateway share one thread, and a panic in one of them unwinds through the runtime.

A panic is now caught, logged and counted at the border of a request, a datagram and a read from a peer. The loops that follow the object service and the peers are started again after a second, with a full read of the list of servers. Borrows and guards are released as the stack unwinds. The duties are left as they are: a process that has failed in the middle of one must not go on with its lease.

Left: panics in duties, signal handling, housekeeping, accept loops and probes still end the process.

--- a/crates/pomeloridge_base/src/lib.rs
+++ b/crates/pomeloridge_base/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod rule;
 pub mod secret;
 pub mod settings;
+pub mod task;
 
 use std::future::Future;
 use std::pin::Pin;
--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -45,6 +45,7 @@
         Ejections: "pomeloridge_ejections", "Backend servers taken out of routing after a failure.";
         RoleChanges: "pomeloridge_role_changes", "Role changes ordered.";
         ServerOrders: "pomeloridge_server_orders", "Orders for backend servers given to the platform.";
+        Panics: "pomeloridge_panics", "Tasks that ended by a panic.";
         UnreplicatedUsage: "pomeloridge_usage_unreplicated", "Usage lines that no peer acknowledged in time.";
     }
 }
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -9,6 +9,7 @@
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::http::{Fault, Limits, Request, Responder, Response, Server};
 use pomeloridge_base::net::listen;
+use pomeloridge_base::task::{catch_panic, keep_running};
 
 use crate::state::{GatewayParts, State};
 use crate::{crash_detection, duties, ingress, internal, lifecycle, peers, watch};
@@ -55,15 +56,21 @@
     );
     *state.socket.borrow_mut() = Some(Rc::clone(&socket));
     lifecycle::watch_signals(&state)?;
-    monoio::spawn(watch::follow_config(Rc::clone(&state)));
-    monoio::spawn(watch::follow_server_list(Rc::clone(&state)));
-    monoio::spawn(watch::expire_servers(Rc::clone(&state)));
-    monoio::spawn(peers::discover(Rc::clone(&state)));
-    monoio::spawn(peers::send_heartbeats(
-        Rc::clone(&state),
-        Rc::clone(&socket),
-    ));
-    monoio::spawn(peers::receive(Rc::clone(&state), Rc::clone(&socket)));
+    spawn(&state, "follow_config", watch::follow_config);
+    let is_restarted = Cell::new(false);
+    spawn(&state, "follow_servers", move |state| {
+        watch::follow_server_list(state, is_restarted.replace(true))
+    });
+    spawn(&state, "expire_servers", watch::expire_servers);
+    spawn(&state, "discover_nodes", peers::discover);
+    let sender = Rc::clone(&socket);
+    spawn(&state, "send_heartbeats", move |state| {
+        peers::send_heartbeats(state, Rc::clone(&sender))
+    });
+    let receiver = Rc::clone(&socket);
+    spawn(&state, "receive_datagrams", move |state| {
+        peers::receive(state, Rc::clone(&receiver))
+    });
     duties::start(&state);
     for listener in [peer, metrics] {
         let internal_state = Rc::clone(&state);
@@ -86,6 +93,17 @@
     Ok(())
 }
 
+/// Runs a task until the process ends, also after a panic in it.
+fn spawn<F>(state: &Rc<State>, name: &'static str, start: impl Fn(Rc<State>) -> F + 'static)
+where
+    F: Future<Output = ()> + 'static,
+{
+    let state = Rc::clone(state);
+    monoio::spawn(async move {
+        keep_running(name, &state.meter, || start(Rc::clone(&state))).await;
+    });
+}
+
 /// Formats the number of calls to the object service by kind.
 fn store_call_counts(state: &State) -> String {
     let counts = state.store.calls().all();
@@ -98,11 +116,29 @@
     format!("[listen] {key}: cannot listen on {address}: {error}; choose a free address")
 }
 
-fn server<H>(state: &Rc<State>, handler: H) -> Server<H, impl Fn() -> bool + 'static + use<H>>
+/// Returns a server that goes on after a panic in its handler.
+fn server<H>(
+    state: &Rc<State>,
+    handler: H,
+) -> Server<
+    impl AsyncFn(Result<Request, Fault>, &mut Responder) + 'static + use<H>,
+    impl Fn() -> bool + 'static + use<H>,
+>
 where
     H: AsyncFn(Result<Request, Fault>, &mut Responder) + 'static,
 {
     let lifecycle = state.lifecycle.clone();
+    let meter = state.meter.clone();
+    let handler = async move |request, responder: &mut Responder| {
+        let outcome = catch_panic("request", &meter, handler(request, responder)).await;
+        if outcome.is_none() && !responder.started() {
+            // The request may have run; no status of a refusal says so.
+            responder.close_after();
+            if let Err(fault) = responder.send(Response::new(500, "")).await {
+                log::debug!("answer after a panic not delivered: {fault}");
+            }
+        }
+    };
     Server {
         limits: Cell::new(Limits::default()),
         handler,
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::id::{Epoch, Name, Revision};
+use pomeloridge_base::task::catch_panic;
 use pomeloridge_platform::PutOutcome;
 use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement};
 use pomeloridge_policy::work_meter::WorkRates;
@@ -387,7 +388,10 @@
             .await;
         match received {
             Ok((count, address)) => match PeerMessage::decode(&bytes[..count]) {
-                Ok(message) => handle_message(&state, message, address),
+                Ok(message) => {
+                    let handled = async { handle_message(&state, message, address) };
+                    catch_panic("datagram", &state.meter, handled).await;
+                }
                 Err(error) => log::debug!("datagram from {address} not decoded: {error}"),
             },
             Err(error) => {
@@ -568,25 +572,31 @@
 ) {
     let task_state = Rc::clone(state);
     let delay = REORDER_WAIT + read_delay(state, is_local);
-    spawn_read(&state.server_list_reads, "servers", address, async move {
-        monoio::time::sleep(delay).await;
-        if let Some(change) = change {
-            watch::apply_server_delta(&task_state, &change);
-        }
-        if !is_server_list_behind(&task_state, revision) {
-            return Ok(());
-        }
-        let (revision, objects) = internal::read_servers(address).await?;
-        watch::replace_server_list(&task_state, revision, &objects);
-        Ok(())
-    });
+    spawn_read(
+        state,
+        &state.server_list_reads,
+        "servers",
+        address,
+        async move {
+            monoio::time::sleep(delay).await;
+            if let Some(change) = change {
+                watch::apply_server_delta(&task_state, &change);
+            }
+            if !is_server_list_behind(&task_state, revision) {
+                return Ok(());
+            }
+            let (revision, objects) = internal::read_servers(address).await?;
+            watch::replace_server_list(&task_state, revision, &objects);
+            Ok(())
+        },
+    );
 }
 
 /// Reads a newer configuration from a peer, as the object service may be unreachable.
 fn fetch_config(state: &Rc<State>, address: SocketAddr, version: u64, is_local: bool) {
     let task_state = Rc::clone(state);
     let delay = read_delay(state, is_local);
-    spawn_read(&state.config_reads, "config", address, async move {
+    spawn_read(state, &state.config_reads, "config", address, async move {
         monoio::time::sleep(delay).await;
         if task_state
             .config()
@@ -603,6 +613,7 @@
 /// Runs a read from a peer in its own task. Only one read per `in_flight` counter runs at a
 /// time, since messages of several peers may ask for the same read.
 fn spawn_read(
+    state: &State,
     in_flight: &Rc<Cell<usize>>,
     what: &'static str,
     address: SocketAddr,
@@ -611,9 +622,13 @@
     let Some(read_guard) = CountGuard::try_new(in_flight, 1) else {
         return;
     };
+    let meter = state.meter.clone();
     monoio::spawn(async move {
-        if let Err(error) = read.await {
+        let outcome = catch_panic(what, &meter, read).await;
+        if let Some(Err(error)) = &outcome {
             log::debug!("{what} from {address} not read: {error}");
+        }
+        if outcome.is_none_or(|outcome| outcome.is_err()) {
             monoio::time::sleep(READ_RETRY_DELAY).await;
         }
         drop(read_guard);
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -175,11 +175,12 @@
     state.sync_servers();
 }
 
-/// Reads the server list and follows its changes, until the process ends.
-pub(crate) async fn follow_server_list(state: Rc<State>) {
+/// Reads the server list and follows its changes, until the process ends. After a restart of the
+/// task, the changes since the known revision may have been applied in part.
+pub(crate) async fn follow_server_list(state: Rc<State>, is_restarted: bool) {
     let dependency = DependencyLog::new("store/servers");
     // The object service no longer has the changes since the known revision.
-    let mut is_too_old = false;
+    let mut is_too_old = is_restarted;
     loop {
         let known = state
             .server_list
