Restore the store in the soak

The fake keeps the configuration that the operator wrote last, as the one in the store may be older or away.

--- a/crates/pomeloridge_dev/src/soak/injector.rs
+++ b/crates/pomeloridge_dev/src/soak/injector.rs
@@ -9,6 +9,7 @@
 
 use super::GATEWAYS;
 use super::limits::{self, LimitChange};
+use super::restores::{self, Restore};
 use crate::launch::{Fleet, RelayMode, get_json, post_json};
 
 /// Time during which faults begin.
@@ -106,7 +107,11 @@
     let mut edges: Vec<(Duration, bool, &PlannedFault)> = edges.collect();
     edges.sort_by_key(|(at, ..)| *at);
     let mut limits = limits::plan(seed).into_iter().peekable();
+    let mut restores = restores::plan(seed).into_iter().peekable();
     for (at, begins, planned) in edges {
+        while let Some(restore) = restores.next_if(|restore| restore.at <= at) {
+            begin_restore(fleet, &restore, start, &mut injected)?;
+        }
         while let Some(change) = limits.next_if(|change| change.at <= at) {
             change_limit(fleet, &change, start, &mut injected)?;
         }
@@ -124,12 +129,27 @@
             end(fleet, planned, &mut injected)?;
         }
     }
+    for restore in restores {
+        begin_restore(fleet, &restore, start, &mut injected)?;
+    }
     for change in limits {
         change_limit(fleet, &change, start, &mut injected)?;
     }
     Ok(injected)
 }
 
+/// Begins a restore of the store at its time.
+fn begin_restore(
+    fleet: &Fleet,
+    restore: &Restore,
+    start: Instant,
+    injected: &mut Injected,
+) -> Result<(), String> {
+    std::thread::sleep(restore.at.saturating_sub(start.elapsed()));
+    injected.faults.push(restore.to_string());
+    restore.apply(fleet)
+}
+
 /// Makes a change of a limit at its time.
 fn change_limit(
     fleet: &Fleet,
@@ -200,8 +220,7 @@
 
 /// Adds or removes the account's spare key; returns whether it is now present.
 fn toggle_spare_key(fleet: &Fleet) -> Result<bool, String> {
-    let object = get_json(fleet.store, "/-/objects/config/main")?;
-    let (next, has_key) = toggle_key(&object["spec"], SPARE_KEY);
+    let (next, has_key) = toggle_key(&get_json(fleet.duties, "/-/config")?, SPARE_KEY);
     post_json(fleet.duties, "/-/config", &next)?;
     Ok(has_key)
 }
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -3,13 +3,14 @@
 //! Each run starts a fake platform and a few gateways as separate processes. Callers
 //! send requests continuously while a fault injector, from a seed, pauses, kills, stops
 //! and restarts gateways, cuts, silences and delays their links to the platform, and
-//! changes the configuration; servers name request rates as their limits; faults
-//! overlap. The answers that callers received and the requests that servers received
+//! changes the configuration; servers name request rates as their limits; the object
+//! store comes back from an older copy; faults overlap. The answers that callers received and the requests that servers received
 //! are then checked against the guarantees.
 
 mod callers;
 mod injector;
 mod limits;
+mod restores;
 mod verdict;
 
 use std::collections::BTreeMap;
