Give the fake's servers conditions for a while

The fake played refusals with `Retry-After` and `Server-Leaving` only as single faults of requests, and no server that is silent for a while, closes idle connections or answers with neither a length nor chunks.

Left: the soak does not use the conditions yet.

--- /dev/null
+++ b/crates/pomeloridge_dev/tests/fleet_standin.rs
@@ -0,0 +1,203 @@
+//! Tests of the fake platform's servers without gateways: the conditions that a test gives them.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use http::Method;
+use pomeloridge_base::http::OutgoingRequest;
+use pomeloridge_dev::launch::{Fleet, get_json, post_json};
+use pomeloridge_fleet_standin::caller::{event_ids, generation, request};
+use pomeloridge_fleet_standin::conditions::Condition;
+use pomeloridge_fleet_standin::history::{EndCause, Entry};
+use serde_json::{Value, json};
+use yare::parameterized;
+
+const PLAIN: &str = "filings-0";
+const DECODE: &str = "assistant-decode-0";
+/// Time for which conditions hold, in ms.
+const HELD_MS: u64 = 600;
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+fn start(name: &str) -> Fleet {
+    Fleet::start(name, 0).expect("the fake starts")
+}
+
+fn set(fleet: &Fleet, server: &str, condition: Condition, listed: bool) {
+    let order = json!({
+        "server": server, "condition": condition.to_string(), "for_ms": HELD_MS, "listed": listed,
+    });
+    post_json(fleet.duties, "/-/condition", &order).expect("the condition is set");
+}
+
+fn entry(fleet: &Fleet, server: &str) -> Value {
+    let object = get_json(fleet.store, &format!("/-/objects/servers/{server}"));
+    object.expect("the server is listed")["spec"].clone()
+}
+
+fn address(fleet: &Fleet, server: &str) -> SocketAddr {
+    let text = entry(fleet, server)["address"].to_string();
+    text.trim_matches('"').parse().expect("an address")
+}
+
+fn history(fleet: &Fleet) -> Vec<Entry> {
+    let history = get_json(fleet.duties, "/-/history").expect("a history");
+    let entries = history.as_array().into_iter().flatten();
+    entries.filter_map(Entry::decode).collect()
+}
+
+fn connect(fleet: &Fleet, server: &str) -> TcpStream {
+    let stream = TcpStream::connect(address(fleet, server)).expect("a connection");
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a timeout");
+    stream
+}
+
+fn write(stream: &mut TcpStream, server: &str, message: &OutgoingRequest) {
+    let headers = message.headers.iter().map(|(name, value)| {
+        let value = value.to_str().expect("a text");
+        format!("{name}: {value}\r\n")
+    });
+    let text = format!(
+        "{} {} HTTP/1.1\r\ncontent-length: {}\r\npomeloridge-expect-instance: {server}\r\n{}",
+        message.method,
+        message.target,
+        message.body.len(),
+        headers.collect::<String>()
+    );
+    stream
+        .write_all(text.as_bytes())
+        .expect("a head is written");
+    let body = [b"\r\n".as_slice(), &message.body].concat();
+    stream.write_all(&body).expect("a body is written");
+}
+
+/// Sends a request on a connection of its own and reads until that is closed.
+fn exchange(fleet: &Fleet, server: &str, message: &OutgoingRequest) -> String {
+    let mut stream = connect(fleet, server);
+    let message = message.clone().with_header("connection", "close");
+    write(&mut stream, server, &message);
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer");
+    text
+}
+
+fn read(attempt: &str) -> OutgoingRequest {
+    request(Method::GET, "read", attempt)
+}
+
+#[test]
+fn a_silent_server_goes_on_afterwards() {
+    let fleet = start("condition-silent");
+    let start = Instant::now();
+    set(&fleet, PLAIN, Condition::Silent, false);
+    assert!(exchange(&fleet, PLAIN, &read("a")).starts_with("HTTP/1.1 200"));
+    assert!(start.elapsed() >= Duration::from_millis(HELD_MS));
+    assert!(exchange(&fleet, PLAIN, &read("b")).starts_with("HTTP/1.1 200"));
+}
+
+#[test]
+fn a_refusing_server_names_the_time_left() {
+    let fleet = start("condition-refusing");
+    set(&fleet, PLAIN, Condition::Refusing, false);
+    let answer = exchange(&fleet, PLAIN, &read("a"));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let line = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("retry-after: "));
+    let wait: f64 = line.expect("a time").parse().expect("a number");
+    assert!(wait > 0.0 && wait <= HELD_MS as f64 / 1000.0, "{wait}");
+    let entries = history(&fleet);
+    assert!(
+        entries
+            .iter()
+            .any(|entry| matches!(entry, Entry::Sent { ran: false, .. }))
+    );
+    assert!(
+        entries
+            .iter()
+            .any(|entry| matches!(entry, Entry::Refused { .. }))
+    );
+}
+
+#[parameterized(
+    listed = { true, "draining" },
+    in_answers_only = { false, "ready" },
+)]
+fn a_leaving_server_says_so_and_restarts(listed: bool, state: &str) {
+    let fleet = start(&format!("condition-leaving-{listed}"));
+    set(&fleet, DECODE, Condition::Leaving, listed);
+    let first = entry(&fleet, DECODE);
+    assert_eq!(first["state"], state);
+    let answer = exchange(&fleet, DECODE, &generation("ask", "a", 300));
+    assert!(answer.contains("server-leaving: 1"), "{answer}");
+    let end = Instant::now() + READ_TIMEOUT;
+    while entry(&fleet, DECODE)["born"] == first["born"] {
+        assert!(Instant::now() < end, "the server did not restart");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(entry(&fleet, DECODE)["state"], "ready");
+    let answer = exchange(&fleet, DECODE, &generation("ask", "b", 300));
+    assert!(!answer.contains("server-leaving"), "{answer}");
+    let stopped = |entry: &Entry| {
+        matches!(
+            entry,
+            Entry::Ended {
+                cause: EndCause::Stop,
+                ..
+            }
+        )
+    };
+    assert!(history(&fleet).iter().any(stopped));
+}
+
+/// Returns the body of an answer without framing.
+fn unframed_body(answer: &str) -> &str {
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a head");
+    assert!(
+        !head.contains("content-length") && !head.contains("chunked"),
+        "{head}"
+    );
+    body
+}
+
+#[test]
+fn unframed_answers_end_with_their_connection() {
+    let fleet = start("condition-unframed");
+    for server in [PLAIN, DECODE] {
+        set(&fleet, server, Condition::Unframed, false);
+    }
+    let answer = exchange(&fleet, PLAIN, &read("a"));
+    assert_eq!(unframed_body(&answer), format!("done by {PLAIN}"));
+    let answer = exchange(&fleet, DECODE, &generation("ask", "b", 300));
+    let body = unframed_body(&answer).to_owned();
+    assert!(body.ends_with("\n\n"), "{body}");
+    assert_eq!(
+        event_ids(&pomeloridge_base::http::Response::new(200, body)).len(),
+        8
+    );
+}
+
+#[test]
+fn an_unframed_stream_that_is_cut_ends_within_an_event() {
+    let fleet = start("condition-cut");
+    set(&fleet, DECODE, Condition::Unframed, false);
+    let message = generation("ask", "a", 300).with_header("x-fault", "cut");
+    let answer = exchange(&fleet, DECODE, &message);
+    let body = unframed_body(&answer);
+    assert!(body.contains("t3") && !body.ends_with("\n\n"), "{body}");
+}
+
+#[test]
+fn idle_connections_are_closed_early() {
+    let fleet = start("condition-closing");
+    let mut idle = connect(&fleet, PLAIN);
+    set(&fleet, PLAIN, Condition::Closing, false);
+    let mut byte = [0];
+    match idle.read(&mut byte) {
+        Ok(0) => {}
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
+        other => panic!("{other:?}"),
+    }
+}
