Let a part of a prompt crash the fake's servers

The fake's requests that crash servers were known by their path. With `with_deadly_part`, one part of a prompt, neither the first nor the last, crashes each server that begins to answer; no two such requests are alike. A server that only prefills the prompt goes on.

Left: the soak sends no such requests yet.

--- a/crates/pomeloridge_dev/tests/fleet_standin.rs
+++ b/crates/pomeloridge_dev/tests/fleet_standin.rs
@@ -1,4 +1,5 @@
-//! Tests of the fake platform's servers without gateways: the conditions that a test gives them.
+//! Tests of the fake platform's servers without gateways: the conditions that a test gives them,
+//! and the requests that crash them.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -7,7 +8,7 @@
 use http::Method;
 use pomeloridge_base::http::OutgoingRequest;
 use pomeloridge_dev::launch::{Fleet, get_json, post_json};
-use pomeloridge_fleet_standin::caller::{event_ids, generation, request};
+use pomeloridge_fleet_standin::caller::{event_ids, generation, request, with_deadly_part};
 use pomeloridge_fleet_standin::conditions::Condition;
 use pomeloridge_fleet_standin::history::{EndCause, Entry};
 use serde_json::{Value, json};
@@ -201,3 +202,26 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// A server that only prefills a deadly prompt goes on; a deadly last part harms none.
+#[test]
+fn a_deadly_part_crashes_the_server_that_answers() {
+    let fleet = start("deadly-part");
+    let deadly = |attempt: &str| with_deadly_part(generation("ask", attempt, 300), 7);
+    let message = deadly("a").with_header("pomeloridge-stage", "prefill");
+    let answer = exchange(&fleet, "assistant-prefill-0", &message);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let last = generation("ask", "b", 300).with_header("pomeloridge-prompt-prefix", "a1:1,dead7:9");
+    assert!(exchange(&fleet, DECODE, &last).starts_with("HTTP/1.1 200"));
+    let mut stream = connect(&fleet, DECODE);
+    write(&mut stream, DECODE, &deadly("c"));
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    assert!(answer.is_empty());
+    let causes = history(&fleet).into_iter().filter_map(|entry| match entry {
+        Entry::Ended { cause, server, .. } => Some((cause, server)),
+        _ => None,
+    });
+    let part = EndCause::Part("dead0007".to_owned());
+    assert_eq!(causes.collect::<Vec<_>>(), [(part, DECODE.to_owned())]);
+}
