Play conditions of servers and changes of the configuration in the soak

The soak knew servers that crash or fail single requests, and one change of the configuration. Seeded, overlapping and beside the other faults, servers now fall silent for about a second, refuse requests with `Retry-After`, leave, answer with neither a length nor chunks, and close idle connections; the configuration changes several times in a row: the idle timeout, the timeout of a route, the service of a route, a key and an account. Calls record their gateway, their times, whether their connection was kept, and why they got no answer; faults of gateways are recorded in the same clock.

--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -10,11 +10,12 @@
 use derive_more::Display;
 use http::Method;
 use monoio::time::sleep;
-use pomeloridge_base::http::{Connection, OutgoingRequest, Response};
-use pomeloridge_fleet_standin::caller::{self, Crash, is_ready, send_request};
+use pomeloridge_base::http::{Connection, Fault, OutgoingRequest, Response};
+use pomeloridge_fleet_standin::caller::{self, Crash, Exchange, exchange, is_ready, send_request};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::events::Clock;
 use crate::launch::block_on;
 
 /// Upper bound of a caller's pause between two requests, in ms.
@@ -45,7 +46,7 @@
 }
 
 impl Route {
-    const ALL: [Self; 4] = [Self::Read, Self::Lodge, Self::Ask, Self::Note];
+    pub(super) const ALL: [Self; 4] = [Self::Read, Self::Lodge, Self::Ask, Self::Note];
 
     /// Returns whether the answer is a stream.
     pub(super) fn is_stream(self) -> bool {
@@ -61,15 +62,48 @@
     }
 }
 
-/// A request and its answer.
+/// What a request does to the servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Effect {
+    /// It is answered.
+    #[default]
+    Sound,
+    /// It meets a fault at its first server.
+    Faulty,
+    /// It crashes the server that works on it.
+    Crashing,
+}
+
+/// Why a request got no complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection could be opened.
+    Unreachable,
+    /// The caller gave up.
+    GaveUp,
+    /// The connection ended.
+    Closed,
+}
+
+/// A request and its answer. Times count from the fake's start.
 #[derive(Debug)]
 pub struct Call {
     /// Attempt id, unique in a run.
     pub attempt: String,
     /// Route of the request.
     pub route: Route,
-    /// `None` if no complete answer arrived.
-    pub answer: Option<Response>,
+    /// What it does to the servers.
+    pub effect: Effect,
+    /// Gateway that it was sent to.
+    pub gateway: usize,
+    /// Whether it went on a connection that had served another one.
+    pub kept: bool,
+    /// Time at which it was sent.
+    pub sent: Duration,
+    /// Time at which its answer was complete or given up.
+    pub ended: Duration,
+    /// Complete answer.
+    pub answer: Result<Response, Failure>,
 }
 
 impl Call {
@@ -96,25 +130,36 @@
 }
 
 /// Draws a request to any route, with or without a fault at its first server.
-fn ordinary_request(rng: &mut StdRng, attempt: &str) -> (Route, OutgoingRequest) {
+fn ordinary_request(rng: &mut StdRng, attempt: &str) -> (Route, Effect, OutgoingRequest) {
     let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
     let mut message = request(route, attempt);
+    // Requests with the same path and body count as the same one, sent again.
+    if rng.random() {
+        message.target = format!("/{route}/{attempt}");
+    }
     if rng.random_range(0..FAULT_INTERVAL) == 0 {
         let faults = ["lost", "shed", "error", "cut"];
-        message = message.with_header("x-fault", faults[rng.random_range(0..faults.len())]);
+        let fault = faults[rng.random_range(0..faults.len())];
+        return (route, Effect::Faulty, message.with_header("x-fault", fault));
     }
-    (route, message)
+    (route, Effect::Sound, message)
 }
 
 /// Returns a request that crashes the server that works on it, determined by `number`.
-fn crashing_request(number: u64, attempt: &str) -> (Route, OutgoingRequest) {
+fn crashing_request(number: u64, attempt: &str) -> (Route, Effect, OutgoingRequest) {
     let index = |count: usize| number as usize % count;
     let route = Route::ALL[index(Route::ALL.len())];
     let crash = CRASHES[index(CRASHES.len())];
-    (
-        route,
-        crash.apply(request(route, attempt), &number.to_string()),
-    )
+    let message = crash.apply(request(route, attempt), &number.to_string());
+    (route, Effect::Crashing, message)
+}
+
+/// Draws a request of any kind.
+fn draw(rng: &mut StdRng, seed: u64, attempt: &str) -> (Route, Effect, OutgoingRequest) {
+    if rng.random_range(0..CRASH_INTERVAL) == 0 {
+        return crashing_request(seed + rng.random_range(0..CRASHING_REQUESTS), attempt);
+    }
+    ordinary_request(rng, attempt)
 }
 
 /// Starts callers on a separate thread; they end once `done` is set.
@@ -122,6 +167,7 @@
     gateways: Vec<SocketAddr>,
     seed: u64,
     callers: u64,
+    clock: Clock,
     done: Arc<AtomicBool>,
 ) -> JoinHandle<Result<Vec<Call>, String>> {
     std::thread::spawn(move || {
@@ -129,7 +175,7 @@
             let callers = (0..callers).map(|caller| {
                 let (gateways, done) = (gateways.clone(), Arc::clone(&done));
                 let rng = StdRng::seed_from_u64(seed * callers + caller);
-                monoio::spawn(send_until_done(gateways, seed, (caller, rng), done))
+                monoio::spawn(send_until_done(gateways, seed, (caller, rng), clock, done))
             });
             let mut calls = Vec::new();
             for caller in callers.collect::<Vec<_>>() {
@@ -144,21 +190,20 @@
     gateways: Vec<SocketAddr>,
     seed: u64,
     (caller, mut rng): (u64, StdRng),
+    clock: Clock,
     done: Arc<AtomicBool>,
 ) -> Vec<Call> {
-    let mut connections: HashMap<SocketAddr, Connection> = HashMap::new();
+    let mut connections: HashMap<usize, Connection> = HashMap::new();
     let mut calls = Vec::new();
     while !done.load(Ordering::Relaxed) {
         let attempt = format!("s{seed}c{caller}n{}", calls.len());
-        let (route, message) = if rng.random_range(0..CRASH_INTERVAL) == 0 {
-            crashing_request(seed + rng.random_range(0..CRASHING_REQUESTS), &attempt)
-        } else {
-            ordinary_request(&mut rng, &attempt)
-        };
-        let gateway = gateways[rng.random_range(0..gateways.len())];
+        let (route, effect, message) = draw(&mut rng, seed, &attempt);
+        let gateway = rng.random_range(0..gateways.len());
+        let sent = clock.now();
         // Callers reuse their connections while these work.
-        let answer = send_request(gateway, connections.remove(&gateway), &message).await;
-        let answer = answer.map(|(answer, connection)| {
+        let connection = connections.remove(&gateway);
+        let Exchange { kept, outcome } = exchange(gateways[gateway], connection, &message).await;
+        let answer = outcome.map(|(answer, connection)| {
             if connection.reusable() {
                 connections.insert(gateway, connection);
             }
@@ -167,13 +212,26 @@
         calls.push(Call {
             attempt,
             route,
-            answer: answer.ok(),
+            effect,
+            gateway,
+            kept,
+            sent,
+            ended: clock.now(),
+            answer: answer.map_err(|fault| classify(&fault)),
         });
         sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS))).await;
     }
     calls
 }
 
+fn classify(fault: &Fault) -> Failure {
+    match fault {
+        Fault::Connect(_) => Failure::Unreachable,
+        Fault::Timeout => Failure::GaveUp,
+        _ => Failure::Closed,
+    }
+}
+
 /// Sends a request on a new connection.
 pub(super) fn send_once(
     gateway: SocketAddr,
--- a/crates/pomeloridge_dev/src/soak/injector.rs
+++ b/crates/pomeloridge_dev/src/soak/injector.rs
@@ -1,15 +1,18 @@
-//! Injects seeded faults into the gateway processes and their links, from outside.
+//! Injects seeded faults into the gateway processes and their links, from outside, and makes the
+//! other changes of a run.
 
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use pomeloridge_fleet_standin::operator::toggle_key;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use super::GATEWAYS;
+use super::changes::{self, Change, Configured};
+use super::conditions::{self, PlannedCondition};
+use super::events::{Clock, Event, EventKind};
 use super::limits::{self, LimitChange};
-use crate::launch::{Fleet, RelayMode, get_json, post_json};
+use crate::launch::{Fleet, RelayMode};
 
 /// Time during which faults begin.
 const FAULT_TIME: Duration = Duration::from_secs(8);
@@ -17,9 +20,6 @@
 const MAX_FAULTS: usize = 7;
 /// Timeout for a gateway to exit after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
-/// Key that configuration changes add and remove.
-pub(super) const SPARE_KEY: &str = "key-of-anna-2";
-
 /// A fault of a gateway or its links, or a change of the configuration.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 enum Fault {
@@ -61,16 +61,37 @@
     to: Duration,
 }
 
+/// A step of a run.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A fault begins.
+    Begin(PlannedFault),
+    /// A fault ends.
+    End(PlannedFault),
+    /// A server names a limit, or ceases to.
+    Limit(LimitChange),
+    /// A server gets a condition.
+    Condition(PlannedCondition),
+    /// The configuration changes.
+    Change(Change),
+    /// Servers have settled after a condition.
+    Settled,
+}
+
 /// Record of the injected faults.
 #[derive(Debug, Default)]
 pub(super) struct Injected {
     pub(super) faults: Vec<String>,
-    /// Whether the last configuration contains the spare key.
-    pub(super) spare_key: bool,
+    /// What happened to the gateways.
+    pub(super) events: Vec<Event>,
+    /// State of the last configuration.
+    pub(super) configured: Configured,
     /// Violations found while injecting.
     pub(super) violations: Vec<String>,
     /// By gateway, id of the process that last received SIGTERM.
     stopping: Vec<Option<u32>>,
+    /// Faults that have begun and not ended, with their times.
+    open: Vec<(Fault, usize, Duration)>,
 }
 
 fn plan(seed: u64, gateways: usize) -> Vec<PlannedFault> {
@@ -92,57 +113,123 @@
     planned
 }
 
+/// Returns the steps of a run with their times from its start.
+fn steps(seed: u64, gateways: usize) -> Vec<(Duration, Step)> {
+    let mut steps = Vec::new();
+    for planned in plan(seed, gateways) {
+        steps.push((planned.from, Step::Begin(planned)));
+        steps.push((planned.to, Step::End(planned)));
+    }
+    for planned in conditions::plan(seed) {
+        steps.push((planned.at, Step::Condition(planned)));
+        steps.push((planned.end(), Step::Settled));
+    }
+    let limits = limits::plan(seed).into_iter();
+    steps.extend(limits.map(|change| (change.at, Step::Limit(change))));
+    let changes = changes::plan(seed).into_iter();
+    steps.extend(changes.map(|(at, change)| (at, Step::Change(change))));
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
 /// Injects a seed's faults, and ends each one.
-pub(super) fn inject(fleet: &mut Fleet, seed: u64) -> Result<Injected, String> {
+pub(super) fn inject(fleet: &mut Fleet, seed: u64, clock: Clock) -> Result<Injected, String> {
     let start = Instant::now();
-    let plan = plan(seed, fleet.gateways.len());
     let mut injected = Injected {
         stopping: vec![None; fleet.gateways.len()],
         ..Injected::default()
     };
-    let edges = plan
-        .iter()
-        .flat_map(|planned| [(planned.from, true, planned), (planned.to, false, planned)]);
-    let mut edges: Vec<(Duration, bool, &PlannedFault)> = edges.collect();
-    edges.sort_by_key(|(at, ..)| *at);
-    let mut limits = limits::plan(seed).into_iter().peekable();
-    for (at, begins, planned) in edges {
-        while let Some(change) = limits.next_if(|change| change.at <= at) {
-            change_limit(fleet, &change, start, &mut injected)?;
-        }
+    for (at, step) in steps(seed, fleet.gateways.len()) {
         std::thread::sleep(at.saturating_sub(start.elapsed()));
-        if begins {
-            injected.faults.push(format!(
-                "{}({}) {}..{}ms",
-                planned.fault,
-                planned.gateway,
-                planned.from.as_millis(),
-                planned.to.as_millis()
-            ));
-            begin(fleet, planned, &mut injected)?;
-        } else {
-            end(fleet, planned, &mut injected)?;
+        let named = |name: String| format!("{name} {}ms", at.as_millis());
+        match step {
+            Step::Begin(planned) => {
+                injected.faults.push(format!(
+                    "{}({}) {}..{}ms",
+                    planned.fault,
+                    planned.gateway,
+                    planned.from.as_millis(),
+                    planned.to.as_millis()
+                ));
+                if planned.fault == Fault::Change {
+                    injected.change(fleet, Change::Key, clock)?;
+                    continue;
+                }
+                let open = (planned.fault, planned.gateway, clock.now());
+                injected.open.push(open);
+                begin(fleet, &planned, &mut injected);
+            }
+            Step::End(planned) => {
+                end(fleet, &planned, &mut injected)?;
+                injected.close(&planned, clock.now());
+            }
+            Step::Limit(change) => {
+                injected.faults.push(change.to_string());
+                change.apply(fleet)?;
+            }
+            Step::Condition(planned) => {
+                injected.faults.push(planned.to_string());
+                planned.apply(fleet)?;
+            }
+            Step::Change(change) => {
+                injected.faults.push(named(change.to_string()));
+                injected.change(fleet, change, clock)?;
+            }
+            Step::Settled => {}
         }
     }
-    for change in limits {
-        change_limit(fleet, &change, start, &mut injected)?;
-    }
     Ok(injected)
 }
 
-/// Makes a change of a limit at its time.
-fn change_limit(
-    fleet: &Fleet,
-    change: &LimitChange,
-    start: Instant,
-    injected: &mut Injected,
-) -> Result<(), String> {
-    std::thread::sleep(change.at.saturating_sub(start.elapsed()));
-    injected.faults.push(change.to_string());
-    change.apply(fleet)
+impl Injected {
+    /// Records the event of a fault that has ended.
+    fn close(&mut self, planned: &PlannedFault, to: Duration) {
+        let kind = match planned.fault {
+            Fault::Pause => EventKind::Pause,
+            Fault::Kill => EventKind::Kill,
+            Fault::Stop => EventKind::Stop,
+            Fault::Reload => EventKind::Reload,
+            _ => EventKind::Link,
+        };
+        let is_own =
+            |open: &(Fault, usize, Duration)| (open.0, open.1) == (planned.fault, planned.gateway);
+        // Of overlapping faults of a kind, the first one that began ends first.
+        let Some(index) = self.open.iter().position(is_own) else {
+            return;
+        };
+        let (_, gateway, from) = self.open.remove(index);
+        // A signal has no length.
+        let to = if kind == EventKind::Reload { from } else { to };
+        self.events.push(Event {
+            kind,
+            gateway: Some(gateway),
+            from,
+            to,
+        });
+    }
+
+    /// Changes the configuration.
+    fn change(&mut self, fleet: &Fleet, change: Change, clock: Clock) -> Result<(), String> {
+        let from = clock.now();
+        change.apply(fleet, &mut self.configured)?;
+        let timeout = match change {
+            Change::Timeout(route, ms) => {
+                Some(EventKind::Timeout(route, Duration::from_millis(ms)))
+            }
+            _ => None,
+        };
+        let kinds = timeout.into_iter().chain([EventKind::Config]);
+        self.events.extend(kinds.map(|kind| Event {
+            kind,
+            gateway: None,
+            from,
+            to: clock.now(),
+        }));
+        Ok(())
+    }
 }
 
-fn begin(fleet: &mut Fleet, planned: &PlannedFault, injected: &mut Injected) -> Result<(), String> {
+fn begin(fleet: &mut Fleet, planned: &PlannedFault, injected: &mut Injected) {
     let gateway = &mut fleet.gateways[planned.gateway];
     match planned.fault {
         Fault::Pause => gateway.process.pause(),
@@ -158,9 +245,9 @@
         Fault::StoreFrozen => gateway.store.freeze(),
         Fault::DutiesCut => gateway.duties.set(RelayMode::Cut),
         Fault::DutiesSilent => gateway.duties.set(RelayMode::Silent),
-        Fault::Change => injected.spare_key = toggle_spare_key(fleet)?,
+        // Made before, as it belongs to no gateway.
+        Fault::Change => {}
     }
-    Ok(())
 }
 
 fn end(fleet: &mut Fleet, planned: &PlannedFault, injected: &mut Injected) -> Result<(), String> {
@@ -197,11 +284,3 @@
     }
     fleet.restart(gateway)
 }
-
-/// Adds or removes the account's spare key; returns whether it is now present.
-fn toggle_spare_key(fleet: &Fleet) -> Result<bool, String> {
-    let object = get_json(fleet.store, "/-/objects/config/main")?;
-    let (next, has_key) = toggle_key(&object["spec"], SPARE_KEY);
-    post_json(fleet.duties, "/-/config", &next)?;
-    Ok(has_key)
-}
--- a/crates/pomeloridge_dev/src/soak/limits.rs
+++ b/crates/pomeloridge_dev/src/soak/limits.rs
@@ -9,19 +9,14 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 
+use super::SERVERS;
 use super::callers::send_once;
 use crate::launch::{Fleet, post_json};
 
 /// Changes the seed, so that limits do not depend on the other faults.
 const SEED_MASK: u64 = 0x4c49_4d49_5453;
-/// Servers of the fake platform.
-const SERVERS: [&str; 5] = [
-    "filings-0",
-    "filings-1",
-    "assistant-prefill-0",
-    "assistant-decode-0",
-    "assistant-decode-1",
-];
+/// Number of the servers that name limits.
+const LIMITED_SERVERS: usize = 5;
 /// Values of limits, malformed ones among them.
 const LIMITS: [&str; 7] = ["0", "0.5", "2.5", "3", "20", "1e12", "few"];
 /// Maximum number of limits in a run.
@@ -71,7 +66,7 @@
     let mut changes = Vec::new();
     for _ in 0..rng.random_range(0..=MAX_LIMITS) {
         let at = Duration::from_millis(rng.random_range(0..NAMING_TIME.as_millis() as u64));
-        let server = SERVERS[rng.random_range(0..SERVERS.len())];
+        let server = SERVERS[rng.random_range(0..LIMITED_SERVERS)];
         let limit = LIMITS[rng.random_range(0..LIMITS.len())];
         let named = LimitChange {
             at,
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -3,11 +3,15 @@
 //! Each run starts a fake platform and a few gateways as separate processes. Callers
 //! send requests continuously while a fault injector, from a seed, pauses, kills, stops
 //! and restarts gateways, cuts, silences and delays their links to the platform, and
-//! changes the configuration; servers name request rates as their limits; faults
-//! overlap. The answers that callers received and the requests that servers received
-//! are then checked against the guarantees.
+//! changes the configuration, several times in a row; servers name request rates as their
+//! limits, fall silent, refuse requests for a while, leave, and answer without a length;
+//! some requests crash servers; faults overlap. The answers that callers received and the
+//! requests that servers received are then checked against the guarantees.
 
 mod callers;
+mod changes;
+mod conditions;
+mod events;
 mod injector;
 mod limits;
 mod verdict;
@@ -20,11 +24,24 @@
 use serde_json::Value;
 
 use crate::launch::{Fleet, get_json};
-pub use callers::{Call, Route};
+pub use callers::{Call, Effect, Failure, Route};
+use events::Clock;
+pub use events::{Event, EventKind};
 pub use verdict::check;
 
 /// Default number of gateways in a run.
 pub const GATEWAYS: usize = 4;
+/// Servers of the fake platform.
+const SERVERS: [&str; 6] = [
+    "filings-0",
+    "filings-1",
+    "assistant-prefill-0",
+    "assistant-decode-0",
+    "assistant-decode-1",
+    "archive-0",
+];
+/// Arguments of the fake platform.
+const PLATFORM_ARGS: [&str; 2] = ["--archive", "1"];
 /// Callers per gateway.
 const CALLERS_PER_GATEWAY: f64 = 2.5;
 /// Maximum number of callers in a run, as one thread runs all of them.
@@ -49,7 +66,7 @@
 
 /// Runs one seed with the given number of gateways.
 pub fn run(seed: u64, gateways: usize) -> Result<Outcome, String> {
-    let mut fleet = Fleet::start(&format!("soak-{seed}"), gateways)?;
+    let mut fleet = Fleet::start_with(&format!("soak-{seed}"), gateways, &PLATFORM_ARGS)?;
     let ready = fleet.gateways.iter().map(|gateway| gateway.ready);
     if !callers::wait_until_ready(ready.collect(), START_TIMEOUT)? {
         return Err("the gateways are not ready".to_owned());
@@ -57,8 +74,9 @@
     let done = Arc::new(AtomicBool::new(false));
     let addresses = fleet.gateways.iter().map(|gateway| gateway.caller);
     let callers = ((gateways as f64 * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
-    let thread = callers::start(addresses.collect(), seed, callers, Arc::clone(&done));
-    let injected = injector::inject(&mut fleet, seed);
+    let clock = Clock::read(&fleet)?;
+    let thread = callers::start(addresses.collect(), seed, callers, clock, Arc::clone(&done));
+    let injected = injector::inject(&mut fleet, seed, clock);
     done.store(true, Ordering::Relaxed);
     let joined = thread
         .join()
--- a/crates/pomeloridge_dev/src/soak/verdict.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict.rs
@@ -8,7 +8,9 @@
 use serde_json::Value;
 
 use super::callers::{Call, Route, request, send_once, wait_until_ready};
-use super::injector::{Injected, SPARE_KEY};
+use super::changes::{SPARE_ACCOUNT, SPARE_ACCOUNT_KEY, SPARE_KEY};
+use super::events::CONTACT_TIME;
+use super::injector::Injected;
 use crate::launch::Fleet;
 
 /// Events of a complete stream of the fake.
@@ -17,9 +19,7 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(8);
 /// Allowed sends of a crashing request after the crashes that quarantine it.
 const LATE_SENDS: usize = 3;
-/// Time after which a limit that a server names must be kept.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Client account of all callers.
+/// Client account of all callers during the faults.
 const ACCOUNT: &str = "anna";
 
 /// Returns the violations that calls and history show.
@@ -39,7 +39,7 @@
             continue;
         };
         *runs.entry(attempt).or_default() += usize::from(*ran);
-        if *key_seen || account != ACCOUNT {
+        if *key_seen || account != expected_account(attempt) {
             violations.push(format!(
                 "a server received a key or the wrong account: {entry:?}"
             ));
@@ -55,6 +55,15 @@
     violations
 }
 
+/// Returns the client account of an attempt.
+fn expected_account(attempt: &str) -> &'static str {
+    if attempt.ends_with(SPARE_ACCOUNT_KEY) {
+        SPARE_ACCOUNT
+    } else {
+        ACCOUNT
+    }
+}
+
 /// Checks that servers get no more requests than the limits that they named allow.
 fn check_limits(entries: &[Entry]) -> Vec<String> {
     let over = count_over_limits(entries, CONTACT_TIME).into_iter();
@@ -76,7 +85,7 @@
     if runs > call.route.max_runs() {
         violations.push(format!("{label}: {runs} runs"));
     }
-    let Some(answer) = &call.answer else {
+    let Ok(answer) = &call.answer else {
         return violations;
     };
     if is_not_run(answer) && runs > 0 {
@@ -136,9 +145,18 @@
             "not all gateways are ready {RECOVERY_TIMEOUT:?} after the faults"
         ));
     }
-    let expected = if injected.spare_key { 200 } else { 401 };
+    let expected = |is_present| if is_present { 200 } else { 401 };
+    let keys = [
+        (KEY, 200),
+        (SPARE_KEY, expected(injected.configured.spare_key)),
+        (
+            SPARE_ACCOUNT_KEY,
+            expected(injected.configured.spare_account),
+        ),
+    ];
     for (index, gateway) in fleet.gateways.iter().enumerate() {
-        for (key, status) in [(KEY, 200), (SPARE_KEY, expected)] {
+        for (key, status) in keys {
+            // Ends with the key, which tells the account.
             let message = request(Route::Read, &format!("after-{index}-{key}"));
             let message = with_key(message, key);
             let answer = send_once(gateway.caller, &message);
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -1,7 +1,9 @@
 //! Tests of the soak's checks, and seeded soak runs. `cargo dev soak` runs more seeds.
 
+use std::time::Duration;
+
 use pomeloridge_base::http::Response;
-use pomeloridge_dev::soak::{self, Call, Route, check};
+use pomeloridge_dev::soak::{self, Call, Effect, Route, check};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -14,7 +16,12 @@
     Call {
         attempt: "a".to_owned(),
         route,
-        answer: Some(Response::new(status, body.to_owned())),
+        effect: Effect::Sound,
+        gateway: 0,
+        kept: true,
+        sent: Duration::ZERO,
+        ended: Duration::ZERO,
+        answer: Ok(Response::new(status, body.to_owned())),
     }
 }
 
