Check in the soak that requests do not end without an answer

A request on a kept connection that a sound server got and whose connection ends without a complete answer or refusal: at most three a gateway, and none beside a stop, a reload or a change of the configuration, there also requests that no server got.

--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -107,6 +107,11 @@
 }
 
 impl Call {
+    /// Returns the time from its sending to its end.
+    pub(super) fn duration(&self) -> Duration {
+        self.ended.saturating_sub(self.sent)
+    }
+
     /// Returns the HTTP status; 0 if no complete answer arrived.
     pub(super) fn status(&self) -> u16 {
         self.answer
--- a/crates/pomeloridge_dev/src/soak/events.rs
+++ b/crates/pomeloridge_dev/src/soak/events.rs
@@ -68,3 +68,22 @@
     /// End.
     pub to: Duration,
 }
+
+impl Event {
+    /// Returns whether it happened to a gateway at a time between `from` and `to`.
+    pub(super) fn overlaps(&self, gateway: usize, from: Duration, to: Duration) -> bool {
+        self.gateway.is_none_or(|own| own == gateway) && self.from <= to && self.to >= from
+    }
+}
+
+/// Returns whether one of `kinds` happened to a gateway at a time between `from` and `to`.
+pub(super) fn happened(
+    events: &[Event],
+    kinds: &[EventKind],
+    gateway: usize,
+    (from, to): (Duration, Duration),
+) -> bool {
+    let of_kind = events.iter().filter(|event| kinds.contains(&event.kind));
+    let mut of_kind = of_kind.filter(|event| event.overlaps(gateway, from, to));
+    of_kind.next().is_some()
+}
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -87,7 +87,7 @@
     let recovery = verdict::check_recovery(&mut fleet, &injected)?;
     let history: Value = get_json(fleet.duties, "/-/history")?;
     let history = history.as_array().cloned().unwrap_or_default();
-    let mut violations = verdict::check(&calls, &history);
+    let mut violations = verdict::check(&calls, &history, &injected.events);
     violations.extend(unserved);
     violations.extend(recovery);
     let mut statuses = BTreeMap::new();
--- a/crates/pomeloridge_dev/src/soak/verdict.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/mod.rs
@@ -1,5 +1,8 @@
 //! Checks of a run's guarantees against what callers and servers received.
 
+mod losses;
+mod sends;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -9,7 +12,7 @@
 
 use super::callers::{Call, Route, request, send_once, wait_until_ready};
 use super::changes::{SPARE_ACCOUNT, SPARE_ACCOUNT_KEY, SPARE_KEY};
-use super::events::CONTACT_TIME;
+use super::events::{CONTACT_TIME, Event};
 use super::injector::Injected;
 use crate::launch::Fleet;
 
@@ -23,7 +26,7 @@
 const ACCOUNT: &str = "anna";
 
 /// Returns the violations that calls and history show.
-pub fn check(calls: &[Call], history: &[Value]) -> Vec<String> {
+pub fn check(calls: &[Call], history: &[Value], events: &[Event]) -> Vec<String> {
     let entries: Vec<Entry> = history.iter().filter_map(Entry::decode).collect();
     let mut runs: HashMap<&str, usize> = HashMap::new();
     let mut violations = Vec::new();
@@ -52,6 +55,7 @@
     violations.extend(check_duties(&entries));
     violations.extend(check_crashes(&entries));
     violations.extend(check_limits(&entries));
+    violations.extend(losses::check(calls, &entries, events));
     violations
 }
 
--- /dev/null
+++ b/crates/pomeloridge_dev/src/soak/verdict/sends.rs
@@ -0,0 +1,59 @@
+//! The requests that servers received, with the calls that they belong to.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use pomeloridge_fleet_standin::history::Entry;
+
+use crate::soak::callers::Call;
+
+/// A request that reached a server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Send<'a> {
+    /// Call of the request.
+    pub(super) call: &'a Call,
+    /// Server.
+    pub(super) server: &'a str,
+    /// Time.
+    pub(super) at: Duration,
+    /// Whether the server broke off its answer.
+    pub(super) broken: bool,
+}
+
+/// Returns the calls of a run by attempt id.
+pub(super) fn calls_by_attempt(calls: &[Call]) -> HashMap<&str, &Call> {
+    let by_attempt = calls.iter().map(|call| (call.attempt.as_str(), call));
+    by_attempt.collect()
+}
+
+/// Returns the requests that reached servers, in order.
+pub(super) fn sends<'a>(calls: &'a [Call], entries: &'a [Entry]) -> Vec<Send<'a>> {
+    let calls = calls_by_attempt(calls);
+    let sends = entries.iter().filter_map(|entry| match entry {
+        Entry::Sent {
+            attempt,
+            server,
+            at,
+            broken,
+            ..
+        } => Some(Send {
+            call: calls.get(attempt.as_str())?,
+            server,
+            at: *at,
+            broken: *broken,
+        }),
+        _ => None,
+    });
+    sends.collect()
+}
+
+/// Returns when a server ended for the first time after `at`; the largest time if it did not.
+pub(super) fn next_end(entries: &[Entry], name: &str, at: Duration) -> Duration {
+    let ends = entries.iter().filter_map(|entry| match entry {
+        Entry::Ended {
+            server, at: end, ..
+        } if server == name && *end >= at => Some(*end),
+        _ => None,
+    });
+    ends.min().unwrap_or(Duration::MAX)
+}
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pomeloridge_base::http::Response;
-use pomeloridge_dev::soak::{self, Call, Effect, Route, check};
+use pomeloridge_dev::soak::{self, Call, Effect, Event, EventKind, Failure, Route, check};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -45,7 +45,7 @@
         usage_entry(1, 5, 1),
         usage_entry(1, 5, 2),
     ];
-    assert_eq!(check(&calls, &history), Vec::<String>::new());
+    assert_eq!(check(&calls, &history, &[]), Vec::<String>::new());
 }
 
 #[parameterized(
@@ -58,7 +58,7 @@
 fn violations_towards_callers_are_reported(route: Route, status: u16, events: &[u64], runs: usize) {
     let calls = [call(route, status, &stream(events))];
     let history = vec![sent_entry("a"); runs];
-    assert_eq!(check(&calls, &history).len(), 1);
+    assert_eq!(check(&calls, &history, &[]).len(), 1);
 }
 
 #[parameterized(
@@ -68,8 +68,8 @@
 )]
 fn a_false_not_run_is_reported(status: u16) {
     let calls = [call(Route::Read, status, "")];
-    assert_eq!(check(&calls, &[sent_entry("a")]).len(), 1);
-    assert_eq!(check(&calls, &[]).len(), 0);
+    assert_eq!(check(&calls, &[sent_entry("a")], &[]).len(), 1);
+    assert_eq!(check(&calls, &[], &[]).len(), 0);
 }
 
 #[parameterized(
@@ -77,7 +77,7 @@
     lower_fence = { usage_entry(1, 5, 2), usage_entry(2, 5, 1) },
 )]
 fn violations_by_duties_are_reported(first: Value, second: Value) {
-    assert_eq!(check(&[], &[first, second]).len(), 1);
+    assert_eq!(check(&[], &[first, second], &[]).len(), 1);
 }
 
 /// A crashing request is identified by its path, whatever its attempt ids.
@@ -91,7 +91,7 @@
     let crashes = std::iter::repeat_n(crash, crashes);
     let sent = (0..sent).map(|attempt| sent_entry(&attempt.to_string()));
     let history: Vec<Value> = crashes.chain(sent).collect();
-    assert_eq!(check(&[], &history).len(), violations);
+    assert_eq!(check(&[], &history, &[]).len(), violations);
 }
 
 /// Returns the history of a server that names a limit of 2 a second and then gets a request each
@@ -118,7 +118,143 @@
     over_the_limit_after_a_restart = { 200, Some(4500), 1 },
 )]
 fn requests_over_a_limit_are_reported(gap: u64, restart: Option<u64>, violations: usize) {
-    assert_eq!(check(&[], &limited(gap, restart)).len(), violations);
+    assert_eq!(check(&[], &limited(gap, restart), &[]).len(), violations);
+}
+
+/// A server of the fake.
+const SERVER: &str = "assistant-decode-0";
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn event(kind: EventKind, from: u64, to: u64) -> Event {
+    Event {
+        kind,
+        gateway: (kind != EventKind::Config).then_some(0),
+        from: ms(from),
+        to: ms(to),
+    }
+}
+
+/// Returns a request to a server at a time.
+fn sent_at(attempt: &str, at: u64, parts: &str) -> Value {
+    let mut entry = sent_entry(attempt);
+    entry["server"] = json!(SERVER);
+    entry["at"] = json!(at);
+    entry["parts"] = json!(parts);
+    entry
+}
+
+fn ended_at(at: u64) -> Value {
+    json!({ "server": SERVER, "stopped_at": at })
+}
+
+/// Returns calls whose connections end `length` ms after they were sent.
+fn lost_calls(count: u64, sent: u64, length: u64) -> Vec<Call> {
+    let calls = (0..count).map(|index| Call {
+        attempt: index.to_string(),
+        sent: ms(sent),
+        ended: ms(sent + length),
+        answer: Err(Failure::Closed),
+        ..call(Route::Ask, 0, "")
+    });
+    calls.collect()
+}
+
+/// Returns the requests of lost calls at their server, which they reach at once.
+fn sends_of(calls: &[Call]) -> Vec<Value> {
+    let sends = calls.iter();
+    sends
+        .map(|call| sent_at(&call.attempt, call.sent.as_millis() as u64, "a1:1,b:2"))
+        .collect()
+}
+
+#[parameterized(
+    a_few = { 3, 500, None, None, 0 },
+    too_many = { 4, 500, None, None, 1 },
+    no_time_left = { 4, 2990, None, None, 0 },
+    server_ended = { 4, 500, None, Some(5200), 0 },
+    gateway_killed = { 4, 500, Some(EventKind::Kill), None, 0 },
+    gateway_paused = { 4, 500, Some(EventKind::Pause), None, 0 },
+    gateway_cut_off = { 4, 500, Some(EventKind::Link), None, 1 },
+)]
+fn lost_requests_are_reported(
+    count: u64,
+    length: u64,
+    event_kind: Option<EventKind>,
+    end: Option<u64>,
+    violations: usize,
+) {
+    let calls = lost_calls(count, 5000, length);
+    let mut history = sends_of(&calls);
+    history.extend(end.map(ended_at));
+    let events: Vec<Event> = event_kind
+        .map(|kind| event(kind, 4000, 4500))
+        .into_iter()
+        .collect();
+    assert_eq!(check(&calls, &history, &events).len(), violations);
+}
+
+#[test]
+fn requests_lost_on_new_connections_or_before_a_server_are_not_counted() {
+    let mut calls = lost_calls(4, 5000, 500);
+    assert_eq!(check(&calls, &[], &[]), Vec::<String>::new());
+    for call in &mut calls {
+        call.kept = false;
+    }
+    assert_eq!(check(&calls, &sends_of(&calls), &[]), Vec::<String>::new());
+}
+
+#[test]
+fn a_lower_timeout_of_the_route_ends_requests() {
+    let calls = lost_calls(4, 5000, 800);
+    let timeout = |route| event(EventKind::Timeout(route, ms(800)), 1000, 1000);
+    let history = sends_of(&calls);
+    assert_eq!(check(&calls, &history, &[timeout(Route::Ask)]).len(), 0);
+    assert_eq!(check(&calls, &history, &[timeout(Route::Read)]).len(), 1);
+}
+
+/// A request that was read is answered beside a stop, a reload and a change of the configuration.
+#[parameterized(
+    during_a_stop = { EventKind::Stop, 4800, 500, true, 1 },
+    after_a_stop = { EventKind::Stop, 1, 9100, true, 0 },
+    not_read_during_a_stop = { EventKind::Stop, 4800, 150, false, 0 },
+    held_during_a_stop = { EventKind::Stop, 4800, 500, false, 1 },
+    beside_a_reload = { EventKind::Reload, 4800, 500, true, 1 },
+    long_after_a_reload = { EventKind::Reload, 2500, 500, true, 0 },
+    beside_a_config = { EventKind::Config, 4800, 500, true, 1 },
+    long_after_a_config = { EventKind::Config, 1500, 500, true, 0 },
+    late_beside_a_config = { EventKind::Config, 4800, 2200, true, 0 },
+)]
+fn losses_beside_planned_work_are_reported(
+    kind: EventKind,
+    from: u64,
+    length: u64,
+    is_sent: bool,
+    violations: usize,
+) {
+    let calls = lost_calls(1, if from == 1 { 100 } else { 5000 }, length);
+    let history = if is_sent {
+        sends_of(&calls)
+    } else {
+        Vec::new()
+    };
+    assert_eq!(
+        check(&calls, &history, &[event(kind, from, from)]).len(),
+        violations
+    );
+}
+
+#[test]
+fn losses_as_frequent_as_at_other_times_are_not_blamed_on_a_config() {
+    let beside = lost_calls(1, 5000, 500);
+    let mut calls = lost_calls(2, 20_000, 500);
+    calls[0].attempt = "other".to_owned();
+    calls.extend(beside);
+    let history = sends_of(&calls);
+    let events = [event(EventKind::Config, 4800, 4800)];
+    assert_eq!(check(&calls, &history, &events), Vec::<String>::new());
 }
 
 #[parameterized(
