Check in the soak that notices of servers are kept

A server that refuses requests with `Retry-After` gets at most two from a gateway until then, from half a second after its refusal; one whose answer with `Server-Leaving` a gateway has passed on gets none from there that was sent more than 2 s later.

--- a/crates/pomeloridge_dev/src/soak/verdict/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/mod.rs
@@ -1,6 +1,7 @@
 //! Checks of a run's guarantees against what callers and servers received.
 
 mod losses;
+mod notices;
 mod sends;
 
 use std::collections::{BTreeMap, HashMap};
@@ -56,6 +57,8 @@
     violations.extend(check_crashes(&entries));
     violations.extend(check_limits(&entries));
     violations.extend(losses::check(calls, &entries, events));
+    violations.extend(notices::check_refusals(calls, &entries, events));
+    violations.extend(notices::check_leaving(calls, &entries, events));
     violations
 }
 
--- a/crates/pomeloridge_dev/src/soak/verdict/sends.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/sends.rs
@@ -16,6 +16,8 @@
     pub(super) server: &'a str,
     /// Time.
     pub(super) at: Duration,
+    /// Whether it ran, rather than being only prefilled or refused.
+    pub(super) ran: bool,
     /// Whether the server broke off its answer.
     pub(super) broken: bool,
 }
@@ -34,12 +36,14 @@
             attempt,
             server,
             at,
+            ran,
             broken,
             ..
         } => Some(Send {
             call: calls.get(attempt.as_str())?,
             server,
             at: *at,
+            ran: *ran,
             broken: *broken,
         }),
         _ => None,
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -257,6 +257,86 @@
     assert_eq!(check(&calls, &history, &events), Vec::<String>::new());
 }
 
+/// A server refuses a request at 1000 ms and wants none for 2 s.
+#[parameterized(
+    within_the_wait = { 3, 1600, None, None, 1 },
+    a_few = { 2, 1600, None, None, 0 },
+    on_their_way = { 3, 1400, None, None, 0 },
+    after_the_wait = { 3, 3100, None, None, 0 },
+    the_server_restarted = { 3, 1600, Some(1200), None, 0 },
+    the_gateway_was_cut_off = { 3, 1600, None, Some(EventKind::Link), 0 },
+    the_configuration_changed = { 3, 1600, None, Some(EventKind::Config), 1 },
+)]
+fn requests_to_a_server_that_wants_none_are_reported(
+    count: usize,
+    at: u64,
+    end: Option<u64>,
+    kind: Option<EventKind>,
+    violations: usize,
+) {
+    let mut calls = vec![Call {
+        attempt: "refused".to_owned(),
+        ..call(Route::Ask, 503, "")
+    }];
+    let mut history = vec![json!({
+        "server": SERVER, "refused": "refused", "refused_at": 1000, "wait_ms": 2000,
+    })];
+    history.extend(end.map(ended_at));
+    for index in 0..count {
+        let attempt = format!("a{index}");
+        history.push(sent_at(&attempt, at, ""));
+        calls.push(Call {
+            attempt,
+            ..call(Route::Ask, 502, "")
+        });
+    }
+    let events: Vec<Event> = kind
+        .map(|kind| event(kind, 1100, 1200))
+        .into_iter()
+        .collect();
+    assert_eq!(check(&calls, &history, &events).len(), violations);
+}
+
+/// A gateway passes on at 1000 ms that a server leaves.
+#[parameterized(
+    much_later = { 3100, None, None, 1 },
+    in_time = { 2900, None, None, 0 },
+    after_a_restart_of_the_server = { 3100, Some(3050), None, 0 },
+    after_a_pause = { 3100, None, Some(EventKind::Pause), 0 },
+    after_a_cut_link = { 3100, None, Some(EventKind::Link), 1 },
+)]
+fn requests_to_a_server_that_leaves_are_reported(
+    sent: u64,
+    end: Option<u64>,
+    kind: Option<EventKind>,
+    violations: usize,
+) {
+    let complete = stream(&[1, 2, 3, 4, 5, 6, 7, 8]);
+    let told = Call {
+        attempt: "told".to_owned(),
+        sent: ms(900),
+        ended: ms(1000),
+        ..call(Route::Ask, 200, &complete)
+    };
+    let late = Call {
+        attempt: "late".to_owned(),
+        sent: ms(sent),
+        ended: ms(sent + 100),
+        ..call(Route::Ask, 200, &complete)
+    };
+    let mut history = vec![
+        sent_at("told", 900, ""),
+        json!({ "server": SERVER, "told_leaving": "told" }),
+    ];
+    history.extend(end.map(ended_at));
+    history.push(sent_at("late", sent, ""));
+    let events: Vec<Event> = kind
+        .map(|kind| event(kind, 1100, 1200))
+        .into_iter()
+        .collect();
+    assert_eq!(check(&[told, late], &history, &events).len(), violations);
+}
+
 #[parameterized(
     cuts_and_a_pause = { 1 },
     stops_in_a_row = { 2 },
