--- a/crates/pomeloridge_dev/tests/fleet_standin.rs
+++ b/crates/pomeloridge_dev/tests/fleet_standin.rs
@@ -225,3 +225,24 @@
     let part = EndCause::Part("dead0007".to_owned());
     assert_eq!(causes.collect::<Vec<_>>(), [(part, DECODE.to_owned())]);
 }
+
+/// Guards against requests that a server gets after its crash.
+#[test]
+fn a_crashed_server_handles_no_request() {
+    let fleet = start("crash-turn");
+    let mut streams = [(); 8].map(|()| connect(&fleet, DECODE));
+    // All requests are handled in the same turn, when the silence ends.
+    set(&fleet, DECODE, Condition::Silent, false);
+    for (index, stream) in streams.iter_mut().enumerate() {
+        let message = generation("ask", &index.to_string(), 300);
+        write(stream, DECODE, &with_deadly_part(message, 7));
+    }
+    for stream in &mut streams {
+        let _ = stream.read_to_end(&mut Vec::new());
+    }
+    let entries = history(&fleet).into_iter().filter(|entry| match entry {
+        Entry::Sent { server, .. } | Entry::Ended { server, .. } => server == DECODE,
+        _ => false,
+    });
+    assert_eq!(entries.count(), 2);
+}
