Put more callers on one gateway of a soak, and repeat conditions

Losses of a gateway could not add up: its few callers had one or two streams open when a server fell silent. One gateway now gets half of the requests, there are four callers for each, and a condition may come up to three times in a row. Requests that share path and body with others are told apart. What callers and servers saw is written beside the logs.

--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -65,9 +65,11 @@
 /// What a request does to the servers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
-    /// It is answered.
+    /// It is answered; no other request is like it.
     #[default]
     Sound,
+    /// It is answered; others share its path and body.
+    Repeated,
     /// It meets a fault at its first server.
     Faulty,
     /// It crashes the server that works on it.
@@ -139,7 +141,8 @@
     let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
     let mut message = request(route, attempt);
     // Requests with the same path and body count as the same one, sent again.
-    if rng.random() {
+    let is_repeated: bool = rng.random();
+    if !is_repeated {
         message.target = format!("/{route}/{attempt}");
     }
     if rng.random_range(0..FAULT_INTERVAL) == 0 {
@@ -147,7 +150,12 @@
         let fault = faults[rng.random_range(0..faults.len())];
         return (route, Effect::Faulty, message.with_header("x-fault", fault));
     }
-    (route, Effect::Sound, message)
+    let effect = if is_repeated {
+        Effect::Repeated
+    } else {
+        Effect::Sound
+    };
+    (route, effect, message)
 }
 
 /// Returns a request that crashes the server that works on it, determined by `number`.
@@ -191,6 +199,14 @@
     })
 }
 
+/// Draws a gateway; one of them gets half of the requests.
+fn draw_gateway(rng: &mut StdRng, seed: u64, gateways: usize) -> usize {
+    if rng.random() {
+        return seed as usize % gateways;
+    }
+    rng.random_range(0..gateways)
+}
+
 async fn send_until_done(
     gateways: Vec<SocketAddr>,
     seed: u64,
@@ -203,7 +219,7 @@
     while !done.load(Ordering::Relaxed) {
         let attempt = format!("s{seed}c{caller}n{}", calls.len());
         let (route, effect, message) = draw(&mut rng, seed, &attempt);
-        let gateway = rng.random_range(0..gateways.len());
+        let gateway = draw_gateway(&mut rng, seed, gateways.len());
         let sent = clock.now();
         // Callers reuse their connections while these work.
         let connection = connections.remove(&gateway);
--- a/crates/pomeloridge_dev/src/soak/conditions.rs
+++ b/crates/pomeloridge_dev/src/soak/conditions.rs
@@ -14,8 +14,12 @@
 
 /// Changes the seed, so that conditions do not depend on the other faults.
 const SEED_MASK: u64 = 0x434f_4e44;
-/// Maximum number of conditions in a run.
-const MAX_CONDITIONS: usize = 6;
+/// Maximum number of series of conditions in a run.
+const MAX_SERIES: usize = 5;
+/// Maximum number of conditions in a series.
+const MAX_IN_A_ROW: usize = 3;
+/// Maximum pause between two conditions of a series, in ms.
+const MAX_PAUSE_MS: u64 = 1500;
 /// Time in which conditions begin, in ms.
 const BEGIN_TIME_MS: u64 = 7000;
 /// Time after which the server that had a condition takes requests again.
@@ -72,19 +76,29 @@
     }
 }
 
-/// Returns a seed's conditions; several may hold at a time.
+/// Returns a seed's conditions; several may hold at a time, and each may come several times in a
+/// row.
 pub(super) fn plan(seed: u64) -> Vec<PlannedCondition> {
     let mut rng = StdRng::seed_from_u64(seed ^ SEED_MASK);
-    let count = rng.random_range(0..=MAX_CONDITIONS);
-    let planned = (0..count).map(|_| {
+    let mut planned = Vec::new();
+    for _ in 0..rng.random_range(0..=MAX_SERIES) {
         let condition = Condition::ALL[rng.random_range(0..Condition::ALL.len())];
-        PlannedCondition {
-            at: Duration::from_millis(rng.random_range(0..BEGIN_TIME_MS)),
-            length: Duration::from_millis(rng.random_range(lengths(condition))),
-            server: SERVERS[rng.random_range(0..SERVERS.len())],
-            condition,
-            listed: rng.random(),
+        let server = SERVERS[rng.random_range(0..SERVERS.len())];
+        let mut at = rng.random_range(0..BEGIN_TIME_MS);
+        for _ in 0..rng.random_range(1..=MAX_IN_A_ROW) {
+            if at >= BEGIN_TIME_MS {
+                break;
+            }
+            let length = rng.random_range(lengths(condition));
+            planned.push(PlannedCondition {
+                at: Duration::from_millis(at),
+                length: Duration::from_millis(length),
+                server,
+                condition,
+                listed: condition == Condition::Leaving && rng.random(),
+            });
+            at += length + rng.random_range(0..MAX_PAUSE_MS);
         }
-    });
-    planned.collect()
+    }
+    planned
 }
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -17,6 +17,7 @@
 mod verdict;
 
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -43,7 +44,7 @@
 /// Arguments of the fake platform.
 const PLATFORM_ARGS: [&str; 2] = ["--archive", "1"];
 /// Callers per gateway.
-const CALLERS_PER_GATEWAY: f64 = 2.5;
+const CALLERS_PER_GATEWAY: usize = 4;
 /// Maximum number of callers in a run, as one thread runs all of them.
 const MAX_CALLERS: u64 = 60;
 /// Timeout for started gateways to become ready.
@@ -60,7 +61,7 @@
     pub statuses: BTreeMap<u16, usize>,
     /// Faults that were injected, with their times.
     pub faults: Vec<String>,
-    /// Folder of the settings and logs.
+    /// Folder of the settings, the logs, the calls and the history.
     pub folder: String,
 }
 
@@ -73,7 +74,7 @@
     }
     let done = Arc::new(AtomicBool::new(false));
     let addresses = fleet.gateways.iter().map(|gateway| gateway.caller);
-    let callers = ((gateways as f64 * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
+    let callers = ((gateways * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
     let clock = Clock::read(&fleet)?;
     let thread = callers::start(addresses.collect(), seed, callers, clock, Arc::clone(&done));
     let injected = injector::inject(&mut fleet, seed, clock);
@@ -86,6 +87,7 @@
     let unserved = limits::wait_for_end(&fleet, &limits::plan(seed));
     let recovery = verdict::check_recovery(&mut fleet, &injected)?;
     let history: Value = get_json(fleet.duties, "/-/history")?;
+    write_records(&fleet.folder, &calls, &history)?;
     let history = history.as_array().cloned().unwrap_or_default();
     let mut violations = verdict::check(&calls, &history, &injected.events);
     violations.extend(unserved);
@@ -103,6 +105,17 @@
     })
 }
 
+/// Writes what callers and servers saw beside the logs, to trace violations.
+fn write_records(folder: &Path, calls: &[Call], history: &Value) -> Result<(), String> {
+    let calls = calls.iter().map(|call| format!("{call:?}\n"));
+    let calls: String = calls.collect();
+    let history = history.to_string();
+    for (name, text) in [("calls.txt", calls), ("history.json", history)] {
+        std::fs::write(folder.join(name), text).map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
+
 /// Runs seeds and prints a line for each; returns whether all passed.
 pub fn run_all(first: u64, seeds: u64, gateways: usize) -> bool {
     let mut failed = 0;
