Give launched gateways addresses of which connections take no port

A gateway that restarts listens on its ports again. All processes shared 127.0.0.1, so that a connection, or one that had ended within a minute, could hold one of these ports: `cannot listen on 127.0.0.1:42931: Address already in use`, and the run failed with `front-2 printed no first line`; seen once in 21 and once in 12 runs of the soak, three at a time. The servers of the fake restart in the same way, and remained down. Gateways and the fake now have IP addresses of their own; connections leave from 127.0.0.1.

--- a/crates/pomeloridge_dev/src/launch/fleet.rs
+++ b/crates/pomeloridge_dev/src/launch/fleet.rs
@@ -5,6 +5,10 @@
 
 use super::{Process, Relay};
 
+/// IP address of the platform stand-in and its servers. Connections leave from another one, so
+/// that none of them can take the port of a server that restarts.
+const PLATFORM_IP: &str = "127.0.0.2";
+
 /// Running gateway, with relays between it and the platform.
 pub struct Gateway {
     /// Process.
@@ -25,14 +29,19 @@
 }
 
 impl Gateway {
+    /// Starts the gateway at `index`.
+    ///
+    /// Its IP address is its own, for the reason given at [`PLATFORM_IP`].
     fn start(
-        name: &str,
+        index: usize,
         folder: &std::path::Path,
         platform: [SocketAddr; 2],
     ) -> Result<Self, String> {
+        let name = &format!("front-{index}");
+        let host = u8::try_from(index + 1).map_err(|error| error.to_string())?;
         let [store, duties] = platform;
         let (store, duties) = (Relay::start(store)?, Relay::start(duties)?);
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any = SocketAddr::from(([127, 0, 1, host], 0));
         write_settings(name, folder, [any; 4], [store.address(), duties.address()])?;
         let process = start_process(name, folder)?;
         let line = process.first_line["message"].as_str().unwrap_or_default();
@@ -77,14 +86,14 @@
 
     /// Starts a fleet with arguments for the platform stand-in.
     pub fn start_with(name: &str, gateways: usize, args: &[&str]) -> Result<Self, String> {
-        let args: Vec<String> = args.iter().map(ToString::to_string).collect();
+        let args = ["--ip", PLATFORM_IP].iter().chain(args);
+        let args: Vec<String> = args.map(ToString::to_string).collect();
         let folder =
             std::env::temp_dir().join(format!("pomeloridge-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let platform = Process::start("fleet", "pomeloridge_fleet_standin", &args, &folder)?;
         let (store, duties) = (platform.address("store")?, platform.address("duties")?);
-        let start =
-            |index: usize| Gateway::start(&format!("front-{index}"), &folder, [store, duties]);
+        let start = |index: usize| Gateway::start(index, &folder, [store, duties]);
         Ok(Self {
             gateways: (0..gateways).map(start).collect::<Result<_, _>>()?,
             folder,
--- /dev/null
+++ b/crates/pomeloridge_dev/tests/launch.rs
@@ -0,0 +1,31 @@
+//! Tests of deployments of separate processes.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
+use pomeloridge_dev::launch::{Fleet, get_json};
+
+/// Guards against gateways that do not restart, as a connection has taken one of their ports.
+#[test]
+fn a_gateway_restarts_although_its_ports_are_in_use_elsewhere() {
+    let mut fleet = Fleet::start("restart", 1).unwrap();
+    let gateway = &mut fleet.gateways[0];
+    gateway.process.kill();
+    let ports = [gateway.caller, gateway.ready, gateway.metrics].map(|address| address.port());
+    let taken = ports.map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
+    assert!(taken.iter().all(Result::is_ok), "{taken:?}");
+    assert_eq!(fleet.restart(0), Ok(()));
+}
+
+/// Guards against servers of the fake that do not restart for the same reason.
+#[test]
+fn servers_listen_where_no_connection_leaves() {
+    let fleet = Fleet::start("server-address", 0).unwrap();
+    let servers = get_json(fleet.store, "/-/objects/servers").unwrap();
+    let servers = servers["items"].as_array().cloned().unwrap_or_default();
+    assert!(!servers.is_empty());
+    for server in servers {
+        let address = server["spec"]["address"].as_str().unwrap_or_default();
+        let address: SocketAddr = address.parse().unwrap();
+        assert!(TcpListener::bind((Ipv4Addr::LOCALHOST, address.port())).is_ok());
+    }
+}
