Send requests with a deadly part in the soak, and check that it is barred

About half of the seeds have a part that crashes each server that begins to answer a prompt with it; no two requests with it are alike, and they share caller and first part with sound ones. At most three reach servers, from gateways in touch, later than 3 s after the fifth crash. Of the sound requests of the same route that are sent later than twice that, at gateways in touch, while others with the part still come, at least half begin. Runs of these seeds go on for 6 s after their faults.

Left: whether sound requests are served once the part is barred, which no run shows yet.

--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -11,7 +11,9 @@
 use http::Method;
 use monoio::time::sleep;
 use pomeloridge_base::http::{Connection, Fault, OutgoingRequest, Response};
-use pomeloridge_fleet_standin::caller::{self, Crash, Exchange, exchange, is_ready, send_request};
+use pomeloridge_fleet_standin::caller::{
+    self, Crash, Exchange, exchange, is_ready, send_request, with_deadly_part,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -28,6 +30,10 @@
 const CRASHING_REQUESTS: u64 = 2;
 /// Crashes that they cause; the servers restart soon enough to serve other requests.
 const CRASHES: [Crash; 4] = [Crash::Begin, Crash::Run, Crash::Midway, Crash::Restart];
+/// Changes the seed, so that the choice of a deadly part does not depend on the faults.
+const SEED_MASK: u64 = 0x4445_4144;
+/// One in this many requests of a run with a deadly part contains it.
+const DEADLY_INTERVAL: u32 = 12;
 /// Interval between readiness checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -74,6 +80,8 @@
     Faulty,
     /// It crashes the server that works on it.
     Crashing,
+    /// One part of its prompt crashes the server that begins to answer.
+    Deadly,
 }
 
 /// Why a request got no complete answer.
@@ -122,6 +130,25 @@
     }
 }
 
+/// A prompt part of a run that crashes servers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DeadlyPart {
+    /// Route of the requests that contain it.
+    pub(super) route: Route,
+    /// Number of the part.
+    pub(super) number: u64,
+}
+
+/// Returns the deadly part of a seed; about half of the seeds have one.
+pub(super) fn deadly_part(seed: u64) -> Option<DeadlyPart> {
+    let mut rng = StdRng::seed_from_u64(seed ^ SEED_MASK);
+    let route = [Route::Ask, Route::Note][rng.random_range(0..2)];
+    rng.random::<bool>().then_some(DeadlyPart {
+        route,
+        number: seed,
+    })
+}
+
 /// Returns a request to a route with an attempt id.
 pub(super) fn request(route: Route, attempt: &str) -> OutgoingRequest {
     // Some prompts are long enough for a separate prefill.
@@ -172,6 +199,14 @@
     if rng.random_range(0..CRASH_INTERVAL) == 0 {
         return crashing_request(seed + rng.random_range(0..CRASHING_REQUESTS), attempt);
     }
+    if let Some(DeadlyPart { route, number }) = deadly_part(seed)
+        && rng.random_range(0..DEADLY_INTERVAL) == 0
+    {
+        let mut message = with_deadly_part(request(route, attempt), number);
+        // No two are alike.
+        message.target = format!("/{route}/{attempt}");
+        return (route, Effect::Deadly, message);
+    }
     ordinary_request(rng, attempt)
 }
 
--- a/crates/pomeloridge_dev/src/soak/events.rs
+++ b/crates/pomeloridge_dev/src/soak/events.rs
@@ -87,3 +87,15 @@
     let mut of_kind = of_kind.filter(|event| event.overlaps(gateway, from, to));
     of_kind.next().is_some()
 }
+
+/// Returns whether a gateway was in touch with the fleet at a time.
+pub(super) fn is_in_touch(events: &[Event], gateway: usize, at: Duration) -> bool {
+    let trouble = [
+        EventKind::Kill,
+        EventKind::Pause,
+        EventKind::Stop,
+        EventKind::Link,
+    ];
+    let from = at.saturating_sub(CONTACT_TIME);
+    !happened(events, &trouble, gateway, (from, at))
+}
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -20,7 +20,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
@@ -50,6 +50,11 @@
 /// Timeout for started gateways to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which callers go on after the faults of a run with a deadly part.
+const QUIET_TIME: Duration = Duration::from_secs(6);
+/// Minimum time for which callers send in such a run.
+const MIN_DEADLY_TIME: Duration = Duration::from_secs(14);
+
 /// Result of one run.
 #[derive(Debug)]
 pub struct Outcome {
@@ -75,9 +80,12 @@
     let done = Arc::new(AtomicBool::new(false));
     let addresses = fleet.gateways.iter().map(|gateway| gateway.caller);
     let callers = ((gateways * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
-    let clock = Clock::read(&fleet)?;
+    let (clock, start) = (Clock::read(&fleet)?, Instant::now());
     let thread = callers::start(addresses.collect(), seed, callers, clock, Arc::clone(&done));
     let injected = injector::inject(&mut fleet, seed, clock);
+    if callers::deadly_part(seed).is_some() {
+        std::thread::sleep(QUIET_TIME.max(MIN_DEADLY_TIME.saturating_sub(start.elapsed())));
+    }
     done.store(true, Ordering::Relaxed);
     let joined = thread
         .join()
--- a/crates/pomeloridge_dev/src/soak/verdict/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/mod.rs
@@ -2,6 +2,7 @@
 
 mod losses;
 mod notices;
+mod parts;
 mod sends;
 
 use std::collections::{BTreeMap, HashMap};
@@ -57,6 +58,8 @@
     violations.extend(check_crashes(&entries));
     violations.extend(check_limits(&entries));
     violations.extend(losses::check(calls, &entries, events));
+    violations.extend(parts::check_budget(calls, &entries, events));
+    violations.extend(parts::check_sound(calls, &entries, events));
     violations.extend(notices::check_refusals(calls, &entries, events));
     violations.extend(notices::check_leaving(calls, &entries, events));
     violations
--- a/crates/pomeloridge_dev/src/soak/verdict/sends.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/sends.rs
@@ -20,6 +20,8 @@
     pub(super) ran: bool,
     /// Whether the server broke off its answer.
     pub(super) broken: bool,
+    /// Deadly part of its prompt, if any.
+    pub(super) deadly: Option<&'a str>,
 }
 
 /// Returns the calls of a run by attempt id.
@@ -34,9 +36,10 @@
     let sends = entries.iter().filter_map(|entry| match entry {
         Entry::Sent {
             attempt,
+            ran,
             server,
             at,
-            ran,
+            deadly,
             broken,
             ..
         } => Some(Send {
@@ -45,6 +48,7 @@
             at: *at,
             ran: *ran,
             broken: *broken,
+            deadly: deadly.as_deref(),
         }),
         _ => None,
     });
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -257,6 +257,94 @@
     assert_eq!(check(&calls, &history, &events), Vec::<String>::new());
 }
 
+/// Returns the crashes of a part, one each 100 ms.
+fn part_crashes(count: u64) -> Vec<Value> {
+    let crashes = (1..=count).map(
+        |index| json!({ "server": SERVER, "ended_part": "dead0001", "ended_at": index * 100 }),
+    );
+    crashes.collect()
+}
+
+fn deadly_call(attempt: &str, sent: u64) -> Call {
+    Call {
+        attempt: attempt.to_owned(),
+        effect: Effect::Deadly,
+        sent: ms(sent),
+        ended: ms(sent),
+        ..call(Route::Ask, 503, "")
+    }
+}
+
+/// The fifth crash is at 500 ms, so that the part is to be barred from 3500 ms on.
+#[parameterized(
+    a_few = { 5, 3, 3600, 9000, 0 },
+    too_many = { 5, 4, 3600, 9000, 1 },
+    before_it_must_be_barred = { 5, 9, 3400, 9000, 0 },
+    too_few_crashes = { 4, 9, 3600, 9000, 0 },
+    from_a_gateway_out_of_touch = { 5, 4, 3600, 1000, 0 },
+)]
+fn late_sends_of_a_deadly_part_are_reported(
+    crashes: u64,
+    count: usize,
+    at: u64,
+    link_cut: u64,
+    violations: usize,
+) {
+    let attempts: Vec<String> = (0..count).map(|index| format!("d{index}")).collect();
+    let calls: Vec<Call> = attempts
+        .iter()
+        .map(|attempt| deadly_call(attempt, at))
+        .collect();
+    let mut history = part_crashes(crashes);
+    for attempt in &attempts {
+        let mut sent = sent_at(attempt, at, "a1:100,dead0001:100,c:100");
+        // A prefill is a send as well.
+        sent["stage"] = json!("prefill");
+        history.push(sent);
+    }
+    let events = [event(EventKind::Link, link_cut, link_cut)];
+    let calls: Vec<Call> = calls
+        .into_iter()
+        .map(|call| Call {
+            answer: Err(Failure::GaveUp),
+            ..call
+        })
+        .collect();
+    assert_eq!(check(&calls, &history, &events).len(), violations);
+}
+
+/// Sound requests are to be served from 6500 ms on, while deadly ones come.
+#[parameterized(
+    served = { 20, 10, 7000, 8000, 0 },
+    refused = { 20, 9, 7000, 8000, 1 },
+    too_few_to_judge = { 19, 0, 7000, 8000, 0 },
+    too_early = { 20, 0, 6400, 8000, 0 },
+    deadly_ones_ceased = { 20, 0, 7000, 6900, 0 },
+)]
+fn barred_sound_requests_are_reported(
+    count: usize,
+    begun: usize,
+    sent: u64,
+    last_deadly: u64,
+    violations: usize,
+) {
+    let mut calls = vec![deadly_call("d", last_deadly)];
+    let mut history = part_crashes(5);
+    for index in 0..count {
+        let attempt = format!("s{index}");
+        if index < begun {
+            history.push(sent_at(&attempt, sent, "a1:100,c:100"));
+        }
+        calls.push(Call {
+            effect: Effect::Sound,
+            answer: Err(Failure::GaveUp),
+            attempt,
+            ..deadly_call("", sent)
+        });
+    }
+    assert_eq!(check(&calls, &history, &[]).len(), violations);
+}
+
 /// A server refuses a request at 1000 ms and wants none for 2 s.
 #[parameterized(
     within_the_wait = { 3, 1600, None, None, 1 },
@@ -341,6 +429,9 @@
     cuts_and_a_pause = { 1 },
     stops_in_a_row = { 2 },
     stops_at_a_time = { 128 },
+    silence_and_a_pause = { 39 },
+    changes_in_a_row = { 43 },
+    deadly_part = { 40 },
 )]
 fn a_seed_keeps_every_promise(seed: u64) {
     let outcome = soak::run(seed, soak::GATEWAYS).expect("the deployment runs");
