Count sends of a crashing request in the soak as the users' page does

The check counted each arrival of a crashing request from its third crash on, and the prefill of a request and its run as two. The page counts retries that machines in touch send later than `contactMs` after the third crash. The bound of three stays, and the check now has the times, the gateways and their trouble.

A gateway counts an end within a second, and all others bar the request 1 to 112 ms after the first that counts three.

--- a/crates/pomeloridge_dev/src/soak/verdict/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/mod.rs
@@ -1,5 +1,6 @@
 //! Checks of a run's guarantees against what callers and servers received.
 
+mod crashes;
 mod losses;
 mod notices;
 mod parts;
@@ -9,7 +10,7 @@
 use std::time::Duration;
 
 use pomeloridge_fleet_standin::caller::{KEY, event_ids, is_not_run, with_key};
-use pomeloridge_fleet_standin::history::{Entry, count_crashes, count_over_limits};
+use pomeloridge_fleet_standin::history::{Entry, count_over_limits};
 use serde_json::Value;
 
 use super::callers::{Call, Route, request, send_once, wait_until_ready};
@@ -22,8 +23,6 @@
 const EVENTS: u64 = 8;
 /// Timeout for recovery after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(8);
-/// Allowed sends of a crashing request after the crashes that quarantine it.
-const LATE_SENDS: usize = 3;
 /// Client account of all callers during the faults.
 const ACCOUNT: &str = "anna";
 
@@ -55,7 +54,7 @@
         violations.extend(check_call(call, runs));
     }
     violations.extend(check_duties(&entries));
-    violations.extend(check_crashes(&entries));
+    violations.extend(crashes::check(calls, &entries, events));
     violations.extend(check_limits(&entries));
     violations.extend(losses::check(calls, &entries, events));
     violations.extend(parts::check_budget(calls, &entries, events));
@@ -80,15 +79,6 @@
     over.map(|counts| format!("{counts:?}")).collect()
 }
 
-/// Checks that a crashing request is no longer sent once it is quarantined.
-fn check_crashes(entries: &[Entry]) -> Vec<String> {
-    let crashes = count_crashes(entries).into_iter();
-    let violations = crashes.filter(|(_, crashes)| crashes.late_sends > LATE_SENDS);
-    violations
-        .map(|(path, crashes)| format!("{path}: {crashes:?}"))
-        .collect()
-}
-
 fn check_call(call: &Call, runs: usize) -> Vec<String> {
     let mut violations = Vec::new();
     let label = format!("{} {}", call.route, call.attempt);
--- a/crates/pomeloridge_dev/src/soak/verdict/parts.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/parts.rs
@@ -5,7 +5,7 @@
 
 use pomeloridge_fleet_standin::history::{EndCause, Entry};
 
-use super::sends::{Send, sends};
+use super::sends::{count_runs, sends};
 use crate::soak::callers::{Call, Effect};
 use crate::soak::events::{CONTACT_TIME, Event, is_in_touch};
 
@@ -32,13 +32,7 @@
             let is_counted = send.deadly == Some(part) && send.at > barred;
             is_counted && is_in_touch(events, send.call.gateway, send.at)
         });
-        // A prefill and the run after it are one send.
-        let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
-        for Send { call, ran, .. } in late {
-            *runs.entry(&call.attempt).or_default() += usize::from(*ran);
-        }
-        let late: usize = runs.values().map(|runs| *runs.max(&1)).sum();
-        let crashes = crashes.len();
+        let (late, crashes) = (count_runs(late), crashes.len());
         (late > MAX_LATE).then(|| {
             format!("part {part}: {crashes} crashes, {late} sends after it had to be barred")
         })
--- a/crates/pomeloridge_dev/src/soak/verdict/sends.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/sends.rs
@@ -1,6 +1,6 @@
 //! The requests that servers received, with the calls that they belong to.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use pomeloridge_fleet_standin::history::Entry;
@@ -12,6 +12,8 @@
 pub(super) struct Send<'a> {
     /// Call of the request.
     pub(super) call: &'a Call,
+    /// Path and query.
+    pub(super) path: &'a str,
     /// Server.
     pub(super) server: &'a str,
     /// Time.
@@ -36,6 +38,7 @@
     let sends = entries.iter().filter_map(|entry| match entry {
         Entry::Sent {
             attempt,
+            path,
             ran,
             server,
             at,
@@ -44,6 +47,7 @@
             ..
         } => Some(Send {
             call: calls.get(attempt.as_str())?,
+            path,
             server,
             at: *at,
             ran: *ran,
@@ -55,6 +59,15 @@
     sends.collect()
 }
 
+/// Counts sends; the prefill of a request and the run after it are one.
+pub(super) fn count_runs<'a>(sends: impl Iterator<Item = &'a Send<'a>>) -> usize {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for Send { call, ran, .. } in sends {
+        *runs.entry(&call.attempt).or_default() += usize::from(*ran);
+    }
+    runs.values().map(|runs| *runs.max(&1)).sum()
+}
+
 /// Returns when a server ended for the first time after `at`; the largest time if it did not.
 pub(super) fn next_end(entries: &[Entry], name: &str, at: Duration) -> Duration {
     let ends = entries.iter().filter_map(|entry| match entry {
