--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -10,11 +10,14 @@
 use derive_more::Display;
 use http::Method;
 use monoio::time::sleep;
-use pomeloridge_base::http::{Connection, OutgoingRequest, Response};
-use pomeloridge_fleet_standin::caller::{self, Crash, is_ready, send_request};
+use pomeloridge_base::http::{Connection, Fault, OutgoingRequest, Response};
+use pomeloridge_fleet_standin::caller::{
+    self, Crash, Exchange, exchange, is_ready, send_request, with_deadly_part,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::events::Clock;
 use crate::launch::block_on;
 
 /// Upper bound of a caller's pause between two requests, in ms.
@@ -27,6 +30,10 @@
 const CRASHING_REQUESTS: u64 = 2;
 /// Crashes that they cause; the servers restart soon enough to serve other requests.
 const CRASHES: [Crash; 4] = [Crash::Begin, Crash::Run, Crash::Midway, Crash::Restart];
+/// Changes the seed, so that the choice of a deadly part does not depend on the faults.
+const SEED_MASK: u64 = 0x4445_4144;
+/// One in this many requests of a run with a deadly part contains it.
+const DEADLY_INTERVAL: u32 = 12;
 /// Interval between readiness checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -45,7 +52,7 @@
 }
 
 impl Route {
-    const ALL: [Self; 4] = [Self::Read, Self::Lodge, Self::Ask, Self::Note];
+    pub(super) const ALL: [Self; 4] = [Self::Read, Self::Lodge, Self::Ask, Self::Note];
 
     /// Returns whether the answer is a stream.
     pub(super) fn is_stream(self) -> bool {
@@ -61,18 +68,60 @@
     }
 }
 
-/// A request and its answer.
+/// What a request does to the servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Effect {
+    /// It is answered; no other request is like it.
+    #[default]
+    Sound,
+    /// It is answered; others share its path and body.
+    Repeated,
+    /// It meets a fault at its first server.
+    Faulty,
+    /// It crashes the server that works on it.
+    Crashing,
+    /// One part of its prompt crashes the server that begins to answer.
+    Deadly,
+}
+
+/// Why a request got no complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection could be opened.
+    Unreachable,
+    /// The caller gave up.
+    GaveUp,
+    /// The connection ended.
+    Closed,
+}
+
+/// A request and its answer. Times count from the fake's start.
 #[derive(Debug)]
 pub struct Call {
     /// Attempt id, unique in a run.
     pub attempt: String,
     /// Route of the request.
     pub route: Route,
-    /// `None` if no complete answer arrived.
-    pub answer: Option<Response>,
+    /// What it does to the servers.
+    pub effect: Effect,
+    /// Gateway that it was sent to.
+    pub gateway: usize,
+    /// Whether it went on a connection that had served another one.
+    pub kept: bool,
+    /// Time at which it was sent.
+    pub sent: Duration,
+    /// Time at which its answer was complete or given up.
+    pub ended: Duration,
+    /// Complete answer.
+    pub answer: Result<Response, Failure>,
 }
 
 impl Call {
+    /// Returns the time from its sending to its end.
+    pub(super) fn duration(&self) -> Duration {
+        self.ended.saturating_sub(self.sent)
+    }
+
     /// Returns the HTTP status; 0 if no complete answer arrived.
     pub(super) fn status(&self) -> u16 {
         self.answer
@@ -81,6 +130,25 @@
     }
 }
 
+/// A prompt part of a run that crashes servers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DeadlyPart {
+    /// Route of the requests that contain it.
+    pub(super) route: Route,
+    /// Number of the part.
+    pub(super) number: u64,
+}
+
+/// Returns the deadly part of a seed; about half of the seeds have one.
+pub(super) fn deadly_part(seed: u64) -> Option<DeadlyPart> {
+    let mut rng = StdRng::seed_from_u64(seed ^ SEED_MASK);
+    let route = [Route::Ask, Route::Note][rng.random_range(0..2)];
+    rng.random::<bool>().then_some(DeadlyPart {
+        route,
+        number: seed,
+    })
+}
+
 /// Returns a request to a route with an attempt id.
 pub(super) fn request(route: Route, attempt: &str) -> OutgoingRequest {
     // Some prompts are long enough for a separate prefill.
@@ -96,25 +164,50 @@
 }
 
 /// Draws a request to any route, with or without a fault at its first server.
-fn ordinary_request(rng: &mut StdRng, attempt: &str) -> (Route, OutgoingRequest) {
+fn ordinary_request(rng: &mut StdRng, attempt: &str) -> (Route, Effect, OutgoingRequest) {
     let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
     let mut message = request(route, attempt);
+    // Requests with the same path and body count as the same one, sent again.
+    let is_repeated: bool = rng.random();
+    if !is_repeated {
+        message.target = format!("/{route}/{attempt}");
+    }
     if rng.random_range(0..FAULT_INTERVAL) == 0 {
         let faults = ["lost", "shed", "error", "cut"];
-        message = message.with_header("x-fault", faults[rng.random_range(0..faults.len())]);
+        let fault = faults[rng.random_range(0..faults.len())];
+        return (route, Effect::Faulty, message.with_header("x-fault", fault));
     }
-    (route, message)
+    let effect = if is_repeated {
+        Effect::Repeated
+    } else {
+        Effect::Sound
+    };
+    (route, effect, message)
 }
 
 /// Returns a request that crashes the server that works on it, determined by `number`.
-fn crashing_request(number: u64, attempt: &str) -> (Route, OutgoingRequest) {
+fn crashing_request(number: u64, attempt: &str) -> (Route, Effect, OutgoingRequest) {
     let index = |count: usize| number as usize % count;
     let route = Route::ALL[index(Route::ALL.len())];
     let crash = CRASHES[index(CRASHES.len())];
-    (
-        route,
-        crash.apply(request(route, attempt), &number.to_string()),
-    )
+    let message = crash.apply(request(route, attempt), &number.to_string());
+    (route, Effect::Crashing, message)
+}
+
+/// Draws a request of any kind.
+fn draw(rng: &mut StdRng, seed: u64, attempt: &str) -> (Route, Effect, OutgoingRequest) {
+    if rng.random_range(0..CRASH_INTERVAL) == 0 {
+        return crashing_request(seed + rng.random_range(0..CRASHING_REQUESTS), attempt);
+    }
+    if let Some(DeadlyPart { route, number }) = deadly_part(seed)
+        && rng.random_range(0..DEADLY_INTERVAL) == 0
+    {
+        let mut message = with_deadly_part(request(route, attempt), number);
+        // No two are alike.
+        message.target = format!("/{route}/{attempt}");
+        return (route, Effect::Deadly, message);
+    }
+    ordinary_request(rng, attempt)
 }
 
 /// Starts callers on a separate thread; they end once `done` is set.
@@ -122,6 +215,7 @@
     gateways: Vec<SocketAddr>,
     seed: u64,
     callers: u64,
+    clock: Clock,
     done: Arc<AtomicBool>,
 ) -> JoinHandle<Result<Vec<Call>, String>> {
     std::thread::spawn(move || {
@@ -129,7 +223,7 @@
             let callers = (0..callers).map(|caller| {
                 let (gateways, done) = (gateways.clone(), Arc::clone(&done));
                 let rng = StdRng::seed_from_u64(seed * callers + caller);
-                monoio::spawn(send_until_done(gateways, seed, (caller, rng), done))
+                monoio::spawn(send_until_done(gateways, seed, (caller, rng), clock, done))
             });
             let mut calls = Vec::new();
             for caller in callers.collect::<Vec<_>>() {
@@ -140,25 +234,32 @@
     })
 }
 
+/// Draws a gateway; one of them gets half of the requests.
+fn draw_gateway(rng: &mut StdRng, seed: u64, gateways: usize) -> usize {
+    if rng.random() {
+        return seed as usize % gateways;
+    }
+    rng.random_range(0..gateways)
+}
+
 async fn send_until_done(
     gateways: Vec<SocketAddr>,
     seed: u64,
     (caller, mut rng): (u64, StdRng),
+    clock: Clock,
     done: Arc<AtomicBool>,
 ) -> Vec<Call> {
-    let mut connections: HashMap<SocketAddr, Connection> = HashMap::new();
+    let mut connections: HashMap<usize, Connection> = HashMap::new();
     let mut calls = Vec::new();
     while !done.load(Ordering::Relaxed) {
         let attempt = format!("s{seed}c{caller}n{}", calls.len());
-        let (route, message) = if rng.random_range(0..CRASH_INTERVAL) == 0 {
-            crashing_request(seed + rng.random_range(0..CRASHING_REQUESTS), &attempt)
-        } else {
-            ordinary_request(&mut rng, &attempt)
-        };
-        let gateway = gateways[rng.random_range(0..gateways.len())];
+        let (route, effect, message) = draw(&mut rng, seed, &attempt);
+        let gateway = draw_gateway(&mut rng, seed, gateways.len());
+        let sent = clock.now();
         // Callers reuse their connections while these work.
-        let answer = send_request(gateway, connections.remove(&gateway), &message).await;
-        let answer = answer.map(|(answer, connection)| {
+        let connection = connections.remove(&gateway);
+        let Exchange { kept, outcome } = exchange(gateways[gateway], connection, &message).await;
+        let answer = outcome.map(|(answer, connection)| {
             if connection.reusable() {
                 connections.insert(gateway, connection);
             }
@@ -167,13 +268,26 @@
         calls.push(Call {
             attempt,
             route,
-            answer: answer.ok(),
+            effect,
+            gateway,
+            kept,
+            sent,
+            ended: clock.now(),
+            answer: answer.map_err(|fault| classify(&fault)),
         });
         sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS))).await;
     }
     calls
 }
 
+fn classify(fault: &Fault) -> Failure {
+    match fault {
+        Fault::Connect(_) => Failure::Unreachable,
+        Fault::Timeout => Failure::GaveUp,
+        _ => Failure::Closed,
+    }
+}
+
 /// Sends a request on a new connection.
 pub(super) fn send_once(
     gateway: SocketAddr,
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -3,36 +3,60 @@
 //! Each run starts a fake platform and a few gateways as separate processes. Callers
 //! send requests continuously while a fault injector, from a seed, pauses, kills, stops
 //! and restarts gateways, cuts, silences and delays their links to the platform, and
-//! changes the configuration; servers name request rates as their limits; the object
-//! store comes back from an older copy; faults overlap. The answers that callers received and the requests that servers received
-//! are then checked against the guarantees.
+//! changes the configuration, several times in a row; servers name request rates as their
+//! limits, fall silent, refuse requests for a while, leave, and answer without a length; the
+//! object store comes back from an older copy; some requests crash servers; faults overlap. The
+//! answers that callers received and the requests that servers received are then checked against
+//! the guarantees.
 
 mod callers;
+mod changes;
+mod conditions;
+mod events;
 mod injector;
 mod limits;
 mod restores;
 mod verdict;
 
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
 use crate::launch::{Fleet, get_json};
-pub use callers::{Call, Route};
+pub use callers::{Call, Effect, Failure, Route};
+use events::Clock;
+pub use events::{Event, EventKind};
 pub use verdict::check;
 
 /// Default number of gateways in a run.
 pub const GATEWAYS: usize = 4;
+/// Servers of the fake platform.
+const SERVERS: [&str; 6] = [
+    "filings-0",
+    "filings-1",
+    "assistant-prefill-0",
+    "assistant-decode-0",
+    "assistant-decode-1",
+    "archive-0",
+];
+/// Arguments of the fake platform.
+const PLATFORM_ARGS: [&str; 2] = ["--archive", "1"];
 /// Callers per gateway.
-const CALLERS_PER_GATEWAY: f64 = 2.5;
+const CALLERS_PER_GATEWAY: usize = 4;
 /// Maximum number of callers in a run, as one thread runs all of them.
 const MAX_CALLERS: u64 = 60;
 /// Timeout for started gateways to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which callers go on after the faults of a run with a deadly part.
+const QUIET_TIME: Duration = Duration::from_secs(6);
+/// Minimum time for which callers send in such a run.
+const MIN_DEADLY_TIME: Duration = Duration::from_secs(14);
+
 /// Result of one run.
 #[derive(Debug)]
 pub struct Outcome {
@@ -44,22 +68,26 @@
     pub statuses: BTreeMap<u16, usize>,
     /// Faults that were injected, with their times.
     pub faults: Vec<String>,
-    /// Folder of the settings and logs.
+    /// Folder of the settings, the logs, the calls and the history.
     pub folder: String,
 }
 
 /// Runs one seed with the given number of gateways.
 pub fn run(seed: u64, gateways: usize) -> Result<Outcome, String> {
-    let mut fleet = Fleet::start(&format!("soak-{seed}"), gateways)?;
+    let mut fleet = Fleet::start_with(&format!("soak-{seed}"), gateways, &PLATFORM_ARGS)?;
     let ready = fleet.gateways.iter().map(|gateway| gateway.ready);
     if !callers::wait_until_ready(ready.collect(), START_TIMEOUT)? {
         return Err("the gateways are not ready".to_owned());
     }
     let done = Arc::new(AtomicBool::new(false));
     let addresses = fleet.gateways.iter().map(|gateway| gateway.caller);
-    let callers = ((gateways as f64 * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
-    let thread = callers::start(addresses.collect(), seed, callers, Arc::clone(&done));
-    let injected = injector::inject(&mut fleet, seed);
+    let callers = ((gateways * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
+    let (clock, start) = (Clock::read(&fleet)?, Instant::now());
+    let thread = callers::start(addresses.collect(), seed, callers, clock, Arc::clone(&done));
+    let injected = injector::inject(&mut fleet, seed, clock);
+    if callers::deadly_part(seed).is_some() {
+        std::thread::sleep(QUIET_TIME.max(MIN_DEADLY_TIME.saturating_sub(start.elapsed())));
+    }
     done.store(true, Ordering::Relaxed);
     let joined = thread
         .join()
@@ -69,8 +97,9 @@
     let unserved = limits::wait_for_end(&fleet, &limits::plan(seed));
     let recovery = verdict::check_recovery(&mut fleet, &injected)?;
     let history: Value = get_json(fleet.duties, "/-/history")?;
+    write_records(&fleet.folder, &calls, &history)?;
     let history = history.as_array().cloned().unwrap_or_default();
-    let mut violations = verdict::check(&calls, &history);
+    let mut violations = verdict::check(&calls, &history, &injected.events);
     violations.extend(unserved);
     violations.extend(recovery);
     let mut statuses = BTreeMap::new();
@@ -86,6 +115,17 @@
     })
 }
 
+/// Writes what callers and servers saw beside the logs, to trace violations.
+fn write_records(folder: &Path, calls: &[Call], history: &Value) -> Result<(), String> {
+    let calls = calls.iter().map(|call| format!("{call:?}\n"));
+    let calls: String = calls.collect();
+    let history = history.to_string();
+    for (name, text) in [("calls.txt", calls), ("history.json", history)] {
+        std::fs::write(folder.join(name), text).map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
+
 /// Runs seeds and prints a line for each; returns whether all passed.
 pub fn run_all(first: u64, seeds: u64, gateways: usize) -> bool {
     let mut failed = 0;
