--- a/crates/pomeloridge/src/commands/explain.rs
+++ b/crates/pomeloridge/src/commands/explain.rs
@@ -92,7 +92,7 @@
 }
 
 /// Returns the request's own lines, those about its servers around that time, and those about its
-/// fingerprint, in time order.
+/// fingerprint or the parts of its prompt, in time order.
 fn related_lines(id: &str, lines: &[Line]) -> Vec<Line> {
     let is_own = |line: &&Line| value(&line.text, "id") == Some(id);
     let own_lines: Vec<&Line> = lines.iter().filter(is_own).collect();
@@ -129,8 +129,20 @@
             value(text, "print").is_some_and(|print| fingerprints.contains(print))
         })
     };
+    let parts: BTreeSet<&str> = own_lines
+        .iter()
+        .filter_map(|line| value(&line.text, "parts"))
+        .flat_map(|parts| parts.split(','))
+        .collect();
+    let is_about_parts = |line: &Line| {
+        line.text.starts_with("part ")
+            && value(&line.text, "id").is_some_and(|part| parts.contains(part))
+    };
     let is_related = |line: &&Line| {
-        value(&line.text, "id") == Some(id) || is_about_servers(line) || is_about_fingerprint(line)
+        value(&line.text, "id") == Some(id)
+            || is_about_servers(line)
+            || is_about_fingerprint(line)
+            || is_about_parts(line)
     };
     let mut related: Vec<Line> = lines.iter().filter(is_related).cloned().collect();
     related.sort_by_key(|line| line.at_ms);
--- a/crates/pomeloridge/tests/explain.rs
+++ b/crates/pomeloridge/tests/explain.rs
@@ -15,6 +15,9 @@
 500 INFO b gateway::server_end request print=f4 choice=bar ends=3 by=own
 400 INFO b gateway::attempt request id=r4 print=f4 server=i-2 failure=lost again=false
 2000 INFO a gateway::attempt request id=r3 print=f4 choice=refuse reason=\"servers ended under it\"
+600 INFO b gateway::part_quarantine part id=d5 choice=bar by=own
+610 INFO b gateway::part_quarantine part id=e5 choice=bar by=own
+2100 INFO a gateway::attempt request id=r5 print=f6 choice=refuse left_ms=2 parts=a1,d5
 ";
 
 fn explain(args: &[&str]) -> Output {
@@ -76,6 +79,21 @@
     );
 }
 
+/// Guards against missing that a request was refused for a part of its prompt.
+#[test]
+fn lines_include_the_quarantine_of_the_prompt_parts() {
+    let out = explain(&["r5"]);
+    let text = String::from_utf8(out.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "600 b part id=d5 choice=bar by=own",
+            "2100 a request id=r5 print=f6 choice=refuse left_ms=2 parts=a1,d5",
+        ]
+    );
+}
+
 #[test]
 fn a_request_without_lines_is_an_error() {
     let out = explain(&["r9"]);
