Keep several deadly parts quarantined, and suspect only what was written

The log shows `choice=bar` for the same part again and again: each crash made the other part, or the part that both share, explain the crashes, and the quarantine fell away in between. Requests that tried to connect to an engine that had ended became suspects of its crash as well.

From five crashes on that came one after the other, a part that is not the first of its prompts stays quarantined whatever else explains them. A part takes the place of a whole request as the cause, and no longer that of another part. A run is a suspect only once it is being written.

policy part_crashes: two_deadly_parts_are_both_quarantined_and_what_they_share_is_not and a_request_that_was_not_written_is_no_suspect fail without the two changes and pass with them.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -9,7 +9,7 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
 use pomeloridge_policy::dispatch::PromptShape;
-use pomeloridge_policy::part_crashes::PartId;
+use pomeloridge_policy::part_crashes::{PartId, PartRunKey};
 use pomeloridge_policy::suspicion::Fingerprint;
 use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout};
 
@@ -38,6 +38,8 @@
     /// Prompt parts that other requests may share, in order.
     pub(crate) shared_parts: Vec<PartId>,
     pub(crate) trial: Cell<Trial>,
+    /// The latest run of the request at a server that is to answer it.
+    pub(crate) part_run: Cell<Option<PartRunKey>>,
 }
 
 /// Whether a request may be sent in spite of a quarantined part.
@@ -108,6 +110,7 @@
                 deadline: arrived_at + caller_timeout,
                 shared_parts: shared_parts(&inbound),
                 trial: Cell::default(),
+                part_run: Cell::default(),
                 inbound,
                 route,
                 service,
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -73,6 +73,7 @@
     /// Records that the server is to answer the prompt, not only to read it.
     pub(crate) fn watch_parts(&mut self, accepted: &Accepted) {
         self.part_run = part_quarantine::start_run(&self.state, self.server, accepted);
+        accepted.part_run.set(self.part_run);
     }
 
     /// Records that the server has sent whole events of the answer.
--- a/crates/pomeloridge_policy/src/part_crashes.rs
+++ b/crates/pomeloridge_policy/src/part_crashes.rs
@@ -14,8 +14,8 @@
 //! share is answered whenever one of them is. Of parts that are alike in this, it is the deepest;
 //! should it be one before it, the next crash under another prompt shows that. A whole request
 //! is deeper than its parts, so that one that is sent again and again is not taken for a deadly part.
-//! A part with more crashes by [`DOMINANT_CRASHES`], which include those of the likeliest one, is
-//! taken in its place: the latter may be new and never answered for that reason. A part that was answered
+//! A part of such a request with more crashes, by [`DOMINANT_CRASHES`], is taken in its place, as the
+//! request was never answered because it is new. A part that was answered
 //! shortly before its first crash is quarantined only after [`RECENT_GRACE`], within which
 //! an answer at another server clears it.
 //!
@@ -119,6 +119,8 @@
     /// The whole request.
     whole: PartId,
     server: ServerIncarnation,
+    /// Whether anything was written to the server.
+    sent: bool,
     /// When the first event of the answer arrived.
     begun_at: Option<Instant>,
     /// Whether the answer has cleared the parts.
@@ -140,8 +142,8 @@
     /// Returns whether the server may have crashed as it began to answer the request.
     fn is_suspect(&self, now: Instant) -> bool {
         let end = self.lost_at.unwrap_or(now);
-        self.begun_at
-            .is_none_or(|begun| end.saturating_duration_since(begun) < CONFIRM_TIME)
+        let is_young = |begun| end.saturating_duration_since(begun) < CONFIRM_TIME;
+        self.sent && self.begun_at.is_none_or(is_young)
     }
 }
 
@@ -161,7 +163,7 @@
 }
 
 impl PartTracker {
-    /// Records that a request was sent to a server that is to answer it: its shared parts in the
+    /// Records that a request is to be sent to a server that is to answer it: its shared parts in the
     /// order of the prompt, and a number that identifies the whole request.
     pub fn start_run(
         &mut self,
@@ -173,12 +175,20 @@
             parts,
             whole,
             server,
+            sent: false,
             begun_at: None,
             confirmed: false,
             lost_at: None,
         })
     }
 
+    /// Records that the request is being written to the server.
+    pub fn record_sent(&mut self, key: PartRunKey) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.sent = true;
+        }
+    }
+
     /// Records that events of the answer arrived; returns the parts whose quarantine this ended.
     pub fn record_output(&mut self, key: PartRunKey, now: Instant) -> Vec<PartId> {
         let Some(run) = self.runs.get_mut(key).filter(|run| !run.confirmed) else {
--- a/crates/pomeloridge_policy/src/part_crashes/evidence.rs
+++ b/crates/pomeloridge_policy/src/part_crashes/evidence.rs
@@ -41,7 +41,13 @@
 const MAX_CRASH_SUSPECTS: usize = 16;
 /// Maximum number of answers in a message to a peer.
 const MAX_EXPORTED_ANSWERS: usize = 32;
-/// Number of further crashes by which a part explains those of a likelier one.
+/// Number of crashes, one after the other, from which a part is quarantined though another one
+/// explains them: several parts may be deadly. The first part of a prompt is not, as most prompts
+/// share it.
+const CERTAIN_CRASHES: usize = 5;
+/// Time within which crashes are taken to have come at once, such as those of a whole domain.
+const WAVE_TIME: Duration = Duration::from_millis(100);
+/// Number of further crashes by which a part explains those of a whole request.
 pub const DOMINANT_CRASHES: usize = 2;
 
 #[derive(Clone, Debug)]
@@ -357,6 +363,40 @@
             .map(|(part, crashes)| (*part, crashes.len()));
         self.counts = counts.collect();
         self.quarantines.clear();
+        let by_wholes = self.explain(uncleared.clone(), &depths);
+        for (part, crashes) in &uncleared {
+            let is_inner = depths
+                .get(part)
+                .is_some_and(|depth| (1..WHOLE_DEPTH).contains(depth));
+            if is_inner && self.wave_count(crashes.difference(&by_wholes)) >= CERTAIN_CRASHES {
+                let quarantine = self.derive_quarantine(crashes, self.last_answer(*part));
+                self.quarantines.insert(*part, quarantine);
+            }
+        }
+    }
+
+    /// Returns the number of crashes, of which those within [`WAVE_TIME`] count as one.
+    fn wave_count<'a>(&self, crashes: impl Iterator<Item = &'a ServerIncarnation>) -> usize {
+        let times = crashes.filter_map(|server| Some(self.crashes.get(server)?.at));
+        let mut times: Vec<Instant> = times.collect();
+        times.sort_unstable();
+        let mut last = None;
+        let is_next = |at: &&Instant| {
+            let is_next = last.is_none_or(|last| at.saturating_duration_since(last) >= WAVE_TIME);
+            last = if is_next { Some(**at) } else { last };
+            is_next
+        };
+        times.iter().filter(is_next).count()
+    }
+
+    /// Quarantines the parts that explain the crashes that suspects are not cleared of. Returns the
+    /// crashes that whole requests explain.
+    fn explain(
+        &mut self,
+        mut uncleared: HashMap<PartId, BTreeSet<ServerIncarnation>>,
+        depths: &HashMap<PartId, u32>,
+    ) -> BTreeSet<ServerIncarnation> {
+        let mut by_wholes = BTreeSet::new();
         loop {
             uncleared.retain(|_, crashes| crashes.len() >= QUARANTINE_CRASHES);
             let rank = |(part, crashes): &(&PartId, &BTreeSet<ServerIncarnation>)| {
@@ -365,15 +405,25 @@
                 (answered, Reverse(crashes.len()), Reverse(depth), **part)
             };
             let Some(likeliest) = uncleared.iter().min_by_key(rank) else {
-                return;
+                return by_wholes;
             };
-            let dominant = uncleared.iter().filter(|(_, crashes)| {
-                crashes.len() >= likeliest.1.len() + DOMINANT_CRASHES
+            // A whole request is never answered before it is sent. The oldest of the parts that have
+            // all its crashes is one of its own.
+            let is_whole = depths.get(likeliest.0) == Some(&WHOLE_DEPTH);
+            let parts = uncleared.iter().filter(|(part, crashes)| {
+                is_whole
+                    && depths.get(part) != Some(&WHOLE_DEPTH)
                     && crashes.is_superset(likeliest.1)
             });
-            let (part, explained) = dominant.min_by_key(rank).unwrap_or(likeliest);
+            let oldest = parts.min_by_key(rank);
+            let (part, explained) = oldest
+                .filter(|(_, crashes)| crashes.len() >= likeliest.1.len() + DOMINANT_CRASHES)
+                .unwrap_or(likeliest);
             let (answered, depth) = (self.last_answer(*part), depths.get(part));
             let explained = explained.clone();
+            if depth == Some(&WHOLE_DEPTH) {
+                by_wholes.extend(&explained);
+            }
             // Parts that have all of this in common can't be told apart.
             let is_alike = |part: &PartId, crashes: &BTreeSet<ServerIncarnation>| {
                 self.last_answer(*part) == answered
--- a/crates/pomeloridge_policy/tests/policy/part_crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/part_crashes.rs
@@ -32,6 +32,7 @@
 /// Loses a request at a server before its answer begins.
 fn lose(tracker: &mut PartTracker, server: u64, parts: &[PartId], whole: PartId, now: Instant) {
     let run = tracker.start_run(parts.to_vec(), whole, ServerIncarnation(server));
+    tracker.record_sent(run);
     tracker.finish_run(run, RunOutcome::Lost, now);
 }
 
@@ -129,6 +130,45 @@
     assert!(is_allowed(&tracker, &[SYSTEM, SOUND], now));
 }
 
+/// Guards against two deadly parts of which one is taken to explain the other's crashes, so that it
+/// is sent on.
+#[test]
+fn two_deadly_parts_are_both_quarantined_and_what_they_share_is_not() {
+    let start = Instant::now();
+    let mut tracker = PartTracker::default();
+    answer(&mut tracker, &[SYSTEM, DEADLY], start);
+    answer(&mut tracker, &[SYSTEM, SOUND], start + ms(1));
+    answer(&mut tracker, &[SYSTEM], start + ms(2));
+    let mut now = start + ms(100);
+    for server in 1..=9 {
+        now += ms(300);
+        let prompts: &[&[PartId]] = match server {
+            1..=2 => &[&[SYSTEM, SOUND]],
+            3..=7 => &[&[SYSTEM, DEADLY], &[SYSTEM, SOUND]],
+            _ => &[&[SYSTEM, DEADLY]],
+        };
+        crash(&mut tracker, server, prompts, now);
+    }
+    assert!(!is_allowed(&tracker, &[SYSTEM, DEADLY], now));
+    assert!(!is_allowed(&tracker, &[SYSTEM, SOUND], now));
+    assert!(is_allowed(&tracker, &[SYSTEM, SOUND + 1], now));
+}
+
+/// Guards against suspecting a request that was to be sent to a server that had already ended.
+#[test]
+fn a_request_that_was_not_written_is_no_suspect() {
+    let now = Instant::now();
+    let mut tracker = PartTracker::default();
+    for server in 1..=3 {
+        crash(&mut tracker, server, &[&[SYSTEM, DEADLY]], now);
+        let server = ServerIncarnation(server);
+        tracker.start_run(vec![SOUND], FIRST_WHOLE, server);
+        tracker.record_crash(server, now + ms(10));
+    }
+    assert!(is_allowed(&tracker, &[SOUND], now + ms(10)));
+    assert!(!is_allowed(&tracker, &[DEADLY], now + ms(10)));
+}
+
 /// Guards against taking callers' returns, each with a request of its own, for the cause.
 #[test]
 fn a_part_explains_the_crashes_of_requests_that_are_sent_again() {
@@ -174,6 +214,7 @@
             FIRST_WHOLE + server,
             ServerIncarnation(server),
         );
+        tracker.record_sent(run);
         tracker.record_output(run, now);
         now += time;
         tracker.record_output(run, now);
