Take the copy from before the server began to leave

a_leaving_server_gets_no_requests_from_a_restored_entry passed with a registry that withholds no entry: its copy was taken some ms too late and held the entry as it was last.

--- a/crates/pomeloridge_dev/tests/store_era.rs
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -280,8 +280,9 @@
     store.put("servers/filings-0", &entry);
     store.raise_revision();
     std::thread::sleep(APPLY_TIME);
-    let age = started.elapsed();
+    let age = started.elapsed() + POLL_INTERVAL;
     store.restore(age.as_millis() as u64, 1500);
+    assert_eq!(store.object("servers/filings-0")["state"], "ready");
     let statuses = store.read_for(WATCHED_TIME, "stays");
     assert!(statuses.iter().all(|status| *status == 200));
     assert_eq!(store.reads_at("filings-0", "stays"), 0);
