Do not quarantine a request for crashes under one that was never answered

A crash of a request that has been answered before no longer counts where the server also crashed under a quarantined request that never was. Crashes of its own still count.

--- a/crates/pomeloridge_gateway/src/crash_detection.rs
+++ b/crates/pomeloridge_gateway/src/crash_detection.rs
@@ -170,11 +170,8 @@
         .iter()
         .filter(|(_, crashes)| *crashes >= MIN_ANNOUNCED_CRASHES)
     {
-        let choice = if *crashes >= QUARANTINE_CRASHES {
-            "bar"
-        } else {
-            "suspect"
-        };
+        let left = state.crashes.borrow().quarantine_left(fingerprint, now);
+        let choice = if left.is_some() { "bar" } else { "suspect" };
         log::info!("request print={fingerprint} choice={choice} ends={crashes} by=own");
     }
     let max_crashes = affected
--- a/crates/pomeloridge_policy/src/crashes.rs
+++ b/crates/pomeloridge_policy/src/crashes.rs
@@ -6,13 +6,15 @@
 //! flight on a server whose process ended unexpectedly, and nodes merge these records.
 //! A request is quarantined once several servers have crashed under it without a complete
 //! answer in between. A complete answer clears its crashes: requests that only shared a
-//! server with the crashing one get answered elsewhere.
+//! server with the crashing one get answered elsewhere. Where crashes follow one another too
+//! closely for that, a request that has been answered before is not quarantined for crashes under
+//! another one that never was.
 //!
 //! For the project's own interface, [`crate::suspicion`] isolates suspects from one
 //! another and so needs one crash less. Here retries are too few and too urgent to wait
 //! for a server without another suspect.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
@@ -201,7 +203,32 @@
     /// Returns the remaining time for which a request must not be sent to any server, or
     /// `None` if it is not quarantined.
     pub fn quarantine_left(&self, fingerprint: &Fingerprint, now: Instant) -> Option<Duration> {
-        self.records.get(fingerprint)?.quarantine_left(now)
+        let record = self.records.get(fingerprint)?;
+        let left = record.quarantine_left(now)?;
+        (!self.is_explained(fingerprint, record, now)).then_some(left)
+    }
+
+    /// Returns whether others explain the crashes of a request that has been answered before: all
+    /// but a few of the servers also crashed under quarantined requests without any answer.
+    fn is_explained(&self, fingerprint: &Fingerprint, record: &Record, now: Instant) -> bool {
+        if !self.was_answered(fingerprint, record) {
+            return false;
+        }
+        let culprits = self.records.iter().filter(|(other, candidate)| {
+            candidate.quarantine_left(now).is_some() && !self.was_answered(other, candidate)
+        });
+        let explained: HashSet<ServerIncarnation> = culprits
+            .flat_map(|(_, culprit)| culprit.crashes.iter().map(|(server, _)| *server))
+            .collect();
+        let unexplained = record
+            .crashes
+            .iter()
+            .filter(|(server, at)| record.is_uncleared(*at) && !explained.contains(server));
+        unexplained.count() < QUARANTINE_CRASHES
+    }
+
+    fn was_answered(&self, fingerprint: &Fingerprint, record: &Record) -> bool {
+        record.cleared.is_some() || self.answers.contains_key(fingerprint)
     }
 
     /// Returns the number of servers that crashed under a request since its last complete
--- a/crates/pomeloridge_policy/tests/policy/crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/crashes.rs
@@ -48,6 +48,45 @@
     assert_eq!(tracker.crash_count(&fingerprint("p"), now), 0);
 }
 
+fn answer(tracker: &mut CrashTracker, path: &str, now: Instant) {
+    let run = tracker.start_run(fingerprint(path), ServerIncarnation(99));
+    tracker.finish_run(run, RunOutcome::Answered, now);
+}
+
+/// Guards against quarantining what everybody asks for beside the request that crashes the
+/// servers, where they crash too closely after one another for an answer in between.
+#[parameterized(
+    answered_before = { true, 3, 0, None },
+    never_answered = { false, 3, 0, Some(QUARANTINE_TTL) },
+    crashes_of_its_own = { true, 3, 3, Some(QUARANTINE_TTL) },
+    too_few_of_its_own = { true, 3, 2, None },
+    not_under_a_quarantined_request = { true, 2, 3, Some(QUARANTINE_TTL) },
+)]
+fn a_crash_counts_for_the_request_that_was_never_answered(
+    was_answered: bool,
+    shared: u64,
+    own: u64,
+    left: Option<Duration>,
+) {
+    let start = Instant::now();
+    let mut tracker = CrashTracker::default();
+    if was_answered {
+        answer(&mut tracker, "read", start);
+    }
+    let now = start + ms(10);
+    for server in 0..shared {
+        crash(&mut tracker, server, &["read", "deadly"], now);
+    }
+    for server in shared..shared + own {
+        crash(&mut tracker, server, &["read"], now);
+    }
+    assert_eq!(tracker.quarantine_left(&fingerprint("read"), now), left);
+    let is_quarantined = tracker
+        .quarantine_left(&fingerprint("deadly"), now)
+        .is_some();
+    assert_eq!(is_quarantined, shared >= QUARANTINE_CRASHES as u64);
+}
+
 /// Guards against counting one crash several times because several runs report it.
 #[test]
 fn one_crash_of_a_server_counts_once() {
