Apply a shorter idle time to new connections only

A caller that opened a connection reckons with the idle time of that moment and may learn of a shorter one late; the server closed under it from the next request on. The longest idle time that was in force since a connection was opened holds for it now.

--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -34,7 +34,8 @@
 /// The handler also receives the error of a request that could not be read, so that each port
 /// refuses it in its own format; the connection is closed afterwards.
 pub struct Server<H, S> {
-    /// Limits; a change applies from the next request on, a longer idle time at once.
+    /// Limits; a change applies from the next request on, a longer idle time at once, and a shorter
+    /// one to new connections, as callers may learn of it late.
     pub limits: Cell<Limits>,
     /// Handles a request.
     pub handler: H,
@@ -90,8 +91,10 @@
     pub async fn serve_connection(&self, stream: TcpStream, peer: SocketAddr) {
         let mut responder = Responder::new(stream, self.limits.get().write_time);
         let mut requests = 0_u64;
+        let mut idle_time = Duration::ZERO;
         loop {
-            if let Err(reason) = self.wait_for_request(&mut responder).await {
+            let wait = self.wait_for_request(&mut responder, &mut idle_time);
+            if let Err(reason) = wait.await {
                 // Callers close their connections all the time; the others may cross a request.
                 let level = match reason {
                     CloseReason::Peer => log::Level::Debug,
@@ -118,17 +121,21 @@
     }
 
     /// Waits for the first byte of a request, or returns why the connection is to be closed.
-    async fn wait_for_request(&self, responder: &mut Responder) -> Result<(), CloseReason> {
+    /// `idle_time` is the longest that was in force since the connection was opened.
+    async fn wait_for_request(
+        &self,
+        responder: &mut Responder,
+        idle_time: &mut Duration,
+    ) -> Result<(), CloseReason> {
         let idle_since = Instant::now();
-        let mut idle_time = self.limits.get().idle_time;
         while responder.stream.buf.is_empty() {
             let is_stopping = (self.stopping)();
             let now = Instant::now();
-            idle_time = idle_time.max(self.limits.get().idle_time);
+            *idle_time = (*idle_time).max(self.limits.get().idle_time);
             let reason = if is_stopping {
                 Some(CloseReason::Stopping)
             } else {
-                (now >= idle_since + idle_time).then_some(CloseReason::Idle)
+                (now >= idle_since + *idle_time).then_some(CloseReason::Idle)
             };
             // A request may have arrived that was not read yet because other tasks were busy.
             if let Some(reason) = reason
--- a/crates/pomeloridge_base/tests/idle_close.rs
+++ b/crates/pomeloridge_base/tests/idle_close.rs
@@ -55,10 +55,19 @@
     });
 }
 
-/// Guards against closing a connection after an idle time that a new configuration has extended.
-#[test]
-fn a_longer_idle_time_holds_for_connections_that_wait() {
-    run(async {
+/// Guards against closing a connection under a caller that reckons with the idle time of another
+/// configuration: one that has just been extended, or one that was shortened since the connection
+/// was opened.
+#[parameterized(
+    extended_while_it_waits = { IDLE_TIME, IDLE_TIME * 20, false },
+    shortened_before_a_request = { IDLE_TIME * 20, IDLE_TIME, true },
+)]
+fn the_longest_idle_time_of_a_connection_holds(
+    before: Duration,
+    after: Duration,
+    has_request: bool,
+) {
+    run(async move {
         let listener = pomeloridge_base::net::listen("127.0.0.1:0".parse().unwrap()).unwrap();
         let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         caller.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
@@ -67,23 +76,30 @@
             idle_time,
             ..Limits::default()
         };
+        let answered = Rc::new(Cell::new(0));
+        let answers = Rc::clone(&answered);
+        let last = 1 + usize::from(has_request);
         let server = Rc::new(Server {
-            limits: Cell::new(limits(IDLE_TIME)),
-            handler: async |_, responder: &mut Responder| {
-                responder.close_after();
+            limits: Cell::new(limits(before)),
+            handler: async move |_, responder: &mut Responder| {
+                if answers.get() + 1 == last {
+                    responder.close_after();
+                }
                 responder.send(Response::new(200, "")).await.unwrap();
+                answers.set(answers.get() + 1);
             },
             stopping: || false,
         });
         let serving = Rc::clone(&server);
         let task = monoio::spawn(async move { serving.serve_connection(stream, peer).await });
         monoio::time::sleep(IDLE_TIME / 2).await;
-        server.limits.set(limits(IDLE_TIME * 20));
+        server.limits.set(limits(after));
+        if has_request {
+            caller.write_all(REQUEST).unwrap();
+        }
         monoio::time::sleep(IDLE_TIME * 5).await;
         caller.write_all(REQUEST).unwrap();
         task.await;
-        let mut answer = String::new();
-        caller.read_to_string(&mut answer).unwrap();
-        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        assert_eq!(answered.get(), last);
     });
 }
