Let the servers of streams fall silent by turns in the soak

A stream that is moved from a silent server seldom met a second silence, so that no run showed what callers lose then. In about half of the seeds the two servers that answer with streams now fall silent up to four times, by turns and overlapping, 0.7 to 1.5 s each, and go on.

What it shows on today's code: a stream whose server is sound is cut after 1.2 s.

seed 43 failure=silent again=true (decode-0), 792 ms later failure=silent again=false (decode-1), outcome=cut reason=silent total_ms=2058 seed 306 failure=silent again=true, choice=refuse tried=1 over_limit=1 reason="no server available", outcome=cut reason=unreachable total_ms=1217

Both servers went on, and both were heard again within 0.5 s of the cut.

--- a/crates/pomeloridge_dev/src/soak/conditions.rs
+++ b/crates/pomeloridge_dev/src/soak/conditions.rs
@@ -14,10 +14,16 @@
 
 /// Changes the seed, so that conditions do not depend on the other faults.
 const SEED_MASK: u64 = 0x434f_4e44;
+/// Servers that answer with streams.
+const STREAMING: [&str; 2] = ["assistant-decode-0", "assistant-decode-1"];
 /// Maximum number of series of conditions in a run.
 const MAX_SERIES: usize = 5;
 /// Maximum number of conditions in a series.
 const MAX_IN_A_ROW: usize = 3;
+/// Maximum number of silences of the servers that answer with streams.
+const MAX_SILENCES: usize = 4;
+/// Minimum time from the beginning of one of them to that of the next one, in ms.
+const MIN_TURN_MS: u64 = 300;
 /// Maximum pause between two conditions of a series, in ms.
 const MAX_PAUSE_MS: u64 = 1500;
 /// Time in which conditions begin, in ms.
@@ -100,5 +106,28 @@
             at += length + rng.random_range(0..MAX_PAUSE_MS);
         }
     }
+    planned.extend(plan_silences(&mut rng));
+    planned
+}
+
+/// Returns silences of the servers that answer with streams, by turns and overlapping: a stream
+/// that goes on at the other server meets the next one. About half of the seeds have some.
+fn plan_silences(rng: &mut StdRng) -> Vec<PlannedCondition> {
+    let mut planned = Vec::new();
+    let count = rng.random_range(2..=MAX_SILENCES);
+    if rng.random() {
+        return planned;
+    }
+    let mut at = rng.random_range(0..BEGIN_TIME_MS / 2);
+    for index in 0..count {
+        planned.push(PlannedCondition {
+            at: Duration::from_millis(at),
+            length: Duration::from_millis(rng.random_range(lengths(Condition::Silent))),
+            server: STREAMING[index % STREAMING.len()],
+            condition: Condition::Silent,
+            listed: false,
+        });
+        at += rng.random_range(MIN_TURN_MS..MAX_PAUSE_MS);
+    }
     planned
 }
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -455,6 +455,9 @@
     stops_at_a_time = { 128 },
     silence_and_a_pause = { 39 },
     changes_in_a_row = { 43 },
+    silence_by_turns = { 306 },
+    silence_and_leaving = { 303 },
+    unframed_and_refusing = { 315 },
     deadly_part = { 40 },
 )]
 fn a_seed_keeps_every_promise(seed: u64) {
