Keep a begun stream at its silent server if the request is quarantined

A caller's stream would be cut: a request whose server was silent was given up, and then refused at the choice of the next server, since it is quarantined.

--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -153,6 +153,9 @@
     /// This node's part of the service's retry budget is spent.
     #[display("budget")]
     Budget,
+    /// It is quarantined, and so is sent to no other server.
+    #[display("quarantine")]
+    Quarantine,
     /// No other server takes it.
     #[display("servers")]
     Servers,
@@ -418,6 +421,9 @@
         if self.refusals >= MAX_REFUSED_SENDS {
             return Err(RetryBlocker::Refusals);
         }
+        if state.quarantine_left(accepted).is_some() {
+            return Err(RetryBlocker::Quarantine);
+        }
         let mut tried = self.tried.clone();
         tried.push(server);
         let request = DispatchRequest {
