Write barred parts of prompts again when the store has lost them

A node's object holds the parts that it bars, so that a fleet that restarts as a whole knows them. When the store was back from a copy older than a bar, a node took its object for current, as it compared only whole requests; the next restart of all nodes would have sent the part to engines again, as if it had never crashed any.

--- a/crates/pomeloridge_dev/tests/tainted.rs
+++ b/crates/pomeloridge_dev/tests/tainted.rs
@@ -7,9 +7,9 @@
 
 use monoio::time::sleep;
 use pomeloridge_base::http::OutgoingRequest;
-use pomeloridge_dev::launch::{Fleet, block_on, get_json};
+use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json};
 use pomeloridge_fleet_standin::caller::{DEADLY_PART, generation_with, is_ready, send_request};
-use serde_json::Value;
+use serde_json::{Value, json};
 use yare::parameterized;
 
 const GATEWAYS: usize = 4;
@@ -237,6 +237,44 @@
     assert_served(&sound, started);
 }
 
+/// Returns whether every gateway's object holds a quarantined part.
+fn bar_is_stored(fleet: &Fleet) -> bool {
+    let Ok(listed) = get_json(fleet.store, "/-/objects/pomeloridge-nodes") else {
+        return false;
+    };
+    let nodes = listed["items"].as_array().into_iter().flatten();
+    let holds = |node: &&Value| {
+        let crashes = node["spec"]["barred_parts"].as_array();
+        crashes.is_some_and(|crashes| !crashes.is_empty())
+    };
+    nodes.filter(holds).count() == GATEWAYS
+}
+
+/// Guards against a bar that a restart of all gateways would end, as the store is back from a copy
+/// without it.
+#[test]
+fn the_bar_of_a_part_is_written_again_after_a_restore() {
+    let fleet = start("tainted-restore");
+    let started = Instant::now();
+    send_both(&callers(&fleet), "s", SHORT_PROMPT, CONTACT_TIME * 2);
+    let wait_until_stored = || {
+        let end = Instant::now() + TIMEOUT;
+        while !bar_is_stored(&fleet) {
+            assert!(Instant::now() < end, "the bar is not stored");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    wait_until_stored();
+    let age = started.elapsed().as_millis() as u64;
+    let plan = json!({ "age_ms": age, "away_ms": 300, "rewrite_ms": 100 });
+    post_json(fleet.duties, "/-/restore", &plan).unwrap();
+    let end = Instant::now() + TIMEOUT;
+    while bar_is_stored(&fleet) {
+        assert!(Instant::now() < end, "the store is not restored");
+    }
+    wait_until_stored();
+}
+
 /// Guards against a gateway that goes on alone with a deadly part: one that hears no peer, or one
 /// that was paused while the others barred the part.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -167,8 +167,8 @@
     }
 }
 
-/// Returns whether a listing contains this node's object with all quarantined requests. A
-/// restored service may have lost the object or hold an older one.
+/// Returns whether a listing contains this node's object with all quarantined requests and prompt
+/// parts. A restored service may have lost the object or hold an older one.
 pub(super) fn is_current(state: &State, objects: &[Object]) -> bool {
     let own = objects
         .iter()
@@ -176,16 +176,28 @@
     let Some(Ok(wire)) = own.map(|object| NodeWire::deserialize(&object.value)) else {
         return false;
     };
-    let listed: HashSet<&str> = wire
-        .barred
-        .iter()
-        .map(|barred| barred.print.as_str())
-        .collect();
-    let quarantined = state.crashes.borrow().export_quarantined(state.now());
-    let mut prints = quarantined
+    let now = state.now();
+    let quarantined = state.crashes.borrow().export_quarantined(now);
+    let prints = quarantined
         .iter()
         .map(|report| hex::encode(report.fingerprint.0));
-    wire.life == state.incarnation && prints.all(|print| listed.contains(print.as_str()))
+    let listed = wire.barred.iter().map(|barred| barred.print.as_str());
+    let parts = state.parts.borrow().export_quarantined(now);
+    let crashes = parts
+        .crashes
+        .iter()
+        .map(|crash| format!("{:x}", crash.server.0));
+    let listed_crashes = wire
+        .barred_parts
+        .iter()
+        .map(|listed| listed.crash.start.as_str());
+    wire.life == state.incarnation
+        && contains_all(&listed.collect(), prints)
+        && contains_all(&listed_crashes.collect(), crashes)
+}
+
+fn contains_all(listed: &HashSet<&str>, mut wanted: impl Iterator<Item = String>) -> bool {
+    wanted.all(|name| listed.contains(name.as_str()))
 }
 
 /// Returns the value of this node's object.
