--- a/crates/pomeloridge_dev/src/reference.rs
+++ b/crates/pomeloridge_dev/src/reference.rs
@@ -122,6 +122,16 @@
   4 s more than one and a half times what that allows, + 5 requests, summed over the machines
   that had passed on such an answer half a second before or earlier. A restart, freeze or cut
   of a machine excuses that machine.
+- One part of a prompt (`Pomeloridge-Prompt-Prefix`; never the last) may crash each runner that
+  begins to write an answer on it, whatever else the request holds; the runner is back after some
+  seconds. Requests with that part come at any machine, no two alike; sound ones share their
+  caller and their other parts. They earn nothing and aren't missed.
+- **BUDGET.** More than three requests with a part that crashes runners, new ones or repeats,
+  reach runners, sent by machines in touch later than `contactMs` after the fifth crash.
+- **LOST.** From 2 x `contactMs` after the fifth crash (the last, if there are fewer), while such
+  requests still come, sound requests of their route with the same key or first part begin at the
+  first attempt less than half as often as outside unplanned impairment (20 or more of each, at
+  machines in touch).
 - In a drill the store may be away for a moment and come back from a copy some seconds old;
   only then does it lose what it has acknowledged. What the system wrote there since is gone,
   leases too. Revisions go back and are given out again; a watch from one that it doesn't have
