--- a/crates/pomeloridge_gateway/src/peers/crash_news.rs
+++ b/crates/pomeloridge_gateway/src/peers/crash_news.rs
@@ -18,7 +18,8 @@
 const ANNOUNCE_PAUSE_PER_PEER: Duration = Duration::from_millis(2);
 
 /// Sends the requests and prompt parts during which servers crashed to all peers at once. What
-/// changes within a pause after an announcement, which is longer in a large fleet, is sent at its end.
+/// changes within a pause after an announcement, which is longer in a large fleet, is sent at its
+/// end.
 pub(crate) fn announce_crashes(state: &Rc<State>) {
     if state.crash_news.replace(true) {
         return;
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -1,5 +1,5 @@
-//! Node objects in the object service. A node's object holds its address for peers and the
-//! requests and prompt parts that it has quarantined, so that these survive a restart of the whole fleet.
+//! Node objects in the object service. A node's object holds its address for peers and the requests
+//! and prompt parts that it has quarantined, so that these survive a restart of the whole fleet.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
--- a/crates/pomeloridge_policy/src/part_crashes.rs
+++ b/crates/pomeloridge_policy/src/part_crashes.rs
@@ -9,18 +9,17 @@
 //!
 //! An answer that begins and goes on for [`CONFIRM_TIME`] clears the parts of its prompt of all
 //! earlier crashes. A part is quarantined after [`QUARANTINE_CRASHES`] crashes that are neither
-//! cleared nor explained by another part. Of several parts that were there, the one explains
-//! the crashes that has been without an answer for the longest time: a part that many prompts
-//! share is answered whenever one of them is. Of parts that are alike in this, it is the deepest;
-//! should it be one before it, the next crash under another prompt shows that. A whole request
-//! is deeper than its parts, so that one that is sent again and again is not taken for a deadly part.
-//! A part of such a request with more crashes, by [`DOMINANT_CRASHES`], is taken in its place, as the
-//! request was never answered because it is new. A part that was answered
-//! shortly before its first crash is quarantined only after [`RECENT_GRACE`], within which
-//! an answer at another server clears it.
+//! cleared nor explained by another part. Of several parts that were there, the one explains the
+//! crashes that has been without an answer for the longest time: a part that many prompts share is
+//! answered whenever one of them is. Of parts that are alike in this, it is the deepest; should it
+//! be one before it, the next crash under another prompt shows that. A whole request is deeper than
+//! its parts, so that one that is sent again and again is not taken for a deadly part. A part of
+//! such a request with more crashes, by [`DOMINANT_CRASHES`], is taken in its place, as the request
+//! was never answered because it is new. A part that was answered shortly before its first crash is
+//! quarantined only after [`RECENT_GRACE`], within which an answer at another server clears it.
 //!
-//! A quarantine ends with an answer. After some time, longer after each crash, one node at a
-//! time may send one request with the part as a trial. Until it is answered it counts as a crash, so
+//! A quarantine ends with an answer. After some time, longer after each crash, one node at a time
+//! may send one request with the part as a trial. Until it is answered it counts as a crash, so
 //! that each trial makes the quarantine longer, whatever becomes of it.
 
 mod evidence;
@@ -163,8 +162,8 @@
 }
 
 impl PartTracker {
-    /// Records that a request is to be sent to a server that is to answer it: its shared parts in the
-    /// order of the prompt, and a number that identifies the whole request.
+    /// Records that a request is to be sent to a server that is to answer it: its shared parts in
+    /// the order of the prompt, and a number that identifies the whole request.
     pub fn start_run(
         &mut self,
         parts: Vec<PartId>,
--- a/crates/pomeloridge_policy/src/part_crashes/evidence.rs
+++ b/crates/pomeloridge_policy/src/part_crashes/evidence.rs
@@ -1,5 +1,5 @@
-//! What is known of the crashes of servers and of the answers on prompt parts, by all nodes, and the
-//! quarantines that follow.
+//! What is known of the crashes of servers and of the answers on prompt parts, by all nodes, and
+//! the quarantines that follow.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -89,8 +89,8 @@
 }
 
 impl Evidence {
-    /// Records that an answer began on a prompt with these parts; returns those whose quarantine this
-    /// ended.
+    /// Records that an answer began on a prompt with these parts; returns those whose quarantine
+    /// this ended.
     pub(super) fn clear(
         &mut self,
         mut parts: Vec<PartId>,
@@ -407,8 +407,8 @@
             let Some(likeliest) = uncleared.iter().min_by_key(rank) else {
                 return by_wholes;
             };
-            // A whole request is never answered before it is sent. The oldest of the parts that have
-            // all its crashes is one of its own.
+            // A whole request is never answered before it is sent. The oldest of the parts that
+            // have all its crashes is one of its own.
             let is_whole = depths.get(likeliest.0) == Some(&WHOLE_DEPTH);
             let parts = uncleared.iter().filter(|(part, crashes)| {
                 is_whole
