--- a/crates/pomeloridge_dev/src/reference.rs
+++ b/crates/pomeloridge_dev/src/reference.rs
@@ -122,10 +122,10 @@
   4 s more than one and a half times what that allows, + 5 requests, summed over the machines
   that had passed on such an answer half a second before or earlier. A restart, freeze or cut
   of a machine excuses that machine.
-- One part of a prompt (`Pomeloridge-Prompt-Prefix`; never the last) may crash each runner that
-  begins to write an answer on it, whatever else the request holds; the runner is back after some
-  seconds. Requests with that part come at any machine, no two alike; sound ones share their
-  caller and their other parts. They earn nothing and aren't missed.
+- One part of a prompt (never the last) may crash each runner that begins to write an answer on
+  it, whatever else the request holds; the runner is back after some seconds. Requests with that
+  part come at any machine, no two alike; sound ones share their caller and their other parts.
+  They earn nothing and aren't missed.
 - **BUDGET.** More than three requests with a part that crashes runners, new ones or repeats,
   reach runners, sent by machines in touch later than `contactMs` after the fifth crash.
 - **LOST.** From 2 x `contactMs` after the fifth crash (the last, if there are fewer), while such
