Hand over usage that only a stopping node stores before it exits

Operators saw usage that was delivered and never reported after a planned stop on a busy machine: `(54, 1299) requests and tokens were delivered, (53, 1218) reported`.

Cause: a batch that no peer acknowledges within 50 ms is tried again every 200 ms, but a stopping node did not wait for that. It ended once its duties had, with its only copy.

--- a/crates/pomeloridge/src/serve/lifecycle.rs
+++ b/crates/pomeloridge/src/serve/lifecycle.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::state::State;
 
@@ -13,6 +13,9 @@
 /// Time for the last heartbeats, which report that the node is leaving.
 const LEAVING_HEARTBEATS_TIME: Duration = Duration::from_millis(300);
 
+/// Maximum time to replicate the usage that only this node stores, before it stops.
+const USAGE_HANDOVER_TIME: Duration = Duration::from_secs(5);
+
 /// Phase of a node's lifecycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -69,11 +72,32 @@
     state.lifecycle.0.set(Phase::Closing);
 }
 
-/// Waits until the duties have ended and the peers know that the node is leaving.
+/// Waits until the duties have ended, a peer stores the usage and the peers know that the node is
+/// leaving.
 pub(crate) async fn finish(state: &State) {
     while state.running_duties.get() > 0 {
         monoio::time::sleep(POLL_INTERVAL).await;
     }
+    hand_over_usage(state).await;
     monoio::time::sleep(LEAVING_HEARTBEATS_TIME).await;
     log::info!("stopped: every request has ended");
 }
+
+/// Replicates the usage that only this node stores, unless the fleet has no other node.
+async fn hand_over_usage(state: &State) {
+    let end = Instant::now() + USAGE_HANDOVER_TIME;
+    while state.usage.unreplicated_lines() > 0 && !state.mesh.members().is_empty() {
+        if state.usage.retry().await {
+            log::info!("stopping: usage that only this node stored has been replicated");
+            return;
+        }
+        if Instant::now() >= end {
+            break;
+        }
+        monoio::time::sleep(POLL_INTERVAL).await;
+    }
+    let lines = state.usage.unreplicated_lines();
+    if lines > 0 {
+        log::error!("stopping: usage is lost, no peer has stored it; lines={lines}");
+    }
+}
