Keep counts of the present window when a peer's windows are far ahead

Seen: the counts of all peers for the present usage window are dropped once one datagram names a window more than four ahead, and a node's own counts once four such windows are known. A node that starts while its time of day is ahead counts in such windows until the clocks of two peers correct it; a number at the limit has the same effect, and panics in a build with overflow checks.

Cause: which windows are kept was decided by the latest window that any node named, not by this node's clock.

Change: the present window by this node's clock, which is the median of the fleet's, decides. Windows from three before it to four after it are kept; others are ignored with a line in the debug log. The tests of the ledger pass the present window on, with the same expectations.

Left: two nodes have no majority, so that counts of one whose clock stays more than four windows ahead are ignored by the other.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -471,9 +471,12 @@
         let counts = counts_by_window.entry(entry.window).or_default();
         counts.insert(Name::from(entry.account), entry.count);
     }
+    let current = state.usage_window_at(now);
     let mut usage = state.usage.borrow_mut();
     for (window, counts) in counts_by_window {
-        usage.merge(&source, window, counts);
+        if !usage.merge(&source, window, counts, current) {
+            log::debug!("usage window={window} from={name} current={current} choice=ignore");
+        }
     }
     drop(usage);
 }
--- a/crates/pomeloridge_gateway/src/usage.rs
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -11,6 +11,8 @@
 
 /// Number of latest windows that are kept and sent to peers.
 pub(crate) const WINDOWS_KEPT: u64 = 4;
+/// Number of windows after the present one whose counts are accepted, as clocks differ.
+const WINDOWS_AHEAD: u64 = 4;
 
 /// Time after a window's end by which the counts of all reachable nodes have arrived.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -119,17 +121,23 @@
         let counts = self.windows.entry(window).or_default();
         let counts = counts.entry(source).or_default();
         *counts.entry(account.clone()).or_default() += 1;
-        self.drop_old();
+        self.drop_old(window);
     }
 
-    /// Merges a peer's counts of one window.
-    pub fn merge(&mut self, source: &UsageSource, window: u64, received: Counts) {
-        if *source == self.own {
-            return;
-        }
-        let latest = self.windows.keys().next_back().copied().unwrap_or(window);
-        if window + WINDOWS_KEPT < latest {
-            return;
+    /// Merges a peer's counts of one window; `current` is the present window by this node's
+    /// clock. Returns whether they were merged: windows that are too old or too far ahead are not.
+    pub fn merge(
+        &mut self,
+        source: &UsageSource,
+        window: u64,
+        received: Counts,
+        current: u64,
+    ) -> bool {
+        if *source == self.own
+            || is_old(window, current)
+            || window > current.saturating_add(WINDOWS_AHEAD)
+        {
+            return false;
         }
         let known = self.windows.entry(window).or_default();
         let known = known.entry(source.clone()).or_default();
@@ -137,7 +145,8 @@
             let known = known.entry(account).or_default();
             *known = (*known).max(count);
         }
-        self.drop_old();
+        self.drop_old(current);
+        true
     }
 
     /// Returns this node's own counts of its latest windows.
@@ -162,9 +171,12 @@
         total
     }
 
-    fn drop_old(&mut self) {
-        while self.windows.len() as u64 > WINDOWS_KEPT {
-            self.windows.pop_first();
-        }
+    fn drop_old(&mut self, current: u64) {
+        self.windows.retain(|window, _| !is_old(*window, current));
     }
 }
+
+/// Returns whether the counts of a window are no longer kept.
+fn is_old(window: u64, current: u64) -> bool {
+    window.saturating_add(WINDOWS_KEPT) <= current
+}
--- a/crates/pomeloridge_gateway/tests/usage.rs
+++ b/crates/pomeloridge_gateway/tests/usage.rs
@@ -23,9 +23,9 @@
     let mut ledger = UsageLedger::new(source("a", 1));
     ledger.count(7, &anna);
     ledger.count(7, &anna);
-    ledger.merge(&source("b", 1), 7, counts(5));
+    ledger.merge(&source("b", 1), 7, counts(5), 7);
     // The node was killed and restarted.
-    ledger.merge(&source("b", 2), 7, counts(3));
+    ledger.merge(&source("b", 2), 7, counts(3), 7);
     assert_eq!(ledger.total(7)[&anna], 10);
     assert!(ledger.total(8).is_empty());
 }
@@ -79,16 +79,16 @@
 fn reordered_counts_do_not_decrease_the_total() {
     let anna = Name::from("anna");
     let mut ledger = UsageLedger::new(source("a", 1));
-    ledger.merge(&source("b", 1), 7, counts(5));
-    ledger.merge(&source("b", 1), 7, counts(4));
-    ledger.merge(&source("b", 1), 7, counts(5));
+    ledger.merge(&source("b", 1), 7, counts(5), 7);
+    ledger.merge(&source("b", 1), 7, counts(4), 7);
+    ledger.merge(&source("b", 1), 7, counts(5), 7);
     assert_eq!(ledger.total(7)[&anna], 5);
 }
 
 #[test]
 fn own_counts_from_peers_are_ignored() {
     let mut ledger = UsageLedger::new(source("a", 1));
-    ledger.merge(&source("a", 1), 7, counts(5));
+    ledger.merge(&source("a", 1), 7, counts(5), 7);
     assert!(ledger.total(7).is_empty());
 }
 
@@ -100,7 +100,7 @@
         ledger.count(window, &anna);
     }
     assert!(ledger.total(1).is_empty());
-    ledger.merge(&source("b", 1), 1, counts(5));
+    ledger.merge(&source("b", 1), 1, counts(5), 9);
     assert!(ledger.total(1).is_empty());
     assert_eq!(ledger.total(9)[&anna], 1);
     let windows: Vec<u64> = ledger.own_counts().map(|(window, _)| window).collect();
@@ -151,3 +151,20 @@
     let may_lack = window.may_lack_seal(lost_before.map(at), held_since.map(at));
     assert_eq!(may_lack, expected);
 }
+
+/// Guards against usage that is lost because a node whose time of day is ahead counts in windows
+/// that have not begun, or sends a number at the limit.
+#[parameterized(
+    a_minute = { 112 },
+    limit = { u64::MAX - 1 },
+)]
+fn windows_far_ahead_hide_no_counts(far: u64) {
+    let anna = Name::from("anna");
+    let mut ledger = UsageLedger::new(source("a", 1));
+    for window in far - 3..=far {
+        ledger.merge(&source("b", 1), window, counts(1), 100);
+    }
+    ledger.merge(&source("c", 1), 100, counts(5), 100);
+    ledger.count(100, &anna);
+    assert_eq!(ledger.total(100)[&anna], 6);
+}
