Saturate numbers at the limits of 64 bits from peers

Seen: a count, a time of day or a usage window at the limit of 64 bits in a datagram wraps in a release build and panics in one with overflow checks. The task that reports usage ends the process if it panics.

Cause: plain additions in `FleetClock`, `UsageLedger::total`, `EndedWindow::new` and the sum of a report's counts.

Ages in datagrams were read through: all are subtracted with a check.

Change: the numbers saturate; a window whose end can't be represented has not ended. The sum in the log line of a report has no test.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -156,7 +156,8 @@
         holder: state.name.clone(),
         epoch: permit.epoch(),
     };
-    let requests: u64 = report.counts.iter().map(|(_, count)| count).sum();
+    let counts = report.counts.iter().map(|(_, count)| *count);
+    let requests = counts.fold(0, u64::saturating_add);
     let epoch = permit.epoch();
     let allowed = Box::new(move || permit.allowed());
     let reported = (state.ports.duty.usage)(report, allowed);
--- a/crates/pomeloridge_gateway/src/fleet_clock.rs
+++ b/crates/pomeloridge_gateway/src/fleet_clock.rs
@@ -29,7 +29,7 @@
     pub fn new(now: Instant, wall_ms: u64) -> Self {
         Self {
             start: now,
-            offset_ms: wall_ms.cast_signed(),
+            offset_ms: signed(wall_ms),
             peers: HashMap::new(),
         }
     }
@@ -37,15 +37,16 @@
     /// Returns the estimated time in milliseconds since the Unix epoch.
     pub fn unix_ms(&self, now: Instant) -> u64 {
         let elapsed_ms = now.saturating_duration_since(self.start).as_millis() as i64;
-        (self.offset_ms + elapsed_ms).max(0).cast_unsigned()
+        let unix_ms = self.offset_ms.saturating_add(elapsed_ms);
+        unix_ms.max(0).cast_unsigned()
     }
 
     /// Records a peer's estimate. Returns the resulting correction of this clock in
     /// milliseconds, if any.
     pub fn observe(&mut self, peer: &Name, unix_ms: u64, now: Instant) -> Option<i64> {
         let elapsed_ms = now.saturating_duration_since(self.start).as_millis() as i64;
-        self.peers
-            .insert(peer.clone(), (unix_ms.cast_signed() - elapsed_ms, now));
+        let offset = signed(unix_ms).saturating_sub(elapsed_ms);
+        self.peers.insert(peer.clone(), (offset, now));
         self.peers
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < PEER_TTL);
         let mut offsets: Vec<i64> = self.peers.values().map(|(offset, _)| *offset).collect();
@@ -53,11 +54,16 @@
         offsets.sort_unstable();
         let median = offsets[offsets.len() / 2];
         // Two estimates have no majority.
-        let correction = median - self.offset_ms;
-        if offsets.len() < 3 || correction.abs() <= TOLERANCE_MS {
+        let correction = median.saturating_sub(self.offset_ms);
+        if offsets.len() < 3 || correction.saturating_abs() <= TOLERANCE_MS {
             return None;
         }
         self.offset_ms = median;
         Some(correction)
     }
 }
+
+/// Converts milliseconds, at most to the highest signed number.
+fn signed(millis: u64) -> i64 {
+    i64::try_from(millis).unwrap_or(i64::MAX)
+}
--- a/crates/pomeloridge_gateway/src/usage.rs
+++ b/crates/pomeloridge_gateway/src/usage.rs
@@ -52,7 +52,9 @@
         now: Instant,
         now_ms: u64,
     ) -> Option<Self> {
-        let end_ms = (index + 1) * length.as_millis() as u64;
+        let end_ms = index
+            .checked_add(1)?
+            .checked_mul(length.as_millis() as u64)?;
         let elapsed = Duration::from_millis(now_ms.checked_sub(end_ms)?);
         let end = now.checked_sub(elapsed)?;
         Some(Self {
@@ -165,7 +167,8 @@
             .flat_map(HashMap::values)
         {
             for (account, count) in counts {
-                *total.entry(account.clone()).or_default() += count;
+                let total = total.entry(account.clone()).or_default();
+                *total = total.saturating_add(*count);
             }
         }
         total
--- a/crates/pomeloridge_gateway/tests/usage.rs
+++ b/crates/pomeloridge_gateway/tests/usage.rs
@@ -168,3 +168,36 @@
     ledger.count(100, &anna);
     assert_eq!(ledger.total(100)[&anna], 6);
 }
+
+#[test]
+fn counts_at_the_limit_do_not_wrap() {
+    let mut ledger = UsageLedger::new(source("a", 1));
+    ledger.merge(&source("b", 1), 7, counts(u64::MAX), 7);
+    ledger.merge(&source("c", 1), 7, counts(1), 7);
+    assert_eq!(ledger.total(7)[&Name::from("anna")], u64::MAX);
+}
+
+#[test]
+fn a_window_at_the_limit_has_not_ended() {
+    let length = Duration::from_secs(5);
+    for index in [u64::MAX, u64::MAX - 1, u64::MAX / 5000] {
+        let window = EndedWindow::new(index, length, length, Instant::now(), 1_000_000);
+        assert!(window.is_none(), "{index}");
+    }
+}
+
+/// Guards against estimates at the limits that wrap to plausible ones.
+#[parameterized(
+    highest = { u64::MAX },
+    lowest_signed = { 1 << 63 },
+    highest_signed = { (1 << 63) - 1 },
+    zero = { 0 },
+)]
+fn times_at_the_limits_do_not_change_the_clock(unix_ms: u64) {
+    let start = Instant::now();
+    let mut time = FleetClock::new(start, 1_000_000);
+    let now = start + Duration::from_secs(1);
+    assert_eq!(time.observe(&Name::from("b"), unix_ms, now), None);
+    assert_eq!(time.observe(&Name::from("c"), 1_001_000, now), None);
+    assert_eq!(time.unix_ms(now), 1_001_000);
+}
