Do not apply changes of the server list that span eras

Seen: after one datagram with changes up to a revision near 2^64, a node takes no later changes of the server list, from the store or from peers.

Cause: the revision of a delta was believed whatever it was, and later changes count as known.

Change: no watch spans eras, so changes from one era to another count as a gap, and the list is read from the peer instead.

Left: a number at the limit within the present era, and a whole list at such a revision, are still believed.

--- a/crates/pomeloridge_gateway/src/server_list.rs
+++ b/crates/pomeloridge_gateway/src/server_list.rs
@@ -62,7 +62,8 @@
         let Some(known) = self.revision else {
             return (ApplyOutcome::Gap, Vec::new());
         };
-        if change.from > known {
+        // A watch ends with its era, so that changes of two eras come from no watch.
+        if change.from > known || change.from.era() != change.to.era() {
             return (ApplyOutcome::Gap, Vec::new());
         }
         let new: Vec<Event> = change
--- a/crates/pomeloridge_gateway/tests/server_list.rs
+++ b/crates/pomeloridge_gateway/tests/server_list.rs
@@ -97,3 +97,14 @@
     assert_eq!(list.revision(), Some(restored(3)));
     assert_eq!(keys(&list), Vec::<String>::new());
 }
+
+/// Guards against a node that takes no changes any more, as a peer named a revision at the limit.
+#[test]
+fn changes_to_a_revision_at_the_limit_are_not_applied() {
+    let mut list = list();
+    let odd = delta(5, u64::MAX, vec![]);
+    assert_eq!(list.apply(&odd).0, ApplyOutcome::Gap);
+    let (applied, new) = list.apply(&delta(5, 6, vec![event("servers/a", 6, None)]));
+    assert_eq!((applied, new.len()), (ApplyOutcome::Applied, 1));
+    assert_eq!(keys(&list), Vec::<String>::new());
+}
