End a list that is begun again and again

Seen: `Client::list` never returns while each page comes from another era than the first one, at a service that is restored again and again, or whose copies name different eras by turns. The caller can't go on, pause or log, and each page costs a call.

Cause: the list was begun again on each change of era, without a bound.

Pages that answer 410 were ruled out by reading: that is returned as an error at once.

Change: a list is begun again three times, and then fails with an error of its own, after which callers pause as after any failed call.

--- a/crates/pomeloridge/src/serve/store.rs
+++ b/crates/pomeloridge/src/serve/store.rs
@@ -131,6 +131,7 @@
         | PlatformError::Differs
         | PlatformError::InDoubt
         | PlatformError::TooOld
+        | PlatformError::Restored
         | PlatformError::Lapsed => ErrorKind::PlatformDown,
     }
 }
--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -29,6 +29,9 @@
 /// Shortest timeout passed to the kernel, which treats 0 as no timeout.
 const MIN_KERNEL_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Number of times that a list is begun again.
+const MAX_LIST_RESTARTS: usize = 3;
+
 /// Called after each call with its kind and duration.
 pub type CallObserver = Rc<dyn Fn(CallKind, Duration)>;
 
@@ -212,12 +215,14 @@
 
     /// Reads all objects under a prefix, with the revision at which they were read.
     ///
-    /// Begins again if the service is restored between two pages.
+    /// Begins again if the service is restored between two pages; fails with
+    /// [`PlatformError::Restored`] if that happens again and again.
     pub async fn list(&self, prefix: &str) -> Result<(Revision, Vec<Object>), PlatformError> {
         let prefix = check_key(prefix)?;
         let mut objects = Vec::new();
         let mut first = None;
         let mut next: Option<String> = None;
+        let mut restarts = 0;
         loop {
             let request = (self.codec.list)(prefix, next.as_deref());
             let response = self.call(CallKind::List, request).await?;
@@ -227,6 +232,10 @@
             // A watch from the first page's revision reports changes made during the listing.
             let revision = *first.get_or_insert(read_at);
             if revision.era() != era {
+                if restarts == MAX_LIST_RESTARTS {
+                    return Err(PlatformError::Restored);
+                }
+                restarts += 1;
                 (objects, first, next) = (Vec::new(), None, None);
                 continue;
             }
--- a/crates/pomeloridge_platform/src/error.rs
+++ b/crates/pomeloridge_platform/src/error.rs
@@ -28,6 +28,8 @@
     InDoubt,
     /// the watch starts at a revision that the platform no longer stores
     TooOld,
+    /// the service was restored again and again while a list was read
+    Restored,
     /// the platform refused the request with status {0}
     Refused(u16),
     /// malformed response or object: {0}
--- a/crates/pomeloridge_platform/tests/client.rs
+++ b/crates/pomeloridge_platform/tests/client.rs
@@ -2,13 +2,16 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use pomeloridge_base::clock::ManualClock;
 use pomeloridge_base::http::Response;
 use pomeloridge_base::id::{Era, Revision};
-use pomeloridge_platform::{CallKind, Client, Expect, PlatformError, ServerKind, ServerState};
+use pomeloridge_platform::{
+    CallKind, Client, Expect, ObjectCodec, Page, PlatformError, ServerKind, ServerState,
+};
 use serde_json::json;
 use support::{Loss, client, run};
 use yare::parameterized;
@@ -191,3 +194,43 @@
         assert!(vms[0].leaving);
     });
 }
+
+thread_local! {
+    /// Number of times that the era of a response was read, which is twice for each.
+    static READS: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Returns the number of the next response.
+fn next_response() -> u64 {
+    READS.replace(READS.get() + 1) / 2
+}
+
+/// Longest time in which a list from a service nearby ends.
+const LIST_TIME: Duration = Duration::from_secs(5);
+
+/// Guards against a list that is begun again without end at a service that names a new era, or
+/// two eras by turns, in each response.
+#[parameterized(
+    rising = { |_| Some(Era(next_response())) },
+    by_turns = { |_| Some(Era(1 + next_response() % 2)) },
+)]
+fn a_list_amid_changing_eras_ends(era: fn(&Response) -> Option<Era>) {
+    run(async |_fake, address| {
+        let codec = ObjectCodec {
+            era,
+            page: |_, _| {
+                Ok(Page {
+                    revision: Revision(1),
+                    objects: Vec::new(),
+                    next: Some("a".to_owned()),
+                })
+            },
+            ..ObjectCodec::native()
+        };
+        let client = Client::with_codec(address, LIST_TIME, clock(), codec);
+        let listed = monoio::time::timeout(LIST_TIME, client.list("c/")).await;
+        let listed = listed.expect("the list did not end");
+        assert!(matches!(listed, Err(PlatformError::Restored)), "{listed:?}");
+        assert!(client.calls().of(CallKind::List) <= 8);
+    });
+}
