End a list at a page that is repeated

Seen: `Client::list` never returns, and its objects grow without bound, at a service that answers each page with the same, truncated one.

Cause: pages were read until one was the last, whether or not they led further.

No service that does this was met.

Change: a page that ends where the one before did is an error.

--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -21,7 +21,7 @@
 use crate::codec::ObjectCodec;
 use crate::error::PlatformError;
 use crate::fleet::{BackendServer, Vm};
-use crate::json::{decode_list, decode_text};
+use crate::json::{decode_list, decode_text, malformed};
 use crate::object::{Changes, Event, Expect, Object};
 use crate::order::OrderStatus;
 use crate::wire::{ServerWire, StatusWire, VmWire, convert_list};
@@ -240,10 +240,15 @@
                 continue;
             }
             objects.extend(page.objects.into_iter().map(|object| in_era(object, era)));
-            next = page.next;
-            if next.is_none() {
+            if page.next.is_none() {
                 return Ok((revision, objects));
             }
+            if page.next == next {
+                return Err(malformed(
+                    "a page of the list ends where the one before did",
+                ));
+            }
+            next = page.next;
         }
     }
 
--- a/crates/pomeloridge_platform/tests/client.rs
+++ b/crates/pomeloridge_platform/tests/client.rs
@@ -234,3 +234,28 @@
         assert!(client.calls().of(CallKind::List) <= 8);
     });
 }
+
+/// Guards against a list without end, and without bound in memory, at a service that sends the
+/// same page again.
+#[test]
+fn a_list_whose_page_is_repeated_ends() {
+    run(async |_fake, address| {
+        let codec = ObjectCodec {
+            page: |_, _| {
+                Ok(Page {
+                    revision: Revision(1),
+                    objects: Vec::new(),
+                    next: Some("a".to_owned()),
+                })
+            },
+            ..ObjectCodec::native()
+        };
+        let client = Client::with_codec(address, LIST_TIME, clock(), codec);
+        let listed = monoio::time::timeout(LIST_TIME, client.list("c/")).await;
+        let listed = listed.expect("the list did not end");
+        assert!(
+            matches!(listed, Err(PlatformError::Malformed(_))),
+            "{listed:?}"
+        );
+    });
+}
