Pause while the store keeps no changes since a listing

Seen: while the store answers each watch with 410, four gateways made 1932 calls to it in 3 s, listing and watching by turns without a pause. Such calls count against the limits that all nodes share, so that the lease and the lists of others may be refused. The store may discard its history at any time, and a restored one has none.

Cause: a watch that starts too early is followed by a listing at once, which is right once, and was done each time.

Change: if the changes since a listing are gone although it was just read, the node pauses as after a failed call, and says so. The own interface's loop for the configuration had the same order and pauses too; no test shows that one. The fake store can keep no history for a time.

--- a/crates/pomeloridge/src/serve/config.rs
+++ b/crates/pomeloridge/src/serve/config.rs
@@ -20,7 +20,9 @@
 /// Keeps the configuration current, until the process ends.
 pub(crate) async fn follow(state: Rc<State>) {
     let mut position = None;
+    let mut is_listed = false;
     loop {
+        let is_listing = position.is_none();
         let result = match position {
             None => read_all(&state).await,
             Some(after)
@@ -34,12 +36,19 @@
         };
         match result {
             Ok(next) => position = Some(next),
-            Err(PlatformError::TooOld) => position = None,
+            Err(PlatformError::TooOld) => {
+                position = None;
+                if is_listed {
+                    log::warn!("no changes of the configuration since its last listing are kept");
+                    monoio::time::sleep(READ_DELAY).await;
+                }
+            }
             Err(error) => {
                 log::warn!("the configuration could not be read: {error}");
                 monoio::time::sleep(READ_DELAY).await;
             }
         }
+        is_listed = is_listing;
     }
 }
 
--- a/crates/pomeloridge_dev/tests/store_era.rs
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -22,6 +22,10 @@
 const WATCHED_TIME: Duration = Duration::from_secs(5);
 /// Writes that raise the store's revision in the part that is lost.
 const LOST_WRITES: u64 = 20;
+/// Time for which the store keeps no history.
+const FORGET_TIME: Duration = Duration::from_secs(3);
+/// Shortest pause of a gateway before it calls a store again that does not answer as it should.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Age of a copy that holds nothing, in milliseconds.
 const EMPTY_AGE_MS: u64 = 3_600_000;
 
@@ -132,6 +136,23 @@
         self.history().iter().filter(is_read).count()
     }
 
+    /// Returns the number of calls that gateways have made to the store, watches aside.
+    fn store_calls(&self) -> u128 {
+        let calls = self.fleet.gateways.iter().map(|gateway| {
+            let page = OutgoingRequest::get("/metrics");
+            let page = block_on(call(gateway.metrics, &page, CALL_TIMEOUT)).unwrap();
+            let page = String::from_utf8(page.body.to_vec()).unwrap();
+            let mut lines = page.lines();
+            let count = lines.find_map(|line| {
+                let (name, count) = line.rsplit_once(' ')?;
+                let is_count = name.starts_with("pomeloridge_store_call_seconds_count");
+                is_count.then(|| count.parse::<u128>().unwrap())
+            });
+            count.unwrap_or_default()
+        });
+        calls.sum()
+    }
+
     fn cut_store(&self, mode: RelayMode) {
         for gateway in &self.fleet.gateways {
             gateway.store.set(mode);
@@ -287,3 +308,23 @@
     assert!(statuses.iter().all(|status| *status == 200));
     assert_eq!(store.reads_at("filings-0", "stays"), 0);
 }
+
+/// Guards against gateways that list and watch by turns, without a pause, while the store has no
+/// history.
+#[test]
+fn a_store_without_history_is_not_called_without_a_pause() {
+    let mut store = Store::start("forget");
+    std::thread::sleep(APPLY_TIME);
+    let before = store.store_calls();
+    let time = json!({ "for_ms": FORGET_TIME.as_millis() as u64 });
+    post_json(store.fleet.duties, "/-/forget", &time).unwrap();
+    std::thread::sleep(FORGET_TIME);
+    let calls = store.store_calls() - before;
+    // Each gateway lists for two watches; one holds the lease.
+    let pauses = FORGET_TIME.as_millis() / RETRY_PAUSE.as_millis() + 1;
+    let most = pauses * (2 * GATEWAYS as u128 + 1);
+    assert!(calls <= most, "{calls} calls, {most} allowed");
+    store.add_key("key-after-the-gap");
+    std::thread::sleep(APPLY_TIME);
+    assert_eq!(store.status(GATEWAYS - 1, "key-after-the-gap"), 200);
+}
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -73,12 +73,43 @@
     }
 }
 
+/// Notices that the object service has not even the changes since the last listing.
+#[derive(Debug, Default)]
+struct HistoryCheck {
+    /// Whether the last answer was a listing.
+    is_listed: bool,
+}
+
+impl HistoryCheck {
+    /// Records an answer: to a listing without `after`, else to a watch, which returned no
+    /// revision if the changes since then are gone. Pauses if they were listed just before.
+    async fn pause_if_missing(
+        &mut self,
+        state: &State,
+        after: Option<Revision>,
+        answered: Option<Revision>,
+    ) {
+        let is_missing = answered.is_none() && self.is_listed;
+        self.is_listed = after.is_none();
+        if is_missing {
+            let delay = state.retry_delay();
+            log::warn!(
+                "store choice=wait delay_ms={} reason=\"no changes since the last listing are \
+                 kept\"",
+                delay.as_millis()
+            );
+            monoio::time::sleep(delay).await;
+        }
+    }
+}
+
 /// Reads the configuration and follows its changes, until the process ends.
 pub(crate) async fn follow_config(state: Rc<State>) {
     let store = state.ports.store;
     let dependency = DependencyLog::new("store/config");
     let mut after = None;
     let mut was_read = false;
+    let mut history = HistoryCheck::default();
     loop {
         if after.is_some() && !state.should_watch_store() {
             // Peers announce newer versions. A full read when this node watches again finds any
@@ -114,6 +145,7 @@
                 state.store_last_heard.set(state.clock.stamp());
                 state.config_watch_answered.set(Some(state.now()));
                 was_read = true;
+                history.pause_if_missing(&state, after, revision).await;
                 after = revision;
             }
             Err(error) => {
@@ -181,6 +213,7 @@
     let dependency = DependencyLog::new("store/servers");
     // The object service no longer has the changes since the known revision.
     let mut is_too_old = is_restarted;
+    let mut history = HistoryCheck::default();
     loop {
         let known = state
             .server_list
@@ -205,6 +238,7 @@
                     peers::announce(&state);
                 }
                 state.store_last_heard.set(state.clock.stamp());
+                history.pause_if_missing(&state, known, revision).await;
             }
             Err(error) => {
                 // Lets other nodes take over before the last answer is out of date.
