Wait for the lost part of a restored store before a start is ready

Seen: a gateway that starts right after a restore sends to servers that left in the lost part, as the copy lists them as they were. Its peers know better, and withhold such entries for 2.3 s.

Cause: what the service has lost is known only to nodes that saw it; one that starts is ready with the copy's list.

`a_gateway_that_starts_after_a_restore_knows_withdrawn_keys` passed before too: in a fleet of four a peer tells the newer version at once.

Change: datagrams name the era of the sender's server list, and whether the sender still keeps what a restore has lost. A node whose first list is of a restored era is not ready while a live peer says so, or has a list of an earlier era; at most 2.3 s from its first list, and 1 s if it hears no peer. Peers that don't send the fields hold nothing up. To pass the peers' entries on was weighed: it needs another list beside the store's for a wait of two seconds.

Left: nodes that all start after a restore are ready at once. Requests that reach a node which is not ready are served by the copy. A node that starts together with others and hears one of these first may be ready before it hears an older one.

--- a/crates/pomeloridge_dev/tests/store_era.rs
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -20,6 +20,8 @@
 const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Time for which callers ask on after the store is back.
 const WATCHED_TIME: Duration = Duration::from_secs(5);
+/// Time from the return of the store until what it lost is written again, at most 2 s.
+const REWRITE_MS: u64 = 1900;
 /// Writes that raise the store's revision in the part that is lost.
 const LOST_WRITES: u64 = 20;
 /// Time for which the store keeps no history.
@@ -80,9 +82,24 @@
     /// Brings the store back from a copy and waits until it answers.
     fn restore(&self, age_ms: u64, rewrite_ms: u64) {
         let before = self.restored();
+        self.begin_restore(age_ms, rewrite_ms);
+        wait_until(|| self.restored() > before);
+    }
+
+    fn begin_restore(&self, age_ms: u64, rewrite_ms: u64) {
         let plan = json!({ "age_ms": age_ms, "away_ms": 300, "rewrite_ms": rewrite_ms });
         post_json(self.fleet.duties, "/-/restore", &plan).unwrap();
-        wait_until(|| self.restored() > before);
+    }
+
+    /// Brings the store back from a copy of what it was at `copied`, and a killed gateway at the
+    /// same time; waits until the gateway is ready.
+    fn restore_and_restart(&mut self, gateway: usize, copied: Instant) {
+        self.fleet.gateways[gateway].process.kill();
+        let age = copied.elapsed() + POLL_INTERVAL;
+        self.begin_restore(age.as_millis() as u64, REWRITE_MS);
+        self.fleet.restart(gateway).unwrap();
+        let ready = self.fleet.gateways[gateway].ready;
+        wait_until(|| block_on(is_ready(ready)));
     }
 
     fn restored(&self) -> usize {
@@ -105,6 +122,16 @@
         post_json(self.fleet.duties, "/-/config", &config).unwrap();
     }
 
+    /// Replaces a key in the configuration by another one.
+    fn replace_key(&self, key: &str, by: &str) {
+        let mut config = self.object("config/main");
+        config["version"] = (config["version"].as_u64().unwrap() + 1).into();
+        let keys = config["tenants"][0]["apiKeys"].as_array_mut().unwrap();
+        let found = keys.iter_mut().find(|known| *known == key);
+        *found.unwrap() = by.into();
+        post_json(self.fleet.duties, "/-/config", &config).unwrap();
+    }
+
     /// Sends a read with a key to a gateway; returns the status.
     fn status(&mut self, gateway: usize, key: &str) -> u16 {
         self.next += 1;
@@ -328,3 +355,43 @@
     std::thread::sleep(APPLY_TIME);
     assert_eq!(store.status(GATEWAYS - 1, "key-after-the-gap"), 200);
 }
+
+/// Guards against a gateway that starts right after a restore and sends to servers that left in
+/// the lost part, as it never knew that they did.
+#[test]
+fn a_gateway_that_starts_after_a_restore_knows_which_servers_leave() {
+    let mut store = Store::start("late-servers");
+    let copied = Instant::now();
+    let mut entry = store.object("servers/filings-0");
+    entry["state"] = "draining".into();
+    store.put("servers/filings-0", &entry);
+    std::thread::sleep(APPLY_TIME);
+    store.restore_and_restart(GATEWAYS - 1, copied);
+    let end = Instant::now() + WATCHED_TIME;
+    while Instant::now() < end {
+        store.next += 1;
+        let message = request(Method::GET, "read", &format!("late-{}", store.next));
+        let gateway = &store.fleet.gateways[GATEWAYS - 1];
+        assert_eq!(status(gateway.caller, &message), 200);
+    }
+    assert_eq!(store.reads_at("filings-0", "late"), 0);
+}
+
+/// Guards against a gateway that starts right after a restore and serves by the copy's
+/// configuration, although its peers know a newer one.
+#[test]
+fn a_gateway_that_starts_after_a_restore_knows_withdrawn_keys() {
+    let mut store = Store::start("late-config");
+    store.add_key("key-withdrawn");
+    std::thread::sleep(APPLY_TIME);
+    let copied = Instant::now();
+    store.replace_key("key-withdrawn", "key-in-its-place");
+    std::thread::sleep(APPLY_TIME);
+    store.restore_and_restart(GATEWAYS - 1, copied);
+    let end = Instant::now() + WATCHED_TIME;
+    let mut statuses = BTreeSet::new();
+    while Instant::now() < end {
+        statuses.insert(store.status(GATEWAYS - 1, "key-withdrawn"));
+    }
+    assert_eq!(statuses, [401].into());
+}
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -31,6 +31,7 @@
 use crate::{internal, server_limits, watch};
 
 pub(crate) use crash_news::announce_crashes;
+use table::StoreEra;
 pub(crate) use table::{Peers, name_hash};
 use wire::{LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
 
@@ -294,6 +295,8 @@
         duty: state.duty_epoch.get().map_or(0, |epoch| epoch.0),
         answered_ms: answered_ms(state, now),
         lost_store: state.server_registry.borrow().in_grace(),
+        era: state.server_list_era().map(Era::into),
+        restored: state.server_registry.borrow().is_restored(),
         data_centre_hash: state.data_centre_hash,
         ..PeerMessage::default()
     }
@@ -513,7 +516,14 @@
     let now = state.now();
     let age = message.answered_ms.map(Duration::from_millis);
     let answered = age.and_then(|age| now.checked_sub(age));
-    state.peers.borrow_mut().set_answered(name, answered);
+    let store_era = message.era.map(|era| StoreEra {
+        era: Era(era),
+        restored: message.restored,
+    });
+    let mut peers = state.peers.borrow_mut();
+    peers.set_answered(name, answered);
+    peers.set_store_era(name, store_era);
+    drop(peers);
     if age.is_some_and(|age| age < MAX_STORE_ANSWER_AGE) && !message.lost_store {
         watch::end_removal_grace(state);
     }
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -27,6 +27,14 @@
 /// Time for which a new duty holder is sent the counts of all windows.
 const NEW_HOLDER_TIME: Duration = Duration::from_secs(2);
 
+/// A peer's view of the object service's era.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreEra {
+    pub(super) era: Era,
+    /// Whether the peer still keeps servers that the service has lost in a restore.
+    pub(super) restored: bool,
+}
+
 /// State of a peer, as known to this node.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -50,6 +58,8 @@
     pub(super) work: Vec<(Name, WorkRates)>,
     /// When the object service last answered its watch, by this node's clock.
     pub(super) answered: Option<Instant>,
+    /// Its view of the object service's era, if it has told one.
+    store_era: Option<StoreEra>,
 }
 
 impl Peer {
@@ -66,6 +76,7 @@
             duty: None,
             work: Vec::new(),
             answered: None,
+            store_era: None,
         }
     }
 
@@ -137,6 +148,23 @@
         }
     }
 
+    /// Records a peer's view of the object service's era.
+    pub(super) fn set_store_era(&mut self, name: &Name, store_era: Option<StoreEra>) {
+        if let Some(peer) = self.by_name.get_mut(name) {
+            peer.store_era = store_era;
+        }
+    }
+
+    /// Returns whether a live peer knows what the object service has lost in the restore that
+    /// began `era`, while servers and operators may not have written it again.
+    pub(crate) fn remembers_before(&self, era: Era, now: Instant) -> bool {
+        let mut live = self.by_name.values().filter(|peer| is_live(peer, now));
+        live.any(|peer| {
+            let told = peer.store_era;
+            told.is_some_and(|told| told.restored || told.era < era)
+        })
+    }
+
     /// Returns the number of known peers.
     pub(crate) fn known_count(&self) -> usize {
         self.by_name.len()
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -74,6 +74,13 @@
     /// Prompt parts that may have crashed engines.
     #[prost(message, optional, tag = "20")]
     pub(super) parts: Option<PartsWire>,
+    /// Era of the sender's server list; absent until the list has been read.
+    #[prost(uint64, optional, tag = "21")]
+    pub(super) era: Option<u64>,
+    /// Whether the object service is back from an older copy so lately that the sender still keeps
+    /// servers that it has lost.
+    #[prost(bool, tag = "22")]
+    pub(super) restored: bool,
 }
 
 /// Crashes with the prompt parts that are suspects, and answers, stored by column.
--- a/crates/pomeloridge_gateway/src/server_registry.rs
+++ b/crates/pomeloridge_gateway/src/server_registry.rs
@@ -17,7 +17,7 @@
 
 /// Time after an outage for which servers with missing entries are kept; live servers write
 /// their entries within 2 s.
-const REMOVAL_GRACE: Duration = Duration::from_millis(2300);
+pub(crate) const REMOVAL_GRACE: Duration = Duration::from_millis(2300);
 
 /// Time for which the removal of a server is remembered; copies of the service are younger.
 const REMOVAL_MEMORY: Duration = Duration::from_mins(1);
@@ -71,6 +71,11 @@
         self.grace_end.is_some()
     }
 
+    /// Returns whether this is the grace time after a restore of the service.
+    pub fn is_restored(&self) -> bool {
+        self.is_restored
+    }
+
     /// Ends the grace time early: other nodes reached the service all the time, so that there was
     /// no outage in which entries could expire. A restored service has lost entries for all nodes.
     pub fn end_grace(&mut self, now: Instant) {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -8,7 +8,7 @@
 
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::clock::{SharedClock, Stamp};
-use pomeloridge_base::id::{Epoch, Name};
+use pomeloridge_base::id::{Epoch, Era, Name, Revision};
 use pomeloridge_base::meter::{Counter, Meter, Timer};
 use pomeloridge_base::settings::SettingValues;
 use pomeloridge_platform::{CallKind, Client};
@@ -35,7 +35,7 @@
 use crate::ports::Ports;
 use crate::server_limits::Senders;
 use crate::server_list::ServerList;
-use crate::server_registry::ServerRegistry;
+use crate::server_registry::{REMOVAL_GRACE, ServerRegistry};
 use crate::settings::{LiveSettings, ReloadSettings};
 use crate::usage::{UsageLedger, UsageSource};
 
@@ -100,6 +100,8 @@
     watchers_missing_since: Cell<Option<Instant>>,
     /// Whether the server list has been loaded.
     pub(crate) server_list_loaded: Cell<bool>,
+    /// Era of the first server list, and when it was loaded.
+    pub(crate) first_list: Cell<Option<(Era, Instant)>>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     /// Time from which this node may spend its share of the fixed retry allowance.
     pub(crate) allowance_from: Cell<Instant>,
@@ -182,6 +184,7 @@
             store_last_heard: Cell::new(clock.stamp()),
             watchers_missing_since: Cell::new(None),
             server_list_loaded: Cell::new(false),
+            first_list: Cell::new(None),
             dispatcher: RefCell::new(Dispatcher::new(
                 data_centre,
                 EngineModel::default(),
@@ -241,6 +244,27 @@
             && self.peers.borrow().is_initialized(self.now())
             && !self.lifecycle.is_stopping()
             && !self.is_cut_off()
+            && !self.lacks_lost_part(self.now())
+    }
+
+    /// Returns the era of the server list, `None` until it has been loaded.
+    pub(crate) fn server_list_era(&self) -> Option<Era> {
+        self.server_list.borrow().revision().map(Revision::era)
+    }
+
+    /// Whether the node has started in a restored object service so lately that the service may
+    /// not hold again what it has lost, while peers know it.
+    fn lacks_lost_part(&self, now: Instant) -> bool {
+        let Some((era, loaded_at)) = self.first_list.get() else {
+            return false;
+        };
+        let age = now.saturating_duration_since(loaded_at);
+        if !era.is_restored() || self.server_list_era() != Some(era) || age >= REMOVAL_GRACE {
+            return false;
+        }
+        let peers = self.peers.borrow();
+        let is_unheard = peers.known_count() > 0 && peers.live_count(now) == 0;
+        peers.remembers_before(era, now) || (is_unheard && age < PEER_DISCOVERY_TIME)
     }
 
     /// Whether the node has been cut off from the others and the object service for so long that
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -300,6 +300,10 @@
         .borrow_mut()
         .replace(list, state.now());
     state.server_list_loaded.set(true);
+    if state.first_list.get().is_none() {
+        state.first_list.set(Some((revision.era(), state.now())));
+        log::info!("servers revision={revision} choice=first_list");
+    }
     if changed {
         sync_dispatcher(state, revision);
     }
