Say in each answer that begins within a stop that its connection closes

Callers whose request had begun before a planned stop and was answered within it got an answer without `connection: close`. The gateway then closed the connection, at once in the last phase, so that the caller's next request was sent on a connection that nobody read: it got neither an answer nor a refusal.

Cause: whether an answer announces the close was decided when its request arrived, before the stop was known.

The server's `Responder` now takes a check (`close_if`) and asks it when the head of the answer is written. All ports of the gateway set it, and the callers' and operators' ports of the own interface, which had the same order. A stream whose head was sent before the stop can't announce it; the close follows its last chunk at once.

The test of the server alone is in crates/pomeloridge_base/tests/idle_close.rs.

--- a/crates/pomeloridge/src/serve/caller_port.rs
+++ b/crates/pomeloridge/src/serve/caller_port.rs
@@ -33,9 +33,8 @@
     let server = Server {
         limits: read_limits(&state).into(),
         handler: async move |request: Result<Request, Fault>, responder: &mut Responder| {
-            if draining.is_leaving() {
-                responder.close_after();
-            }
+            let lifecycle = draining.clone();
+            responder.close_if(move || lifecycle.is_leaving());
             frontend.handle(request, responder).await;
         },
         stopping: move || lifecycle.phase() == Phase::Closing,
--- a/crates/pomeloridge/src/serve/operator.rs
+++ b/crates/pomeloridge/src/serve/operator.rs
@@ -17,10 +17,13 @@
 /// Serves operators until the node is closing.
 pub(crate) async fn serve(state: Rc<State>, listener: TcpListener) {
     let lifecycle = state.lifecycle.clone();
+    let draining = state.lifecycle.clone();
     let operator = operator_state(&state);
     let server = Server {
         limits: Limits::default().into(),
         handler: async move |request: Result<Request, Fault>, responder: &mut Responder| {
+            let lifecycle = draining.clone();
+            responder.close_if(move || lifecycle.is_leaving());
             pomeloridge_operator::handle(&operator, request, responder).await;
         },
         stopping: move || lifecycle.phase() == Phase::Closing,
--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -231,6 +231,8 @@
 pub struct Responder {
     stream: BufferedStream,
     close: bool,
+    /// Returns whether the connection is to be closed, when the response begins.
+    close_check: Option<Box<dyn Fn() -> bool>>,
     progress: Progress,
     write_time: Duration,
 }
@@ -240,6 +242,7 @@
         Self {
             stream: BufferedStream::new(stream),
             close: false,
+            close_check: None,
             progress: Progress::NotStarted,
             write_time,
         }
@@ -247,6 +250,7 @@
 
     fn reset(&mut self, close: bool) {
         self.close |= close;
+        self.close_check = None;
         self.progress = Progress::NotStarted;
     }
 
@@ -264,6 +268,18 @@
         self.close = true;
     }
 
+    /// Makes the connection close after this response if `check` returns true when the response
+    /// begins, which may be long after its request has arrived.
+    pub fn close_if(&mut self, check: impl Fn() -> bool + 'static) {
+        self.close_check = Some(Box::new(check));
+    }
+
+    /// Returns whether the head that is about to be written announces that the connection closes.
+    fn announces_close(&mut self) -> bool {
+        self.close |= self.close_check.as_ref().is_some_and(|check| check());
+        self.close
+    }
+
     /// Writes a complete response.
     pub async fn send(&mut self, response: Response) -> Result<(), Fault> {
         let mut message = http::Response::new(Payload::<Bytes, HttpError>::from(
@@ -271,7 +287,7 @@
         ));
         *message.status_mut() = response.status;
         *message.headers_mut() = response.headers;
-        if self.close {
+        if self.announces_close() {
             let close = http::HeaderValue::from_static("close");
             message.headers_mut().insert(CONNECTION, close);
         }
@@ -295,7 +311,7 @@
         head.put_slice(b"HTTP/1.1 ");
         head.put_slice(status.as_str().as_bytes());
         head.put_slice(b" \r\ntransfer-encoding: chunked\r\n");
-        if self.close {
+        if self.announces_close() {
             head.put_slice(b"connection: close\r\n");
         }
         for (name, value) in headers {
--- a/crates/pomeloridge_base/tests/idle_close.rs
+++ b/crates/pomeloridge_base/tests/idle_close.rs
@@ -1,4 +1,5 @@
-//! Requests that arrive on a kept connection just before the server closes it.
+//! Requests that arrive on a kept connection just before the server closes it, and answers that say
+//! that it closes.
 
 #[path = "support/runtime.rs"]
 mod runtime;
@@ -103,3 +104,42 @@
         assert_eq!(answered.get(), last);
     });
 }
+
+/// Guards against closing a connection after an answer that does not say so, as the stop began after
+/// the request: the caller's next request would be lost.
+#[parameterized(
+    whole = { false },
+    stream = { true },
+)]
+fn an_answer_that_begins_within_a_stop_says_that_its_connection_closes(is_stream: bool) {
+    run(async move {
+        let listener = pomeloridge_base::net::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        caller.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        let (stream, peer) = pomeloridge_base::net::accept(&listener).await.unwrap();
+        let is_stop = Rc::new(Cell::new(false));
+        let stop = Rc::clone(&is_stop);
+        let server = Server {
+            limits: Cell::new(Limits::default()),
+            handler: async move |_, responder: &mut Responder| {
+                let is_stopping = Rc::clone(&stop);
+                responder.close_if(move || is_stopping.get());
+                stop.set(true);
+                if is_stream {
+                    let headers = http::HeaderMap::new();
+                    let started = responder.start(http::StatusCode::OK, &headers).await;
+                    started.unwrap();
+                    responder.finish().await.unwrap();
+                } else {
+                    responder.send(Response::new(200, "")).await.unwrap();
+                }
+            },
+            stopping: || false,
+        };
+        caller.write_all(REQUEST).unwrap();
+        server.serve_connection(stream, peer).await;
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).unwrap();
+        assert!(answer.contains("connection: close\r\n"), "{answer:?}");
+    });
+}
--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -380,6 +380,37 @@
     assert!(incomplete.is_empty(), "{incomplete:#?}");
 }
 
+/// Guards against answers without `connection: close` to requests that began before a planned stop:
+/// the gateway closes their connections, where the callers' next requests would be lost.
+#[parameterized(
+    calls = { Kind::Call, "pause-0-1400" },
+    streams = { Kind::Stream, "pause-0-1400" },
+    refused = { Kind::Call, "pause-0-1400,shed,shed,shed" },
+)]
+fn an_answer_within_a_stop_says_that_its_connection_closes(kind: Kind, fault: &str) {
+    let fleet = start(&format!("announced-{}-{fault}", kind as u8), &[]);
+    let gateway = fleet.gateways[0].caller;
+    let message = kind.message("s").with_header("x-fault", fault);
+    let sent = std::thread::spawn(move || {
+        block_on(async move {
+            let mut caller = Caller::open(gateway, "s").await;
+            let answer = caller.send(&message).await;
+            (answer, caller.kept.is_some())
+        })
+    });
+    wait_until(|| !received(&fleet, "s").is_empty());
+    fleet.gateways[0].process.signal(libc::SIGTERM);
+    let (answer, is_kept) = sent.join().unwrap();
+    assert!(!is_kept, "{answer:?}");
+    let answer = answer.unwrap();
+    let connection = answer.headers.get(http::header::CONNECTION);
+    assert!(
+        connection.is_some_and(|value| value == "close"),
+        "{answer:?}"
+    );
+    assert!(!log_lines(&fleet, "stop phase=closing").is_empty());
+}
+
 /// Checks that the log shows why a stream that broke off was not repeated.
 #[test]
 fn the_log_shows_why_a_request_was_not_repeated() {
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -116,7 +116,8 @@
     format!("[listen] {key}: cannot listen on {address}: {error}; choose a free address")
 }
 
-/// Returns a server that goes on after a panic in its handler.
+/// Returns a server that goes on after a panic in its handler. Responses that begin after a stop
+/// signal say that their connections close.
 fn server<H>(
     state: &Rc<State>,
     handler: H,
@@ -128,8 +129,11 @@
     H: AsyncFn(Result<Request, Fault>, &mut Responder) + 'static,
 {
     let lifecycle = state.lifecycle.clone();
+    let announced = lifecycle.clone();
     let meter = state.meter.clone();
     let handler = async move |request, responder: &mut Responder| {
+        let lifecycle = announced.clone();
+        responder.close_if(move || lifecycle.is_stopping());
         let outcome = catch_panic("request", &meter, handler(request, responder)).await;
         if outcome.is_none() && !responder.started() {
             // The request may have run; no status of a refusal says so.
@@ -148,11 +152,7 @@
 
 async fn serve_callers(state: &Rc<State>, listener: TcpListener) {
     let caller_state = Rc::clone(state);
-    let lifecycle = state.lifecycle.clone();
     let callers = server(state, async move |request, responder: &mut Responder| {
-        if lifecycle.is_stopping() {
-            responder.close_after();
-        }
         ingress::handle(&caller_state, request, responder).await;
     });
     let callers = Rc::new(callers);
