Give up a server that falls silent after the head of its answer

Callers of a call whose server fell silent for good after the head of its answer waited to their deadline and got a 504, though another server could have answered in time; so did callers whose prompt was prefilled by such an engine, also on routes that may not be repeated.

Cause: the silence of a server was watched until the head of its answer, and between the events of a stream. The body of an answer that is no stream was read to the deadline.

The body is now read under the same watch, for calls, for error answers to streams and for prefills. A server that has begun its answer may pause for 1.5 s, as one in the middle of a stream may; it is given up only once a retry is reserved and another server takes the request. Nothing changes for a request that may not be repeated. Each part of a body counts as a sign of life. `stream_silence_timeout` is named `answer_silence_timeout`, as it holds for both.

The stand-in's fault `pause-1-MS` of calls and prefills pauses between head and body.

--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -24,6 +24,8 @@
 const SILENT: usize = 40;
 /// Requests that the servers can take without a wait beyond the callers' patience.
 const FEW: usize = 8;
+/// Silence after the head of an answer that outlasts all deadlines.
+const AFTER_HEAD: &str = "pause-1-60000";
 /// Requests that make room for some retries in the budget.
 const EARLIER: usize = 40;
 
@@ -197,8 +199,12 @@
     stream_twice = { &[], "pause-4-1400,pause-6-1400", Kind::Stream, 1 },
     stream_twice_before_the_head = { &[], "pause-0-1400,pause-0-1400", Kind::Stream, 1 },
     calls = { &[], "pause-0-1400", Kind::Call, SILENT },
+    calls_after_the_head = { &[], "pause-1-1400", Kind::Call, SILENT },
     call_twice = { &[], "pause-0-1400,pause-0-1400", Kind::Call, 1 },
     calls_of_the_only_server = { &["--plain", "1"], "pause-0-1400", Kind::Call, SILENT },
+    calls_of_the_only_server_after_the_head = {
+        &["--plain", "1"], "pause-1-1400", Kind::Call, SILENT
+    },
 )]
 fn a_silent_sound_server_loses_no_request(args: &[&str], fault: &str, kind: Kind, count: usize) {
     let name = format!("silent-{}-{fault}-{count}-{}", args.join(""), kind as u8);
@@ -225,6 +231,33 @@
     assert!(incomplete.is_empty(), "{incomplete:#?}");
 }
 
+/// Guards against waiting to the deadline for a server that falls silent for good after the head
+/// of its answer.
+#[test]
+fn a_call_whose_server_falls_silent_after_the_head_is_answered_by_another() {
+    let fleet = start("after-head-call", &[]);
+    // Retries are a share of the requests.
+    send_at_once(&fleet, requests(EARLIER, "e", "", Kind::Call), || {});
+    let outcomes = send_at_once(&fleet, requests(1, "s", AFTER_HEAD, Kind::Call), || {});
+    let incomplete = incomplete(&outcomes, Kind::Call);
+    assert!(incomplete.is_empty(), "{incomplete:#?}");
+    assert_eq!(received(&fleet, "s0").len(), 2);
+}
+
+/// The same for a server that prefills the prompt.
+#[parameterized(
+    repeatable = { "ask" },
+    unrepeatable = { "note" },
+)]
+fn a_prompt_whose_prefill_falls_silent_after_the_head_is_answered(route: &str) {
+    let fleet = start(&format!("after-head-prefill-{route}"), &[]);
+    send_at_once(&fleet, requests(EARLIER, "e", "", Kind::Stream), || {});
+    let message = generation(route, "p0", LONG_PROMPT).with_header("x-read-fault", AFTER_HEAD);
+    let outcomes = send_at_once(&fleet, vec![("p0".to_owned(), message)], || {});
+    let incomplete = incomplete(&outcomes, Kind::Stream);
+    assert!(incomplete.is_empty(), "{incomplete:#?}");
+}
+
 /// Guards against ejecting all servers of a service because they are silent, so that new
 /// requests are refused.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -11,7 +11,7 @@
 use pomeloridge_policy::dispatch::PromptShape;
 use pomeloridge_policy::part_crashes::{PartId, PartRunKey};
 use pomeloridge_policy::suspicion::Fingerprint;
-use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout, stream_silence_timeout};
+use pomeloridge_policy::timeouts::{answer_silence_timeout, caller_ttft_timeout, silence_timeout};
 
 use crate::config::{Account, Route, RouteKind, ServingConfig};
 use crate::request::Inbound;
@@ -64,10 +64,10 @@
         repeatable.then(|| silence_timeout(predicted))
     }
 
-    /// Returns the same for a server that has sent part of the stream.
-    pub(crate) fn stream_silence_timeout(&self) -> Option<Duration> {
+    /// Returns the same for a server that has begun its answer.
+    pub(crate) fn answer_silence_timeout(&self) -> Option<Duration> {
         let repeatable = self.route.kind.is_retryable();
-        repeatable.then(|| stream_silence_timeout(self.route.gap_target.unwrap_or_default()))
+        repeatable.then(|| answer_silence_timeout(self.route.gap_target.unwrap_or_default()))
     }
 
     /// Whether the caller is likely to give up before a first chunk that arrives after
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 
+use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use http::StatusCode;
 use pomeloridge_base::http::{Connection, Fault, RefusalMark};
@@ -240,6 +241,35 @@
     Ok(Exchange { connection, head })
 }
 
+/// Reads the body of a response, of at most `limit` bytes, unless the server falls silent and is
+/// given up.
+pub(crate) async fn read_body(
+    state: &State,
+    connection: &mut Connection,
+    limit: usize,
+    watch: SilenceWatch<'_>,
+) -> Result<Bytes, Failure> {
+    let deadline = watch.attempts.accepted().deadline;
+    let mut body = BytesMut::new();
+    loop {
+        let chunk = monoio::select! {
+            chunk = connection.read_chunk(deadline) => chunk,
+            () = watch.given_up(state) => Err(Fault::Timeout),
+        };
+        let chunk = chunk.map_err(|fault| Failure::after_write(&fault))?;
+        let Some(chunk) = chunk else {
+            return Ok(body.freeze());
+        };
+        let mut dispatcher = state.dispatcher.borrow_mut();
+        dispatcher.record_activity(watch.server, state.now());
+        drop(dispatcher);
+        body.extend_from_slice(&chunk);
+        if body.len() > limit {
+            return Err(Failure::after_write(&Fault::BodyTooLarge));
+        }
+    }
+}
+
 /// Checks whether a request may still be sent to a server. Every attempt passes through here.
 fn check_sendable(state: &State, accepted: &Accepted, server: TargetKey) -> Result<(), Failure> {
     if state.quarantine_left(accepted).is_some() {
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -5,10 +5,10 @@
 
 use pomeloridge_policy::crashes::RunOutcome;
 use pomeloridge_policy::dispatch::{Plan, TargetKey};
-use pomeloridge_policy::timeouts::silence_timeout;
+use pomeloridge_policy::timeouts::{answer_silence_timeout, silence_timeout};
 
 use crate::attempt::{Attempts, InFlightAttempt};
-use crate::exchange::{Exchange, Failure, SendParams, exchange};
+use crate::exchange::{Exchange, Failure, SendParams, exchange, read_body};
 use crate::pool::{Connected, ConnectionNeeds, PoolError};
 use crate::request::{KvSource, SendStage};
 use crate::silence::{SilenceWatch, SilentWork};
@@ -93,14 +93,14 @@
 ) -> Result<PrefilledPrompt, Failure> {
     let accepted = attempts.accepted();
     let mut in_flight = InFlightAttempt::new(state, prefill_server, plan.prefill_tokens, accepted);
-    let deadline = accepted.deadline;
+    let mut watch = SilenceWatch {
+        attempts,
+        server: prefill_server,
+        work: SilentWork::Prefill,
+        timeout: Some(silence_timeout(plan.ttft)),
+    };
     let params = SendParams {
-        watch: SilenceWatch {
-            attempts,
-            server: prefill_server,
-            work: SilentWork::Prefill,
-            timeout: Some(silence_timeout(plan.ttft)),
-        },
+        watch,
         stage: SendStage::Prefill,
         fetch: plan.fetch_from,
         last_event: None,
@@ -111,8 +111,8 @@
     } = exchange(state, accepted, params)
         .await
         .inspect_err(|failure| in_flight.record_failure(*failure))?;
-    let body = connection.read_body(MAX_RESPONSE_BYTES, deadline).await;
-    let body = body.map_err(|fault| Failure::after_write(&fault))?;
+    watch.timeout = Some(answer_silence_timeout(Duration::ZERO));
+    let body = read_body(state, &mut connection, MAX_RESPONSE_BYTES, watch).await?;
     let address = connection.address();
     state.pool.put(connection, head.idle, state.now());
     let handle = (state.ports.server.handle)(&body).filter(|_| head.status.is_success());
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -192,7 +192,7 @@
         if !exchanged.head.status.is_success() && !self.head_sent {
             self.count_usage_once();
             in_flight.record_prefill_done();
-            let response = read_response(self.state, accepted, exchanged).await;
+            let response = read_response(self.state, exchanged, watch).await;
             let response = response.map_err(AttemptError::Server)?;
             in_flight.set_outcome(run_outcome(&response));
             return Ok(Some(response));
@@ -271,7 +271,7 @@
             let tokens = self
                 .forward_events(&mut events, is_resumed, responder)
                 .await?;
-            watch.timeout = self.accepted.stream_silence_timeout();
+            watch.timeout = self.accepted.answer_silence_timeout();
             if tokens > 0 {
                 in_flight.record_events();
             }
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -9,7 +9,7 @@
 
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, InFlightAttempt};
-use crate::exchange::{Exchange, Failure, SendParams, exchange};
+use crate::exchange::{Exchange, Failure, SendParams, exchange, read_body};
 use crate::request::SendStage;
 use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
@@ -48,13 +48,14 @@
     let accepted = attempts.accepted();
     let mut in_flight = InFlightAttempt::new(state, plan.server, 0, accepted);
     in_flight.watch_parts(accepted);
+    let watch = SilenceWatch {
+        attempts,
+        server: plan.server,
+        work: SilentWork::Run,
+        timeout: accepted.silence_timeout(plan.ttft),
+    };
     let params = SendParams {
-        watch: SilenceWatch {
-            attempts,
-            server: plan.server,
-            work: SilentWork::Run,
-            timeout: accepted.silence_timeout(plan.ttft),
-        },
+        watch,
         stage: SendStage::Run,
         fetch: None,
         last_event: None,
@@ -63,7 +64,7 @@
     let exchanged = exchanged.inspect_err(|failure| in_flight.record_failure(*failure))?;
     in_flight.record_prefill_done();
     state.count_usage(accepted.account.as_ref());
-    let response = read_response(state, accepted, exchanged).await?;
+    let response = read_response(state, exchanged, watch).await?;
     in_flight.set_outcome(run_outcome(&response));
     Ok(response)
 }
@@ -77,20 +78,18 @@
     }
 }
 
-/// Reads the body of a response.
+/// Reads the body of a response; `watch` is that of the attempt.
 pub(crate) async fn read_response(
     state: &State,
-    accepted: &Accepted,
     exchanged: Exchange,
+    mut watch: SilenceWatch<'_>,
 ) -> Result<Response, Failure> {
     let Exchange {
         mut connection,
         head,
     } = exchanged;
-    let body = connection
-        .read_body(MAX_RESPONSE_BYTES, accepted.deadline)
-        .await;
-    let body = body.map_err(|fault| Failure::after_write(&fault))?;
+    watch.timeout = watch.attempts.accepted().answer_silence_timeout();
+    let body = read_body(state, &mut connection, MAX_RESPONSE_BYTES, watch).await?;
     state.pool.put(connection, head.idle, state.now());
     if head.status.is_success() && !head.sealed {
         return Err(Failure::InvalidResponse);
--- a/crates/pomeloridge_policy/src/timeouts.rs
+++ b/crates/pomeloridge_policy/src/timeouts.rs
@@ -8,10 +8,10 @@
 
 /// Silence allowed of an idle server, to which the predicted time adds.
 const BASE_SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Silence allowed of a server in the middle of a stream, to which the time to the next data adds.
-/// A sound server may pause for a second or so, and the stream is late by then wherever it goes
+/// Silence allowed of a server in the middle of an answer, to which the time to the next data adds.
+/// A sound server may pause for a second or so, and the answer is late by then wherever it goes
 /// on.
-const BASE_STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+const BASE_ANSWER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Multiple of the predicted time for which a server may be silent in addition.
 const SILENCE_PREDICTION_FACTOR: u32 = 2;
 /// Shortest time after which callers abandon a stream without a first piece; multiples of
@@ -28,10 +28,10 @@
     BASE_SILENCE_TIMEOUT + predicted * SILENCE_PREDICTION_FACTOR
 }
 
-/// Returns the silence after which a server that has begun a stream is considered lost if its next
+/// Returns the silence after which a server that has begun its answer is considered lost if its next
 /// data is due within `gap`.
-pub fn stream_silence_timeout(gap: Duration) -> Duration {
-    BASE_STREAM_SILENCE_TIMEOUT + gap * SILENCE_PREDICTION_FACTOR
+pub fn answer_silence_timeout(gap: Duration) -> Duration {
+    BASE_ANSWER_SILENCE_TIMEOUT + gap * SILENCE_PREDICTION_FACTOR
 }
 
 /// Returns the time for which a caller is expected to wait for the first piece of a stream
--- a/crates/pomeloridge_policy/tests/policy/engine_speed.rs
+++ b/crates/pomeloridge_policy/tests/policy/engine_speed.rs
@@ -7,7 +7,7 @@
     DispatchRequest, Dispatcher, EngineModel, Plan, PromptShape, Stage, TargetInfo,
 };
 use pomeloridge_policy::prompt_cache::PromptPart;
-use pomeloridge_policy::timeouts::{caller_ttft_timeout, silence_timeout, stream_silence_timeout};
+use pomeloridge_policy::timeouts::{answer_silence_timeout, caller_ttft_timeout, silence_timeout};
 use yare::parameterized;
 
 use crate::support::ms;
@@ -164,7 +164,7 @@
     long_gap = { 250 },
 )]
 fn a_begun_stream_outlasts_a_pause_of_a_second(gap: u64) {
-    let timeout = stream_silence_timeout(ms(gap));
+    let timeout = answer_silence_timeout(ms(gap));
     assert!(timeout >= ms(1500) && timeout <= ms(2000), "{timeout:?}");
 }
 
