Go on elsewhere before the text of a refusal has arrived

Callers whose request was refused by a server that sent the head of its refusal and then nothing waited to their deadline and got a 503, though another server could have answered at once. That held for requests that may not be repeated too: a refusal says that they have not run.

Cause: the body of a refusal was read up to the request's deadline, only to keep its connection for later requests.

It is now awaited for 0.1 s; after that the connection is dropped, with a line in the log.

--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -26,6 +26,8 @@
 const FEW: usize = 8;
 /// Silence after the head of an answer that outlasts all deadlines.
 const AFTER_HEAD: &str = "pause-1-60000";
+/// Delay of a request that one server refuses without the text of the refusal.
+const MAX_REFUSAL_DELAY: Duration = Duration::from_secs(1);
 /// Requests that make room for some retries in the budget.
 const EARLIER: usize = 40;
 
@@ -258,6 +260,23 @@
     assert!(incomplete.is_empty(), "{incomplete:#?}");
 }
 
+/// Guards against waiting to the deadline for the text of a refusal, which another server need not
+/// wait for, whether the request may be repeated or not.
+#[parameterized(
+    repeatable = { "read" },
+    unrepeatable = { "lodge" },
+)]
+fn a_request_goes_on_elsewhere_before_the_text_of_its_refusal(route: &str) {
+    let fleet = start(&format!("refusal-{route}"), &[]);
+    send_at_once(&fleet, requests(EARLIER, "e", "", Kind::Call), || {});
+    let message = request(Method::POST, route, "s0").with_header("x-fault", "shed-pause");
+    let started = Instant::now();
+    let outcomes = send_at_once(&fleet, vec![("s0".to_owned(), message)], || {});
+    let incomplete = incomplete(&outcomes, Kind::Call);
+    assert!(incomplete.is_empty(), "{incomplete:#?}");
+    assert!(started.elapsed() < MAX_REFUSAL_DELAY);
+}
+
 /// Guards against ejecting all servers of a service because they are silent, so that new
 /// requests are refused.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
@@ -21,6 +22,8 @@
 const MAX_SKIPPED_RESPONSES: usize = 2;
 /// Longest body that is read to skip a response and reuse its connection.
 const MAX_SKIPPED_BODY_BYTES: usize = 1024 * 1024;
+/// Timeout for reading the body of a refusal, after which its connection is closed.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Why an attempt at one server failed.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -226,12 +229,15 @@
             Some(_) => RefusalMark::Named,
             None => RefusalMark::Unnamed,
         });
-        if connection
-            .read_body(MAX_SKIPPED_BODY_BYTES, deadline)
-            .await
-            .is_ok()
-        {
-            state.pool.put(connection, idle, state.now());
+        // The head says all that decides where the request goes on.
+        let deadline = deadline.min(state.now() + REFUSAL_BODY_TIMEOUT);
+        match connection.read_body(MAX_SKIPPED_BODY_BYTES, deadline).await {
+            Ok(_) => state.pool.put(connection, idle, state.now()),
+            Err(fault) => log::info!(
+                "request id={} server={} choice=drop_connection reason=\"{fault}\"",
+                accepted.inbound.label(),
+                info.id
+            ),
         }
         return Err(Failure::Refused);
     }
