Keep the same suspects of a crash whatever the order of the reports

A crash kept 48 suspects, and further ones were dropped as they came. Where 30 peers reported more than that, nodes that got the same reports in different orders kept different suspects and barred different parts; a deadly part that the last peer reported was left out of each crash and was not barred.

Cause: Crash::add compared only the number of suspects, so that the bound made the merge depend on the order, against what the module states.

One node had quarantined a part with three crashes, the other held none of them.

Ruled out: a bound on a rank by answers or counts, as the local list has it: both change with time, so that the order would still decide.

Change: all suspects are added, and of more than 512 those with the lowest hash of server and part stay, parts before whole requests. This is the same for any order, as the rank of a suspect does not change, and another choice at each crash, so that no part is left out of all crashes. 512 is what 32 peers report at once. The suspects of all crashes are bounded by 16,384 (12,288 by the former bounds), beyond which the oldest crashes are evicted.

Left: a node may hold up to 48 suspects of a crash itself and reports the first 16, so it may know some that others don't.

--- a/crates/pomeloridge_policy/src/part_crashes/evidence.rs
+++ b/crates/pomeloridge_policy/src/part_crashes/evidence.rs
@@ -7,6 +7,7 @@
 
 use super::{PartCrash, PartId, PartReport, PartSuspects, Suspect, WHOLE_DEPTH};
 use crate::crashes::{QUARANTINE_CRASHES, ServerIncarnation};
+use crate::hash::splitmix64;
 use crate::suspicion::QUARANTINE_TTL;
 
 /// Delay of the quarantine of a part that was answered shortly before it became a suspect.
@@ -30,8 +31,11 @@
 const EXPORT_TTL: Duration = Duration::from_secs(2);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
-/// Maximum number of suspects of a crash that are remembered.
-const MAX_SUSPECTS: usize = 48;
+/// Maximum number of suspects of a crash that this node reports.
+const MAX_OWN_SUSPECTS: usize = 48;
+/// Maximum number of suspects of a crash that are remembered, and of those of all crashes.
+const MAX_SUSPECTS: usize = 512;
+const MAX_ALL_SUSPECTS: usize = 16_384;
 /// Maximum number of parts whose answers are remembered.
 const MAX_ANSWERS: usize = 4096;
 /// Maximum number of crashes in a message to a peer.
@@ -134,13 +138,13 @@
         suspects.sort_by_key(|suspect| self.rank(suspect));
         let mut seen = BTreeSet::new();
         suspects.retain(|suspect| seen.insert(suspect.part));
-        suspects.truncate(MAX_SUSPECTS);
+        suspects.truncate(MAX_OWN_SUSPECTS);
         let crash = self.crashes.entry(server).or_insert(Crash {
             at: now,
             suspects: BTreeMap::new(),
             updated: None,
         });
-        crash.add(&suspects);
+        crash.add(server, &suspects);
         crash.updated = Some(now);
         let quarantined = self.update();
         let count = |Suspect { part, .. }| Some((part, self.count(part)?));
@@ -256,7 +260,7 @@
             });
             // Message delays must not make a crash younger as nodes exchange it.
             crash.at = crash.at.min(at);
-            crash.add(suspects);
+            crash.add(*server, suspects);
             for Suspect { part, .. } in suspects {
                 if let Some(answer) = self.answers.get_mut(part)
                     && answer.own.is_some_and(|own| own > crash.at)
@@ -478,7 +482,9 @@
 
     /// Evicts the oldest crashes, those of quarantined parts last.
     fn evict_crashes(&mut self) {
-        while self.crashes.len() > MAX_CRASHES {
+        let crashes = self.crashes.values();
+        let mut suspect_count: usize = crashes.map(|crash| crash.suspects.len()).sum();
+        while self.crashes.len() > MAX_CRASHES || suspect_count > MAX_ALL_SUSPECTS {
             let oldest = self.crashes.iter().min_by_key(|(server, crash)| {
                 let mut suspects = crash.suspects.keys();
                 let is_needed = suspects.any(|part| self.quarantines.contains_key(part));
@@ -487,7 +493,8 @@
             let Some(server) = oldest.map(|(server, _)| *server) else {
                 return;
             };
-            self.crashes.remove(&server);
+            let evicted = self.crashes.remove(&server);
+            suspect_count -= evicted.map_or(0, |crash| crash.suspects.len());
         }
     }
 
@@ -530,12 +537,22 @@
         })
     }
 
-    fn add(&mut self, suspects: &[Suspect]) {
+    /// Adds suspects. Which of too many are kept must not depend on the order of the reports, and
+    /// must not be the same at each crash, so that no part is always left out.
+    fn add(&mut self, server: ServerIncarnation, suspects: &[Suspect]) {
         for Suspect { part, depth } in suspects {
-            if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(part) {
-                let deepest = self.suspects.entry(*part).or_default();
-                *deepest = (*deepest).max(*depth);
-            }
+            let deepest = self.suspects.entry(*part).or_default();
+            *deepest = (*deepest).max(*depth);
+        }
+        if self.suspects.len() <= MAX_SUSPECTS {
+            return;
+        }
+        let mut ranked: Vec<Suspect> = self.suspects().collect();
+        ranked.sort_by_cached_key(|Suspect { part, depth }| {
+            (*depth == WHOLE_DEPTH, splitmix64(server.0 ^ part), *part)
+        });
+        for Suspect { part, .. } in &ranked[MAX_SUSPECTS..] {
+            self.suspects.remove(part);
         }
     }
 }
--- a/crates/pomeloridge_policy/tests/policy/part_crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/part_crashes.rs
@@ -16,6 +16,8 @@
 const SYSTEM: PartId = 1;
 const DEADLY: PartId = 2;
 const SOUND: PartId = 3;
+/// Number of generated cases with many reports each.
+const FEW_CASES: u32 = 16;
 /// Whole requests have this number and the following ones.
 const FIRST_WHOLE: PartId = 1 << 32;
 const TURN: Option<u64> = Some(7);
@@ -387,6 +389,43 @@
     assert_eq!(deadly.count(), 3);
 }
 
+/// Guards against a deadly part that is left out of each crash because more sound ones waited at
+/// the engine, at any node, than a crash keeps.
+#[parameterized(
+    as_many_as_nodes_report = { 30 },
+    more_than_are_kept = { 60 },
+)]
+fn a_deadly_part_is_quarantined_among_many_suspects(peers: u64) {
+    let now = Instant::now();
+    let mut tracker = PartTracker::default();
+    for server in 1..=9 {
+        for peer in 0..peers {
+            let first = 10 + (server * peers + peer) * 15;
+            let mut parts: Vec<PartId> = (first..first + 15).collect();
+            parts.extend((peer + 1 == peers).then_some(DEADLY));
+            tracker.merge(&crash_report(server, ms(server), &parts), now);
+        }
+    }
+    assert!(!is_allowed(&tracker, &[SYSTEM, DEADLY], now));
+    assert!(is_allowed(&tracker, &[SYSTEM, SOUND], now));
+}
+
+/// Returns a peer's report of a crash, with suspects at a depth of 1.
+fn crash_report(server: u64, age: Duration, parts: &[PartId]) -> PartReport {
+    let suspects = parts.iter().map(|part| Suspect {
+        part: *part,
+        depth: 1,
+    });
+    PartReport {
+        crashes: vec![PartCrash {
+            server: ServerIncarnation(server),
+            age,
+            suspects: suspects.collect(),
+        }],
+        answers: Vec::new(),
+    }
+}
+
 proptest! {
     #![proptest_config(config(CASES))]
 
@@ -454,3 +493,32 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(config(FEW_CASES))]
+
+    /// Nodes come to the same conclusions where peers report more suspects than a crash keeps.
+    #[test]
+    fn the_order_of_reports_of_many_suspects_does_not_matter(
+        reports in proptest::collection::vec((1_u64..4, proptest::collection::vec(1_u64..900, 16)), 30..200),
+        order in any::<u64>(),
+    ) {
+        let now = Instant::now() + Duration::from_mins(1);
+        let reports = reports.iter().map(|(server, parts)| crash_report(*server, ms(*server), parts));
+        let reports: Vec<PartReport> = reports.collect();
+        let mut shuffled: Vec<&PartReport> = reports.iter().collect();
+        shuffled.rotate_left(order as usize % reports.len());
+        shuffled.reverse();
+        let (mut one, mut other) = (PartTracker::default(), PartTracker::default());
+        for report in &reports {
+            one.merge(report, now);
+        }
+        for report in shuffled {
+            other.merge(report, now);
+        }
+        prop_assert_eq!(one.export_quarantined(now), other.export_quarantined(now));
+        for part in 1..900 {
+            prop_assert_eq!(left(&one, part, now), left(&other, part, now));
+        }
+    }
+}
