Do not count a trial that the engine refused unread as a crash

Seen: after a quarantine one request with the part is sent as a trial. Where the engine refused it without running it, callers of a sound part were refused for 12 s more in place of 2 s, then 72 s.

Cause: `part_quarantine::record_send` records a trial as a crash before it is written, and nothing took it back when the server had not run it.

Ruled out: taking the crash out of the tables, as a peer that has not heard of the refusal would report it again; an answer on the part, as that would clear it of true crashes.

Change: the suspect of a refused trial gets a depth of its own, greater than that of any part. Nodes keep the greatest depth that was reported, so that reports may be late, repeated or reordered. It is no crash; the quarantine starts anew and is no longer than before. Refused trials reach engines too: of those that follow one another every second one makes the quarantine longer, so that engines that refuse everything do not get one a turn.

The test over the order of reports now has refused trials too. Left: a trial whose caller leaves before the refusal still counts as a crash.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -50,7 +50,11 @@
     /// It may be sent once to find out whether a part still crashes engines.
     Granted(PartId),
     /// It has been sent.
-    Sent,
+    Sent {
+        part: PartId,
+        /// Random number by which nodes know the trial.
+        number: u64,
+    },
 }
 
 /// Maximum predicted time to the first chunk, as a fraction of the time that the caller waits.
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -484,7 +484,10 @@
             self.deliveries += 1;
         }
         if failure.not_run() {
-            self.refusals += usize::from(failure.reached_server());
+            if failure.reached_server() {
+                self.refusals += 1;
+                part_quarantine::record_refusal(self.state, self.accepted);
+            }
         } else {
             self.possible_runs += 1;
             self.last_run_failure = Some(failure);
--- a/crates/pomeloridge_gateway/src/part_quarantine.rs
+++ b/crates/pomeloridge_gateway/src/part_quarantine.rs
@@ -104,13 +104,32 @@
     let Trial::Granted(part) = accepted.trial.get() else {
         return;
     };
-    accepted.trial.set(Trial::Sent);
+    let number = rand::random();
+    accepted.trial.set(Trial::Sent { part, number });
     log::info!(
         "request id={} part={part:x} choice=try reason=\"quarantine over\"",
         accepted.inbound.label()
     );
     let mut parts = state.parts.borrow_mut();
-    parts.record_trial(part, rand::random(), state.now());
+    parts.record_trial(part, number, state.now());
+    drop(parts);
+    state.quarantine_changed.set(true);
+    peers::announce_crashes(state);
+}
+
+/// Records that a server refused the request without running it. A trial then tells nothing of its
+/// part; all peers are told at once.
+pub(crate) fn record_refusal(state: &Rc<State>, accepted: &Accepted) {
+    let Trial::Sent { part, number } = accepted.trial.get() else {
+        return;
+    };
+    accepted.trial.set(Trial::None);
+    log::info!(
+        "request id={} part={part:x} choice=try_again reason=\"refused unread\"",
+        accepted.inbound.label()
+    );
+    let mut parts = state.parts.borrow_mut();
+    parts.record_unread(part, number, state.now());
     drop(parts);
     state.quarantine_changed.set(true);
     peers::announce_crashes(state);
--- a/crates/pomeloridge_policy/src/part_crashes.rs
+++ b/crates/pomeloridge_policy/src/part_crashes.rs
@@ -20,7 +20,8 @@
 //!
 //! A quarantine ends with an answer. After some time, longer after each crash, one node at a time
 //! may send one request with the part as a trial. Until it is answered it counts as a crash, so
-//! that each trial makes the quarantine longer, whatever becomes of it.
+//! that each trial makes the quarantine longer, whatever becomes of it. One that the engine refuses
+//! unread makes it start anew only.
 
 mod evidence;
 
@@ -42,6 +43,9 @@
 const MAX_LOST_RUNS: usize = 4096;
 /// Depth of a suspect that is a whole request, known by its fingerprint.
 pub const WHOLE_DEPTH: u32 = u32::MAX;
+/// Depth of the part of a trial that its server refused unread. It is greater than that of any
+/// part, as nodes keep the greatest depth that one of them reports.
+pub const UNREAD_DEPTH: u32 = WHOLE_DEPTH - 1;
 /// Length of a turn, in which one node may send a request with a quarantined part.
 const TRIAL_TURN: Duration = Duration::from_secs(4);
 /// Time from the start of a turn in which the request may be sent; all nodes know of it by the end.
@@ -71,7 +75,7 @@
 pub struct Suspect {
     /// Part.
     pub part: PartId,
-    /// Number of parts before it in the prompt, or [`WHOLE_DEPTH`].
+    /// Number of parts before it in the prompt, [`WHOLE_DEPTH`] or [`UNREAD_DEPTH`].
     pub depth: u32,
 }
 
@@ -291,6 +295,16 @@
             .add_crash(ServerIncarnation(trial), suspects, now);
     }
 
+    /// Records that the server refused a trial without running it.
+    pub fn record_unread(&mut self, part: PartId, trial: u64, now: Instant) {
+        let suspects = vec![Suspect {
+            part,
+            depth: UNREAD_DEPTH,
+        }];
+        self.evidence
+            .add_crash(ServerIncarnation(trial), suspects, now);
+    }
+
     /// Returns whether one more crash may quarantine one of these parts.
     pub fn is_nearly_quarantined(&self, parts: &[PartId]) -> bool {
         let mut counts = parts.iter().filter_map(|part| self.evidence.count(*part));
--- a/crates/pomeloridge_policy/src/part_crashes/evidence.rs
+++ b/crates/pomeloridge_policy/src/part_crashes/evidence.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use super::{PartCrash, PartId, PartReport, PartSuspects, Suspect, WHOLE_DEPTH};
+use super::{PartCrash, PartId, PartReport, PartSuspects, Suspect, UNREAD_DEPTH, WHOLE_DEPTH};
 use crate::crashes::{QUARANTINE_CRASHES, ServerIncarnation};
 use crate::hash::splitmix64;
 use crate::suspicion::QUARANTINE_TTL;
@@ -88,6 +88,8 @@
     answers: HashMap<PartId, Answer>,
     /// Number of crashes that each suspect is not cleared of, derived from the crashes.
     counts: HashMap<PartId, usize>,
+    /// Times of trials that were refused unread, derived from the crashes.
+    unread: HashMap<PartId, Vec<Instant>>,
     /// Derived from the crashes.
     quarantines: HashMap<PartId, Quarantine>,
 }
@@ -168,8 +170,9 @@
     /// Returns the greatest depth of a part.
     pub(super) fn depth(&self, part: PartId) -> u32 {
         let depths = self.crashes.values();
-        let depths = depths.filter_map(|crash| crash.suspects.get(&part));
-        depths.max().copied().unwrap_or_default()
+        let depths = depths.filter_map(|crash| crash.suspects.get(&part).copied());
+        let depths = depths.filter(|depth| *depth != UNREAD_DEPTH);
+        depths.max().unwrap_or_default()
     }
 
     /// Returns what to send to peers: recent changes of this node, and all quarantined parts,
@@ -309,7 +312,10 @@
         let mut latest = BTreeSet::new();
         for part in self.quarantines.keys() {
             let crashes = self.crashes.iter();
-            let crashes = crashes.filter(|(_, crash)| crash.suspects.contains_key(part));
+            let crashes = crashes.filter(|(_, crash)| {
+                let depth = crash.suspects.get(part);
+                depth.is_some_and(|depth| *depth != UNREAD_DEPTH)
+            });
             let mut crashes: Vec<(Instant, ServerIncarnation)> =
                 crashes.map(|(server, crash)| (crash.at, *server)).collect();
             crashes.sort_unstable_by(|one, other| other.cmp(one));
@@ -353,9 +359,15 @@
     fn derive(&mut self) {
         let mut uncleared: HashMap<PartId, BTreeSet<ServerIncarnation>> = HashMap::new();
         let mut depths: HashMap<PartId, u32> = HashMap::new();
+        self.unread.clear();
         for (server, crash) in &self.crashes {
             for Suspect { part, depth } in crash.suspects() {
-                if self.last_answer(part).is_none_or(|at| at < crash.at) {
+                if self.last_answer(part).is_some_and(|at| at >= crash.at) {
+                    continue;
+                }
+                if depth == UNREAD_DEPTH {
+                    self.unread.entry(part).or_default().push(crash.at);
+                } else {
                     uncleared.entry(part).or_default().insert(*server);
                     let deepest = depths.entry(part).or_default();
                     *deepest = depth.max(*deepest);
@@ -373,7 +385,7 @@
                 .get(part)
                 .is_some_and(|depth| (1..WHOLE_DEPTH).contains(depth));
             if is_inner && self.wave_count(crashes.difference(&by_wholes)) >= CERTAIN_CRASHES {
-                let quarantine = self.derive_quarantine(crashes, self.last_answer(*part));
+                let quarantine = self.derive_quarantine(*part, crashes);
                 self.quarantines.insert(*part, quarantine);
             }
         }
@@ -437,43 +449,51 @@
             let alike = uncleared.iter();
             let alike = alike.filter(|(part, crashes)| is_alike(part, crashes));
             let alike: Vec<PartId> = alike.map(|(part, _)| *part).collect();
-            let quarantine = self.derive_quarantine(&explained, answered);
-            let alike = alike.into_iter().map(|part| (part, quarantine));
-            self.quarantines.extend(alike);
+            for part in alike {
+                let quarantine = self.derive_quarantine(part, &explained);
+                self.quarantines.insert(part, quarantine);
+            }
             for crashes in uncleared.values_mut() {
                 crashes.retain(|server| !explained.contains(server));
             }
         }
     }
 
-    /// Returns the quarantine of a part that was last answered at a time and has caused these
-    /// crashes since, at least [`QUARANTINE_CRASHES`].
-    fn derive_quarantine(
-        &self,
-        crashes: &BTreeSet<ServerIncarnation>,
-        answered: Option<Instant>,
-    ) -> Quarantine {
+    /// Returns the quarantine of a part that has caused these crashes since its last answer, at
+    /// least [`QUARANTINE_CRASHES`].
+    fn derive_quarantine(&self, part: PartId, crashes: &BTreeSet<ServerIncarnation>) -> Quarantine {
         let times = crashes
             .iter()
             .filter_map(|server| Some(self.crashes.get(server)?.at));
         let mut times: Vec<Instant> = times.collect();
         times.sort_unstable();
         let (first, third) = (times[0], times[QUARANTINE_CRASHES - 1]);
-        let is_recent =
-            answered.is_some_and(|at| first.saturating_duration_since(at) < RECENT_ANSWER);
+        let is_recent = self
+            .last_answer(part)
+            .is_some_and(|at| first.saturating_duration_since(at) < RECENT_ANSWER);
         let grace = if is_recent {
             RECENT_GRACE
         } else {
             Duration::ZERO
         };
-        let (mut last, mut length) = (third, FIRST_QUARANTINE);
-        for at in &times[QUARANTINE_CRASHES..] {
-            if at.saturating_duration_since(last) >= STEP_TIME {
+        let unread = self.unread.get(&part).into_iter().flatten();
+        let later = times[QUARANTINE_CRASHES..].iter().map(|at| (*at, false));
+        let mut later: Vec<(Instant, bool)> = later.chain(unread.map(|at| (*at, true))).collect();
+        later.sort_unstable();
+        let (mut last, mut length, mut is_spared) = (third, FIRST_QUARANTINE, false);
+        for (at, is_unread) in &later {
+            if at.saturating_duration_since(last) < STEP_TIME {
+                continue;
+            }
+            // Of trials that engines refuse one after the other, every second one counts, as each
+            // of them reaches an engine.
+            is_spared = *is_unread && !is_spared;
+            if !is_spared {
                 length = MAX_QUARANTINE.min(length * QUARANTINE_FACTOR);
                 last = *at;
             }
         }
-        let latest = times.last().copied().unwrap_or(third);
+        let latest = later.last().map_or(third, |(at, _)| third.max(*at));
         Quarantine {
             from: third + grace,
             until: latest + length,
--- a/crates/pomeloridge_policy/tests/policy/part_crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/part_crashes.rs
@@ -5,7 +5,7 @@
 use pomeloridge_policy::crashes::{RunOutcome, ServerIncarnation};
 use pomeloridge_policy::part_crashes::{
     CONFIRM_TIME, PartCrash, PartId, PartReport, PartTracker, PartVerdict, RECENT_GRACE, Suspect,
-    trial_turn,
+    UNREAD_DEPTH, trial_turn,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -286,6 +286,52 @@
     assert_eq!(trial_turn(10_000), None);
 }
 
+/// Guards against barring a sound part for longer because engines refuse its trials unread, and
+/// against sending one trial after the other to engines that refuse them.
+#[test]
+fn a_trial_that_was_refused_unread_makes_the_quarantine_start_anew() {
+    let start = Instant::now();
+    let mut tracker = PartTracker::default();
+    for server in 1..=3 {
+        crash(&mut tracker, server, &[&[SYSTEM, DEADLY]], start);
+    }
+    let mut now = start;
+    let mut lengths = Vec::new();
+    for (trial, is_unread) in (90..).zip([true, true, true, false, true, true]) {
+        now += left(&tracker, DEADLY, now).unwrap();
+        tracker.record_trial(DEADLY, trial, now);
+        let mut other = PartTracker::default();
+        other.merge(&tracker.export(now), now);
+        if is_unread {
+            tracker.record_unread(DEADLY, trial, now + ms(5));
+        }
+        // Reports that a peer sent before it knew of the refusal don't undo it.
+        let early = other.export(now);
+        other.merge(&tracker.export(now), now);
+        tracker.merge(&early, now);
+        other.merge(&early, now);
+        let length = left(&tracker, DEADLY, now).unwrap();
+        assert_eq!(left(&other, DEADLY, now), Some(length));
+        lengths.push(length.as_secs());
+    }
+    assert_eq!(lengths, [2, 12, 12, 72, 72, 432]);
+    answer(&mut tracker, &[SYSTEM, DEADLY], now + ms(10));
+    assert!(is_allowed(&tracker, &[SYSTEM, DEADLY], now + ms(10)));
+}
+
+/// Guards against counting a refused trial as one of the crashes that quarantine a part.
+#[test]
+fn a_trial_that_was_refused_unread_is_no_crash() {
+    let now = Instant::now();
+    let mut tracker = PartTracker::default();
+    for server in 1..=2 {
+        crash(&mut tracker, server, &[&[SYSTEM, DEADLY]], now);
+    }
+    tracker.record_unread(DEADLY, 90, now);
+    assert!(is_allowed(&tracker, &[SYSTEM, DEADLY], now));
+    assert!(is_allowed(&tracker, &[SYSTEM], now));
+}
+
 /// Guards against five crashes at five nodes none of which has heard of the others'.
 #[test]
 fn nodes_combine_the_crashes_that_each_has_seen() {
@@ -433,6 +479,7 @@
     #[test]
     fn the_order_of_reports_does_not_matter(
         crashes in proptest::collection::vec((1_u64..8, 0_u64..500, proptest::collection::vec(1_u64..6, 1..4)), 1..12),
+        trials in proptest::collection::vec((8_u64..12, 0_u64..20_000, 1_u64..6, any::<bool>()), 0..6),
         answers in proptest::collection::vec((1_u64..6, 0_u64..500), 0..6),
         order in any::<u64>(),
     ) {
@@ -445,11 +492,19 @@
             }],
             answers: Vec::new(),
         };
+        let trial = |(number, age, part, is_unread): &(u64, u64, PartId, bool)| {
+            let mut report = crash_report(*number, ms(*age), &[*part]);
+            if *is_unread {
+                report.crashes[0].suspects[0].depth = UNREAD_DEPTH;
+            }
+            report
+        };
         let answer = |(part, age): &(PartId, u64)| PartReport {
             crashes: Vec::new(),
             answers: vec![(*part, ms(*age))],
         };
         let crashes = crashes.iter().map(crash);
+        let crashes = crashes.chain(trials.iter().map(trial));
         let reports: Vec<PartReport> = crashes.chain(answers.iter().map(answer)).collect();
         let (mut one, mut other) = (PartTracker::default(), PartTracker::default());
         for report in &reports {
