Let the tests of launched addresses pass beside ports of others

Seen: `launch::servers_listen_where_no_connection_leaves` failed in 1 of 2 runs beside the workspace's other tests, at loads of 32 to 46 on 8 cores, with a failed `TcpListener::bind` to a server's port on 127.0.0.1.

Cause: the tests bind the ports of servers and gateways, which listen on 127.0.0.2 and 127.0.1.1, on 127.0.0.1. Any other process may have such a port there, as a listener or as the end of a connection; nothing guarantees that the port is free. With 2,000 listeners of another process on 127.0.0.1, `servers_listen_where_no_connection_leaves` failed in 15 of 20 runs and `a_gateway_restarts_although_its_ports_are_in_use_elsewhere` in 16 of 20.

Change: the test of the servers compares the address on which a server listens with the one from which a connection leaves, which is what it guards. The test of the restart needs the ports to be in use on 127.0.0.1, by itself or by another process; the restart at those ports is checked as before.

Both tests fail if the fake and the gateways listen on 127.0.0.1.

--- a/crates/pomeloridge_dev/tests/launch.rs
+++ b/crates/pomeloridge_dev/tests/launch.rs
@@ -1,6 +1,7 @@
 //! Tests of deployments of separate processes.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 
 use pomeloridge_dev::launch::{Fleet, get_json};
 
@@ -12,7 +13,12 @@
     gateway.process.kill();
     let ports = [gateway.caller, gateway.ready, gateway.metrics].map(|address| address.port());
     let taken = ports.map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
-    assert!(taken.iter().all(Result::is_ok), "{taken:?}");
+    // Another process may have a port there already; then it is in use, too.
+    let mut errors = taken.iter().filter_map(|taken| taken.as_ref().err());
+    assert!(
+        errors.all(|error| error.kind() == ErrorKind::AddrInUse),
+        "{taken:?}"
+    );
     assert_eq!(fleet.restart(0), Ok(()));
 }
 
@@ -26,6 +32,8 @@
     for server in servers {
         let address = server["spec"]["address"].as_str().unwrap_or_default();
         let address: SocketAddr = address.parse().unwrap();
-        assert!(TcpListener::bind((Ipv4Addr::LOCALHOST, address.port())).is_ok());
+        let connection = TcpStream::connect(address).unwrap();
+        assert!(!address.ip().is_unspecified());
+        assert_ne!(address.ip(), connection.local_addr().unwrap().ip());
     }
 }
