Watch the servers beside nodes of a version without eras

Seen: a gateway beside enough nodes of a version without eras, which watch the store, sees no change of the servers any more: it leaves the watch to them, and takes none of their changes. It sends to servers that were removed, for as long as the versions are mixed.

Cause: revisions of such nodes name no era and so count as older than any of an era, while the nodes still count as watching.

Ruled out by reading: leases and seals that such nodes wrote count as of an earlier era. That costs a term and the margin, and a window that was sealed and not reported; to trust them would be wrong at a service whose first era is 0. The objects of nodes hold no revisions.

Change: a peer whose list is of an earlier era than this node's does not count as one that watches. This also holds for a peer that has not noticed a restore.

Left: the former nodes themselves, see design/platform.md, by reading. No process of that version was run beside this one.

--- a/crates/pomeloridge_dev/tests/store_era.rs
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -2,7 +2,9 @@
 //! separate processes on a fake of the fleet's platform.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use http::Method;
@@ -39,7 +41,11 @@
 
 impl Store {
     fn start(name: &str) -> Self {
-        let fleet = Fleet::start(&format!("era-{name}"), GATEWAYS).unwrap();
+        Self::start_with(name, GATEWAYS)
+    }
+
+    fn start_with(name: &str, gateways: usize) -> Self {
+        let fleet = Fleet::start(&format!("era-{name}"), gateways).unwrap();
         for gateway in &fleet.gateways {
             wait_until(|| block_on(is_ready(gateway.ready)));
         }
@@ -395,3 +401,71 @@
     }
     assert_eq!(statuses, [401].into());
 }
+
+/// Nodes of a former version that watch the store.
+const FORMER_NODES: usize = 6;
+
+fn hash(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Appends a field with a number to a datagram.
+fn put_number(datagram: &mut Vec<u8>, tag: u8, mut number: u64) {
+    datagram.push(tag << 3);
+    while number >= 0x80 {
+        datagram.push(number as u8 | 0x80);
+        number >>= 7;
+    }
+    datagram.push(number as u8);
+}
+
+/// Returns the heartbeat of a node of a former version, which knows no eras and watches the store.
+fn former_heartbeat(name: &str, revision: u64) -> Vec<u8> {
+    let since_epoch = std::time::UNIX_EPOCH.elapsed().unwrap();
+    let mut datagram = vec![1 << 3 | 2, name.len() as u8];
+    datagram.extend(name.as_bytes());
+    put_number(&mut datagram, 2, 1);
+    put_number(&mut datagram, 3, since_epoch.as_millis() as u64);
+    put_number(&mut datagram, 11, revision);
+    put_number(&mut datagram, 12, 0);
+    datagram.extend([15 << 3 | 5]);
+    datagram.extend((hash("dc-1") as u32).to_le_bytes());
+    datagram
+}
+
+/// Guards against a gateway that leaves the watch of the store to nodes of a former version, and
+/// takes none of the changes that they tell: their revisions name no era.
+#[test]
+fn a_gateway_among_nodes_without_eras_sees_changes_of_the_servers() {
+    let mut store = Store::start_with("former", 1);
+    let own = hash("front-0");
+    let names = (0..).map(|number| format!("former-{number}"));
+    let names: Vec<String> = names
+        .filter(|name| hash(name) < own)
+        .take(FORMER_NODES)
+        .collect();
+    let peer = store.fleet.gateways[0].peer;
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            while !is_over.load(Ordering::Relaxed) {
+                for name in &names {
+                    let datagram = former_heartbeat(name, 5);
+                    socket.send_to(&datagram, peer).unwrap();
+                }
+                std::thread::sleep(POLL_INTERVAL);
+            }
+        });
+        // The watch that is running when the nodes are heard ends meanwhile.
+        std::thread::sleep(WATCHED_TIME);
+        store.delete("servers/filings-0");
+        std::thread::sleep(APPLY_TIME);
+        let statuses = store.read_for(APPLY_TIME, "former");
+        is_over.store(true, Ordering::Relaxed);
+        assert!(statuses.iter().all(|status| *status == 200));
+    });
+    assert_eq!(store.reads_at("filings-0", "former"), 0);
+}
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -31,7 +31,7 @@
 use crate::{internal, server_limits, watch};
 
 pub(crate) use crash_news::announce_crashes;
-use table::StoreEra;
+use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
 use wire::{LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
 
@@ -516,13 +516,13 @@
     let now = state.now();
     let age = message.answered_ms.map(Duration::from_millis);
     let answered = age.and_then(|age| now.checked_sub(age));
-    let store_era = message.era.map(|era| StoreEra {
-        era: Era(era),
+    let store_view = StoreView {
+        answered,
+        list_era: list_era(message),
         restored: message.restored,
-    });
+    };
     let mut peers = state.peers.borrow_mut();
-    peers.set_answered(name, answered);
-    peers.set_store_era(name, store_era);
+    peers.set_store_view(name, store_view, state.server_list_era());
     drop(peers);
     if age.is_some_and(|age| age < MAX_STORE_ANSWER_AGE) && !message.lost_store {
         watch::end_removal_grace(state);
@@ -550,6 +550,13 @@
     }
 }
 
+/// Returns the era of the sender's server list, if the message tells it. The revisions of a node
+/// that knows no eras count as of the first one.
+fn list_era(message: &PeerMessage) -> Option<Era> {
+    let by_revision = (message.servers > 0).then(|| Revision(message.servers).era());
+    message.era.map(Era).or(by_revision)
+}
+
 /// Returns whether this node's server list is older than a revision.
 fn is_server_list_behind(state: &State, revision: Revision) -> bool {
     let known = state.server_list.borrow().revision();
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -27,10 +27,13 @@
 /// Time for which a new duty holder is sent the counts of all windows.
 const NEW_HOLDER_TIME: Duration = Duration::from_secs(2);
 
-/// A peer's view of the object service's era.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct StoreEra {
-    pub(super) era: Era,
+/// A peer's view of the object service.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StoreView {
+    /// When the service last answered the peer's watch, by this node's clock.
+    pub(super) answered: Option<Instant>,
+    /// Era of the peer's server list, as far as it has told one.
+    pub(super) list_era: Option<Era>,
     /// Whether the peer still keeps servers that the service has lost in a restore.
     pub(super) restored: bool,
 }
@@ -56,10 +59,8 @@
     duty: Option<(Epoch, Instant)>,
     /// Its work rates by service.
     pub(super) work: Vec<(Name, WorkRates)>,
-    /// When the object service last answered its watch, by this node's clock.
-    pub(super) answered: Option<Instant>,
-    /// Its view of the object service's era, if it has told one.
-    store_era: Option<StoreEra>,
+    /// Its view of the object service.
+    store: StoreView,
 }
 
 impl Peer {
@@ -75,8 +76,7 @@
             data_centre_hash: 0,
             duty: None,
             work: Vec::new(),
-            answered: None,
-            store_era: None,
+            store: StoreView::default(),
         }
     }
 
@@ -141,18 +141,20 @@
         peer.last_heard.is_some_and(recent)
     }
 
-    /// Records when the object service last answered a peer's watch.
-    pub(super) fn set_answered(&mut self, name: &Name, answered: Option<Instant>) {
-        if let Some(peer) = self.by_name.get_mut(name) {
-            peer.answered = answered;
-        }
-    }
-
-    /// Records a peer's view of the object service's era.
-    pub(super) fn set_store_era(&mut self, name: &Name, store_era: Option<StoreEra>) {
-        if let Some(peer) = self.by_name.get_mut(name) {
-            peer.store_era = store_era;
-        }
+    /// Records a peer's view of the object service. `own_era` is that of this node's server list: a
+    /// peer whose list is of an earlier one does not watch for this node, which can't take its
+    /// changes.
+    pub(super) fn set_store_view(&mut self, name: &Name, view: StoreView, own_era: Option<Era>) {
+        let Some(peer) = self.by_name.get_mut(name) else {
+            return;
+        };
+        let list_era = view.list_era.or(peer.store.list_era);
+        let is_behind = list_era.is_some() && list_era < own_era;
+        peer.store = StoreView {
+            answered: view.answered.filter(|_| !is_behind),
+            list_era,
+            ..view
+        };
     }
 
     /// Returns whether a live peer knows what the object service has lost in the restore that
@@ -160,8 +162,8 @@
     pub(crate) fn remembers_before(&self, era: Era, now: Instant) -> bool {
         let mut live = self.by_name.values().filter(|peer| is_live(peer, now));
         live.any(|peer| {
-            let told = peer.store_era;
-            told.is_some_and(|told| told.restored || told.era < era)
+            let told = peer.store;
+            told.restored || told.list_era.is_some_and(|told| told < era)
         })
     }
 
@@ -352,7 +354,10 @@
                 rank: name_hash(name),
                 data_centre_hash: peer.data_centre_hash,
             },
-            last_answer_age: peer.answered.map(|at| now.saturating_duration_since(at)),
+            last_answer_age: peer
+                .store
+                .answered
+                .map(|at| now.saturating_duration_since(at)),
         });
         views.collect()
     }
