Count a server's silence only while the process runs

Seen: a gateway that goes on after a pause of 1.4 to 2 s gives up sound servers and ejects them, though their answers have arrived meanwhile.

Cause: the timers of the pause fire before what has arrived is read.

Ruled out: to look only at how late the timer itself fired, tried first; begun streams were still given up, as their timers were due shortly before the end of the pause.

Change: a task notices that the process did not run for 200 ms or more, and the dispatcher counts silence from then on only.

Left: after a pause a lost server is given up one timeout later. Ticks that are late on an overloaded machine have the same effect.

--- a/crates/pomeloridge_gateway/src/lifecycle.rs
+++ b/crates/pomeloridge_gateway/src/lifecycle.rs
@@ -11,6 +11,12 @@
 /// Interval at which the signal flags are polled.
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which the process notices that it runs.
+const RUN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Delay of a timer above which the process did not run.
+const MIN_PAUSE: Duration = Duration::from_millis(200);
+
 /// Number of signal polls after which the settings are reloaded without a signal.
 const POLLS_PER_RELOAD: u32 = 50;
 
@@ -70,6 +76,23 @@
     Ok(())
 }
 
+/// Notices that the process was paused, so that sound servers are not taken for silent.
+pub(crate) async fn watch_pauses(state: Rc<State>) {
+    loop {
+        let due = state.now() + RUN_CHECK_INTERVAL;
+        monoio::time::sleep(RUN_CHECK_INTERVAL).await;
+        let now = state.now();
+        let delay = now.saturating_duration_since(due);
+        if delay > MIN_PAUSE {
+            log::warn!(
+                "process paused_ms={} choice=hear_servers",
+                delay.as_millis()
+            );
+            state.dispatcher.borrow_mut().record_resumed(now);
+        }
+    }
+}
+
 /// Reports the gateway as not ready at once, and refuses connections after the delay that the
 /// load balancer needs to notice.
 async fn drain(state: &State) {
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -62,6 +62,7 @@
         watch::follow_server_list(state, is_restarted.replace(true))
     });
     spawn(&state, "expire_servers", watch::expire_servers);
+    spawn(&state, "watch_pauses", lifecycle::watch_pauses);
     spawn(&state, "discover_nodes", peers::discover);
     let sender = Rc::clone(&socket);
     spawn(&state, "send_heartbeats", move |state| {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -147,6 +147,8 @@
     /// When this node last received data from each server. A server that is no longer listed stays
     /// here as long as it may still be working on requests.
     heard: HashMap<TargetKey, Instant>,
+    /// When this process last went on after a pause.
+    resumed_at: Option<Instant>,
     in_flight: SlotMap<InFlightKey, InFlight>,
     placements: VecDeque<(Instant, PartPlacement)>,
     /// Counts requests, to alternate between servers of equal cost.
@@ -185,6 +187,7 @@
             service_models: HashMap::new(),
             targets: SlotMap::with_key(),
             heard: HashMap::new(),
+            resumed_at: None,
             in_flight: SlotMap::with_key(),
             placements: VecDeque::new(),
             rotation: 0,
@@ -587,6 +590,12 @@
         self.heard.insert(key, now);
     }
 
+    /// Records that this process goes on after a pause. What servers have sent meanwhile is yet to
+    /// be read.
+    pub fn record_resumed(&mut self, now: Instant) {
+        self.resumed_at = Some(now);
+    }
+
     /// Returns the time since this node last received anything from a server; `None` if it never
     /// did.
     pub fn silence(&self, key: TargetKey, now: Instant) -> Option<Duration> {
@@ -594,9 +603,11 @@
         Some(now.saturating_duration_since(*last_heard))
     }
 
-    /// Returns whether this node has received nothing from a server since `since`.
+    /// Returns whether this node has received nothing from a server since `since`, and was running
+    /// all that time.
     pub fn is_silent_since(&self, key: TargetKey, since: Instant) -> bool {
-        self.heard.get(&key).is_none_or(|at| *at < since)
+        let last = self.heard.get(&key).copied().max(self.resumed_at);
+        last.is_none_or(|at| at < since)
     }
 
     /// Ends a server's ejection after a response. Returns whether it was ejected.
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -432,6 +432,19 @@
     assert!(!dispatcher.is_silent_since(d, sent));
 }
 
+/// Guards against giving up a server whose answer arrived while this process was paused.
+#[test]
+fn a_server_is_not_silent_while_this_process_is_paused() {
+    let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
+    let d = key(&dispatcher, "d");
+    let sent = Instant::now();
+    let resumed = sent + Duration::from_secs(2);
+    dispatcher.record_resumed(resumed);
+    assert!(!dispatcher.is_silent_since(d, sent));
+    let later = resumed + Duration::from_millis(1);
+    assert!(dispatcher.is_silent_since(d, later));
+}
+
 /// Guards against taking an engine for silent that answers other requests, because its entry is
 /// gone or shows another start.
 #[parameterized(
