Bound the time for which a pause delays giving up a server

After a pause of the process, silence was counted anew from its end.

What arrived in a pause is read in the next turns of the loop, so that a wait of 100 ms before the decision does the same. `what_arrived_in_a_pause_is_read_within_a_bounded_time` takes the place of `a_server_is_not_silent_while_this_process_is_paused`, whose rule it was, and checks both that a server is not given up at the end of a pause and that it is after it.

--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -506,7 +506,11 @@
         let is_dead = match failure {
             Failure::Unreachable | Failure::NotListening | Failure::Misdirected => true,
             // A server that answers other requests is slow, not dead.
-            Failure::TimedOut => dispatcher.is_silent_since(server, self.last_sent_at),
+            // Nor is one whose answer arrived while this process was paused.
+            Failure::TimedOut => {
+                dispatcher.read_time_left(now).is_zero()
+                    && dispatcher.is_silent_since(server, self.last_sent_at)
+            }
             _ => false,
         };
         drop(dispatcher);
--- a/crates/pomeloridge_gateway/src/silence.rs
+++ b/crates/pomeloridge_gateway/src/silence.rs
@@ -44,7 +44,7 @@
             let since = state.now();
             monoio::time::sleep(timeout).await;
             let mut is_logged = false;
-            while self.is_silent_since(state, since) {
+            while self.is_silent_since(state, since).await {
                 let blocker = self.attempts.reserve_retry(self.server, self.work).err();
                 if blocker.is_none() || !is_logged {
                     self.log(state, timeout, blocker.map(|blocker| blocker.to_string()));
@@ -58,9 +58,17 @@
         }
     }
 
-    fn is_silent_since(&self, state: &State, since: Instant) -> bool {
-        let dispatcher = state.dispatcher.borrow();
-        dispatcher.is_silent_since(self.server, since)
+    /// Returns whether the server is silent. After a pause of this process, reads first what has
+    /// arrived meanwhile.
+    async fn is_silent_since(&self, state: &State, since: Instant) -> bool {
+        let left = state.dispatcher.borrow().read_time_left(state.now());
+        if !left.is_zero() {
+            monoio::time::sleep(left).await;
+        }
+        state
+            .dispatcher
+            .borrow()
+            .is_silent_since(self.server, since)
     }
 
     fn log(&self, state: &State, timeout: Duration, blocker: Option<String>) {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -59,6 +59,8 @@
 /// Reduction of the time to first token below which a separate prefill is not worth its
 /// KV cache transfer.
 const MIN_SPLIT_GAIN: Duration = Duration::from_millis(10);
+/// Time in which what servers sent during a pause of this process is read.
+const RESUME_READ_TIME: Duration = Duration::from_millis(100);
 
 /// The length and the parts of a prompt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -603,11 +605,16 @@
         Some(now.saturating_duration_since(*last_heard))
     }
 
-    /// Returns whether this node has received nothing from a server since `since`, and was running
-    /// all that time.
+    /// Returns the time until what servers sent during the latest pause of this process has been
+    /// read; zero if it has been.
+    pub fn read_time_left(&self, now: Instant) -> Duration {
+        let resumed = self.resumed_at.map(|at| now.saturating_duration_since(at));
+        resumed.map_or(Duration::ZERO, |time| RESUME_READ_TIME.saturating_sub(time))
+    }
+
+    /// Returns whether this node has received nothing from a server since `since`.
     pub fn is_silent_since(&self, key: TargetKey, since: Instant) -> bool {
-        let last = self.heard.get(&key).copied().max(self.resumed_at);
-        last.is_none_or(|at| at < since)
+        self.heard.get(&key).is_none_or(|at| *at < since)
     }
 
     /// Ends a server's ejection after a response. Returns whether it was ejected.
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -432,17 +432,25 @@
     assert!(!dispatcher.is_silent_since(d, sent));
 }
 
-/// Guards against giving up a server whose answer arrived while this process was paused.
+/// Guards against giving up a server whose answer arrived while this process was paused, and
+/// against never giving one up because the process is paused again and again.
 #[test]
-fn a_server_is_not_silent_while_this_process_is_paused() {
+fn what_arrived_in_a_pause_is_read_within_a_bounded_time() {
     let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
     let d = key(&dispatcher, "d");
     let sent = Instant::now();
-    let resumed = sent + Duration::from_secs(2);
-    dispatcher.record_resumed(resumed);
-    assert!(!dispatcher.is_silent_since(d, sent));
-    let later = resumed + Duration::from_millis(1);
-    assert!(dispatcher.is_silent_since(d, later));
+    assert_eq!(dispatcher.read_time_left(sent), Duration::ZERO);
+    for pause in 1..=3 {
+        let resumed = sent + Duration::from_millis(300) * pause;
+        dispatcher.record_resumed(resumed);
+        assert_eq!(
+            dispatcher.read_time_left(resumed),
+            Duration::from_millis(100)
+        );
+        let later = resumed + Duration::from_millis(100);
+        assert_eq!(dispatcher.read_time_left(later), Duration::ZERO);
+        assert!(dispatcher.is_silent_since(d, sent));
+    }
 }
 
 /// Guards against taking an engine for silent that answers other requests, because its entry is
