Give back the charge of a retry that is not sent

Callers whose request was lost were refused without a repeat (`again=false by=budget`) though the node had repeated nothing: its part of the retry budget was used up by retries that no server took.

Cause: a retry is charged when it is decided that the request is to be repeated, or reserved for a silent server's request. Where no server was found then, where the request was refused for another reason, or where the next server could not be reached, the charge stayed.

A request's attempts now hold the charge of the next one. It is given back, to the slice of the window in which it was spent, when they end without sending it, and holds for the next attempt if a server was not reached. The number of retries that a window allows is the same.

`give_back` has a test of its own in crates/pomeloridge_policy/tests/policy/fleet_retry_budget.rs.

--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -277,6 +277,26 @@
     assert!(started.elapsed() < MAX_REFUSAL_DELAY);
 }
 
+/// Guards against charging the budget for retries that no server takes, so that later requests are
+/// not repeated.
+#[test]
+fn a_retry_that_no_server_takes_is_not_charged() {
+    let fleet = start("uncharged", &["--plain", "1"]);
+    let gateway = fleet.gateways[0].caller;
+    // The server closes the connection of each request, and no other server is there.
+    for (id, message) in requests(SILENT, "l", "lost,lost", Kind::Call) {
+        let answer = block_on(send_request(gateway, None, &message));
+        assert!(
+            !is_complete(&answer.map(|(answer, _)| answer), Kind::Call),
+            "{id}"
+        );
+    }
+    let failures = log_lines(&fleet, "failure=lost");
+    assert!(failures.len() >= SILENT, "{failures:#?}");
+    let denied = log_lines(&fleet, "again=false by=budget");
+    assert!(denied.is_empty(), "{denied:#?}");
+}
+
 /// Guards against ejecting all servers of a service because they are silent, so that new
 /// requests are refused.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -181,8 +181,20 @@
     last_run_failure: Option<Failure>,
     /// When the latest attempt was planned.
     last_sent_at: Instant,
-    /// Whether the retry after the running attempt has been charged to the budget.
-    retry_reserved: Cell<bool>,
+    /// When the next attempt was charged to the retry budget, if it was.
+    next_charge: Cell<Option<Instant>>,
+    /// The same for the running or latest attempt.
+    charge: Option<Instant>,
+}
+
+impl Drop for Attempts<'_> {
+    /// Gives back the charge of an attempt that is not made.
+    fn drop(&mut self) {
+        if let Some(spent_at) = self.next_charge.take() {
+            let service = &self.accepted.service;
+            self.state.give_back_retry(service, spent_at);
+        }
+    }
 }
 
 impl<'a> Attempts<'a> {
@@ -197,7 +209,8 @@
             prefill_tried: false,
             last_run_failure: None,
             last_sent_at: accepted.arrived_at,
-            retry_reserved: Cell::new(false),
+            next_charge: Cell::default(),
+            charge: None,
         }
     }
 
@@ -276,6 +289,7 @@
             });
         }
         self.last_sent_at = now;
+        self.charge = self.next_charge.take();
         self.prefill_tried |= plan.prefill.is_some();
         log::info!(
             "request id={} print={} choice=send route={} service={} server={} prefill={} \
@@ -391,13 +405,21 @@
             return Err(RetryBlocker::Deadline);
         }
         // Only an attempt that reached a server makes the next one a retry.
-        let is_charged = self.deliveries > 0 && !self.retry_reserved.take();
-        if is_charged && !self.state.try_spend_retry(&self.accepted.service) {
+        if self.deliveries > 0 && !self.charge_next() {
             return Err(RetryBlocker::Budget);
         }
         Ok(())
     }
 
+    /// Charges the next attempt to the retry budget unless it is charged already; returns whether
+    /// the budget allows it.
+    fn charge_next(&self) -> bool {
+        let charge = self.next_charge.get();
+        let charge = charge.or_else(|| self.state.try_spend_retry(&self.accepted.service));
+        self.next_charge.set(charge);
+        charge.is_some()
+    }
+
     /// Reserves a retry of a request whose server is silent, if another server may take it over
     /// now. A server that is silent since the request was sent is ejected in any case.
     pub(crate) fn reserve_retry(
@@ -436,10 +458,9 @@
         if !state.dispatcher.borrow().has_server(&request, now) {
             return Err(RetryBlocker::Servers);
         }
-        if !state.has_retry(&accepted.service) || !state.try_spend_retry(&accepted.service) {
+        if !state.has_retry(&accepted.service) || !self.charge_next() {
             return Err(RetryBlocker::Budget);
         }
-        self.retry_reserved.set(true);
         Ok(())
     }
 
@@ -454,9 +475,8 @@
     ) -> Result<(), Refusal> {
         self.probe_for_crash(prefill_server, failure).await;
         self.eject_if_dead(prefill_server, failure);
-        let run_anyway = !failure.reached_server()
-            || self.retry_reserved.take()
-            || self.state.try_spend_retry(&self.accepted.service);
+        let run_anyway = !failure.reached_server() || self.charge_next();
+        self.charge = self.next_charge.take().or(self.charge);
         log::info!(
             "request id={} print={} server={} failure={failure} choice={}",
             self.accepted.inbound.label(),
@@ -482,6 +502,9 @@
         }
         if failure.reached_server() {
             self.deliveries += 1;
+        } else if self.charge.is_some() {
+            // Nothing was sent, so that the charge holds for the next attempt.
+            self.next_charge.set(self.charge.take());
         }
         if failure.not_run() {
             if failure.reached_server() {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -297,13 +297,15 @@
         self.with_budget(service, |budget, now| budget.usage(share, now).has_room())
     }
 
-    /// Charges a retry to this node's share of the fleet's budget; returns whether it is allowed.
-    pub(crate) fn try_spend_retry(&self, service: &Name) -> bool {
+    /// Charges a retry to this node's share of the fleet's budget; returns when, or `None` if it is
+    /// not allowed.
+    pub(crate) fn try_spend_retry(&self, service: &Name) -> Option<Instant> {
         let share = self.allowance_share();
-        let (usage, allowed) = self.with_budget(service, |budget, now| {
-            (budget.usage(share, now), budget.try_spend(share, now))
+        let (usage, spent_at) = self.with_budget(service, |budget, now| {
+            let usage = budget.usage(share, now);
+            (usage, budget.try_spend(share, now).then_some(now))
         });
-        if !allowed {
+        if spent_at.is_none() {
             self.meter.increment(Counter::RetriesDenied);
             log::info!(
                 "repeats service={service} choice=deny made={} bound={:.1} nodes={}",
@@ -312,7 +314,12 @@
                 share.nodes
             );
         }
-        allowed
+        spent_at
+    }
+
+    /// Gives back a retry that was charged at `spent_at` and has not been sent.
+    pub(crate) fn give_back_retry(&self, service: &Name, spent_at: Instant) {
+        self.with_budget(service, |budget, _| budget.give_back(spent_at));
     }
 
     /// Counts a request, which increases the retry budget of its service.
--- a/crates/pomeloridge_policy/src/fleet_retry_budget.rs
+++ b/crates/pomeloridge_policy/src/fleet_retry_budget.rs
@@ -126,6 +126,14 @@
         true
     }
 
+    /// Gives back a retry that was counted at `spent_at` and has not been sent.
+    pub fn give_back(&mut self, spent_at: Instant) {
+        let mut slices = self.slices.iter_mut().rev();
+        if let Some(slice) = slices.find(|slice| slice.start <= spent_at) {
+            slice.retries = slice.retries.saturating_sub(1);
+        }
+    }
+
     /// Drops expired slices and returns the current one.
     fn current_slice(&mut self, now: Instant) -> &mut Slice {
         let window = self.limits.window;
--- a/crates/pomeloridge_policy/tests/policy/fleet_retry_budget.rs
+++ b/crates/pomeloridge_policy/tests/policy/fleet_retry_budget.rs
@@ -45,6 +45,27 @@
     assert!(budget.try_spend(after_restart, now + Duration::from_secs(11)));
 }
 
+/// Guards against a budget that is used up by retries that were never sent, and against giving back
+/// others in their place.
+#[test]
+fn a_retry_that_is_given_back_may_be_spent_again() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(6);
+    let mut budget = FleetRetryBudget::new(LIMITS);
+    let spend = |budget: &mut FleetRetryBudget, at| budget.try_spend(share(6, now), at);
+    assert!((0..2).all(|_| spend(&mut budget, now)));
+    assert!((0..2).all(|_| spend(&mut budget, later)));
+    assert!(!spend(&mut budget, later));
+    budget.give_back(later);
+    assert!(spend(&mut budget, later));
+    assert!(!spend(&mut budget, later));
+    // The two of the first time have left the window, and giving one of them back changes nothing.
+    let last = now + Duration::from_secs(11);
+    assert!((0..2).all(|_| spend(&mut budget, last)));
+    budget.give_back(now);
+    assert!(!spend(&mut budget, last));
+}
+
 #[test]
 fn denied_retries_do_not_count() {
     let now = Instant::now();
