Do not prolong the grace time after a restore for one node's silence

Seen: in `store_era::changes_at_revisions_that_are_given_out_again_are_seen` (2 failures in 9 runs at loads of 30 to 49 on 8 cores), one of four gateways went on sending to a server whose entry was deleted, 1.4 to 1.7 s longer than the others.

Cause, from its log: the gateway that is not among the watching ones calls the object service again only after 2 s. It takes its own silence for an outage and begins the grace time for missing entries anew (`silence_ms=2001`, later `lapsed=["filings-0"]`). The peers that reached the service all the time can end a grace time early, but not one that follows a restore, and the registry did not tell the two apart.

Change: the registry keeps the end of the grace time after a restore. Peers end a later one early, but never before that. Nothing changes for a grace time without a restore, or for one that no peer ends.

Evidence: the test of the registry with given times, `outage_of_one_node_does_not_prolong_the_grace_time_after_a_restore`, fails before: the server is still kept when the grace time after the restore is over.

--- a/crates/pomeloridge_gateway/src/server_registry.rs
+++ b/crates/pomeloridge_gateway/src/server_registry.rs
@@ -43,8 +43,9 @@
 pub struct ServerRegistry {
     entries: HashMap<Name, Entry>,
     grace_end: Option<Instant>,
-    /// Whether the grace time follows a restore of the service.
-    is_restored: bool,
+    /// End of the grace time that followed a restore of the service; `None` if the current one
+    /// follows no restore.
+    restored_end: Option<Instant>,
     /// Entries of a restored service that would bring back servers that had left.
     withheld: HashMap<Name, TargetInfo>,
     /// Servers that were removed lately.
@@ -63,7 +64,7 @@
     /// Starts the grace time, as the object service is back from an older copy.
     pub fn store_restored(&mut self, now: Instant) {
         self.store_recovered(now);
-        self.is_restored = true;
+        self.restored_end = self.grace_end;
     }
 
     /// Returns whether servers with missing entries are kept for now.
@@ -77,11 +78,11 @@
     }
 
     /// Ends the grace time early: other nodes reached the service all the time, so that there was
-    /// no outage in which entries could expire. A restored service has lost entries for all nodes.
+    /// no outage in which entries could expire. A restored service has lost entries for all nodes,
+    /// so the grace time after a restore stays.
     pub fn end_grace(&mut self, now: Instant) {
-        if !self.is_restored {
-            self.grace_end = self.grace_end.map(|end| end.min(now));
-        }
+        let earliest = self.restored_end.map_or(now, |end| end.max(now));
+        self.grace_end = self.grace_end.map(|end| end.min(earliest));
     }
 
     /// Adds or updates a server's entry. Returns whether anything changed.
@@ -155,7 +156,7 @@
         for name in missing {
             changed |= self.remove(&name, now);
         }
-        let in_doubt = self.is_restored && self.grace_end.is_some_and(|end| now < end);
+        let in_doubt = self.restored_end.is_some() && self.grace_end.is_some_and(|end| now < end);
         for (name, info) in list {
             if in_doubt && self.is_outdated(&name, &info) {
                 self.withheld.insert(name, info);
@@ -187,7 +188,7 @@
             return Vec::new();
         }
         self.grace_end = None;
-        self.is_restored = false;
+        self.restored_end = None;
         let missing = self.entries.iter().filter(|(_, entry)| entry.missing);
         let expired: Vec<Name> = missing.map(|(name, _)| name.clone()).collect();
         for name in &expired {
--- a/crates/pomeloridge_gateway/tests/server_registry.rs
+++ b/crates/pomeloridge_gateway/tests/server_registry.rs
@@ -191,6 +191,25 @@
     assert!(is_leaving(&registry, "i-2"));
 }
 
+/// Guards against keeping servers that leave after a restore, because this node alone heard
+/// nothing of the object service for a while: its grace time began again and could not end early.
+#[test]
+fn outage_of_one_node_does_not_prolong_the_grace_time_after_a_restore() {
+    let mut registry = two_servers();
+    let restored = Instant::now();
+    registry.store_restored(restored);
+    registry.replace(vec![server("i-1"), server("i-2")], restored);
+    let heard = restored + Duration::from_millis(1600);
+    registry.store_recovered(heard);
+    registry.remove(&Name::from("i-1"), heard);
+    registry.end_grace(heard);
+    assert!(registry.expire(heard).is_empty());
+    assert_eq!(ids(&registry), ["i-1", "i-2"]);
+    let end = restored + Duration::from_millis(2300);
+    assert_eq!(registry.expire(end), [Name::from("i-1")]);
+    assert!(!registry.in_grace());
+}
+
 #[test]
 fn restored_list_stands_after_the_grace_time() {
     let now = Instant::now();
