Accept the waiting connections before a stopping listener closes

Cause: a stopping server accepts connections until none comes for 200 ms, at most for 500 ms. After that it closed the listener, though connections could be waiting; the kernel resets these. The gateway's log shows pauses of its only thread of up to 330 ms at that time, in which both connections were opened.

Change: once the 500 ms are over, the server goes on accepting without a wait until no connection is left, at most as many as the queue of the listener holds. A failed accept ends this at once.

--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -24,7 +24,7 @@
 
 /// Interval between checks whether the server is stopping.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum time for which connections are still accepted while the server is stopping.
+/// Maximum time for which new connections are still accepted while the server is stopping.
 const MAX_STOP_ACCEPT_TIME: Duration = Duration::from_millis(500);
 /// Number of buffered bytes of pipelined requests beyond which no more are read.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
@@ -56,15 +56,22 @@
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let open = Rc::new(Cell::new(0_usize));
         let mut accept_until = None;
+        let mut waiting = net::BACKLOG;
         loop {
+            let mut accept_time = STOP_POLL_INTERVAL;
             if (self.stopping)() {
                 let accept_until =
                     *accept_until.get_or_insert_with(|| Instant::now() + MAX_STOP_ACCEPT_TIME);
                 if Instant::now() >= accept_until {
-                    break;
+                    // Connections that wait already would be reset with the listener.
+                    if waiting == 0 {
+                        break;
+                    }
+                    waiting -= 1;
+                    accept_time = Duration::ZERO;
                 }
             }
-            match monoio::time::timeout(STOP_POLL_INTERVAL, crate::net::accept(&listener)).await {
+            match monoio::time::timeout(accept_time, crate::net::accept(&listener)).await {
                 Ok(Ok((stream, peer))) => {
                     let server = Rc::clone(&self);
                     let open_guard = CountGuard::new(&open);
@@ -75,6 +82,9 @@
                 }
                 Ok(Err(error)) => {
                     log::warn!("accepting a connection failed: {error}");
+                    if accept_time.is_zero() {
+                        break;
+                    }
                     monoio::time::sleep(STOP_POLL_INTERVAL).await;
                 }
                 Err(_) if (self.stopping)() => break,
--- a/crates/pomeloridge_base/src/net.rs
+++ b/crates/pomeloridge_base/src/net.rs
@@ -8,9 +8,12 @@
 
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
+/// Maximum number of connections that wait to be accepted.
+pub(crate) const BACKLOG: i32 = 1024;
+
 /// Listens on `address`; port 0 chooses a free port.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let options = ListenerOpts::new().reuse_port(false).backlog(1024);
+    let options = ListenerOpts::new().reuse_port(false).backlog(BACKLOG);
     TcpListener::bind_with_config(address, &options)
 }
 
