Take the server list from a peer while the object service does not answer

Cause: a gateway that sees too few others watch the object service calls it itself, and did not read the list from a peer whose list is newer, even while its own calls failed. A list of a new era does not follow from the known one by changes, so that only a read brings it. The gateway got it with its next own call, up to 2 s later. While it is cut off from the service, it never got it: it sent requests to servers whose entries were deleted for as long as it was watched.

Change: a gateway whose watch has no answer reads a newer list from a peer, whether or not it calls the service itself. It already did so for the configuration.

Evidence: `gateways_that_are_cut_off_learn_of_a_restore_from_a_peer` cuts three of four gateways off, restores the store and deletes all servers.

--- a/crates/pomeloridge_dev/tests/store_era.rs
+++ b/crates/pomeloridge_dev/tests/store_era.rs
@@ -150,11 +150,18 @@
         let end = Instant::now() + time;
         let mut statuses = Vec::new();
         while Instant::now() < end {
-            for gateway in &self.fleet.gateways {
-                self.next += 1;
-                let message = request(Method::GET, "read", &format!("{label}-{}", self.next));
-                statuses.push(status(gateway.caller, &message));
-            }
+            statuses.extend(self.read_once(label));
+        }
+        statuses
+    }
+
+    /// Sends a read to each gateway; returns the statuses.
+    fn read_once(&mut self, label: &str) -> Vec<u16> {
+        let mut statuses = Vec::new();
+        for gateway in &self.fleet.gateways {
+            self.next += 1;
+            let message = request(Method::GET, "read", &format!("{label}-{}", self.next));
+            statuses.push(status(gateway.caller, &message));
         }
         statuses
     }
@@ -249,6 +256,29 @@
     assert_eq!(store.reads_at("filings-0", "again"), 0);
 }
 
+/// Guards against gateways that do not take the server list of a restored store from a peer,
+/// because too few nodes reach the store: they call it themselves, without an answer.
+#[test]
+fn gateways_that_are_cut_off_learn_of_a_restore_from_a_peer() {
+    let mut store = Store::start("cut-off");
+    let started = Instant::now();
+    store.raise_revision();
+    std::thread::sleep(APPLY_TIME);
+    for gateway in &store.fleet.gateways[1..] {
+        gateway.store.set(RelayMode::Cut);
+    }
+    let age = started.elapsed() + POLL_INTERVAL;
+    store.restore(age.as_millis() as u64, 500);
+    for server in ["servers/filings-0", "servers/filings-1"] {
+        store.delete(server);
+    }
+    // The servers run on, and would answer.
+    wait_until(|| {
+        let statuses = store.read_once("gone");
+        statuses.iter().all(|status| *status == 503)
+    });
+}
+
 /// Guards against a lease whose number is given out again once the store has lost the lease: the
 /// platform and the servers could not tell the two holders' calls apart.
 #[test]
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -543,8 +543,10 @@
         None => is_server_list_behind(state, Revision(message.servers))
             .then_some((Revision(message.servers), None)),
     };
+    // A node that calls the object service without an answer depends on its peers, too.
+    let is_watching = state.should_watch_store() && state.servers_watch_answered.get().is_some();
     if let Some((revision, change)) = missing
-        && !state.should_watch_store()
+        && !is_watching
     {
         fetch_servers(state, address, revision, change, is_local);
     }
