Derive the restored state of the registry from the end of its grace time

The field that `ServerRegistry::is_restored` returned is gone since the grace time after a restore has an end of its own; the two changes met, and the build failed.

--- a/crates/pomeloridge_gateway/src/server_registry.rs
+++ b/crates/pomeloridge_gateway/src/server_registry.rs
@@ -74,7 +74,7 @@
 
     /// Returns whether this is the grace time after a restore of the service.
     pub fn is_restored(&self) -> bool {
-        self.is_restored
+        self.restored_end.is_some()
     }
 
     /// Ends the grace time early: other nodes reached the service all the time, so that there was
