Wait for the probe of a server to the request's deadline only

Callers whose request had crashed two servers, and was then lost at one that could not be reached any more, got their 504 after their deadline.

Cause: a request that one more crash would quarantine waits for the result of the server's probe, and that wait knew only the timeouts of the probe's own connections. After the deadline its result no longer decides anything: the request is not repeated.

--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -372,7 +372,8 @@
     }
 
     /// Starts a probe of a server that may have crashed. If one more crash would quarantine the
-    /// request, waits for the probe's result before the request can be retried.
+    /// request, waits for the probe's result before the request can be retried, which it can't be
+    /// after its deadline.
     async fn probe_for_crash(&self, server: TargetKey, failure: Failure) {
         if !failure.may_be_crash() {
             return;
@@ -385,7 +386,7 @@
             .crash_count(&self.accepted.fingerprint, state.now());
         let parts = &self.accepted.shared_parts;
         if crashes + 1 >= QUARANTINE_CRASHES || state.parts.borrow().is_nearly_quarantined(parts) {
-            crash_detection::wait_for_probe(state, server).await;
+            crash_detection::wait_for_probe(state, server, self.accepted.deadline).await;
         }
     }
 
--- a/crates/pomeloridge_gateway/src/crash_detection.rs
+++ b/crates/pomeloridge_gateway/src/crash_detection.rs
@@ -62,7 +62,11 @@
                 state.eject(server, Failure::NotListening);
                 record_crash(&state, server);
             }
-            Err(_) => {
+            Err(fault) => {
+                log::info!(
+                    "server id={} choice=probe outcome=unreachable reason=\"{fault}\"",
+                    info.id
+                );
                 let mut probes = state.crash_probes.borrow_mut();
                 probes.unreachable.insert(incarnation, state.now());
             }
@@ -91,18 +95,21 @@
     }
 }
 
-/// Waits until a running probe of a server, if any, has finished.
-pub(crate) async fn wait_for_probe(state: &State, server: TargetKey) {
+/// Waits until a running probe of a server, if any, has finished, at most to the deadline.
+pub(crate) async fn wait_for_probe(state: &State, server: TargetKey, deadline: Instant) {
     let Some(incarnation) = crash_candidate(state, server).map(|info| info.incarnation()) else {
         return;
     };
-    while state
-        .crash_probes
-        .borrow()
-        .in_progress
-        .contains(&incarnation)
-    {
-        monoio::time::sleep(PROBE_POLL_INTERVAL).await;
+    let is_running = || {
+        let probes = state.crash_probes.borrow();
+        probes.in_progress.contains(&incarnation)
+    };
+    while is_running() {
+        let left = deadline.saturating_duration_since(state.now());
+        if left.is_zero() {
+            return;
+        }
+        monoio::time::sleep(PROBE_POLL_INTERVAL.min(left)).await;
     }
 }
 
