Refuse a request whose prefill has used up its time

Other callers found a sound engine ejected as silent: a prefill engine had been silent to the deadline of a request with a short time, and the engine that was to answer was then ejected too.

Cause: after a failed prefill the request was run without one whatever time was left. With none left nothing was sent; the attempt counted as one that its engine had left without an answer, and as nothing had come from the engine since the prefill began, it was ejected. The retry budget was charged for it.

The request is now refused at that point, with the same 504, and the log says `by=deadline`.

Before, the log had `assistant-decode-0 choice=eject reason=silent`; now it has no such line.

--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -26,6 +26,8 @@
 const FEW: usize = 8;
 /// Silence after the head of an answer that outlasts all deadlines.
 const AFTER_HEAD: &str = "pause-1-60000";
+/// Time of a caller that waits for less than the time after which a silent server is given up.
+const SHORT_DEADLINE_MS: &str = "600";
 /// Delay of a request that one server refuses without the text of the refusal.
 const MAX_REFUSAL_DELAY: Duration = Duration::from_secs(1);
 /// Requests that make room for some retries in the budget.
@@ -260,6 +262,24 @@
     assert!(incomplete.is_empty(), "{incomplete:#?}");
 }
 
+/// Guards against ejecting a sound engine as silent, as the prefill has used up the request's time
+/// and nothing is sent to the engine any more.
+#[test]
+fn a_prefill_that_uses_up_the_time_ejects_no_other_engine() {
+    let fleet = start("prefill-time", &["--decode", "1"]);
+    send_at_once(&fleet, requests(EARLIER, "e", "", Kind::Stream), || {});
+    let mut message =
+        generation("ask", "p0", LONG_PROMPT).with_header("x-read-fault", "pause-0-60000");
+    message.headers.remove("pomeloridge-deadline-ms");
+    let message = message.with_header("pomeloridge-deadline-ms", SHORT_DEADLINE_MS);
+    let outcomes = send_at_once(&fleet, vec![("p0".to_owned(), message)], || {});
+    let status = outcomes[0].1.as_ref().map(|answer| answer.status.as_u16());
+    assert_eq!(status, Ok(504));
+    wait_until(|| !log_lines(&fleet, "id=p0 outcome=refused").is_empty());
+    let ejected = log_lines(&fleet, "assistant-decode-0 choice=eject");
+    assert!(ejected.is_empty(), "{ejected:#?}");
+}
+
 /// Guards against waiting to the deadline for the text of a refusal, which another server need not
 /// wait for, whether the request may be repeated or not.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -505,23 +505,33 @@
     ) -> Result<(), Refusal> {
         self.probe_for_crash(prefill_server, failure).await;
         self.eject_if_dead(prefill_server, failure);
-        let run_anyway = !failure.reached_server() || self.charge_next();
-        self.charge = self.next_charge.take().or(self.charge);
+        let blocker = if self.accepted.time_left(self.state.now()).is_zero() {
+            Some(RetryBlocker::Deadline)
+        } else {
+            let is_allowed = !failure.reached_server() || self.charge_next();
+            (!is_allowed).then_some(RetryBlocker::Budget)
+        };
         log::info!(
-            "request id={} print={} server={} failure={failure} choice={}",
+            "request id={} print={} server={} failure={failure} choice={}{}",
             self.accepted.inbound.label(),
             self.accepted.fingerprint,
             self.state.server_name(prefill_server),
-            if run_anyway {
+            if blocker.is_none() {
                 "run_without_prefill"
             } else {
                 "refuse"
-            }
+            },
+            blocker
+                .map(|blocker| format!(" by={blocker}"))
+                .unwrap_or_default()
         );
-        if run_anyway {
-            Ok(())
-        } else {
-            Err(self.refusal(ErrorKind::Overloaded))
+        match blocker {
+            None => {
+                self.charge = self.next_charge.take().or(self.charge);
+                Ok(())
+            }
+            Some(RetryBlocker::Deadline) => Err(self.refusal(ErrorKind::DeadlinePassed)),
+            Some(_) => Err(self.refusal(ErrorKind::Overloaded)),
         }
     }
 
