Send a trial of a prompt part only while its turn is open

One node at a time may start a trial, in the first two seconds of a turn of 4 s. A request that had been granted one kept it until its deadline: where connections to engines failed, it went from engine to engine and was sent when another node might start the next trial, so that more requests with a deadly part reached engines.

Cause: the turn was checked where a server is chosen for the first time. A later choice and the check before the write asked only whether the trial had been granted.

Ruled out: a gateway that is paused while it connects.

Change: the verdict with the current turn is taken anew before each choice and each write; what was granted earlier decides nothing by itself.

--- a/crates/pomeloridge_gateway/src/part_quarantine.rs
+++ b/crates/pomeloridge_gateway/src/part_quarantine.rs
@@ -81,18 +81,20 @@
     }
 }
 
-/// Lets the request through if it has a quarantined part and this node is to find out whether
-/// that still crashes engines.
+/// Lets the request through if it has a quarantined part and this node is to find out in this turn
+/// whether that still crashes engines.
 pub(crate) fn grant_trial(state: &State, accepted: &Accepted) {
-    if accepted.trial.get() != Trial::None {
+    if matches!(accepted.trial.get(), Trial::Sent { .. }) {
         return;
     }
     let now = state.now();
     let turn = current_turn(state, now);
-    let verdict = verdict(state, accepted, turn, now);
-    if let PartVerdict::Trial(part) = verdict {
-        accepted.trial.set(Trial::Granted(part));
-    }
+    accepted
+        .trial
+        .set(match verdict(state, accepted, turn, now) {
+            PartVerdict::Trial(part) => Trial::Granted(part),
+            _ => Trial::None,
+        });
 }
 
 /// Records that the request is being written to a server. A trial is not repeated; all peers are
@@ -138,14 +140,11 @@
 /// Returns how long the request remains quarantined for one of its prompt parts.
 pub(crate) fn left(state: &State, accepted: &Accepted) -> Option<Duration> {
     let now = state.now();
-    match verdict(state, accepted, None, now) {
+    // What was granted lapses when another node may start a trial.
+    let is_granted = matches!(accepted.trial.get(), Trial::Granted(_));
+    let turn = current_turn(state, now).filter(|_| is_granted);
+    match verdict(state, accepted, turn, now) {
         PartVerdict::Allowed | PartVerdict::Trial(_) => None,
-        // A trial is still allowed unless a crash or another trial has made the quarantine longer.
-        PartVerdict::Quarantined { is_over: true, .. }
-            if matches!(accepted.trial.get(), Trial::Granted(_)) =>
-        {
-            None
-        }
         PartVerdict::Quarantined { left, .. } => Some(left),
     }
 }
