Test that a begun stream stays at its silent server while it is quarantined

Seen: nothing failed; the check in `Attempts::try_reserve` that keeps a quarantined request at a silent server had no test.

What it guards: a sound server may fall silent for a second or so and go on. If the prompt of a begun stream is quarantined meanwhile, no other server may go on with it, so that giving the server up would cut the stream.

The engine crashes go through another gateway, and the stream's engine refuses them, so that they neither end it nor let the stream's gateway hear of it.

--- a/crates/pomeloridge_dev/tests/part_trials.rs
+++ b/crates/pomeloridge_dev/tests/part_trials.rs
@@ -6,14 +6,20 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use http::Method;
 use pomeloridge_base::http::OutgoingRequest;
-use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json};
-use pomeloridge_fleet_standin::caller::{Crash, generation_with, is_ready, send_request};
+use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json, request};
+use pomeloridge_fleet_standin::caller::{
+    Crash, event_ids, generation_with, is_ready, send_request,
+};
 use serde_json::{Value, json};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const SEND_PAUSE: Duration = Duration::from_millis(100);
+const ALL_EVENTS: [u64; 8] = [1, 2, 3, 4, 5, 6, 7, 8];
+/// Requests that make room for some retries in the budget.
+const EARLIER: usize = 40;
 /// Engines to which connections fail, so many that it takes longer than [`TRIAL_TIME`].
 const ENGINES: usize = 10;
 /// Difference of the start times of consecutive starts of an engine.
@@ -151,6 +157,13 @@
     post_json(fleet.duties, &format!("/-/entry/{engine}"), &spec).unwrap();
 }
 
+/// Lets an engine refuse further requests while the test lasts.
+fn set_refusing(fleet: &Fleet, engine: &Value) {
+    let order = json!({ "server": engine, "condition": "refusing", "for_ms": 10_000 });
+    let order = OutgoingRequest::new(Method::POST, "/-/condition").body(order.to_string());
+    assert_eq!(request(fleet.duties, &order).unwrap().status, 200);
+}
+
 /// Returns the time since the start of the current turn.
 fn turn_age() -> Duration {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
@@ -240,3 +253,45 @@
     // Engines that are ejected are asked whether they are back.
     assert!(!written.contains("late"), "{written}");
 }
+
+/// Guards against giving up a stream of a sound server that is silent for a second or so, while
+/// its prompt is quarantined: no other server may go on with it.
+#[test]
+fn a_silent_server_keeps_a_begun_stream_that_is_quarantined() {
+    let fleet = start("silent-quarantined", 2, ENGINES);
+    let (caller, other) = (fleet.gateways[0].caller, fleet.gateways[1].caller);
+    // Retries are a share of the requests.
+    for number in 0..EARLIER {
+        let early = message(&format!("early{number}"), OTHER_PART);
+        assert!(is_served(caller, &early));
+    }
+    let deadly = |number| Crash::Run.apply(message(&format!("end{number}"), PART), "1");
+    assert!(!is_served(other, &deadly(0)));
+    assert!(log_lines(&fleet, "choice=bar").is_empty());
+    let stream = message("stream", PART).with_header("x-fault", "pause-4-2600");
+    let stream = std::thread::spawn(move || {
+        let answer = block_on(send_request(caller, None, &stream));
+        answer.map(|(answer, _)| answer)
+    });
+    wait_until("the stream begins", || received(&fleet, "stream") > 0);
+    // The requests that crash engines are not to reach the one of the stream.
+    let entries = history(&fleet).into_iter();
+    let mut entries = entries.filter(|entry| entry["attempt"] == "stream");
+    let engine = entries.next().unwrap()["server"].clone();
+    set_refusing(&fleet, &engine);
+    let mut numbers = 1..;
+    wait_until("the part is quarantined", || {
+        assert!(!is_served(other, &deadly(numbers.next().unwrap_or(0))));
+        !log_lines(&fleet, "choice=bar").is_empty()
+    });
+    let answer = stream.join().unwrap();
+    let lines = log_lines(&fleet, "id=stream");
+    println!("{}", lines.join("\n"));
+    assert_eq!(event_ids(&answer.unwrap()), ALL_EVENTS);
+    assert_eq!(received(&fleet, "stream"), 1);
+    assert!(
+        lines
+            .iter()
+            .any(|line| line.contains("choice=wait") && line.contains("by=quarantine"))
+    );
+}
