--- a/crates/pomeloridge_dev/tests/fleet_standin.rs
+++ b/crates/pomeloridge_dev/tests/fleet_standin.rs
@@ -98,6 +98,53 @@
     assert!(exchange(&fleet, PLAIN, &read("b")).starts_with("HTTP/1.1 200"));
 }
 
+/// Connects from a given address.
+fn connect_from(local: SocketAddr, server: SocketAddr) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    socket.set_reuse_address(true).expect("an option");
+    // The connection leaves nothing behind when it is closed.
+    socket.set_linger(Some(Duration::ZERO)).expect("an option");
+    socket.bind(&local.into()).expect("a free address");
+    socket.connect(&server.into()).expect("a connection");
+    let stream = TcpStream::from(socket);
+    let timeout = stream.set_read_timeout(Some(READ_TIMEOUT));
+    timeout.expect("a timeout");
+    stream
+}
+
+/// Sends a request and returns the first line of what the server writes next.
+fn first_line(stream: &mut TcpStream, server: &str, message: &OutgoingRequest) -> String {
+    write(stream, server, message);
+    let mut bytes = [0; 4096];
+    let read = stream.read(&mut bytes).expect("an answer");
+    let text = String::from_utf8_lossy(&bytes[..read]);
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+/// Guards against a copy of a refusal that is written on another connection with the same client
+/// address: one to another server, or a later one.
+#[parameterized(
+    other_server = { "other", "filings-1" },
+    later_connection = { "later", PLAIN },
+)]
+fn a_refusal_is_repeated_only_on_its_connection(name: &str, server: &str) {
+    let fleet = start(&format!("repeated-{name}"));
+    // An IP address from which nothing else connects.
+    let any = SocketAddr::from(([127, 0, 3, 1], 0));
+    let mut refused = connect_from(any, address(&fleet, PLAIN));
+    let local = refused.local_addr().expect("an address");
+    let message = read("a").with_header("x-fault", "shed-again-bare");
+    let line = first_line(&mut refused, PLAIN, &message);
+    assert!(line.starts_with("HTTP/1.1 503"), "{line}");
+    if server == PLAIN {
+        drop(refused);
+    }
+    let mut next = connect_from(local, address(&fleet, server));
+    let line = first_line(&mut next, server, &read("b"));
+    assert!(line.starts_with("HTTP/1.1 200"), "{line}");
+}
+
 #[test]
 fn a_refusing_server_names_the_time_left() {
     let fleet = start("condition-refusing");
