--- a/crates/pomeloridge_dev/tests/fleet_standin.rs
+++ b/crates/pomeloridge_dev/tests/fleet_standin.rs
@@ -145,6 +145,27 @@
     assert!(line.starts_with("HTTP/1.1 200"), "{line}");
 }
 
+/// Guards against servers that can't listen again after a crash, as another listener was assigned
+/// their port meanwhile.
+#[test]
+fn a_crashed_server_keeps_its_port() {
+    let fleet = start("crash-port");
+    let address = address(&fleet, PLAIN);
+    let message = Crash::Slow.apply(read("a"), "port");
+    write(&mut connect(&fleet, PLAIN), PLAIN, &message);
+    let end = Instant::now() + READ_TIMEOUT;
+    while TcpStream::connect(address).is_ok() {
+        assert!(Instant::now() < end, "the server is not down");
+    }
+    // The system assigns no port that this socket can't bind.
+    let other = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let bound = other.expect("a socket").bind(&address.into());
+    assert_eq!(
+        bound.map_err(|error| error.kind()),
+        Err(ErrorKind::AddrInUse)
+    );
+}
+
 #[test]
 fn a_refusing_server_names_the_time_left() {
     let fleet = start("condition-refusing");
