Tell other nodes of new crashes however many parts are quarantined

With five or more quarantined parts, the first two crashes of a further part reached no other node, so that each node had to see three of them itself before the part was barred.

Cause: a message holds 16 crashes, and the three latest of each quarantined part went first.

Change: this node's own crashes of the last 2 s go first, in half of the crashes and suspects of a message at the most. The quarantined parts' are told by all nodes, and stored.

--- a/crates/pomeloridge_policy/src/part_crashes/evidence.rs
+++ b/crates/pomeloridge_policy/src/part_crashes/evidence.rs
@@ -183,22 +183,37 @@
         };
         let latest = self.latest_crashes();
         let crashes = self.crashes.iter().filter_map(|(server, crash)| {
-            let is_included = |suspect: &Suspect| {
-                is_recent(crash.updated) || self.quarantines.contains_key(&suspect.part)
-            };
+            let is_news = is_recent(crash.updated);
+            let is_included =
+                |suspect: &Suspect| is_news || self.quarantines.contains_key(&suspect.part);
             let mut suspects: Vec<Suspect> = crash.suspects().filter(is_included).collect();
             suspects.sort_by_key(|suspect| self.rank(suspect));
             suspects.truncate(MAX_CRASH_SUSPECTS);
-            (!suspects.is_empty()).then(|| crash.report(*server, suspects, now))
+            (!suspects.is_empty()).then(|| (is_news, crash.report(*server, suspects, now)))
         });
-        let mut crashes: Vec<PartCrash> = crashes.collect();
-        crashes.sort_by_key(|crash| (!latest.contains(&crash.server), crash.age, crash.server));
-        crashes.truncate(MAX_EXPORTED_CRASHES);
-        let mut room = MAX_EXPORTED_SUSPECTS;
+        let mut crashes: Vec<(bool, PartCrash)> = crashes.collect();
+        crashes
+            .sort_by_key(|(_, crash)| (!latest.contains(&crash.server), crash.age, crash.server));
+        // What only this node has seen must reach the others however many parts are quarantined,
+        // which all nodes tell.
+        let (mut news, mut known): (Vec<_>, Vec<_>) =
+            crashes.into_iter().partition(|(is_news, _)| *is_news);
+        known.extend(news.split_off(news.len().min(MAX_EXPORTED_CRASHES / 2)));
+        let mut room = MAX_EXPORTED_SUSPECTS / 2;
+        let mut crashes: Vec<PartCrash> = news.into_iter().map(|(_, crash)| crash).collect();
         for crash in &mut crashes {
             crash.suspects.truncate(room);
             room -= crash.suspects.len();
         }
+        room += MAX_EXPORTED_SUSPECTS / 2;
+        for (_, mut crash) in known {
+            if crashes.len() == MAX_EXPORTED_CRASHES {
+                break;
+            }
+            crash.suspects.truncate(room);
+            room -= crash.suspects.len();
+            crashes.push(crash);
+        }
         crashes.retain(|crash| !crash.suspects.is_empty());
         let suspects = crashes.iter().flat_map(|crash| &crash.suspects);
         let suspects: BTreeSet<PartId> = suspects.map(|suspect| suspect.part).collect();
--- a/crates/pomeloridge_policy/tests/policy/part_crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/part_crashes.rs
@@ -352,6 +352,32 @@
     }
 }
 
+/// Guards against crashes that the other nodes never hear of, as the parts that are quarantined
+/// already take all the room in a message.
+#[parameterized(
+    none = { 0 },
+    few = { 4 },
+    many = { 5 },
+    more = { 30 },
+)]
+fn crashes_are_told_however_many_parts_are_quarantined(quarantined: u64) {
+    let start = Instant::now();
+    let (mut here, mut there) = (PartTracker::default(), PartTracker::default());
+    for part in 100..100 + quarantined {
+        for number in 0..3 {
+            crash(&mut here, part * 3 + number, &[&[part]], start);
+        }
+    }
+    there.merge(&here.export_quarantined(start), start);
+    let now = start + Duration::from_secs(10);
+    crash(&mut here, 1, &[&[DEADLY]], now);
+    crash(&mut here, 2, &[&[DEADLY]], now);
+    there.merge(&here.export(now), now);
+    assert!(is_allowed(&there, &[DEADLY], now));
+    crash(&mut there, 3, &[&[DEADLY]], now);
+    assert!(!is_allowed(&there, &[DEADLY], now));
+}
+
 /// Guards against a restarted node that refuses what the others serve, on old evidence.
 #[test]
 fn a_node_that_began_an_answer_since_clears_the_part_at_others() {
