Try a barred prompt part without another suspect

What callers saw: all streams of a fleet of 40 gateways were refused for 17 s, from the first crashes on, though only one prompt in twelve had a part that crashes engines.

Cause: the first request with a barred part was taken for its trial, whatever else it held. Here it held the deadly part too; its crash was counted against both, told nothing, and made the bar of the sound part six times as long. For the same reason, of two barred parts of a prompt the one with the lower number was tried, which may be the deadly one.

A trial now has no other part with two crashes or more after the part that is tried, and tries the first of several barred parts. After 8 s any request may be tried, as there may be no others. With the answer of such a trial the crashes are left to the deadly part, which is barred at once.

--- a/crates/pomeloridge_policy/src/part_crashes.rs
+++ b/crates/pomeloridge_policy/src/part_crashes.rs
@@ -21,7 +21,8 @@
 //! A quarantine ends with an answer. After some time, longer after each crash, one node at a time
 //! may send one request with the part as a trial. Until it is answered it counts as a crash, so
 //! that each trial makes the quarantine longer, whatever becomes of it. One that the engine refuses
-//! unread makes it start anew only.
+//! unread makes it start anew only. Requests in which another suspect follows the part are tried
+//! only after [`SEPARATE_TIME`]: their crashes would be counted against both.
 
 mod evidence;
 
@@ -50,6 +51,8 @@
 const TRIAL_TURN: Duration = Duration::from_secs(4);
 /// Time from the start of a turn in which the request may be sent; all nodes know of it by the end.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
+/// Time after a quarantine for which a part is tried only by requests without another suspect.
+pub const SEPARATE_TIME: Duration = Duration::from_secs(8);
 
 slotmap::new_key_type! {
     /// Identifies one run of a request with shared parts on a server.
@@ -258,7 +261,7 @@
         now: Instant,
     ) -> PartVerdict {
         let mut over = None;
-        for part in parts {
+        for (index, part) in parts.iter().enumerate() {
             let Some(quarantine) = self.evidence.quarantine(*part, now) else {
                 continue;
             };
@@ -270,13 +273,16 @@
                     is_over: false,
                 };
             }
-            over = over.min(Some(*part)).or(Some(*part));
+            over = over.or(Some((index, *part, quarantine.until)));
         }
         // One part decides for several, as different nodes may be in turn for them.
-        let Some(part) = over else {
+        let Some((index, part, until)) = over else {
             return PartVerdict::Allowed;
         };
-        if turn.is_some_and(|turn| is_trial_node(part, turn)) {
+        // If the server crashed, the trial would not tell the part from a suspect after it.
+        let is_separate = !self.is_nearly_quarantined(&parts[index + 1..])
+            || now.saturating_duration_since(until) >= SEPARATE_TIME;
+        if is_separate && turn.is_some_and(|turn| is_trial_node(part, turn)) {
             return PartVerdict::Trial(part);
         }
         PartVerdict::Quarantined {
--- a/crates/pomeloridge_policy/tests/policy/part_crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/part_crashes.rs
@@ -4,8 +4,8 @@
 
 use pomeloridge_policy::crashes::{RunOutcome, ServerIncarnation};
 use pomeloridge_policy::part_crashes::{
-    CONFIRM_TIME, PartCrash, PartId, PartReport, PartTracker, PartVerdict, RECENT_GRACE, Suspect,
-    UNREAD_DEPTH, trial_turn,
+    CONFIRM_TIME, PartCrash, PartId, PartReport, PartTracker, PartVerdict, RECENT_GRACE,
+    SEPARATE_TIME, Suspect, UNREAD_DEPTH, trial_turn,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -332,6 +332,59 @@
     assert!(is_allowed(&tracker, &[SYSTEM], now));
 }
 
+/// Guards against trying the part that all prompts share with a request that has the deadly part,
+/// which bars all of them for longer.
+#[test]
+fn a_part_is_tried_without_another_suspect() {
+    let start = Instant::now();
+    let mut tracker = PartTracker::default();
+    crash(&mut tracker, 1, &[&[SYSTEM, SOUND]], start);
+    for server in 2..=4 {
+        crash(&mut tracker, server, &[&[SYSTEM, DEADLY]], start);
+    }
+    let now = start + ms(2_000);
+    let verdict = |tracker: &PartTracker, parts: &[PartId], now| {
+        tracker.verdict(parts, TURN, |_, _| true, now)
+    };
+    let trial = PartVerdict::Trial(SYSTEM);
+    assert_ne!(verdict(&tracker, &[SYSTEM, DEADLY], now), trial);
+    assert_eq!(verdict(&tracker, &[SYSTEM], now), trial);
+    // A single crash is no reason to wait for another request.
+    assert_eq!(verdict(&tracker, &[SYSTEM, SOUND], now), trial);
+    // There may be none without another suspect.
+    assert_eq!(
+        verdict(&tracker, &[SYSTEM, DEADLY], now + SEPARATE_TIME),
+        trial
+    );
+    // The answer tells which of the two it is.
+    tracker.record_trial(SYSTEM, 99, now);
+    answer(&mut tracker, &[SYSTEM], now + ms(1));
+    assert!(is_allowed(&tracker, &[SYSTEM, SOUND], now + ms(1)));
+    assert!(!is_allowed(&tracker, &[SYSTEM, DEADLY], now + ms(1)));
+}
+
+/// Guards against trying a deadly part while the part before it is barred as well: the crash would
+/// bar that for longer, too.
+#[test]
+fn of_two_parts_the_first_of_the_prompt_is_tried_first() {
+    const LAST: PartId = DEADLY;
+    const FIRST: PartId = LAST + 1;
+    let start = Instant::now();
+    let mut tracker = PartTracker::default();
+    let mut now = start;
+    for server in 1..=5 {
+        now += ms(150);
+        crash(&mut tracker, server, &[&[FIRST, LAST]], now);
+    }
+    crash(&mut tracker, 6, &[&[FIRST]], now);
+    let verdict = |parts: &[PartId], now| tracker.verdict(parts, TURN, |_, _| true, now);
+    assert!(!is_allowed(&tracker, &[FIRST], now));
+    assert!(!is_allowed(&tracker, &[LAST], now));
+    let now = now + ms(2_000);
+    assert_ne!(verdict(&[FIRST, LAST], now), PartVerdict::Trial(LAST));
+    assert_eq!(verdict(&[FIRST], now), PartVerdict::Trial(FIRST));
+}
+
 /// Guards against five crashes at five nodes none of which has heard of the others'.
 #[test]
 fn nodes_combine_the_crashes_that_each_has_seen() {
