Be ready only once the quarantined requests are known

Seen: `gateway::the_quarantine_survives_restarts::all` failed in 1 of 34 runs in a way of its own, at load 35 to 50 on 8 cores: after a restart of all gateways a quarantined request was sent to a server and crashed it. The gateway learned of the quarantine 42 ms later, from a peer.

Cause: a gateway was ready once it had read the node objects, which hold the quarantines, or had heard any peer. Only some messages of a peer hold them, and a peer that has just started may not know them itself.

Change: a message says whether it holds what the fleet has quarantined; heartbeats and messages about crashes do if the sender has read the node objects or got such a message. A gateway is ready after one of these or after reading the node objects. What else depended on a live peer is unchanged. A message is 3 bytes longer.

Evidence: `a_restarted_gateway_learns_of_the_quarantine_before_it_is_ready` slows the store down and sends the restarted gateway a message that holds nothing.

Left: a gateway that starts while the object service does not answer and all its peers run an older version is not ready until the service answers.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -8,7 +8,7 @@
 
 use http::Method;
 use pomeloridge_base::http::{ConnectOptions, Connection, OutgoingRequest, Response, call};
-use pomeloridge_dev::launch::Fleet;
+use pomeloridge_dev::launch::{Fleet, RelayMode};
 use pomeloridge_fleet_standin::caller::{
     self, Crash, KEY, event_ids, generation, is_not_run, is_ready, request,
 };
@@ -538,6 +538,45 @@
     });
 }
 
+/// Guards against gateways that are ready before they know the quarantined requests, as a peer
+/// was heard that has not told them.
+#[test]
+fn a_restarted_gateway_learns_of_the_quarantine_before_it_is_ready() {
+    let mut deployment = Deployment::start("forget-heard", 1);
+    let message = |attempt: &str| Crash::Run.apply(request(Method::POST, "lodge", attempt), "1");
+    run(async {
+        deployment.wait_until_ready().await;
+        for turn in 0..QUARANTINE_CRASHES {
+            let answer = deployment.send(message(&format!("p{turn}"))).await;
+            assert_eq!(answer.unwrap().status, 502);
+            monoio::time::sleep(RETRY_PAUSE).await;
+        }
+        let store = deployment.0.store;
+        wait_until(async || {
+            let nodes = OutgoingRequest::get("/-/objects/pomeloridge-nodes");
+            let nodes = call(store, &nodes, CALL_TIMEOUT).await.unwrap();
+            String::from_utf8_lossy(&nodes.body).contains("\"print\"")
+        })
+        .await;
+    });
+    deployment.0.gateways[0].process.kill();
+    // The node objects are read after several calls, the configuration after one.
+    deployment.0.gateways[0].store.set(RelayMode::Delay(150));
+    deployment.0.restart(0).unwrap();
+    run(async {
+        let gateway = &deployment.0.gateways[0];
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        wait_until(async || {
+            // A message of node `p` that holds nothing else.
+            socket.send_to(&[0x0a, 1, b'p'], gateway.peer).unwrap();
+            is_ready(gateway.ready).await
+        })
+        .await;
+        let answer = deployment.send(message("q")).await.unwrap();
+        assert!(is_not_run(&answer), "{answer:?}");
+    });
+}
+
 /// Guards against applying an older version, for instance from a stale read of the object
 /// service or from a peer.
 #[test]
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -273,6 +273,7 @@
         changing: state.changing_engines.borrow().clone(),
         crashes: crash_news::crashes_wire(state, now),
         parts: crash_news::parts_wire(state, now),
+        knows_crashes: peers.knows_crashes(),
         limits: limits_wire(&dispatcher, now),
         servers: state
             .server_list
--- a/crates/pomeloridge_gateway/src/peers/crash_news.rs
+++ b/crates/pomeloridge_gateway/src/peers/crash_news.rs
@@ -44,6 +44,7 @@
     PeerMessage {
         crashes: crashes_wire(state, now),
         parts: parts_wire(state, now),
+        knows_crashes: state.peers.borrow().knows_crashes(),
         ..base_message(state)
     }
 }
@@ -77,6 +78,9 @@
     if let Some(parts) = message.parts.take() {
         part_quarantine::merge(state, &parts.into(), name.as_str(), now);
     }
+    if message.knows_crashes {
+        state.peers.borrow_mut().has_crash_news = true;
+    }
 }
 
 /// Tells a process that has just started which requests and prompt parts are quarantined.
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -115,6 +115,8 @@
     pub(super) round: u64,
     /// Whether the node objects have been read.
     pub(super) has_read_nodes: bool,
+    /// Whether a peer has told which requests and prompt parts the fleet has quarantined.
+    pub(super) has_crash_news: bool,
 }
 
 impl Peers {
@@ -125,6 +127,7 @@
             by_name: HashMap::new(),
             round: 0,
             has_read_nodes: false,
+            has_crash_news: false,
         }
     }
 
@@ -180,8 +183,13 @@
             .count()
     }
 
-    /// Returns whether this node has read the node objects or has a live peer. Either source
-    /// provides the requests that the fleet has quarantined.
+    /// Returns whether this node knows the requests and prompt parts that the fleet has
+    /// quarantined, from the node objects or from a peer that knows them.
+    pub(crate) fn knows_crashes(&self) -> bool {
+        self.has_read_nodes || self.has_crash_news
+    }
+
+    /// Returns whether this node has read the node objects or has a live peer.
     pub(crate) fn is_initialized(&self, now: Instant) -> bool {
         self.has_read_nodes || self.live_count(now) > 0
     }
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -81,6 +81,9 @@
     /// servers that it has lost.
     #[prost(bool, tag = "22")]
     pub(super) restored: bool,
+    /// Whether `crashes` and `parts` hold what the fleet has quarantined.
+    #[prost(bool, tag = "23")]
+    pub(super) knows_crashes: bool,
 }
 
 /// Crashes with the prompt parts that are suspects, and answers, stored by column.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -241,7 +241,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.config().is_some()
             && self.server_list_loaded.get()
-            && self.peers.borrow().is_initialized(self.now())
+            && self.peers.borrow().knows_crashes()
             && !self.lifecycle.is_stopping()
             && !self.is_cut_off()
             && !self.lacks_lost_part(self.now())
