Choose a gateway's peer port so that it is free for streams and datagrams

Operators, and tests, saw a gateway that did not start: `[listen] peer: cannot listen on 127.0.1.2:35553: Address already in use; choose a free address`, with port 0 in its settings.

Cause: the system chooses a port that is free for streams, and the same number is then bound for datagrams, where another process may have it.

Another port is chosen now, up to 16 times. A port that the settings name is not replaced.

--- a/crates/pomeloridge_base/src/net.rs
+++ b/crates/pomeloridge_base/src/net.rs
@@ -6,10 +6,13 @@
 use std::os::fd::{AsRawFd, BorrowedFd};
 use std::time::Duration;
 
+use monoio::net::udp::UdpSocket;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
 /// Maximum number of connections that wait to be accepted.
 pub(crate) const BACKLOG: i32 = 1024;
+/// Number of free ports that are tried for streams and datagrams together.
+const MAX_PORT_CHOICES: u32 = 16;
 
 /// Listens on `address`; port 0 chooses a free port.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -17,6 +20,27 @@
     TcpListener::bind_with_config(address, &options)
 }
 
+/// Listens on `address` and binds a socket for datagrams to the same port; port 0 chooses one that
+/// is free for both.
+pub fn listen_with_datagrams(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let mut choices = if address.port() == 0 {
+        MAX_PORT_CHOICES
+    } else {
+        1
+    };
+    loop {
+        let listener = listen(address)?;
+        choices -= 1;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if choices > 0 && error.kind() == io::ErrorKind::AddrInUse => {
+                log::debug!("a port is in use for datagrams, another is chosen: {error}");
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Accepts a connection and sets `TCP_NODELAY`.
 pub async fn accept(listener: &TcpListener) -> io::Result<(TcpStream, SocketAddr)> {
     let (stream, peer) = listener.accept().await?;
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use monoio::net::TcpListener;
-use monoio::net::udp::UdpSocket;
 use pomeloridge_base::http::{Fault, Limits, Request, Responder, Response, Server};
-use pomeloridge_base::net::listen;
+use pomeloridge_base::net::{listen, listen_with_datagrams};
 use pomeloridge_base::task::{catch_panic, keep_running};
 
 use crate::state::{GatewayParts, State};
@@ -35,7 +34,10 @@
         listen(address).map_err(|error| listen_error(key, address, &error))
     };
     let (caller, ready) = (open("caller")?, open("ready")?);
-    let (peer, metrics) = (open("peer")?, open("metrics")?);
+    let peer_address = settings.address("listen", "peer");
+    let (peer, socket) = listen_with_datagrams(peer_address)
+        .map_err(|error| listen_error("peer", peer_address, &error))?;
+    let (socket, metrics) = (Rc::new(socket), open("metrics")?);
     let address_of = |listener: &TcpListener| {
         let address = listener.local_addr();
         address.map_err(|error| format!("cannot read a listener's address: {error}"))
@@ -44,8 +46,6 @@
         [&caller, &ready, &peer, &metrics].map(address_of);
     let (caller_at, ready_at) = (caller_at?, ready_at?);
     let (peer_at, metrics_at) = (peer_at?, metrics_at?);
-    let socket = UdpSocket::bind(peer_at).map_err(|error| listen_error("peer", peer_at, &error))?;
-    let socket = Rc::new(socket);
     let state = State::new(parts, peer_at);
     log::info!(
         "start node={} data_centre={} store={} caller={caller_at} ready={ready_at} \
