--- a/crates/pomeloridge_dev/tests/lost.rs
+++ b/crates/pomeloridge_dev/tests/lost.rs
@@ -352,40 +352,6 @@
     assert!(incomplete.is_empty(), "{incomplete:#?}");
 }
 
-/// Guards against ending a request whose attempts are used up, as it left a sound server for its
-/// silence and lost the other one: it goes back, and reaches no further server.
-#[parameterized(
-    stream = { "pause-4-2300,cut", Kind::Stream },
-    stream_before_the_first_event = { "pause-0-1400,lost", Kind::Stream },
-    call = { "pause-0-1400,lost", Kind::Call },
-)]
-fn a_request_goes_back_to_a_silent_server_if_it_loses_the_other(fault: &str, kind: Kind) {
-    let servers = ["--decode", "3", "--plain", "3"];
-    let fleet = start(&format!("back-{fault}-{}", kind as u8), &servers);
-    send_at_once(&fleet, requests(EARLIER, "e", "", kind), || {});
-    let outcomes = send_at_once(&fleet, requests(1, "s", fault, kind), || {});
-    let incomplete = incomplete(&outcomes, kind);
-    assert!(incomplete.is_empty(), "{incomplete:#?}");
-    let received = received(&fleet, "s0");
-    let servers: Vec<&Value> = received.iter().map(|entry| &entry["server"]).collect();
-    assert_eq!(servers.len(), 3);
-    assert_ne!(servers[0], servers[1]);
-    assert_eq!(servers[0], servers[2]);
-}
-
-/// Checks that a request goes back once at most, and that one that lost all its servers does not.
-#[parameterized(
-    lost_again = { "pause-4-2300,cut,cut", 3 },
-    lost_twice = { "cut,cut", 2 },
-)]
-fn a_request_goes_back_once_at_most(fault: &str, sends: usize) {
-    let fleet = start(&format!("back-once-{fault}"), &["--decode", "3"]);
-    send_at_once(&fleet, requests(EARLIER, "e", "", Kind::Stream), || {});
-    let outcomes = send_at_once(&fleet, requests(1, "s", fault, Kind::Stream), || {});
-    assert!(outcomes[0].1.is_err(), "{outcomes:?}");
-    assert_eq!(received(&fleet, "s0").len(), sends);
-}
-
 /// Guards against taking a server for silent because its entry is gone, while it sends events
 /// of another stream.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -169,10 +169,6 @@
     state: &'a Rc<State>,
     accepted: &'a Accepted,
     tried: Vec<TargetKey>,
-    /// Servers that were left for their silence.
-    silent: Vec<TargetKey>,
-    /// Server that the request goes back to, as it may be sent to no further one.
-    back_to: Option<TargetKey>,
     /// Attempts after which a server may have run the request.
     possible_runs: u32,
     /// Attempts that reached a server.
@@ -207,8 +203,6 @@
             state,
             accepted,
             tried: Vec::new(),
-            silent: Vec::new(),
-            back_to: None,
             possible_runs: 0,
             deliveries: 0,
             refusals: 0,
@@ -256,11 +250,10 @@
                 ..self.refusal(ErrorKind::Quarantined)
             });
         }
-        let excluded = self.excluded_servers();
         let request = DispatchRequest {
             service: &accepted.service,
             prompt: accepted.inbound.prompt.as_ref(),
-            tried: &excluded,
+            tried: &self.tried,
             allow_separate_prefill: !self.prefill_tried
                 && accepted.inbound.last_event.is_none()
                 && accepted.trial.get() == Trial::None,
@@ -321,16 +314,6 @@
         Ok(plan)
     }
 
-    /// Returns the servers that the next attempt may not go to.
-    fn excluded_servers(&self) -> Vec<TargetKey> {
-        let Some(server) = self.back_to else {
-            return self.tried.clone();
-        };
-        let dispatcher = self.state.dispatcher.borrow();
-        let keys = dispatcher.targets().map(|(key, _)| key);
-        keys.filter(|key| *key != server).collect()
-    }
-
     /// Chooses the engine that generates the output after a separate prefill.
     ///
     /// The prefill takes time, so this engine may differ from the planned one.
@@ -413,7 +396,7 @@
         if !failure.not_run() && !kind.is_retryable() {
             return Err(RetryBlocker::Kind);
         }
-        if self.possible_runs >= self.accepted.route.max_attempts && !self.go_back(failure) {
+        if self.possible_runs >= self.accepted.route.max_attempts {
             return Err(RetryBlocker::Attempts);
         }
         if self.refusals >= MAX_REFUSED_SENDS {
@@ -429,18 +412,6 @@
         Ok(())
     }
 
-    /// Makes a request that has just lost its last server go back to one that it left for its silence,
-    /// which may be sound, once; returns whether there is one. A route's attempts are the number of servers
-    /// that a request may be sent to.
-    fn go_back(&mut self, failure: Failure) -> bool {
-        let is_lost = failure.may_be_crash() && failure != Failure::TimedOut;
-        if !is_lost || self.back_to.is_some() {
-            return false;
-        }
-        self.back_to = self.silent.pop();
-        self.back_to.is_some()
-    }
-
     /// Charges the next attempt to the retry budget unless it is charged already; returns whether
     /// the budget allows it.
     fn charge_next(&self) -> bool {
@@ -540,9 +511,6 @@
         if failure != Failure::StaleConnection {
             self.tried.push(server);
         }
-        if failure == Failure::TimedOut {
-            self.silent.push(server);
-        }
         if failure.reached_server() {
             self.deliveries += 1;
         } else if self.charge.is_some() {
