Send no signal to a process that is known to have ended

Seen once, at load 51 beside soaks: `lost::signals_lose_no_request::stopped_amid_streams` ended with "front-0 printed no first line", with no line in the gateway's logs, as after a signal that came before its handlers.

Cause, suspected: the launcher signals by the process id. The soak pauses, stops and reloads gateways that it has killed, whose ids have been given back; the machine has 32,768 of them, so that another process, or another test's gateway, may have that id. That the failed gateway got such a signal is not shown, as nothing records it.

A process whose end has been noted gets no signal any more. `launch::a_process_that_has_ended_gets_no_signal` uses what `Process::signal` returns now, so that it could not run before.

--- a/crates/pomeloridge_dev/src/launch/process.rs
+++ b/crates/pomeloridge_dev/src/launch/process.rs
@@ -21,6 +21,8 @@
     /// Name of the process and of its log file.
     pub name: String,
     child: Child,
+    /// Whether the end of the process has been noted, from when its id may be that of another.
+    ended: bool,
     /// First line on standard output, as JSON.
     pub first_line: Value,
 }
@@ -58,6 +60,7 @@
         let mut process = Self {
             name: name.to_owned(),
             child,
+            ended: false,
             first_line: Value::Null,
         };
         let text = first.recv_timeout(START_TIMEOUT).map_err(|_| {
@@ -111,11 +114,14 @@
         std::fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))
     }
 
-    /// Sends a signal.
-    pub fn signal(&self, signal: i32) {
+    /// Sends a signal, unless the process is known to have ended. Returns whether it was sent.
+    pub fn signal(&self, signal: i32) -> bool {
+        if self.ended {
+            return false;
+        }
         let id = i32::try_from(self.child.id()).expect("a process id fits");
         // SAFETY: the child has not been waited for, so the id is its own.
-        unsafe { libc::kill(id, signal) };
+        unsafe { libc::kill(id, signal) == 0 }
     }
 
     /// Requests a graceful stop by SIGTERM.
@@ -136,14 +142,14 @@
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.ended |= self.child.wait().is_ok();
     }
 
     /// Waits for the process to end; `None` if it still runs after `timeout`.
     pub fn wait(&mut self, timeout: Duration) -> Option<ExitStatus> {
         let end = Instant::now() + timeout;
         loop {
-            if let Ok(Some(status)) = self.child.try_wait() {
+            if let Some(status) = self.try_wait() {
                 return Some(status);
             }
             if Instant::now() >= end {
@@ -155,7 +161,14 @@
 
     /// Returns whether the process is running.
     pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        self.try_wait().is_none()
+    }
+
+    /// Returns how the process has ended, if it has.
+    fn try_wait(&mut self) -> Option<ExitStatus> {
+        let status = self.child.try_wait().ok().flatten();
+        self.ended |= status.is_some();
+        status
     }
 }
 
--- a/crates/pomeloridge_dev/src/soak/injector.rs
+++ b/crates/pomeloridge_dev/src/soak/injector.rs
@@ -247,7 +247,9 @@
             gateway.process.stop();
             injected.stopping[planned.gateway] = Some(gateway.process.id());
         }
-        Fault::Reload => gateway.process.signal(libc::SIGHUP),
+        Fault::Reload => {
+            gateway.process.signal(libc::SIGHUP);
+        }
         Fault::StoreCut => gateway.store.set(RelayMode::Cut),
         Fault::StoreSilent => gateway.store.set(RelayMode::Silent),
         Fault::StoreSlow => gateway.store.set(RelayMode::Delay(150)),
--- a/crates/pomeloridge_dev/tests/launch.rs
+++ b/crates/pomeloridge_dev/tests/launch.rs
@@ -2,9 +2,13 @@
 
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
 
 use pomeloridge_dev::launch::{Fleet, get_json};
 
+/// Time within which a stopped gateway ends.
+const END_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Guards against gateways that do not restart, as a connection has taken one of their ports.
 #[test]
 fn a_gateway_restarts_although_its_ports_are_in_use_elsewhere() {
@@ -37,3 +41,15 @@
         assert_ne!(address.ip(), connection.local_addr().unwrap().ip());
     }
 }
+
+/// Guards against signals to another process, which was given the id of one that has ended.
+#[test]
+fn a_process_that_has_ended_gets_no_signal() {
+    let mut fleet = Fleet::start("ended", 1).unwrap();
+    let process = &mut fleet.gateways[0].process;
+    assert!(process.signal(0));
+    process.stop();
+    assert!(process.wait(END_TIMEOUT).is_some());
+    assert!(!process.signal(0));
+    assert!(!process.is_running());
+}
