Share the set-up of two pairs of tests

The tests of quarantines after a restart crash servers until the quarantine is stored, and those of lists without end read the same page, each with its own copy.

--- a/crates/pomeloridge_dev/tests/gateway.rs
+++ b/crates/pomeloridge_dev/tests/gateway.rs
@@ -51,6 +51,23 @@
         }
     }
 
+    /// Sends a crashing request by its attempt until it is quarantined, by turns to all gateways, and
+    /// waits until that is stored.
+    async fn store_quarantine(&self, message: impl Fn(&str) -> OutgoingRequest) {
+        let gateways = self.0.gateways.iter().cycle();
+        for (turn, gateway) in gateways.take(QUARANTINE_CRASHES).enumerate() {
+            let answer = send(gateway.caller, message(&format!("p{turn}"))).await;
+            assert_eq!(answer.unwrap().status, 502);
+            monoio::time::sleep(RETRY_PAUSE).await;
+        }
+        wait_until(async || {
+            let nodes = OutgoingRequest::get("/-/objects/pomeloridge-nodes");
+            let nodes = call(self.0.store, &nodes, CALL_TIMEOUT).await.unwrap();
+            String::from_utf8_lossy(&nodes.body).contains("\"print\"")
+        })
+        .await;
+    }
+
     async fn history(&self) -> Vec<Value> {
         let answer = call(
             self.0.duties,
@@ -506,19 +523,7 @@
     let path = message("p").target;
     run(async {
         deployment.wait_until_ready().await;
-        for turn in 0..QUARANTINE_CRASHES {
-            let gateway = &deployment.0.gateways[turn % 3];
-            let answer = send(gateway.caller, message(&format!("p{turn}"))).await;
-            assert_eq!(answer.unwrap().status, 502);
-            monoio::time::sleep(RETRY_PAUSE).await;
-        }
-        let store = deployment.0.store;
-        wait_until(async || {
-            let nodes = OutgoingRequest::get("/-/objects/pomeloridge-nodes");
-            let nodes = call(store, &nodes, CALL_TIMEOUT).await.unwrap();
-            String::from_utf8_lossy(&nodes.body).contains("\"print\"")
-        })
-        .await;
+        deployment.store_quarantine(message).await;
     });
     for index in 0..restarted {
         deployment.0.gateways[index].process.kill();
@@ -546,18 +551,7 @@
     let message = |attempt: &str| Crash::Run.apply(request(Method::POST, "lodge", attempt), "1");
     run(async {
         deployment.wait_until_ready().await;
-        for turn in 0..QUARANTINE_CRASHES {
-            let answer = deployment.send(message(&format!("p{turn}"))).await;
-            assert_eq!(answer.unwrap().status, 502);
-            monoio::time::sleep(RETRY_PAUSE).await;
-        }
-        let store = deployment.0.store;
-        wait_until(async || {
-            let nodes = OutgoingRequest::get("/-/objects/pomeloridge-nodes");
-            let nodes = call(store, &nodes, CALL_TIMEOUT).await.unwrap();
-            String::from_utf8_lossy(&nodes.body).contains("\"print\"")
-        })
-        .await;
+        deployment.store_quarantine(message).await;
     });
     deployment.0.gateways[0].process.kill();
     // The node objects are read after several calls, the configuration after one.
--- a/crates/pomeloridge_platform/tests/client.rs
+++ b/crates/pomeloridge_platform/tests/client.rs
@@ -10,7 +10,7 @@
 use pomeloridge_base::http::Response;
 use pomeloridge_base::id::{Era, Revision};
 use pomeloridge_platform::{
-    CallKind, Client, Expect, ObjectCodec, Page, PlatformError, ServerKind, ServerState,
+    CallKind, Client, Expect, Object, ObjectCodec, Page, PlatformError, ServerKind, ServerState,
 };
 use serde_json::json;
 use support::{Loss, client, run};
@@ -208,6 +208,26 @@
 /// Longest time in which a list from a service nearby ends.
 const LIST_TIME: Duration = Duration::from_secs(5);
 
+/// Returns a codec that reads each page as the same one, which is not the last.
+fn endless_pages() -> ObjectCodec {
+    ObjectCodec {
+        page: |_, _| {
+            Ok(Page {
+                revision: Revision(1),
+                objects: Vec::new(),
+                next: Some("a".to_owned()),
+            })
+        },
+        ..ObjectCodec::native()
+    }
+}
+
+/// Reads a list, which must end within [`LIST_TIME`].
+async fn list_in_time(client: &Client) -> Result<(Revision, Vec<Object>), PlatformError> {
+    let listed = monoio::time::timeout(LIST_TIME, client.list("c/")).await;
+    listed.expect("the list did not end")
+}
+
 /// Guards against a list that is begun again without end at a service that names a new era, or
 /// two eras by turns, in each response.
 #[parameterized(
@@ -218,18 +238,10 @@
     run(async |_fake, address| {
         let codec = ObjectCodec {
             era,
-            page: |_, _| {
-                Ok(Page {
-                    revision: Revision(1),
-                    objects: Vec::new(),
-                    next: Some("a".to_owned()),
-                })
-            },
-            ..ObjectCodec::native()
+            ..endless_pages()
         };
         let client = Client::with_codec(address, LIST_TIME, clock(), codec);
-        let listed = monoio::time::timeout(LIST_TIME, client.list("c/")).await;
-        let listed = listed.expect("the list did not end");
+        let listed = list_in_time(&client).await;
         assert!(matches!(listed, Err(PlatformError::Restored)), "{listed:?}");
         assert!(client.calls().of(CallKind::List) <= 8);
     });
@@ -240,19 +252,8 @@
 #[test]
 fn a_list_whose_page_is_repeated_ends() {
     run(async |_fake, address| {
-        let codec = ObjectCodec {
-            page: |_, _| {
-                Ok(Page {
-                    revision: Revision(1),
-                    objects: Vec::new(),
-                    next: Some("a".to_owned()),
-                })
-            },
-            ..ObjectCodec::native()
-        };
-        let client = Client::with_codec(address, LIST_TIME, clock(), codec);
-        let listed = monoio::time::timeout(LIST_TIME, client.list("c/")).await;
-        let listed = listed.expect("the list did not end");
+        let client = Client::with_codec(address, LIST_TIME, clock(), endless_pages());
+        let listed = list_in_time(&client).await;
         assert!(
             matches!(listed, Err(PlatformError::Malformed(_))),
             "{listed:?}"
