--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod server_table;
 pub mod slot_share;
 pub mod stage_assignment;
+pub mod stream_versions;
 pub mod suspicion;
 pub mod ticket;
 pub mod timeouts;
--- /dev/null
+++ b/crates/pomeloridge_policy/src/stream_versions.rs
@@ -0,0 +1,132 @@
+//! Which software version of its service a stream belongs to.
+//!
+//! A stream may go on only at servers of the version that began it. The version follows from a
+//! table that all nodes share: the hash of the attempt that began the stream gives a slot, and the
+//! table gives each slot a version. Each node remembers the streams that it began. When the table
+//! changes, it records those that the new table does not explain, and acknowledges the table. A
+//! node that has neither begun a stream nor finds it in a record knows its version if all nodes
+//! have acknowledged the table in which the slot changed last.
+
+mod memory;
+mod table;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use derive_more::Display;
+use pomeloridge_base::id::Name;
+use sha2::{Digest, Sha256};
+
+use crate::prefix::leading_number;
+
+pub use memory::{BegunStream, StreamMemory};
+pub use table::{SLOTS, ServiceCapacities, Slot, VersionSlots, VersionTable};
+
+/// Longest time from a stream's first event until its caller stops trying to continue it.
+pub const MAX_STREAM_AGE: Duration = Duration::from_secs(30);
+
+/// Identifier of a stream: the hash of the attempt that brought its first event, the same on every
+/// node and in every build.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display("{_0:x}")]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Returns the identifier of the stream that an attempt began.
+    pub fn of(attempt: &[u8]) -> Self {
+        Self(leading_number(&Sha256::digest(attempt)))
+    }
+}
+
+/// What a node has written about the streams that it began.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamRecord {
+    /// Number of the latest table that the node has taken over.
+    pub acknowledged: u64,
+    /// Number of the latest table that an earlier process of the node had taken over, if its
+    /// streams may still be continued. The record says nothing about such streams in slots that
+    /// have changed since.
+    pub inherited: Option<u64>,
+    /// Versions of the streams that the table does not explain.
+    pub versions: HashMap<StreamId, Name>,
+}
+
+impl StreamRecord {
+    /// Returns whether the record names all of the node's streams in a slot that begun before the
+    /// slot last changed, in the table with this number.
+    fn covers(&self, changed: u64) -> bool {
+        changed <= self.acknowledged && self.inherited.is_none_or(|table| changed <= table)
+    }
+}
+
+/// Why the version of a stream is not known.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum UnknownVersion {
+    /// No table names the service.
+    #[display("no table")]
+    NoTable,
+    /// The caller does not name the attempt that began the stream.
+    #[display("no attempt named")]
+    NoAttempt,
+    /// Some nodes have not acknowledged the latest change of the slot.
+    #[display("slot changed")]
+    SlotChanged,
+    /// Records name several versions.
+    #[display("records disagree")]
+    Conflict,
+    /// The records of the nodes can't be read.
+    #[display("records unreadable")]
+    NoRecords,
+}
+
+/// The records of all nodes; `None` for a node that writes none.
+pub type StreamRecords = HashMap<Name, Option<StreamRecord>>;
+
+/// Returns the version of a stream that this node does not remember, without the nodes' records;
+/// `Ok(None)` if these are needed. `slot_age` is the time since the stream's slot last changed, at
+/// least.
+pub fn version_by_table(
+    table: &VersionTable,
+    service: &Name,
+    stream: Option<StreamId>,
+    slot_age: impl FnOnce(usize) -> Duration,
+) -> Result<Option<Name>, UnknownVersion> {
+    let slots = table.services.get(service).ok_or(UnknownVersion::NoTable)?;
+    if let Some(version) = slots.sole_version() {
+        return Ok(Some(version.clone()));
+    }
+    let stream = stream.ok_or(UnknownVersion::NoAttempt)?;
+    let is_settled = slot_age(VersionSlots::index(stream)) >= MAX_STREAM_AGE;
+    Ok(is_settled.then(|| slots.version(stream).clone()))
+}
+
+/// Returns the version of a stream that this node does not remember, by the records of all nodes.
+pub fn version_by_records(
+    table: &VersionTable,
+    service: &Name,
+    stream: StreamId,
+    records: &StreamRecords,
+) -> Result<Name, UnknownVersion> {
+    let slots = table.services.get(service).ok_or(UnknownVersion::NoTable)?;
+    let mut named = records.values().flatten();
+    let mut named = named
+        .by_ref()
+        .filter_map(|record| record.versions.get(&stream));
+    if let Some(version) = named.next() {
+        return if named.all(|other| other == version) {
+            Ok(version.clone())
+        } else {
+            Err(UnknownVersion::Conflict)
+        };
+    }
+    let changed = slots.changed(stream);
+    let is_covered = |record: &Option<StreamRecord>| {
+        let record = record.as_ref();
+        record.is_some_and(|record| record.covers(changed))
+    };
+    if records.values().all(is_covered) {
+        Ok(slots.version(stream).clone())
+    } else {
+        Err(UnknownVersion::SlotChanged)
+    }
+}
