Give streams their software versions by a table, and record those it does not explain

A stream may go on only at servers of the version that began it. No gateway knew that version once the one that had begun the stream was gone.

The gateways that watch the object service keep one table of versions there, from the places of the listed servers; all adopt it, and begin new streams by it. Each writes into its node object which table it has taken over and which of its streams that table does not explain. The version of a stream that a gateway did not begin follows from its memory, the table or these records; if none tells it, that is an error with the reason. The request path does not use this yet.

A request on its way keeps the version that it was sent with, and is in the record, when the table changes before its first event.

--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -1,4 +1,5 @@
-//! Internal HTTP API: configuration and server list for peers, and the metrics page.
+//! Internal HTTP API: configuration, server list and table of versions for peers, and the metrics
+//! page.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,14 +10,18 @@
 use pomeloridge_base::http::{Fault, OutgoingRequest, Request, Responder, Response, call};
 use pomeloridge_base::id::Revision;
 use pomeloridge_platform::{ListWire, Object, ObjectWire};
+use pomeloridge_policy::stream_versions::VersionTable;
 
 use crate::compression::{compress, decompress};
 use crate::state::State;
+use crate::versions::TableWire;
 
 /// Path of the configuration.
 const CONFIG_PATH: &str = "/config";
 /// Path of the server list.
 const SERVERS_PATH: &str = "/servers";
+/// Path of the table of versions.
+const VERSIONS_PATH: &str = "/versions";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Timeout for reading from a peer.
@@ -51,6 +56,13 @@
     Ok(wire.into())
 }
 
+/// Reads a peer's table of versions.
+pub(crate) async fn read_versions(address: SocketAddr) -> Result<VersionTable, String> {
+    let text = read(address, VERSIONS_PATH).await?;
+    let wire: TableWire = serde_json::from_slice(&text).map_err(|error| error.to_string())?;
+    VersionTable::try_from(wire).map_err(|error| error.to_string())
+}
+
 /// Handles requests of peers and metrics collectors.
 pub(crate) async fn handle(
     state: &Rc<State>,
@@ -64,6 +76,9 @@
         Ok(request) if request.path() == SERVERS_PATH => {
             return serve_peer(state, servers_response, responder).await;
         }
+        Ok(request) if request.path() == VERSIONS_PATH => {
+            return serve_peer(state, versions_response, responder).await;
+        }
         Ok(request) if request.path() == METRICS_PATH => {
             Response::new(200, (state.metrics)()).with_header("content-type", "text/plain")
         }
@@ -121,3 +136,8 @@
         None => Response::new(404, ""),
     }
 }
+
+fn versions_response(state: &State) -> Response {
+    let versions = state.versions.borrow();
+    Response::json(200, &TableWire::from(versions.table()))
+}
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod token_rate;
 mod unary;
 mod usage;
+mod versions;
 mod watch;
 
 pub use active_config::{ActiveConfig, AdoptOutcome};
@@ -53,3 +54,4 @@
 pub use settings::ReloadSettings;
 pub use state::GatewayParts;
 pub use usage::{EndedWindow, PeerTimes, UsageLedger, UsageSource};
+pub use versions::{InvalidStreamIds, RecordWire, SlotsWire, StreamVersions, TableWire};
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -11,7 +11,7 @@
 use pomeloridge_base::task::{catch_panic, keep_running};
 
 use crate::state::{GatewayParts, State};
-use crate::{crash_detection, duties, ingress, internal, lifecycle, peers, watch};
+use crate::{crash_detection, duties, ingress, internal, lifecycle, peers, versions, watch};
 
 /// Interval of the housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
@@ -62,6 +62,7 @@
         watch::follow_server_list(state, is_restarted.replace(true))
     });
     spawn(&state, "expire_servers", watch::expire_servers);
+    spawn(&state, "follow_versions", versions::follow_table);
     spawn(&state, "watch_pauses", lifecycle::watch_pauses);
     spawn(&state, "discover_nodes", peers::discover);
     let sender = Rc::clone(&socket);
@@ -170,6 +171,7 @@
     loop {
         state.pool.sweep(state.now());
         crash_detection::sweep(&state);
+        versions::sweep(&state);
         if let Some(config) = state.config() {
             let limits = config.limits;
             set_limits(Limits {
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -28,9 +28,10 @@
 use crate::server_list::{ApplyOutcome, ServerListDelta};
 use crate::state::State;
 use crate::usage::{Counts, UsageSource};
-use crate::{internal, server_limits, watch};
+use crate::{internal, server_limits, versions, watch};
 
 pub(crate) use crash_news::announce_crashes;
+pub(crate) use node_object::{ListedRecords, read_records, relevant_records};
 use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
 use wire::{LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
@@ -41,7 +42,7 @@
 /// Interval between reads of the node objects while this node receives nothing from any peer.
 const ISOLATED_DISCOVERY_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between checks whether node objects are to be read or written now.
-const DISCOVERY_POLL_INTERVAL: Duration = Duration::from_millis(500);
+const DISCOVERY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum random delay of the read after a restore of the object service, which all nodes learn
 /// of at about the same time.
 const MAX_RESTORE_DELAY: Duration = Duration::from_secs(1);
@@ -65,20 +66,21 @@
 const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
+/// Maximum size of a table of versions that is sent in a datagram; peers read a larger one.
+const MAX_TABLE_BYTES: usize = 32 * 1024;
 
 /// Writes this node's object and reads those of the other nodes, until the process ends.
 pub(crate) async fn discover(state: Rc<State>) {
     // Era in which this node's object was last seen as it should be.
     let mut written: Option<Era> = None;
+    // Version of the object that this process last wrote.
+    let mut latest: Option<Revision> = None;
     loop {
         if state.quarantine_changed.take() {
             written = None;
         }
         if written.is_none() {
-            match node_object::write(&state).await {
-                Ok(PutOutcome::Written(version)) => written = Some(version.era()),
-                outcome => log::debug!("node object not written: {outcome:?}"),
-            }
+            written = write_node_object(&state, &mut latest).await;
         }
         let listing = state.store.list(node_object::KEY_PREFIX).await;
         let era = listing.as_ref().ok().map(|(revision, _)| revision.era());
@@ -107,23 +109,48 @@
             }
         }
         match era {
-            Some(era) if written.is_some() => wait_for_next_discovery(&state, era).await,
+            Some(era) if written.is_some() => {
+                let is_written = wait_for_next_discovery(&state, era, &mut latest).await;
+                written = written.filter(|_| is_written);
+            }
             _ => monoio::time::sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Writes this node's object. Returns the era in which it was written, `None` if that is not
+/// certain.
+async fn write_node_object(state: &State, latest: &mut Option<Revision>) -> Option<Era> {
+    match node_object::write(state, *latest).await {
+        Ok(PutOutcome::Written(version)) => {
+            *latest = Some(version);
+            Some(version.era())
+        }
+        outcome => {
+            log::debug!("node object not written: {outcome:?}");
+            None
+        }
+    }
+}
+
 /// Waits until the node objects are due to be read again, this node's object has to be
-/// rewritten, or the object service, last read in `era`, has been restored.
-async fn wait_for_next_discovery(state: &State, era: Era) {
+/// rewritten, or the object service, last read in `era`, has been restored. Meanwhile writes this
+/// node's object whenever its record of streams changes; returns false if that fails.
+async fn wait_for_next_discovery(state: &State, era: Era, latest: &mut Option<Revision>) -> bool {
     let since = state.now();
     while !state.quarantine_changed.get() && !is_discovery_due(state, since) {
         if state.store.era() > era {
             let delay = rand::random_range(Duration::ZERO..MAX_RESTORE_DELAY);
-            return monoio::time::sleep(delay).await;
+            monoio::time::sleep(delay).await;
+            return true;
+        }
+        let is_record_due = state.versions.borrow_mut().take_due_record(state.now());
+        if is_record_due && write_node_object(state, latest).await.is_none() {
+            return false;
         }
         monoio::time::sleep(DISCOVERY_POLL_INTERVAL).await;
     }
+    true
 }
 
 /// Returns whether the node objects, last read at `since`, are due to be read again.
@@ -299,6 +326,7 @@
         era: state.server_list_era().map(Era::into),
         restored: state.server_registry.borrow().is_restored(),
         data_centre_hash: state.data_centre_hash,
+        versions: state.versions.borrow().number(),
         ..PeerMessage::default()
     }
 }
@@ -338,6 +366,17 @@
     send_to(state, base_message(state), addresses);
 }
 
+/// Sends the table of versions, which this node has just written, to all peers at once.
+pub(crate) fn announce_versions(state: &Rc<State>) {
+    let table = versions::encoded_table(state);
+    let message = PeerMessage {
+        version_table: (table.len() <= MAX_TABLE_BYTES).then_some(table),
+        ..base_message(state)
+    };
+    let addresses = state.peers.borrow().addresses();
+    send_to(state, message, addresses);
+}
+
 /// Announces to the assigned peers that this node has a newer configuration.
 pub(crate) fn announce_config(state: &Rc<State>) {
     send_to_assigned_peers(state, base_message(state));
@@ -452,6 +491,9 @@
     }
     crash_news::handle(state, &mut message, &name);
     handle_limits(state, std::mem::take(&mut message.limits), &name);
+    if let Some(table) = &message.version_table {
+        versions::handle_table(state, table, &name);
+    }
     handle_store_state(state, &message, &name, address);
     let placed: Vec<PartPlacement> = message.placed.unwrap_or_default().into();
     let mut dispatcher = state.dispatcher.borrow_mut();
@@ -533,6 +575,11 @@
     if message.config > known_version {
         fetch_config(state, address, message.config, is_local);
     }
+    if let Some(number) = message.versions
+        && versions::handle_number(state, number)
+    {
+        fetch_versions(state, address, number, is_local);
+    }
     let change = message.change.clone().map(ServerListDelta::try_from);
     let missing = match change {
         Some(Ok(change)) => (watch::apply_server_delta(state, &change) == ApplyOutcome::Gap)
@@ -626,6 +673,29 @@
     });
 }
 
+/// Reads a newer table of versions that a peer has named, from the object service or else from the
+/// peer.
+fn fetch_versions(state: &Rc<State>, address: SocketAddr, number: u64, is_local: bool) {
+    let task_state = Rc::clone(state);
+    let delay = read_delay(state, is_local);
+    let in_flight = &state.newer_versions_reads;
+    spawn_read(state, in_flight, "versions", address, async move {
+        monoio::time::sleep(delay).await;
+        let is_behind = || task_state.versions.borrow().table().number < number;
+        if is_behind()
+            && let Err(error) =
+                versions::read_table(&task_state, versions::TABLE_READ_TIMEOUT).await
+        {
+            log::debug!("versions table not read: {error}");
+        }
+        if is_behind() {
+            let table = internal::read_versions(address).await?;
+            versions::adopt(&task_state, table, "peer");
+        }
+        Ok(())
+    });
+}
+
 /// Runs a read from a peer in its own task. Only one read per `in_flight` counter runs at a
 /// time, since messages of several peers may ask for the same read.
 fn spawn_read(
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -1,14 +1,16 @@
 //! Node objects in the object service. A node's object holds its address for peers and the requests
-//! and prompt parts that it has quarantined, so that these survive a restart of the whole fleet.
+//! and prompt parts that it has quarantined, and its record of streams, so that these survive a
+//! restart of the whole fleet.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::id::Name;
+use pomeloridge_base::id::{Era, Name, Revision};
 use pomeloridge_platform::{Expect, Object, PlatformError, PutOutcome};
 use pomeloridge_policy::crashes::{CrashReport, ServerIncarnation};
 use pomeloridge_policy::part_crashes::{PartCrash, PartReport, Suspect};
+use pomeloridge_policy::stream_versions::{SETTLE_TIME, StreamRecord, StreamRecords};
 use pomeloridge_policy::suspicion::Fingerprint;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -16,7 +18,10 @@
 use super::table::ListedNode;
 use crate::part_quarantine;
 use crate::state::State;
+use crate::versions::RecordWire;
 
+/// Timeout of a read of the nodes' records.
+const RECORDS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Prefix of the keys of node objects.
 pub(super) const KEY_PREFIX: &str = "pomeloridge-nodes/";
 
@@ -35,6 +40,10 @@
     /// Crashes of the engines that quarantined prompt parts have crashed.
     #[serde(default)]
     barred_parts: Vec<PartCrashWire>,
+    /// Streams that the table of versions does not explain; absent if the node does not know the
+    /// table, or is of a build without one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    versions: Option<RecordWire>,
 }
 
 /// The stored form of a crash with the prompt parts that are suspects.
@@ -142,9 +151,24 @@
     }
 }
 
-/// Writes this node's object, after merging the quarantined requests of an earlier incarnation.
-pub(super) async fn write(state: &State) -> Result<PutOutcome, PlatformError> {
+/// The nodes' records of streams, as listed; `None` for a node that writes none.
+pub(crate) type ListedRecords = HashMap<Name, Option<StreamRecord>>;
+
+/// Writes this node's object, after merging the quarantined requests and the streams of an earlier
+/// incarnation. `known` is the version that this process last wrote.
+pub(super) async fn write(
+    state: &State,
+    known: Option<Revision>,
+) -> Result<PutOutcome, PlatformError> {
     let key = format!("{KEY_PREFIX}{}", state.name);
+    if let Some(known) = known {
+        let expect = Expect::Version(known);
+        let update = state.store.put_confirmed(&key, encode(state)?, expect);
+        match update.await? {
+            PutOutcome::Conflict(_) => {}
+            outcome => return Ok(outcome),
+        }
+    }
     // Most nodes that start are new, and have no object to read before the write.
     let creation = state
         .store
@@ -152,6 +176,7 @@
     match creation.await? {
         PutOutcome::Conflict(Some(found)) => {
             read(state, &found);
+            inherit(state, &found);
             let expect = Expect::Version(found.version);
             state
                 .store
@@ -161,12 +186,103 @@
         PutOutcome::Written(version) if state.store.lost_before().is_none() => {
             // There is no earlier incarnation that could have spent any of the retry budget.
             state.allowance_from.set(state.now());
+            set_first(state);
+            Ok(PutOutcome::Written(version))
+        }
+        PutOutcome::Written(version) => {
+            set_first(state);
             Ok(PutOutcome::Written(version))
         }
         outcome => Ok(outcome),
     }
 }
 
+/// Records that no object of an earlier incarnation was found. A restored service may have lost it.
+fn set_first(state: &State) {
+    let now = state.now();
+    let mut versions = state.versions.borrow_mut();
+    if versions.has_inherited() {
+        return;
+    }
+    if state.store.lost_before().is_some() {
+        versions.inherit(None, 0, now);
+        versions.set_record_due(now);
+    } else {
+        versions.set_first();
+    }
+}
+
+/// Takes over the streams of an earlier incarnation from its object. What a restored service lists
+/// of an earlier era may be older than what that incarnation wrote last.
+fn inherit(state: &State, object: &Object) {
+    let Ok(wire) = NodeWire::deserialize(&object.value) else {
+        return state.versions.borrow_mut().inherit(None, 0, state.now());
+    };
+    if wire.life == state.incarnation {
+        return set_first(state);
+    }
+    let era = wire.versions.as_ref().map(|record| Era(record.era));
+    let record = wire
+        .versions
+        .and_then(|wire| decode_record(wire, &state.name));
+    let is_latest = era == Some(object.version.era());
+    let acknowledged = record.as_ref().filter(|_| is_latest).map_or(0, |record| {
+        let inherited = record.inherited.unwrap_or(u64::MAX);
+        inherited.min(record.acknowledged)
+    });
+    let mut versions = state.versions.borrow_mut();
+    versions.inherit(record.as_ref(), acknowledged, state.now());
+}
+
+/// Decodes a record of streams. Returns `None` if it is malformed.
+fn decode_record(wire: RecordWire, name: &Name) -> Option<StreamRecord> {
+    let record = StreamRecord::try_from(wire);
+    record
+        .inspect_err(|error| {
+            log::warn!("node name={name} versions choice=ignore reason=\"{error}\"")
+        })
+        .ok()
+}
+
+/// Reads the records of streams of all nodes.
+pub(crate) async fn read_records(state: &State) -> Result<ListedRecords, PlatformError> {
+    let store = state.store.with_max_timeout(RECORDS_TIMEOUT);
+    let (_, objects) = store.list(KEY_PREFIX).await?;
+    let records = objects.iter().filter_map(|object| {
+        let name = Name::from(object.key.strip_prefix(KEY_PREFIX)?);
+        let wire = NodeWire::deserialize(&object.value).ok();
+        let wire = wire.and_then(|wire| wire.versions);
+        let record = wire.and_then(|wire| decode_record(wire, &name));
+        Some((name, record))
+    });
+    Ok(records.collect())
+}
+
+/// Returns the records of the nodes that may have begun streams that can still be continued, with
+/// this node's own as it would be written now.
+pub(crate) fn relevant_records(state: &State, listed: &ListedRecords) -> StreamRecords {
+    let now = state.now();
+    let peers = state.peers.borrow();
+    let is_gone = |name: &Name| {
+        let silence = peers.silence(name, now);
+        silence.is_some_and(|silence| silence >= SETTLE_TIME)
+    };
+    let relevant = listed.iter().filter(|(name, _)| !is_gone(name));
+    let mut records: StreamRecords = relevant
+        .map(|(name, record)| (name.clone(), record.clone()))
+        .collect();
+    for name in peers.live_names(now) {
+        records.entry(name.clone()).or_default();
+    }
+    let versions = state.versions.borrow();
+    if versions.has_inherited() {
+        records.insert(state.name.clone(), versions.own_record(now));
+    } else {
+        records.entry(state.name.clone()).or_default();
+    }
+    records
+}
+
 /// Returns whether a listing contains this node's object with all quarantined requests and prompt
 /// parts. A restored service may have lost the object or hold an older one.
 pub(super) fn is_current(state: &State, objects: &[Object]) -> bool {
@@ -191,7 +307,9 @@
         .barred_parts
         .iter()
         .map(|listed| listed.crash.start.as_str());
+    let acknowledged = wire.versions.map(|record| record.acknowledged());
     wire.life == state.incarnation
+        && acknowledged == state.versions.borrow().number()
         && contains_all(&listed.collect(), prints)
         && contains_all(&listed_crashes.collect(), crashes)
 }
@@ -206,7 +324,10 @@
     let now_ms = state.fleet_clock.borrow().unix_ms(now);
     let quarantined = state.crashes.borrow().export_quarantined(now);
     let parts = state.parts.borrow().export_quarantined(now);
+    let record = state.versions.borrow().own_record(now);
+    let era = state.store.era().0;
     let wire = NodeWire {
+        versions: record.map(|record| RecordWire::new(&record, era)),
         address: state.peer_address,
         life: state.incarnation,
         centre: state.data_centre_hash,
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -194,6 +194,23 @@
         self.has_read_nodes || self.live_count(now) > 0
     }
 
+    /// Returns the names of the live peers.
+    pub(super) fn live_names(&self, now: Instant) -> impl Iterator<Item = &Name> {
+        let live = self
+            .by_name
+            .iter()
+            .filter(move |(_, peer)| is_live(peer, now));
+        live.map(|(name, _)| name)
+    }
+
+    /// Returns the time since a peer was heard, or was first listed if it never was; `None` for an
+    /// unknown one.
+    pub(super) fn silence(&self, name: &Name, now: Instant) -> Option<Duration> {
+        let peer = self.by_name.get(name)?;
+        let since = peer.last_heard.or(peer.first_listed)?;
+        Some(now.saturating_duration_since(since))
+    }
+
     /// Returns whether a live peer holds the duties.
     pub(crate) fn has_live_duty_holder(&self, now: Instant) -> bool {
         let mut live = self.by_name.values().filter(|peer| is_live(peer, now));
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -84,6 +84,12 @@
     /// Whether `crashes` and `parts` hold what the fleet has quarantined.
     #[prost(bool, tag = "23")]
     pub(super) knows_crashes: bool,
+    /// Number of the sender's table of versions, 0 if there is none; absent until that is known.
+    #[prost(uint64, optional, tag = "24")]
+    pub(super) versions: Option<u64>,
+    /// The table of versions that the sender has just written, encoded.
+    #[prost(bytes = "vec", optional, tag = "25")]
+    pub(super) version_table: Option<Vec<u8>>,
 }
 
 /// Crashes with the prompt parts that are suspects, and answers, stored by column.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -17,6 +17,7 @@
 use pomeloridge_policy::fleet_retry_budget::{AllowanceShare, FleetRetryBudget, FleetRetryLimits};
 use pomeloridge_policy::part_crashes::PartTracker;
 use pomeloridge_policy::stage_assignment::StageLoad;
+use pomeloridge_policy::stream_versions::UnknownVersion;
 use pomeloridge_policy::watchers::{
     RankedNode, is_cut_off, lacks_watchers, must_call_store, retry_delay,
 };
@@ -30,7 +31,7 @@
 use crate::fleet_clock::FleetClock;
 use crate::lifecycle::Lifecycle;
 use crate::part_quarantine;
-use crate::peers::{self, Peers};
+use crate::peers::{self, ListedRecords, Peers};
 use crate::pool::Pool;
 use crate::ports::Ports;
 use crate::server_limits::Senders;
@@ -38,6 +39,7 @@
 use crate::server_registry::{REMOVAL_GRACE, ServerRegistry};
 use crate::settings::{LiveSettings, ReloadSettings};
 use crate::usage::{UsageLedger, UsageSource};
+use crate::versions::{self, SharedRead, StreamVersions};
 
 /// Time for which a starting node waits to learn which other nodes exist.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(1);
@@ -128,6 +130,20 @@
     pub(crate) senders: RefCell<Option<Senders>>,
     /// Work that requests to this node caused, by service.
     pub(crate) work_meters: RefCell<HashMap<Name, WorkMeter>>,
+    /// Software versions of the streams.
+    pub(crate) versions: RefCell<StreamVersions>,
+    /// When this node last wrote the table of versions.
+    pub(crate) versions_written: Cell<Option<Instant>>,
+    /// Era of the object service in which this node last compared the table there with its own.
+    pub(crate) versions_checked: Cell<Option<Era>>,
+    /// Number of running changes of the table of versions.
+    pub(crate) versions_writes: Rc<Cell<usize>>,
+    /// Number of running reads of the table of versions that a peer has named.
+    pub(crate) newer_versions_reads: Rc<Cell<usize>>,
+    /// Reads of the table of versions for lookups.
+    pub(crate) table_reads: Rc<SharedRead<Result<(), String>>>,
+    /// Reads of the nodes' records for lookups.
+    pub(crate) record_reads: Rc<SharedRead<Result<Rc<ListedRecords>, UnknownVersion>>>,
     /// Hashes of the engines that this node has ordered to change their stage.
     pub(crate) changing_engines: RefCell<Vec<u32>>,
     /// Fencing token of the duties lease while this node holds it.
@@ -205,6 +221,13 @@
             peers: RefCell::new(Peers::new(data_centre_hash)),
             senders: RefCell::default(),
             work_meters: RefCell::default(),
+            versions: RefCell::new(StreamVersions::new(now)),
+            versions_written: Cell::new(None),
+            versions_checked: Cell::new(None),
+            versions_writes: Rc::default(),
+            newer_versions_reads: Rc::default(),
+            table_reads: SharedRead::new(versions::TABLE_READ_INTERVAL),
+            record_reads: SharedRead::new(versions::RECORDS_READ_INTERVAL),
             changing_engines: RefCell::default(),
             duty_epoch: Cell::new(None),
             settings: LiveSettings::new(settings, reload_settings),
@@ -242,6 +265,7 @@
         self.config().is_some()
             && self.server_list_loaded.get()
             && self.peers.borrow().knows_crashes()
+            && self.versions.borrow().number().is_some()
             && !self.lifecycle.is_stopping()
             && !self.is_cut_off()
             && !self.lacks_lost_part(self.now())
@@ -465,6 +489,7 @@
         let removed = self.dispatcher.borrow_mut().sync(list.collect());
         drop(registry);
         crash_detection::record_removed(self, &removed);
+        versions::check_table(self);
     }
 
     /// Ejects a server after a failure that shows that it is dead.
--- /dev/null
+++ b/crates/pomeloridge_gateway/src/versions.rs
@@ -0,0 +1,146 @@
+//! The software versions of streams: the table in the object service, which all nodes share, this
+//! node's record of the streams that the table does not explain, and the version of a stream that
+//! this node did not begin.
+
+mod known;
+mod lookup;
+mod shared_read;
+mod table;
+mod wire;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+use pomeloridge_policy::stream_versions::{StreamId, StreamVersion, UnknownVersion, VersionTable};
+use prost::Message;
+
+use crate::state::State;
+
+pub use known::StreamVersions;
+pub use wire::{InvalidStreamIds, RecordWire, SlotsWire, TableWire};
+
+pub(crate) use lookup::{
+    RECORDS_READ_INTERVAL, TABLE_READ_INTERVAL, TABLE_READ_TIMEOUT, version_of_resumed,
+};
+pub(crate) use shared_read::SharedRead;
+pub(crate) use table::{check_table, follow_table, read_table};
+
+/// Time over which the nodes spread the writes of their records, for each node.
+const WRITE_SPREAD_PER_NODE: Duration = Duration::from_micros(2500);
+/// Maximum number of services whose slots are logged.
+const MAX_LOGGED_SERVICES: usize = 8;
+
+/// Returns the version at which a stream of a new request begins; `None` if no server of the
+/// service is listed, or if its streams are not bound to a version.
+pub(crate) fn version_of_new(
+    state: &State,
+    service: &Name,
+    attempt: &[u8],
+) -> Result<Option<Name>, UnknownVersion> {
+    if !table::is_bound(state, service) {
+        return Ok(None);
+    }
+    let (id, now) = (StreamId::of(attempt), state.now());
+    let mut versions = state.versions.borrow_mut();
+    if let Some(version) = versions.remembered(service, id, now) {
+        return Ok(Some(version.clone()));
+    }
+    let version = match versions.table().version(service, id) {
+        Some(version) => version.clone(),
+        None => match table::sole_listed_version(state, service)? {
+            Some(version) => version,
+            None => return Ok(None),
+        },
+    };
+    let begun = StreamVersion {
+        service: service.clone(),
+        version: version.clone(),
+    };
+    versions.expect(id, begun, now);
+    Ok(Some(version))
+}
+
+/// Records that a stream has begun or is continued at a server of a version.
+pub(crate) fn record_begun(
+    state: &State,
+    service: &Name,
+    attempt: &[u8],
+    version: &Name,
+    expires: Instant,
+) {
+    let version = StreamVersion {
+        service: service.clone(),
+        version: version.clone(),
+    };
+    let mut versions = state.versions.borrow_mut();
+    versions.record(StreamId::of(attempt), version, expires, state.now());
+}
+
+/// Adopts a table if it is newer than the one in force. Returns whether it was.
+pub(crate) fn adopt(state: &State, table: VersionTable, from: &str) -> bool {
+    let now = state.now();
+    let nodes = state.peers.borrow().known_count() as u32 + 1;
+    let mut versions = state.versions.borrow_mut();
+    if !versions.adopt(table, now) {
+        return false;
+    }
+    let spread = WRITE_SPREAD_PER_NODE * nodes;
+    versions.set_record_due(now + rand::random_range(Duration::ZERO..spread));
+    let table = versions.table();
+    log::info!(
+        "versions table={} choice=adopt from={from} services=\"{}\"",
+        table.number,
+        shares(table)
+    );
+    true
+}
+
+/// Formats the number of slots of each version, for the log.
+fn shares(table: &VersionTable) -> String {
+    let services = table.services.iter().take(MAX_LOGGED_SERVICES);
+    let services = services.map(|(service, slots)| {
+        let versions = slots.versions().iter().enumerate();
+        let versions = versions.map(|(index, version)| {
+            let owned = slots.slots().iter().filter(|slot| slot.version == index);
+            format!("{version}:{}", owned.count())
+        });
+        format!("{service}={}", versions.collect::<Vec<_>>().join("+"))
+    });
+    services.collect::<Vec<_>>().join(" ")
+}
+
+/// Returns the table as it is sent in a datagram.
+pub(crate) fn encoded_table(state: &State) -> Vec<u8> {
+    TableWire::from(state.versions.borrow().table()).encode_to_vec()
+}
+
+/// Handles the table that a peer has sent in a datagram.
+pub(crate) fn handle_table(state: &State, bytes: &[u8], name: &Name) {
+    match decode_table(bytes) {
+        Ok(table) => {
+            adopt(state, table, &format!("node/{name}"));
+        }
+        Err(error) => log::warn!("versions from={name} choice=ignore reason=\"{error}\""),
+    }
+}
+
+fn decode_table(bytes: &[u8]) -> Result<VersionTable, String> {
+    let wire = TableWire::decode(bytes).map_err(|error| error.to_string())?;
+    VersionTable::try_from(wire).map_err(|error| error.to_string())
+}
+
+/// Handles the number of the table that a peer has named. Returns whether that table has to be
+/// read.
+pub(crate) fn handle_number(state: &State, number: u64) -> bool {
+    let mut versions = state.versions.borrow_mut();
+    if number == 0 {
+        versions.set_known();
+    }
+    versions.hear(number, state.now())
+}
+
+/// Drops what can't be asked for any more.
+pub(crate) fn sweep(state: &Rc<State>) {
+    state.versions.borrow_mut().sweep(state.now());
+}
--- /dev/null
+++ b/crates/pomeloridge_gateway/tests/versions.rs
@@ -0,0 +1,224 @@
+//! Tests of the table of versions and the nodes' records as they are sent and stored, and of the
+//! order in which a node adopts tables.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+use pomeloridge_gateway::{InvalidStreamIds, RecordWire, StreamVersions, TableWire};
+use pomeloridge_policy::stream_versions::{
+    MAX_STREAM_AGE, SETTLE_TIME, ServiceCapacities, StreamId, StreamRecord, StreamVersion,
+    VersionTable,
+};
+use proptest::prelude::*;
+use prost::Message;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+const SERVICE: &str = "huvo";
+
+fn capacities(places: &[(&str, u64)]) -> BTreeMap<Name, ServiceCapacities> {
+    let places = places.iter().map(|(version, n)| (Name::from(*version), *n));
+    [(Name::from(SERVICE), places.collect())].into()
+}
+
+/// Returns tables with the numbers 1, 2 and 3.
+fn tables() -> [VersionTable; 3] {
+    let first = VersionTable::default().rebalanced(&capacities(&[("a", 8)]));
+    let first = first.expect("a first table");
+    let second = first.rebalanced(&capacities(&[("a", 8), ("b", 8)]));
+    let second = second.expect("a second table");
+    let third = second.rebalanced(&capacities(&[("b", 8)]));
+    let third = third.expect("a third table");
+    [first, second, third]
+}
+
+fn version(version: &str) -> StreamVersion {
+    StreamVersion {
+        service: Name::from(SERVICE),
+        version: Name::from(version),
+    }
+}
+
+fn record() -> StreamRecord {
+    let streams = [(1, "a"), (u64::MAX, "a"), (7, "b")];
+    let streams = streams
+        .iter()
+        .map(|(id, name)| (StreamId(*id), version(name)));
+    StreamRecord {
+        acknowledged: 3,
+        inherited: Some(2),
+        streams: streams.collect(),
+    }
+}
+
+#[test]
+fn table_is_the_same_after_it_was_stored_and_sent() {
+    for table in tables() {
+        let wire = TableWire::from(&table);
+        let stored = serde_json::to_value(&wire).unwrap();
+        let stored: TableWire = serde_json::from_value(stored).unwrap();
+        assert_eq!(VersionTable::try_from(stored), Ok(table.clone()));
+        let sent = TableWire::decode(wire.encode_to_vec().as_slice()).unwrap();
+        assert_eq!(VersionTable::try_from(sent), Ok(table));
+    }
+}
+
+#[test]
+fn record_is_the_same_after_it_was_stored() {
+    let stored = serde_json::to_value(RecordWire::new(&record(), 1)).unwrap();
+    let stored: RecordWire = serde_json::from_value(stored).unwrap();
+    assert_eq!(stored.acknowledged(), 3);
+    assert_eq!(StreamRecord::try_from(stored), Ok(record()));
+}
+
+#[parameterized(
+    few_slots = { json!({"counts": [63], "slots": [0], "changed": [1]}) },
+    many_slots = { json!({"counts": [4_000_000_000_u32], "slots": [0], "changed": [1]}) },
+    many_runs = { json!({"counts": [64, 64], "slots": [0, 0], "changed": [1, 1]}) },
+    unlisted_version = { json!({"counts": [64], "slots": [1], "changed": [1]}) },
+    short_column = { json!({"counts": [32, 32], "slots": [0], "changed": [1, 1]}) },
+    empty = { json!({"counts": [], "slots": [], "changed": []}) },
+)]
+fn malformed_table_is_rejected(columns: Value) {
+    let mut slots = columns;
+    slots["service"] = json!(SERVICE);
+    slots["versions"] = json!(["a"]);
+    let wire = json!({"number": 1, "services": [slots]});
+    let wire: TableWire = serde_json::from_value(wire).unwrap();
+    assert!(VersionTable::try_from(wire).is_err());
+}
+
+#[parameterized(
+    odd_digits = { "0" },
+    cut_off = { "000000000000000" },
+    no_hexadecimal = { "000000000000000g" },
+    no_ascii = { "äääääääääääääääää" },
+)]
+fn malformed_record_is_rejected(ids: &str) {
+    let streams = json!([{"service": SERVICE, "version": "a", "ids": ids}]);
+    let wire: RecordWire = serde_json::from_value(json!({"table": 1, "streams": streams})).unwrap();
+    assert_eq!(StreamRecord::try_from(wire), Err(InvalidStreamIds));
+}
+
+proptest! {
+    #[test]
+    fn any_datagram_is_decoded_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        if let Ok(wire) = TableWire::decode(bytes.as_slice()) {
+            VersionTable::try_from(wire).ok();
+        }
+    }
+}
+
+#[test]
+fn only_newer_tables_are_adopted() {
+    let now = Instant::now();
+    let [first, second, third] = tables();
+    let mut versions = StreamVersions::new(now);
+    assert_eq!(versions.number(), None);
+    assert!(versions.adopt(second.clone(), now));
+    assert!(!versions.adopt(first, now));
+    assert!(!versions.adopt(second, now));
+    assert!(versions.adopt(third.clone(), now));
+    assert_eq!(versions.number(), Some(3));
+    assert_eq!(versions.table(), &third);
+}
+
+#[test]
+fn a_newer_table_that_a_peer_named_is_awaited_for_a_while() {
+    let now = Instant::now();
+    let [first, second, _] = tables();
+    let mut versions = StreamVersions::new(now);
+    versions.adopt(first, now);
+    assert!(!versions.hear(1, now));
+    assert!(versions.hear(2, now));
+    assert_eq!(versions.newer(), Some(2));
+    assert!(versions.awaits_newer(now));
+    let later = now + Duration::from_mins(1);
+    assert!(versions.hear(2, later));
+    assert!(!versions.awaits_newer(later));
+    versions.adopt(second, later);
+    assert_eq!(versions.newer(), None);
+}
+
+#[test]
+fn slot_age_counts_from_its_last_change_or_the_start() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let [first, second, _] = tables();
+    let service = Name::from(SERVICE);
+    let mut versions = StreamVersions::new(start);
+    assert_eq!(versions.slot_age(&service, 0, at(5)), Duration::ZERO);
+    versions.adopt(first, at(10));
+    versions.adopt(second, at(20));
+    let ages: Vec<u64> = (0..64)
+        .map(|slot| versions.slot_age(&service, slot, at(30)).as_secs())
+        .collect();
+    assert_eq!(ages.iter().filter(|age| **age == 10).count(), 32);
+    assert_eq!(ages.iter().filter(|age| **age == 20).count(), 32);
+}
+
+#[test]
+fn streams_begun_before_a_change_are_recorded() {
+    let now = Instant::now();
+    let [first, second, _] = tables();
+    let mut versions = StreamVersions::new(now);
+    assert_eq!(versions.own_record(now), None);
+    versions.adopt(first, now);
+    versions.set_first();
+    for id in 0..64 {
+        versions.record(StreamId(id), version("a"), now + MAX_STREAM_AGE, now);
+    }
+    let record = versions.own_record(now).unwrap();
+    assert_eq!((record.acknowledged, record.streams.len()), (1, 0));
+    versions.adopt(second, now);
+    let record = versions.own_record(now).unwrap();
+    assert_eq!((record.acknowledged, record.streams.len()), (2, 32));
+}
+
+#[test]
+fn a_request_on_its_way_keeps_its_version_over_a_change() {
+    let now = Instant::now();
+    let [first, _, third] = tables();
+    let mut versions = StreamVersions::new(now);
+    versions.adopt(first, now);
+    let id = StreamId(5);
+    versions.expect(id, version("a"), now);
+    versions.adopt(third, now);
+    let record = versions.own_record(now).unwrap();
+    assert_eq!(record.streams[&id], version("a"));
+    let known = versions.remembered(&Name::from(SERVICE), id, now);
+    assert_eq!(known, Some(&Name::from("a")));
+}
+
+#[test]
+fn a_version_that_the_table_does_not_give_is_written_at_once() {
+    let now = Instant::now();
+    let [first, ..] = tables();
+    let mut versions = StreamVersions::new(now);
+    versions.adopt(first, now);
+    versions.record(StreamId(1), version("a"), now + MAX_STREAM_AGE, now);
+    assert!(!versions.take_due_record(now));
+    versions.record(StreamId(2), version("b"), now + MAX_STREAM_AGE, now);
+    assert!(versions.take_due_record(now));
+    assert!(!versions.take_due_record(now));
+}
+
+#[test]
+fn the_former_process_is_inherited_once_and_for_a_while() {
+    let now = Instant::now();
+    let [first, second, _] = tables();
+    let mut versions = StreamVersions::new(now);
+    versions.adopt(first, now);
+    versions.inherit(Some(&record()), 1, now);
+    versions.inherit(None, 0, now);
+    versions.set_first();
+    let own = versions.own_record(now).unwrap();
+    assert_eq!(own.inherited, Some(1));
+    assert_eq!(own.streams[&StreamId(7)], version("b"));
+    versions.adopt(second, now);
+    let later = now + SETTLE_TIME;
+    versions.sweep(later);
+    assert_eq!(versions.own_record(later).unwrap().inherited, None);
+    assert!(versions.take_due_record(later));
+}
--- a/crates/pomeloridge_policy/src/stream_versions.rs
+++ b/crates/pomeloridge_policy/src/stream_versions.rs
@@ -19,12 +19,16 @@
 
 use crate::prefix::leading_number;
 
-pub use memory::{BegunStream, StreamMemory};
-pub use table::{SLOTS, ServiceCapacities, Slot, VersionSlots, VersionTable};
+pub use memory::{BegunStream, MAX_STREAMS, StreamMemory};
+pub use table::{InvalidSlots, SLOTS, ServiceCapacities, Slot, VersionSlots, VersionTable};
 
 /// Longest time from a stream's first event until its caller stops trying to continue it.
 pub const MAX_STREAM_AGE: Duration = Duration::from_secs(30);
 
+/// Time since the last change of a slot after which no stream of an earlier version can be
+/// continued, also those begun by a node that was told of the change late.
+pub const SETTLE_TIME: Duration = Duration::from_secs(35);
+
 /// Identifier of a stream: the hash of the attempt that brought its first event, the same on every
 /// node and in every build.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -38,6 +42,15 @@
     }
 }
 
+/// The service and the software version of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StreamVersion {
+    /// Service of its server.
+    pub service: Name,
+    /// Software version of its server.
+    pub version: Name,
+}
+
 /// What a node has written about the streams that it began.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StreamRecord {
@@ -48,11 +61,11 @@
     /// have changed since.
     pub inherited: Option<u64>,
     /// Versions of the streams that the table does not explain.
-    pub versions: HashMap<StreamId, Name>,
+    pub streams: HashMap<StreamId, StreamVersion>,
 }
 
 impl StreamRecord {
-    /// Returns whether the record names all of the node's streams in a slot that begun before the
+    /// Returns whether the record names all of the node's streams in a slot that began before the
     /// slot last changed, in the table with this number.
     fn covers(&self, changed: u64) -> bool {
         changed <= self.acknowledged && self.inherited.is_none_or(|table| changed <= table)
@@ -65,6 +78,9 @@
     /// No table names the service.
     #[display("no table")]
     NoTable,
+    /// There is a newer table, which this node has not read.
+    #[display("table outdated")]
+    Outdated,
     /// The caller does not name the attempt that began the stream.
     #[display("no attempt named")]
     NoAttempt,
@@ -96,7 +112,7 @@
         return Ok(Some(version.clone()));
     }
     let stream = stream.ok_or(UnknownVersion::NoAttempt)?;
-    let is_settled = slot_age(VersionSlots::index(stream)) >= MAX_STREAM_AGE;
+    let is_settled = slot_age(VersionSlots::index(stream)) >= SETTLE_TIME;
     Ok(is_settled.then(|| slots.version(stream).clone()))
 }
 
@@ -108,17 +124,20 @@
     records: &StreamRecords,
 ) -> Result<Name, UnknownVersion> {
     let slots = table.services.get(service).ok_or(UnknownVersion::NoTable)?;
-    let mut named = records.values().flatten();
-    let mut named = named
-        .by_ref()
-        .filter_map(|record| record.versions.get(&stream));
-    if let Some(version) = named.next() {
-        return if named.all(|other| other == version) {
-            Ok(version.clone())
+    let written = || records.values().flatten();
+    let named = written().filter_map(|record| record.streams.get(&stream));
+    let mut named = named.filter(|named| named.service == *service);
+    if let Some(first) = named.next() {
+        return if named.all(|other| other == first) {
+            Ok(first.version.clone())
         } else {
             Err(UnknownVersion::Conflict)
         };
     }
+    // Such a record leaves out streams that only the newer table explains.
+    if written().any(|record| record.acknowledged > table.number) {
+        return Err(UnknownVersion::Outdated);
+    }
     let changed = slots.changed(stream);
     let is_covered = |record: &Option<StreamRecord>| {
         let record = record.as_ref();
--- a/crates/pomeloridge_policy/src/stream_versions/memory.rs
+++ b/crates/pomeloridge_policy/src/stream_versions/memory.rs
@@ -5,57 +5,99 @@
 
 use pomeloridge_base::id::Name;
 
-use super::{StreamId, VersionTable};
+use super::{StreamId, StreamVersion, VersionTable};
 
 /// Maximum number of streams; those closest to expiry are dropped first.
-const MAX_STREAMS: usize = 16_384;
+pub const MAX_STREAMS: usize = 16_384;
 
 /// A stream that a node has begun.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BegunStream {
-    /// Service of its server.
-    pub service: Name,
-    /// Software version of its server.
-    pub version: Name,
+    /// Its service and version.
+    pub version: StreamVersion,
     /// Until when its caller may continue it.
     pub expires: Instant,
 }
 
-/// The streams that this node has begun or continued, as long as callers may continue them.
+#[derive(Clone, Debug)]
+struct Entry {
+    stream: BegunStream,
+    /// Whether its first event has been forwarded.
+    has_begun: bool,
+}
+
+/// The streams that this node has begun, is about to begin or has continued, as long as callers
+/// may continue them.
 #[derive(Debug, Default)]
 pub struct StreamMemory {
-    streams: HashMap<StreamId, BegunStream>,
+    streams: HashMap<StreamId, Entry>,
 }
 
 impl StreamMemory {
-    /// Remembers the version of a stream, unless it is known already.
-    pub fn record(&mut self, id: StreamId, stream: BegunStream, now: Instant) {
-        if self.streams.len() >= MAX_STREAMS {
+    /// Remembers the version at which a stream is about to begin, unless one is known already.
+    pub fn expect(&mut self, id: StreamId, stream: BegunStream, now: Instant) {
+        if !self.streams.contains_key(&id) {
+            self.insert(id, stream, false, now);
+        }
+    }
+
+    /// Remembers the version of a stream whose first event is forwarded or that is continued. The
+    /// version of one that had begun stays. Returns whether the known version has changed.
+    pub fn record(&mut self, id: StreamId, stream: BegunStream, now: Instant) -> bool {
+        match self.streams.get_mut(&id) {
+            Some(known) if known.has_begun || known.stream.version == stream.version => {
+                known.has_begun = true;
+                known.stream.expires = known.stream.expires.max(stream.expires);
+                false
+            }
+            _ => {
+                self.insert(id, stream, true, now);
+                true
+            }
+        }
+    }
+
+    fn insert(&mut self, id: StreamId, stream: BegunStream, has_begun: bool, now: Instant) {
+        if self.streams.len() >= MAX_STREAMS && !self.streams.contains_key(&id) {
             self.evict(now);
         }
-        self.streams.entry(id).or_insert(stream);
+        self.streams.insert(id, Entry { stream, has_begun });
     }
 
     /// Returns the version of a stream of a service.
     pub fn version(&self, service: &Name, id: StreamId, now: Instant) -> Option<&Name> {
-        let stream = self.streams.get(&id)?;
-        (stream.service == *service && now < stream.expires).then_some(&stream.version)
+        let stream = &self.streams.get(&id)?.stream;
+        let is_valid = stream.version.service == *service && now < stream.expires;
+        is_valid.then_some(&stream.version.version)
     }
 
     /// Returns the streams whose version a table does not give.
-    pub fn unexplained(&self, table: &VersionTable, now: Instant) -> Vec<(StreamId, BegunStream)> {
-        let is_unexplained = |(id, stream): &(&StreamId, &BegunStream)| {
-            now < stream.expires && table.version(&stream.service, **id) != Some(&stream.version)
-        };
-        let streams = self.streams.iter().filter(is_unexplained);
-        let mut streams: Vec<_> = streams.map(|(id, stream)| (*id, stream.clone())).collect();
-        streams.sort_unstable_by_key(|(id, _)| *id);
-        streams
+    pub fn unexplained(
+        &self,
+        table: &VersionTable,
+        now: Instant,
+    ) -> HashMap<StreamId, StreamVersion> {
+        let streams = self.streams.iter().filter(|(id, entry)| {
+            let StreamVersion { service, version } = &entry.stream.version;
+            now < entry.stream.expires && table.version(service, **id) != Some(version)
+        });
+        let streams = streams.map(|(id, entry)| (*id, entry.stream.version.clone()));
+        streams.collect()
+    }
+
+    /// Returns the number of streams.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns whether there are no streams.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
     }
 
     /// Drops the streams that can no longer be continued.
     pub fn sweep(&mut self, now: Instant) {
-        self.streams.retain(|_, stream| now < stream.expires);
+        self.streams.retain(|_, entry| now < entry.stream.expires);
     }
 
     /// Makes room for a stream.
@@ -64,7 +106,10 @@
         if self.streams.len() < MAX_STREAMS {
             return;
         }
-        let first = self.streams.iter().min_by_key(|(_, stream)| stream.expires);
+        let first = self
+            .streams
+            .iter()
+            .min_by_key(|(_, entry)| entry.stream.expires);
         if let Some(id) = first.map(|(id, _)| *id) {
             self.streams.remove(&id);
         }
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -16,6 +16,7 @@
 mod rules;
 mod scaling;
 mod server_table;
+mod stream_versions;
 mod support;
 mod suspicion;
 mod watchers;
--- a/crates/pomeloridge_policy/tests/policy/rate_limit.rs
+++ b/crates/pomeloridge_policy/tests/policy/rate_limit.rs
@@ -36,6 +36,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: Name::from("tln-a"),
         service: Name::from(SERVICE),
+        version: Name::from("v1"),
         slots: 8,
         kv_capacity: 0,
         stage: Stage::Unified,
