--- a/crates/pomeloridge_gateway/tests/versions.rs
+++ b/crates/pomeloridge_gateway/tests/versions.rs
@@ -222,3 +222,46 @@
     assert_eq!(versions.own_record(later).unwrap().inherited, None);
     assert!(versions.take_due_record(later));
 }
+
+/// Returns a table of `services` services whose places have moved between three versions often.
+fn scattered_table(services: usize) -> VersionTable {
+    let mut table = VersionTable::default();
+    for round in 0..40_u64 {
+        let places = [round * 7 % 40, round * 11 % 40, round * 13 % 40];
+        let versions = ["2026.11.1", "2026.11.2", "2026.12.0"].map(Name::from);
+        let places: ServiceCapacities = versions.into_iter().zip(places).collect();
+        let service = |index| Name::from(format!("service-{index:02}"));
+        let capacities = (0..services).map(|index| (service(index), places.clone()));
+        if let Some(next) = table.rebalanced(&capacities.collect()) {
+            table = next;
+        }
+    }
+    table
+}
+
+/// The figures of `docs/CAPACITY.md`; `--nocapture` prints them.
+#[test]
+fn sizes_are_bounded_at_full_size() {
+    let wire = TableWire::from(&scattered_table(4));
+    let table_bytes = wire.encode_to_vec().len();
+    let stored_bytes = serde_json::to_string(&wire).unwrap().len();
+    // 24.2 requests a second at a node of 2,400, each remembered for 30 s; half of them moved.
+    let streams = (0..363).map(|id| (StreamId(id << 40 | id), version("2026.11.1")));
+    let record = StreamRecord {
+        acknowledged: 1000,
+        inherited: None,
+        streams: streams.collect(),
+    };
+    let record_bytes = |record: &StreamRecord| {
+        let wire = RecordWire::new(record, 1);
+        serde_json::to_string(&wire).unwrap().len()
+    };
+    let empty_bytes = record_bytes(&StreamRecord::default());
+    let record_bytes = record_bytes(&record);
+    println!(
+        "table datagram={table_bytes} stored={stored_bytes} record empty={empty_bytes} \
+         streams_363={record_bytes}"
+    );
+    assert!(table_bytes < 2000 && stored_bytes < 4000);
+    assert!(empty_bytes < 100 && record_bytes < 7000);
+}
