--- /dev/null
+++ b/crates/pomeloridge_dev/tests/version_table.rs
@@ -0,0 +1,146 @@
+//! Tests of the table of software versions that gateways share, and of their records, against
+//! gateways as separate processes on a fake of the fleet's platform.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json};
+use pomeloridge_fleet_standin::caller::is_ready;
+use serde_json::{Value, json};
+
+const GATEWAYS: usize = 3;
+const TIMEOUT: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which a new version has slots, and all gateways have acknowledged that.
+const ADOPTION_TIME: Duration = Duration::from_secs(2);
+const SERVICE: &str = "assistant";
+
+struct Deployment(Fleet);
+
+impl Deployment {
+    fn start(name: &str) -> Self {
+        let deployment = Self(Fleet::start(&format!("versions-{name}"), GATEWAYS).unwrap());
+        deployment.wait_until_ready();
+        deployment.wait_for_table(|table| versions(table) == ["v1"]);
+        deployment
+    }
+
+    fn wait_until_ready(&self) {
+        for gateway in &self.0.gateways {
+            wait_until(|| block_on(is_ready(gateway.ready)));
+        }
+    }
+
+    fn object(&self, key: &str) -> Option<Value> {
+        let object = get_json(self.0.store, &format!("/-/objects/{key}")).ok()?;
+        Some(object["spec"].clone())
+    }
+
+    fn table(&self) -> Value {
+        let table = self.object("pomeloridge-versions/table");
+        table.unwrap_or_default()
+    }
+
+    /// Adds a server of a version, which nothing runs, beside the others of its service.
+    fn add_server(&self, version: &str) {
+        let mut entry = self.object("servers/assistant-decode-0").unwrap();
+        entry["version"] = version.into();
+        entry["address"] = "127.0.0.1:9".into();
+        let name = format!("assistant-{version}");
+        let body = json!({ "metadata": { "name": name }, "spec": entry });
+        post_json(self.0.store, "/-/objects/servers", &body).unwrap();
+    }
+
+    /// Waits for a table and until all gateways have acknowledged it; returns its number.
+    fn wait_for_table(&self, is_expected: impl Fn(&Value) -> bool) -> u64 {
+        let mut number = 0;
+        wait_until(|| {
+            let table = self.table();
+            number = table["number"].as_u64().unwrap_or_default();
+            number > 0 && is_expected(&table) && self.records("table") == [number; GATEWAYS]
+        });
+        number
+    }
+
+    /// Returns a number in the records of the gateways' objects, 0 where it is missing.
+    fn records(&self, field: &str) -> Vec<u64> {
+        let listed = get_json(self.0.store, "/-/objects/pomeloridge-nodes").unwrap();
+        let nodes = listed["items"].as_array().unwrap().iter();
+        let numbers = nodes.map(|node| node["spec"]["versions"][field].as_u64());
+        numbers.map(Option::unwrap_or_default).collect()
+    }
+}
+
+/// Returns the versions that the table lists for the service.
+fn versions(table: &Value) -> Vec<&str> {
+    let services = table["services"].as_array().into_iter().flatten();
+    let slots = services.filter(|slots| slots["service"] == SERVICE);
+    let versions = slots.flat_map(|slots| slots["versions"].as_array().unwrap());
+    versions.map(|version| version.as_str().unwrap()).collect()
+}
+
+fn wait_until(mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < end, "the condition was not met in time");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Guards against streams that begin at a new version which other gateways don't know.
+#[test]
+fn all_gateways_acknowledge_a_new_version() {
+    let deployment = Deployment::start("new");
+    let first = deployment.table()["number"].as_u64().unwrap();
+    let added = Instant::now();
+    deployment.add_server("v2");
+    let next = deployment.wait_for_table(|table| versions(table) == ["v1", "v2"]);
+    assert!(added.elapsed() < ADOPTION_TIME, "{:?}", added.elapsed());
+    assert_eq!(next, first + 1);
+}
+
+/// Guards against services in the table whose streams never go on elsewhere.
+#[test]
+fn only_services_with_resumable_streams_are_in_the_table() {
+    let deployment = Deployment::start("bound");
+    let table = deployment.table();
+    let services = table["services"].as_array().unwrap();
+    assert_eq!(services.len(), 1, "{table}");
+}
+
+/// Guards against a table, or an acknowledgement, that is lost with all gateways.
+#[test]
+fn the_table_outlives_all_gateways() {
+    let mut deployment = Deployment::start("killed");
+    deployment.add_server("v2");
+    let before = deployment.wait_for_table(|table| versions(table) == ["v1", "v2"]);
+    for gateway in &mut deployment.0.gateways {
+        gateway.process.kill();
+    }
+    for index in 0..GATEWAYS {
+        deployment.0.restart(index).unwrap();
+    }
+    deployment.wait_until_ready();
+    let after = deployment.wait_for_table(|table| versions(table) == ["v1", "v2"]);
+    assert_eq!(after, before);
+    wait_until(|| deployment.records("inherited") == [before; GATEWAYS]);
+}
+
+/// Guards against a number that a restored store gives out again for another table.
+#[test]
+fn a_table_that_a_restored_store_lacks_is_written_with_a_higher_number() {
+    let deployment = Deployment::start("restored");
+    deployment.add_server("v2");
+    let before = deployment.wait_for_table(|table| versions(table) == ["v1", "v2"]);
+    let plan = json!({ "age_ms": 3_600_000, "away_ms": 300, "rewrite_ms": 500 });
+    post_json(deployment.0.duties, "/-/restore", &plan).unwrap();
+    let after = deployment.wait_for_table(|table| table["number"].as_u64().unwrap() > before);
+    assert!(after > before);
+    for slots in deployment.table()["services"].as_array().unwrap() {
+        let changed = slots["changed"].as_array().unwrap();
+        assert!(
+            changed
+                .iter()
+                .all(|changed| changed.as_u64().unwrap() > before)
+        );
+    }
+}
