Bind streams that may go on elsewhere to one software version

Cause: the version in a server's entry and the header `Resumes` were read nowhere, so that every choice of a server (first send, retry, silent server, take-up, the engine after a prefill) took any server of the service. Prompts were also prefilled, and parts fetched, across versions.

A server's version is now part of its incarnation. A choice may be bound to a version; engines of one version only prefill, fetch and generate one prompt. A request on a resumable route is bound as soon as its version is known, at the latest before its first event is forwarded. A take-up whose version is not known is refused as not run, counted and logged. A take-up has priority 0 and is not refused because its first event would be late.

The file versions.rs is a stand-in: it knows the streams that this node began and a service's only version.

--- a/crates/pomeloridge_base/src/error.rs
+++ b/crates/pomeloridge_base/src/error.rs
@@ -93,6 +93,7 @@
     AccountBusy: 429, "account_busy", NotRun, RETRY_1S, "the client account has too many requests waiting";
     Overloaded: 503, "overloaded", NotRun, RETRY_1S, "the wait would be longer than the request's deadline";
     NoServer: 503, "no_server", NotRun, RETRY_5S, "no backend server for this route can take work";
+    UnknownVersion: 503, "unknown_version", NotRun, RETRY_1S, "this node can't tell which software version began the stream; another may";
     CutOff: 503, "cut_off", NotRun, RETRY_1S, "this node is cut off from the platform and its peers";
     NoConfig: 503, "no_config", NotRun, RETRY_1S, "this node knows no configuration yet";
     Stopping: 503, "stopping", NotRun, RETRY_1S, "this node is shutting down";
--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -41,6 +41,7 @@
         Quarantined: "pomeloridge_quarantined", "Requests refused since servers had ended under them.";
         RetriesDenied: "pomeloridge_repeats_denied", "Repeats that this node's part of the fleet's budget had no room for.";
         Resumed: "pomeloridge_resumed", "Generations continued on another engine.";
+        UnknownVersions: "pomeloridge_unknown_versions", "Streams not continued since the software version that began them was not known.";
         OutputTokens: "pomeloridge_output_tokens", "Output tokens sent to callers.";
         Ejections: "pomeloridge_ejections", "Backend servers taken out of routing after a failure.";
         RoleChanges: "pomeloridge_role_changes", "Role changes ordered.";
--- a/crates/pomeloridge_dev/tests/odd_entries.rs
+++ b/crates/pomeloridge_dev/tests/odd_entries.rs
@@ -95,8 +95,8 @@
     less_deep = { "less-deep", nested(LESS_DEEP).into_bytes() },
     huge_number = { "number", br#"{"slots":1e999}"#.to_vec() },
     no_number = { "nan", br#"{"slots":NaN}"#.to_vec() },
-    port = { "port", br#"{"service":"filings","address":"127.0.0.1:70000","zone":"dc-1","slots":8,"state":"ready"}"#.to_vec() },
-    time = { "time", br#"{"service":"filings","address":"127.0.0.1:9","zone":"dc-1","slots":8,"state":"draining","leaves_ms":1e300}"#.to_vec() },
+    port = { "port", br#"{"service":"filings","address":"127.0.0.1:70000","zone":"dc-1","version":"v1","slots":8,"state":"ready"}"#.to_vec() },
+    time = { "time", br#"{"service":"filings","address":"127.0.0.1:9","zone":"dc-1","version":"v1","slots":8,"state":"draining","leaves_ms":1e300}"#.to_vec() },
     utf8 = { "utf8", b"{\"service\":\"\xff\"}".to_vec() },
 )]
 fn gateways_follow_the_servers_beside_an_odd_entry(name: &str, odd: Vec<u8>) {
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
@@ -21,7 +22,9 @@
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
-/// Lowest priority that engines accept; 0 is the highest.
+/// Priority of requests that continue a stream.
+const HIGHEST_PRIORITY: u8 = 0;
+/// Lowest priority that engines accept.
 const LOWEST_PRIORITY: u8 = 9;
 
 /// A request that has been routed and authenticated.
@@ -35,6 +38,8 @@
     pub(crate) priority: u8,
     pub(crate) arrived_at: Instant,
     pub(crate) deadline: Instant,
+    /// When the caller stops waiting for the response, or for its stream to be continued.
+    pub(crate) caller_deadline: Instant,
     /// Prompt parts that other requests may share, in order.
     pub(crate) shared_parts: Vec<PartId>,
     pub(crate) trial: Cell<Trial>,
@@ -86,6 +91,19 @@
         predicted > caller_timeout.mul_f64(MAX_PREDICTED_FRACTION)
     }
 
+    /// Returns whether the request continues a stream that another one began.
+    pub(crate) fn continues_stream(&self) -> bool {
+        self.route.kind.is_resumable() && self.inbound.last_event.is_some()
+    }
+
+    /// Returns the identifier of the attempt that began the request's stream.
+    pub(crate) fn first_attempt(&self) -> &Bytes {
+        let first = self.inbound.resumes.as_ref();
+        first
+            .filter(|_| self.continues_stream())
+            .unwrap_or(&self.inbound.id)
+    }
+
     /// Returns the identifiers of the prompt parts that other requests may share, for the log.
     pub(crate) fn part_labels(&self) -> String {
         let parts = self.shared_parts.iter().take(MAX_LOGGED_PARTS);
@@ -107,17 +125,21 @@
     let arrived_at = state.now();
     match resolve(state, &inbound) {
         Ok((route, account, service)) => {
-            let caller_timeout = inbound
-                .caller_timeout
-                .unwrap_or(DEFAULT_CALLER_TIMEOUT)
-                .min(route.timeout);
+            let caller_timeout = inbound.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
             let priority = account.as_ref().and_then(|account| account.priority);
+            let continues_stream = route.kind.is_resumable() && inbound.last_event.is_some();
+            let priority = if continues_stream {
+                HIGHEST_PRIORITY
+            } else {
+                priority.unwrap_or(route.priority).min(LOWEST_PRIORITY)
+            };
             let account = account.map(|account| account.name);
             let account_name = account.clone().unwrap_or_default();
             Ok(Accepted {
                 fingerprint: Fingerprint::of(&account_name, inbound.path(), &inbound.body),
-                priority: priority.unwrap_or(route.priority).min(LOWEST_PRIORITY),
-                deadline: arrived_at + caller_timeout,
+                priority,
+                deadline: arrived_at + caller_timeout.min(route.timeout),
+                caller_deadline: arrived_at + caller_timeout,
                 shared_parts: shared_parts(&inbound),
                 trial: Cell::default(),
                 part_run: Cell::default(),
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -1,13 +1,14 @@
 //! The attempts of one request: which server it is sent to, whether it is retried, and the
 //! final refusal.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
 use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::error::{ErrorKind, RunStatus};
+use pomeloridge_base::id::Name;
 use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::crashes::{QUARANTINE_CRASHES, RunKey, RunOutcome};
@@ -21,6 +22,7 @@
 use crate::silence::SilentWork;
 use crate::state::State;
 use crate::token_rate::TokenRate;
+use crate::versions;
 
 /// Default and shortest retry delay that a refusal gives the caller.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -185,6 +187,8 @@
     next_charge: Cell<Option<Instant>>,
     /// The same for the running or latest attempt.
     charge: Option<Instant>,
+    /// Software version at which the request may run, once it is bound to one.
+    version: OnceCell<Name>,
 }
 
 impl Drop for Attempts<'_> {
@@ -211,6 +215,22 @@
             last_sent_at: accepted.arrived_at,
             next_charge: Cell::default(),
             charge: None,
+            version: OnceCell::new(),
+        }
+    }
+
+    /// Binds the request to a software version, if its stream may go on elsewhere and it is not
+    /// bound yet. Must be called before an event of the stream is forwarded.
+    pub(crate) fn bind(&self, version: &Name) {
+        let accepted = self.accepted;
+        if accepted.route.kind.is_resumable() && self.version.set(version.clone()).is_ok() {
+            versions::record_begun(
+                self.state,
+                &accepted.service,
+                accepted.first_attempt(),
+                version,
+                accepted.caller_deadline,
+            );
         }
     }
 
@@ -257,14 +277,16 @@
             allow_separate_prefill: !self.prefill_tried
                 && accepted.inbound.last_event.is_none()
                 && accepted.trial.get() == Trial::None,
+            version: self.version.get(),
         };
         let plan = state.dispatcher.borrow_mut().choose(&request, now);
         let Some(plan) = plan else {
             log::info!(
-                "request id={} choice=refuse service={} tried={} over_limit={} \
+                "request id={} choice=refuse service={} version={} tried={} over_limit={} \
                  reason=\"no server available\"",
                 accepted.inbound.label(),
                 accepted.service,
+                self.version.get().cloned().unwrap_or_default(),
                 self.tried.len(),
                 state
                     .dispatcher
@@ -273,7 +295,8 @@
             );
             return Err(self.no_server_refusal(now));
         };
-        if self.deliveries == 0 && accepted.caller_gives_up_before(plan.ttft) {
+        let may_be_late = self.deliveries > 0 || accepted.continues_stream();
+        if !may_be_late && accepted.caller_gives_up_before(plan.ttft) {
             log::info!(
                 "request id={} choice=refuse service={} server={} unread={} predicted_ms={} \
                  reason=\"the caller would time out before the first chunk\"",
@@ -292,13 +315,14 @@
         self.charge = self.next_charge.take();
         self.prefill_tried |= plan.prefill.is_some();
         log::info!(
-            "request id={} print={} choice=send route={} service={} server={} prefill={} \
-             unread={} fetch={} predicted_ms={} attempt={} left_ms={} parts={}",
+            "request id={} print={} choice=send route={} service={} server={} version={} \
+             prefill={} unread={} fetch={} predicted_ms={} attempt={} left_ms={} parts={}",
             accepted.inbound.label(),
             accepted.fingerprint,
             accepted.route.name,
             accepted.service,
             state.server_name(plan.server),
+            state.server_version(plan.server),
             plan.prefill
                 .map(|key| state.server_name(key))
                 .unwrap_or_default(),
@@ -323,6 +347,7 @@
             prompt: self.accepted.inbound.prompt.as_ref(),
             tried: &self.tried,
             allow_separate_prefill: false,
+            version: self.version.get(),
         };
         let dispatcher = self.state.dispatcher.borrow();
         let prefill_server = plan.prefill.unwrap_or(plan.server);
@@ -454,6 +479,7 @@
             prompt: accepted.inbound.prompt.as_ref(),
             tried: &tried,
             allow_separate_prefill: false,
+            version: self.version.get(),
         };
         let now = state.now();
         if !state.dispatcher.borrow().has_server(&request, now) {
@@ -557,7 +583,7 @@
     }
 
     /// Builds a refusal that tells the caller whether the request may have run.
-    fn refusal(&self, kind: ErrorKind) -> Refusal {
+    pub(crate) fn refusal(&self, kind: ErrorKind) -> Refusal {
         let run = self.run_state();
         // "Not run" may be claimed only if no server can have run the request.
         let kind = match (kind.answer().run, run) {
@@ -578,7 +604,7 @@
     /// that callers don't retry all at once.
     fn no_server_refusal(&self, now: Instant) -> Refusal {
         let dispatcher = self.state.dispatcher.borrow();
-        let wait = dispatcher.shortest_wait(&self.accepted.service, now);
+        let wait = dispatcher.shortest_wait(&self.accepted.service, self.version.get(), now);
         let refusal = self.refusal(ErrorKind::NoServer);
         Refusal {
             retry_after: wait.map_or(refusal.retry_after, |wait| {
--- a/crates/pomeloridge_gateway/src/config.rs
+++ b/crates/pomeloridge_gateway/src/config.rs
@@ -27,6 +27,11 @@
     pub fn is_retryable(self) -> bool {
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
+
+    /// Returns whether another server may resume a stream of the route.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
 }
 
 /// A service's share of a route's requests.
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -8,7 +8,7 @@
 use derive_more::Display;
 use http::StatusCode;
 use pomeloridge_base::http::{Connection, Fault, RefusalMark};
-use pomeloridge_policy::dispatch::TargetKey;
+use pomeloridge_policy::dispatch::{TargetInfo, TargetKey};
 
 use crate::accept::Accepted;
 use crate::part_quarantine;
@@ -142,6 +142,8 @@
 pub(crate) struct Exchange {
     pub(crate) connection: Connection,
     pub(crate) head: ResponseHead,
+    /// The server's entry when the request was sent.
+    pub(crate) server: TargetInfo,
 }
 
 /// Parameters of one attempt at one server.
@@ -244,7 +246,11 @@
     if guarantees_not_run(head.status) {
         return Err(Failure::ServerError);
     }
-    Ok(Exchange { connection, head })
+    Ok(Exchange {
+        connection,
+        head,
+        server: info,
+    })
 }
 
 /// Reads the body of a response, of at most `limit` bytes, unless the server falls silent and is
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod token_rate;
 mod unary;
 mod usage;
+mod versions;
 mod watch;
 
 pub use active_config::{ActiveConfig, AdoptOutcome};
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -108,6 +108,7 @@
     let Exchange {
         mut connection,
         head,
+        ..
     } = exchange(state, accepted, params)
         .await
         .inspect_err(|failure| in_flight.record_failure(*failure))?;
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -30,6 +30,8 @@
     pub prompt: Option<PromptShape>,
     /// Last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
+    /// Identifier of the attempt that brought the first event of the stream that is continued.
+    pub resumes: Option<Bytes>,
     /// Request body.
     pub body: Bytes,
 }
@@ -44,6 +46,13 @@
     pub fn label(&self) -> &str {
         std::str::from_utf8(&self.id).unwrap_or("?")
     }
+
+    /// Returns the attempt that brought the first event as text for the log, empty if the caller
+    /// names none.
+    pub(crate) fn resumes_label(&self) -> &str {
+        let resumes = self.resumes.as_deref().unwrap_or_default();
+        std::str::from_utf8(resumes).unwrap_or("?")
+    }
 }
 
 /// Part of a request that a server is to run.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -17,6 +17,7 @@
 use pomeloridge_policy::fleet_retry_budget::{AllowanceShare, FleetRetryBudget, FleetRetryLimits};
 use pomeloridge_policy::part_crashes::PartTracker;
 use pomeloridge_policy::stage_assignment::StageLoad;
+use pomeloridge_policy::stream_versions::StreamMemory;
 use pomeloridge_policy::watchers::{
     RankedNode, is_cut_off, lacks_watchers, must_call_store, retry_delay,
 };
@@ -107,6 +108,8 @@
     pub(crate) allowance_from: Cell<Instant>,
     pub(crate) retry_budgets: RefCell<HashMap<Name, FleetRetryBudget>>,
     pub(crate) pool: Pool,
+    /// Streams that this node has begun or continued.
+    pub(crate) streams: RefCell<StreamMemory>,
     /// Requests that may have crashed servers.
     pub(crate) crashes: RefCell<CrashTracker>,
     /// Prompt parts that may have crashed engines.
@@ -193,6 +196,7 @@
             allowance_from: Cell::new(retry_limits(&settings).allowance_from(now)),
             retry_budgets: RefCell::default(),
             pool: Pool::default(),
+            streams: RefCell::default(),
             crashes: RefCell::default(),
             parts: RefCell::default(),
             crash_probes: RefCell::default(),
@@ -513,6 +517,15 @@
         is_allowed.then(|| self.max_connections(&service))
     }
 
+    /// Returns the version of a server's software for the log, empty if it is no longer listed.
+    pub(crate) fn server_version(&self, key: TargetKey) -> Name {
+        let dispatcher = self.dispatcher.borrow();
+        let target = dispatcher.target(key);
+        target
+            .map(|target| target.info.version.clone())
+            .unwrap_or_default()
+    }
+
     /// Returns a server's name for the log, empty if it is no longer listed.
     pub(crate) fn server_name(&self, key: TargetKey) -> Name {
         let dispatcher = self.dispatcher.borrow();
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -9,8 +9,9 @@
 
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, StatusCode};
+use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::http::{Fault, Responder, Response};
-use pomeloridge_base::meter::Timer;
+use pomeloridge_base::meter::{Counter, Timer};
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::crashes::RunOutcome;
 use pomeloridge_policy::dispatch::Plan;
@@ -25,6 +26,7 @@
 use crate::state::State;
 use crate::token_rate::TokenRate;
 use crate::unary::{read_response, run_outcome};
+use crate::versions;
 
 /// How a stream ended.
 pub(crate) enum StreamOutcome {
@@ -98,6 +100,15 @@
     /// Runs the request and forwards its events to the caller.
     pub(crate) async fn run(&mut self, responder: &mut Responder) -> StreamOutcome {
         let mut attempts = Attempts::new(self.state, self.accepted);
+        if self.accepted.route.kind.is_resumable() {
+            let bound = monoio::select! {
+                bound = self.bind(&attempts) => bound,
+                fault = responder.closed() => return StreamOutcome::CallerGone(fault),
+            };
+            if let Err(refusal) = bound {
+                return StreamOutcome::Refused(refusal);
+            }
+        }
         let mut last_failure = Failure::Unreachable;
         loop {
             let plan = match attempts.choose() {
@@ -135,6 +146,45 @@
         }
     }
 
+    /// Binds the request to the software version at which its stream began or must begin, if that
+    /// is decided already.
+    async fn bind(&self, attempts: &Attempts<'_>) -> Result<(), Refusal> {
+        let (state, accepted) = (self.state, self.accepted);
+        let (service, inbound) = (&accepted.service, &accepted.inbound);
+        let resumes = inbound.resumes.as_deref();
+        let version = if accepted.continues_stream() {
+            let version = versions::version_of_resumed(state, service, resumes).await;
+            version.map(Some)
+        } else {
+            versions::version_of_new(state, service, &inbound.id)
+        };
+        match version {
+            Ok(None) => Ok(()),
+            Ok(Some(version)) => {
+                if accepted.continues_stream() {
+                    log::info!(
+                        "request id={} choice=continue resumes={} service={service} \
+                         version={version}",
+                        inbound.label(),
+                        inbound.resumes_label()
+                    );
+                }
+                attempts.bind(&version);
+                Ok(())
+            }
+            Err(reason) => {
+                state.meter.increment(Counter::UnknownVersions);
+                log::info!(
+                    "request id={} choice=refuse resumes={} service={service} \
+                     reason=\"version of the stream is not known: {reason}\"",
+                    inbound.label(),
+                    inbound.resumes_label()
+                );
+                Err(attempts.refusal(ErrorKind::UnknownVersion))
+            }
+        }
+    }
+
     /// Returns the outcome after the last attempt. A refusal can no longer be sent once the head
     /// of a response has been sent.
     fn final_outcome(&self, refusal: Refusal, failure: Failure) -> StreamOutcome {
@@ -247,6 +297,7 @@
         let Exchange {
             mut connection,
             head,
+            server,
         } = exchanged;
         let mut events = EventSplitter::default();
         let mut rate = TokenRate::default();
@@ -254,6 +305,7 @@
         let gap = self.accepted.route.gap_target.unwrap_or_default();
         watch.timeout = self.accepted.silence_timeout(gap);
         let is_resumed = self.head_sent;
+        let is_resumable = self.accepted.route.kind.is_resumable();
         loop {
             let chunk = monoio::select! {
                 chunk = connection.read_chunk(self.accepted.deadline) => chunk,
@@ -268,8 +320,20 @@
             if !events.push(&chunk) {
                 return Err(AttemptError::Server(Failure::InvalidResponse));
             }
+            // The response may be that of a process of another version, which began to listen at
+            // the address before its entry arrived.
+            if is_resumable
+                && self
+                    .state
+                    .dispatcher
+                    .borrow()
+                    .has_other_version(watch.server, &server)
+            {
+                return Err(AttemptError::Server(Failure::ConnectionLost));
+            }
+            let bind = || watch.attempts.bind(&server.version);
             let tokens = self
-                .forward_events(&mut events, is_resumed, responder)
+                .forward_events(&mut events, is_resumed, bind, responder)
                 .await?;
             watch.timeout = self.accepted.answer_silence_timeout();
             if tokens > 0 {
@@ -290,11 +354,12 @@
 
     /// Forwards the complete events received so far, except those that the caller already has.
     /// Returns the number of tokens in all of them. An event without an id is none of a stream
-    /// that another server began.
+    /// that another server began. Calls `bind` before any event is forwarded.
     async fn forward_events(
         &mut self,
         events: &mut EventSplitter,
         is_resumed: bool,
+        bind: impl FnOnce(),
         responder: &mut Responder,
     ) -> Result<u64, AttemptError> {
         let mut bytes = Vec::new();
@@ -314,6 +379,7 @@
             bytes.extend_from_slice(&event.bytes);
         }
         if !bytes.is_empty() {
+            bind();
             self.state.count_work(&self.accepted.service, 0, tokens);
             self.send_head(responder).await?;
             self.record_chunk();
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -87,6 +87,7 @@
     let Exchange {
         mut connection,
         head,
+        ..
     } = exchanged;
     watch.timeout = watch.attempts.accepted().answer_silence_timeout();
     let body = read_body(state, &mut connection, MAX_RESPONSE_BYTES, watch).await?;
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -395,11 +395,12 @@
         return is_removed;
     };
     let (leaving, new_stage, born) = (info.leaving, info.stage, info.started_unix_ms);
+    let version = info.version.clone();
     let changed = registry.upsert(name.clone(), info);
     if changed {
         log::info!(
-            "server id={name} choice=update born={born} leaving={leaving} stage={new_stage} \
-             revision={}",
+            "server id={name} choice=update born={born} version={version} leaving={leaving} \
+             stage={new_stage} revision={}",
             event.version
         );
     }
--- a/crates/pomeloridge_gateway/tests/server_registry.rs
+++ b/crates/pomeloridge_gateway/tests/server_registry.rs
@@ -13,6 +13,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: Name::from("a"),
         service: Name::from("s"),
+        version: Name::from("v1"),
         slots: 8,
         kv_capacity: 0,
         stage: Stage::Unified,
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -15,7 +15,7 @@
 mod target;
 
 use std::cmp::Reverse;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
@@ -90,6 +90,8 @@
     pub tried: &'a [TargetKey],
     /// Whether the prefill may run on another engine than the decode.
     pub allow_separate_prefill: bool,
+    /// Software version that it is bound to, if any.
+    pub version: Option<&'a Name>,
 }
 
 /// The servers chosen for a request.
@@ -107,6 +109,16 @@
     pub ttft: Duration,
 }
 
+/// The engines of one version that may run a prompt.
+#[derive(Clone, Copy, Debug)]
+struct PromptEngines<'a> {
+    usable: &'a [TargetKey],
+    /// Engine that all nodes choose first to prefill the prompt.
+    home: Option<TargetKey>,
+    /// Engine that has most of the prompt cached, and the tokens that it has.
+    holder: Option<(TargetKey, u64)>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
     target: TargetKey,
@@ -237,6 +249,18 @@
         self.targets.get(key)
     }
 
+    /// Returns whether a server with this earlier entry is now listed with another version at the
+    /// same address.
+    pub fn has_other_version(&self, key: TargetKey, info: &TargetInfo) -> bool {
+        if self.targets.contains_key(key) {
+            return false;
+        }
+        let mut listed = self.targets.values().map(|target| &target.info);
+        listed.any(|other| {
+            other.id == info.id && other.address == info.address && other.version != info.version
+        })
+    }
+
     /// Returns all servers with their keys.
     pub fn targets(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
         self.targets.iter()
@@ -286,12 +310,33 @@
         let Some(prompt) = request.prompt else {
             return self.least_loaded(&self.sample_targets(eligible), now);
         };
-        let home = self.home_engine(prompt, &eligible);
-        let mut usable = self.sample_targets(eligible);
-        if let Some(home) = home.filter(|home| !usable.contains(home)) {
-            usable.push(home);
+        let plans = self.group_by_version(eligible).into_iter();
+        let plans = plans.filter_map(|(version, engines)| {
+            let home = self.home_engine(prompt, &engines);
+            let mut usable = self.sample_targets(engines);
+            if let Some(home) = home.filter(|home| !usable.contains(home)) {
+                usable.push(home);
+            }
+            let holder = self.best_cache_holder(prompt, version, now);
+            let engines = PromptEngines {
+                usable: &usable,
+                home,
+                holder,
+            };
+            self.plan_prompt(prompt, engines, request.allow_separate_prefill, now)
+        });
+        plans.min_by_key(|plan| plan.ttft)
+    }
+
+    /// Groups engines by their software version, as an engine of another version may not be able
+    /// to use their KV caches.
+    fn group_by_version(&self, keys: Vec<TargetKey>) -> BTreeMap<&Name, Vec<TargetKey>> {
+        let mut groups: BTreeMap<&Name, Vec<TargetKey>> = BTreeMap::new();
+        for key in keys {
+            let version = &self.targets[key].info.version;
+            groups.entry(version).or_default().push(key);
         }
-        self.plan_prompt(prompt, &usable, home, request.allow_separate_prefill, now)
+        groups
     }
 
     /// Returns the engine that all nodes choose first to prefill a long shared part.
@@ -315,7 +360,7 @@
         })
     }
 
-    /// Chooses the engine that decodes a prompt prefilled on `prefill_engine`.
+    /// Chooses the engine that decodes a prompt prefilled on `prefill_engine`, of the same version.
     ///
     /// Prefill may take seconds, in which the planned engine may have started to leave or
     /// become busier.
@@ -326,8 +371,12 @@
         now: Instant,
     ) -> Option<TargetKey> {
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
+        let request = DispatchRequest {
+            version: Some(&self.targets.get(prefill_engine)?.info.version),
+            ..*request
+        };
         let choose = |last_resort| {
-            let mut usable = self.sample_targets(self.eligible(request, now, last_resort));
+            let mut usable = self.sample_targets(self.eligible(&request, now, last_resort));
             usable.retain(|key| self.targets[*key].info.stage != Stage::Prefill);
             self.best_decode_engine(&usable, prefill_engine, tokens, now)
         };
@@ -567,11 +616,18 @@
         target.is_some_and(|target| !std::mem::replace(&mut target.announced_leaving, true))
     }
 
-    /// Returns the time until the first of a service's servers may be sent a request again after
-    /// its backoff or by its limit, or `None` if there is no such server.
-    pub fn shortest_wait(&self, service: &Name, now: Instant) -> Option<Duration> {
-        let of_service = self.targets.values();
-        let of_service = of_service.filter(|target| target.info.service == *service);
+    /// Returns the time until the first of a service's servers, of one version if given, may be
+    /// sent a request again after its backoff or by its limit, or `None` if there is no such server.
+    pub fn shortest_wait(
+        &self,
+        service: &Name,
+        version: Option<&Name>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let of_service = self.targets.values().filter(|target| {
+            target.info.service == *service
+                && version.is_none_or(|version| target.info.version == *version)
+        });
         of_service.filter_map(|target| target.wait(now)).min()
     }
 
@@ -632,6 +688,9 @@
     ) -> Vec<TargetKey> {
         let is_eligible = |(key, target): &(TargetKey, &Target)| {
             target.info.service == *request.service
+                && request
+                    .version
+                    .is_none_or(|version| target.info.version == *version)
                 && !target.is_leaving()
                 && target.backoff(now).is_none()
                 && target.is_within_limit(now)
@@ -664,11 +723,15 @@
     fn plan_prompt(
         &self,
         prompt: &PromptShape,
-        usable: &[TargetKey],
-        home: Option<TargetKey>,
+        engines: PromptEngines<'_>,
         allow_separate_prefill: bool,
         now: Instant,
     ) -> Option<Plan> {
+        let PromptEngines {
+            usable,
+            home,
+            holder,
+        } = engines;
         let of_stage = |stage: Stage| {
             let keys = usable.iter().copied();
             keys.filter(move |key| self.targets[*key].info.stage == stage)
@@ -677,7 +740,6 @@
         let decode_engines: Vec<TargetKey> = of_stage(Stage::Decode)
             .chain(of_stage(Stage::Unified))
             .collect();
-        let holder = self.best_cache_holder(prompt, now);
         let unsplit = self.lowest_ttft(prompt, &decode_engines, holder, None, now);
         let prefill_plan = allow_separate_prefill
             .then(|| self.lowest_ttft(prompt, &prefill_engines, holder, home, now))
@@ -752,10 +814,17 @@
         plans.min_by_key(|plan| plan.ttft)
     }
 
-    /// Returns the engine that has most of the prompt's leading parts cached, and their
-    /// tokens. Among equals the nearest and then the least loaded engine is chosen.
-    fn best_cache_holder(&self, prompt: &PromptShape, now: Instant) -> Option<(TargetKey, u64)> {
-        let held = self.targets.iter().map(|(key, target)| {
+    /// Returns the engine of a version that has most of the prompt's leading parts cached, and
+    /// their tokens. Among equals the nearest and then the least loaded engine is chosen.
+    fn best_cache_holder(
+        &self,
+        prompt: &PromptShape,
+        version: &Name,
+        now: Instant,
+    ) -> Option<(TargetKey, u64)> {
+        let held = self.targets.iter();
+        let held = held.filter(|(_, target)| target.info.version == *version);
+        let held = held.map(|(key, target)| {
             let tokens = target.prompt_cache.leading_tokens(&prompt.parts);
             let distance = Reverse(self.distance_penalty(target));
             (key, tokens, distance, Reverse(target.prefill_tokens(now)))
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -49,6 +49,8 @@
     pub data_centre: Name,
     /// Service that it runs.
     pub service: Name,
+    /// Version of its software; it belongs to the incarnation.
+    pub version: Name,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Capacity of its KV cache in tokens; 0 for a plain service.
@@ -76,6 +78,7 @@
         self.id == other.id
             && self.started_unix_ms == other.started_unix_ms
             && self.address == other.address
+            && self.version == other.version
     }
 }
 
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -20,6 +20,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: Name::from("a"),
         service: Name::from("model"),
+        version: Name::from("v1"),
         slots: 128,
         kv_capacity: CAPACITY,
         stage,
@@ -67,6 +68,7 @@
         prompt: Some(prompt),
         tried,
         allow_separate_prefill: true,
+        version: None,
     };
     dispatcher.choose(&request, Instant::now())
 }
@@ -320,6 +322,7 @@
         prompt: Some(&prompt),
         tried: &[],
         allow_separate_prefill: false,
+        version: None,
     };
     let prefill_engine = key(&dispatcher, "p");
     let run = dispatcher
@@ -412,6 +415,7 @@
             prompt: Some(&prompt),
             tried: &[],
             allow_separate_prefill: true,
+            version: None,
         };
         if dispatcher.choose(&request, now).unwrap().prefill == Some(p) {
             attempts += 1;
@@ -500,6 +504,7 @@
         prompt: Some(&prompt),
         tried,
         allow_separate_prefill: false,
+        version: None,
     };
     assert!(dispatcher.has_server(&request(&one), now));
     assert!(!dispatcher.has_server(&request(&both), now));
@@ -564,6 +569,7 @@
             prompt: None,
             tried: &[],
             allow_separate_prefill: false,
+            version: None,
         };
         let plan = dispatcher.choose(&request, now).unwrap();
         dispatcher.begin(plan.server, 0, None, now);
@@ -580,7 +586,7 @@
     let (d1, d2) = (key(&dispatcher, "d1"), key(&dispatcher, "d2"));
     let now = Instant::now();
     let service = Name::from("model");
-    assert_eq!(dispatcher.shortest_wait(&service, now), None);
+    assert_eq!(dispatcher.shortest_wait(&service, None, now), None);
     dispatcher.set_backoff(d1, Duration::from_mins(1), now);
     let short = prompt(100, None, 1);
     for _ in 0..20 {
@@ -588,7 +594,7 @@
     }
     dispatcher.set_backoff(d2, Duration::from_secs(30), now);
     assert_eq!(choose(&mut dispatcher, &short, &[]), None);
-    let first = dispatcher.shortest_wait(&service, now);
+    let first = dispatcher.shortest_wait(&service, None, now);
     assert_eq!(first, Some(Duration::from_secs(30)));
     // A shorter backoff does not replace a longer one, and zero has no effect.
     dispatcher.set_backoff(d1, Duration::ZERO, now);
--- a/crates/pomeloridge_policy/tests/policy/engine_speed.rs
+++ b/crates/pomeloridge_policy/tests/policy/engine_speed.rs
@@ -23,6 +23,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: Name::from("a"),
         service: Name::from("model"),
+        version: Name::from("v1"),
         slots: 64,
         kv_capacity: 500_000,
         stage,
@@ -56,6 +57,7 @@
         prompt: Some(prompt),
         tried: &[],
         allow_separate_prefill: true,
+        version: None,
     };
     dispatcher.choose(&request, now).unwrap()
 }
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod demand;
 mod dispatch;
+mod dispatch_versions;
 mod engine_speed;
 mod fairness;
 mod fleet_retry_budget;
--- a/crates/pomeloridge_policy/tests/policy/rate_limit.rs
+++ b/crates/pomeloridge_policy/tests/policy/rate_limit.rs
@@ -36,6 +36,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: Name::from("tln-a"),
         service: Name::from(SERVICE),
+        version: Name::from("v1"),
         slots: 8,
         kv_capacity: 0,
         stage: Stage::Unified,
@@ -327,6 +328,7 @@
         prompt: None,
         tried: &[],
         allow_separate_prefill: false,
+        version: None,
     };
     node.is_told(Some(limit(1.0)), now);
     node.update(&[], 0, now);
@@ -340,7 +342,7 @@
     node.dispatcher.sync(vec![server("s-1")]);
     assert_eq!(node.dispatcher.choose(&request, now), None);
     assert_eq!(node.dispatcher.over_limit_count(&service, now), 1);
-    let wait = node.dispatcher.shortest_wait(&service, now).unwrap();
+    let wait = node.dispatcher.shortest_wait(&service, None, now).unwrap();
     assert!(wait <= Duration::from_secs(1), "{wait:?}");
     assert!(node.dispatcher.choose(&request, now + wait).is_some());
 }
