--- a/crates/pomeloridge_policy/tests/policy/engine_speed.rs
+++ b/crates/pomeloridge_policy/tests/policy/engine_speed.rs
@@ -57,6 +57,7 @@
         prompt: Some(prompt),
         tried: &[],
         allow_separate_prefill: true,
+        version: None,
     };
     dispatcher.choose(&request, now).unwrap()
 }
