Log what is still in flight while a gateway closes

A gateway that was killed at the end of the grace time left no line that told how many requests it still had, nor which of them had arrived after the signal. `stop phase=closing running=` now comes once a second, and a request that arrives within a stop has `choice=take phase= left_ms=`. No logic is changed.

--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -46,6 +46,14 @@
         }
     };
     state.count_request(&accepted.service);
+    if state.lifecycle.is_stopping() {
+        log::info!(
+            "request id={} choice=take phase={} left_ms={}",
+            accepted.inbound.label(),
+            state.lifecycle.phase(),
+            accepted.time_left(state.now()).as_millis()
+        );
+    }
     // The caller may have left while this process was slow or frozen.
     if responder.is_closed() {
         return record_caller_gone(state, &accepted, &Fault::Closed);
--- a/crates/pomeloridge_gateway/src/lifecycle.rs
+++ b/crates/pomeloridge_gateway/src/lifecycle.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::state::State;
 
 /// Interval at which the signal flags are polled.
@@ -17,12 +19,16 @@
 /// Delay of a timer above which the process did not run.
 const MIN_PAUSE: Duration = Duration::from_millis(200);
 
+/// Interval at which a closing gateway logs what is still in flight.
+const CLOSING_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Number of signal polls after which the settings are reloaded without a signal.
 const POLLS_PER_RELOAD: u32 = 50;
 
 /// Phase of the gateway.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Phase {
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+#[display(rename_all = "lowercase")]
+pub(crate) enum Phase {
     #[default]
     Serving,
     /// Reports itself as not ready, but still serves what the load balancer sends.
@@ -36,6 +42,10 @@
 pub(crate) struct Lifecycle(Rc<Cell<Phase>>);
 
 impl Lifecycle {
+    pub(crate) fn phase(&self) -> Phase {
+        self.0.get()
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.0.get() != Phase::Serving
     }
@@ -102,4 +112,8 @@
     monoio::time::sleep(state.settings().time("stop", "unready_ms")).await;
     log::info!("stop phase=closing running={}", state.in_flight.get());
     state.lifecycle.0.set(Phase::Closing);
+    loop {
+        monoio::time::sleep(CLOSING_LOG_INTERVAL).await;
+        log::info!("stop phase=closing running={}", state.in_flight.get());
+    }
 }
