--- a/crates/pomeloridge_dev/src/launch/process.rs
+++ b/crates/pomeloridge_dev/src/launch/process.rs
@@ -129,6 +129,17 @@
         self.signal(libc::SIGTERM);
     }
 
+    /// Requests a graceful stop, and kills the process after `grace_time` as the platform does.
+    /// Returns how it ended, or `None` if it had to be killed.
+    pub fn stop_within(&mut self, grace_time: Duration) -> Option<ExitStatus> {
+        self.stop();
+        let status = self.wait(grace_time);
+        if status.is_none() {
+            self.kill();
+        }
+        status
+    }
+
     /// Suspends the process by SIGSTOP until [`Self::resume`].
     pub fn pause(&self) {
         self.signal(libc::SIGSTOP);
