End requests within the grace time of a planned stop

Callers saw: in a planned stop, requests that a gateway had taken and sent on, calls that may not be repeated among them, ended without an answer.

Cause: nothing in the gateway knew the time after which the platform kills it. Requests kept deadlines beyond it.

Change: the setting `[stop] grace_s`. Within a stop no request has a deadline beyond nine tenths of the grace time; while the gateway is closing, one that may last longer is refused as not run. What is still in flight then is answered as unknown, or cut if a stream has begun, and the process ends.

A stream that has begun and goes on is still cut.

--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -122,6 +122,7 @@
     "lease" "term_ms" Millis, Some("3000"), "Term of the lease on the duties.", "Must be at least the time within which the platform forbids a change of holder.", "3000";
     "lease" "margin_ms" Millis, Some("500"), "Time added to the term before another node takes the lease.", "Allows for clocks that run at different speeds.", "500";
     "stop" "unready_ms" Millis, Some("3000"), "Delay between becoming unready and refusing connections at shutdown.", "The load balancer checks once a second and needs two failures.", "3000";
+    "stop" "grace_s" Seconds, Some("8"), "Time from SIGTERM until the platform kills the process.", "Requests in flight are answered before it ends.", "8";
     "repeats" "ratio" Amount, Some("0.2"), "Retries that the fleet may send per request.", "Bounds the extra load on an overloaded service.", "0.2";
     "repeats" "slack" Amount, Some("50"), "Retries that the fleet may send in a window in addition to the ratio.", "Allows retries when there are few requests.", "50";
     "repeats" "window_s" Seconds, Some("10"), "Window over which retries are counted.", "Equals the platform's window.", "10";
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -111,13 +111,17 @@
                 .caller_timeout
                 .unwrap_or(DEFAULT_CALLER_TIMEOUT)
                 .min(route.timeout);
+            let deadline = arrived_at + caller_timeout;
+            let Some(deadline) = state.lifecycle.admit(deadline, arrived_at) else {
+                return Err(Box::new((ErrorKind::Stopping, inbound)));
+            };
             let priority = account.as_ref().and_then(|account| account.priority);
             let account = account.map(|account| account.name);
             let account_name = account.clone().unwrap_or_default();
             Ok(Accepted {
                 fingerprint: Fingerprint::of(&account_name, inbound.path(), &inbound.body),
                 priority: priority.unwrap_or(route.priority).min(LOWEST_PRIORITY),
-                deadline: arrived_at + caller_timeout,
+                deadline,
                 shared_parts: shared_parts(&inbound),
                 trial: Cell::default(),
                 part_run: Cell::default(),
--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -1,9 +1,10 @@
 //! Handles requests of callers from arrival to the final response.
 
+use std::fmt::Display;
 use std::rc::Rc;
 
 use http::StatusCode;
-use pomeloridge_base::error::RunStatus;
+use pomeloridge_base::error::{ErrorKind, RunStatus};
 use pomeloridge_base::http::{Fault, Request, Responder, Response};
 use pomeloridge_base::meter::{Counter, Timer};
 use pomeloridge_base::refusal::Refusal;
@@ -58,13 +59,37 @@
     if responder.is_closed() {
         return record_caller_gone(state, &accepted, &Fault::Closed);
     }
+    let is_served = monoio::select! {
+        () = serve(state, &accepted, responder) => true,
+        () = state.lifecycle.out_of_time() => false,
+    };
+    if !is_served {
+        end(state, &accepted, responder).await;
+    }
+}
+
+async fn serve(state: &Rc<State>, accepted: &Accepted, responder: &mut Responder) {
     if let RouteKind::Stream { .. } = accepted.route.kind {
-        handle_stream(state, &accepted, responder).await;
+        handle_stream(state, accepted, responder).await;
     } else {
-        handle_unary(state, &accepted, responder).await;
+        handle_unary(state, accepted, responder).await;
     }
 }
 
+/// Ends a request that is still in flight when the process is about to be killed. Servers may have
+/// run it.
+async fn end(state: &State, accepted: &Accepted, responder: &mut Responder) {
+    if responder.started() {
+        return record_cut(state, accepted, "stopping");
+    }
+    log::info!(
+        "request id={} choice=end reason=stopping",
+        accepted.inbound.label()
+    );
+    let refusal = ErrorKind::DeadlinePassed.into();
+    refuse(state, &refusal, Some(&accepted.inbound), responder).await;
+}
+
 async fn handle_unary(state: &Rc<State>, accepted: &Accepted, responder: &mut Responder) {
     let outcome = monoio::select! {
         outcome = unary::run(state, accepted) => outcome,
@@ -88,14 +113,7 @@
         StreamOutcome::Refused(refusal) => {
             refuse(state, &refusal, Some(&accepted.inbound), responder).await;
         }
-        StreamOutcome::Truncated(failure) => {
-            state.meter.increment(Counter::Failed);
-            log::info!(
-                "request id={} outcome=cut reason={failure} total_ms={}",
-                accepted.inbound.label(),
-                elapsed_ms(state, accepted)
-            );
-        }
+        StreamOutcome::Truncated(failure) => record_cut(state, accepted, failure),
         StreamOutcome::CallerGone(fault) => record_caller_gone(state, accepted, &fault),
     }
 }
@@ -129,6 +147,15 @@
     );
 }
 
+fn record_cut(state: &State, accepted: &Accepted, reason: impl Display) {
+    state.meter.increment(Counter::Failed);
+    log::info!(
+        "request id={} outcome=cut reason={reason} total_ms={}",
+        accepted.inbound.label(),
+        elapsed_ms(state, accepted)
+    );
+}
+
 fn record_caller_gone(state: &State, accepted: &Accepted, fault: &Fault) {
     state.meter.increment(Counter::Cancelled);
     log::info!(
--- a/crates/pomeloridge_gateway/src/lifecycle.rs
+++ b/crates/pomeloridge_gateway/src/lifecycle.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use derive_more::Display;
 
@@ -22,6 +22,16 @@
 /// Interval at which a closing gateway logs what is still in flight.
 const CLOSING_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Part of the grace time that remains after the latest deadline of a request.
+const REMAINING_GRACE: f64 = 0.1;
+
+/// Time after the latest deadline for the requests that end by themselves, and then for writing
+/// the answers to the others.
+const END_DELAY: Duration = Duration::from_millis(200);
+
+/// Interval at which a request checks whether the gateway is stopping.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Number of signal polls after which the settings are reloaded without a signal.
 const POLLS_PER_RELOAD: u32 = 50;
 
@@ -39,19 +49,55 @@
 
 /// The current phase, shared by the gateway's tasks.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Lifecycle(Rc<Cell<Phase>>);
+pub(crate) struct Lifecycle {
+    phase: Rc<Cell<Phase>>,
+    /// Latest deadline of a request, once the gateway is stopping.
+    latest_deadline: Rc<Cell<Option<Instant>>>,
+}
 
 impl Lifecycle {
     pub(crate) fn phase(&self) -> Phase {
-        self.0.get()
+        self.phase.get()
+    }
+
+    /// Returns the deadline of a request that arrives at `now` and whose caller waits until
+    /// `deadline`, or `None` if the request is to be refused.
+    ///
+    /// While the gateway drains, the deadline is moved to before the process is killed. A closing
+    /// gateway refuses the request instead, as its caller then reaches another gateway.
+    pub(crate) fn admit(&self, deadline: Instant, now: Instant) -> Option<Instant> {
+        let Some(latest) = self.latest_deadline.get() else {
+            return Some(deadline);
+        };
+        let is_admitted = now < latest && (deadline <= latest || !self.is_closing());
+        is_admitted.then(|| deadline.min(latest))
+    }
+
+    /// Waits until requests that are still in flight must be ended, as the process is about to be
+    /// killed.
+    pub(crate) async fn out_of_time(&self) {
+        let latest = loop {
+            if let Some(latest) = self.latest_deadline.get() {
+                break latest;
+            }
+            monoio::time::sleep(STOP_CHECK_INTERVAL).await;
+        };
+        let left = (latest + END_DELAY).saturating_duration_since(Instant::now());
+        monoio::time::sleep(left).await;
+    }
+
+    /// Waits until the process must end.
+    pub(crate) async fn must_end(&self) {
+        self.out_of_time().await;
+        monoio::time::sleep(END_DELAY).await;
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.0.get() != Phase::Serving
+        self.phase.get() != Phase::Serving
     }
 
     pub(crate) fn is_closing(&self) -> bool {
-        self.0.get() == Phase::Closing
+        self.phase.get() == Phase::Closing
     }
 }
 
@@ -107,11 +153,19 @@
 /// load balancer needs to notice.
 async fn drain(state: &State) {
     let in_flight = state.in_flight.get();
-    log::info!("stop phase=draining running={in_flight}");
-    state.lifecycle.0.set(Phase::Draining);
+    let grace_time = state.settings().time("stop", "grace_s");
+    let serving_time = grace_time.mul_f64(1.0 - REMAINING_GRACE);
+    log::info!(
+        "stop phase=draining running={in_flight} serving_ms={}",
+        serving_time.as_millis()
+    );
+    let lifecycle = &state.lifecycle;
+    let latest = state.now() + serving_time;
+    lifecycle.latest_deadline.set(Some(latest));
+    lifecycle.phase.set(Phase::Draining);
     monoio::time::sleep(state.settings().time("stop", "unready_ms")).await;
     log::info!("stop phase=closing running={}", state.in_flight.get());
-    state.lifecycle.0.set(Phase::Closing);
+    lifecycle.phase.set(Phase::Closing);
     loop {
         monoio::time::sleep(CLOSING_LOG_INTERVAL).await;
         log::info!("stop phase=closing running={}", state.in_flight.get());
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -161,7 +161,12 @@
         let callers = Rc::clone(&callers);
         move |limits| callers.limits.set(limits)
     }));
-    callers.run(listener).await;
+    monoio::select! {
+        () = callers.run(listener) => {}
+        () = state.lifecycle.must_end() => {
+            log::info!("stop choice=end running={}", state.in_flight.get());
+        }
+    }
 }
 
 /// Periodically closes expired connections, removes expired records and applies the request
--- a/crates/pomeloridge_gateway/src/settings.rs
+++ b/crates/pomeloridge_gateway/src/settings.rs
@@ -7,13 +7,14 @@
 
 /// Settings that can change without a restart. The others configure what is set up at the
 /// start, or must be the same on all nodes at any time.
-const RELOADABLE: [(&str, &str); 8] = [
+const RELOADABLE: [(&str, &str); 9] = [
     ("peers", "pause_ms"),
     ("peers", "fan_out"),
     ("platform", "watch_ms"),
     ("repeats", "ratio"),
     ("repeats", "slack"),
     ("repeats", "window_s"),
+    ("stop", "grace_s"),
     ("stop", "unready_ms"),
     ("usage", "late_s"),
 ];
