--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -126,6 +126,10 @@
     match resolve(state, &inbound) {
         Ok((route, account, service)) => {
             let caller_timeout = inbound.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+            let deadline = arrived_at + caller_timeout.min(route.timeout);
+            let Some(deadline) = state.lifecycle.admit(deadline, arrived_at) else {
+                return Err(Box::new((ErrorKind::Stopping, inbound)));
+            };
             let priority = account.as_ref().and_then(|account| account.priority);
             let continues_stream = route.kind.is_resumable() && inbound.last_event.is_some();
             let priority = if continues_stream {
@@ -138,7 +142,7 @@
             Ok(Accepted {
                 fingerprint: Fingerprint::of(&account_name, inbound.path(), &inbound.body),
                 priority,
-                deadline: arrived_at + caller_timeout.min(route.timeout),
+                deadline,
                 caller_deadline: arrived_at + caller_timeout,
                 shared_parts: shared_parts(&inbound),
                 trial: Cell::default(),
