Reject a chunk without a size

Callers got a short body as a whole one where a server wrote an empty line in place of a chunk's size: monoio-http's decoder takes a size of no digits for 0, the last chunk. It also applies to requests. The decoder now gets a chunk only if that begins with a digit.

--- a/crates/pomeloridge_base/src/http/buffered.rs
+++ b/crates/pomeloridge_base/src/http/buffered.rs
@@ -19,11 +19,40 @@
 pub(super) enum Remaining {
     None,
     Fixed(usize),
-    Chunked(ChunkedBodyDecoder),
+    Chunked(ChunkedBody),
     /// The body ends when the peer closes the connection cleanly.
     UntilClose,
 }
 
+/// A body in chunks.
+///
+/// The codec takes a chunk without a size for the last one.
+#[derive(Default)]
+pub(super) struct ChunkedBody {
+    decoder: ChunkedBodyDecoder,
+    /// Whether the current chunk begins with a digit of its size.
+    has_size: bool,
+}
+
+impl ChunkedBody {
+    fn take(&mut self, buf: &mut BytesMut) -> Result<Taken, Fault> {
+        let is_digit = |byte: &u8| byte.is_ascii_hexdigit();
+        if !self.has_size && !buf.first().is_none_or(is_digit) {
+            return Err(Fault::Malformed("a chunk of the body has no size"));
+        }
+        self.has_size |= !buf.is_empty();
+        match self.decoder.decode(buf) {
+            Ok(Decoded::Some(Some(chunk))) => {
+                self.has_size = false;
+                Ok(Taken::Chunk(chunk))
+            }
+            Ok(Decoded::Some(None)) => Ok(Taken::End),
+            Ok(_) => Ok(Taken::Incomplete),
+            Err(_) => Err(Fault::Malformed("a chunk of the body is broken")),
+        }
+    }
+}
+
 /// A connection with the bytes that were read but not decoded yet.
 pub(super) struct BufferedStream {
     pub(super) stream: TcpStream,
@@ -138,15 +167,13 @@
             *left -= length;
             Ok(Taken::Chunk(buf.split_to(length).freeze()))
         }
-        Remaining::Chunked(decoder) => match decoder.decode(buf) {
-            Ok(Decoded::Some(Some(chunk))) => Ok(Taken::Chunk(chunk)),
-            Ok(Decoded::Some(None)) => {
+        Remaining::Chunked(body) => {
+            let taken = body.take(buf)?;
+            if matches!(taken, Taken::End) {
                 *remaining = Remaining::None;
-                Ok(Taken::End)
             }
-            Ok(_) => Ok(Taken::Incomplete),
-            Err(_) => Err(Fault::Malformed("a chunk of the body is broken")),
-        },
+            Ok(taken)
+        }
     }
 }
 
@@ -168,7 +195,7 @@
             if !chunked || codings.next().is_some() {
                 return Err(Fault::Malformed("a Transfer-Encoding other than chunked"));
             }
-            Ok(Some(Remaining::Chunked(ChunkedBodyDecoder::default())))
+            Ok(Some(Remaining::Chunked(ChunkedBody::default())))
         }
         (Some(length), None) => {
             let digits = length.as_bytes();
--- a/crates/pomeloridge_base/tests/cut_heads.rs
+++ b/crates/pomeloridge_base/tests/cut_heads.rs
@@ -160,6 +160,19 @@
     }
 }
 
+/// Guards against a chunk without a size that ends the body.
+#[parameterized(
+    without_size = { "5\r\nhello\r\n\r\n\r\n" },
+    only = { "\r\n\r\n" },
+    lost_start = { "\r\nhello\r\n0\r\n\r\n" },
+)]
+fn a_chunk_has_a_size(body: &str) {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let answer = format!("{head}{body}").into_bytes();
+    let response = last_response(vec![answer], End::Close, Unframed::UntilClose);
+    assert!(matches!(response, Err(Fault::Malformed(_))), "{response:?}");
+}
+
 fn assert_lost(response: &Result<Response, Fault>, end: End, part: &str) {
     let lost = matches!(response, Err(Fault::Closed | Fault::Io(_)));
     assert!(lost, "{end:?} after {part:?}: {response:?}");
