Reject a blank line within a head

Callers got an answer without the beginning of its body, framed as whole, where a server wrote the blank line before it without a carriage return: the head was searched for CRLF CRLF, the next of which may lie in the body, and monoio-http ends the head at the first blank line and drops the rest. It also applies to requests, whose end another proxy may see elsewhere.

--- a/crates/pomeloridge_base/src/http/buffered.rs
+++ b/crates/pomeloridge_base/src/http/buffered.rs
@@ -103,7 +103,10 @@
             if end.unwrap_or(self.buf.len()) > limit {
                 return Err(Fault::HeadTooLarge);
             }
-            if end.is_some() {
+            if let Some(end) = end {
+                if has_blank_line(&self.buf[..end - 4]) {
+                    return Err(Fault::Malformed("a blank line within the head"));
+                }
                 return match decoder.decode(&mut self.buf) {
                     Ok(Decoded::Some(head)) => Ok(Some(head)),
                     Ok(_) | Err(_) => Err(Fault::Malformed("the head cannot be parsed")),
@@ -223,3 +226,10 @@
     let end = buf.windows(4).position(|window| window == b"\r\n\r\n")?;
     Some(end + 4)
 }
+
+/// Returns whether a part of a head contains a blank line, in which line feeds may lack their
+/// carriage return. The codec would end the head there, and skip what follows in the part.
+fn has_blank_line(head: &[u8]) -> bool {
+    let mut lines = head.split(|byte| *byte == b'\n').skip(1);
+    lines.any(|line| matches!(line, b"" | b"\r"))
+}
--- a/crates/pomeloridge_base/tests/cut_heads.rs
+++ b/crates/pomeloridge_base/tests/cut_heads.rs
@@ -173,6 +173,25 @@
     assert!(matches!(response, Err(Fault::Malformed(_))), "{response:?}");
 }
 
+/// Guards against a body whose beginning is taken as a part of the head, as the blank line
+/// between them lacks a carriage return.
+#[parameterized(
+    both = { "\n\n" },
+    first = { "\n\r\n" },
+    second = { "\r\n\n" },
+)]
+fn a_blank_line_ends_the_head(blank: &str) {
+    for framing in ["content-type: text/plain", "content-length: 4"] {
+        let text = format!("HTTP/1.1 200 OK\r\n{framing}{blank}one\r\n\r\ntwo\n");
+        let answer = text.into_bytes();
+        let response = last_response(vec![answer], End::Close, Unframed::UntilClose);
+        let whole = response
+            .as_ref()
+            .is_ok_and(|response| response.body.starts_with(b"one\r"));
+        assert!(response.is_err() || whole, "{response:?}");
+    }
+}
+
 fn assert_lost(response: &Result<Response, Fault>, end: End, part: &str) {
     let lost = matches!(response, Err(Fault::Closed | Fault::Io(_)));
     assert!(lost, "{end:?} after {part:?}: {response:?}");
