--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -54,3 +54,4 @@
 pub use settings::ReloadSettings;
 pub use state::GatewayParts;
 pub use usage::{EndedWindow, PeerTimes, UsageLedger, UsageSource};
+pub use versions::{InvalidStreamIds, RecordWire, SlotsWire, StreamVersions, TableWire};
