--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -76,7 +76,8 @@
     // Version of the object that this process last wrote.
     let mut latest: Option<Revision> = None;
     loop {
-        if state.quarantine_changed.take() {
+        let is_record_due = state.versions.borrow_mut().take_due_record(state.now());
+        if state.quarantine_changed.take() || is_record_due {
             written = None;
         }
         if written.is_none() {
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -239,7 +239,7 @@
     let record = StreamRecord::try_from(wire);
     record
         .inspect_err(|error| {
-            log::warn!("node name={name} versions choice=ignore reason=\"{error}\"")
+            log::warn!("node name={name} versions choice=ignore reason=\"{error}\"");
         })
         .ok()
 }
