--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -538,6 +538,15 @@
         is_allowed.then(|| self.max_connections(&service))
     }
 
+    /// Returns the version of a server's software for the log, empty if it is no longer listed.
+    pub(crate) fn server_version(&self, key: TargetKey) -> Name {
+        let dispatcher = self.dispatcher.borrow();
+        let target = dispatcher.target(key);
+        target
+            .map(|target| target.info.version.clone())
+            .unwrap_or_default()
+    }
+
     /// Returns a server's name for the log, empty if it is no longer listed.
     pub(crate) fn server_name(&self, key: TargetKey) -> Name {
         let dispatcher = self.dispatcher.borrow();
