--- a/crates/pomeloridge_dev/tests/version_table.rs
+++ b/crates/pomeloridge_dev/tests/version_table.rs
@@ -3,8 +3,9 @@
 
 use std::time::{Duration, Instant};
 
-use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json};
-use pomeloridge_fleet_standin::caller::is_ready;
+use pomeloridge_base::http::OutgoingRequest;
+use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json, put_json};
+use pomeloridge_fleet_standin::caller::{generation, is_ready, send_request};
 use serde_json::{Value, json};
 
 const GATEWAYS: usize = 3;
@@ -12,6 +13,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time within which a new version has slots, and all gateways have acknowledged that.
 const ADOPTION_TIME: Duration = Duration::from_secs(2);
+const STREAMS: usize = 24;
 const SERVICE: &str = "assistant";
 
 struct Deployment(Fleet);
@@ -50,6 +52,33 @@
         post_json(self.0.store, "/-/objects/servers", &body).unwrap();
     }
 
+    /// Changes the version in a server's entry.
+    fn set_version(&self, server: &str, version: &str) {
+        let key = format!("servers/{server}");
+        let mut entry = self.object(&key).unwrap();
+        entry["version"] = version.into();
+        let body = json!({ "metadata": { "name": server }, "spec": entry });
+        put_json(self.0.store, &format!("/-/objects/{key}"), &body).unwrap();
+    }
+
+    /// Sends a request to a gateway; returns the status.
+    fn send(&self, gateway: usize, message: &OutgoingRequest) -> u16 {
+        let caller = self.0.gateways[gateway].caller;
+        let (answer, _) = block_on(send_request(caller, None, message)).unwrap();
+        answer.status.as_u16()
+    }
+
+    /// Returns the decode engine that ran an attempt.
+    fn engine_of(&self, attempt: &str) -> String {
+        let history = get_json(self.0.duties, "/-/history").unwrap();
+        let mut entries = history.as_array().unwrap().iter();
+        let entry = entries.find(|entry| {
+            let server = entry["server"].as_str().unwrap_or_default();
+            entry["attempt"] == attempt && server.contains("decode")
+        });
+        entry.unwrap()["server"].as_str().unwrap().to_owned()
+    }
+
     /// Waits for a table and until all gateways have acknowledged it; returns its number.
     fn wait_for_table(&self, is_expected: impl Fn(&Value) -> bool) -> u64 {
         let mut number = 0;
@@ -144,3 +173,37 @@
         );
     }
 }
+
+/// Guards against streams that go on at another version than the one that began them, after all
+/// gateways were killed, also if the shares of the versions have changed since they began.
+#[test]
+fn streams_go_on_at_their_version_after_a_kill_of_all_gateways() {
+    let mut deployment = Deployment::start("resume");
+    deployment.set_version("assistant-decode-1", "v2");
+    deployment.wait_for_table(|table| versions(table) == ["v1", "v2"]);
+    for index in 0..STREAMS {
+        let message = generation("ask", &format!("begin-{index}"), 400);
+        assert_eq!(deployment.send(index % GATEWAYS, &message), 200);
+    }
+    // Nothing runs this server, so that all of its streams would fail.
+    deployment.add_server("v3");
+    deployment.wait_for_table(|table| versions(table) == ["v1", "v2", "v3"]);
+    for gateway in &mut deployment.0.gateways {
+        gateway.process.kill();
+    }
+    for index in 0..GATEWAYS {
+        deployment.0.restart(index).unwrap();
+    }
+    deployment.wait_until_ready();
+    let engines: Vec<String> = (0..STREAMS)
+        .map(|index| deployment.engine_of(&format!("begin-{index}")))
+        .collect();
+    assert!(engines.iter().any(|engine| *engine != engines[0]));
+    for (index, engine) in engines.iter().enumerate() {
+        let message = generation("ask", &format!("go-on-{index}"), 400)
+            .with_header("last-event-id", "1")
+            .with_header("resumes", &format!("begin-{index}"));
+        assert_eq!(deployment.send((index + 1) % GATEWAYS, &message), 200);
+        assert_eq!(deployment.engine_of(&format!("go-on-{index}")), *engine);
+    }
+}
