Soak software versions that come and leave

Odd seeds have no other faults, and judge the share of streams that go on too.

Seeds keep their course: the other soak draws nothing new.

--- a/crates/pomeloridge_dev/src/main.rs
+++ b/crates/pomeloridge_dev/src/main.rs
@@ -12,6 +12,7 @@
 use clap::{Parser, Subcommand};
 use pomeloridge_dev::check::{Options, Scenario, run_all};
 use pomeloridge_dev::launch::build_binaries;
+use pomeloridge_dev::soak::{self, Plan};
 
 /// Development commands of pomeloridge.
 #[derive(Parser)]
@@ -65,6 +66,9 @@
         /// Number of gateways in each run.
         #[arg(long, default_value_t = pomeloridge_dev::soak::GATEWAYS)]
         gateways: usize,
+        /// Has software versions come and leave, and kills all gateways at once.
+        #[arg(long)]
+        versions: bool,
     },
     /// Runs deployments under faults and checks their histories; exits with code 1 if a
     /// guarantee was violated.
@@ -108,7 +112,15 @@
             seeds,
             first,
             gateways,
-        } => build_binaries().map(|()| pomeloridge_dev::soak::run_all(first, seeds, gateways)),
+            versions,
+        } => {
+            let plan = if versions {
+                Plan::Versions
+            } else {
+                Plan::Faults
+            };
+            build_binaries().map(|()| soak::run_all(first, seeds, gateways, plan))
+        }
         Command::Latency => latency::run(),
     };
     match result {
--- a/crates/pomeloridge_dev/src/reference.rs
+++ b/crates/pomeloridge_dev/src/reference.rs
@@ -143,6 +143,16 @@
 - **BUDGET.** More than two requests reach a runner from a machine between half a second after
   it has answered that machine 503 with `Retry-After` and the end of that time. A restart, freeze
   or cut of the machine excuses it.
+- Runners of several `version` (of their software, not of the weights) may serve side by side in
+  one service, with no order to the system. What two versions write doesn't fit together: a stream
+  may go on only at the version that began it, and runners don't check this. A client that takes a
+  stream up names in `Resumes` the `Pomeloridge-Attempt-Id` of the client attempt that brought its
+  first event.
+- **ORDER.** More than two streams hold events from runners of two software versions of one
+  service, in one answer or over a client's tries. This holds for all machines, in touch or not.
+- **LOST.** Of 12 or more streams that clients take up again at machines in touch, while two
+  runners of their software version serve, the share that goes on is under half of the share of
+  new streams that begin.
 - A sound server may fall silent for a second or so and go on; that is no trouble in the rules.
 - An answer, a stream too, may come with neither a length nor chunks and end with its channel.
   A stream that ends inside an event has been broken off.
--- a/crates/pomeloridge_dev/src/soak/injector.rs
+++ b/crates/pomeloridge_dev/src/soak/injector.rs
@@ -7,12 +7,13 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::GATEWAYS;
 use super::changes::{self, Change, Configured};
 use super::conditions::{self, PlannedCondition};
 use super::events::{Clock, Event, EventKind};
 use super::limits::{self, LimitChange};
 use super::restores::{self, Restore};
+use super::versions::{self, VersionChange};
+use super::{GATEWAYS, Plan};
 use crate::launch::{Fleet, RelayMode};
 
 /// Time during which faults begin.
@@ -77,6 +78,8 @@
     Change(Change),
     /// The store comes back from an older copy.
     Restore(Restore),
+    /// A version comes or leaves, or all gateways end or start.
+    Version(VersionChange),
     /// Servers have settled after a condition.
     Settled,
 }
@@ -93,6 +96,8 @@
     pub(super) violations: Vec<String>,
     /// By gateway, id of the process that last received SIGTERM.
     stopping: Vec<Option<u32>>,
+    /// Time at which all gateways were killed at once.
+    killed_all: Duration,
     /// Faults that have begun and not ended, with their times.
     open: Vec<(Fault, usize, Duration)>,
 }
@@ -117,7 +122,21 @@
 }
 
 /// Returns the steps of a run with their times from its start.
-fn steps(seed: u64, gateways: usize) -> Vec<(Duration, Step)> {
+fn steps(seed: u64, gateways: usize, plan: Plan) -> Vec<(Duration, Step)> {
+    let mut steps = Vec::new();
+    if plan == Plan::Versions {
+        let changes = versions::plan(seed).into_iter();
+        steps.extend(changes.map(|(at, change)| (at, Step::Version(change))));
+    }
+    if plan.has_faults(seed) {
+        steps.extend(fault_steps(seed, gateways));
+    }
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
+/// Returns the steps of the faults and other changes, in no order.
+fn fault_steps(seed: u64, gateways: usize) -> Vec<(Duration, Step)> {
     let mut steps = Vec::new();
     for planned in plan(seed, gateways) {
         steps.push((planned.from, Step::Begin(planned)));
@@ -133,18 +152,22 @@
     steps.extend(restores.map(|restore| (restore.at, Step::Restore(restore))));
     let changes = changes::plan(seed).into_iter();
     steps.extend(changes.map(|(at, change)| (at, Step::Change(change))));
-    steps.sort_by_key(|(at, _)| *at);
     steps
 }
 
 /// Injects a seed's faults, and ends each one.
-pub(super) fn inject(fleet: &mut Fleet, seed: u64, clock: Clock) -> Result<Injected, String> {
+pub(super) fn inject(
+    fleet: &mut Fleet,
+    seed: u64,
+    plan: Plan,
+    clock: Clock,
+) -> Result<Injected, String> {
     let start = Instant::now();
     let mut injected = Injected {
         stopping: vec![None; fleet.gateways.len()],
         ..Injected::default()
     };
-    for (at, step) in steps(seed, fleet.gateways.len()) {
+    for (at, step) in steps(seed, fleet.gateways.len(), plan) {
         std::thread::sleep(at.saturating_sub(start.elapsed()));
         let named = |name: String| format!("{name} {}ms", at.as_millis());
         match step {
@@ -184,6 +207,10 @@
                 injected.faults.push(restore.to_string());
                 restore.apply(fleet)?;
             }
+            Step::Version(change) => {
+                injected.faults.push(named(change.to_string()));
+                injected.change_versions(fleet, change, clock)?;
+            }
             Step::Settled => {}
         }
     }
@@ -217,6 +244,39 @@
         });
     }
 
+    /// Has versions come or leave, or all gateways end or start.
+    fn change_versions(
+        &mut self,
+        fleet: &mut Fleet,
+        change: VersionChange,
+        clock: Clock,
+    ) -> Result<(), String> {
+        match change {
+            VersionChange::KillAll => {
+                self.killed_all = clock.now();
+                for gateway in &fleet.gateways {
+                    gateway.process.signal(libc::SIGKILL);
+                }
+                for gateway in &mut fleet.gateways {
+                    gateway.process.kill();
+                }
+            }
+            VersionChange::StartAll => {
+                for gateway in 0..fleet.gateways.len() {
+                    restart_if_stopped(fleet, gateway)?;
+                    self.events.push(Event {
+                        kind: EventKind::Kill,
+                        gateway: Some(gateway),
+                        from: self.killed_all,
+                        to: clock.now(),
+                    });
+                }
+            }
+            _ => change.apply(fleet)?,
+        }
+        Ok(())
+    }
+
     /// Changes the configuration.
     fn change(&mut self, fleet: &Fleet, change: Change, clock: Clock) -> Result<(), String> {
         let from = clock.now();
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -5,7 +5,8 @@
 //! and restarts gateways, cuts, silences and delays their links to the platform, and
 //! changes the configuration, several times in a row; servers name request rates as their
 //! limits, fall silent, refuse requests for a while, leave, and answer without a length; the
-//! object store comes back from an older copy; some requests crash servers; faults overlap. The
+//! object store comes back from an older copy; some requests crash servers; faults overlap. Runs
+//! with versions have servers of several software versions, and kill all gateways at once. The
 //! answers that callers received and the requests that servers received are then checked against
 //! the guarantees.
 
@@ -17,13 +18,17 @@
 mod limits;
 mod restores;
 mod verdict;
+mod versions;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use pomeloridge_fleet_standin::streams::Counts;
 use serde_json::Value;
 
 use crate::launch::{Fleet, get_json};
@@ -31,6 +36,7 @@
 use events::Clock;
 pub use events::{Event, EventKind};
 pub use verdict::check;
+use versions::TakenStream;
 
 /// Default number of gateways in a run.
 pub const GATEWAYS: usize = 4;
@@ -66,15 +72,35 @@
     pub violations: Vec<String>,
     /// Number of requests by HTTP status; 0 means no answer.
     pub statuses: BTreeMap<u16, usize>,
+    /// Counts of the streams that callers take up again, if there are such callers.
+    pub streams: Counts,
     /// Faults that were injected, with their times.
     pub faults: Vec<String>,
     /// Folder of the settings, the logs, the calls and the history.
     pub folder: String,
 }
 
+/// What happens in a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Plan {
+    /// Faults of gateways, servers and the platform.
+    #[default]
+    Faults,
+    /// Versions that come and leave, and ends of all gateways at once; on even seeds beside the
+    /// faults.
+    Versions,
+}
+
+impl Plan {
+    fn has_faults(self, seed: u64) -> bool {
+        self == Self::Faults || seed.is_multiple_of(2)
+    }
+}
+
 /// Runs one seed with the given number of gateways.
-pub fn run(seed: u64, gateways: usize) -> Result<Outcome, String> {
-    let mut fleet = Fleet::start_with(&format!("soak-{seed}"), gateways, &PLATFORM_ARGS)?;
+pub fn run(seed: u64, gateways: usize, plan: Plan) -> Result<Outcome, String> {
+    let name = format!("soak-{plan:?}-{seed}");
+    let mut fleet = Fleet::start_with(&name, gateways, &PLATFORM_ARGS)?;
     let ready = fleet.gateways.iter().map(|gateway| gateway.ready);
     if !callers::wait_until_ready(ready.collect(), START_TIMEOUT)? {
         return Err("the gateways are not ready".to_owned());
@@ -82,9 +108,12 @@
     let done = Arc::new(AtomicBool::new(false));
     let addresses = fleet.gateways.iter().map(|gateway| gateway.caller);
     let callers = ((gateways * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
+    let addresses: Vec<SocketAddr> = addresses.collect();
     let (clock, start) = (Clock::read(&fleet)?, Instant::now());
-    let thread = callers::start(addresses.collect(), seed, callers, clock, Arc::clone(&done));
-    let injected = injector::inject(&mut fleet, seed, clock);
+    let streams = (plan == Plan::Versions)
+        .then(|| versions::start(addresses.clone(), seed, Arc::clone(&done)));
+    let thread = callers::start(addresses, seed, callers, clock, Arc::clone(&done));
+    let injected = injector::inject(&mut fleet, seed, plan, clock);
     if callers::deadly_part(seed).is_some() {
         std::thread::sleep(QUIET_TIME.max(MIN_DEADLY_TIME.saturating_sub(start.elapsed())));
     }
@@ -93,13 +122,21 @@
         .join()
         .map_err(|_| "the callers panicked".to_owned())?;
     let calls: Vec<Call> = joined?;
+    let streams = streams.map(JoinHandle::join).transpose();
+    let streams = streams.map_err(|_| "the callers of streams panicked".to_owned())?;
     let injected = injected?;
-    let unserved = limits::wait_for_end(&fleet, &limits::plan(seed));
+    let unserved = if plan.has_faults(seed) {
+        limits::wait_for_end(&fleet, &limits::plan(seed))
+    } else {
+        Vec::new()
+    };
     let recovery = verdict::check_recovery(&mut fleet, &injected)?;
     let history: Value = get_json(fleet.duties, "/-/history")?;
-    write_records(&fleet.folder, &calls, &history)?;
+    let streams = streams.unwrap_or_default();
+    write_records(&fleet.folder, (&calls, &streams), &history)?;
     let history = history.as_array().cloned().unwrap_or_default();
     let mut violations = verdict::check(&calls, &history, &injected.events);
+    violations.extend(versions::check(&streams, seed, !plan.has_faults(seed)));
     violations.extend(unserved);
     violations.extend(recovery);
     let mut statuses = BTreeMap::new();
@@ -110,33 +147,43 @@
         seed,
         violations,
         statuses,
+        streams: Counts::of(streams.iter().map(|taken| &taken.stream)),
         faults: injected.faults,
         folder: fleet.folder.display().to_string(),
     })
 }
 
 /// Writes what callers and servers saw beside the logs, to trace violations.
-fn write_records(folder: &Path, calls: &[Call], history: &Value) -> Result<(), String> {
-    let calls = calls.iter().map(|call| format!("{call:?}\n"));
-    let calls: String = calls.collect();
+fn write_records(
+    folder: &Path,
+    (calls, streams): (&[Call], &[TakenStream]),
+    history: &Value,
+) -> Result<(), String> {
+    let calls: String = calls.iter().map(|call| format!("{call:?}\n")).collect();
+    let streams: String = streams.iter().map(|taken| format!("{taken:?}\n")).collect();
     let history = history.to_string();
-    for (name, text) in [("calls.txt", calls), ("history.json", history)] {
+    let records = [
+        ("calls.txt", calls),
+        ("streams.txt", streams),
+        ("history.json", history),
+    ];
+    for (name, text) in records {
         std::fs::write(folder.join(name), text).map_err(|error| error.to_string())?;
     }
     Ok(())
 }
 
 /// Runs seeds and prints a line for each; returns whether all passed.
-pub fn run_all(first: u64, seeds: u64, gateways: usize) -> bool {
+pub fn run_all(first: u64, seeds: u64, gateways: usize, plan: Plan) -> bool {
     let mut failed = 0;
     for seed in first..first + seeds {
-        match run(seed, gateways) {
+        match run(seed, gateways, plan) {
             Ok(outcome) => {
                 let ok = outcome.violations.is_empty();
                 let status = if ok { "ok  " } else { "FAIL" };
                 println!(
-                    "{status}  seed={seed} statuses={:?} faults={:?}",
-                    outcome.statuses, outcome.faults
+                    "{status}  seed={seed} statuses={:?} streams={:?} faults={:?}",
+                    outcome.statuses, outcome.streams, outcome.faults
                 );
                 for violation in &outcome.violations {
                     println!("      {violation}");
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pomeloridge_base::http::Response;
-use pomeloridge_dev::soak::{self, Call, Effect, Event, EventKind, Failure, Route, check};
+use pomeloridge_dev::soak::{self, Call, Effect, Event, EventKind, Failure, Plan, Route, check};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -461,7 +461,24 @@
     deadly_part = { 40 },
 )]
 fn a_seed_keeps_every_promise(seed: u64) {
-    let outcome = soak::run(seed, soak::GATEWAYS).expect("the deployment runs");
+    let outcome = soak::run(seed, soak::GATEWAYS, Plan::Faults).expect("the deployment runs");
+    assert!(
+        outcome.violations.is_empty(),
+        "seed {seed}: {:#?}; faults {:?}; see {}",
+        outcome.violations,
+        outcome.faults,
+        outcome.folder
+    );
+}
+
+/// Guards against streams that hold text of two software versions, or that don't go on, while
+/// versions come and leave and all gateways are killed at once.
+#[parameterized(
+    without_other_faults = { 1 },
+    beside_faults = { 2 },
+)]
+fn streams_stay_at_their_versions(seed: u64) {
+    let outcome = soak::run(seed, soak::GATEWAYS, Plan::Versions).expect("the deployment runs");
     assert!(
         outcome.violations.is_empty(),
         "seed {seed}: {:#?}; faults {:?}; see {}",
