Soak versions on a seed whose streams go on

Seed 2 refused nearly all streams from 1 s to 10 s in one of its two runs, as a part that they share was suspected of crashes, so that it showed nothing of versions.

--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -159,8 +159,10 @@
     (calls, streams): (&[Call], &[TakenStream]),
     history: &Value,
 ) -> Result<(), String> {
-    let calls: String = calls.iter().map(|call| format!("{call:?}\n")).collect();
-    let streams: String = streams.iter().map(|taken| format!("{taken:?}\n")).collect();
+    let calls = calls.iter().map(|call| format!("{call:?}\n"));
+    let calls: String = calls.collect();
+    let streams = streams.iter().map(|taken| format!("{taken:?}\n"));
+    let streams: String = streams.collect();
     let history = history.to_string();
     let records = [
         ("calls.txt", calls),
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -475,7 +475,7 @@
 /// versions come and leave and all gateways are killed at once.
 #[parameterized(
     without_other_faults = { 1 },
-    beside_faults = { 2 },
+    beside_faults = { 4 },
 )]
 fn streams_stay_at_their_versions(seed: u64) {
     let outcome = soak::run(seed, soak::GATEWAYS, Plan::Versions).expect("the deployment runs");
