Name the reason of a stream that is cut in a stop in its test

A stream that was sent late in the grace time is given up as silent once the time that its server was given is over; one that was sent before the signal is cut by the stop. The test names both.

--- a/crates/pomeloridge_dev/tests/late_grace.rs
+++ b/crates/pomeloridge_dev/tests/late_grace.rs
@@ -121,17 +121,19 @@
 /// Guards against a gateway that is killed under what it has taken: a call gets an answer that does
 /// not claim that it has not run, and a stream that has begun is ended.
 #[parameterized(
-    sent_before_the_signal = { None },
-    sent_late = { Some(LATE) },
+    sent_before_the_signal = { None, "stopping" },
+    // The time that its server was given ends before the gateway does.
+    sent_late = { Some(LATE), "silent" },
 )]
-fn long_requests_are_answered_within_the_grace_time(after: Option<Duration>) {
+fn long_requests_are_answered_within_the_grace_time(after: Option<Duration>, cut_reason: &str) {
     let name = if after.is_some() { "late" } else { "early" };
     let mut fleet = start(name);
     let gateway = fleet.gateways[0].caller;
     // The connections are opened before the signal.
     let open_time = Duration::from_secs(1);
-    let signal_at = Instant::now() + open_time;
-    let send_time = after.map_or(signal_at - open_time / 4, |after| signal_at + after);
+    let opened_at = Instant::now();
+    let signal_at = opened_at + open_time;
+    let send_time = after.map_or(opened_at + open_time * 3 / 4, |after| signal_at + after);
     let requests = long_requests(name);
     let sent = std::thread::spawn(move || block_on(send_at(gateway, send_time, requests)));
     std::thread::sleep(signal_at.saturating_duration_since(Instant::now()));
@@ -145,7 +147,7 @@
     for (id, answer) in outcomes {
         if id.ends_with(MIDWAY) {
             assert!(answer.is_err(), "{answer:?}");
-            assert!(log.contains(&format!("id={id} outcome=cut ")));
+            assert!(log.contains(&format!("id={id} outcome=cut reason={cut_reason} ")));
         } else {
             let answer = answer.unwrap_or_else(|error| panic!("{id}: {error}"));
             assert_eq!(answer.status, 504, "{id}: {answer:?}");
