Keep a take-up on a split route at the service of its stream

A stream that broke off on a route with several shares was taken up at a service drawn anew, whose servers' version says nothing of the stream. The service now follows from the attempt that began the stream, as its version does, so that any gateway finds it again.

Seen in the code by the review of the request path; no play has shown it.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -11,6 +11,7 @@
 use pomeloridge_base::secret::KeyHash;
 use pomeloridge_policy::dispatch::PromptShape;
 use pomeloridge_policy::part_crashes::{PartId, PartRunKey};
+use pomeloridge_policy::stream_versions::StreamId;
 use pomeloridge_policy::suspicion::Fingerprint;
 use pomeloridge_policy::timeouts::{answer_silence_timeout, caller_ttft_timeout, silence_timeout};
 
@@ -93,15 +94,12 @@
 
     /// Returns whether the request continues a stream that another one began.
     pub(crate) fn continues_stream(&self) -> bool {
-        self.route.kind.is_resumable() && self.inbound.last_event.is_some()
+        continues_stream(&self.route, &self.inbound)
     }
 
     /// Returns the identifier of the attempt that began the request's stream.
     pub(crate) fn first_attempt(&self) -> &Bytes {
-        let first = self.inbound.resumes.as_ref();
-        first
-            .filter(|_| self.continues_stream())
-            .unwrap_or(&self.inbound.id)
+        first_attempt(&self.route, &self.inbound)
     }
 
     /// Returns the identifiers of the prompt parts that other requests may share, for the log.
@@ -117,6 +115,17 @@
     }
 }
 
+fn continues_stream(route: &Route, inbound: &Inbound) -> bool {
+    route.kind.is_resumable() && inbound.last_event.is_some()
+}
+
+fn first_attempt<'a>(route: &Route, inbound: &'a Inbound) -> &'a Bytes {
+    let first = inbound.resumes.as_ref();
+    first
+        .filter(|_| continues_stream(route, inbound))
+        .unwrap_or(&inbound.id)
+}
+
 /// Accepts a request, or returns the reason for its refusal.
 pub(crate) fn accept(
     state: &State,
@@ -131,8 +140,7 @@
                 return Err(Box::new((ErrorKind::Stopping, inbound)));
             };
             let priority = account.as_ref().and_then(|account| account.priority);
-            let continues_stream = route.kind.is_resumable() && inbound.last_event.is_some();
-            let priority = if continues_stream {
+            let priority = if continues_stream(&route, &inbound) {
                 HIGHEST_PRIORITY
             } else {
                 priority.unwrap_or(route.priority).min(LOWEST_PRIORITY)
@@ -177,10 +185,12 @@
     let route = config.route(&inbound.host, inbound.path());
     let route = route.cloned().ok_or(ErrorKind::UnknownPath)?;
     let account = authenticate(&config, &route, inbound)?;
-    let service = route
-        .service(rand::random())
-        .cloned()
-        .ok_or(ErrorKind::NoServer)?;
+    let service = if route.kind.is_resumable() {
+        route.stream_service(StreamId::of(first_attempt(&route, inbound)))
+    } else {
+        route.service(rand::random())
+    };
+    let service = service.cloned().ok_or(ErrorKind::NoServer)?;
     Ok((route, account, service))
 }
 
--- a/crates/pomeloridge_gateway/src/config.rs
+++ b/crates/pomeloridge_gateway/src/config.rs
@@ -7,6 +7,7 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
 use pomeloridge_policy::dispatch::EngineSpec;
+use pomeloridge_policy::stream_versions::StreamId;
 
 /// How a route's requests are answered and whether they may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +72,12 @@
 }
 
 impl Route {
+    /// Selects the service of a stream by the weights of the shares, the same each time that the
+    /// stream is continued while they don't change.
+    pub fn stream_service(&self, stream: StreamId) -> Option<&Name> {
+        self.service(stream.draw())
+    }
+
     /// Selects a service at random by the weights of the shares; `draw` is a random number.
     /// Returns `None` if all weights are 0.
     pub fn service(&self, draw: u64) -> Option<&Name> {
--- a/crates/pomeloridge_policy/src/stream_versions.rs
+++ b/crates/pomeloridge_policy/src/stream_versions.rs
@@ -40,6 +40,11 @@
     pub fn of(attempt: &[u8]) -> Self {
         Self(leading_number(&Sha256::digest(attempt)))
     }
+
+    /// Returns a number that is independent of the stream's slot.
+    pub fn draw(self) -> u64 {
+        self.0 / SLOTS as u64
+    }
 }
 
 /// The service and the software version of a stream.
