Forget the streams of a former process once their callers have given up

The log names the reason: slot changed. A gateway that had been restarted held for 35 s that streams of its former process might go on, and passed that on to the next process, which had been started 16 s later: no record covered the slots that had changed in between.

Each record now says for how long its streams may be continued, 10 s or what callers have asked for, and the next process holds it for that time only.

--- a/crates/pomeloridge_gateway/src/versions.rs
+++ b/crates/pomeloridge_gateway/src/versions.rs
@@ -73,8 +73,10 @@
         service: service.clone(),
         version: version.clone(),
     };
+    let now = state.now();
     let mut versions = state.versions.borrow_mut();
-    versions.record(StreamId::of(attempt), version, expires, state.now());
+    versions.extend_longest(expires.saturating_duration_since(now), now);
+    versions.record(StreamId::of(attempt), version, expires, now);
 }
 
 /// Adopts a table if it is newer than the one in force. Returns whether it was.
--- a/crates/pomeloridge_gateway/src/versions/known.rs
+++ b/crates/pomeloridge_gateway/src/versions/known.rs
@@ -12,6 +12,12 @@
 /// Time for which a newer table that was heard of is waited for.
 const NEWER_TABLE_TIME: Duration = Duration::from_secs(5);
 
+/// Time for which callers may continue streams, unless one that may be continued for longer has
+/// begun.
+const MIN_LONGEST: Duration = Duration::from_secs(10);
+/// Step in which the longest time is recorded, as each change of it is a write.
+const LONGEST_STEP: Duration = Duration::from_secs(10);
+
 /// The table of versions, the streams that this node remembers, and the state of its record.
 #[derive(Debug)]
 pub struct StreamVersions {
@@ -29,6 +35,10 @@
     /// Number of the table that the former process had acknowledged; none if there was no such
     /// process, or its streams can't be continued any more.
     inherited: Option<u64>,
+    /// Until when its streams can be continued.
+    inherited_until: Instant,
+    /// Longest time for which callers may continue the streams that begin here.
+    longest: Duration,
     /// Whether the former process's record has been taken over.
     has_inherited: bool,
     /// When the record must be written.
@@ -49,6 +59,8 @@
             changed: HashMap::new(),
             memory: StreamMemory::default(),
             inherited: None,
+            inherited_until: now,
+            longest: MIN_LONGEST,
             has_inherited: false,
             record_due: None,
             records: None,
@@ -153,6 +165,15 @@
         }
     }
 
+    /// Records for how long a caller may continue a stream that begins now.
+    pub fn extend_longest(&mut self, time: Duration, now: Instant) {
+        if time > self.longest {
+            let steps = time.as_nanos().div_ceil(LONGEST_STEP.as_nanos());
+            self.longest = LONGEST_STEP * u32::try_from(steps).unwrap_or(u32::MAX);
+            self.set_record_due(now);
+        }
+    }
+
     /// Requires this node's record to be written at a time, or earlier if it is due before.
     pub fn set_record_due(&mut self, at: Instant) {
         self.record_due = Some(self.record_due.map_or(at, |due| due.min(at)));
@@ -170,6 +191,9 @@
         }
         self.has_inherited = true;
         self.inherited = Some(acknowledged);
+        // The former process has ended before this one started.
+        let longest = former.map_or(MAX_STREAM_AGE, |former| former.longest.max(MIN_LONGEST));
+        self.inherited_until = self.started + longest;
         for (id, version) in former.iter().flat_map(|former| &former.streams) {
             let version = version.clone();
             let expires = now + MAX_STREAM_AGE;
@@ -192,7 +216,8 @@
     pub fn own_record(&self, now: Instant) -> Option<StreamRecord> {
         self.is_known.then(|| StreamRecord {
             acknowledged: self.table.number,
-            inherited: self.inherited,
+            inherited: self.inherited.filter(|_| now < self.inherited_until),
+            longest: self.longest,
             streams: self.memory.unexplained(&self.table, now),
         })
     }
@@ -220,8 +245,7 @@
     /// Drops streams that can't be continued any more.
     pub fn sweep(&mut self, now: Instant) {
         self.memory.sweep(now);
-        let age = now.saturating_duration_since(self.started);
-        if age >= SETTLE_TIME
+        if now >= self.inherited_until
             && let Some(inherited) = self.inherited.take()
             && inherited < self.table.number
         {
--- a/crates/pomeloridge_gateway/src/versions/wire.rs
+++ b/crates/pomeloridge_gateway/src/versions/wire.rs
@@ -1,11 +1,13 @@
 //! The stored and sent forms of the table of versions and of the nodes' records.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use displaydoc::Display;
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::stream_versions::{
-    InvalidSlots, SLOTS, Slot, StreamId, StreamRecord, StreamVersion, VersionSlots, VersionTable,
+    InvalidSlots, MAX_STREAM_AGE, SLOTS, Slot, StreamId, StreamRecord, StreamVersion, VersionSlots,
+    VersionTable,
 };
 use prost::Message;
 use serde::{Deserialize, Serialize};
@@ -106,6 +108,9 @@
     /// may be continued.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     inherited: Option<u64>,
+    /// Longest time for which callers may continue the node's streams, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    longest_ms: Option<u64>,
     /// Era of the object service in which the record was written.
     #[serde(default)]
     pub(crate) era: u64,
@@ -146,6 +151,7 @@
         Self {
             table: record.acknowledged,
             inherited: record.inherited,
+            longest_ms: Some(record.longest.as_millis() as u64),
             era,
             streams: streams.collect(),
         }
@@ -176,6 +182,9 @@
         Ok(Self {
             acknowledged: wire.table,
             inherited: wire.inherited,
+            longest: wire
+                .longest_ms
+                .map_or(MAX_STREAM_AGE, Duration::from_millis),
             streams,
         })
     }
--- a/crates/pomeloridge_gateway/tests/versions.rs
+++ b/crates/pomeloridge_gateway/tests/versions.rs
@@ -48,6 +48,7 @@
     StreamRecord {
         acknowledged: 3,
         inherited: Some(2),
+        longest: MAX_STREAM_AGE,
         streams: streams.collect(),
     }
 }
@@ -223,6 +224,54 @@
     assert!(versions.take_due_record(later));
 }
 
+/// Guards against refusing the streams of a process because of those that the process before it
+/// began, which no caller continues any more.
+#[test]
+fn the_process_before_the_former_one_is_forgotten_with_its_streams() {
+    let now = Instant::now();
+    let [first, second, third] = tables();
+    let longest = Duration::from_secs(10);
+    let mut middle = StreamVersions::new(now);
+    middle.adopt(first, now);
+    let former = StreamRecord {
+        longest,
+        ..record()
+    };
+    middle.inherit(Some(&former), 1, now);
+    middle.adopt(second, now + longest);
+    let written = middle.own_record(now + longest).unwrap();
+    assert_eq!(written.inherited, None);
+    let (restart, mut last) = (now + longest * 2, StreamVersions::new(now + longest * 2));
+    last.adopt(third, restart);
+    last.inherit(Some(&written), written.acknowledged, restart);
+    let own = last.own_record(restart).unwrap();
+    assert_eq!(own.inherited, Some(written.acknowledged));
+}
+
+/// Guards against forgetting a former process whose callers wait for longer than most.
+#[test]
+fn callers_that_wait_for_longer_prolong_the_time_of_their_streams() {
+    let now = Instant::now();
+    let [first, ..] = tables();
+    let mut versions = StreamVersions::new(now);
+    versions.adopt(first, now);
+    assert!(!versions.take_due_record(now));
+    versions.extend_longest(Duration::from_secs(9), now);
+    assert!(!versions.take_due_record(now));
+    versions.extend_longest(Duration::from_secs(21), now);
+    assert!(versions.take_due_record(now));
+    let written = versions.own_record(now).unwrap();
+    assert_eq!(written.longest, Duration::from_secs(30));
+    let mut next = StreamVersions::new(now);
+    next.inherit(Some(&written), written.acknowledged, now);
+    next.set_known();
+    let inherited = [29, 30].map(|age| {
+        let own = next.own_record(now + Duration::from_secs(age));
+        own.unwrap().inherited.is_some()
+    });
+    assert_eq!(inherited, [true, false]);
+}
+
 /// Returns a table of `services` services whose places have moved between three versions often.
 fn scattered_table(services: usize) -> VersionTable {
     let mut table = VersionTable::default();
@@ -250,6 +299,7 @@
     let record = StreamRecord {
         acknowledged: 1000,
         inherited: None,
+        longest: MAX_STREAM_AGE,
         streams: streams.collect(),
     };
     let record_bytes = |record: &StreamRecord| {
--- a/crates/pomeloridge_policy/src/stream_versions.rs
+++ b/crates/pomeloridge_policy/src/stream_versions.rs
@@ -65,6 +65,8 @@
     /// streams may still be continued. The record says nothing about such streams in slots that
     /// have changed since.
     pub inherited: Option<u64>,
+    /// Longest time for which callers may continue the streams that the node begins.
+    pub longest: Duration,
     /// Versions of the streams that the table does not explain.
     pub streams: HashMap<StreamId, StreamVersion>,
 }
--- a/crates/pomeloridge_policy/tests/policy/stream_versions.rs
+++ b/crates/pomeloridge_policy/tests/policy/stream_versions.rs
@@ -259,6 +259,7 @@
         acknowledged,
         inherited,
         streams: streams.collect(),
+        ..StreamRecord::default()
     }
 }
 
@@ -357,6 +358,7 @@
             acknowledged: self.table.number,
             inherited: self.inherited,
             streams: self.memory.unexplained(&self.table, now),
+            ..StreamRecord::default()
         };
     }
 }
