List versions that are leaving in the first table

A gateway that took up a stream just after a service's first table was written sent it on to the only version that the table listed, although servers of another one, which were leaving, had begun streams before there was a table.

Cause: servers that leave have no places, and the first table listed only versions with places. A table with one version decides alone, without the records.

Found by reading, no play has shown it: it needs a service without a table while one of its versions leaves, as when the first gateways of this build start. Versions without places are now listed too, without slots, so that the records decide until the table is settled.

--- a/crates/pomeloridge_dev/tests/version_table.rs
+++ b/crates/pomeloridge_dev/tests/version_table.rs
@@ -61,6 +61,15 @@
         put_json(self.0.store, &format!("/-/objects/{key}"), &body).unwrap();
     }
 
+    /// Changes the state in a server's entry.
+    fn set_state(&self, server: &str, state: &str) {
+        let key = format!("servers/{server}");
+        let mut entry = self.object(&key).unwrap();
+        entry["state"] = state.into();
+        let body = json!({ "metadata": { "name": server }, "spec": entry });
+        put_json(self.0.store, &format!("/-/objects/{key}"), &body).unwrap();
+    }
+
     /// Sends a request to a gateway; returns the status.
     fn send(&self, gateway: usize, message: &OutgoingRequest) -> u16 {
         let caller = self.0.gateways[gateway].caller;
@@ -154,6 +163,32 @@
     wait_until(|| deployment.records("inherited") == [before; GATEWAYS]);
 }
 
+/// Guards against a first table that lists only the version that takes new streams, while servers
+/// of another one, whose streams may still be continued, are leaving.
+#[test]
+fn the_first_table_lists_versions_that_are_leaving() {
+    let mut deployment = Deployment::start("first");
+    for gateway in &mut deployment.0.gateways {
+        gateway.process.kill();
+    }
+    let empty = json!({ "metadata": { "name": "table" }, "spec": { "number": 0, "services": [] } });
+    let key = "/-/objects/pomeloridge-versions/table";
+    put_json(deployment.0.store, key, &empty).unwrap();
+    deployment.add_server("v2");
+    let listed = get_json(deployment.0.store, "/-/objects/servers").unwrap();
+    for server in listed["items"].as_array().unwrap() {
+        if server["spec"]["version"] == "v1" {
+            let name = server["metadata"]["name"].as_str().unwrap();
+            deployment.set_state(name, "draining");
+        }
+    }
+    for index in 0..GATEWAYS {
+        deployment.0.restart(index).unwrap();
+    }
+    wait_until(|| versions(&deployment.table()).contains(&"v2"));
+    assert_eq!(versions(&deployment.table()), ["v1", "v2"]);
+}
+
 /// Guards against a number that a restored store gives out again for another table.
 #[test]
 fn a_table_that_a_restored_store_lacks_is_written_with_a_higher_number() {
--- a/crates/pomeloridge_gateway/src/versions/table.rs
+++ b/crates/pomeloridge_gateway/src/versions/table.rs
@@ -196,7 +196,8 @@
                 owners.any(|owner| owner == version)
             })
         };
-        places.keys().any(|version| !owns(version))
+        let mut placed = places.iter().filter(|(_, places)| **places > 0);
+        placed.any(|(version, _)| !owns(version))
     })
 }
 
@@ -228,14 +229,15 @@
     };
     let registry = state.server_registry.borrow();
     for server in registry.servers() {
-        if server.leaving || server.stage == Stage::Prefill {
+        if server.stage == Stage::Prefill {
             continue;
         }
         if !capacities.contains_key(&server.service) && !is_bound_by(&config, &server.service) {
             continue;
         }
         let places = capacities.entry(server.service.clone()).or_default();
-        *places.entry(server.version.clone()).or_default() += u64::from(server.slots);
+        let slots = if server.leaving { 0 } else { server.slots };
+        *places.entry(server.version.clone()).or_default() += u64::from(slots);
     }
     capacities
 }
--- a/crates/pomeloridge_policy/src/stream_versions/table.rs
+++ b/crates/pomeloridge_policy/src/stream_versions/table.rs
@@ -11,7 +11,8 @@
 /// Number of slots by which a version's part may differ from its servers' part of the places.
 const TOLERANCE: usize = 4;
 
-/// Places for requests on servers of each version that take new streams.
+/// Places for requests on servers of each version that take new streams; 0 for a version whose
+/// servers are all leaving.
 pub type ServiceCapacities = BTreeMap<Name, u64>;
 
 /// A slot of a service.
@@ -159,19 +160,19 @@
         Some(moved)
     }
 
-    /// Returns the first slots of a service.
+    /// Returns the first slots of a service. A version without places is listed too, as streams
+    /// may have begun there before.
     fn first(capacities: &ServiceCapacities, number: u64) -> Option<Self> {
         let targets = Self::targets(capacities);
-        let versions: Vec<Name> = targets.keys().map(|version| (*version).clone()).collect();
-        let slots = targets.values().enumerate();
-        let slots = slots.flat_map(|(version, count)| {
+        let slots = capacities.keys().enumerate();
+        let slots = slots.flat_map(|(version, name)| {
             let slot = Slot {
                 version,
                 changed: number,
             };
-            std::iter::repeat_n(slot, *count)
+            std::iter::repeat_n(slot, targets.get(name).copied().unwrap_or(0))
         });
-        Self::new(versions, slots.collect()).ok()
+        Self::new(capacities.keys().cloned().collect(), slots.collect()).ok()
     }
 }
 
--- a/crates/pomeloridge_policy/tests/policy/stream_versions.rs
+++ b/crates/pomeloridge_policy/tests/policy/stream_versions.rs
@@ -117,6 +117,20 @@
     assert_eq!(changed_slots(&left).len(), 63);
 }
 
+/// Guards against a take-up at the only version with places, while servers of another one, at which
+/// streams began before there was a table, are leaving.
+#[test]
+fn the_first_table_names_versions_that_are_leaving() {
+    let first = table(&[("a", 0), ("b", 8)]);
+    let id = StreamId(1);
+    let by_table = version_by_table(&first, &service(), Some(id), |_| Duration::ZERO);
+    assert_eq!(by_table, Ok(None));
+    let written = records(&[Some(record(1, None, &[(1, "a")])), None]);
+    let by_records = |id| version_by_records(&first, &service(), id, &written);
+    assert_eq!(by_records(id), Ok(Name::from("a")));
+    assert_eq!(by_records(StreamId(2)), Err(UnknownVersion::SlotChanged));
+}
+
 #[test]
 fn a_service_without_places_keeps_its_slots() {
     let before = table(&[("a", 8), ("b", 8)]);
