Test that a caller that is still sending gets the refusal of a lowered limit

Callers that send a request in pieces got no answer beside a change that lowers the limits on heads or bodies. The server answers as soon as the limit is passed and closes the connection with bytes unread, which resets it; a caller that reads only once it has sent all has an error in its place.

--- a/crates/pomeloridge_dev/tests/changes.rs
+++ b/crates/pomeloridge_dev/tests/changes.rs
@@ -36,6 +36,9 @@
 const LARGE_HEAD_BYTES: usize = 12_000;
 /// Limit on heads after a change.
 const SMALL_HEAD_BYTES: usize = 4096;
+/// Pieces in which a caller sends a request.
+const PIECES: usize = 20;
+const PIECE_INTERVAL: Duration = Duration::from_millis(10);
 /// Time after which the limits of an adopted configuration are in force.
 const LIMITS_DELAY: Duration = Duration::from_millis(1500);
 
@@ -404,3 +407,51 @@
         outcomes.len()
     );
 }
+
+/// Sends a request in pieces and reads its answer.
+fn send_in_pieces(gateway: SocketAddr, message: &[u8]) -> Result<String, String> {
+    let mut stream = TcpStream::connect(gateway).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    for piece in message.chunks(message.len().div_ceil(PIECES)) {
+        stream
+            .write_all(piece)
+            .map_err(|error| format!("while sending: {error}"))?;
+        std::thread::sleep(PIECE_INTERVAL);
+    }
+    read_answer(&mut stream)
+}
+
+/// Guards against resetting the connection of a caller that is still sending a request which a new
+/// limit refuses: a caller that reads the answer only once it has sent all would have none.
+#[parameterized(
+    length = { "length", "content-length: 1000000\r\n\r\n", LARGE_BODY_BYTES, " 413 " },
+    chunks = { "chunks", "transfer-encoding: chunked\r\n\r\nf4240\r\n", LARGE_BODY_BYTES, " 413 " },
+    head = { "pieces-head", "x-filler: ", LARGE_HEAD_BYTES, " 431 " },
+)]
+fn a_caller_that_is_still_sending_gets_the_refusal(
+    name: &str,
+    rest: &str,
+    length: usize,
+    status: &str,
+) {
+    let fleet = start(&format!("sending-{name}"));
+    let mut config = read_config(&fleet);
+    let version = config["version"].as_u64().unwrap() + 1;
+    config["limits"]["maxBodyBytes"] = json!(SMALL_BODY_BYTES);
+    config["limits"]["maxHeaderBytes"] = json!(SMALL_HEAD_BYTES);
+    set_config(&fleet, config, version);
+    wait_until_adopted(&fleet, version);
+    std::thread::sleep(LIMITS_DELAY);
+    let head = format!(
+        "POST /lodge/x HTTP/1.1\r\nhost: fleet.example\r\npomeloridge-attempt-id: {name}\r\n\
+         pomeloridge-deadline-ms: 3000\r\npomeloridge-key: {KEY}\r\n{rest}"
+    );
+    let mut message = head.into_bytes();
+    message.resize(message.len() + length, b'x');
+    message.extend_from_slice(b"\r\n\r\n");
+    let answer = send_in_pieces(fleet.gateways[0].caller, &message);
+    assert!(
+        answer.as_ref().is_ok_and(|head| head.contains(status)),
+        "{answer:?}"
+    );
+}
