Read the rest of a refused request before closing its connection

Callers that were still sending a request over a lowered limit on heads or bodies got a reset in place of the refusal: the server answered, and closed the connection with bytes unread or on their way. Now it ends its own side after the answer, and discards what arrives until the caller closes its side, for 2 s at most. This holds for each request that could not be read (limits, head and body time, malformed), on all ports that use the server.

`cargo test -p pomeloridge_base`: all passed.

--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -9,6 +9,7 @@
 use derive_more::Display;
 use http::header::CONNECTION;
 use http::{HeaderMap, StatusCode, Version};
+use monoio::io::AsyncWriteRent;
 use monoio::io::sink::SinkExt;
 use monoio::net::{TcpListener, TcpStream};
 use monoio_http::common::error::HttpError;
@@ -26,6 +27,10 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum time for which new connections are still accepted while the server is stopping.
 const MAX_STOP_ACCEPT_TIME: Duration = Duration::from_millis(500);
+/// Maximum time for which the rest of a refused request is read before its connection is closed.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+/// Interval between reads of the rest of a refused request.
+const LINGER_INTERVAL: Duration = Duration::from_millis(2);
 /// Number of buffered bytes of pipelined requests beyond which no more are read.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
@@ -124,6 +129,9 @@
             let readable = request.is_ok();
             responder.reset(!readable || (self.stopping)());
             (self.handler)(request, &mut responder).await;
+            if !readable {
+                return responder.linger().await;
+            }
             if !responder.reusable() {
                 return;
             }
@@ -268,6 +276,23 @@
         self.progress == Progress::Done && !self.close
     }
 
+    /// Reads and discards what the peer is still sending, until it closes the connection. Closing
+    /// with unread bytes would reset the connection, and the peer may lose the response.
+    async fn linger(&mut self) {
+        if self.progress != Progress::Done || self.stream.stream.shutdown().await.is_err() {
+            return;
+        }
+        let deadline = Instant::now() + LINGER_TIME;
+        loop {
+            self.stream.buf.clear();
+            if !matches!(self.stream.fill(deadline).await, Ok(1..)) {
+                return;
+            }
+            // A fast sender must not keep the thread from other tasks.
+            monoio::time::sleep(LINGER_INTERVAL).await;
+        }
+    }
+
     /// Returns whether a part of the response may have been written.
     pub fn started(&self) -> bool {
         self.progress != Progress::NotStarted
