Refuse to continue a stream at a service that did not begin it

A route that moves to another service, or whose shares change, sends a take-up there. The version was then that of the other service's table, which says nothing of the stream. If this gateway's memory or a record names the stream under another service, its take-up is refused.

The test records_of_another_service_do_not_count asserted that such a record is passed over and the table's version taken, which is a guess; it is replaced by one that asserts the refusal. A stream that neither names is not covered.

--- a/crates/pomeloridge_gateway/src/versions/known.rs
+++ b/crates/pomeloridge_gateway/src/versions/known.rs
@@ -146,6 +146,11 @@
         self.memory.version(service, id, now)
     }
 
+    /// Returns whether this node has begun or continued a stream at another service.
+    pub fn is_elsewhere(&self, service: &Name, id: StreamId, now: Instant) -> bool {
+        self.memory.is_elsewhere(service, id, now)
+    }
+
     /// Remembers the version at which a stream is about to begin. A table that is adopted before
     /// its first event does not change it.
     pub fn expect(&mut self, id: StreamId, version: StreamVersion, now: Instant) {
--- a/crates/pomeloridge_gateway/src/versions/lookup.rs
+++ b/crates/pomeloridge_gateway/src/versions/lookup.rs
@@ -75,13 +75,14 @@
     service: &Name,
     stream: Option<StreamId>,
 ) -> Result<(Name, Source), UnknownVersion> {
-    if let Some(stream) = stream
-        && let Some(version) = state
-            .versions
-            .borrow()
-            .remembered(service, stream, state.now())
-    {
-        return Ok((version.clone(), Source::Memory));
+    if let Some(stream) = stream {
+        let (versions, now) = (state.versions.borrow(), state.now());
+        if let Some(version) = versions.remembered(service, stream, now) {
+            return Ok((version.clone(), Source::Memory));
+        }
+        if versions.is_elsewhere(service, stream, now) {
+            return Err(UnknownVersion::OtherService);
+        }
     }
     refresh_table(state).await;
     if let Some(found) = by_table(state, service, stream)? {
--- a/crates/pomeloridge_policy/src/stream_versions.rs
+++ b/crates/pomeloridge_policy/src/stream_versions.rs
@@ -94,6 +94,9 @@
     /// Some nodes have not acknowledged the latest change of the slot.
     #[display("slot changed")]
     SlotChanged,
+    /// The stream began at another service.
+    #[display("other service")]
+    OtherService,
     /// Records name several versions.
     #[display("records disagree")]
     Conflict,
@@ -132,13 +135,14 @@
 ) -> Result<Name, UnknownVersion> {
     let slots = table.services.get(service).ok_or(UnknownVersion::NoTable)?;
     let written = || records.values().flatten();
-    let named = written().filter_map(|record| record.streams.get(&stream));
-    let mut named = named.filter(|named| named.service == *service);
+    let mut named = written().filter_map(|record| record.streams.get(&stream));
     if let Some(first) = named.next() {
-        return if named.all(|other| other == first) {
+        return if named.any(|other| other != first) {
+            Err(UnknownVersion::Conflict)
+        } else if first.service == *service {
             Ok(first.version.clone())
         } else {
-            Err(UnknownVersion::Conflict)
+            Err(UnknownVersion::OtherService)
         };
     }
     // Such a record leaves out streams that only the newer table explains.
--- a/crates/pomeloridge_policy/src/stream_versions/memory.rs
+++ b/crates/pomeloridge_policy/src/stream_versions/memory.rs
@@ -71,6 +71,13 @@
         is_valid.then_some(&stream.version.version)
     }
 
+    /// Returns whether a stream belongs to another service.
+    pub fn is_elsewhere(&self, service: &Name, id: StreamId, now: Instant) -> bool {
+        self.streams.get(&id).is_some_and(|entry| {
+            entry.stream.version.service != *service && now < entry.stream.expires
+        })
+    }
+
     /// Returns the streams whose version a table does not give.
     pub fn unexplained(
         &self,
--- a/crates/pomeloridge_policy/tests/policy/stream_versions.rs
+++ b/crates/pomeloridge_policy/tests/policy/stream_versions.rs
@@ -321,15 +321,33 @@
     assert_eq!(found, expected.map(Name::from));
 }
 
+/// Guards against continuing a stream at a service that did not begin it, whose versions say
+/// nothing of the stream.
 #[test]
-fn records_of_another_service_do_not_count() {
+fn a_stream_that_a_record_names_under_another_service_is_not_continued() {
     let mut written = record(2, None, &[(0, "a")]);
     for version in written.streams.values_mut() {
         version.service = Name::from("other");
     }
     let records = records(&[Some(written)]);
     let found = version_by_records(&moved_table(), &service(), StreamId(0), &records);
-    assert_eq!(found, Ok(Name::from("b")));
+    assert_eq!(found, Err(UnknownVersion::OtherService));
+}
+
+/// Guards against the same at a node that remembers the stream.
+#[test]
+fn a_stream_that_is_remembered_under_another_service_is_elsewhere() {
+    let (now, mut memory) = (Instant::now(), StreamMemory::default());
+    let stream = BegunStream {
+        version: stream_version("a"),
+        expires: now + MAX_STREAM_AGE,
+    };
+    memory.record(StreamId(0), stream, now);
+    let other = Name::from("other");
+    assert!(memory.is_elsewhere(&other, StreamId(0), now));
+    assert!(!memory.is_elsewhere(&service(), StreamId(0), now));
+    assert!(!memory.is_elsewhere(&other, StreamId(1), now));
+    assert!(!memory.is_elsewhere(&other, StreamId(0), now + MAX_STREAM_AGE));
 }
 
 /// A step of a fleet whose table changes.
