Give a table that is written again a number above those that were lost

A restored store may have lost several tables, of which the writer knows none: its next number was then that of a lost one, which a gateway that had it keeps in its place. Guarded by version_table's test of a restored store, which passed before as well.

--- a/crates/pomeloridge_gateway/src/versions/table.rs
+++ b/crates/pomeloridge_gateway/src/versions/table.rs
@@ -27,6 +27,9 @@
 const MAX_WRITE_DELAY: Duration = Duration::from_millis(20);
 /// Number of times that a write is tried before the next check.
 const MAX_WRITE_TRIES: usize = 3;
+/// Step of the number of a table that is written again after a restore. Tables that were lost and
+/// that no writer has heard of have numbers in between.
+const RESTORED_STEP: u64 = 1024;
 /// Delay after a failed read at the start.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -159,7 +162,7 @@
     let versions = state.versions.borrow();
     let table = versions.table();
     let highest = versions.newer().unwrap_or(table.number);
-    let restored = table.restored(highest + 1);
+    let restored = table.restored(highest + RESTORED_STEP);
     let capacities = capacities(state);
     restored.rebalanced(&capacities).unwrap_or(restored)
 }
