--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -103,6 +103,9 @@
         if self.accepted.route.kind.is_resumable() {
             let bound = monoio::select! {
                 bound = self.bind(&attempts) => bound,
+                () = monoio::time::sleep(self.accepted.time_left(self.state.now())) => {
+                    Err(attempts.refusal(ErrorKind::DeadlinePassed))
+                }
                 fault = responder.closed() => return StreamOutcome::CallerGone(fault),
             };
             if let Err(refusal) = bound {
