Wait for the server list that led to a new table

The log: table 2, with a new version, adopted at .709; the request refused at .772 with "no server available"; the server of that version listed at .798. A table is told to all at once, changes of the list follow in batches.

--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -159,7 +159,11 @@
             let version = versions::version_of_resumed(state, service, resumes).await;
             version.map(Some)
         } else {
-            versions::version_of_new(state, service, &inbound.id)
+            let version = versions::version_of_new(state, service, &inbound.id);
+            if let Ok(Some(version)) = &version {
+                versions::wait_for_servers(state, service, version).await;
+            }
+            version
         };
         match version {
             Ok(None) => Ok(()),
--- a/crates/pomeloridge_gateway/src/versions.rs
+++ b/crates/pomeloridge_gateway/src/versions.rs
@@ -26,6 +26,10 @@
 pub(crate) use shared_read::SharedRead;
 pub(crate) use table::{check_table, follow_table, read_table};
 
+/// Time within which the server list follows a table.
+const SERVER_LIST_DELAY: Duration = Duration::from_millis(500);
+/// Interval between checks whether a server is listed.
+const SERVER_LIST_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time over which the nodes spread the writes of their records, for each node.
 const WRITE_SPREAD_PER_NODE: Duration = Duration::from_micros(2500);
 /// Maximum number of services whose slots are logged.
@@ -61,6 +65,20 @@
     Ok(Some(version))
 }
 
+/// Waits until a server of a version is listed, if this node has just adopted the table: that may
+/// arrive before the changes of the server list that led to it.
+pub(crate) async fn wait_for_servers(state: &State, service: &Name, version: &Name) {
+    let is_listed = || {
+        let dispatcher = state.dispatcher.borrow();
+        let mut listed = dispatcher.targets().map(|(_, target)| &target.info);
+        listed.any(|info| info.service == *service && info.version == *version)
+    };
+    let is_new = || state.versions.borrow().table_age(state.now()) < SERVER_LIST_DELAY;
+    while is_new() && !is_listed() {
+        monoio::time::sleep(SERVER_LIST_POLL_INTERVAL).await;
+    }
+}
+
 /// Records that a stream has begun or is continued at a server of a version.
 pub(crate) fn record_begun(
     state: &State,
--- a/crates/pomeloridge_gateway/src/versions/known.rs
+++ b/crates/pomeloridge_gateway/src/versions/known.rs
@@ -135,10 +135,16 @@
         now.saturating_duration_since(*since.unwrap_or(&now))
     }
 
+    /// Returns the time since the table was adopted.
+    pub fn table_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.adopted)
+    }
+
     /// Returns the next table if versions without slots may be dropped.
     pub fn settled(&self, now: Instant) -> Option<VersionTable> {
-        let age = now.saturating_duration_since(self.adopted);
-        (age >= SETTLE_TIME).then(|| self.table.settled()).flatten()
+        (self.table_age(now) >= SETTLE_TIME)
+            .then(|| self.table.settled())
+            .flatten()
     }
 
     /// Returns the version of a stream that this node has begun or continued.
