review: case 2, a stream goes on at a server that is back with another software version

Promise: ORDER, not more than two streams hold events of two software versions of one service.

Order of events: the gateway is cut off from the store for 5 s. A model server ends and is back under its id with another software version. A second one ends; its streams go on at the first.

Code: a stream's version is that of the server's entry when the request is sent (exchange.rs, Attempts::bind, DispatchRequest::version). An entry from before a server's end counts again once the server answers, and has_other_version in stream.rs only sees entries that arrive in time.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -2,6 +2,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod case1;
+mod case2;
 mod common;
 
 use std::path::PathBuf;
@@ -14,6 +15,7 @@
     common::clock();
     let case: fn(bool) -> common::Verdict = match number.as_str() {
         "1" => case1::run,
+        "2" => case2::run,
         _ => {
             eprintln!("no such case: {number:?}");
             std::process::exit(2);
