review: case 4, a withdrawn key works for 3 s after the watching gateways are lost

Promise: CONFIG, a config is in force at machines in touch configApplyMs (2 s) after its ack.

Order of events: three of seven gateways are lost at the same moment, those that watch the store. 0.1 s later a key is withdrawn. The other four, in touch all the while, go on to take it.

Code: a lost watcher counts as watching for LIVE_TIMEOUT (3 s, peers/table.rs) or MAX_ANSWER_AGE (3.5 s, policy/src/watchers.rs). Until then no other gateway asks the store.

--- a/review/harness/src/common.rs
+++ b/review/harness/src/common.rs
@@ -176,6 +176,16 @@
 /// Starts a gateway as the deploy file says, with the deploy file's template filled in as for a
 /// small installation.
 pub fn start_gateway(index: u8, store: SocketAddr, duties: SocketAddr) -> Result<Gateway, String> {
+    start_gateway_in("dc-1", index, store, duties)
+}
+
+/// The same in another zone.
+pub fn start_gateway_in(
+    zone: &str,
+    index: u8,
+    store: SocketAddr,
+    duties: SocketAddr,
+) -> Result<Gateway, String> {
     let name = format!("front-{index}");
     let ip = format!("127.0.1.{}", index + 1);
     let template = std::fs::read_to_string("deploy/settings.ini").map_err(|error| error.to_string())?;
@@ -185,7 +195,7 @@
     let [caller, ready, peer, metrics] = *ports;
     let values = [
         ("{{nodeName}}", name.clone()),
-        ("{{zone}}", "dc-1".to_owned()),
+        ("{{zone}}", zone.to_owned()),
         ("{{bootstrap}}", "true".to_owned()),
         ("{{listenAddrs.front}}", caller.to_string()),
         ("{{listenAddrs.ready}}", ready.to_string()),
@@ -392,6 +402,8 @@
 pub struct Proxy {
     pub address: SocketAddr,
     cut: Arc<AtomicBool>,
+    /// When the client last asked for changes of the config.
+    watched: Arc<Mutex<Option<f64>>>,
 }
 
 impl Proxy {
@@ -401,9 +413,11 @@
         let address = listener.local_addr().unwrap();
         let cut = Arc::new(AtomicBool::new(false));
         let flag = Arc::clone(&cut);
+        let watched = Arc::new(Mutex::new(None));
+        let seen = Arc::clone(&watched);
         std::thread::spawn(move || {
             for client in listener.incoming().map_while(Result::ok) {
-                let flag = Arc::clone(&flag);
+                let (flag, seen) = (Arc::clone(&flag), Arc::clone(&seen));
                 std::thread::spawn(move || {
                     if wait_while(&flag) {
                         return;
@@ -411,12 +425,24 @@
                     let Ok(server) = TcpStream::connect(upstream) else { return };
                     let (Ok(client2), Ok(server2)) = (client.try_clone(), server.try_clone()) else { return };
                     let flag2 = Arc::clone(&flag);
-                    std::thread::spawn(move || pump(client2, server2, &flag2, |_| {}));
+                    std::thread::spawn(move || {
+                        pump(client2, server2, &flag2, |bytes| {
+                            let asks = b"/config?watch=";
+                            if bytes.windows(asks.len()).any(|window| window == asks) {
+                                *seen.lock().unwrap() = Some(clock());
+                            }
+                        });
+                    });
                     pump(server, client, &flag, change);
                 });
             }
         });
-        Self { address, cut }
+        Self { address, cut, watched }
+    }
+
+    /// Seconds since the client last asked for changes of the config.
+    pub fn watch_age(&self) -> Option<f64> {
+        self.watched.lock().unwrap().map(|at| clock() - at)
     }
 
     pub fn set_cut(&self, cut: bool) {
@@ -433,7 +459,7 @@
     was_set
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, flag: &AtomicBool, change: fn(&mut Vec<u8>)) {
+fn pump(mut from: TcpStream, mut to: TcpStream, flag: &AtomicBool, change: impl Fn(&mut Vec<u8>)) {
     let mut chunk = vec![0; 64 * 1024];
     while let Ok(count @ 1..) = from.read(&mut chunk) {
         if wait_while(flag) {
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 
 mod case1;
 mod case2;
+mod case4;
 mod common;
 
 use std::path::PathBuf;
@@ -16,6 +17,7 @@
     let case: fn(bool) -> common::Verdict = match number.as_str() {
         "1" => case1::run,
         "2" => case2::run,
+        "4" => case4::run,
         _ => {
             eprintln!("no such case: {number:?}");
             std::process::exit(2);
