review: case 3, two usage reports of one window after the store's return from a copy

Promise: ONE, the platform doesn't accept two usage reports for one window with different counts.

Order of events: the gateway that holds the duties reports a window. The store comes back from a copy 2.5 s old, without the seal, and Store-Era goes from 0 to 1; the gateway's process is killed. Started again, it seals and reports the same window with the counts of its own life: none.

Code: Era::is_restored (crates/pomeloridge_base/src/id.rs) takes era 1 for the first one, so that Client::lost_before stays empty and EndedWindow::may_lack_seal says no.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 
 mod case1;
 mod case2;
+mod case3;
 mod case4;
 mod common;
 
@@ -17,6 +18,7 @@
     let case: fn(bool) -> common::Verdict = match number.as_str() {
         "1" => case1::run,
         "2" => case2::run,
+        "3" => case3::run,
         "4" => case4::run,
         _ => {
             eprintln!("no such case: {number:?}");
