--- a/review/harness/src/case2.rs
+++ b/review/harness/src/case2.rs
@@ -1,116 +1,151 @@
-//! Model servers are replaced in place by another software version while the gateway is cut off
-//! from the store.
+//! The three machines that watch the store for the others are lost at the same moment, and a key is
+//! withdrawn.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::thread::spawn;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::common::*;
 
-/// Streams that run when the servers restart.
-const STREAMS: usize = 48;
-/// Streams that are sent after the first server is back.
-const PROBES: usize = 8;
+const MACHINES: u8 = 7;
+const ZONES: [&str; 3] = ["gt-central-a", "gt-central-b", "gt-central-c"];
+/// Bound of the site, in seconds.
+const CONFIG_APPLY: f64 = 2.0;
+const WITHDRAWN: &str = "key-to-be-withdrawn";
 
-/// Events of each stream as its client got them: id and text.
-static STREAMS_SEEN: Mutex<Vec<(String, Vec<(u64, String)>)>> = Mutex::new(Vec::new());
+#[derive(Clone)]
+struct Sent {
+    machine: usize,
+    attempt: String,
+    at: f64,
+    status: u16,
+}
+
+static SENT: Mutex<Vec<Sent>> = Mutex::new(Vec::new());
 
 pub fn run(trouble: bool) -> Verdict {
-    let platform = Platform::start(&["--decode", "8", "--prefill", "0", "--plain", "1"])?;
-    platform.change_routes(&[("ask", "timeoutMs", json!(10_000))])?;
-    let store = Proxy::start(platform.store, |_| {});
-    let gateway = start_gateway(0, store.address, platform.duties)?;
-    wait_ready(gateway, 15.0)?;
-    note("gateway front-0 is ready; the model servers assistant-decode-0 to 7 have software version v1");
-    sleep(4.0);
-    let mut clients = Vec::new();
-    let mut begin = |batch: &str, count: usize| {
-        for index in 0..count {
-            let (address, attempt) = (gateway.caller, format!("stream-{batch}{index}"));
-            clients.push(spawn(move || client(address, &attempt)));
-        }
-        note(format!("{count} streams of batch {batch} are sent; each has 8 events, one in about 0.6 s"));
-    };
-    let restart = |server: &str| {
-        note(format!(
-            "{server} ends; in 0.4 s it is back under its id, with software version v2, and says so in the store"
-        ));
-        platform.post("/-/restart", &json!({ "server": server, "version": "v2" }))
-    };
-    begin("a", STREAMS);
-    sleep(0.8);
-    if trouble {
-        store.set_cut(true);
-        note("disruption: front-0 is cut off from the store, silently (5 s)");
+    let platform = Platform::start(&["--decode", "1", "--prefill", "0", "--plain", "2"])?;
+    set_keys(&platform, &[KEY, WITHDRAWN])?;
+    let mut machines = Vec::new();
+    for index in 0..MACHINES {
+        let store = Proxy::start(platform.store, |_| {});
+        let zone = ZONES[usize::from(index) % ZONES.len()];
+        let gateway = start_gateway_in(zone, index, store.address, platform.duties)?;
+        note(format!("front-{index} is started in {zone}"));
+        machines.push((gateway, store));
+    }
+    for (gateway, _) in &machines {
+        wait_ready(*gateway, 15.0)?;
     }
-    let cut_at = clock();
+    note("all machines are ready");
+    sleep(7.0);
+    // Ordinary events: a config and a new server, which all machines hear of at once.
+    set_field(&platform, "lodge", "priority", json!(2))?;
+    platform.post("/-/start", &json!({ "server": "filings-new", "service": "filings", "stage": "", "version": "v1" }))?;
+    note("a config that changes a priority is accepted, and a server is added");
     sleep(0.3);
-    restart("assistant-decode-0")?;
-    sleep(1.3);
-    begin("b", PROBES);
-    sleep(1.0);
-    restart("assistant-decode-1")?;
-    sleep(cut_at + 5.0 - clock());
-    store.set_cut(false);
+    let watches: Vec<String> = machines
+        .iter()
+        .enumerate()
+        .map(|(index, (_, store))| match store.watch_age() {
+            Some(age) => format!("front-{index} {age:.1} s ago"),
+            None => format!("front-{index} never"),
+        })
+        .collect();
+    note(format!("the store was last asked to watch the config by: {}", watches.join(", ")));
+    let is_watching = |store: &Proxy| store.watch_age().is_some_and(|age| age < 2.6);
+    let watchers: Vec<usize> = (0..machines.len()).filter(|index| is_watching(&machines[*index].1)).collect();
+    if watchers.len() * 100 > machines.len() * 55 {
+        return Err(format!("{} of {MACHINES} machines watch; not more than 55 in 100 may be lost", watchers.len()));
+    }
     if trouble {
-        note("front-0 reaches the store again");
+        for index in &watchers {
+            kill(&format!("front-{index}"));
+        }
+        note(format!("disruption: the machines {watchers:?} are lost at the same moment (SIGKILL, not started again)"));
+    }
+    sleep(0.1);
+    set_keys(&platform, &[KEY])?;
+    let acked = clock();
+    note(format!("a config without the key {WITHDRAWN:?} is accepted by the store (ack at {acked:.3})"));
+    let mut clients = Vec::new();
+    for index in (0..machines.len()).filter(|index| !watchers.contains(index)) {
+        let address = machines[index].0.caller;
+        clients.push(spawn(move || client(address, index, acked)));
     }
     for client in clients {
         client.join().map_err(|_| "a client of the test failed")?;
     }
     let history = platform.get("/-/history")?;
-    let mut streams = STREAMS_SEEN.lock().unwrap().clone();
-    streams.sort();
-    let mut mixed = 0;
-    for (attempt, events) in &streams {
-        let of_v2 = events.iter().filter(|(_, text)| text.ends_with("-v2")).count();
-        let is_mixed = of_v2 > 0 && of_v2 < events.len();
-        mixed += usize::from(is_mixed);
-        let texts: Vec<&str> = events.iter().map(|(_, text)| text.as_str()).collect();
-        let runs = history.as_array().into_iter().flatten();
-        let runs = runs.filter(|entry| entry["attempt"] == attempt.as_str() && entry["version"].is_string());
-        let runs: Vec<String> = runs
-            .map(|run| {
-                let text = |field: &str| run[field].as_str().unwrap_or("-").to_owned();
-                format!("{} ({}, last-event-id {})", text("server"), text("version"), text("last_event"))
-            })
+    let has_run = |attempt: &str| {
+        let mut entries = history.as_array().into_iter().flatten();
+        entries.any(|entry| entry["attempt"] == attempt && entry["server"].is_string())
+    };
+    let mut late = 0;
+    let sent = SENT.lock().unwrap().clone();
+    for index in (0..machines.len()).filter(|index| !watchers.contains(index)) {
+        let own: Vec<&Sent> = sent.iter().filter(|sent| sent.machine == index).collect();
+        let run: Vec<&&Sent> = own
+            .iter()
+            .filter(|sent| sent.at > acked + CONFIG_APPLY && has_run(&sent.attempt))
             .collect();
+        late += run.len();
+        let refused = own.iter().find(|sent| sent.status == 401).map_or(f64::NAN, |sent| sent.at - acked);
         plain(format!(
-            "{attempt}: {}{} | runs: {}",
-            texts.join(" "),
-            if is_mixed { "   <-- TWO VERSIONS" } else { "" },
-            runs.join(", ")
+            "front-{index}: {} requests with the withdrawn key; first refused 401 when sent {refused:.3} s after the ack; \
+             run although sent over {CONFIG_APPLY} s after it: {}",
+            own.len(),
+            run.len()
         ));
+        for sent in run {
+            plain(format!(
+                "    {} sent {:.3} s after the ack: status {}, run by a server",
+                sent.attempt,
+                sent.at - acked,
+                sent.status
+            ));
+        }
     }
-    let begun = streams.iter().filter(|(_, events)| !events.is_empty()).count();
-    plain(format!("streams that began: {begun}; with events of two software versions: {mixed}"));
-    plain("ORDER is broken if more than two streams hold events of two software versions");
-    if begun < STREAMS {
-        return Err("too few streams began".to_owned());
+    plain(format!("requests run with a withdrawn key, sent later than configApplyMs after the ack: {late}"));
+    plain("CONFIG is broken if there is one");
+    Ok(late > 0)
+}
+
+/// Sends requests with the withdrawn key to one machine.
+fn client(address: SocketAddr, machine: usize, acked: f64) {
+    let mut number = 0;
+    while clock() < acked + 5.0 {
+        number += 1;
+        let attempt = format!("m{machine}-{number}");
+        let headers = [
+            ("Pomeloridge-Attempt-Id", attempt.as_str()),
+            ("Pomeloridge-Deadline-Ms", "2500"),
+            ("Pomeloridge-Key", WITHDRAWN),
+        ];
+        let at = clock();
+        let answer = exchange(address, &message("GET", "/read/x", &headers, b""), Duration::from_millis(2500));
+        let status = answer.map_or(0, |answer| answer.status);
+        SENT.lock().unwrap().push(Sent { machine, attempt, at, status });
+        sleep(0.05);
     }
-    Ok(mixed > 2)
 }
 
-fn client(address: SocketAddr, attempt: &str) {
-    let mut more = prompt(attempt);
-    // The stand-in's servers write this attempt's first run slowly.
-    more.push(("X-Fault".to_owned(), "slow-600".to_owned()));
-    let more: Vec<(&str, &str)> = more.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
-    let message = request("POST", "/ask/x", attempt, 10_000, &more);
-    let answer = exchange(address, &message, Duration::from_secs(10));
-    let (how, body) = match answer {
-        Ok(answer) => (format!("{}, complete: {}", answer.status, answer.complete), answer.body),
-        Err(error) => (error, Vec::new()),
-    };
-    let text = String::from_utf8_lossy(&body).into_owned();
-    let events = text.split("\n\n").filter_map(|event| {
-        let (id, data) = event.split_once('\n')?;
-        Some((id.strip_prefix("id: ")?.parse().ok()?, data.strip_prefix("data: ")?.to_owned()))
-    });
-    let events: Vec<(u64, String)> = events.collect();
-    note(format!("{attempt} ends with {} events: {how}", events.len()));
-    STREAMS_SEEN.lock().unwrap().push((attempt.to_owned(), events));
+/// Writes a config with the keys of the first tenant.
+fn set_keys(platform: &Platform, keys: &[&str]) -> Result<(), String> {
+    let mut config = next(platform)?;
+    config["tenants"][0]["apiKeys"] = json!(keys);
+    platform.post("/-/config", &config)
+}
+
+fn set_field(platform: &Platform, route: &str, field: &str, value: Value) -> Result<(), String> {
+    platform.change_routes(&[(route, field, value)])
+}
+
+fn next(platform: &Platform) -> Result<Value, String> {
+    let mut config = platform.get("/-/config")?;
+    config["version"] = Value::from(config["version"].as_u64().unwrap_or(0) + 1);
+    Ok(config)
 }
--- a/review/harness/src/case3.rs
+++ b/review/harness/src/case3.rs
@@ -1,105 +1,116 @@
-//! The gateway's process is killed while the store comes back from a copy that is some seconds old.
+//! Model servers are replaced in place by another software version while the gateway is cut off
+//! from the store.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::thread::spawn;
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::common::*;
 
-/// `usageWindowS`, in milliseconds.
-const WINDOW_MS: u64 = 5000;
+/// Streams that run when the servers restart.
+const STREAMS: usize = 48;
+/// Streams that are sent after the first server is back.
+const PROBES: usize = 8;
 
-/// The stand-in's store counts its eras from 1; here it counts its returns from a copy, from 0.
-fn count_from_zero(bytes: &mut Vec<u8>) {
-    let name = b"store-era: ";
-    let found = bytes.windows(name.len()).position(|window| window.eq_ignore_ascii_case(name));
-    if let Some(digit) = found.and_then(|at| bytes.get_mut(at + name.len())) {
-        *digit -= u8::from((b'1'..=b'9').contains(digit));
-    }
-}
+/// Events of each stream as its client got them: id and text.
+static STREAMS_SEEN: Mutex<Vec<(String, Vec<(u64, String)>)>> = Mutex::new(Vec::new());
 
 pub fn run(trouble: bool) -> Verdict {
-    let platform = Platform::start(&["--decode", "1", "--prefill", "0", "--plain", "2"])?;
-    let store = Proxy::start(platform.store, count_from_zero);
+    let platform = Platform::start(&["--decode", "8", "--prefill", "0", "--plain", "1"])?;
+    platform.change_routes(&[("ask", "timeoutMs", json!(10_000))])?;
+    let store = Proxy::start(platform.store, |_| {});
     let gateway = start_gateway(0, store.address, platform.duties)?;
     wait_ready(gateway, 15.0)?;
-    note("gateway front-0 is ready; the store's answers say Store-Era: 0");
-    let stop = Arc::new(AtomicBool::new(false));
-    let stopped = Arc::clone(&stop);
-    let clients = spawn(move || {
-        let mut answered = 0_u64;
-        let mut number = 0_u64;
-        while !stopped.load(Ordering::SeqCst) {
-            number += 1;
-            let message = request("GET", "/read/x", &format!("lookup-{number}"), 2500, &[]);
-            let answer = exchange(gateway.caller, &message, Duration::from_millis(2500));
-            answered += u64::from(answer.is_ok_and(|answer| answer.status == 200));
-            sleep(0.05);
+    note("gateway front-0 is ready; the model servers assistant-decode-0 to 7 have software version v1");
+    sleep(4.0);
+    let mut clients = Vec::new();
+    let mut begin = |batch: &str, count: usize| {
+        for index in 0..count {
+            let (address, attempt) = (gateway.caller, format!("stream-{batch}{index}"));
+            clients.push(spawn(move || client(address, &attempt)));
         }
-        answered
-    });
-    // The window after the next one is served as a whole.
-    let window = unix_ms() / WINDOW_MS + 1;
-    let end_ms = (window + 1) * WINDOW_MS;
-    note(format!("clients send lookups with the key of anna; window {window} is watched"));
-    sleep((end_ms - unix_ms()) as f64 / 1000.0 - 0.2);
-    stop.store(true, Ordering::SeqCst);
-    let answered = clients.join().map_err(|_| "the client failed")?;
-    note(format!("the clients stop, 0.2 s before the window's end; {answered} lookups were answered 200 in all"));
-    let first = wait_for_report(&platform, window, 8.0)?;
-    note(format!("the platform gets the report of window {window} from front-0: {first}"));
+        note(format!("{count} streams of batch {batch} are sent; each has 8 events, one in about 0.6 s"));
+    };
+    let restart = |server: &str| {
+        note(format!(
+            "{server} ends; in 0.4 s it is back under its id, with software version v2, and says so in the store"
+        ));
+        platform.post("/-/restart", &json!({ "server": server, "version": "v2" }))
+    };
+    begin("a", STREAMS);
+    sleep(0.8);
     if trouble {
-        let plan = json!({ "age_ms": 2500, "away_ms": 300, "rewrite_ms": 1000 });
-        platform.post("/-/restore", &plan)?;
-        note("disruption: the store is away for 0.3 s and comes back from a copy 2.5 s old, Store-Era: 1");
+        store.set_cut(true);
+        note("disruption: front-0 is cut off from the store, silently (5 s)");
     }
-    kill("front-0");
-    note("the process of front-0 is killed (SIGKILL)");
-    sleep(0.5);
-    start_gateway(0, store.address, platform.duties)?;
-    note("front-0 is started again");
-    sleep((end_ms + 12_000 - unix_ms()) as f64 / 1000.0);
-    let reports = reports(&platform)?;
-    let mut by_window: BTreeMap<u64, Vec<Value>> = BTreeMap::new();
-    for report in &reports {
-        plain(format!("platform got at {} ms: {report}", report["called_at"]));
-        let index = report["body"]["windowIndex"].as_u64().unwrap_or(0);
-        by_window.entry(index).or_default().push(report.clone());
+    let cut_at = clock();
+    sleep(0.3);
+    restart("assistant-decode-0")?;
+    sleep(1.3);
+    begin("b", PROBES);
+    sleep(1.0);
+    restart("assistant-decode-1")?;
+    sleep(cut_at + 5.0 - clock());
+    store.set_cut(false);
+    if trouble {
+        note("front-0 reaches the store again");
     }
-    let mut broken = false;
-    for (index, reports) in &by_window {
-        let mut counts: Vec<&Value> = reports.iter().map(|report| &report["body"]["counts"]).collect();
-        counts.dedup();
-        if counts.len() > 1 {
-            // The platform refuses a report with a lower generation number, so that it counts none.
-            let fence = |report: &Value| report["fence"].as_str().and_then(|text| text.parse::<u64>().ok());
-            let is_accepted = reports.windows(2).all(|pair| fence(&pair[0]) <= fence(&pair[1]));
-            plain(format!("window {index} was reported with different counts: {counts:?}; accepted: {is_accepted}"));
-            broken |= is_accepted;
-        }
+    for client in clients {
+        client.join().map_err(|_| "a client of the test failed")?;
     }
-    plain("ONE is broken if the platform accepts two usage reports for one window with different counts");
-    Ok(broken)
-}
-
-fn reports(platform: &Platform) -> Result<Vec<Value>, String> {
     let history = platform.get("/-/history")?;
-    let calls = history.as_array().into_iter().flatten();
-    Ok(calls.filter(|entry| entry["call"] == "/usage").cloned().collect())
+    let mut streams = STREAMS_SEEN.lock().unwrap().clone();
+    streams.sort();
+    let mut mixed = 0;
+    for (attempt, events) in &streams {
+        let of_v2 = events.iter().filter(|(_, text)| text.ends_with("-v2")).count();
+        let is_mixed = of_v2 > 0 && of_v2 < events.len();
+        mixed += usize::from(is_mixed);
+        let texts: Vec<&str> = events.iter().map(|(_, text)| text.as_str()).collect();
+        let runs = history.as_array().into_iter().flatten();
+        let runs = runs.filter(|entry| entry["attempt"] == attempt.as_str() && entry["version"].is_string());
+        let runs: Vec<String> = runs
+            .map(|run| {
+                let text = |field: &str| run[field].as_str().unwrap_or("-").to_owned();
+                format!("{} ({}, last-event-id {})", text("server"), text("version"), text("last_event"))
+            })
+            .collect();
+        plain(format!(
+            "{attempt}: {}{} | runs: {}",
+            texts.join(" "),
+            if is_mixed { "   <-- TWO VERSIONS" } else { "" },
+            runs.join(", ")
+        ));
+    }
+    let begun = streams.iter().filter(|(_, events)| !events.is_empty()).count();
+    plain(format!("streams that began: {begun}; with events of two software versions: {mixed}"));
+    plain("ORDER is broken if more than two streams hold events of two software versions");
+    if begun < STREAMS {
+        return Err("too few streams began".to_owned());
+    }
+    Ok(mixed > 2)
 }
 
-fn wait_for_report(platform: &Platform, window: u64, seconds: f64) -> Result<Value, String> {
-    let end = clock() + seconds;
-    while clock() < end {
-        let found = reports(platform)?.into_iter().find(|report| report["body"]["windowIndex"] == window);
-        if let Some(report) = found {
-            return Ok(report["body"].clone());
-        }
-        sleep(0.02);
-    }
-    Err("the window was not reported".to_owned())
+fn client(address: SocketAddr, attempt: &str) {
+    let mut more = prompt(attempt);
+    // The stand-in's servers write this attempt's first run slowly.
+    more.push(("X-Fault".to_owned(), "slow-600".to_owned()));
+    let more: Vec<(&str, &str)> = more.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+    let message = request("POST", "/ask/x", attempt, 10_000, &more);
+    let answer = exchange(address, &message, Duration::from_secs(10));
+    let (how, body) = match answer {
+        Ok(answer) => (format!("{}, complete: {}", answer.status, answer.complete), answer.body),
+        Err(error) => (error, Vec::new()),
+    };
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let events = text.split("\n\n").filter_map(|event| {
+        let (id, data) = event.split_once('\n')?;
+        Some((id.strip_prefix("id: ")?.parse().ok()?, data.strip_prefix("data: ")?.to_owned()))
+    });
+    let events: Vec<(u64, String)> = events.collect();
+    note(format!("{attempt} ends with {} events: {how}", events.len()));
+    STREAMS_SEEN.lock().unwrap().push((attempt.to_owned(), events));
 }
