review: case 4, no stream is taken up for 35 s after a gateway is lost

Promise: LOST, streams that clients take up again go on at least half as often as new ones begin.

Order of events: one of three gateways is lost for good. The model servers are replaced by another software version. A second gateway is killed while 24 streams run; clients take them up at the third.

Code: version_by_records (policy/src/stream_versions.rs) needs the record of each gateway, and relevant_records (gateway/src/peers/node_object.rs) counts a lost one until 35 s of silence, although it was gone before the table named the new version.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -4,6 +4,7 @@
 mod case1;
 mod case2;
 mod case3;
+mod case4;
 mod case5;
 mod common;
 
@@ -19,6 +20,7 @@
         "1" => case1::run,
         "2" => case2::run,
         "3" => case3::run,
+        "4" => case4::run,
         "5" => case5::run,
         _ => {
             eprintln!("no such case: {number:?}");
