review: case 4 removes the gateway as planned, with SIGTERM

Order of events: one of three gateways is stopped for good with SIGTERM and ends by itself; a release, a kill of another gateway and the take-ups follow.

--- a/review/harness/src/case4.rs
+++ b/review/harness/src/case4.rs
@@ -1,4 +1,4 @@
-//! A machine is removed for good, and the model servers are then replaced by another software
+//! A machine is removed for good, as planned, and the model servers are then replaced by another software
 //! version. Streams that break off afterwards are not taken up.
 
 use std::net::SocketAddr;
@@ -41,8 +41,9 @@
     note("front-0, front-1 and front-2 are ready; three model servers have software version v1");
     sleep(5.0);
     if trouble {
-        kill("front-2");
-        note("disruption: front-2 is lost for good (SIGKILL, not started again)");
+        note("disruption: front-2 is removed for good, with SIGTERM");
+        terminate("front-2")?;
+        note("front-2 has ended");
     }
     sleep(2.0);
     for server in 0..3 {
--- a/review/harness/src/common.rs
+++ b/review/harness/src/common.rs
@@ -108,6 +108,26 @@
     }
 }
 
+/// Stops a process of the case with SIGTERM, and waits until it has ended.
+pub fn terminate(name: &str) -> Result<(), String> {
+    let mut children = CHILDREN.lock().unwrap();
+    let index = children.iter().rposition(|(known, _)| known == name);
+    let (_, mut child) = children.remove(index.ok_or("no such process")?);
+    drop(children);
+    let order = format!("kill -TERM {}", child.id());
+    let sent = Command::new("sh").args(["-c", &order]).status();
+    let end = clock() + 12.0;
+    while clock() < end {
+        if matches!(child.try_wait(), Ok(Some(_))) {
+            return sent.map(|_| ()).map_err(|error| error.to_string());
+        }
+        sleep(0.02);
+    }
+    let _ = child.kill();
+    let _ = child.wait();
+    Err(format!("{name} did not end after SIGTERM"))
+}
+
 /// Ends all processes of the case and removes its folder.
 pub fn end_all() {
     for (_, mut child) in CHILDREN.lock().unwrap().drain(..) {
