--- a/review/harness/src/case1.rs
+++ b/review/harness/src/case1.rs
@@ -1,4 +1,7 @@
 //! A model server in trouble writes bytes that are no answer without end.
+//!
+//! The case writes blank lines. `BYTES=heads` writes interim heads, and `BYTES=events` a head and then
+//! the same event again and again.
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::io::Write;
@@ -60,7 +63,7 @@
     note(format!("{LOOKUPS} lookups before the disruption: all got 200; their channels are kept"));
     IN_TROUBLE.store(trouble, Ordering::SeqCst);
     if trouble {
-        note("disruption: assistant-decode-2 answers from now on with blank lines without end");
+        note("disruption: assistant-decode-2 writes from now on bytes that are no answer, without end");
     }
     let mut tasks = Vec::new();
     for index in 0..9 {
@@ -149,8 +152,22 @@
         return channel.write_all(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n").is_ok();
     }
     if IN_TROUBLE.load(Ordering::SeqCst) {
-        note(format!("assistant-decode-2 gets {attempt} and writes blank lines until the caller closes"));
-        let (mut written, lines) = (0_usize, b"\r\n".repeat(1 << 18));
+        let bytes = std::env::var("BYTES").unwrap_or_default();
+        let (what, start, unit) = match bytes.as_str() {
+            "heads" => ("interim heads", String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+            "events" => (
+                "the same event",
+                format!(
+                    "HTTP/1.1 200 OK\r\npomeloridge-attempt-id: {attempt}\r\n\
+                     pomeloridge-server-seal: s\r\ncontent-type: text/event-stream\r\n\r\n"
+                ),
+                "id: 1\ndata: t1\n\n",
+            ),
+            _ => ("blank lines", String::new(), "\r\n"),
+        };
+        note(format!("assistant-decode-2 gets {attempt} and writes {what} until the caller closes"));
+        let _ = channel.write_all(start.as_bytes());
+        let (mut written, lines) = (0_usize, unit.repeat((1 << 19) / unit.len()).into_bytes());
         while channel.write_all(&lines).is_ok() {
             written += lines.len();
         }
