--- a/review/harness/src/case3.rs
+++ b/review/harness/src/case3.rs
@@ -11,9 +11,9 @@
 use crate::common::*;
 
 /// Streams that run when the servers restart.
-const STREAMS: usize = 52;
+const STREAMS: usize = 48;
 /// Streams that are sent after the first server is back.
-const PROBES: usize = 2;
+const PROBES: usize = 14;
 
 /// Events of each stream as its client got them: id and text.
 static STREAMS_SEEN: Mutex<Vec<(String, Vec<(u64, String)>)>> = Mutex::new(Vec::new());
