Log when a gateway begins and ends to watch the object service

After the loss of all that watch, no line said when another gateway noticed, or by what. `store choice=watch|rely_on_peers` now has the number of ranked and of watching peers, the age of their youngest answer and the time for which too few watched.

--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -100,6 +100,8 @@
     pub(crate) store_last_heard: Cell<Stamp>,
     /// Since when too few other nodes watch the object service.
     watchers_missing_since: Cell<Option<Instant>>,
+    /// Whether this node had to watch the object service when that was last checked.
+    is_watcher: Cell<bool>,
     /// Whether the server list has been loaded.
     pub(crate) server_list_loaded: Cell<bool>,
     /// Era of the first server list, and when it was loaded.
@@ -199,6 +201,7 @@
             config_watch_answered: Cell::new(None),
             store_last_heard: Cell::new(clock.stamp()),
             watchers_missing_since: Cell::new(None),
+            is_watcher: Cell::new(false),
             server_list_loaded: Cell::new(false),
             first_list: Cell::new(None),
             dispatcher: RefCell::new(Dispatcher::new(
@@ -435,13 +438,28 @@
             return false;
         }
         let peers = self.peers.borrow().ranked_peers(now);
-        if !lacks_watchers(own, &peers) {
+        let shortage = if lacks_watchers(own, &peers) {
+            let since = self.watchers_missing_since.get().unwrap_or(now);
+            self.watchers_missing_since.set(Some(since));
+            Some(now.saturating_duration_since(since))
+        } else {
             self.watchers_missing_since.set(None);
-            return false;
+            None
+        };
+        let is_watcher = shortage.is_some_and(|time| must_call_store(own, &peers, time));
+        if self.is_watcher.replace(is_watcher) != is_watcher {
+            let choice = if is_watcher { "watch" } else { "rely_on_peers" };
+            let answers = peers.iter().filter_map(|peer| peer.last_answer_age);
+            let youngest_ms = answers.clone().min().map(|age| age.as_millis());
+            log::info!(
+                "store choice={choice} ranked={} watching={} youngest_answer_ms={youngest_ms:?} \
+                 shortage_ms={}",
+                peers.len(),
+                answers.count(),
+                shortage.unwrap_or_default().as_millis()
+            );
         }
-        let since = self.watchers_missing_since.get().unwrap_or(now);
-        self.watchers_missing_since.set(Some(since));
-        must_call_store(own, &peers, now.saturating_duration_since(since))
+        is_watcher
     }
 
     /// Whether this node should try to acquire the duties lease, which has had no known holder for
