Read the object service in time after a loss of all gateways that watch it

Cause: a lost watching gateway counted as watching until it had been silent for 3 s (12 s from another data centre) or its last answer was 3.5 s old, longer than the bound, which no gateway was told. The same for leaving servers, withdrawn keys and the writer of the table of versions.

Every message now carries the age of the latest answer that the sender knows of. The watches of the watching gateways end in turn, so that the age stays low without more watchers. The first watch after stepping in is answered at once, a newer configuration found by a read is announced, a gateway that stops says that it no longer watches, and one whose own watch hangs reads from a peer.

--- a/crates/pomeloridge/src/args.rs
+++ b/crates/pomeloridge/src/args.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
+use pomeloridge_base::settings::GivenSetting;
 use pomeloridge_operator::cli::OperatorCommand;
 
 /// Serves language models and booking services on a limited fleet.
@@ -32,6 +33,9 @@
         /// INI file with the gateway's settings.
         #[arg(long)]
         settings: PathBuf,
+        /// Setting that is not in the file, as SECTION.KEY=VALUE; may be repeated.
+        #[arg(long, value_name = "SECTION.KEY=VALUE")]
+        set: Vec<GivenSetting>,
     },
     /// Checks a settings file without serving; exit code 2 if there are problems.
     Check {
--- a/crates/pomeloridge/src/commands/check.rs
+++ b/crates/pomeloridge/src/commands/check.rs
@@ -10,7 +10,8 @@
 /// Checks a settings file and prints its problems.
 pub(crate) fn run(path: &Path, gateway: bool) -> ExitCode {
     let name = if gateway {
-        load_table(path, GATEWAY_SETTINGS).map(|settings| settings.text("node", "name").to_owned())
+        load_table(path, &[], GATEWAY_SETTINGS)
+            .map(|settings| settings.text("node", "name").to_owned())
     } else {
         load(path).map(|settings| settings.name.to_string())
     };
--- a/crates/pomeloridge/src/commands/gateway.rs
+++ b/crates/pomeloridge/src/commands/gateway.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use pomeloridge_base::clock::SystemClock;
-use pomeloridge_base::settings::{GATEWAY_SETTINGS, SettingValues, load_table};
+use pomeloridge_base::settings::{GATEWAY_SETTINGS, GivenSetting, SettingValues, load_table};
 use pomeloridge_gateway::GatewayParts;
 
 use super::check::report;
@@ -14,8 +14,8 @@
 use crate::metrics::Metrics;
 
 /// Runs a gateway until it has shut down.
-pub(crate) fn run(path: &Path) -> ExitCode {
-    let settings = match load_table(path, GATEWAY_SETTINGS) {
+pub(crate) fn run(path: &Path, further: Vec<GivenSetting>) -> ExitCode {
+    let settings = match load_table(path, &further, GATEWAY_SETTINGS) {
         Ok(settings) => settings,
         Err(problems) => return report(path, &problems),
     };
@@ -27,7 +27,7 @@
         Ok(writer) => writer,
         Err(error) => return fail(&format!("logging cannot start: {error}")),
     };
-    let result = gateway_parts(path, settings).and_then(pomeloridge_gateway::run);
+    let result = gateway_parts(path, further, settings).and_then(pomeloridge_gateway::run);
     drop(writer);
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -35,10 +35,14 @@
     }
 }
 
-fn gateway_parts(path: &Path, settings: SettingValues) -> Result<GatewayParts, String> {
+fn gateway_parts(
+    path: &Path,
+    further: Vec<GivenSetting>,
+    settings: SettingValues,
+) -> Result<GatewayParts, String> {
     let path = path.to_owned();
     let reload_settings = move || {
-        load_table(&path, GATEWAY_SETTINGS).map_err(|problems| {
+        load_table(&path, &further, GATEWAY_SETTINGS).map_err(|problems| {
             let problems: Vec<String> = problems.iter().map(ToString::to_string).collect();
             problems.join("; ")
         })
--- a/crates/pomeloridge/src/main.rs
+++ b/crates/pomeloridge/src/main.rs
@@ -17,7 +17,7 @@
 fn main() -> ExitCode {
     match Args::parse().command {
         Command::Serve { settings } => commands::serve::run(&settings),
-        Command::Gateway { settings } => commands::gateway::run(&settings),
+        Command::Gateway { settings, set } => commands::gateway::run(&settings, set),
         Command::Check { settings, gateway } => commands::check::run(&settings, gateway),
         Command::Operator(OperatorCommand::Explain {
             connection,
--- a/crates/pomeloridge_base/src/settings.rs
+++ b/crates/pomeloridge_base/src/settings.rs
@@ -7,5 +7,7 @@
 mod reader;
 mod table;
 
-pub use check::{Problem, SettingValues, Settings, Update, load, load_table, parse, parse_table};
+pub use check::{
+    GivenSetting, Problem, SettingValues, Settings, Update, load, load_table, parse, parse_table,
+};
 pub use table::{GATEWAY_SETTINGS, SETTINGS, Setting, SettingKind};
--- a/crates/pomeloridge_base/src/settings/check.rs
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::str::FromStr;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -162,9 +163,44 @@
     parse(&read_file(path)?)
 }
 
-/// Reads a settings file and checks it against a table.
-pub fn load_table(path: &Path, table: &'static [Setting]) -> Result<SettingValues, Vec<Problem>> {
-    parse_table(&read_file(path)?, table)
+/// Reads a settings file and checks it against a table, together with further settings. A setting
+/// that is given twice is a problem.
+pub fn load_table(
+    path: &Path,
+    further: &[GivenSetting],
+    table: &'static [Setting],
+) -> Result<SettingValues, Vec<Problem>> {
+    let mut text = read_file(path)?;
+    for given in further {
+        text.push_str(&given.to_string());
+    }
+    parse_table(&text, table)
+}
+
+/// A setting that is given outside the settings file, as `section.key=value`.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("\n[{section}]\n{key} = {value}\n")]
+pub struct GivenSetting {
+    section: String,
+    key: String,
+    value: String,
+}
+
+impl FromStr for GivenSetting {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (name, value) = text.split_once('=').ok_or("no `=`")?;
+        let (section, key) = name.split_once('.').ok_or("no section before a `.`")?;
+        if text.contains(['\n', '\r', '[', ']']) {
+            return Err("a line break or a bracket");
+        }
+        Ok(Self {
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: value.to_owned(),
+        })
+    }
 }
 
 fn read_file(path: &Path) -> Result<String, Vec<Problem>> {
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -119,6 +119,8 @@
     "platform" "duties" Address, None, "Address to which usage is reported and orders for servers are sent.", "Only the holder of a duty connects to it.", "10.0.0.3:7000";
     "platform" "timeout_ms" Millis, Some("700"), "Timeout of a call to the platform.", "A longer timeout tolerates a slow platform; a shorter one detects an outage earlier.", "700";
     "platform" "watch_ms" Millis, Some("2500"), "Time after which a watch is renewed.", "A watch that has gone silent is detected after this time plus the timeout.", "2500";
+    "platform" "apply_ms" Millis, Some("2000"), "Time within which every node must act on a change of the configuration.", "Decides how soon a node reads the object service itself when those that watch it fall silent.", "2000";
+    "platform" "drain_ms" Millis, Some("2000"), "Time within which every node must stop sending to a leaving server.", "As `apply_ms`; the shorter of both counts.", "2000";
     "lease" "term_ms" Millis, Some("3000"), "Term of the lease on the duties.", "Must be at least the time within which the platform forbids a change of holder.", "3000";
     "lease" "margin_ms" Millis, Some("500"), "Time added to the term before another node takes the lease.", "Allows for clocks that run at different speeds.", "500";
     "stop" "unready_ms" Millis, Some("3000"), "Delay between becoming unready and refusing connections at shutdown.", "The load balancer checks once a second and needs two failures.", "3000";
--- a/crates/pomeloridge_base/tests/settings.rs
+++ b/crates/pomeloridge_base/tests/settings.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use pomeloridge_base::settings::{GATEWAY_SETTINGS, SETTINGS, parse, parse_table};
+use pomeloridge_base::settings::{
+    GATEWAY_SETTINGS, GivenSetting, SETTINGS, load_table, parse, parse_table,
+};
 use yare::parameterized;
 
 const GOOD: &str = "\
@@ -124,3 +126,30 @@
     let texts: Vec<_> = problems.iter().map(ToString::to_string).collect();
     assert_eq!(texts, [expected]);
 }
+
+/// Guards against a setting on the command line that is lost, or that silently loses to the file.
+#[test]
+fn a_setting_may_be_given_outside_the_file() {
+    let file = std::env::temp_dir().join(format!("pomeloridge-given-{}.ini", std::process::id()));
+    let required = GATEWAY_SETTINGS
+        .iter()
+        .filter(|setting| setting.default.is_none());
+    let text: String = required
+        .map(|row| format!("[{}]\n{} = {}\n", row.section, row.key, row.example))
+        .collect();
+    std::fs::write(&file, &text).unwrap();
+    let given: GivenSetting = "platform.apply_ms=1500".parse().unwrap();
+    let settings = load_table(&file, std::slice::from_ref(&given), GATEWAY_SETTINGS);
+    let apply = settings.unwrap().time("platform", "apply_ms");
+    assert_eq!(apply, std::time::Duration::from_millis(1500));
+    std::fs::write(&file, format!("{text}[platform]\napply_ms = 3000\n")).unwrap();
+    assert!(load_table(&file, &[given], GATEWAY_SETTINGS).is_err());
+    std::fs::remove_file(file).unwrap();
+    for malformed in [
+        "apply_ms=1",
+        "platform.apply_ms",
+        "platform.apply_ms=1\n[log]",
+    ] {
+        assert!(malformed.parse::<GivenSetting>().is_err(), "{malformed}");
+    }
+}
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -52,6 +52,9 @@
 const ROUNDS_PER_USAGE_MESSAGE: u64 = 4;
 /// Time to wait for changes of the server list that arrive out of order.
 const REORDER_WAIT: Duration = Duration::from_millis(200);
+/// Further time for which a node that watches the object service waits for its own watch before it
+/// reads from a peer what that peer has and it lacks.
+const WATCH_DELAY: Duration = Duration::from_millis(300);
 /// Maximum random delay of a read from a peer in another data centre.
 const REMOTE_READ_JITTER: Duration = Duration::from_millis(500);
 /// Delay after a failed read; the next message of a peer then starts another.
@@ -328,12 +331,17 @@
         restored: state.server_registry.borrow().is_restored(),
         data_centre_hash: state.data_centre_hash,
         versions: state.versions.borrow().number(),
+        confirmed_ms: Some(state.peers.borrow().freshness.age(now).as_millis() as u64),
         ..PeerMessage::default()
     }
 }
 
-/// Returns the time since the last answer to the older of the node's two watches.
+/// Returns the time since the last answer to the older of the node's two watches; `None` if the
+/// node does not watch, or is about to end.
 fn answered_ms(state: &State, now: Instant) -> Option<u64> {
+    if state.lifecycle.is_stopping() {
+        return None;
+    }
     let answered = state
         .servers_watch_answered
         .get()?
@@ -567,6 +575,12 @@
     };
     let mut peers = state.peers.borrow_mut();
     peers.set_store_view(name, store_view, state.server_list_era());
+    // A peer of a former build tells only of its own watches.
+    let confirmed_ms = message.confirmed_ms.or(message.answered_ms);
+    let confirmed = confirmed_ms.and_then(|age| now.checked_sub(Duration::from_millis(age)));
+    if let Some(confirmed) = confirmed {
+        peers.freshness.record(confirmed);
+    }
     drop(peers);
     if age.is_some_and(|age| age < MAX_STORE_ANSWER_AGE) && !message.lost_store {
         watch::end_removal_grace(state);
@@ -594,10 +608,20 @@
     };
     // A node that calls the object service without an answer depends on its peers, too.
     let is_watching = state.should_watch_store() && state.servers_watch_answered.get().is_some();
-    if let Some((revision, change)) = missing
-        && !is_watching
-    {
-        fetch_servers(state, address, revision, change, is_local);
+    if let Some((revision, change)) = missing {
+        // This node's own watch may hang while those of the others do not.
+        let delay = if is_watching {
+            WATCH_DELAY
+        } else {
+            Duration::ZERO
+        };
+        fetch_servers(
+            state,
+            address,
+            revision,
+            change,
+            delay + read_delay(state, is_local),
+        );
     }
 }
 
@@ -632,10 +656,10 @@
     address: SocketAddr,
     revision: Revision,
     change: Option<ServerListDelta>,
-    is_local: bool,
+    delay: Duration,
 ) {
     let task_state = Rc::clone(state);
-    let delay = REORDER_WAIT + read_delay(state, is_local);
+    let delay = REORDER_WAIT + delay;
     spawn_read(
         state,
         &state.server_list_reads,
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::{Epoch, Era, Name};
+use pomeloridge_policy::freshness::Freshness;
 use pomeloridge_policy::heartbeat_schedule::{
     is_large_fleet, peers_for_round, peers_per_round, rounds_to_cover,
 };
-use pomeloridge_policy::watchers::{LivePeer, RankedNode, notifies, watcher_ranks};
+use pomeloridge_policy::watchers::{LivePeer, RankedNode, caller_count, notifies, watcher_ranks};
 use pomeloridge_policy::work_meter::WorkRates;
 
 use super::ROUNDS_PER_USAGE_MESSAGE;
@@ -117,13 +118,16 @@
     pub(super) has_read_nodes: bool,
     /// Whether a peer has told which requests and prompt parts the fleet has quarantined.
     pub(super) has_crash_news: bool,
+    /// When the object service last answered this node or a peer that watches it.
+    pub(crate) freshness: Freshness,
 }
 
 impl Peers {
     /// Creates an empty table for a node in this data centre.
-    pub(crate) fn new(data_centre_hash: u32) -> Self {
+    pub(crate) fn new(data_centre_hash: u32, now: Instant) -> Self {
         Self {
             data_centre_hash,
+            freshness: Freshness::new(now),
             by_name: HashMap::new(),
             round: 0,
             has_read_nodes: false,
@@ -382,6 +386,7 @@
             last_answer_age: peer
                 .store
                 .answered
+                .filter(|at| self.freshness.is_trusted(*at))
                 .map(|at| now.saturating_duration_since(at)),
         });
         views.collect()
@@ -397,6 +402,15 @@
         assigned.map(|(_, peer)| peer.address).collect()
     }
 
+    /// Returns this node's place among the nodes that watch the object service, and their number.
+    pub(crate) fn watcher_place(&self, own: &Name, now: Instant) -> (usize, usize) {
+        let own = name_hash(own);
+        let peers = self.ranked_peers(now);
+        let watchers = watcher_ranks(own, &peers);
+        let place = watchers.iter().position(|rank| *rank == own);
+        (place.unwrap_or(0), watchers.len().max(caller_count(&peers)))
+    }
+
     /// Returns the sum of a service's work rates at the live peers.
     pub(crate) fn work_rates(&self, service: &Name, now: Instant) -> WorkRates {
         let live = self.by_name.values().filter(|peer| is_live(peer, now));
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -90,6 +90,10 @@
     /// The table of versions that the sender has just written, encoded.
     #[prost(bytes = "vec", optional, tag = "25")]
     pub(super) version_table: Option<Vec<u8>>,
+    /// Time since the latest answer of the object service to a watching node that the sender knows
+    /// of, in milliseconds.
+    #[prost(uint64, optional, tag = "26")]
+    pub(super) confirmed_ms: Option<u64>,
 }
 
 /// Crashes with the prompt parts that are suspects, and answers, stored by column.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -15,6 +15,7 @@
 use pomeloridge_policy::crashes::CrashTracker;
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::fleet_retry_budget::{AllowanceShare, FleetRetryBudget, FleetRetryLimits};
+use pomeloridge_policy::freshness::FreshnessTimes;
 use pomeloridge_policy::part_crashes::PartTracker;
 use pomeloridge_policy::stage_assignment::StageLoad;
 use pomeloridge_policy::stream_versions::UnknownVersion;
@@ -60,6 +61,15 @@
     pub metrics: Box<dyn Fn() -> String>,
 }
 
+/// What a watch of the object service follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WatchKind {
+    /// The configuration.
+    Config,
+    /// The list of servers.
+    Servers,
+}
+
 /// A gateway's state.
 pub(crate) struct State {
     pub(crate) settings: LiveSettings,
@@ -221,7 +231,7 @@
             in_flight: Rc::default(),
             usage: RefCell::new(UsageLedger::new(source)),
             fleet_clock: RefCell::new(FleetClock::new(now, clock.unix_ms())),
-            peers: RefCell::new(Peers::new(data_centre_hash)),
+            peers: RefCell::new(Peers::new(data_centre_hash, now)),
             senders: RefCell::default(),
             work_meters: RefCell::default(),
             versions: RefCell::new(StreamVersions::new(now)),
@@ -437,6 +447,7 @@
         if self.is_waiting_for_peers(now) {
             return false;
         }
+        self.check_freshness();
         let peers = self.peers.borrow().ranked_peers(now);
         let shortage = if lacks_watchers(own, &peers) {
             let since = self.watchers_missing_since.get().unwrap_or(now);
@@ -462,6 +473,50 @@
         is_watcher
     }
 
+    /// Returns the times that follow from the bounds on acting on a change.
+    pub(crate) fn freshness_times(&self) -> FreshnessTimes {
+        let settings = self.settings();
+        let [apply, drain, watch] =
+            ["apply_ms", "drain_ms", "watch_ms"].map(|key| settings.time("platform", key));
+        FreshnessTimes::new(apply.min(drain), watch)
+    }
+
+    /// Stops counting peers as watching the object service if the latest answer to any of them is
+    /// too old. Returns whether nothing has been heard of an answer since.
+    pub(crate) fn check_freshness(&self) -> bool {
+        let (now, max_age) = (self.now(), self.freshness_times().max_age);
+        let mut peers = self.peers.borrow_mut();
+        let was_doubted = peers.freshness.is_doubted();
+        let too_old = peers.freshness.check(max_age, now);
+        if let Some(age) = too_old.filter(|_| !was_doubted) {
+            log::warn!(
+                "store choice=doubt_watchers answer_age_ms={} max_ms={} live={}",
+                age.as_millis(),
+                max_age.as_millis(),
+                peers.live_count(now)
+            );
+        }
+        peers.freshness.is_doubted()
+    }
+
+    /// Whether the object service answers both of this node's watches, as far as it knows.
+    pub(crate) fn is_watching(&self) -> bool {
+        self.servers_watch_answered.get().is_some() && self.config_watch_answered.get().is_some()
+    }
+
+    /// Returns how long this node's watch of the configuration or of the servers waits, so that the
+    /// watches of all watching nodes end one after the other.
+    pub(crate) fn watch_wait(&self, kind: WatchKind) -> Duration {
+        let now = self.now();
+        let (place, watchers) = self.peers.borrow().watcher_place(&self.name, now);
+        let slot = match kind {
+            WatchKind::Config => place,
+            WatchKind::Servers => watchers + place,
+        };
+        let unix_ms = self.fleet_clock.borrow().unix_ms(now);
+        self.freshness_times().wait(unix_ms, slot, 2 * watchers)
+    }
+
     /// Whether this node should try to acquire the duties lease, which has had no known holder for
     /// `free`.
     pub(crate) fn is_duty_candidate(&self, free: Duration) -> bool {
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -14,12 +14,16 @@
 use crate::active_config::AdoptOutcome;
 use crate::peers;
 use crate::server_list::{ApplyOutcome, ServerListDelta};
-use crate::state::State;
+use crate::state::{State, WatchKind};
 
 /// Interval between checks for expired server entries.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between checks whether this node has to watch, while peers watch.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// The same once nothing has been heard of a watching node for too long.
+const DOUBT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Wait of the first watch of a node that steps in, which is to be answered at once.
+const FIRST_WAIT: Duration = Duration::from_millis(1);
 /// Delay before the next watch after server changes. Servers come and go by the dozen, and each
 /// change would otherwise cost a call of its own.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
@@ -119,12 +123,12 @@
             dependency.reset();
         }
         if after.is_none() && was_read && !state.should_watch_store() {
-            monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            wait_for_role_check(&state).await;
             continue;
         }
         let result = match after {
             None => read_config(&state).await.map(Some),
-            Some(revision) => match watch(&state, store.config_prefix, revision).await {
+            Some(revision) => match watch(&state, WatchKind::Config, revision).await {
                 Ok((revision, events)) => {
                     let changes = events.iter().filter(|event| event.key == store.config_key);
                     for object in changes.filter_map(Event::object) {
@@ -143,7 +147,7 @@
             Ok(revision) => {
                 dependency.record_answer(state.now());
                 state.store_last_heard.set(state.clock.stamp());
-                state.config_watch_answered.set(Some(state.now()));
+                record_watch_answer(&state, &state.config_watch_answered);
                 was_read = true;
                 history.pause_if_missing(&state, after, revision).await;
                 after = revision;
@@ -157,13 +161,46 @@
     }
 }
 
+/// Records an answer to one of this node's watches, and tells the peers once both are answered.
+fn record_watch_answer(state: &Rc<State>, answered: &Cell<Option<Instant>>) {
+    let was_watching = state.is_watching();
+    answered.set(Some(state.now()));
+    if !state.is_watching() {
+        return;
+    }
+    state.peers.borrow_mut().freshness.record(state.now());
+    if !was_watching && state.should_watch_store() {
+        peers::announce(state);
+    }
+}
+
+/// Waits until this node is to check again whether it has to watch: at once after the other nodes
+/// that watch have been silent for too long.
+async fn wait_for_role_check(state: &State) {
+    let due = state.now() + ROLE_CHECK_INTERVAL;
+    while state.now() < due {
+        monoio::time::sleep(DOUBT_CHECK_INTERVAL).await;
+        if state.check_freshness() {
+            return;
+        }
+    }
+}
+
 /// Waits for changes of the objects with a prefix. Returns them with their revision.
 async fn watch(
     state: &State,
-    prefix: &str,
+    kind: WatchKind,
     after: Revision,
 ) -> Result<(Revision, Vec<Event>), PlatformError> {
-    let wait = state.settings().time("platform", "watch_ms");
+    let store = state.ports.store;
+    let (prefix, answered) = match kind {
+        WatchKind::Config => (store.config_prefix, &state.config_watch_answered),
+        WatchKind::Servers => (store.servers_prefix, &state.servers_watch_answered),
+    };
+    let wait = match answered.get() {
+        Some(_) => state.watch_wait(kind),
+        None => FIRST_WAIT,
+    };
     let watched = state.store.watch(prefix, after, wait).await?;
     Ok((watched.revision, watched.events))
 }
@@ -172,12 +209,16 @@
 async fn read_config(state: &Rc<State>) -> Result<Revision, PlatformError> {
     let store = state.ports.store;
     let (revision, objects) = state.store.list(store.config_prefix).await?;
+    let before = state.config().map(|config| config.version);
     for object in objects
         .iter()
         .filter(|object| object.key == store.config_key)
     {
         adopt_config(state, object);
     }
+    if before.is_some() && state.config().map(|config| config.version) != before {
+        peers::announce_config(state);
+    }
     Ok(revision)
 }
 
@@ -223,7 +264,7 @@
         if known.is_some() && !state.should_watch_store() {
             state.servers_watch_answered.set(None);
             dependency.reset();
-            monoio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            wait_for_role_check(&state).await;
             continue;
         }
         let result = match known {
@@ -233,10 +274,7 @@
         match result {
             Ok(revision) => {
                 is_too_old = revision.is_none();
-                let previous = state.servers_watch_answered.replace(Some(state.now()));
-                if previous.is_none() && state.should_watch_store() {
-                    peers::announce(&state);
-                }
+                record_watch_answer(&state, &state.servers_watch_answered);
                 state.store_last_heard.set(state.clock.stamp());
                 history.pause_if_missing(&state, known, revision).await;
             }
@@ -316,7 +354,7 @@
     dependency: &DependencyLog,
     after: Revision,
 ) -> Result<Option<Revision>, PlatformError> {
-    let watched = watch(state, state.ports.store.servers_prefix, after).await;
+    let watched = watch(state, WatchKind::Servers, after).await;
     let (revision, events) = match watched {
         Err(PlatformError::TooOld) => {
             record_answer(state, dependency);
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ejection;
 pub mod estimate;
 pub mod fleet_retry_budget;
+pub mod freshness;
 mod hash;
 pub mod heartbeat_schedule;
 pub mod in_flight;
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -86,7 +86,7 @@
 }
 
 /// Returns how many nodes should call, among a node's peers and itself.
-fn caller_count(peers: &[LivePeer]) -> usize {
+pub fn caller_count(peers: &[LivePeer]) -> usize {
     let sqrt_nodes = ((peers.len() + 1) as f64).sqrt();
     MIN_CALLERS.max((sqrt_nodes * CALLERS_PER_SQRT_NODES).ceil() as usize)
 }
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -8,6 +8,7 @@
 mod engine_speed;
 mod fairness;
 mod fleet_retry_budget;
+mod freshness;
 mod heartbeat_schedule;
 mod part_crashes;
 mod prefix;
