Bound what peers that send without end cost, in time and memory

Cause: reads that find bytes at once never give the thread back, and what is dropped before a head (line breaks, interim heads, digits of a chunk's size) had no limit. A limit for each body was none for many: bodies of 8 MB each, on as many connections as are open.

All reads pass through BufferedStream::fill, which now sleeps for 1 ms after 64 KiB without waiting (a yield would not let the timers run); accepting and datagrams take turns in the same way. Line breaks before a head count towards its limit, 16 interim heads, 18 bytes of a chunk's size and 1 MiB of a stream without a new event are allowed. All messages that are being read hold 32 MiB at most: one may hold half of what the others leave, and small ones always fit, so that a sound small request never pays. The warning of a paused process names the source of most work and the held bytes, which tells a busy thread from a pause.

No store calls; bytes of a datagram as before.

--- a/crates/pomeloridge_backend/src/error.rs
+++ b/crates/pomeloridge_backend/src/error.rs
@@ -48,7 +48,10 @@
             Fault::Connect(_) => Self::Connect,
             Fault::Timeout => Self::Silent,
             Fault::Closed | Fault::Io(_) => Self::Lost,
-            Fault::Malformed(_) | Fault::HeadTooLarge | Fault::BodyTooLarge => Self::Broken,
+            Fault::Malformed(_)
+            | Fault::HeadTooLarge
+            | Fault::BodyTooLarge
+            | Fault::OutOfMemory => Self::Broken,
         }
     }
 }
--- a/crates/pomeloridge_base/src/http/buffered.rs
+++ b/crates/pomeloridge_base/src/http/buffered.rs
@@ -11,7 +11,11 @@
 use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
 use super::Fault;
+use super::memory::HeldBytes;
+use crate::pacing::Turn;
 
+/// Maximum length of the line with a chunk's size; 64 bits have 16 digits.
+const MAX_SIZE_LINE_BYTES: usize = 18;
 /// Buffer size of a read.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -32,6 +36,8 @@
     decoder: ChunkedBodyDecoder,
     /// Whether the current chunk begins with a digit of its size.
     has_size: bool,
+    /// Whether the codec has taken the size of the current chunk.
+    is_size_taken: bool,
 }
 
 impl ChunkedBody {
@@ -41,13 +47,20 @@
             return Err(Fault::Malformed("a chunk of the body has no size"));
         }
         self.has_size |= !buf.is_empty();
+        let before = buf.len();
         match self.decoder.decode(buf) {
             Ok(Decoded::Some(Some(chunk))) => {
-                self.has_size = false;
+                (self.has_size, self.is_size_taken) = (false, false);
                 Ok(Taken::Chunk(chunk))
             }
             Ok(Decoded::Some(None)) => Ok(Taken::End),
-            Ok(_) => Ok(Taken::Incomplete),
+            Ok(_) => {
+                self.is_size_taken |= buf.len() < before;
+                if !self.is_size_taken && buf.len() > MAX_SIZE_LINE_BYTES {
+                    return Err(Fault::Malformed("the size of a chunk has no end"));
+                }
+                Ok(Taken::Incomplete)
+            }
             Err(_) => Err(Fault::Malformed("a chunk of the body is broken")),
         }
     }
@@ -57,25 +70,48 @@
 pub(super) struct BufferedStream {
     pub(super) stream: TcpStream,
     pub(super) buf: BytesMut,
+    /// Bytes of the current message that its reader keeps besides the buffer.
+    kept: usize,
+    held: HeldBytes,
+    turn: Turn,
 }
 
 impl BufferedStream {
     pub(super) fn new(stream: TcpStream) -> Self {
+        let turn = Turn::new("read", stream.peer_addr().ok());
         Self {
             stream,
             buf: BytesMut::new(),
+            kept: 0,
+            held: HeldBytes::default(),
+            turn,
         }
     }
 
-    /// Reads more bytes into the buffer; returns 0 if the peer has closed the connection.
+    /// Sets the number of bytes of the current message that its reader keeps; fails if messages
+    /// hold too many.
+    pub(super) fn keep(&mut self, bytes: usize) -> Result<(), Fault> {
+        self.kept = bytes;
+        self.held.set(self.buf.len() + self.kept)
+    }
+
+    /// Reads more bytes into the buffer; returns 0 if the peer has closed the connection. All reads
+    /// pass through here, so that a peer that never stops sending does not hold up other tasks.
     pub(super) async fn fill(&mut self, deadline: Instant) -> Result<usize, Fault> {
+        self.turn.pause_if_due().await;
         let chunk = Vec::with_capacity(READ_BYTES);
         // Dropping the read loses no bytes: the epoll driver reads only when the future
         // completes.
         let read = monoio::time::timeout(time_left(deadline)?, self.stream.read(chunk));
-        let (result, chunk) = read.await.map_err(|_| Fault::Timeout)?;
+        let count = |read: &Result<(std::io::Result<usize>, Vec<u8>), _>| match read {
+            Ok((Ok(count), _)) => *count,
+            _ => 0,
+        };
+        let read = self.turn.step(read, count).await;
+        let (result, chunk) = read.map_err(|_| Fault::Timeout)?;
         let count = result?;
         self.buf.extend_from_slice(&chunk[..count]);
+        self.keep(self.kept)?;
         Ok(count)
     }
 
@@ -87,19 +123,26 @@
     }
 
     /// Reads and decodes a head; returns `None` if the peer closed the connection before its first
-    /// byte.
+    /// byte. The limit holds for the line breaks before the head, too.
     pub(super) async fn read_head<D: Decoder>(
         &mut self,
         decoder: &mut D,
         limit: usize,
         deadline: Instant,
     ) -> Result<Option<D::Item>, Fault> {
+        let (mut skipped, mut searched) = (0, 0);
         loop {
             // The codec does not skip the line breaks that a client may send after a body.
             while self.buf.starts_with(b"\r\n") {
                 let _ = self.buf.split_to(2);
+                skipped += 2;
+                searched = 0;
+            }
+            if skipped > limit {
+                return Err(Fault::HeadTooLarge);
             }
-            let end = head_end(&self.buf);
+            let end = head_end(&self.buf, searched);
+            searched = self.buf.len();
             if end.unwrap_or(self.buf.len()) > limit {
                 return Err(Fault::HeadTooLarge);
             }
@@ -108,7 +151,10 @@
                     return Err(Fault::Malformed("a blank line within the head"));
                 }
                 return match decoder.decode(&mut self.buf) {
-                    Ok(Decoded::Some(head)) => Ok(Some(head)),
+                    Ok(Decoded::Some(head)) => {
+                        self.keep(0)?;
+                        Ok(Some(head))
+                    }
                     Ok(_) | Err(_) => Err(Fault::Malformed("the head cannot be parsed")),
                 };
             }
@@ -221,10 +267,13 @@
     }
 }
 
-/// Returns the length of the head at the start of `buf`, including the empty line.
-fn head_end(buf: &[u8]) -> Option<usize> {
-    let end = buf.windows(4).position(|window| window == b"\r\n\r\n")?;
-    Some(end + 4)
+/// Returns the length of the head at the start of `buf`, including the empty line. The first
+/// `searched` bytes contain no end.
+fn head_end(buf: &[u8], searched: usize) -> Option<usize> {
+    let from = searched.saturating_sub(3);
+    let rest = buf.get(from..)?;
+    let end = rest.windows(4).position(|window| window == b"\r\n\r\n")?;
+    Some(from + end + 4)
 }
 
 /// Returns whether a part of a head contains a blank line, in which line feeds may lack their
--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -19,6 +19,8 @@
 
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of interim heads before a response.
+const MAX_INTERIM_HEADS: usize = 16;
 /// Minimum for `TCP_USER_TIMEOUT`, since 0 disables it.
 const MIN_USER_TIMEOUT: Duration = Duration::from_millis(1);
 /// Maximum size of a chunk of a response, and of a response that is read completely.
@@ -312,7 +314,7 @@
 
     /// Reads the head of the response.
     pub async fn read_head(&mut self, deadline: Instant) -> Result<HttpResponseHead, Fault> {
-        loop {
+        for _ in 0..=MAX_INTERIM_HEADS {
             let head = self
                 .stream
                 .read_head(&mut ResponseHeadDecoder, MAX_HEAD_BYTES, deadline)
@@ -337,6 +339,13 @@
                 headers: head.headers,
             });
         }
+        Err(Fault::Malformed("too many interim heads"))
+    }
+
+    /// Sets the number of bytes of the response that its reader keeps, which count for the bytes
+    /// that all messages may hold; fails if these hold too many.
+    pub fn keep(&mut self, bytes: usize) -> Result<(), Fault> {
+        self.stream.keep(bytes)
     }
 
     /// Reads the next chunk of the body; returns `None` at its end.
@@ -346,6 +355,7 @@
             .read_chunk(&mut self.remaining, MAX_BODY_BYTES, deadline)
             .await?;
         if chunk.is_none() {
+            self.keep(0)?;
             self.complete = true;
             self.idle_since = Instant::now();
         }
@@ -360,7 +370,9 @@
             if body.len() > limit {
                 return Err(Fault::BodyTooLarge);
             }
+            self.keep(body.len())?;
         }
+        self.keep(0)?;
         Ok(body.freeze())
     }
 
--- a/crates/pomeloridge_base/src/http/fault.rs
+++ b/crates/pomeloridge_base/src/http/fault.rs
@@ -21,6 +21,8 @@
     HeadTooLarge,
     /// the message body is over the limit
     BodyTooLarge,
+    /// the messages that are being read hold too many bytes
+    OutOfMemory,
 }
 
 impl std::error::Error for Fault {}
--- a/crates/pomeloridge_base/src/http/mod.rs
+++ b/crates/pomeloridge_base/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod buffered;
 mod client;
 mod fault;
+mod memory;
 mod message;
 mod server;
 
@@ -14,5 +15,6 @@
     ConnectOptions, Connection, HttpResponseHead, OutgoingRequest, RefusalMark, Unframed, call,
 };
 pub use fault::Fault;
+pub use memory::{MAX_HELD_BYTES, held_bytes};
 pub use message::{Limits, Request, Response};
 pub use server::{Responder, Server};
--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -22,6 +22,7 @@
 use super::{Fault, Limits, Request, Response};
 use crate::count_guard::CountGuard;
 use crate::net;
+use crate::pacing::Turn;
 
 /// Interval between checks whether the server is stopping.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -31,6 +32,8 @@
 const LINGER_TIME: Duration = Duration::from_secs(2);
 /// Interval between reads of the rest of a refused request.
 const LINGER_INTERVAL: Duration = Duration::from_millis(2);
+/// Work of accepting a connection, as a number of bytes read.
+const ACCEPT_WORK: usize = 1024;
 /// Number of buffered bytes of pipelined requests beyond which no more are read.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
@@ -62,6 +65,7 @@
         let open = Rc::new(Cell::new(0_usize));
         let mut accept_until = None;
         let mut waiting = net::BACKLOG;
+        let mut turn = Turn::new("accept", None);
         loop {
             let mut accept_time = STOP_POLL_INTERVAL;
             if (self.stopping)() {
@@ -76,7 +80,9 @@
                     accept_time = Duration::ZERO;
                 }
             }
-            match monoio::time::timeout(accept_time, crate::net::accept(&listener)).await {
+            turn.pause_if_due().await;
+            let accepting = monoio::time::timeout(accept_time, crate::net::accept(&listener));
+            match turn.step(accepting, |_| ACCEPT_WORK).await {
                 Ok(Ok((stream, peer))) => {
                     let server = Rc::clone(&self);
                     let open_guard = CountGuard::new(&open);
@@ -214,7 +220,9 @@
             if body.len() > limit {
                 return Err(Fault::BodyTooLarge);
             }
+            stream.keep(body.len())?;
         }
+        stream.keep(0)?;
         Ok(body.freeze())
     }
 }
@@ -288,7 +296,6 @@
             if !matches!(self.stream.fill(deadline).await, Ok(1..)) {
                 return;
             }
-            // A fast sender must not keep the thread from other tasks.
             monoio::time::sleep(LINGER_INTERVAL).await;
         }
     }
--- a/crates/pomeloridge_base/src/refusal.rs
+++ b/crates/pomeloridge_base/src/refusal.rs
@@ -56,6 +56,7 @@
             Fault::HeadTooLarge => ErrorKind::HeadTooLarge,
             Fault::BodyTooLarge => ErrorKind::BodyTooLarge,
             Fault::Timeout => ErrorKind::HeadTimeout,
+            Fault::OutOfMemory => ErrorKind::Overloaded,
             Fault::Malformed(_) | Fault::Closed | Fault::Io(_) | Fault::Connect(_) => {
                 ErrorKind::BadRequest
             }
--- a/crates/pomeloridge_experiment/src/exchange.rs
+++ b/crates/pomeloridge_experiment/src/exchange.rs
@@ -189,7 +189,8 @@
         | Fault::Io(_)
         | Fault::Malformed(_)
         | Fault::HeadTooLarge
-        | Fault::BodyTooLarge => CUT,
+        | Fault::BodyTooLarge
+        | Fault::OutOfMemory => CUT,
     }
 }
 
--- a/crates/pomeloridge_gateway/src/events.rs
+++ b/crates/pomeloridge_gateway/src/events.rs
@@ -44,6 +44,11 @@
         })
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether no bytes are buffered, so that the input so far ends with a complete event.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -122,9 +122,10 @@
         match fault {
             Fault::Timeout => Self::TimedOut,
             Fault::Closed | Fault::Io(_) | Fault::Connect(_) => Self::ConnectionLost,
-            Fault::Malformed(_) | Fault::HeadTooLarge | Fault::BodyTooLarge => {
-                Self::InvalidResponse
-            }
+            Fault::Malformed(_)
+            | Fault::HeadTooLarge
+            | Fault::BodyTooLarge
+            | Fault::OutOfMemory => Self::InvalidResponse,
         }
     }
 }
@@ -270,6 +271,8 @@
         };
         let chunk = chunk.map_err(|fault| Failure::after_write(&fault))?;
         let Some(chunk) = chunk else {
+            let kept = connection.keep(0);
+            kept.map_err(|fault| Failure::after_write(&fault))?;
             return Ok(body.freeze());
         };
         let mut dispatcher = state.dispatcher.borrow_mut();
@@ -279,6 +282,8 @@
         if body.len() > limit {
             return Err(Failure::after_write(&Fault::BodyTooLarge));
         }
+        let kept = connection.keep(body.len());
+        kept.map_err(|fault| Failure::after_write(&fault))?;
     }
 }
 
--- a/crates/pomeloridge_gateway/src/lifecycle.rs
+++ b/crates/pomeloridge_gateway/src/lifecycle.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
+use pomeloridge_base::http::held_bytes;
+use pomeloridge_base::pacing::take_largest_source;
 
 use crate::state::State;
 
@@ -139,10 +141,17 @@
         monoio::time::sleep(RUN_CHECK_INTERVAL).await;
         let now = state.now();
         let delay = now.saturating_duration_since(due);
+        let largest = take_largest_source();
         if delay > MIN_PAUSE {
+            // A peer that sends without end holds the thread up as a pause does.
+            let most = largest.map_or_else(
+                || "none".to_owned(),
+                |most| format!("{} from {:?}, {} bytes", most.kind, most.source, most.work),
+            );
             log::warn!(
-                "process paused_ms={} choice=hear_servers",
-                delay.as_millis()
+                "process paused_ms={} held_bytes={} most_work=\"{most}\" choice=hear_servers",
+                delay.as_millis(),
+                held_bytes()
             );
             state.dispatcher.borrow_mut().record_resumed(now);
         }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use monoio::net::udp::UdpSocket;
 use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::id::{Epoch, Era, Name, Revision};
+use pomeloridge_base::pacing::Turn;
 use pomeloridge_base::task::catch_panic;
 use pomeloridge_platform::PutOutcome;
 use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement};
@@ -67,6 +68,8 @@
 const MAX_STORE_ANSWER_AGE: Duration = Duration::from_secs(3);
 /// Time after its start for which a node sends to remote peers at the higher rate.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
+/// Work of handling a datagram, as a number of bytes read.
+const DATAGRAM_WORK: usize = 512;
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 /// Maximum size of a table of versions that is sent in a datagram; peers read a larger one.
@@ -439,10 +442,11 @@
 
 /// Receives and handles the peers' datagrams, until the process ends.
 pub(crate) async fn receive(state: Rc<State>, socket: Rc<UdpSocket>) {
+    let mut turn = Turn::new("datagrams", None);
     loop {
-        let (received, bytes) = socket
-            .recv_from(Vec::with_capacity(MAX_DATAGRAM_BYTES))
-            .await;
+        turn.pause_if_due().await;
+        let receiving = socket.recv_from(Vec::with_capacity(MAX_DATAGRAM_BYTES));
+        let (received, bytes) = turn.step(receiving, |_| DATAGRAM_WORK).await;
         match received {
             Ok((count, address)) => match PeerMessage::decode(&bytes[..count]) {
                 Ok(message) => {
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -28,6 +28,9 @@
 use crate::unary::{read_response, run_outcome};
 use crate::versions;
 
+/// Maximum number of bytes of a stream from one event with a new id to the next.
+const MAX_IDLE_BYTES: usize = 1024 * 1024;
+
 /// How a stream ended.
 pub(crate) enum StreamOutcome {
     /// The whole stream was forwarded.
@@ -308,6 +311,7 @@
         } = exchanged;
         let mut events = EventSplitter::default();
         let mut rate = TokenRate::default();
+        let mut idle_bytes = 0;
         let is_continuation = self.last_event.is_some();
         let gap = self.accepted.route.gap_target.unwrap_or_default();
         watch.timeout = self.accepted.silence_timeout(gap);
@@ -324,6 +328,7 @@
             let Some(chunk) = chunk else { break };
             in_flight.record_prefill_done();
             self.count_usage_once();
+            let before = self.last_event;
             if !events.push(&chunk) {
                 return Err(AttemptError::Server(Failure::InvalidResponse));
             }
@@ -346,6 +351,17 @@
             if tokens > 0 {
                 in_flight.record_events();
             }
+            // Events that the caller already has, and comments, bring the stream no further.
+            idle_bytes = if self.last_event == before {
+                idle_bytes + chunk.len()
+            } else {
+                0
+            };
+            if idle_bytes > MAX_IDLE_BYTES {
+                return Err(AttemptError::Server(Failure::InvalidResponse));
+            }
+            let kept = connection.keep(events.buffered());
+            kept.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
             rate.record(tokens, self.state.now());
         }
         if !events.is_empty() {
--- a/crates/pomeloridge_operator/src/refusal.rs
+++ b/crates/pomeloridge_operator/src/refusal.rs
@@ -72,6 +72,7 @@
             Fault::Timeout => ErrorKind::HeadTimeout,
             Fault::HeadTooLarge => ErrorKind::HeadTooLarge,
             Fault::BodyTooLarge => ErrorKind::BodyTooLarge,
+            Fault::OutOfMemory => ErrorKind::Overloaded,
             Fault::Connect(_) | Fault::Closed | Fault::Io(_) | Fault::Malformed(_) => {
                 ErrorKind::BadRequest
             }
--- a/crates/pomeloridge_standin/src/listen.rs
+++ b/crates/pomeloridge_standin/src/listen.rs
@@ -75,6 +75,7 @@
         Fault::BodyTooLarge => 413,
         Fault::HeadTooLarge => 431,
         Fault::Timeout => 408,
+        Fault::OutOfMemory => 503,
         Fault::Connect(_) | Fault::Closed | Fault::Io(_) | Fault::Malformed(_) => 400,
     };
     error(status, &fault.to_string())
