Take streams up soon after a gateway has ended

Cause: a gateway that has ended never acknowledges later tables, and counted until it had been silent for 35 s, whatever its end looked like.

A gateway that stops as planned now writes a last record that names all streams that it began and callers may still continue; it covers all later tables at once. A silent one counts for as long as callers may continue its streams (its record says, 10 s at least) and 5 s, 15 s in place of 35 s. For that to hold behind a cut, a gateway that has heard of no answer of the object service for 4 s and hears only a minority of the nodes of the last minute begins no stream (503, not run). In a plain outage the others are heard, and nothing is refused. A last record counts only in the era that it was written in and for the process that wrote it.

Cost: one write more for each planned stop, at any size; no read.

--- a/crates/pomeloridge_dev/tests/versions.rs
+++ b/crates/pomeloridge_dev/tests/versions.rs
@@ -428,3 +428,63 @@
         "{streams:?}"
     );
 }
+
+/// Time from the kill of a gateway to that of the next one.
+const SECOND_KILL: Duration = Duration::from_secs(13);
+/// Grace time of a planned stop.
+const GRACE_TIME: Duration = Duration::from_secs(8);
+
+/// Guards against streams that nobody takes up, as a gateway that has ended never acknowledges the
+/// versions that came after it.
+#[parameterized(
+    planned = { 1, true },
+    two_planned = { 2, true },
+    killed = { 1, false },
+)]
+fn streams_go_on_after_a_gateway_has_ended(ended: usize, is_planned: bool) {
+    let name = format!("ended-{ended}-{is_planned}");
+    let mut fleet = start(&name, ended + 2, OLD.len());
+    let gateways = callers(&fleet);
+    wait_until(|| {
+        let listed = get_json(fleet.store, "/-/objects/pomeloridge-nodes").unwrap();
+        let nodes = listed["items"].as_array().unwrap();
+        nodes.len() == gateways.len()
+            && nodes.iter().all(|node| node["spec"]["versions"]["table"] == 1)
+    });
+    let streams = send("before", STREAMS, with_fault(""), {
+        let gateways = gateways.clone();
+        move |number, _| gateways[number % ended]
+    });
+    check(&fleet, &streams.join().unwrap());
+    let ended_at = Instant::now();
+    for gateway in &mut fleet.gateways[..ended] {
+        if is_planned {
+            gateway.process.stop();
+        } else {
+            gateway.process.kill();
+        }
+    }
+    for gateway in fleet.gateways[..ended].iter_mut().filter(|_| is_planned) {
+        assert!(gateway.process.stop_within(GRACE_TIME).is_some(), "killed");
+    }
+    for server in NEW {
+        add(&fleet, server, "decode", "v2");
+    }
+    for server in OLD {
+        let leave = json!({ "server": server, "listed": true, "for_ms": 200 });
+        order(&fleet, "/-/leave", &leave);
+    }
+    wait_until_sole(gateways[ended], "v2");
+    if !is_planned {
+        let left = (ended_at + SECOND_KILL).saturating_duration_since(Instant::now());
+        std::thread::sleep(left);
+    }
+    let streams = send("e", STREAMS, with_fault(SLOW), move |_, sent| {
+        gateways[ended + sent.min(1)]
+    });
+    wait_until_begun(&fleet, "e", STREAMS);
+    fleet.gateways[ended].process.kill();
+    let streams = streams.join().unwrap();
+    check(&fleet, &streams);
+    check_taken_up(&streams, STREAMS / 2);
+}
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -88,6 +88,7 @@
     monoio::spawn(Rc::new(readiness).run(ready));
     serve_callers(&state, caller).await;
     peers::send_usage(&state, &socket).await;
+    versions::write_last_record(&state).await;
     log::info!(
         "stop phase=stopped store_calls=\"{}\"",
         store_call_counts(&state)
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -128,9 +128,11 @@
 /// Writes this node's object. Returns the era in which it was written, `None` if that is not
 /// certain.
 async fn write_node_object(state: &State, latest: &mut Option<Revision>) -> Option<Era> {
+    let is_last = state.versions.borrow().has_ended();
     match node_object::write(state, *latest).await {
         Ok(PutOutcome::Written(version)) => {
             *latest = Some(version);
+            state.last_record_written.set(is_last);
             Some(version.era())
         }
         outcome => {
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -222,10 +222,11 @@
         return set_first(state);
     }
     let era = wire.versions.as_ref().map(|record| Era(record.era));
-    let record = wire
-        .versions
-        .and_then(|wire| decode_record(wire, &state.name));
     let is_latest = era == Some(object.version.era());
+    let record = wire.versions.and_then(|mut wire| {
+        wire.is_final &= is_latest;
+        decode_record(wire, &state.name)
+    });
     let acknowledged = record.as_ref().filter(|_| is_latest).map_or(0, |record| {
         let inherited = record.inherited.unwrap_or(u64::MAX);
         inherited.min(record.acknowledged)
@@ -248,11 +249,19 @@
 pub(crate) async fn read_records(state: &State) -> Result<ListedRecords, PlatformError> {
     let store = state.store.with_max_timeout(RECORDS_TIMEOUT);
     let (_, objects) = store.list(KEY_PREFIX).await?;
+    let peers = state.peers.borrow();
     let records = objects.iter().filter_map(|object| {
         let name = Name::from(object.key.strip_prefix(KEY_PREFIX)?);
         let wire = NodeWire::deserialize(&object.value).ok();
-        let wire = wire.and_then(|wire| wire.versions);
-        let record = wire.and_then(|wire| decode_record(wire, &name));
+        let record = wire.and_then(|wire| {
+            let life = wire.life;
+            let mut record = wire.versions?;
+            // A later process of the node has not written its record yet, or a restored service
+            // has lost it.
+            record.is_final &= record.era == object.version.era().0
+                && peers.incarnation(&name).is_none_or(|known| known == life);
+            decode_record(record, &name)
+        });
         Some((name, record))
     });
     Ok(records.collect())
@@ -263,11 +272,15 @@
 pub(crate) fn relevant_records(state: &State, listed: &ListedRecords) -> StreamRecords {
     let now = state.now();
     let peers = state.peers.borrow();
-    let is_gone = |name: &Name| {
+    let is_gone = |name: &Name, record: &Option<StreamRecord>| {
         let silence = peers.silence(name, now);
-        silence.is_some_and(|silence| silence >= SETTLE_TIME)
+        let settle_time = record
+            .as_ref()
+            .map_or(SETTLE_TIME, StreamRecord::settle_time);
+        silence.is_some_and(|silence| silence >= settle_time)
     };
-    let relevant = listed.iter().filter(|(name, _)| !is_gone(name));
+    let relevant = listed.iter();
+    let relevant = relevant.filter(|(name, record)| !is_gone(name, record));
     let mut records: StreamRecords = relevant
         .map(|(name, record)| (name.clone(), record.clone()))
         .collect();
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -21,6 +21,9 @@
 /// Silence after which a peer in another data centre loses its place in the ranking of the
 /// nodes that call the object service. Remote peers send more rarely.
 const REMOTE_LIVE_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time since a peer was heard for which it counts among the nodes of which a majority must be
+/// heard.
+const RECENT_TIME: Duration = Duration::from_mins(1);
 /// Silence after which a peer without a node object is removed from the table.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of peers, besides the duty holder, that receive a message with usage counts.
@@ -215,6 +218,20 @@
         Some(now.saturating_duration_since(since))
     }
 
+    /// Returns the incarnation of a peer that was heard last; `None` if none was.
+    pub(super) fn incarnation(&self, name: &Name) -> Option<u64> {
+        let peer = self.by_name.get(name)?;
+        (peer.incarnation != 0).then_some(peer.incarnation)
+    }
+
+    /// Returns whether this node hears only a minority of the nodes that it heard lately.
+    pub(crate) fn is_in_minority(&self, now: Instant) -> bool {
+        let lately = |at| now.saturating_duration_since(at) < RECENT_TIME;
+        let recent = self.by_name.values();
+        let recent = recent.filter(|peer| peer.last_heard.is_some_and(lately));
+        (self.live_count(now) + 1) * 2 <= recent.count() + 1
+    }
+
     /// Returns whether a live peer holds the duties.
     pub(crate) fn has_live_duty_holder(&self, now: Instant) -> bool {
         let mut live = self.by_name.values().filter(|peer| is_live(peer, now));
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -148,6 +148,8 @@
     pub(crate) versions_written: Cell<Option<Instant>>,
     /// Era of the object service in which this node last compared the table there with its own.
     pub(crate) versions_checked: Cell<Option<Era>>,
+    /// Whether this node's last record of streams has been written.
+    pub(crate) last_record_written: Cell<bool>,
     /// Number of running changes of the table of versions.
     pub(crate) versions_writes: Rc<Cell<usize>>,
     /// Number of running reads of the table of versions that a peer has named.
@@ -237,6 +239,7 @@
             versions: RefCell::new(StreamVersions::new(now)),
             versions_written: Cell::new(None),
             versions_checked: Cell::new(None),
+            last_record_written: Cell::new(false),
             versions_writes: Rc::default(),
             newer_versions_reads: Rc::default(),
             table_reads: SharedRead::new(versions::TABLE_READ_INTERVAL),
--- a/crates/pomeloridge_gateway/src/versions.rs
+++ b/crates/pomeloridge_gateway/src/versions.rs
@@ -12,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
-use pomeloridge_policy::stream_versions::{StreamId, StreamVersion, UnknownVersion, VersionTable};
+use pomeloridge_policy::stream_versions::{
+    MAX_UNCONFIRMED, StreamId, StreamVersion, UnknownVersion, VersionTable,
+};
 use prost::Message;
 
 use crate::state::State;
@@ -30,6 +32,8 @@
 const SERVER_LIST_DELAY: Duration = Duration::from_millis(500);
 /// Interval between checks whether a server is listed.
 const SERVER_LIST_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which a node that ends waits until its last record is written.
+const LAST_RECORD_TIME: Duration = Duration::from_millis(300);
 /// Time over which the nodes spread the writes of their records, for each node.
 const WRITE_SPREAD_PER_NODE: Duration = Duration::from_micros(2500);
 /// Maximum number of services whose slots are logged.
@@ -50,6 +54,9 @@
     if let Some(version) = versions.remembered(service, id, now) {
         return Ok(Some(version.clone()));
     }
+    if is_cut_off(state, now) {
+        return Err(UnknownVersion::CutOff);
+    }
     let version = match versions.table().version(service, id) {
         Some(version) => version.clone(),
         None => match table::sole_listed_version(state, service)? {
@@ -65,6 +72,27 @@
     Ok(Some(version))
 }
 
+/// Returns whether the table may have changed without this node, which reaches neither the object
+/// service nor most of the other nodes. In an outage of the service, no table can change.
+fn is_cut_off(state: &State, now: Instant) -> bool {
+    let peers = state.peers.borrow();
+    peers.freshness.age(now) > MAX_UNCONFIRMED && peers.is_in_minority(now)
+}
+
+/// Has this node's last record written, which names all streams that it began and that callers may
+/// continue at other nodes.
+pub(crate) async fn write_last_record(state: &State) {
+    state.versions.borrow_mut().set_ended(state.now());
+    let due = state.now() + LAST_RECORD_TIME;
+    while !state.last_record_written.get() {
+        if state.now() >= due {
+            log::warn!("versions choice=end reason=\"the last record is not written\"");
+            return;
+        }
+        monoio::time::sleep(SERVER_LIST_POLL_INTERVAL).await;
+    }
+}
+
 /// Waits until a server of a version is listed, if this node has just adopted the table: that may
 /// arrive before the changes of the server list that led to it.
 pub(crate) async fn wait_for_servers(state: &State, service: &Name, version: &Name) {
--- a/crates/pomeloridge_gateway/src/versions/known.rs
+++ b/crates/pomeloridge_gateway/src/versions/known.rs
@@ -5,8 +5,8 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::stream_versions::{
-    BegunStream, MAX_STREAM_AGE, SETTLE_TIME, StreamId, StreamMemory, StreamRecord, StreamRecords,
-    StreamVersion, VersionSlots, VersionTable,
+    BegunStream, MAX_STREAM_AGE, MAX_STREAMS, SETTLE_TIME, StreamId, StreamMemory, StreamRecord,
+    StreamRecords, StreamVersion, VersionSlots, VersionTable,
 };
 
 /// Time for which a newer table that was heard of is waited for.
@@ -43,6 +43,8 @@
     has_inherited: bool,
     /// When the record must be written.
     record_due: Option<Instant>,
+    /// Whether the node begins no more streams.
+    has_ended: bool,
     /// The records of all nodes, if all cover the table with this number.
     records: Option<(u64, StreamRecords)>,
 }
@@ -63,6 +65,7 @@
             longest: MIN_LONGEST,
             has_inherited: false,
             record_due: None,
+            has_ended: false,
             records: None,
         }
     }
@@ -201,7 +204,9 @@
             return;
         }
         self.has_inherited = true;
-        self.inherited = Some(acknowledged);
+        // A final record leaves nothing open.
+        self.inherited =
+            Some(acknowledged).filter(|_| !former.is_some_and(|former| former.is_final));
         // The former process has ended before this one started.
         let longest = former.map_or(MAX_STREAM_AGE, |former| former.longest.max(MIN_LONGEST));
         self.inherited_until = self.started + longest;
@@ -223,13 +228,31 @@
         self.has_inherited
     }
 
+    /// Records that the node begins no more streams, so that its last record holds all that it
+    /// began.
+    pub fn set_ended(&mut self, now: Instant) {
+        self.has_ended = true;
+        self.set_record_due(now);
+    }
+
+    /// Returns whether the node begins no more streams.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Returns this node's record; `None` until it knows the table.
     pub fn own_record(&self, now: Instant) -> Option<StreamRecord> {
         self.is_known.then(|| StreamRecord {
             acknowledged: self.table.number,
             inherited: self.inherited.filter(|_| now < self.inherited_until),
             longest: self.longest,
-            streams: self.memory.unexplained(&self.table, now),
+            streams: if self.has_ended {
+                self.memory.all(now)
+            } else {
+                self.memory.unexplained(&self.table, now)
+            },
+            // The memory may have dropped streams once it is full.
+            is_final: self.has_ended && self.memory.len() < MAX_STREAMS,
         })
     }
 
--- a/crates/pomeloridge_gateway/src/versions/wire.rs
+++ b/crates/pomeloridge_gateway/src/versions/wire.rs
@@ -111,6 +111,9 @@
     /// Longest time for which callers may continue the node's streams, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     longest_ms: Option<u64>,
+    /// Whether the node has ended, and `streams` holds all that it began.
+    #[serde(default, rename = "final", skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) is_final: bool,
     /// Era of the object service in which the record was written.
     #[serde(default)]
     pub(crate) era: u64,
@@ -152,6 +155,7 @@
             table: record.acknowledged,
             inherited: record.inherited,
             longest_ms: Some(record.longest.as_millis() as u64),
+            is_final: record.is_final,
             era,
             streams: streams.collect(),
         }
@@ -186,6 +190,7 @@
                 .longest_ms
                 .map_or(MAX_STREAM_AGE, Duration::from_millis),
             streams,
+            is_final: wire.is_final,
         })
     }
 }
--- a/crates/pomeloridge_gateway/tests/versions.rs
+++ b/crates/pomeloridge_gateway/tests/versions.rs
@@ -46,6 +46,7 @@
         .iter()
         .map(|(id, name)| (StreamId(*id), version(name)));
     StreamRecord {
+        is_final: false,
         acknowledged: 3,
         inherited: Some(2),
         longest: MAX_STREAM_AGE,
@@ -297,6 +298,7 @@
     // 24.2 requests a second at a node of 2,400, each remembered for 30 s; half of them moved.
     let streams = (0..363).map(|id| (StreamId(id << 40 | id), version("2026.11.1")));
     let record = StreamRecord {
+        is_final: false,
         acknowledged: 1000,
         inherited: None,
         longest: MAX_STREAM_AGE,
--- a/crates/pomeloridge_policy/src/stream_versions.rs
+++ b/crates/pomeloridge_policy/src/stream_versions.rs
@@ -29,6 +29,12 @@
 /// continued, also those begun by a node that was told of the change late.
 pub const SETTLE_TIME: Duration = Duration::from_secs(35);
 
+/// Time without an answer of the object service to any known node after which a node that hears
+/// only a minority of the others begins no streams.
+pub const MAX_UNCONFIRMED: Duration = Duration::from_secs(4);
+/// Time added to those that nodes measure by different clocks.
+const SETTLE_MARGIN: Duration = Duration::from_secs(1);
+
 /// Identifier of a stream: the hash of the attempt that brought its first event, the same on every
 /// node and in every build.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -69,13 +75,23 @@
     pub longest: Duration,
     /// Versions of the streams that the table does not explain.
     pub streams: HashMap<StreamId, StreamVersion>,
+    /// Whether the node has ended, and `streams` holds all that it began and callers may still
+    /// continue.
+    pub is_final: bool,
 }
 
 impl StreamRecord {
     /// Returns whether the record names all of the node's streams in a slot that began before the
     /// slot last changed, in the table with this number.
     fn covers(&self, changed: u64) -> bool {
-        changed <= self.acknowledged && self.inherited.is_none_or(|table| changed <= table)
+        (self.is_final || changed <= self.acknowledged)
+            && self.inherited.is_none_or(|table| changed <= table)
+    }
+
+    /// Returns the silence after which no stream of the node can be continued any more, if it wrote
+    /// nothing as it ended: it may have begun streams until it knew that it was cut off.
+    pub fn settle_time(&self) -> Duration {
+        SETTLE_TIME.min(self.longest + MAX_UNCONFIRMED + SETTLE_MARGIN)
     }
 }
 
@@ -88,6 +104,10 @@
     /// There is a newer table, which this node has not read.
     #[display("table outdated")]
     Outdated,
+    /// This node can't tell whether there is a newer table, as it reaches neither the object
+    /// service nor most of the other nodes.
+    #[display("cut off")]
+    CutOff,
     /// The caller does not name the attempt that began the stream.
     #[display("no attempt named")]
     NoAttempt,
--- a/crates/pomeloridge_policy/src/stream_versions/memory.rs
+++ b/crates/pomeloridge_policy/src/stream_versions/memory.rs
@@ -92,6 +92,14 @@
         streams.collect()
     }
 
+    /// Returns all streams that callers may still continue.
+    pub fn all(&self, now: Instant) -> HashMap<StreamId, StreamVersion> {
+        let streams = self.streams.iter();
+        let streams = streams.filter(|(_, entry)| now < entry.stream.expires);
+        let streams = streams.map(|(id, entry)| (*id, entry.stream.version.clone()));
+        streams.collect()
+    }
+
     /// Returns the number of streams.
     pub fn len(&self) -> usize {
         self.streams.len()
--- a/crates/pomeloridge_policy/tests/policy/stream_versions.rs
+++ b/crates/pomeloridge_policy/tests/policy/stream_versions.rs
@@ -5,9 +5,9 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::stream_versions::{
-    BegunStream, MAX_STREAM_AGE, MAX_STREAMS, SETTLE_TIME, SLOTS, ServiceCapacities, Slot,
-    StreamId, StreamMemory, StreamRecord, StreamRecords, StreamVersion, UnknownVersion,
-    VersionSlots, VersionTable, version_by_records, version_by_table,
+    BegunStream, MAX_STREAM_AGE, MAX_STREAMS, MAX_UNCONFIRMED, SETTLE_TIME, SLOTS,
+    ServiceCapacities, Slot, StreamId, StreamMemory, StreamRecord, StreamRecords, StreamVersion,
+    UnknownVersion, VersionSlots, VersionTable, version_by_records, version_by_table,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -270,6 +270,7 @@
         .iter()
         .map(|(id, version)| (StreamId(*id), stream_version(version)));
     StreamRecord {
+        is_final: false,
         acknowledged,
         inherited,
         streams: streams.collect(),
@@ -387,6 +388,7 @@
 impl Node {
     fn write(&mut self, now: Instant) {
         self.written = StreamRecord {
+            is_final: false,
             acknowledged: self.table.number,
             inherited: self.inherited,
             streams: self.memory.unexplained(&self.table, now),
@@ -475,3 +477,43 @@
         }
     }
 }
+
+/// Guards against a version that is not known since a node ended before the slot changed, and
+/// against one that is guessed while the former process of that node is not settled.
+#[test]
+fn a_final_record_covers_later_changes() {
+    let last = |inherited| StreamRecord {
+        is_final: true,
+        ..record(1, inherited, &[(64, "a")])
+    };
+    let table = moved_table();
+    let find = |id, last: StreamRecord| {
+        let records = records(&[Some(last), Some(record(2, None, &[]))]);
+        version_by_records(&table, &service(), StreamId(id), &records)
+    };
+    assert_eq!(find(0, last(None)), Ok(Name::from("b")));
+    assert_eq!(
+        find(64, last(None)),
+        Ok(Name::from("a")),
+        "named by the record"
+    );
+    assert_eq!(find(0, last(Some(1))), Err(UnknownVersion::SlotChanged));
+    assert_eq!(
+        find(0, record(1, None, &[])),
+        Err(UnknownVersion::SlotChanged)
+    );
+}
+
+/// Guards against a wait after a kill that is longer than callers can continue the node's streams,
+/// and against one that a node behind a cut outlives.
+#[test]
+fn a_silent_node_counts_until_its_streams_are_over() {
+    let longest = |longest| StreamRecord {
+        longest,
+        ..StreamRecord::default()
+    };
+    let settled = longest(Duration::from_secs(10)).settle_time();
+    assert!(settled >= Duration::from_secs(10) + MAX_UNCONFIRMED);
+    assert!(settled < Duration::from_secs(16), "{settled:?}");
+    assert_eq!(longest(MAX_STREAM_AGE).settle_time(), SETTLE_TIME);
+}
