Refuse take-ups at a gateway that can't know the table of versions

Now the own copy counts, without the object service, only if most of the nodes heard in the last minute were heard within the last second (in a large fleet: within 6 s, and one within the last): in an outage of the service no table can change, and the others would have told a newer number. Else the take-up is refused at once with 503, not run, reason "cut off".

No store calls, no further messages.

--- a/crates/pomeloridge_base/src/pacing.rs
+++ b/crates/pomeloridge_base/src/pacing.rs
@@ -78,12 +78,11 @@
             Poll::Ready(output) => Poll::Ready(Some(output)),
             Poll::Pending => Poll::Ready(None),
         });
-        let output = match first.await {
-            Some(output) => output,
-            None => {
-                (self.work, self.total) = (0, 0);
-                step.await
-            }
+        let output = if let Some(output) = first.await {
+            output
+        } else {
+            (self.work, self.total) = (0, 0);
+            step.await
         };
         let done = work(&output);
         self.work += done;
--- a/crates/pomeloridge_base/tests/settings.rs
+++ b/crates/pomeloridge_base/tests/settings.rs
@@ -134,9 +134,8 @@
     let required = GATEWAY_SETTINGS
         .iter()
         .filter(|setting| setting.default.is_none());
-    let text: String = required
-        .map(|row| format!("[{}]\n{} = {}\n", row.section, row.key, row.example))
-        .collect();
+    let lines = required.map(|row| format!("[{}]\n{} = {}\n", row.section, row.key, row.example));
+    let text = lines.collect::<Vec<_>>().concat();
     std::fs::write(&file, &text).unwrap();
     let given: GivenSetting = "platform.apply_ms=1500".parse().unwrap();
     let settings = load_table(&file, std::slice::from_ref(&given), GATEWAY_SETTINGS);
--- a/crates/pomeloridge_dev/tests/versions.rs
+++ b/crates/pomeloridge_dev/tests/versions.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::http::OutgoingRequest;
-use pomeloridge_dev::launch::{Fleet, RelayMode, block_on, get_json, post_json};
+use pomeloridge_dev::launch::{Fleet, RelayMode, block_on, get_json, post_json, put_json};
 use pomeloridge_fleet_standin::caller::{generation, is_ready};
 use pomeloridge_fleet_standin::history::Entry;
 use pomeloridge_fleet_standin::operator::set_route;
@@ -449,7 +449,9 @@
         let listed = get_json(fleet.store, "/-/objects/pomeloridge-nodes").unwrap();
         let nodes = listed["items"].as_array().unwrap();
         nodes.len() == gateways.len()
-            && nodes.iter().all(|node| node["spec"]["versions"]["table"] == 1)
+            && nodes
+                .iter()
+                .all(|node| node["spec"]["versions"]["table"] == 1)
     });
     let streams = send("before", STREAMS, with_fault(""), {
         let gateways = gateways.clone();
@@ -488,3 +490,49 @@
     check(&fleet, &streams);
     check_taken_up(&streams, STREAMS / 2);
 }
+
+/// Guards against take-ups at a gateway that stood still and is cut off while servers of a new
+/// version joined: it would have them go on at the only version that it knows.
+#[test]
+fn a_gateway_that_is_out_of_step_refuses_take_ups() {
+    const LAST: usize = 2;
+    let mut fleet = start("out-of-step", LAST + 1, OLD.len());
+    let gateways = callers(&fleet);
+    wait_until_sole(gateways[LAST], "v1");
+    // The others start again without knowing the address of the one that stands still.
+    fleet.gateways[LAST].process.signal(libc::SIGSTOP);
+    let name = format!("front-{LAST}");
+    let key = format!("/-/objects/pomeloridge-nodes/{name}");
+    let mut object = get_json(fleet.store, &key).unwrap()["spec"].clone();
+    object["address"] = json!("127.0.0.1:9");
+    let body = json!({ "metadata": { "name": name }, "spec": object });
+    put_json(fleet.store, &key, &body).unwrap();
+    for index in 0..LAST {
+        fleet.gateways[index].process.kill();
+        fleet.restart(index).unwrap();
+    }
+    for gateway in &fleet.gateways[..LAST] {
+        wait_until(|| block_on(is_ready(gateway.ready)));
+    }
+    for server in NEW {
+        add(&fleet, server, "decode", "v2");
+    }
+    let mut number = 0;
+    wait_until(|| {
+        number += 1;
+        probe_version(gateways[0], &format!("new{number}")).as_deref() == Some("v2")
+    });
+    let streams = send("o", STREAMS, with_fault(SLOW), move |_, sent| {
+        gateways[if sent == 0 { 0 } else { LAST }]
+    });
+    wait_until_begun(&fleet, "o", STREAMS);
+    for index in 0..LAST {
+        fleet.gateways[index].process.kill();
+    }
+    fleet.gateways[LAST].store.set(RelayMode::Silent);
+    fleet.gateways[LAST].process.signal(libc::SIGCONT);
+    let streams = streams.join().unwrap();
+    let counts = Counts::of(&streams);
+    assert!(counts.taken_up >= STREAMS / 2, "{counts:?}");
+    check(&fleet, &streams);
+}
--- a/crates/pomeloridge_gateway/src/lifecycle.rs
+++ b/crates/pomeloridge_gateway/src/lifecycle.rs
@@ -154,6 +154,7 @@
                 held_bytes()
             );
             state.dispatcher.borrow_mut().record_resumed(now);
+            state.peers.borrow_mut().record_resumed(now);
         }
     }
 }
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -24,6 +24,12 @@
 /// Time since a peer was heard for which it counts among the nodes of which a majority must be
 /// heard.
 const RECENT_TIME: Duration = Duration::from_mins(1);
+/// Time since a message for which its sender counts as heard just now.
+const JUST_NOW: Duration = Duration::from_secs(1);
+/// Time after a pause of this node in which it reads the messages that have waited for it.
+const QUEUE_TIME: Duration = Duration::from_millis(200);
+/// Time in which every remote peer of a large fleet has sent a message.
+const REMOTE_INTERVAL: Duration = Duration::from_secs(6);
 /// Silence after which a peer without a node object is removed from the table.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of peers, besides the duty holder, that receive a message with usage counts.
@@ -121,6 +127,8 @@
     pub(super) has_read_nodes: bool,
     /// Whether a peer has told which requests and prompt parts the fleet has quarantined.
     pub(super) has_crash_news: bool,
+    /// When this node last noticed that it had not run for a while.
+    resumed: Option<Instant>,
     /// When the object service last answered this node or a peer that watches it.
     pub(crate) freshness: Freshness,
 }
@@ -130,6 +138,7 @@
     pub(crate) fn new(data_centre_hash: u32, now: Instant) -> Self {
         Self {
             data_centre_hash,
+            resumed: None,
             freshness: Freshness::new(now),
             by_name: HashMap::new(),
             round: 0,
@@ -232,6 +241,32 @@
         (self.live_count(now) + 1) * 2 <= recent.count() + 1
     }
 
+    /// Records that this node has not run for a while.
+    pub(crate) fn record_resumed(&mut self, now: Instant) {
+        self.resumed = Some(now);
+    }
+
+    /// Returns whether most of the nodes that were heard lately have been heard just now. In a large
+    /// fleet, remote peers send rarely, but one peer at least must have been heard just now.
+    pub(crate) fn hears_majority(&self, fan_out: usize, now: Instant) -> bool {
+        // What a node hears as it resumes may have waited for it for long.
+        let heard_from = self.resumed.map(|at| at + QUEUE_TIME);
+        let heard_within = |time| {
+            let heard = self.by_name.values().filter_map(|peer| peer.last_heard);
+            let heard = heard.filter(|at| now.saturating_duration_since(*at) < time);
+            heard
+                .filter(|at| time == RECENT_TIME || heard_from.is_none_or(|from| *at >= from))
+                .count()
+        };
+        let (recent, just_now) = (heard_within(RECENT_TIME), heard_within(JUST_NOW));
+        let heard = if self.is_large_fleet(fan_out) {
+            heard_within(REMOTE_INTERVAL)
+        } else {
+            just_now
+        };
+        recent == 0 || (just_now > 0 && (heard + 1) * 2 > recent + 1)
+    }
+
     /// Returns whether a live peer holds the duties.
     pub(crate) fn has_live_duty_holder(&self, now: Instant) -> bool {
         let mut live = self.by_name.values().filter(|peer| is_live(peer, now));
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -502,6 +502,13 @@
         peers.freshness.is_doubted()
     }
 
+    /// Whether most of the nodes that were heard lately have been heard just now, in a large fleet
+    /// at their slower rate and at least one just now.
+    pub(crate) fn hears_majority(&self) -> bool {
+        let fan_out = self.settings().number("peers", "fan_out") as usize;
+        self.peers.borrow().hears_majority(fan_out, self.now())
+    }
+
     /// Whether the object service answers both of this node's watches, as far as it knows.
     pub(crate) fn is_watching(&self) -> bool {
         self.servers_watch_answered.get().is_some() && self.config_watch_answered.get().is_some()
--- a/crates/pomeloridge_gateway/src/versions/lookup.rs
+++ b/crates/pomeloridge_gateway/src/versions/lookup.rs
@@ -84,7 +84,11 @@
             return Err(UnknownVersion::OtherService);
         }
     }
-    refresh_table(state).await;
+    // Without the object service, the own copy counts only if most nodes would have told a newer
+    // number by now: in an outage of the service the table can't change.
+    if !refresh_table(state).await && !state.hears_majority() {
+        return Err(UnknownVersion::CutOff);
+    }
     if let Some(found) = by_table(state, service, stream)? {
         return Ok(found);
     }
@@ -101,8 +105,9 @@
     Ok((version, Source::Records))
 }
 
-/// Reads the table, so that none that was written before the lookup is missed.
-async fn refresh_table(state: &Rc<State>) {
+/// Reads the table, so that none that was written before the lookup is missed. Returns whether it
+/// was read.
+async fn refresh_table(state: &Rc<State>) -> bool {
     let shared = Rc::clone(&state.table_reads);
     let read = || {
         let state = Rc::clone(state);
@@ -112,8 +117,12 @@
                 .map_err(|error| error.to_string())
         }
     };
-    if let Err(error) = shared.get(&state.meter, read).await {
-        log::debug!("versions choice=use_own_copy reason=\"{error}\"");
+    match shared.get(&state.meter, read).await {
+        Ok(()) => true,
+        Err(error) => {
+            log::debug!("versions choice=use_own_copy reason=\"{error}\"");
+            false
+        }
     }
 }
 
