Decide when a slow request gets a second attempt

Callers see a few answers that are as late as the slowest server; a request that may be repeated waits there until that server is taken for silent, though others have room.

The module decides without a network, with the clock passed in: when a request is due (the 95th percentile of how much latencies at other servers exceed their predictions, at least three times the median), and what stops it: the operators' share and their number for the fleet, busy servers, several slow servers, a retry that was denied. Room is asked of the server (`dispatch/spare.rs`), and half of the retry budget stays for retries that are needed.

--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -12,6 +12,7 @@
 mod engine_model;
 mod limits;
 mod load;
+mod spare;
 mod target;
 
 use std::cmp::Reverse;
--- a/crates/pomeloridge_policy/src/fleet_retry_budget.rs
+++ b/crates/pomeloridge_policy/src/fleet_retry_budget.rs
@@ -18,6 +18,9 @@
 /// they were counted.
 const SPENT_ALLOWANCE_FRACTION: f64 = 0.5;
 
+/// Fraction of a node's budget up to which it is spent on retries that are not needed.
+const SPARE_FRACTION: f64 = 0.5;
+
 /// Limits on the retries of the whole fleet.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetRetryLimits {
@@ -67,6 +70,12 @@
     pub fn has_room(&self) -> bool {
         f64::from(self.used + 1) <= self.limit
     }
+
+    /// Returns whether one more retry may be sent that is not needed, and so leaves room for those
+    /// that are.
+    pub fn has_spare_room(&self) -> bool {
+        f64::from(self.used + 1) <= self.limit * SPARE_FRACTION
+    }
 }
 
 /// Counts the retries that one node sends to one service.
@@ -126,6 +135,13 @@
         true
     }
 
+    /// Counts a retry that is not needed if the budget has spare room, and returns whether it has.
+    pub fn try_spend_spare(&mut self, allowance: AllowanceShare, now: Instant) -> bool {
+        let has_room = self.usage(allowance, now).has_spare_room();
+        self.current_slice(now).retries += u32::from(has_room);
+        has_room
+    }
+
     /// Gives back a retry that was counted at `spent_at` and has not been sent.
     pub fn give_back(&mut self, spent_at: Instant) {
         let mut slices = self.slices.iter_mut().rev();
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod freshness;
 mod hash;
 pub mod heartbeat_schedule;
+pub mod hedging;
 pub mod in_flight;
 pub mod load;
 pub mod part_crashes;
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -10,6 +10,7 @@
 mod fleet_retry_budget;
 mod freshness;
 mod heartbeat_schedule;
+mod hedging;
 mod part_crashes;
 mod prefix;
 mod rate_limit;
