Settings and metrics of second attempts

A share above `[repeats] ratio` is not refused: the ratio is given by the platform, and the retry budget bounds hedges in any case.

--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -40,6 +40,9 @@
         ServerCrashes: "pomeloridge_server_ends", "Backend servers whose process ended while requests of this node were there.";
         Quarantined: "pomeloridge_quarantined", "Requests refused since servers had ended under them.";
         RetriesDenied: "pomeloridge_repeats_denied", "Repeats that this node's part of the fleet's budget had no room for.";
+        Hedges: "pomeloridge_hedges", "Second attempts begun while the first one was slow.";
+        HedgesWon: "pomeloridge_hedges_won", "Second attempts whose answer was delivered.";
+        HedgesDenied: "pomeloridge_hedges_denied", "Slow requests that got no second attempt.";
         Resumed: "pomeloridge_resumed", "Generations continued on another engine.";
         UnknownVersions: "pomeloridge_unknown_versions", "Streams not continued since the software version that began them was not known.";
         OutputTokens: "pomeloridge_output_tokens", "Output tokens sent to callers.";
--- a/crates/pomeloridge_base/src/settings/check.rs
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -356,6 +356,10 @@
             Ok(amount) if amount >= 0.0 && amount.is_finite() => None,
             _ => Some(format!("`{text}` is not a number of at least 0")),
         },
+        SettingKind::Share => match text.parse::<f64>() {
+            Ok(share) if (0.0..=1.0).contains(&share) => None,
+            _ => Some(format!("`{text}` is not a number from 0 to 1")),
+        },
         SettingKind::Choice(words) => {
             let known = words.contains(&text);
             (!known).then(|| format!("`{text}` is not one of: {}", words.join(", ")))
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -19,6 +19,8 @@
     Seconds,
     /// A number of at least 0; may have a fraction.
     Amount,
+    /// A number from 0 to 1; may have a fraction.
+    Share,
     /// One of the listed words.
     Choice(&'static [&'static str]),
     /// A secret of at least 16 bytes; never shown.
@@ -62,7 +64,7 @@
 }
 
 use SettingKind::{
-    Address, Addresses, Amount, Bytes, Choice, Count, Millis, Seconds, Secret, Text, Tokens,
+    Address, Addresses, Amount, Bytes, Choice, Count, Millis, Seconds, Secret, Share, Text, Tokens,
 };
 
 settings! {
@@ -128,6 +130,8 @@
     "repeats" "ratio" Amount, Some("0.2"), "Retries that the fleet may send per request.", "Bounds the extra load on an overloaded service.", "0.2";
     "repeats" "slack" Amount, Some("50"), "Retries that the fleet may send in a window in addition to the ratio.", "Allows retries when there are few requests.", "50";
     "repeats" "window_s" Seconds, Some("10"), "Window over which retries are counted.", "Equals the platform's window.", "10";
+    "hedge" "share" Share, Some("0"), "Second attempts that the fleet may begin per request that may be repeated, while the first one is slow; 0 turns them off.", "Cuts the slowest answers for some extra work on the servers.", "0.05";
+    "hedge" "most" Count, Some("100"), "Maximum number of such attempts at once in the fleet.", "Bounds the extra work at any moment.", "100";
     "usage" "window_s" Seconds, Some("5"), "Length of a usage window.", "Equals the platform's window.", "5";
     "usage" "late_s" Seconds, Some("10"), "Time after a window's end within which its report is due.", "Later reports count as missing.", "10";
     "peers" "pause_ms" Millis, Some("100"), "Interval between datagrams to a peer.", "A shorter interval gives more recent loads and costs processor time.", "100";
--- a/crates/pomeloridge_dev/src/reference.rs
+++ b/crates/pomeloridge_dev/src/reference.rs
@@ -101,6 +101,7 @@
         SettingKind::Bytes => "bytes, a whole number of at least 1".to_owned(),
         SettingKind::Seconds => "seconds; may have a fraction".to_owned(),
         SettingKind::Amount => "a number of at least 0; may have a fraction".to_owned(),
+        SettingKind::Share => "a number from 0 to 1; may have a fraction".to_owned(),
         SettingKind::Choice(choices) => {
             let choices: Vec<String> = choices.iter().map(|choice| format!("`{choice}`")).collect();
             format!("one of {}", choices.join(", "))
