Run a second attempt beside a slow one

`hedge::race` runs a planned attempt and, when it is due and allowed, a second one at another server; the first answer is delivered. Whole answers race to their end, streams to their first chunk, and only the winner is forwarded. The other attempt is dropped, which aborts its connection; it counts as a possible run and not as lost, so that a cancelled run raises no suspicion of a crash. A failure leaves the request to the other attempt. Runs of prompt parts are kept by server, since two may be in flight.

--- a/crates/pomeloridge_dev/src/launch/fleet.rs
+++ b/crates/pomeloridge_dev/src/launch/fleet.rs
@@ -26,6 +26,7 @@
     /// Relay to the platform's API for the duties.
     pub duties: Relay,
     name: String,
+    further: String,
 }
 
 impl Gateway {
@@ -36,13 +37,15 @@
         index: usize,
         folder: &std::path::Path,
         platform: [SocketAddr; 2],
+        further: &str,
     ) -> Result<Self, String> {
         let name = &format!("front-{index}");
         let host = u8::try_from(index + 1).map_err(|error| error.to_string())?;
         let [store, duties] = platform;
         let (store, duties) = (Relay::start(store)?, Relay::start(duties)?);
         let any = SocketAddr::from(([127, 0, 1, host], 0));
-        write_settings(name, folder, [any; 4], [store.address(), duties.address()])?;
+        let platform = [store.address(), duties.address()];
+        write_settings(name, folder, [any; 4], platform, further)?;
         let process = start_process(name, folder)?;
         let line = process.first_line["message"].as_str().unwrap_or_default();
         let address = |key: &str| -> Result<SocketAddr, String> {
@@ -59,6 +62,7 @@
             store,
             duties,
             name: name.to_owned(),
+            further: further.to_owned(),
             process,
         })
     }
@@ -86,6 +90,17 @@
 
     /// Starts a fleet with arguments for the platform stand-in.
     pub fn start_with(name: &str, gateways: usize, args: &[&str]) -> Result<Self, String> {
+        Self::start_set(name, gateways, args, "")
+    }
+
+    /// Starts a fleet with arguments for the platform stand-in and further settings of the
+    /// gateways.
+    pub fn start_set(
+        name: &str,
+        gateways: usize,
+        args: &[&str],
+        settings: &str,
+    ) -> Result<Self, String> {
         let args = ["--ip", PLATFORM_IP].iter().chain(args);
         let args: Vec<String> = args.map(ToString::to_string).collect();
         let folder =
@@ -93,7 +108,7 @@
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let platform = Process::start("fleet", "pomeloridge_fleet_standin", &args, &folder)?;
         let (store, duties) = (platform.address("store")?, platform.address("duties")?);
-        let start = |index: usize| Gateway::start(index, &folder, [store, duties]);
+        let start = |index: usize| Gateway::start(index, &folder, [store, duties], settings);
         Ok(Self {
             gateways: (0..gateways).map(start).collect::<Result<_, _>>()?,
             folder,
@@ -108,7 +123,13 @@
         let gateway = &mut self.gateways[index];
         let listen = [gateway.caller, gateway.ready, gateway.peer, gateway.metrics];
         let platform = [gateway.store.address(), gateway.duties.address()];
-        write_settings(&gateway.name, &self.folder, listen, platform)?;
+        write_settings(
+            &gateway.name,
+            &self.folder,
+            listen,
+            platform,
+            &gateway.further,
+        )?;
         gateway.process = start_process(&gateway.name, &self.folder)?;
         Ok(())
     }
@@ -126,6 +147,7 @@
     folder: &std::path::Path,
     listen: [SocketAddr; 4],
     platform: [SocketAddr; 2],
+    further: &str,
 ) -> Result<(), String> {
     let [caller, ready, peer, metrics] = listen;
     let [store, duties] = platform;
@@ -133,7 +155,7 @@
         "[node]\nname = {name}\ndata_centre = dc-1\n[listen]\ncaller = {caller}\n\
          ready = {ready}\npeer = {peer}\nmetrics = {metrics}\n\
          [platform]\nstore = {store}\nduties = {duties}\n[stop]\nunready_ms = 300\n\
-         [usage]\nwindow_s = 1\n[log]\nformat = json\n"
+         [usage]\nwindow_s = 1\n[log]\nformat = json\n{further}"
     );
     let file = folder.join(format!("{name}.ini"));
     std::fs::write(file, text).map_err(|error| error.to_string())
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -1,6 +1,6 @@
 //! Routing and authentication of a request, before a server is chosen.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,7 +9,7 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
-use pomeloridge_policy::dispatch::PromptShape;
+use pomeloridge_policy::dispatch::{PromptShape, TargetKey};
 use pomeloridge_policy::part_crashes::{PartId, PartRunKey};
 use pomeloridge_policy::stream_versions::StreamId;
 use pomeloridge_policy::suspicion::Fingerprint;
@@ -44,8 +44,8 @@
     /// Prompt parts that other requests may share, in order.
     pub(crate) shared_parts: Vec<PartId>,
     pub(crate) trial: Cell<Trial>,
-    /// The latest run of the request at a server that is to answer it.
-    pub(crate) part_run: Cell<Option<PartRunKey>>,
+    /// The latest run of the request at each server that is to answer it.
+    pub(crate) part_runs: RefCell<Vec<(TargetKey, PartRunKey)>>,
 }
 
 /// Whether a request may be sent in spite of a quarantined part.
@@ -109,6 +109,20 @@
         labels.join(",")
     }
 
+    /// Records a run of the request at a server that is to answer it.
+    pub(crate) fn set_part_run(&self, server: TargetKey, run: PartRunKey) {
+        let mut runs = self.part_runs.borrow_mut();
+        runs.retain(|(other, _)| *other != server);
+        runs.push((server, run));
+    }
+
+    /// Returns the latest run of the request at a server.
+    pub(crate) fn part_run(&self, server: TargetKey) -> Option<PartRunKey> {
+        let runs = self.part_runs.borrow();
+        let run = runs.iter().find(|(other, _)| *other == server);
+        run.map(|(_, run)| *run)
+    }
+
     /// Returns the time until the request's deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -154,7 +168,7 @@
                 caller_deadline: arrived_at + caller_timeout,
                 shared_parts: shared_parts(&inbound),
                 trial: Cell::default(),
-                part_run: Cell::default(),
+                part_runs: RefCell::default(),
                 inbound,
                 route,
                 service,
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -1,6 +1,8 @@
 //! The attempts of one request: which server it is sent to, whether it is retried, and the
 //! final refusal.
 
+mod other;
+
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,6 +26,8 @@
 use crate::token_rate::TokenRate;
 use crate::versions;
 
+use other::{OtherAttempt, OtherState};
+
 /// Default and shortest retry delay that a refusal gives the caller.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Upper bound of the random factor that spreads the callers' retries after a backoff ends.
@@ -40,6 +44,8 @@
     /// The run as one of the prompt's parts, if the server is to answer the prompt.
     part_run: Option<PartRunKey>,
     outcome: RunOutcome,
+    /// Server whose run this node has cancelled, as another one answered the request.
+    cancelled: Rc<Cell<Option<TargetKey>>>,
     _in_flight: CountGuard,
 }
 
@@ -48,9 +54,10 @@
         state: &Rc<State>,
         server: TargetKey,
         prefill_tokens: u64,
-        accepted: &Accepted,
+        attempts: &Attempts<'_>,
     ) -> Self {
         let now = state.now();
+        let accepted = attempts.accepted;
         let prompt = accepted.inbound.prompt.as_ref();
         let mut dispatcher = state.dispatcher.borrow_mut();
         let key = dispatcher.begin(server, prefill_tokens, prompt, now);
@@ -67,6 +74,7 @@
                 .map(|incarnation| crashes.start_run(accepted.fingerprint, incarnation)),
             part_run: None,
             outcome: RunOutcome::Lost,
+            cancelled: Rc::clone(&attempts.cancelled),
             _in_flight: CountGuard::new(&state.in_flight),
         }
     }
@@ -74,7 +82,9 @@
     /// Records that the server is to answer the prompt, not only to read it.
     pub(crate) fn watch_parts(&mut self, accepted: &Accepted) {
         self.part_run = part_quarantine::start_run(&self.state, self.server, accepted);
-        accepted.part_run.set(self.part_run);
+        if let Some(run) = self.part_run {
+            accepted.set_part_run(self.server, run);
+        }
     }
 
     /// Records that the server has sent whole events of the answer.
@@ -122,6 +132,10 @@
 
 impl Drop for InFlightAttempt {
     fn drop(&mut self) {
+        // The other server's answer shows that the request did not crash this one.
+        if self.outcome == RunOutcome::Lost && self.cancelled.get() == Some(self.server) {
+            self.outcome = RunOutcome::ServerAlive;
+        }
         self.state.dispatcher.borrow_mut().end(self.key);
         if let Some(run) = self.run {
             let now = self.state.now();
@@ -149,6 +163,9 @@
     /// The route's attempts are used up.
     #[display("attempts")]
     Attempts,
+    /// It is running at another server, too.
+    #[display("hedge")]
+    Hedge,
     /// Too many servers have refused it.
     #[display("refusals")]
     Refusals,
@@ -187,6 +204,10 @@
     next_charge: Cell<Option<Instant>>,
     /// The same for the running or latest attempt.
     charge: Option<Instant>,
+    /// The attempt beside the running or latest one, if a hedge was begun.
+    other: Cell<Option<OtherAttempt>>,
+    /// Server of the attempt that was cancelled as the other one was answered.
+    cancelled: Rc<Cell<Option<TargetKey>>>,
     /// Software version at which the request may run, once it is bound to one.
     version: OnceCell<Name>,
 }
@@ -215,6 +236,8 @@
             last_sent_at: accepted.arrived_at,
             next_charge: Cell::default(),
             charge: None,
+            other: Cell::default(),
+            cancelled: Rc::default(),
             version: OnceCell::new(),
         }
     }
@@ -238,6 +261,10 @@
         self.accepted
     }
 
+    pub(crate) fn state(&self) -> &'a Rc<State> {
+        self.state
+    }
+
     /// Returns the request's id for the log.
     pub(crate) fn label(&self) -> &str {
         self.accepted.inbound.label()
@@ -374,6 +401,7 @@
         failure: Failure,
     ) -> Result<(), Refusal> {
         self.probe_for_crash(server, failure).await;
+        self.settle_other();
         let retry = self.check_retry(server, failure);
         log::info!(
             "request id={} print={} server={} failure={failure} again={}{} parts={}",
@@ -462,7 +490,12 @@
 
     fn try_reserve(&self, server: TargetKey, work: SilentWork) -> Result<(), RetryBlocker> {
         let (state, accepted) = (self.state, self.accepted);
-        let runs = self.possible_runs + u32::from(work == SilentWork::Run);
+        let other = self.other.get();
+        if other.is_some_and(|other| other.state == OtherState::Running) {
+            return Err(RetryBlocker::Hedge);
+        }
+        let runs = [work == SilentWork::Run, other.is_some()].map(u32::from);
+        let runs = self.possible_runs + runs.iter().sum::<u32>();
         if runs >= accepted.route.max_attempts {
             return Err(RetryBlocker::Attempts);
         }
@@ -472,15 +505,8 @@
         if state.quarantine_left(accepted).is_some() {
             return Err(RetryBlocker::Quarantine);
         }
-        let mut tried = self.tried.clone();
-        tried.push(server);
-        let request = DispatchRequest {
-            service: &accepted.service,
-            prompt: accepted.inbound.prompt.as_ref(),
-            tried: &tried,
-            allow_separate_prefill: false,
-            version: self.version.get(),
-        };
+        let tried = self.tried_with(server);
+        let request = self.request_beside(&tried);
         let now = state.now();
         if !state.dispatcher.borrow().has_server(&request, now) {
             return Err(RetryBlocker::Servers);
@@ -534,6 +560,11 @@
 
     /// Counts a failed attempt and ejects the server if it appears to be dead.
     fn record_failure(&mut self, server: TargetKey, failure: Failure) {
+        self.count_failure(server, failure);
+        self.eject_if_dead(server, failure);
+    }
+
+    fn count_failure(&mut self, server: TargetKey, failure: Failure) {
         if failure != Failure::StaleConnection {
             self.tried.push(server);
         }
@@ -552,7 +583,6 @@
             self.possible_runs += 1;
             self.last_run_failure = Some(failure);
         }
-        self.eject_if_dead(server, failure);
     }
 
     fn eject_if_dead(&self, server: TargetKey, failure: Failure) {
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -311,7 +311,7 @@
     check_sendable(state, accepted, server)?;
     let is_allowed = state.dispatcher.borrow_mut().try_send(server, state.now());
     if is_allowed {
-        part_quarantine::record_send(state, accepted);
+        part_quarantine::record_send(state, accepted, server);
     }
     is_allowed.then_some(()).ok_or(Failure::OverLimit)
 }
--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -47,6 +47,9 @@
         }
     };
     state.count_request(&accepted.service);
+    if accepted.route.kind.is_retryable() {
+        state.hedging.borrow_mut().record_request();
+    }
     if state.lifecycle.is_stopping() {
         log::info!(
             "request id={} choice=take phase={} left_ms={}",
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod exchange;
 mod fleet_clock;
+mod hedge;
 mod ingress;
 mod internal;
 mod lifecycle;
--- a/crates/pomeloridge_gateway/src/part_quarantine.rs
+++ b/crates/pomeloridge_gateway/src/part_quarantine.rs
@@ -99,8 +99,8 @@
 
 /// Records that the request is being written to a server. A trial is not repeated; all peers are
 /// told of it at once.
-pub(crate) fn record_send(state: &Rc<State>, accepted: &Accepted) {
-    if let Some(run) = accepted.part_run.get() {
+pub(crate) fn record_send(state: &Rc<State>, accepted: &Accepted, server: TargetKey) {
+    if let Some(run) = accepted.part_run(server) {
         state.parts.borrow_mut().record_sent(run);
     }
     let Trial::Granted(part) = accepted.trial.get() else {
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -92,7 +92,7 @@
     prefill_server: TargetKey,
 ) -> Result<PrefilledPrompt, Failure> {
     let accepted = attempts.accepted();
-    let mut in_flight = InFlightAttempt::new(state, prefill_server, plan.prefill_tokens, accepted);
+    let mut in_flight = InFlightAttempt::new(state, prefill_server, plan.prefill_tokens, attempts);
     let mut watch = SilenceWatch {
         attempts,
         server: prefill_server,
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -16,6 +16,7 @@
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::fleet_retry_budget::{AllowanceShare, FleetRetryBudget, FleetRetryLimits};
 use pomeloridge_policy::freshness::FreshnessTimes;
+use pomeloridge_policy::hedging::{HedgeLimits, Hedging};
 use pomeloridge_policy::part_crashes::PartTracker;
 use pomeloridge_policy::stage_assignment::StageLoad;
 use pomeloridge_policy::stream_versions::UnknownVersion;
@@ -120,6 +121,7 @@
     /// Time from which this node may spend its share of the fixed retry allowance.
     pub(crate) allowance_from: Cell<Instant>,
     pub(crate) retry_budgets: RefCell<HashMap<Name, FleetRetryBudget>>,
+    pub(crate) hedging: RefCell<Hedging>,
     pub(crate) pool: Pool,
     /// Requests that may have crashed servers.
     pub(crate) crashes: RefCell<CrashTracker>,
@@ -223,6 +225,7 @@
             )),
             allowance_from: Cell::new(retry_limits(&settings).allowance_from(now)),
             retry_budgets: RefCell::default(),
+            hedging: RefCell::new(Hedging::new(hedge_limits(&settings))),
             pool: Pool::default(),
             crashes: RefCell::default(),
             parts: RefCell::default(),
@@ -346,6 +349,9 @@
             (usage, budget.try_spend(share, now).then_some(now))
         });
         if spent_at.is_none() {
+            let mut hedging = self.hedging.borrow_mut();
+            hedging.record_retry_denied(service, self.now());
+            drop(hedging);
             self.meter.increment(Counter::RetriesDenied);
             log::info!(
                 "repeats service={service} choice=deny made={} bound={:.1} nodes={}",
@@ -357,6 +363,15 @@
         spent_at
     }
 
+    /// Charges a retry that is not needed, as [`Self::try_spend_retry`] does, if the budget has room
+    /// for others besides.
+    pub(crate) fn try_spend_spare(&self, service: &Name) -> Option<Instant> {
+        let share = self.allowance_share();
+        self.with_budget(service, |budget, now| {
+            budget.try_spend_spare(share, now).then_some(now)
+        })
+    }
+
     /// Gives back a retry that was charged at `spent_at` and has not been sent.
     pub(crate) fn give_back_retry(&self, service: &Name, spent_at: Instant) {
         self.with_budget(service, |budget, _| budget.give_back(spent_at));
@@ -390,6 +405,8 @@
         for budget in self.retry_budgets.borrow_mut().values_mut() {
             budget.set_limits(limits);
         }
+        let limits = hedge_limits(&self.settings());
+        self.hedging.borrow_mut().set_limits(limits);
     }
 
     /// Counts work of a service's engines: prompt tokens to prefill and generated output tokens.
@@ -640,6 +657,13 @@
     }
 }
 
+fn hedge_limits(settings: &SettingValues) -> HedgeLimits {
+    HedgeLimits {
+        share: settings.amount("hedge", "share"),
+        most: settings.number("hedge", "most"),
+    }
+}
+
 fn retry_limits(settings: &SettingValues) -> FleetRetryLimits {
     FleetRetryLimits {
         ratio: settings.amount("repeats", "ratio"),
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -4,9 +4,11 @@
 //! is resumable, another server continues after the last event within the same response;
 //! otherwise the response ends truncated.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use pomeloridge_base::error::ErrorKind;
@@ -20,6 +22,7 @@
 use crate::attempt::{Attempts, InFlightAttempt};
 use crate::events::EventSplitter;
 use crate::exchange::{Exchange, Failure, SendParams, exchange};
+use crate::hedge::{self, Raced};
 use crate::prefill::{PrefilledPrompt, prefill};
 use crate::request::SendStage;
 use crate::silence::{SilenceWatch, SilentWork};
@@ -59,6 +62,15 @@
     CallerGone(Fault),
 }
 
+/// A response that has begun: the head of one that is not a stream, or the first chunk.
+struct Opened<'a> {
+    in_flight: InFlightAttempt,
+    watch: SilenceWatch<'a>,
+    exchanged: Exchange,
+    /// First chunk of a stream; `None` if it has none.
+    chunk: Option<Bytes>,
+}
+
 /// The response stream of one request, across all its attempts.
 pub(crate) struct Stream<'a> {
     state: &'a Rc<State>,
@@ -70,7 +82,7 @@
     content_type: Option<HeaderValue>,
     /// Whether an event without an id was forwarded, so that no other server can continue.
     is_unnumbered: bool,
-    usage_counted: bool,
+    usage_counted: Cell<bool>,
     last_event: Option<u64>,
     last_chunk_at: Option<Instant>,
     timing: StreamTiming,
@@ -92,7 +104,7 @@
             head_sent: false,
             content_type: None,
             is_unnumbered: false,
-            usage_counted: false,
+            usage_counted: Cell::new(false),
             last_event: accepted.inbound.last_event,
             last_chunk_at: None,
             timing: StreamTiming::default(),
@@ -132,13 +144,23 @@
                 Some(_) => attempts.choose_decode_engine(plan),
                 None => plan,
             };
-            let failure = match self.attempt(plan, prompt, &attempts, responder).await {
+            let opening = self.open_first(plan, prompt, &attempts);
+            let raced = monoio::select! {
+                raced = opening => raced,
+                fault = responder.closed() => return StreamOutcome::CallerGone(fault),
+            };
+            let Raced { server, outcome } = raced;
+            let delivered = match outcome {
+                Ok(opened) => self.deliver(opened, responder).await,
+                Err(failure) => Err(AttemptError::Server(failure)),
+            };
+            let failure = match delivered {
                 Ok(None) => return StreamOutcome::Complete,
                 Ok(Some(response)) => return StreamOutcome::NotStreamed(response),
                 Err(AttemptError::CallerGone(fault)) => return StreamOutcome::CallerGone(fault),
                 Err(AttemptError::Server(failure)) => failure,
             };
-            if let Err(refusal) = attempts.handle_failure(plan.server, failure).await {
+            if let Err(refusal) = attempts.handle_failure(server, failure).await {
                 return self.final_outcome(refusal, failure);
             }
             last_failure = failure;
@@ -205,13 +227,30 @@
         }
     }
 
-    async fn attempt(
-        &mut self,
+    /// Begins an attempt and waits for its first chunk. Another server may be the first to send one
+    /// if no event has been forwarded and the prompt was not prefilled for this one.
+    async fn open_first<'b>(
+        &self,
+        plan: Plan,
+        prompt: Option<PrefilledPrompt>,
+        attempts: &'b Attempts<'b>,
+    ) -> Raced<Opened<'b>> {
+        if prompt.is_some() || self.head_sent || self.last_event.is_some() {
+            return Raced {
+                server: plan.server,
+                outcome: self.open(plan, prompt, attempts).await,
+            };
+        }
+        let open = async |plan| self.open(plan, None, attempts).await;
+        hedge::race(attempts, plan, open, |opened| opened.exchanged.head.status).await
+    }
+
+    async fn open<'b>(
+        &self,
         plan: Plan,
         mut prompt: Option<PrefilledPrompt>,
-        attempts: &Attempts<'_>,
-        responder: &mut Responder,
-    ) -> Result<Option<Response>, AttemptError> {
+        attempts: &'b Attempts<'b>,
+    ) -> Result<Opened<'b>, Failure> {
         let accepted = self.accepted;
         // The KV cache of a separate prefill is transferred, so nothing is left to prefill here.
         let prefill_tokens = if prompt.is_some() {
@@ -221,9 +260,9 @@
         };
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
-        let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, accepted);
+        let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, attempts);
         in_flight.watch_parts(accepted);
-        let watch = SilenceWatch {
+        let mut watch = SilenceWatch {
             attempts,
             server: plan.server,
             work: SilentWork::Run,
@@ -237,36 +276,68 @@
             fetch: plan.fetch_from.filter(|_| prompt.is_none()),
             last_event: self.last_event,
         };
-        let exchanging = exchange(self.state, accepted, params);
-        let exchanged = monoio::select! {
-            exchanged = exchanging => {
-                exchanged
-                    .inspect_err(|failure| in_flight.record_failure(*failure))
-                    .map_err(AttemptError::Server)?
-            }
-            fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
-        };
+        let exchanged = exchange(self.state, accepted, params).await;
+        let mut exchanged = exchanged.inspect_err(|failure| in_flight.record_failure(*failure))?;
         if let Some(prompt) = &mut prompt {
             prompt.mark_taken();
         }
-        if !exchanged.head.status.is_success() && !self.head_sent {
+        let is_stream = exchanged.head.status.is_success();
+        if !is_stream && !self.head_sent {
             self.count_usage_once();
             in_flight.record_prefill_done();
-            let response = read_response(self.state, exchanged, watch).await;
+            return Ok(Opened {
+                in_flight,
+                watch,
+                exchanged,
+                chunk: None,
+            });
+        }
+        let is_other_type = self.head_sent
+            && exchanged.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref();
+        if !is_stream || !exchanged.head.sealed || is_other_type {
+            return Err(Failure::InvalidResponse);
+        }
+        let gap = accepted.route.gap_target.unwrap_or_default();
+        watch.timeout = accepted.silence_timeout(gap);
+        let chunk = monoio::select! {
+            chunk = exchanged.connection.read_chunk(accepted.deadline) => chunk,
+            () = watch.given_up(self.state) => Err(Fault::Timeout),
+        };
+        let chunk = chunk.map_err(|fault| Failure::after_write(&fault))?;
+        Ok(Opened {
+            in_flight,
+            watch,
+            exchanged,
+            chunk,
+        })
+    }
+
+    /// Forwards a response that has begun; returns it if it is not a stream.
+    async fn deliver(
+        &mut self,
+        opened: Opened<'_>,
+        responder: &mut Responder,
+    ) -> Result<Option<Response>, AttemptError> {
+        let head = &opened.exchanged.head;
+        if !head.status.is_success() {
+            let Opened {
+                mut in_flight,
+                watch,
+                exchanged,
+                ..
+            } = opened;
+            let response = monoio::select! {
+                response = read_response(self.state, exchanged, watch) => response,
+                fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
+            };
             let response = response.map_err(AttemptError::Server)?;
             in_flight.set_outcome(run_outcome(&response));
             return Ok(Some(response));
         }
-        if !exchanged.head.status.is_success() || !exchanged.head.sealed {
-            return Err(AttemptError::Server(Failure::InvalidResponse));
-        }
         if !self.head_sent {
-            self.head = Some((exchanged.head.status, exchanged.head.headers.clone()));
-        } else if exchanged.head.headers.get(CONTENT_TYPE) != self.content_type.as_ref() {
-            return Err(AttemptError::Server(Failure::InvalidResponse));
+            self.head = Some((head.status, head.headers.clone()));
         }
-        self.forward_response(exchanged, watch, &mut in_flight, responder)
-            .await?;
+        self.forward_response(opened, responder).await?;
         Ok(None)
     }
 
@@ -299,11 +370,15 @@
 
     async fn forward_response(
         &mut self,
-        exchanged: Exchange,
-        mut watch: SilenceWatch<'_>,
-        in_flight: &mut InFlightAttempt,
+        opened: Opened<'_>,
         responder: &mut Responder,
     ) -> Result<(), AttemptError> {
+        let Opened {
+            mut in_flight,
+            mut watch,
+            exchanged,
+            chunk: mut next,
+        } = opened;
         let Exchange {
             mut connection,
             head,
@@ -313,19 +388,9 @@
         let mut rate = TokenRate::default();
         let mut idle_bytes = 0;
         let is_continuation = self.last_event.is_some();
-        let gap = self.accepted.route.gap_target.unwrap_or_default();
-        watch.timeout = self.accepted.silence_timeout(gap);
         let is_resumed = self.head_sent;
         let is_resumable = self.accepted.route.kind.is_resumable();
-        loop {
-            let chunk = monoio::select! {
-                chunk = connection.read_chunk(self.accepted.deadline) => chunk,
-                () = watch.given_up(self.state) => Err(Fault::Timeout),
-                fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
-            };
-            let chunk =
-                chunk.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
-            let Some(chunk) = chunk else { break };
+        while let Some(chunk) = next {
             in_flight.record_prefill_done();
             self.count_usage_once();
             let before = self.last_event;
@@ -363,6 +428,12 @@
             let kept = connection.keep(events.buffered());
             kept.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
             rate.record(tokens, self.state.now());
+            let chunk = monoio::select! {
+                chunk = connection.read_chunk(self.accepted.deadline) => chunk,
+                () = watch.given_up(self.state) => Err(Fault::Timeout),
+                fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
+            };
+            next = chunk.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
         }
         if !events.is_empty() {
             return Err(AttemptError::Server(Failure::InvalidResponse));
@@ -444,8 +515,8 @@
     }
 
     /// Counts the request for its client account, at most once over all attempts.
-    fn count_usage_once(&mut self) {
-        if !std::mem::replace(&mut self.usage_counted, true) {
+    fn count_usage_once(&self) {
+        if !self.usage_counted.replace(true) {
             self.state.count_usage(self.accepted.account.as_ref());
         }
     }
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -1,5 +1,6 @@
 //! Requests whose response is sent as a whole.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use pomeloridge_base::http::Response;
@@ -10,6 +11,7 @@
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, InFlightAttempt};
 use crate::exchange::{Exchange, Failure, SendParams, exchange, read_body};
+use crate::hedge::{self, Raced};
 use crate::request::SendStage;
 use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
@@ -22,12 +24,14 @@
     let mut attempts = Attempts::new(state, accepted);
     loop {
         let plan = attempts.choose()?;
-        let failure = match attempt(state, &attempts, plan).await {
+        let usage_counted = Cell::new(false);
+        let run = async |plan| attempt(state, &attempts, plan, &usage_counted).await;
+        let raced = hedge::race(&attempts, plan, run, |response| response.status).await;
+        let Raced { server, outcome } = raced;
+        let failure = match outcome {
             // A server error is retried if allowed; otherwise the caller gets the response.
             Ok(response) if response.status.is_server_error() => {
-                let retry = attempts
-                    .handle_failure(plan.server, Failure::ServerError)
-                    .await;
+                let retry = attempts.handle_failure(server, Failure::ServerError).await;
                 if retry.is_err() {
                     return Ok(response);
                 }
@@ -36,7 +40,7 @@
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
-        attempts.handle_failure(plan.server, failure).await?;
+        attempts.handle_failure(server, failure).await?;
     }
 }
 
@@ -44,9 +48,10 @@
     state: &Rc<State>,
     attempts: &Attempts<'_>,
     plan: Plan,
+    usage_counted: &Cell<bool>,
 ) -> Result<Response, Failure> {
     let accepted = attempts.accepted();
-    let mut in_flight = InFlightAttempt::new(state, plan.server, 0, accepted);
+    let mut in_flight = InFlightAttempt::new(state, plan.server, 0, attempts);
     in_flight.watch_parts(accepted);
     let watch = SilenceWatch {
         attempts,
@@ -63,7 +68,9 @@
     let exchanged = exchange(state, accepted, params).await;
     let exchanged = exchanged.inspect_err(|failure| in_flight.record_failure(*failure))?;
     in_flight.record_prefill_done();
-    state.count_usage(accepted.account.as_ref());
+    if !usage_counted.replace(true) {
+        state.count_usage(accepted.account.as_ref());
+    }
     let response = read_response(state, exchanged, watch).await?;
     in_flight.set_outcome(run_outcome(&response));
     Ok(response)
