Move the check of operators' tokens to the base crate

The gateway is to answer operators too, by the same check. `OperatorTokens` replaces the list of names and hashes in the settings and in the operator port's state; it compares all tokens, as before. No behaviour changes.

--- a/crates/pomeloridge_base/src/lib.rs
+++ b/crates/pomeloridge_base/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod id;
 pub mod meter;
 pub mod net;
+pub mod operator_tokens;
 pub mod pacing;
 pub mod refusal;
 pub mod rule;
--- a/crates/pomeloridge_base/src/settings/check.rs
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -10,6 +10,7 @@
 use super::reader::{Value, Values, read};
 use super::table::{SETTINGS, Setting, SettingKind};
 use crate::id::Name;
+use crate::operator_tokens::OperatorTokens;
 use crate::secret::KeyHash;
 
 /// Minimum length of the fleet secret.
@@ -48,8 +49,8 @@
     pub operator: SocketAddr,
     /// Address of the platform.
     pub platform: SocketAddr,
-    /// Names of the operators and hashes of their tokens.
-    pub tokens: Vec<(Name, KeyHash)>,
+    /// Operators with the hashes of their tokens.
+    pub tokens: OperatorTokens,
     /// Addresses of nodes to contact first.
     pub seeds: Vec<SocketAddr>,
     values: SettingValues,
@@ -109,6 +110,12 @@
         self.parsed(section, key)
     }
 
+    /// Returns the value of a list of operators' tokens.
+    pub fn tokens(&self, section: &str, key: &str) -> OperatorTokens {
+        let tokens = split_list(self.text(section, key)).filter_map(parse_token);
+        tokens.collect::<Vec<_>>().into()
+    }
+
     /// Returns the value of any setting as text.
     pub fn text(&self, section: &str, key: &str) -> &str {
         &self.find(section, key).1
@@ -432,9 +439,7 @@
         node: address("listen", "node"),
         operator: address("listen", "operator"),
         platform: address("platform", "address"),
-        tokens: split_list(&text("operator", "tokens"))
-            .filter_map(parse_token)
-            .collect(),
+        tokens: values.tokens("operator", "tokens"),
         seeds: split_list(&text("node_link", "seeds"))
             .filter_map(|part| part.parse().ok())
             .collect(),
--- a/crates/pomeloridge_operator/src/port.rs
+++ b/crates/pomeloridge_operator/src/port.rs
@@ -4,7 +4,6 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::http::{Fault, Request, Responder, Response};
 use pomeloridge_base::id::Name;
-use pomeloridge_base::secret::KeyHash;
 
 use crate::refusal::{Refusal, RouteResult};
 use crate::state::OperatorState;
@@ -29,7 +28,8 @@
     if let Some(response) = public_route(state, request) {
         return response;
     }
-    let outcome = if let Some(by) = authenticate(state, request) {
+    let authorization = request.header("authorization").unwrap_or_default();
+    let outcome = if let Some(by) = state.tokens.operator(authorization) {
         route(state, by, request).await
     } else {
         let peer = request.peer;
@@ -63,24 +63,6 @@
     }
 }
 
-/// Returns the operator whose token the request has.
-///
-/// Compares all tokens, so that the response time does not reveal which one matches.
-fn authenticate<'a>(state: &'a OperatorState, request: &Request) -> Option<&'a Name> {
-    let (scheme, token) = request.header("authorization")?.split_once(' ')?;
-    if !scheme.eq_ignore_ascii_case("bearer") {
-        return None;
-    }
-    let given = KeyHash::of(token.trim().as_bytes());
-    let mut found = None;
-    for (name, hash) in &state.tokens {
-        if hash.matches(&given) {
-            found = Some(name);
-        }
-    }
-    found
-}
-
 async fn route(state: &OperatorState, by: &Name, request: &Request) -> RouteResult {
     let path = request.path().strip_prefix('/').unwrap_or_default();
     let segments: Option<Vec<String>> = path.split('/').map(percent::decode).collect();
--- a/crates/pomeloridge_operator/src/state.rs
+++ b/crates/pomeloridge_operator/src/state.rs
@@ -5,8 +5,8 @@
 
 use pomeloridge_base::clock::SharedClock;
 use pomeloridge_base::error::ErrorKind;
-use pomeloridge_base::id::{Name, Revision};
-use pomeloridge_base::secret::KeyHash;
+use pomeloridge_base::id::Revision;
+use pomeloridge_base::operator_tokens::OperatorTokens;
 use serde_json::Value;
 
 /// A pending response of the object service.
@@ -46,7 +46,7 @@
 /// State behind the operator port.
 pub struct OperatorState {
     /// Operators with the hashes of their tokens.
-    pub tokens: Vec<(Name, KeyHash)>,
+    pub tokens: OperatorTokens,
     /// Whether a load balancer may send requests to the node; `Err` has the reason if not.
     pub ready: Box<dyn Fn() -> Result<(), String>>,
     /// Metrics in the Prometheus text format.
--- a/crates/pomeloridge_operator/tests/operator/support.rs
+++ b/crates/pomeloridge_operator/tests/operator/support.rs
@@ -185,7 +185,7 @@
     let (is_ready, lag) = (Rc::clone(&node.ready), Rc::clone(&node.lag));
     let token = |name: &str, token: &str| (Name::from(name), KeyHash::of(token.as_bytes()));
     OperatorState {
-        tokens: vec![token("anna", ANNA), token("boris", BORIS)],
+        tokens: vec![token("anna", ANNA), token("boris", BORIS)].into(),
         ready: Box::new(move || is_ready.get().then_some(()).ok_or("cut off".to_owned())),
         metrics: Box::new(|| "requests_total 7\n".to_owned()),
         status: Box::new(|| json!({"node": "vm-1", "nodes": [{"name": "vm-1"}]})),
