Decode how long work takes at a server now

Seen: servers of the two new deployments add a fourth figure to their load reports, which changes many times a second; it was dropped at the boundary.

The report of a server's load becomes a type of its own, `ServerLoad`, with the factor by which work takes longer there than usual. Nothing uses it yet.

--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -48,7 +48,9 @@
 pub use events::{Event, EventSplitter};
 pub use fleet_clock::FleetClock;
 pub use node::run;
-pub use request::{Dispatch, Inbound, KvHandle, KvSource, Notice, ResponseHead, SendStage};
+pub use request::{
+    Dispatch, Inbound, KvHandle, KvSource, Notice, ResponseHead, SendStage, ServerLoad,
+};
 pub use server_list::{ApplyOutcome, ServerList, ServerListDelta};
 pub use server_registry::ServerRegistry;
 pub use settings::ReloadSettings;
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -109,14 +109,25 @@
     pub misdirected: bool,
     /// Whether the response carries the seal that marks it as written by the server itself.
     pub sealed: bool,
-    /// Numbers of running and waiting requests on the server, if reported.
-    pub load: Option<(u32, u32)>,
+    /// Load of the server, if reported.
+    pub load: Option<ServerLoad>,
     /// Time after which the server closes an idle connection, if given.
     pub idle: Option<Duration>,
     /// Backoff, departure or request rate that the server announces.
     pub notice: Notice,
 }
 
+/// The load that a server reports in the head of a response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerLoad {
+    /// Requests being served.
+    pub running: u32,
+    /// Requests queued.
+    pub waiting: u32,
+    /// Factor by which work takes longer there than usual at this moment, if reported.
+    pub slowdown: Option<f64>,
+}
+
 /// Announcement of a server in the head of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
@@ -131,9 +142,10 @@
 impl ResponseHead {
     /// Converts the reported load for the dispatcher.
     pub(crate) fn reported(&self, at: Instant) -> Option<ReportedLoad> {
-        self.load.map(|(running, waiting)| ReportedLoad {
-            running,
-            waiting,
+        self.load.map(|load| ReportedLoad {
+            running: load.running,
+            waiting: load.waiting,
+            slowdown: load.slowdown,
             at,
         })
     }
--- a/crates/pomeloridge_policy/src/dispatch/load.rs
+++ b/crates/pomeloridge_policy/src/dispatch/load.rs
@@ -28,12 +28,15 @@
 }
 
 /// The load that a server reported with a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedLoad {
     /// Requests being served.
     pub running: u32,
     /// Requests queued.
     pub waiting: u32,
+    /// Factor by which work takes longer there than usual at this moment; `None` if the server
+    /// does not tell.
+    pub slowdown: Option<f64>,
     /// When this node received it.
     pub at: Instant,
 }
