Choose plain servers by the predicted time of their answers

Callers of plain services met servers that were chosen by requests in flight alone: one more at the near server sent a request to another data centre, although slots were free; how long answers take at a server counted for nothing.

The choice now predicts the answer: the time learnt of the server from answers that this node read (robust, within a factor of three, drawn to the service's median while it rests on little), times the slowdown in its latest report, times one plus the work ahead for each slot, plus the distance. A request is compared at up to three local servers and one remote one, or more remote ones if there are fewer, so that not all nodes send to the one that looks free.

--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -6,14 +6,17 @@
 //! engine followed by a transfer of the KV cache to a decode engine, or the whole
 //! request on one decode engine. A prediction includes the prompt tokens queued on
 //! the engine, as counted by this node and last reported by its peers, and leaves
-//! out the shared prompt parts that the engine has cached.
+//! out the shared prompt parts that the engine has cached. Servers of plain
+//! services are chosen by the predicted time of their answers; see `plain`.
 
 mod calibration;
 mod engine_model;
 mod limits;
 mod load;
+mod plain;
 mod target;
 
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -141,6 +144,8 @@
     /// Transfer of a KV cache of this many tokens to an engine with a free slot, and the
     /// first token after it.
     FirstToken(u64),
+    /// Answer of a plain server with a free slot.
+    Answer,
 }
 
 /// The measured speed of the engines of a service.
@@ -165,12 +170,29 @@
     resumed_at: Option<Instant>,
     in_flight: SlotMap<InFlightKey, InFlight>,
     placements: VecDeque<(Instant, PartPlacement)>,
+    /// Numbers drawn for the latest choice; a cell, as an explanation looks at the next ones.
+    draw: Cell<Draw>,
+}
+
+/// Numbers by which a choice samples servers and decides between equal ones.
+#[derive(Clone, Copy, Debug)]
+struct Draw {
     /// Counts requests, to alternate between servers of equal cost.
     rotation: usize,
     /// State of the random generator that samples servers.
     random_state: u64,
 }
 
+impl Draw {
+    /// Returns the numbers of the next choice.
+    fn next(self) -> Self {
+        Self {
+            rotation: self.rotation.wrapping_add(1),
+            random_state: splitmix64(self.random_state),
+        }
+    }
+}
+
 /// A server incarnation that is no longer in the server list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RemovedTarget {
@@ -204,8 +226,10 @@
             resumed_at: None,
             in_flight: SlotMap::with_key(),
             placements: VecDeque::new(),
-            rotation: 0,
-            random_state: seed,
+            draw: Cell::new(Draw {
+                rotation: 0,
+                random_state: seed,
+            }),
         }
     }
 
@@ -286,8 +310,7 @@
 
     /// Chooses the servers for a request, or returns `None` if no server may take it.
     pub fn choose(&mut self, request: &DispatchRequest<'_>, now: Instant) -> Option<Plan> {
-        self.rotation = self.rotation.wrapping_add(1);
-        self.random_state = splitmix64(self.random_state);
+        self.draw.set(self.draw.get().next());
         // As a last resort, ejected servers and those changing their stage are considered.
         let plan = self
             .plan(request, now, false)
@@ -308,7 +331,7 @@
     fn plan(&self, request: &DispatchRequest<'_>, now: Instant, last_resort: bool) -> Option<Plan> {
         let eligible = self.eligible(request, now, last_resort);
         let Some(prompt) = request.prompt else {
-            return self.least_loaded(&self.sample_targets(eligible), now);
+            return self.fastest_answer(&eligible, now);
         };
         let plans = self.group_by_version(eligible).into_iter();
         let plans = plans.filter_map(|(version, engines)| {
@@ -394,7 +417,7 @@
     ) -> Option<TargetKey> {
         let cost = |key: &TargetKey| {
             let target = &self.targets[*key];
-            let rotation = target.id_hash as usize ^ self.rotation;
+            let rotation = target.id_hash as usize ^ self.draw.get().rotation;
             let model = self.model(&target.info.service);
             let delay =
                 model.queueing_delay(target, now) + model.piece_gap_increase(target.running(now));
@@ -426,12 +449,15 @@
         prompt: Option<&PromptShape>,
         now: Instant,
     ) -> InFlightKey {
-        let sample = prompt.and_then(|prompt| {
-            let kind = self
-                .targets
-                .get(key)?
-                .sample_kind(prefill_tokens, prompt.tokens, now)?;
-            Some(SpeedSample { sent_at: now, kind })
+        let sample = self.targets.get(key).and_then(|target| {
+            let kind = match prompt {
+                Some(prompt) => target.sample_kind(prefill_tokens, prompt.tokens, now),
+                None => target.answer_sample_kind(now),
+            };
+            Some(SpeedSample {
+                sent_at: now,
+                kind: kind?,
+            })
         });
         if let Some(target) = self.targets.get_mut(key) {
             target.own_load.running += 1;
@@ -460,27 +486,32 @@
         };
         let (target, sample) = (request.target, request.sample.take());
         self.clear_prefill_tokens(key);
-        let service = self.targets.get(target).map(|target| &target.info.service);
-        if let (Some(sample), Some(service)) = (sample, service.cloned()) {
-            self.record_sample(&service, sample, now);
+        if let Some(sample) = sample {
+            self.record_sample(target, sample, now);
         }
     }
 
-    fn record_sample(&mut self, service: &Name, sample: SpeedSample, now: Instant) {
+    fn record_sample(&mut self, key: TargetKey, sample: SpeedSample, now: Instant) {
         let elapsed = now.saturating_duration_since(sample.sent_at);
-        let base_model = self.base_model;
-        self.calibrate(service, |calibration| match sample.kind {
+        let Some(service) = self.targets.get(key).map(|target| &target.info.service) else {
+            return;
+        };
+        let (service, base_model) = (service.clone(), self.base_model);
+        match sample.kind {
             SampleKind::Prefill(prefill_tokens) => {
-                calibration.record_prefill(
-                    elapsed,
-                    base_model.prefill_time(Stage::Prefill, 0, prefill_tokens),
-                );
+                let predicted = base_model.prefill_time(Stage::Prefill, 0, prefill_tokens);
+                self.calibrate(&service, |calibration| {
+                    calibration.record_prefill(elapsed, predicted);
+                });
             }
             SampleKind::FirstToken(tokens) => {
-                calibration
-                    .record_first_token(elapsed.saturating_sub(base_model.transfer_time(tokens)));
+                let delay = elapsed.saturating_sub(base_model.transfer_time(tokens));
+                self.calibrate(&service, |calibration| {
+                    calibration.record_first_token(delay);
+                });
             }
-        });
+            SampleKind::Answer => self.record_answer(key, elapsed, now),
+        }
     }
 
     /// Records that an engine decoded `tokens` tokens of a request in `span`.
@@ -709,8 +740,9 @@
         if keys.len() <= SAMPLING_THRESHOLD {
             return keys;
         }
-        let draw =
-            |key: &TargetKey| splitmix64(u64::from(self.targets[*key].id_hash) ^ self.random_state);
+        let draw = |key: &TargetKey| {
+            splitmix64(u64::from(self.targets[*key].id_hash) ^ self.draw.get().random_state)
+        };
         keys.sort_unstable_by_key(draw);
         let is_local = |key: &TargetKey| self.targets[*key].info.data_centre == self.data_centre;
         let (mut local, mut remote): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_local);
@@ -835,27 +867,6 @@
         best.map(|(key, tokens, ..)| (key, tokens))
     }
 
-    fn least_loaded(&self, usable: &[TargetKey], now: Instant) -> Option<Plan> {
-        let load = |key: &TargetKey| {
-            let target = &self.targets[*key];
-            let slots = u64::from(target.info.slots.max(1));
-            let ahead = u64::from(target.running(now)) * 1000 / slots;
-            (
-                ahead,
-                self.distance_penalty(target),
-                target.id_hash as usize ^ self.rotation,
-            )
-        };
-        let server = usable.iter().copied().min_by_key(load)?;
-        Some(Plan {
-            server,
-            prefill: None,
-            fetch_from: None,
-            prefill_tokens: 0,
-            ttft: self.distance_penalty(&self.targets[server]),
-        })
-    }
-
     fn distance_penalty(&self, target: &Target) -> Duration {
         if target.info.data_centre == self.data_centre {
             Duration::ZERO
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -9,6 +9,7 @@
 
 use super::SampleKind;
 use super::load::{NodeLoad, PeerLoads, ReportedLoad};
+use super::plain::AnswerPace;
 use crate::crashes::ServerIncarnation;
 use crate::ejection::Ejection;
 use crate::prompt_cache::PromptCache;
@@ -90,6 +91,8 @@
     pub(super) own_load: NodeLoad,
     pub(super) peer_loads: PeerLoads,
     pub(super) report: Option<ReportedLoad>,
+    /// Time that its answers take, if it belongs to a plain service.
+    pub(super) pace: Option<AnswerPace>,
     pub(super) ejection: Ejection,
     /// Until when it is assumed to be changing its stage.
     pub(super) stage_change_until: Option<Instant>,
@@ -116,6 +119,7 @@
             own_load: NodeLoad::default(),
             peer_loads: PeerLoads::default(),
             report: None,
+            pace: None,
             ejection: Ejection::default(),
             stage_change_until: None,
             announced_leaving: false,
@@ -171,6 +175,13 @@
         }
     }
 
+    /// Returns what the time of an answer to a request without a prompt sent now would show, if
+    /// anything.
+    pub(super) fn answer_sample_kind(&self, now: Instant) -> Option<SampleKind> {
+        let has_free_slot = self.running(now) < self.info.slots;
+        (self.info.stage == Stage::Unified && has_free_slot).then_some(SampleKind::Answer)
+    }
+
     /// Returns the hash of its identity, the same on every node.
     pub fn hash(&self) -> u32 {
         self.id_hash
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -11,6 +11,7 @@
 mod freshness;
 mod heartbeat_schedule;
 mod part_crashes;
+mod plain_services;
 mod prefix;
 mod rate_limit;
 mod retry;
