Explain to operators where a request would go now

Text for people, `--json` for programs.

`Dispatcher::explain` takes `&self` and calls what the choice calls, with the numbers that the next choice will draw; bars are listed by the function by which the choice excludes servers. The gateway answers at its peer and metrics ports to operators with a token of `[operator] tokens`, which is new for gateways and reloadable; without any the question is refused (`tokens_unset`). Nothing is sent, counted or learnt, and no key is asked for. An account's allotment has its place in `admission`.

--- a/crates/pomeloridge_base/src/error.rs
+++ b/crates/pomeloridge_base/src/error.rs
@@ -79,6 +79,7 @@
     KeyUnknown: 401, "key_unknown", NotRun, NO_RETRY, "the key belongs to no client account or has been withdrawn; ask the operators for a new key";
     KeyExposed: 400, "key_exposed", NotRun, NO_RETRY, "the key stands in another header, the path, the query or the body; send it only in `Authorization`";
     Forbidden: 403, "forbidden", NotRun, NO_RETRY, "the operator token is missing or wrong; send `Authorization: Bearer TOKEN`";
+    TokensUnset: 403, "tokens_unset", NotRun, NO_RETRY, "this process has no operators' tokens; set `[operator] tokens` in its settings";
     UnknownPath: 404, "unknown_path", NotRun, NO_RETRY, "no route has this path and method";
     UnknownModel: 404, "unknown_model", NotRun, NO_RETRY, "no model of this name is served";
     NotFound: 404, "not_found", NotRun, NO_RETRY, "no object of this name exists";
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -132,6 +132,7 @@
     "usage" "late_s" Seconds, Some("10"), "Time after a window's end within which its report is due.", "Later reports count as missing.", "10";
     "peers" "pause_ms" Millis, Some("100"), "Interval between datagrams to a peer.", "A shorter interval gives more recent loads and costs processor time.", "100";
     "peers" "fan_out" Count, Some("8"), "Maximum number of peers to which a datagram is sent per round.", "Bounds a node's cost as the fleet grows.", "8";
+    "operator" "tokens" Tokens, Some(""), "Operators' tokens as `NAME:SHA256`.", "Without any, `pomeloridge route explain` is off.", "anna:9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
     "log" "format" Choice(&["text", "json"]), Some("text"), "Format of log lines.", "`json` suits log collectors, `text` people.", "json";
     "log" "level" Choice(&["error", "warn", "info", "debug"]), Some("info"), "Lowest level that is logged.", "Decisions are logged at `info`.", "info";
     "log" "lines_per_s" Count, Some("400"), "Maximum number of lines written per second; further lines are dropped and counted.", "Bounds the cost of logging under load.", "400";
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -20,7 +20,7 @@
 use crate::state::State;
 
 /// Time that a caller is assumed to wait if its request has no deadline.
-const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 /// Priority of requests that continue a stream.
@@ -83,13 +83,8 @@
     /// Whether the caller is likely to give up before a first chunk that arrives after
     /// `predicted`.
     pub(crate) fn caller_gives_up_before(&self, predicted: Duration) -> bool {
-        if !matches!(self.route.kind, RouteKind::Stream { .. }) {
-            return false;
-        }
         let longest = self.deadline.saturating_duration_since(self.arrived_at);
-        let caller_timeout =
-            caller_ttft_timeout(self.route.latency_target, self.route.gap_target, longest);
-        predicted > caller_timeout.mul_f64(MAX_PREDICTED_FRACTION)
+        gives_up_before(&self.route, longest, predicted)
     }
 
     /// Returns whether the request continues a stream that another one began.
@@ -115,6 +110,16 @@
     }
 }
 
+/// Returns whether a caller of a route, who waits for `longest` at most, is likely to give up
+/// before a first chunk that arrives after `predicted`.
+pub(crate) fn gives_up_before(route: &Route, longest: Duration, predicted: Duration) -> bool {
+    if !matches!(route.kind, RouteKind::Stream { .. }) {
+        return false;
+    }
+    let caller_timeout = caller_ttft_timeout(route.latency_target, route.gap_target, longest);
+    predicted > caller_timeout.mul_f64(MAX_PREDICTED_FRACTION)
+}
+
 fn continues_stream(route: &Route, inbound: &Inbound) -> bool {
     route.kind.is_resumable() && inbound.last_event.is_some()
 }
@@ -152,7 +157,7 @@
                 priority,
                 deadline,
                 caller_deadline: arrived_at + caller_timeout,
-                shared_parts: shared_parts(&inbound),
+                shared_parts: shared_parts(inbound.prompt.as_ref()),
                 trial: Cell::default(),
                 part_run: Cell::default(),
                 inbound,
@@ -167,8 +172,7 @@
 }
 
 /// Returns each prompt part that other requests may share once, in order.
-fn shared_parts(inbound: &Inbound) -> Vec<PartId> {
-    let prompt = inbound.prompt.as_ref();
+pub(crate) fn shared_parts(prompt: Option<&PromptShape>) -> Vec<PartId> {
     let parts = prompt.map_or(&[][..], PromptShape::shared_parts).iter();
     let mut seen = HashSet::new();
     let parts = parts.map(|part| part.id);
--- a/crates/pomeloridge_gateway/src/internal.rs
+++ b/crates/pomeloridge_gateway/src/internal.rs
@@ -1,5 +1,5 @@
-//! Internal HTTP API: configuration, server list and table of versions for peers, and the metrics
-//! page.
+//! Internal HTTP API: configuration, server list and table of versions for peers, the metrics
+//! page, and operators' questions.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +13,7 @@
 use pomeloridge_policy::stream_versions::VersionTable;
 
 use crate::compression::{compress, decompress};
+use crate::route_explain;
 use crate::state::State;
 use crate::versions::TableWire;
 
@@ -24,6 +25,8 @@
 const VERSIONS_PATH: &str = "/versions";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
+/// Path of operators' questions where a request would go.
+const ROUTE_EXPLAIN_PATH: &str = "/route/explain";
 /// Timeout for reading from a peer.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Most peers that may read from this node at once. More of them sharing a slow link would all
@@ -82,6 +85,9 @@
         Ok(request) if request.path() == METRICS_PATH => {
             Response::new(200, (state.metrics)()).with_header("content-type", "text/plain")
         }
+        Ok(request) if request.path() == ROUTE_EXPLAIN_PATH => {
+            route_explain::respond(state, &request)
+        }
         Ok(_) => Response::new(404, ""),
         Err(_) => Response::new(400, ""),
     };
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ports;
 mod prefill;
 mod request;
+mod route_explain;
 mod scale_duty;
 mod server_limits;
 mod server_list;
--- a/crates/pomeloridge_gateway/src/part_quarantine.rs
+++ b/crates/pomeloridge_gateway/src/part_quarantine.rs
@@ -149,6 +149,15 @@
     }
 }
 
+/// Returns how long requests with these parts remain quarantined, apart from trials.
+pub(crate) fn parts_left(state: &State, parts: &[PartId]) -> Option<Duration> {
+    let tracker = state.parts.borrow();
+    match tracker.verdict(parts, None, |_, _| false, state.now()) {
+        PartVerdict::Allowed | PartVerdict::Trial(_) => None,
+        PartVerdict::Quarantined { left, .. } => Some(left),
+    }
+}
+
 fn verdict(state: &State, accepted: &Accepted, turn: Option<u64>, now: Instant) -> PartVerdict {
     let is_trial_node = |part: PartId, turn: u64| {
         let peers = state.peers.borrow().known_hashes();
--- a/crates/pomeloridge_gateway/src/settings.rs
+++ b/crates/pomeloridge_gateway/src/settings.rs
@@ -7,7 +7,8 @@
 
 /// Settings that can change without a restart. The others configure what is set up at the
 /// start, or must be the same on all nodes at any time.
-const RELOADABLE: [(&str, &str); 9] = [
+const RELOADABLE: [(&str, &str); 10] = [
+    ("operator", "tokens"),
     ("peers", "pause_ms"),
     ("peers", "fan_out"),
     ("platform", "watch_ms"),
--- a/crates/pomeloridge_operator/src/cli.rs
+++ b/crates/pomeloridge_operator/src/cli.rs
@@ -8,7 +8,7 @@
 
 pub use command::{
     AccountCommand, ConfigCommand, ConnectionArgs, ExceptionCommand, KeyCommand, OperatorCommand,
-    Token,
+    RouteCommand, Token, TokenCounts,
 };
 pub use exit::Exit;
 pub use render::{
--- a/crates/pomeloridge_operator/src/cli/command.rs
+++ b/crates/pomeloridge_operator/src/cli/command.rs
@@ -25,6 +25,29 @@
     }
 }
 
+/// Numbers of tokens of a request: of its prompt and of the expected output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenCounts {
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Output tokens.
+    pub output: u64,
+}
+
+impl FromStr for TokenCounts {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parsed = text.split_once(',').and_then(|(prompt, output)| {
+            Some(Self {
+                prompt: prompt.parse().ok()?,
+                output: output.parse().ok()?,
+            })
+        });
+        parsed.ok_or("write two whole numbers as IN,OUT")
+    }
+}
+
 /// Arguments of all commands: node, token and output format.
 #[derive(Args, Clone, Debug)]
 pub struct ConnectionArgs {
@@ -99,6 +122,15 @@
         #[arg(conflicts_with = "node")]
         files: Vec<PathBuf>,
     },
+    /// Questions about the routes of a gateway.
+    Route {
+        /// Node and token.
+        #[command(flatten)]
+        connection: ConnectionArgs,
+        /// Subcommand.
+        #[command(subcommand)]
+        command: RouteCommand,
+    },
     /// Shows the usage of client accounts.
     Usage {
         /// Node and token.
@@ -117,11 +149,38 @@
             | Self::Key { connection, .. }
             | Self::Status { connection }
             | Self::Explain { connection, .. }
+            | Self::Route { connection, .. }
             | Self::Usage { connection } => connection,
         }
     }
 }
 
+/// Commands on the routes of a gateway.
+#[derive(Clone, Debug, Subcommand)]
+pub enum RouteCommand {
+    /// Shows where a request would go now, and why, without sending it.
+    ///
+    /// `--node` is the metrics port of a gateway.
+    Explain {
+        /// HTTP method of the request.
+        method: String,
+        /// Path of the request.
+        path: String,
+        /// Host that the request is addressed to.
+        #[arg(long)]
+        host: String,
+        /// Client account that sends the request.
+        #[arg(long)]
+        account: Option<String>,
+        /// Prompt tokens and expected output tokens, for a model's route.
+        #[arg(long, value_name = "IN,OUT")]
+        tokens: Option<TokenCounts>,
+        /// Part of the prompt, in order; the last one is the request's own. May be repeated.
+        #[arg(long = "part", value_name = "ID:TOKENS")]
+        parts: Vec<String>,
+    },
+}
+
 /// Commands on the fleet's configuration.
 #[derive(Clone, Debug, Subcommand)]
 pub enum ConfigCommand {
--- a/crates/pomeloridge_operator/src/cli/plan.rs
+++ b/crates/pomeloridge_operator/src/cli/plan.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 
 use super::command::{
-    AccountCommand, ConfigCommand, ExceptionCommand, KeyCommand, OperatorCommand,
+    AccountCommand, ConfigCommand, ExceptionCommand, KeyCommand, OperatorCommand, RouteCommand,
 };
 use super::render::{
     render_accounts, render_change, render_config, render_exceptions, render_history,
@@ -19,6 +19,8 @@
 pub(super) struct Plan {
     pub(super) request: OutgoingRequest,
     pub(super) render: fn(&Value) -> String,
+    /// Whether the request changes nothing.
+    pub(super) is_read: bool,
 }
 
 impl Plan {
@@ -26,6 +28,7 @@
         Self {
             request: OutgoingRequest::get(target),
             render,
+            is_read: true,
         }
     }
 
@@ -33,6 +36,7 @@
         Self {
             request: OutgoingRequest::new(method, target),
             render: render_change,
+            is_read: false,
         }
     }
 
@@ -53,6 +57,7 @@
         OperatorCommand::Explain { id, .. } => {
             Plan::get(format!("/explain/{}", encode(id)), render_report)
         }
+        OperatorCommand::Route { command, .. } => route(command),
         OperatorCommand::Usage { .. } => Plan::get("/usage", render_usage),
     })
 }
@@ -96,6 +101,27 @@
     }
 }
 
+fn route(command: &RouteCommand) -> Plan {
+    let RouteCommand::Explain {
+        method,
+        path,
+        host,
+        account,
+        tokens,
+        parts,
+    } = command;
+    let tokens = tokens.map(|tokens| [tokens.prompt, tokens.output]);
+    let request = OutgoingRequest::new(Method::POST, "/route/explain");
+    Plan {
+        request: request.json(&json!({
+            "method": method, "path": path, "host": host, "account": account,
+            "tokens": tokens, "parts": parts,
+        })),
+        render: render_report,
+        is_read: true,
+    }
+}
+
 fn account(command: &AccountCommand) -> Plan {
     match command {
         AccountCommand::List => Plan::get("/accounts", render_accounts),
--- a/crates/pomeloridge_operator/src/cli/run.rs
+++ b/crates/pomeloridge_operator/src/cli/run.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use http::{Method, StatusCode};
+use http::StatusCode;
 use pomeloridge_base::http::{ConnectOptions, Connection, Fault, OutgoingRequest, Response};
 use serde_json::Value;
 
@@ -84,9 +84,10 @@
 
 fn render(command: &OperatorCommand, plan: &Plan, response: &Response) -> CommandOutput {
     let Ok(value) = serde_json::from_slice::<Value>(&response.body) else {
-        let exit = match plan.request.method {
-            Method::GET => Exit::Refused,
-            _ => Exit::Unknown,
+        let exit = if plan.is_read {
+            Exit::Refused
+        } else {
+            Exit::Unknown
         };
         return CommandOutput::new(
             exit,
@@ -134,8 +135,7 @@
 ///
 /// The outcome of a change is unknown, unless the connection could not be opened.
 fn failed_exchange(node: SocketAddr, plan: &Plan, fault: &Fault) -> CommandOutput {
-    let is_read = plan.request.method == Method::GET;
-    if is_read || matches!(fault, Fault::Connect(_)) {
+    if plan.is_read || matches!(fault, Fault::Connect(_)) {
         return CommandOutput::new(Exit::Unreachable, format!("node {node}: {fault}"));
     }
     let text = format!(
--- a/crates/pomeloridge_operator/tests/operator/command.rs
+++ b/crates/pomeloridge_operator/tests/operator/command.rs
@@ -39,6 +39,9 @@
     no_expect = { "config apply fleet.json" },
     no_account = { "key issue" },
     bad_node = { "status --node vm-1" },
+    no_host = { "route explain GET /v1/chat" },
+    no_path = { "route explain GET --host a" },
+    one_count = { "route explain GET /v1/chat --host a --tokens 100" },
 )]
 fn an_invalid_command_line_is_a_usage_error(line: &str) {
     let args = std::iter::once("pomeloridge").chain(line.split_whitespace());
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -11,6 +11,7 @@
 
 mod calibration;
 mod engine_model;
+mod explain;
 mod limits;
 mod load;
 mod plain;
@@ -25,10 +26,12 @@
 use slotmap::SlotMap;
 
 pub use engine_model::{EngineModel, EngineSpec};
+pub use explain::{Bar, Candidate, Explanation, LearnedSpeed};
 pub use load::{NodeLoad, PeerLoad, ReportedLoad};
 pub use target::{Stage, Target, TargetInfo, TargetKey};
 
 use calibration::Calibration;
+use explain::bars;
 
 use crate::hash::splitmix64;
 use crate::prompt_cache::PromptPart;
@@ -719,14 +722,7 @@
     ) -> Vec<TargetKey> {
         let is_eligible = |(key, target): &(TargetKey, &Target)| {
             target.info.service == *request.service
-                && request
-                    .version
-                    .is_none_or(|version| target.info.version == *version)
-                && !target.is_leaving()
-                && target.backoff(now).is_none()
-                && target.is_within_limit(now)
-                && !request.tried.contains(key)
-                && (last_resort || (target.ejection.may_try(now) && !target.is_changing_stage(now)))
+                && bars(*key, target, request, now).all(|bar| last_resort && bar.is_soft())
         };
         let eligible = self.targets.iter().filter(is_eligible);
         eligible.map(|(key, _)| key).collect()
--- a/crates/pomeloridge_policy/src/dispatch/plain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/plain.rs
@@ -8,6 +8,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::explain::LearnedSpeed;
 use super::target::{Target, TargetKey};
 use super::{Dispatcher, Plan};
 use crate::hash::splitmix64;
@@ -118,6 +119,15 @@
         Duration::from_secs_f64(own * (1.0 + ahead)) + self.distance_penalty(target)
     }
 
+    /// Returns how fast a plain server has been found to be.
+    pub(super) fn learned_pace(&self, target: &Target, now: Instant) -> Option<LearnedSpeed> {
+        let pace = target.pace?;
+        Some(LearnedSpeed {
+            factor: pace.ratio(self.typical_answer_log(target), now),
+            age: now.saturating_duration_since(pace.latest),
+        })
+    }
+
     /// Returns the median logarithm of the answer times of a server's service.
     fn typical_answer_log(&self, target: &Target) -> f64 {
         let service = self.targets.values();
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -15,6 +15,7 @@
 mod prefix;
 mod rate_limit;
 mod retry;
+mod route_explain;
 mod routing;
 mod rules;
 mod scaling;
