Log how far a stream had come when its caller left

`outcome=caller_gone` of a stream has `first_ms`, `events`, `longest_gap_ms` and `servers`; `outcome=answered` has `events` and `max_output`. No behaviour changes.

--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -114,7 +114,9 @@
             refuse(state, &refusal, Some(&accepted.inbound), responder).await;
         }
         StreamOutcome::Truncated(failure) => record_cut(state, accepted, failure),
-        StreamOutcome::CallerGone(fault) => record_caller_gone(state, accepted, &fault),
+        StreamOutcome::CallerGone(fault) => {
+            record_stream_abandoned(state, accepted, &fault, &stream);
+        }
     }
 }
 
@@ -136,12 +138,14 @@
     let total = state.now().saturating_duration_since(accepted.arrived_at);
     state.meter.record(Timer::Request, total);
     log::info!(
-        "request id={} outcome=answered status={} first_ms={} longest_gap_ms={} total_ms={} \
-         target_ms={}",
+        "request id={} outcome=answered status={} first_ms={} longest_gap_ms={} events={} \
+         max_output={} total_ms={} target_ms={}",
         accepted.inbound.label(),
         status.as_u16(),
         timing.first_chunk.unwrap_or(total).as_millis(),
         timing.longest_gap.as_millis(),
+        timing.events,
+        accepted.inbound.max_output.unwrap_or_default(),
         total.as_millis(),
         accepted.route.latency_target.as_millis()
     );
@@ -165,6 +169,25 @@
     );
 }
 
+/// Records that the caller left during a stream, with what it had received by then.
+fn record_stream_abandoned(state: &State, accepted: &Accepted, fault: &Fault, stream: &Stream<'_>) {
+    state.meter.increment(Counter::Cancelled);
+    let timing = stream.timing();
+    let first_ms = timing
+        .first_chunk
+        .map(|first| first.as_millis().to_string());
+    log::info!(
+        "request id={} outcome=caller_gone reason=\"{fault}\" first_ms={} events={} \
+         longest_gap_ms={} servers={} total_ms={}",
+        accepted.inbound.label(),
+        first_ms.unwrap_or_default(),
+        timing.events,
+        timing.longest_gap.as_millis(),
+        stream.server_labels(),
+        elapsed_ms(state, accepted)
+    );
+}
+
 fn elapsed_ms(state: &State, accepted: &Accepted) -> u128 {
     let elapsed = state.now().saturating_duration_since(accepted.arrived_at);
     elapsed.as_millis()
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -52,6 +52,8 @@
     pub(crate) first_chunk: Option<Duration>,
     /// Longest time between two chunks.
     pub(crate) longest_gap: Duration,
+    /// Number of events that were forwarded.
+    pub(crate) events: u64,
 }
 
 enum AttemptError {
@@ -74,6 +76,8 @@
     last_event: Option<u64>,
     last_chunk_at: Option<Instant>,
     timing: StreamTiming,
+    /// Servers to which the request was sent, in order.
+    servers: Vec<String>,
     /// Number of tokens that the service's engines put into one event.
     tokens_per_event: u64,
 }
@@ -96,6 +100,7 @@
             last_event: accepted.inbound.last_event,
             last_chunk_at: None,
             timing: StreamTiming::default(),
+            servers: Vec::new(),
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
         }
     }
@@ -221,6 +226,8 @@
         };
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
+        self.servers
+            .push(self.state.server_name(plan.server).to_string());
         let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, accepted);
         in_flight.watch_parts(accepted);
         let watch = SilenceWatch {
@@ -367,7 +374,7 @@
         if !events.is_empty() {
             return Err(AttemptError::Server(Failure::InvalidResponse));
         }
-        in_flight.record_output(rate, is_continuation);
+        in_flight.record_output(&self.accepted.route.name, rate, is_continuation);
         in_flight.set_outcome(RunOutcome::Answered);
         self.send_head(responder).await?;
         responder.finish().await.map_err(AttemptError::CallerGone)?;
@@ -399,6 +406,7 @@
             }
             self.is_unnumbered |= event.id.is_none();
             self.last_event = event.id.or(self.last_event);
+            self.timing.events += 1;
             bytes.extend_from_slice(&event.bytes);
         }
         if !bytes.is_empty() {
@@ -415,6 +423,11 @@
         Ok(tokens)
     }
 
+    /// Returns the servers to which the request was sent, for the log.
+    pub(crate) fn server_labels(&self) -> String {
+        self.servers.join(",")
+    }
+
     pub(crate) fn timing(&self) -> StreamTiming {
         self.timing
     }
