--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -9,7 +9,7 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
-use pomeloridge_policy::dispatch::PromptShape;
+use pomeloridge_policy::dispatch::{AnswerNeeds, PromptShape};
 use pomeloridge_policy::part_crashes::{PartId, PartRunKey};
 use pomeloridge_policy::stream_versions::StreamId;
 use pomeloridge_policy::suspicion::Fingerprint;
@@ -86,10 +86,29 @@
         if !matches!(self.route.kind, RouteKind::Stream { .. }) {
             return false;
         }
+        predicted > self.caller_ttft_timeout()
+    }
+
+    /// Returns what the caller needs from now on.
+    pub(crate) fn needs(&self, now: Instant) -> AnswerNeeds {
+        let waited = now.saturating_duration_since(self.arrived_at);
+        AnswerNeeds {
+            output_tokens: self.inbound.max_output,
+            event_tokens: None,
+            waited,
+            first_target: Some(self.route.latency_target),
+            gap_target: self.route.gap_target,
+            first_within: self.caller_ttft_timeout().saturating_sub(waited),
+            end_within: self.time_left(now),
+        }
+    }
+
+    /// Returns the time after which the caller is likely to give up if no first chunk has arrived.
+    fn caller_ttft_timeout(&self) -> Duration {
         let longest = self.deadline.saturating_duration_since(self.arrived_at);
-        let caller_timeout =
+        let timeout =
             caller_ttft_timeout(self.route.latency_target, self.route.gap_target, longest);
-        predicted > caller_timeout.mul_f64(MAX_PREDICTED_FRACTION)
+        timeout.mul_f64(MAX_PREDICTED_FRACTION)
     }
 
     /// Returns whether the request continues a stream that another one began.
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::crashes::{QUARANTINE_CRASHES, RunKey, RunOutcome};
-use pomeloridge_policy::dispatch::{DispatchRequest, InFlightKey, Plan, TargetKey};
+use pomeloridge_policy::dispatch::{AnswerNeeds, DispatchRequest, InFlightKey, Plan, TargetKey};
 use pomeloridge_policy::part_crashes::PartRunKey;
 
 use crate::accept::{Accepted, Trial};
@@ -96,14 +96,14 @@
 
     /// Records the rate at which the server generated tokens, and their number unless the
     /// stream continues one that another server began.
-    pub(crate) fn record_output(&self, rate: TokenRate, is_continuation: bool) {
+    pub(crate) fn record_output(&self, route: &Name, rate: TokenRate, is_continuation: bool) {
         let now = self.state.now();
         let mut dispatcher = self.state.dispatcher.borrow_mut();
         if let Some((tokens, span)) = rate.after_first_chunk() {
             dispatcher.record_decode(self.server, tokens, span, now);
         }
         if !is_continuation {
-            dispatcher.record_output_tokens(self.server, rate.total_tokens());
+            dispatcher.record_output_tokens(self.server, route, rate.total_tokens());
         }
     }
 
@@ -243,6 +243,24 @@
         self.accepted.inbound.label()
     }
 
+    /// Returns what the caller needs from now on.
+    fn needs(&self, now: Instant) -> AnswerNeeds {
+        let accepted = self.accepted;
+        let dispatcher = self.state.dispatcher.borrow();
+        let usual = dispatcher.long_answer(&accepted.route.name);
+        let most = accepted.inbound.max_output;
+        let config = self.state.config();
+        let service = config
+            .as_ref()
+            .and_then(|config| config.services.get(&accepted.service));
+        let engine = service.and_then(|service| service.engine);
+        AnswerNeeds {
+            output_tokens: usual.into_iter().chain(most).min(),
+            event_tokens: engine.map(|engine| engine.tokens_per_event as u32),
+            ..accepted.needs(now)
+        }
+    }
+
     /// Chooses the server of the next attempt, or returns the final refusal.
     pub(crate) fn choose(&mut self) -> Result<Plan, Refusal> {
         let (state, accepted) = (self.state, self.accepted);
@@ -278,6 +296,7 @@
                 && accepted.inbound.last_event.is_none()
                 && accepted.trial.get() == Trial::None,
             version: self.version.get(),
+            needs: self.needs(now),
         };
         let plan = state.dispatcher.borrow_mut().choose(&request, now);
         let Some(plan) = plan else {
@@ -314,9 +333,11 @@
         self.last_sent_at = now;
         self.charge = self.next_charge.take();
         self.prefill_tried |= plan.prefill.is_some();
+        let speed = state.dispatcher.borrow().known_speed(plan.server, now);
         log::info!(
             "request id={} print={} choice=send route={} service={} server={} version={} \
-             prefill={} unread={} fetch={} predicted_ms={} attempt={} left_ms={} parts={}",
+             prefill={} unread={} fetch={} predicted_ms={} predicted_end_ms={} running={} \
+             speed={:.2} slowdown={} attempt={} left_ms={} parts={}",
             accepted.inbound.label(),
             accepted.fingerprint,
             accepted.route.name,
@@ -331,6 +352,10 @@
                 .map(|key| state.server_name(key))
                 .unwrap_or_default(),
             plan.ttft.as_millis(),
+            plan.end.as_millis(),
+            speed.running,
+            speed.factor,
+            speed.slowdown_label(),
             self.deliveries + 1,
             accepted.time_left(now).as_millis(),
             accepted.part_labels()
@@ -342,16 +367,18 @@
     ///
     /// The prefill takes time, so this engine may differ from the planned one.
     pub(crate) fn choose_decode_engine(&self, plan: Plan) -> Plan {
+        let now = self.state.now();
         let request = DispatchRequest {
             service: &self.accepted.service,
             prompt: self.accepted.inbound.prompt.as_ref(),
             tried: &self.tried,
             allow_separate_prefill: false,
             version: self.version.get(),
+            needs: self.needs(now),
         };
         let dispatcher = self.state.dispatcher.borrow();
         let prefill_server = plan.prefill.unwrap_or(plan.server);
-        let run = dispatcher.choose_decode_engine(&request, prefill_server, self.state.now());
+        let run = dispatcher.choose_decode_engine(&request, prefill_server, now);
         let run = run.unwrap_or(plan.server);
         drop(dispatcher);
         if run != plan.server {
@@ -474,14 +501,15 @@
         }
         let mut tried = self.tried.clone();
         tried.push(server);
+        let now = state.now();
         let request = DispatchRequest {
             service: &accepted.service,
             prompt: accepted.inbound.prompt.as_ref(),
             tried: &tried,
             allow_separate_prefill: false,
             version: self.version.get(),
+            needs: self.needs(now),
         };
-        let now = state.now();
         if !state.dispatcher.borrow().has_server(&request, now) {
             return Err(RetryBlocker::Servers);
         }
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -22,7 +22,7 @@
 use pomeloridge_base::pacing::Turn;
 use pomeloridge_base::task::catch_panic;
 use pomeloridge_platform::PutOutcome;
-use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement};
+use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement, SpeedReports};
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
@@ -35,7 +35,7 @@
 pub(crate) use node_object::{ListedRecords, read_records, relevant_records};
 use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
-use wire::{LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
+use wire::{LimitWire, PeerMessage, ServerListDeltaWire, SpeedsWire, UsageWire, WorkWire};
 
 /// Interval between reads of the node objects. It may be long, as a node that starts announces
 /// itself to the others.
@@ -195,7 +195,12 @@
         let heartbeat = heartbeat(&state, &plan, fan_out);
         if plan.is_large_fleet {
             send(&socket, &heartbeat, local).await;
-            send(&socket, &remote_heartbeat(&state, heartbeat, &plan), remote).await;
+            send(
+                &socket,
+                &remote_heartbeat(&state, heartbeat, &plan, fan_out),
+                remote,
+            )
+            .await;
         } else {
             send(&socket, &heartbeat, [local, remote].concat()).await;
         }
@@ -277,7 +282,19 @@
 
 /// Returns the heartbeat for peers in other data centres of a large fleet. It carries no loads,
 /// except that a data centre's representative sends the loads of all of its nodes.
-fn remote_heartbeat(state: &State, local: PeerMessage, plan: &RoundPlan) -> PeerMessage {
+fn remote_heartbeat(
+    state: &State,
+    local: PeerMessage,
+    plan: &RoundPlan,
+    fan_out: usize,
+) -> PeerMessage {
+    let rounds = state
+        .peers
+        .borrow()
+        .rounds_to_cover(fan_out, plan.is_awaited)
+        + 1;
+    let span = state.settings().time("peers", "pause_ms") * rounds;
+    let speeds = state.dispatcher.borrow().recent_speeds(span, state.now());
     let represented_peers = plan.represented_peers.as_ref();
     let loads = represented_peers.map(|peers| {
         let loads = state
@@ -289,6 +306,7 @@
     PeerMessage {
         loads: None,
         data_centre_loads: loads,
+        speeds: speeds_wire(speeds),
         ..local
     }
 }
@@ -297,15 +315,23 @@
 fn heartbeat(state: &State, plan: &RoundPlan, fan_out: usize) -> PeerMessage {
     let now = state.now();
     let peers = state.peers.borrow();
+    state
+        .dispatcher
+        .borrow_mut()
+        .set_peer_count(peers.live_count(now));
     // Each peer receives one heartbeat in this many rounds; one more round covers a loss.
     let rounds = peers.rounds_to_cover(fan_out, plan.is_awaited) + 1;
-    let span = state.settings().time("peers", "pause_ms") * rounds;
+    let pause = state.settings().time("peers", "pause_ms");
+    let span = pause * rounds;
+    let local_rounds = peers.rounds_to_cover_local(fan_out) + 1;
     let mut dispatcher = state.dispatcher.borrow_mut();
     let placed = dispatcher.recent_placements(span, now);
+    let speeds = dispatcher.recent_speeds(pause * local_rounds, now);
     let loads = dispatcher.own_loads().collect();
     PeerMessage {
         loads: Some(loads),
         placed: Some(placed.as_slice().into()),
+        speeds: speeds_wire(speeds),
         changing: state.changing_engines.borrow().clone(),
         crashes: crash_news::crashes_wire(state, now),
         parts: crash_news::parts_wire(state, now),
@@ -373,6 +399,25 @@
     reports.into_iter().map(LimitWire::from).collect()
 }
 
+fn speeds_wire(speeds: SpeedReports) -> Option<SpeedsWire> {
+    (!speeds.reports.is_empty()).then(|| speeds.into())
+}
+
+/// Records what a peer has measured of servers and did not tell before.
+fn handle_speeds(state: &State, speeds: Option<SpeedsWire>, name: &Name) {
+    let speeds = match speeds.map(SpeedReports::try_from) {
+        None => return,
+        Some(Ok(speeds)) => speeds,
+        Some(Err(error)) => {
+            log::warn!("speeds from={name} choice=ignore reason=\"{error}\"");
+            return;
+        }
+    };
+    let seen = state.peers.borrow_mut().record_speeds(name, speeds.end());
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.record_peer_speeds(speeds.after(seen), state.now());
+}
+
 /// Announces this node to all peers at once, and whether it now calls the object service or
 /// holds the duties: peers that don't know would take the same role.
 pub(crate) fn announce(state: &Rc<State>) {
@@ -477,6 +522,9 @@
     let is_new = !peers.has_heard_from(&name);
     let peer = peers.record_heard(&name, address, now);
     let has_restarted = peer.incarnation != message.incarnation;
+    if has_restarted {
+        peer.speeds_seen = 0;
+    }
     peer.incarnation = message.incarnation;
     peer.record_duty(duty, now);
     peer.data_centre_hash = message.data_centre_hash;
@@ -506,6 +554,7 @@
     }
     crash_news::handle(state, &mut message, &name);
     handle_limits(state, std::mem::take(&mut message.limits), &name);
+    handle_speeds(state, message.speeds.take(), &name);
     if let Some(table) = &message.version_table {
         versions::handle_table(state, table, &name);
     }
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -54,6 +54,8 @@
     pub(super) address: SocketAddr,
     /// Incarnation that was heard last; 0 if none was.
     pub(super) incarnation: u64,
+    /// Number of its measurements of servers that this node has recorded or missed.
+    pub(super) speeds_seen: u64,
     pub(super) last_heard: Option<Instant>,
     /// When its counts of each window were last received.
     counts_received: BTreeMap<u64, Instant>,
@@ -78,6 +80,7 @@
         Self {
             address,
             incarnation: 0,
+            speeds_seen: 0,
             last_heard: None,
             counts_received: BTreeMap::new(),
             listed: false,
@@ -292,6 +295,23 @@
         rounds_to_cover(local.len(), remote.len(), fan_out, is_awaited) as u32
     }
 
+    /// Returns the number of rounds in which each peer in this data centre receives a heartbeat.
+    pub(super) fn rounds_to_cover_local(&self, fan_out: usize) -> u32 {
+        let [local, _] = self.by_locality();
+        rounds_to_cover(local.len(), 0, fan_out, false) as u32
+    }
+
+    /// Records that the first `end` measurements of a peer have been received, or missed. Returns
+    /// up to which they had been before.
+    pub(super) fn record_speeds(&mut self, name: &Name, end: u64) -> u64 {
+        let Some(peer) = self.by_name.get_mut(name) else {
+            return end;
+        };
+        let seen = peer.speeds_seen;
+        peer.speeds_seen = seen.max(end);
+        seen
+    }
+
     /// Returns whether the fleet is so large that peers in other data centres receive less.
     pub(super) fn is_large_fleet(&self, fan_out: usize) -> bool {
         is_large_fleet(self.by_name.len(), fan_out)
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -5,7 +5,9 @@
 use pomeloridge_base::id::{Name, Revision};
 use pomeloridge_platform::Event;
 use pomeloridge_policy::crashes::{CrashReport, ServerIncarnation};
-use pomeloridge_policy::dispatch::{NodeLoad, PartPlacement, PeerLoad};
+use pomeloridge_policy::dispatch::{
+    NodeLoad, PartPlacement, PeerLoad, SpeedReport, SpeedReports, TimeRatio, Work,
+};
 use pomeloridge_policy::part_crashes::{PartCrash, PartReport, Suspect};
 use pomeloridge_policy::prompt_cache::PromptPart;
 use pomeloridge_policy::rate_limit::{InvalidRateLimit, LimitReport, RateLimit};
@@ -94,6 +96,70 @@
     /// of, in milliseconds.
     #[prost(uint64, optional, tag = "26")]
     pub(super) confirmed_ms: Option<u64>,
+    /// What the sender has measured of servers; absent if nothing, or from a former build.
+    #[prost(message, optional, tag = "27")]
+    pub(super) speeds: Option<SpeedsWire>,
+}
+
+/// Measurements of servers, stored by column.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct SpeedsWire {
+    /// Number of measurements that the sender had made before these.
+    #[prost(uint64, tag = "1")]
+    first: u64,
+    /// Short hashes of the servers' incarnations.
+    #[prost(fixed32, repeated, tag = "2")]
+    servers: Vec<u32>,
+    /// What was measured: twice the quantisation steps of the ratio, and one more for a prefill.
+    #[prost(bytes = "vec", tag = "3")]
+    ratios: Vec<u8>,
+}
+
+impl From<SpeedReports> for SpeedsWire {
+    fn from(speeds: SpeedReports) -> Self {
+        let encode = |report: &SpeedReport| {
+            let work = i8::from(report.work == Work::Prefill);
+            ((report.ratio.steps() << 1) | work).cast_unsigned()
+        };
+        Self {
+            first: speeds.first,
+            servers: speeds.reports.iter().map(|report| report.server).collect(),
+            ratios: speeds.reports.iter().map(encode).collect(),
+        }
+    }
+}
+
+/// The measurements of a peer are malformed.
+#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq)]
+pub(super) struct InvalidSpeeds;
+
+impl TryFrom<SpeedsWire> for SpeedReports {
+    type Error = InvalidSpeeds;
+
+    fn try_from(wire: SpeedsWire) -> Result<Self, Self::Error> {
+        if wire.servers.len() != wire.ratios.len() {
+            return Err(InvalidSpeeds);
+        }
+        let reports = wire.servers.into_iter().zip(wire.ratios);
+        let reports = reports.map(|(server, byte)| {
+            let number = byte.cast_signed();
+            let work = if number & 1 == 1 {
+                Work::Prefill
+            } else {
+                Work::Decode
+            };
+            let ratio = TimeRatio::from_steps(number >> 1).ok_or(InvalidSpeeds)?;
+            Ok(SpeedReport {
+                server,
+                work,
+                ratio,
+            })
+        });
+        Ok(Self {
+            first: wire.first,
+            reports: reports.collect::<Result<_, _>>()?,
+        })
+    }
 }
 
 /// Crashes with the prompt parts that are suspects, and answers, stored by column.
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -28,6 +28,8 @@
     pub caller_timeout: Option<Duration>,
     /// Prompt; `None` for requests to plain services.
     pub prompt: Option<PromptShape>,
+    /// Maximum number of output tokens, if the caller states it.
+    pub max_output: Option<u32>,
     /// Last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
     /// Identifier of the attempt that brought the first event of the stream that is continued.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -425,9 +425,10 @@
         };
         let dispatcher = self.dispatcher.borrow();
         let model = dispatcher.model(service);
+        let rate = dispatcher.mean_rate(service, self.now());
         StageLoad {
-            prefill: rates.prefill / model.prefill_throughput(),
-            decode: rates.decode / model.decode_throughput(engine.slots),
+            prefill: rates.prefill / (model.prefill_throughput() * rate),
+            decode: rates.decode / (model.decode_throughput(engine.slots) * rate),
         }
     }
 
--- a/crates/pomeloridge_policy/src/crashes.rs
+++ b/crates/pomeloridge_policy/src/crashes.rs
@@ -54,6 +54,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerIncarnation(pub u64);
 
+impl ServerIncarnation {
+    /// Returns a part of the hash, for messages in which a rare confusion does little harm.
+    pub fn short(self) -> u32 {
+        self.0 as u32
+    }
+}
+
 /// Outcome of running a request on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunOutcome {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -8,24 +8,31 @@
 //! the engine, as counted by this node and last reported by its peers, and leaves
 //! out the shared prompt parts that the engine has cached.
 
+mod answer;
 mod calibration;
 mod engine_model;
 mod limits;
 mod load;
+mod prompt_plan;
+mod requests;
+mod sample;
+mod speed;
 mod target;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
 use slotmap::SlotMap;
 
+pub use answer::{AnswerNeeds, AnswerTimes};
 pub use engine_model::{EngineModel, EngineSpec};
 pub use load::{NodeLoad, PeerLoad, ReportedLoad};
+pub use speed::{KnownSpeed, SpeedReport, SpeedReports, TimeRatio, Work};
 pub use target::{Stage, Target, TargetInfo, TargetKey};
 
-use calibration::Calibration;
+use calibration::{Calibration, Samples};
+use prompt_plan::PromptEngines;
 
 use crate::hash::splitmix64;
 use crate::prompt_cache::PromptPart;
@@ -44,21 +51,8 @@
 /// Time after which an engine ordered to change its stage is used again, even if the
 /// server list does not show the new stage.
 const STAGE_CHANGE_TIMEOUT: Duration = Duration::from_secs(6);
-/// Number of eligible servers above which only a sample of them is compared.
-const SAMPLING_THRESHOLD: usize = 40;
-/// Servers in the sample; enough to include engines of both stages.
-const SAMPLE_SIZE: usize = 24;
-/// Servers of other data centres in the sample; more if the local one has too few servers.
-const REMOTE_SAMPLE_SIZE: usize = 8;
 /// Added to the predicted time to first token of a server in another data centre.
 const CROSS_DATA_CENTRE_PENALTY: Duration = Duration::from_millis(5);
-/// Minimum tokens of a shared prompt part that is assigned a home engine.
-const MIN_HOME_TOKENS: u64 = 1000;
-/// Factor on the time of a KV cache transfer between data centres.
-const CROSS_DATA_CENTRE_TRANSFER_FACTOR: u32 = 2;
-/// Reduction of the time to first token below which a separate prefill is not worth its
-/// KV cache transfer.
-const MIN_SPLIT_GAIN: Duration = Duration::from_millis(10);
 /// Time in which what servers sent during a pause of this process is read.
 const RESUME_READ_TIME: Duration = Duration::from_millis(100);
 
@@ -92,6 +86,8 @@
     pub allow_separate_prefill: bool,
     /// Software version that it is bound to, if any.
     pub version: Option<&'a Name>,
+    /// What its caller needs.
+    pub needs: AnswerNeeds,
 }
 
 /// The servers chosen for a request.
@@ -107,16 +103,10 @@
     pub prefill_tokens: u64,
     /// Predicted time to first token.
     pub ttft: Duration,
-}
-
-/// The engines of one version that may run a prompt.
-#[derive(Clone, Copy, Debug)]
-struct PromptEngines<'a> {
-    usable: &'a [TargetKey],
-    /// Engine that all nodes choose first to prefill the prompt.
-    home: Option<TargetKey>,
-    /// Engine that has most of the prompt cached, and the tokens that it has.
-    holder: Option<(TargetKey, u64)>,
+    /// Predicted time to the last token.
+    pub end: Duration,
+    /// Cost by which plans are compared, as a time.
+    pub cost: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -157,6 +147,8 @@
     /// Speeds assumed before any were measured.
     base_model: EngineModel,
     service_models: HashMap<Name, ServiceModel>,
+    /// Latest numbers of output tokens by route.
+    answer_lengths: HashMap<Name, Samples>,
     targets: SlotMap<TargetKey, Target>,
     /// When this node last received data from each server. A server that is no longer listed stays
     /// here as long as it may still be working on requests.
@@ -165,6 +157,12 @@
     resumed_at: Option<Instant>,
     in_flight: SlotMap<InFlightKey, InFlight>,
     placements: VecDeque<(Instant, PartPlacement)>,
+    /// Latest own measurements of servers, for peers.
+    speed_reports: VecDeque<(Instant, SpeedReport)>,
+    /// Number of own measurements so far.
+    speed_count: u64,
+    /// Number of other nodes that send to the same servers.
+    peer_count: usize,
     /// Counts requests, to alternate between servers of equal cost.
     rotation: usize,
     /// State of the random generator that samples servers.
@@ -199,11 +197,15 @@
             data_centre,
             base_model: model,
             service_models: HashMap::new(),
+            answer_lengths: HashMap::new(),
             targets: SlotMap::with_key(),
             heard: HashMap::new(),
             resumed_at: None,
             in_flight: SlotMap::with_key(),
             placements: VecDeque::new(),
+            speed_reports: VecDeque::new(),
+            speed_count: 0,
+            peer_count: 0,
             rotation: 0,
             random_state: seed,
         }
@@ -272,6 +274,12 @@
         learned.map_or(&self.base_model, |learned| &learned.model)
     }
 
+    /// Returns the speed model of one engine at this moment.
+    fn engine_model(&self, target: &Target, now: Instant) -> EngineModel {
+        let model = self.model(&target.info.service);
+        model.slowed_by(self.slowness(target, now))
+    }
+
     /// Adds measurements of a service's engines and updates their model.
     fn calibrate(&mut self, service: &Name, measure: impl FnOnce(&mut Calibration)) {
         let base_model = self.base_model;
@@ -292,6 +300,12 @@
         let plan = self
             .plan(request, now, false)
             .or_else(|| self.plan(request, now, true))?;
+        let plan = if request.needs.are_met_by(plan.ttft, plan.end) {
+            plan
+        } else {
+            // Servers that were not drawn may be idle.
+            self.plan_all(request, now).unwrap_or(plan)
+        };
         for key in [Some(plan.server), plan.prefill].into_iter().flatten() {
             if let Some(target) = self.targets.get_mut(key) {
                 target.ejection.take_due_probe(now);
@@ -307,13 +321,29 @@
 
     fn plan(&self, request: &DispatchRequest<'_>, now: Instant, last_resort: bool) -> Option<Plan> {
         let eligible = self.eligible(request, now, last_resort);
+        self.plan_among(request, eligible, |keys| self.sample_targets(keys), now)
+    }
+
+    /// Plans a request with all servers compared that may take it.
+    fn plan_all(&self, request: &DispatchRequest<'_>, now: Instant) -> Option<Plan> {
+        let eligible = self.eligible(request, now, false);
+        self.plan_among(request, eligible, |keys| keys, now)
+    }
+
+    fn plan_among(
+        &self,
+        request: &DispatchRequest<'_>,
+        eligible: Vec<TargetKey>,
+        sample: impl Fn(Vec<TargetKey>) -> Vec<TargetKey>,
+        now: Instant,
+    ) -> Option<Plan> {
         let Some(prompt) = request.prompt else {
-            return self.least_loaded(&self.sample_targets(eligible), now);
+            return self.least_loaded(&sample(eligible), now);
         };
         let plans = self.group_by_version(eligible).into_iter();
         let plans = plans.filter_map(|(version, engines)| {
             let home = self.home_engine(prompt, &engines);
-            let mut usable = self.sample_targets(engines);
+            let mut usable = sample(engines);
             if let Some(home) = home.filter(|home| !usable.contains(home)) {
                 usable.push(home);
             }
@@ -323,197 +353,9 @@
                 home,
                 holder,
             };
-            self.plan_prompt(prompt, engines, request.allow_separate_prefill, now)
-        });
-        plans.min_by_key(|plan| plan.ttft)
-    }
-
-    /// Groups engines by their software version, as an engine of another version may not be able
-    /// to use their KV caches.
-    fn group_by_version(&self, keys: Vec<TargetKey>) -> BTreeMap<&Name, Vec<TargetKey>> {
-        let mut groups: BTreeMap<&Name, Vec<TargetKey>> = BTreeMap::new();
-        for key in keys {
-            let version = &self.targets[key].info.version;
-            groups.entry(version).or_default().push(key);
-        }
-        groups
-    }
-
-    /// Returns the engine that all nodes choose first to prefill a long shared part.
-    ///
-    /// Requests with the same part may arrive at many nodes before the nodes learn of each
-    /// other's placements. Rendezvous hashing lets all of them choose the same engine;
-    /// other engines later fetch the part from it.
-    fn home_engine(&self, prompt: &PromptShape, eligible: &[TargetKey]) -> Option<TargetKey> {
-        let part = prompt.shared_parts().last()?;
-        if part.tokens < MIN_HOME_TOKENS {
-            return None;
-        }
-        let prefill_engines = eligible.iter().copied();
-        // The home of a part must be the same engine whichever nodes are its senders.
-        let prefill_engines = prefill_engines.filter(|key| {
-            let target = &self.targets[*key];
-            target.info.stage == Stage::Prefill && !target.is_scarce()
-        });
-        prefill_engines.max_by_key(|key| {
-            splitmix64(splitmix64(part.id) ^ u64::from(self.targets[*key].id_hash))
-        })
-    }
-
-    /// Chooses the engine that decodes a prompt prefilled on `prefill_engine`, of the same version.
-    ///
-    /// Prefill may take seconds, in which the planned engine may have started to leave or
-    /// become busier.
-    pub fn choose_decode_engine(
-        &self,
-        request: &DispatchRequest<'_>,
-        prefill_engine: TargetKey,
-        now: Instant,
-    ) -> Option<TargetKey> {
-        let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
-        let request = DispatchRequest {
-            version: Some(&self.targets.get(prefill_engine)?.info.version),
-            ..*request
-        };
-        let choose = |last_resort| {
-            let mut usable = self.sample_targets(self.eligible(&request, now, last_resort));
-            usable.retain(|key| self.targets[*key].info.stage != Stage::Prefill);
-            self.best_decode_engine(&usable, prefill_engine, tokens, now)
-        };
-        choose(false).or_else(|| choose(true))
-    }
-
-    /// Returns the decode engine with the lowest cost: queueing, KV cache transfer from
-    /// `prefill_engine`, distance, and the gap that its batch adds between pieces.
-    fn best_decode_engine(
-        &self,
-        decode_engines: &[TargetKey],
-        prefill_engine: TargetKey,
-        tokens: u64,
-        now: Instant,
-    ) -> Option<TargetKey> {
-        let cost = |key: &TargetKey| {
-            let target = &self.targets[*key];
-            let rotation = target.id_hash as usize ^ self.rotation;
-            let model = self.model(&target.info.service);
-            let delay =
-                model.queueing_delay(target, now) + model.piece_gap_increase(target.running(now));
-            let transfer = self.transfer_time(prefill_engine, *key, tokens);
-            (
-                delay + transfer + self.distance_penalty(target),
-                rotation % 64,
-            )
-        };
-        decode_engines.iter().copied().min_by_key(cost)
-    }
-
-    /// Predicts the time to transfer the KV cache of this many tokens.
-    fn transfer_time(&self, from: TargetKey, to: TargetKey, tokens: u64) -> Duration {
-        let centre = |key| self.targets.get(key).map(|target| &target.info.data_centre);
-        let time = self.base_model.transfer_time(tokens);
-        if centre(from) == centre(to) {
-            time
-        } else {
-            time * CROSS_DATA_CENTRE_TRANSFER_FACTOR
-        }
-    }
-
-    /// Records that a request was sent to a server.
-    pub fn begin(
-        &mut self,
-        key: TargetKey,
-        prefill_tokens: u64,
-        prompt: Option<&PromptShape>,
-        now: Instant,
-    ) -> InFlightKey {
-        let sample = prompt.and_then(|prompt| {
-            let kind = self
-                .targets
-                .get(key)?
-                .sample_kind(prefill_tokens, prompt.tokens, now)?;
-            Some(SpeedSample { sent_at: now, kind })
-        });
-        if let Some(target) = self.targets.get_mut(key) {
-            target.own_load.running += 1;
-            target.own_load.prefill_tokens += prefill_tokens;
-            if let Some(prompt) = prompt {
-                let server = target.id_hash;
-                // Peers already know of parts that the server holds.
-                let new = prompt.shared_parts().iter().copied();
-                let new = new.filter(|part| !target.prompt_cache.contains(*part));
-                let placed = new.map(|part| (now, PartPlacement { server, part }));
-                self.placements.extend(placed);
-                target.prompt_cache.record(&prompt.parts);
-            }
-        }
-        self.in_flight.insert(InFlight {
-            target: key,
-            prefill_tokens,
-            sample,
-        })
-    }
-
-    /// Records that the server has prefilled the request's prompt.
-    pub fn record_prefill_done(&mut self, key: InFlightKey, now: Instant) {
-        let Some(request) = self.in_flight.get_mut(key) else {
-            return;
-        };
-        let (target, sample) = (request.target, request.sample.take());
-        self.clear_prefill_tokens(key);
-        let service = self.targets.get(target).map(|target| &target.info.service);
-        if let (Some(sample), Some(service)) = (sample, service.cloned()) {
-            self.record_sample(&service, sample, now);
-        }
-    }
-
-    fn record_sample(&mut self, service: &Name, sample: SpeedSample, now: Instant) {
-        let elapsed = now.saturating_duration_since(sample.sent_at);
-        let base_model = self.base_model;
-        self.calibrate(service, |calibration| match sample.kind {
-            SampleKind::Prefill(prefill_tokens) => {
-                calibration.record_prefill(
-                    elapsed,
-                    base_model.prefill_time(Stage::Prefill, 0, prefill_tokens),
-                );
-            }
-            SampleKind::FirstToken(tokens) => {
-                calibration
-                    .record_first_token(elapsed.saturating_sub(base_model.transfer_time(tokens)));
-            }
+            self.plan_prompt(request, prompt, engines, now)
         });
-    }
-
-    /// Records that an engine decoded `tokens` tokens of a request in `span`.
-    pub fn record_decode(&mut self, key: TargetKey, tokens: u64, span: Duration, now: Instant) {
-        let Some(target) = self.targets.get(key) else {
-            return;
-        };
-        let predicted = self
-            .base_model
-            .decode_time(target.running(now), tokens as u32);
-        let service = target.info.service.clone();
-        self.calibrate(&service, |calibration| {
-            calibration.record_decode(span, predicted);
-        });
-    }
-
-    /// Records the number of output tokens of a completed request.
-    pub fn record_output_tokens(&mut self, key: TargetKey, tokens: u64) {
-        if let Some(target) = self.targets.get(key) {
-            let service = target.info.service.clone();
-            self.calibrate(&service, |calibration| calibration.record_output(tokens));
-        }
-    }
-
-    /// Removes a request's prompt from the tokens queued for prefill on its server.
-    fn clear_prefill_tokens(&mut self, key: InFlightKey) {
-        let Some(request) = self.in_flight.get_mut(key) else {
-            return;
-        };
-        let tokens = std::mem::take(&mut request.prefill_tokens);
-        if let Some(target) = self.targets.get_mut(request.target) {
-            target.own_load.prefill_tokens = target.own_load.prefill_tokens.saturating_sub(tokens);
-        }
+        plans.min_by_key(|plan| plan.cost)
     }
 
     /// Records that a request is no longer in flight.
@@ -701,140 +543,6 @@
         eligible.map(|(key, _)| key).collect()
     }
 
-    /// Draws a random sample of many servers for each request, most of them local.
-    ///
-    /// The known loads of peers are as old as their last heartbeat. If each node chose the
-    /// best of all servers, all would choose the same one until the next heartbeat.
-    fn sample_targets(&self, mut keys: Vec<TargetKey>) -> Vec<TargetKey> {
-        if keys.len() <= SAMPLING_THRESHOLD {
-            return keys;
-        }
-        let draw =
-            |key: &TargetKey| splitmix64(u64::from(self.targets[*key].id_hash) ^ self.random_state);
-        keys.sort_unstable_by_key(draw);
-        let is_local = |key: &TargetKey| self.targets[*key].info.data_centre == self.data_centre;
-        let (mut local, mut remote): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_local);
-        local.truncate(SAMPLE_SIZE - REMOTE_SAMPLE_SIZE);
-        remote.truncate(SAMPLE_SIZE - local.len());
-        local.extend(remote);
-        local
-    }
-
-    fn plan_prompt(
-        &self,
-        prompt: &PromptShape,
-        engines: PromptEngines<'_>,
-        allow_separate_prefill: bool,
-        now: Instant,
-    ) -> Option<Plan> {
-        let PromptEngines {
-            usable,
-            home,
-            holder,
-        } = engines;
-        let of_stage = |stage: Stage| {
-            let keys = usable.iter().copied();
-            keys.filter(move |key| self.targets[*key].info.stage == stage)
-        };
-        let prefill_engines: Vec<TargetKey> = of_stage(Stage::Prefill).collect();
-        let decode_engines: Vec<TargetKey> = of_stage(Stage::Decode)
-            .chain(of_stage(Stage::Unified))
-            .collect();
-        let unsplit = self.lowest_ttft(prompt, &decode_engines, holder, None, now);
-        let prefill_plan = allow_separate_prefill
-            .then(|| self.lowest_ttft(prompt, &prefill_engines, holder, home, now))
-            .flatten();
-        let split = prefill_plan.and_then(|prefill| {
-            let server =
-                self.best_decode_engine(&decode_engines, prefill.server, prompt.tokens, now)?;
-            Some(Plan {
-                server,
-                prefill: Some(prefill.server),
-                ttft: prefill.ttft
-                    + self.transfer_time(prefill.server, server, prompt.tokens)
-                    + self
-                        .model(&self.targets[server].info.service)
-                        .queueing_delay(&self.targets[server], now),
-                ..prefill
-            })
-        });
-        match (unsplit, split) {
-            (Some(unsplit), Some(split)) if split.ttft + MIN_SPLIT_GAIN < unsplit.ttft => {
-                Some(split)
-            }
-            (Some(unsplit), _) => Some(unsplit),
-            // Without a decode engine there is no split plan either.
-            (None, split) => split,
-        }
-    }
-
-    /// Returns the plan with the lowest predicted time to first token among `keys`.
-    fn lowest_ttft(
-        &self,
-        prompt: &PromptShape,
-        keys: &[TargetKey],
-        holder: Option<(TargetKey, u64)>,
-        home: Option<TargetKey>,
-        now: Instant,
-    ) -> Option<Plan> {
-        let shared = prompt
-            .shared_parts()
-            .iter()
-            .map(|part| part.tokens)
-            .sum::<u64>();
-        let uncached = shared.saturating_sub(holder.map_or(0, |(_, held)| held));
-        let plans = keys.iter().map(|key| {
-            let target = &self.targets[*key];
-            let cached = target.prompt_cache.leading_tokens(&prompt.parts);
-            let lacking = |held: u64| held.saturating_sub(cached);
-            let fetch = holder.filter(|(holder, held)| holder != key && lacking(*held) > 0);
-            let fetched = fetch.map_or(0, |(_, held)| lacking(held));
-            let prefill_tokens = prompt.tokens.saturating_sub(cached + fetched).max(1);
-            // Parts that no engine is known to hold may already have been placed on the home
-            // engine by another node.
-            let expected = if home == Some(*key) {
-                prefill_tokens.saturating_sub(uncached)
-            } else {
-                prefill_tokens
-            };
-            let ahead = target.prefill_tokens(now);
-            let model = self.model(&target.info.service);
-            let ttft = model.ttft(target, ahead + expected, now);
-            let fetch_time = fetch.map_or(Duration::ZERO, |(from, _)| {
-                self.transfer_time(from, *key, fetched)
-            });
-            Plan {
-                server: *key,
-                prefill: None,
-                fetch_from: fetch.map(|(holder, _)| holder),
-                prefill_tokens,
-                ttft: ttft + fetch_time + self.distance_penalty(target),
-            }
-        });
-        plans.min_by_key(|plan| plan.ttft)
-    }
-
-    /// Returns the engine of a version that has most of the prompt's leading parts cached, and
-    /// their tokens. Among equals the nearest and then the least loaded engine is chosen.
-    fn best_cache_holder(
-        &self,
-        prompt: &PromptShape,
-        version: &Name,
-        now: Instant,
-    ) -> Option<(TargetKey, u64)> {
-        let held = self.targets.iter();
-        let held = held.filter(|(_, target)| target.info.version == *version);
-        let held = held.map(|(key, target)| {
-            let tokens = target.prompt_cache.leading_tokens(&prompt.parts);
-            let distance = Reverse(self.distance_penalty(target));
-            (key, tokens, distance, Reverse(target.prefill_tokens(now)))
-        });
-        let best = held.max_by_key(|(_, tokens, distance, prefill_tokens)| {
-            (*tokens, *distance, *prefill_tokens)
-        });
-        best.map(|(key, tokens, ..)| (key, tokens))
-    }
-
     fn least_loaded(&self, usable: &[TargetKey], now: Instant) -> Option<Plan> {
         let load = |key: &TargetKey| {
             let target = &self.targets[*key];
@@ -853,6 +561,8 @@
             fetch_from: None,
             prefill_tokens: 0,
             ttft: self.distance_penalty(&self.targets[server]),
+            end: Duration::ZERO,
+            cost: Duration::ZERO,
         })
     }
 
--- /dev/null
+++ b/crates/pomeloridge_policy/src/dispatch/answer.rs
@@ -0,0 +1,148 @@
+//! What an answer on an engine costs its caller, and the callers of the engine's other
+//! requests.
+//!
+//! The first event of an answer says little about the last. On a slow engine, or on one that
+//! reads prompts between its decode steps, each further event takes longer, and an answer
+//! that began early is still under way when its caller leaves. A caller has a target for the
+//! first event, one for the gap between events, and a deadline. Predictions are off by a
+//! factor, so the chance to miss one of them grows with the share of it that is predicted to be
+//! used up. The cost is the time to the first event plus these chances, each counted as the
+//! target for the first event.
+
+use std::time::{Duration, Instant};
+
+use super::engine_model::EngineModel;
+use super::target::{Stage, Target};
+
+/// Power of the used share with which the chance to miss a target grows.
+const MISS_POWER: i32 = 4;
+/// Shortest target that shares are taken of.
+const MIN_TARGET: Duration = Duration::from_millis(1);
+
+/// What the caller of a request needs. The default needs nothing by any time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerNeeds {
+    /// Number of output tokens to be prepared for, if known.
+    pub output_tokens: Option<u32>,
+    /// Output tokens in an event, if known.
+    pub event_tokens: Option<u32>,
+    /// Time that the caller has waited already.
+    pub waited: Duration,
+    /// Target for the time to the first event, from the start.
+    pub first_target: Option<Duration>,
+    /// Target for the time between two events.
+    pub gap_target: Option<Duration>,
+    /// Time left until the caller leaves if no event has come.
+    pub first_within: Duration,
+    /// Time left until the deadline.
+    pub end_within: Duration,
+}
+
+impl Default for AnswerNeeds {
+    fn default() -> Self {
+        Self {
+            output_tokens: None,
+            event_tokens: None,
+            waited: Duration::ZERO,
+            first_target: None,
+            gap_target: None,
+            first_within: Duration::MAX,
+            end_within: Duration::MAX,
+        }
+    }
+}
+
+impl AnswerNeeds {
+    /// Returns whether an answer that begins and ends after these times does so before its caller
+    /// leaves.
+    pub fn are_met_by(&self, first: Duration, end: Duration) -> bool {
+        first <= self.first_within && end <= self.end_within
+    }
+
+    /// Returns the chances to miss the gap target and the deadline, and a first event later than
+    /// its target, as a time.
+    fn miss_cost(&self, times: &AnswerTimes) -> Duration {
+        let Some(first_target) = self.first_target else {
+            return Duration::ZERO;
+        };
+        let chances = miss_chance(self.waited + times.first, self.first_target)
+            + miss_chance(times.gap, self.gap_target)
+            + miss_chance(times.end, Some(self.end_within));
+        first_target.mul_f64(chances)
+    }
+}
+
+fn miss_chance(time: Duration, target: Option<Duration>) -> f64 {
+    let target = target.map(|target| target.max(MIN_TARGET).as_secs_f64());
+    target.map_or(0.0, |target| (time.as_secs_f64() / target).powi(MISS_POWER))
+}
+
+/// The predicted times of an answer on an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerTimes {
+    /// Time to the first event.
+    pub first: Duration,
+    /// Time between two events.
+    pub gap: Duration,
+    /// Time to the last event.
+    pub end: Duration,
+}
+
+impl EngineModel {
+    /// Predicts the times of an answer whose first event comes after `first`.
+    pub(super) fn answer_times(
+        &self,
+        needs: &AnswerNeeds,
+        target: &Target,
+        first: Duration,
+        now: Instant,
+    ) -> AnswerTimes {
+        let batch = (target.running(now) + 1).min(target.info.slots.max(1));
+        let tokens = needs.output_tokens.unwrap_or(self.output_tokens);
+        let event_tokens = needs.event_tokens.unwrap_or(self.piece_tokens);
+        let later_tokens = tokens.saturating_sub(event_tokens);
+        AnswerTimes {
+            first,
+            gap: self.decode_time(batch, event_tokens),
+            end: first + self.decode_time(batch, later_tokens),
+        }
+    }
+
+    /// Returns the cost that the prefill of `prefill_tokens` tokens on an engine has for the
+    /// requests that it decodes meanwhile, taken to have the same needs.
+    pub(super) fn harm(
+        &self,
+        needs: &AnswerNeeds,
+        target: &Target,
+        prefill_tokens: u64,
+        now: Instant,
+    ) -> Duration {
+        if target.info.stage == Stage::Prefill {
+            return Duration::ZERO;
+        }
+        let running = target.running(now).min(target.info.slots);
+        let event_tokens = needs.event_tokens.unwrap_or(self.piece_tokens);
+        let gap = self.decode_time(running, event_tokens);
+        let longest_gap =
+            gap + self.interleaved_prefill_time(self.event_chunk_tokens(event_tokens));
+        let queued = self.interleaved_prefill_time(target.prefill_tokens(now));
+        let reading = self.interleaved_prefill_time(prefill_tokens);
+        let tokens = needs.output_tokens.unwrap_or(self.output_tokens);
+        let end = self.decode_time(running, tokens) + queued;
+        let times = |gap: Duration, end| AnswerTimes {
+            first: Duration::ZERO,
+            gap: gap.min(longest_gap),
+            end,
+        };
+        let before = needs.miss_cost(&times(gap + queued, end));
+        let after = needs.miss_cost(&times(gap + queued + reading, end + reading));
+        // An answer can miss its targets only once.
+        let most = needs.first_target.unwrap_or_default();
+        after.min(most).saturating_sub(before) * running
+    }
+}
+
+/// Returns the cost of an answer with these times to its caller.
+pub(super) fn cost(needs: &AnswerNeeds, times: &AnswerTimes) -> Duration {
+    times.first + needs.miss_cost(times)
+}
--- a/crates/pomeloridge_policy/src/dispatch/calibration.rs
+++ b/crates/pomeloridge_policy/src/dispatch/calibration.rs
@@ -16,7 +16,7 @@
 /// Number of samples below which the base model's value is used.
 const MIN_SAMPLES: usize = 5;
 /// Plausible ratios of measured to predicted time; samples outside are discarded.
-const PLAUSIBLE_RATIOS: std::ops::RangeInclusive<f64> = 0.1..=20.0;
+pub(super) const PLAUSIBLE_RATIOS: std::ops::RangeInclusive<f64> = 0.1..=20.0;
 
 /// Measurements of a service's engines.
 #[derive(Clone, Debug, Default)]
@@ -70,10 +70,10 @@
 
 /// The latest samples of one quantity.
 #[derive(Clone, Debug, Default)]
-struct Samples(VecDeque<f64>);
+pub(super) struct Samples(VecDeque<f64>);
 
 impl Samples {
-    fn add(&mut self, value: f64) {
+    pub(super) fn add(&mut self, value: f64) {
         if self.0.len() == MAX_SAMPLES {
             self.0.pop_front();
         }
@@ -88,11 +88,17 @@
     }
 
     fn median(&self) -> Option<f64> {
+        self.quantile(0.5)
+    }
+
+    /// Returns the value below which this share of the samples lies.
+    pub(super) fn quantile(&self, share: f64) -> Option<f64> {
         if self.0.len() < MIN_SAMPLES {
             return None;
         }
         let mut sorted: Vec<f64> = self.0.iter().copied().collect();
         sorted.sort_unstable_by(f64::total_cmp);
-        Some(sorted[sorted.len() / 2])
+        let index = (sorted.len() as f64 * share) as usize;
+        Some(sorted[index.min(sorted.len() - 1)])
     }
 }
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -155,6 +155,29 @@
         (compute + step_time * steps as u32 + interference).mul_f64(self.prefill_scale)
     }
 
+    /// Returns the time that the prefill of prompt tokens takes from the decode steps of the engine
+    /// that decodes a batch meanwhile.
+    pub(super) fn interleaved_prefill_time(&self, prefill_tokens: u64) -> Duration {
+        let rate = self.prefill_rate * DECODE_ENGINE_PREFILL_SPEED;
+        Duration::from_secs_f64(prefill_tokens as f64 / rate * self.prefill_scale)
+    }
+
+    /// Returns the most prompt tokens that a decode engine prefills between two events of an
+    /// answer: a chunk with each token.
+    pub(super) fn event_chunk_tokens(&self, event_tokens: u32) -> u64 {
+        self.chunk_tokens / DECODE_ENGINE_CHUNK_DIVISOR * u64::from(event_tokens)
+    }
+
+    /// Returns the model of an engine on which all work takes `factor` times as long.
+    pub(super) fn slowed_by(&self, factor: f64) -> Self {
+        Self {
+            prefill_scale: self.prefill_scale * factor,
+            decode_scale: self.decode_scale * factor,
+            first_token_delay: self.first_token_delay.mul_f64(factor),
+            ..*self
+        }
+    }
+
     /// Returns the time to transfer the KV cache of a prompt to another engine in the same
     /// data centre.
     pub fn transfer_time(&self, tokens: u64) -> Duration {
--- a/crates/pomeloridge_policy/src/dispatch/load.rs
+++ b/crates/pomeloridge_policy/src/dispatch/load.rs
@@ -8,6 +8,8 @@
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1500);
 /// Age at which a server's own report expires.
 const REPORT_TTL: Duration = Duration::from_millis(250);
+/// Age at which the slowdown that a server reported expires.
+const SLOWDOWN_TTL: Duration = Duration::from_millis(300);
 
 /// The load of one or several nodes on a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -50,6 +52,12 @@
             0
         }
     }
+
+    /// Returns the reported slowdown and its age, unless it has expired.
+    pub(super) fn slowdown(&self, now: Instant) -> Option<(f64, Duration)> {
+        let age = now.saturating_duration_since(self.at);
+        Some((self.slowdown?, age)).filter(|_| age < SLOWDOWN_TTL)
+    }
 }
 
 /// The loads of all peers on one server.
--- /dev/null
+++ b/crates/pomeloridge_policy/src/dispatch/requests.rs
@@ -0,0 +1,131 @@
+//! The requests in flight, and what is measured of them.
+
+use std::time::{Duration, Instant};
+
+use pomeloridge_base::id::Name;
+
+use super::{
+    Dispatcher, InFlight, InFlightKey, PartPlacement, PromptShape, SampleKind, SpeedSample, Stage,
+    TargetKey, Work,
+};
+
+/// Fewest pieces whose time shows the speed of an engine; fewer may arrive together.
+const MIN_DECODE_PIECES: u64 = 2;
+/// Share of a route's answers that are no longer than a long answer.
+const LONG_ANSWER_SHARE: f64 = 0.9;
+
+impl Dispatcher {
+    /// Records that a request was sent to a server.
+    pub fn begin(
+        &mut self,
+        key: TargetKey,
+        prefill_tokens: u64,
+        prompt: Option<&PromptShape>,
+        now: Instant,
+    ) -> InFlightKey {
+        let sample = prompt.and_then(|prompt| {
+            let kind = self
+                .targets
+                .get(key)?
+                .sample_kind(prefill_tokens, prompt.tokens, now)?;
+            Some(SpeedSample { sent_at: now, kind })
+        });
+        if let Some(target) = self.targets.get_mut(key) {
+            target.own_load.running += 1;
+            target.own_load.prefill_tokens += prefill_tokens;
+            if let Some(prompt) = prompt {
+                let server = target.id_hash;
+                // Peers already know of parts that the server holds.
+                let new = prompt.shared_parts().iter().copied();
+                let new = new.filter(|part| !target.prompt_cache.contains(*part));
+                let placed = new.map(|part| (now, PartPlacement { server, part }));
+                self.placements.extend(placed);
+                target.prompt_cache.record(&prompt.parts);
+            }
+        }
+        self.in_flight.insert(InFlight {
+            target: key,
+            prefill_tokens,
+            sample,
+        })
+    }
+
+    /// Records that the server has prefilled the request's prompt.
+    pub fn record_prefill_done(&mut self, key: InFlightKey, now: Instant) {
+        let Some(request) = self.in_flight.get_mut(key) else {
+            return;
+        };
+        let (target, sample) = (request.target, request.sample.take());
+        self.clear_prefill_tokens(key);
+        let service = self.targets.get(target).map(|target| &target.info.service);
+        if let (Some(sample), Some(service)) = (sample, service.cloned()) {
+            self.record_sample(target, &service, sample, now);
+        }
+    }
+
+    fn record_sample(&mut self, key: TargetKey, service: &Name, sample: SpeedSample, now: Instant) {
+        let elapsed = now.saturating_duration_since(sample.sent_at);
+        let base_model = self.base_model;
+        if let SampleKind::Prefill(tokens) = sample.kind {
+            let predicted = base_model.prefill_time(Stage::Prefill, 0, tokens);
+            self.record_speed(key, Work::Prefill, (elapsed, predicted), now);
+        }
+        self.calibrate(service, |calibration| match sample.kind {
+            SampleKind::Prefill(prefill_tokens) => {
+                calibration.record_prefill(
+                    elapsed,
+                    base_model.prefill_time(Stage::Prefill, 0, prefill_tokens),
+                );
+            }
+            SampleKind::FirstToken(tokens) => {
+                calibration
+                    .record_first_token(elapsed.saturating_sub(base_model.transfer_time(tokens)));
+            }
+        });
+    }
+
+    /// Records that an engine decoded `tokens` tokens of a request in `span`.
+    pub fn record_decode(&mut self, key: TargetKey, tokens: u64, span: Duration, now: Instant) {
+        let Some(target) = self.targets.get(key) else {
+            return;
+        };
+        let predicted = self
+            .base_model
+            .decode_time(target.running(now), tokens as u32);
+        let service = target.info.service.clone();
+        if tokens >= MIN_DECODE_PIECES * u64::from(self.base_model.piece_tokens) {
+            self.record_speed(key, Work::Decode, (span, predicted), now);
+        }
+        self.calibrate(&service, |calibration| {
+            calibration.record_decode(span, predicted);
+        });
+    }
+
+    /// Returns the number of output tokens that few answers of a route exceed, if enough of them
+    /// have been read.
+    pub fn long_answer(&self, route: &Name) -> Option<u32> {
+        let lengths = self.answer_lengths.get(route)?;
+        Some(lengths.quantile(LONG_ANSWER_SHARE)?.ceil() as u32)
+    }
+
+    /// Records the number of output tokens of a completed request of a route.
+    pub fn record_output_tokens(&mut self, key: TargetKey, route: &Name, tokens: u64) {
+        let lengths = self.answer_lengths.entry(route.clone()).or_default();
+        lengths.add(tokens as f64);
+        if let Some(target) = self.targets.get(key) {
+            let service = target.info.service.clone();
+            self.calibrate(&service, |calibration| calibration.record_output(tokens));
+        }
+    }
+
+    /// Removes a request's prompt from the tokens queued for prefill on its server.
+    pub(super) fn clear_prefill_tokens(&mut self, key: InFlightKey) {
+        let Some(request) = self.in_flight.get_mut(key) else {
+            return;
+        };
+        let tokens = std::mem::take(&mut request.prefill_tokens);
+        if let Some(target) = self.targets.get_mut(request.target) {
+            target.own_load.prefill_tokens = target.own_load.prefill_tokens.saturating_sub(tokens);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomeloridge_policy/src/dispatch/sample.rs
@@ -0,0 +1,52 @@
+//! Draws the servers that are compared for a request.
+//!
+//! The known loads of peers are as old as their last heartbeat. If each node chose the best of
+//! all servers, all would choose the same one until the next heartbeat. So each compares a random
+//! sample, smaller the more nodes there are: the server that looks best to all of them then gets
+//! only a few times what one node sends.
+
+use super::{Dispatcher, Stage, TargetKey};
+use crate::hash::splitmix64;
+
+/// Fewest servers of a stage that are compared for a request, if there are as many.
+const MIN_SAMPLE: usize = 3;
+/// Multiple of one node's requests that may reach the server that looks best to all nodes before
+/// they learn of each other's choices.
+const MAX_HERD: usize = 8;
+/// Inverse of the share of other data centres in a sample, if the local one has enough servers.
+const REMOTE_SAMPLE_DIVISOR: usize = 3;
+
+impl Dispatcher {
+    /// Sets the number of other nodes that send to the same servers.
+    pub fn set_peer_count(&mut self, count: usize) {
+        self.peer_count = count;
+    }
+
+    /// Draws a random sample of the servers of each stage for each request, most of them local.
+    pub(super) fn sample_targets(&self, keys: Vec<TargetKey>) -> Vec<TargetKey> {
+        let is_prefill = |key: &TargetKey| self.targets[*key].info.stage == Stage::Prefill;
+        let (prefill, others): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_prefill);
+        let mut sample = self.sample_stage(prefill);
+        sample.extend(self.sample_stage(others));
+        sample
+    }
+
+    fn sample_stage(&self, mut keys: Vec<TargetKey>) -> Vec<TargetKey> {
+        let bounded = keys.len() * MAX_HERD / self.peer_count.max(1);
+        let size = bounded.max(MIN_SAMPLE);
+        // Also puts servers of equal cost in another order on each node.
+        let draw =
+            |key: &TargetKey| splitmix64(u64::from(self.targets[*key].id_hash) ^ self.random_state);
+        keys.sort_unstable_by_key(draw);
+        if keys.len() <= size {
+            return keys;
+        }
+        let is_local = |key: &TargetKey| self.targets[*key].info.data_centre == self.data_centre;
+        let (mut local, mut remote): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_local);
+        let remote_size = (size / REMOTE_SAMPLE_DIVISOR).min(remote.len());
+        local.truncate(size - remote_size);
+        remote.truncate(size - local.len());
+        local.extend(remote);
+        local
+    }
+}
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -9,6 +9,7 @@
 
 use super::SampleKind;
 use super::load::{NodeLoad, PeerLoads, ReportedLoad};
+use super::speed::ServerSpeed;
 use crate::crashes::ServerIncarnation;
 use crate::ejection::Ejection;
 use crate::prompt_cache::PromptCache;
@@ -90,6 +91,7 @@
     pub(super) own_load: NodeLoad,
     pub(super) peer_loads: PeerLoads,
     pub(super) report: Option<ReportedLoad>,
+    pub(super) speed: ServerSpeed,
     pub(super) ejection: Ejection,
     /// Until when it is assumed to be changing its stage.
     pub(super) stage_change_until: Option<Instant>,
@@ -116,6 +118,7 @@
             own_load: NodeLoad::default(),
             peer_loads: PeerLoads::default(),
             report: None,
+            speed: ServerSpeed::default(),
             ejection: Ejection::default(),
             stage_change_until: None,
             announced_leaving: false,
@@ -150,6 +153,12 @@
         self.own_load.prefill_tokens + self.peer_loads.sum(now).prefill_tokens
     }
 
+    /// Returns the factor by which work takes longer at this moment, as the server itself reported,
+    /// and the age of the report; `None` if it is too old or there is none.
+    pub fn slowdown(&self, now: Instant) -> Option<(f64, Duration)> {
+        self.report.as_ref()?.slowdown(now)
+    }
+
     /// Returns which speed the latency of a request sent now would show, if any.
     pub(super) fn sample_kind(
         &self,
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -4,8 +4,8 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::dispatch::{
-    DispatchRequest, Dispatcher, EngineModel, NodeLoad, PeerLoad, Plan, PromptShape, Stage,
-    TargetInfo, TargetKey,
+    AnswerNeeds, DispatchRequest, Dispatcher, EngineModel, NodeLoad, PeerLoad, Plan, PromptShape,
+    Stage, TargetInfo, TargetKey,
 };
 use pomeloridge_policy::prompt_cache::PromptPart;
 use yare::parameterized;
@@ -69,6 +69,7 @@
         tried,
         allow_separate_prefill: true,
         version: None,
+        needs: AnswerNeeds::default(),
     };
     dispatcher.choose(&request, Instant::now())
 }
@@ -323,6 +324,7 @@
         tried: &[],
         allow_separate_prefill: false,
         version: None,
+        needs: AnswerNeeds::default(),
     };
     let prefill_engine = key(&dispatcher, "p");
     let run = dispatcher
@@ -416,6 +418,7 @@
             tried: &[],
             allow_separate_prefill: true,
             version: None,
+            needs: AnswerNeeds::default(),
         };
         if dispatcher.choose(&request, now).unwrap().prefill == Some(p) {
             attempts += 1;
@@ -505,6 +508,7 @@
         tried,
         allow_separate_prefill: false,
         version: None,
+        needs: AnswerNeeds::default(),
     };
     assert!(dispatcher.has_server(&request(&one), now));
     assert!(!dispatcher.has_server(&request(&both), now));
@@ -570,6 +574,7 @@
             tried: &[],
             allow_separate_prefill: false,
             version: None,
+            needs: AnswerNeeds::default(),
         };
         let plan = dispatcher.choose(&request, now).unwrap();
         dispatcher.begin(plan.server, 0, None, now);
--- a/crates/pomeloridge_policy/tests/policy/dispatch_versions.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch_versions.rs
@@ -4,8 +4,8 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::dispatch::{
-    DispatchRequest, Dispatcher, EngineModel, NodeLoad, PeerLoad, Plan, PromptShape, Stage,
-    TargetInfo, TargetKey,
+    AnswerNeeds, DispatchRequest, Dispatcher, EngineModel, NodeLoad, PeerLoad, Plan, PromptShape,
+    Stage, TargetInfo, TargetKey,
 };
 use pomeloridge_policy::prompt_cache::PromptPart;
 use yare::parameterized;
@@ -87,6 +87,7 @@
         tried: choice.tried,
         allow_separate_prefill: true,
         version: version.as_ref(),
+        needs: AnswerNeeds::default(),
     })
 }
 
--- a/crates/pomeloridge_policy/tests/policy/engine_speed.rs
+++ b/crates/pomeloridge_policy/tests/policy/engine_speed.rs
@@ -4,7 +4,7 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::dispatch::{
-    DispatchRequest, Dispatcher, EngineModel, Plan, PromptShape, Stage, TargetInfo,
+    AnswerNeeds, DispatchRequest, Dispatcher, EngineModel, Plan, PromptShape, Stage, TargetInfo,
 };
 use pomeloridge_policy::prompt_cache::PromptPart;
 use pomeloridge_policy::timeouts::{answer_silence_timeout, caller_ttft_timeout, silence_timeout};
@@ -58,6 +58,7 @@
         tried: &[],
         allow_separate_prefill: true,
         version: None,
+        needs: AnswerNeeds::default(),
     };
     dispatcher.choose(&request, now).unwrap()
 }
@@ -81,7 +82,7 @@
         dispatcher.record_prefill_done(decode, now);
         now += ms(50).mul_f64(factor);
         dispatcher.record_decode(plan.server, 10, ms(50).mul_f64(factor), now);
-        dispatcher.record_output_tokens(plan.server, 40);
+        dispatcher.record_output_tokens(plan.server, &Name::from("chat"), 40);
         dispatcher.end(decode);
     }
     now
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -21,4 +21,5 @@
 mod stream_versions;
 mod support;
 mod suspicion;
+mod uneven_engines;
 mod watchers;
--- a/crates/pomeloridge_policy/tests/policy/rate_limit.rs
+++ b/crates/pomeloridge_policy/tests/policy/rate_limit.rs
@@ -5,7 +5,7 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::crashes::ServerIncarnation;
 use pomeloridge_policy::dispatch::{
-    DispatchRequest, Dispatcher, EngineModel, Stage, TargetInfo, TargetKey,
+    AnswerNeeds, DispatchRequest, Dispatcher, EngineModel, Stage, TargetInfo, TargetKey,
 };
 use pomeloridge_policy::rate_limit::{LimitReport, RateLimit, sender_place, turn_at};
 use proptest::prelude::*;
@@ -329,6 +329,7 @@
         tried: &[],
         allow_separate_prefill: false,
         version: None,
+        needs: AnswerNeeds::default(),
     };
     node.is_told(Some(limit(1.0)), now);
     node.update(&[], 0, now);
