Merge the choice of engines by the whole answer

`Dispatcher::decide` makes the plan for the choice and for its explanation, so that the comparison of all servers, where the sample meets no caller's needs, is explained as well; plain services take part in it. An explanation shows the learnt speed of an engine, and a question's expected output counts as a caller's would.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -9,7 +9,7 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
-use pomeloridge_policy::dispatch::PromptShape;
+use pomeloridge_policy::dispatch::{AnswerNeeds, PromptShape};
 use pomeloridge_policy::part_crashes::{PartId, PartRunKey};
 use pomeloridge_policy::stream_versions::StreamId;
 use pomeloridge_policy::suspicion::Fingerprint;
@@ -87,6 +87,13 @@
         gives_up_before(&self.route, longest, predicted)
     }
 
+    /// Returns what the caller needs from now on.
+    pub(crate) fn needs(&self, now: Instant) -> AnswerNeeds {
+        let waited = now.saturating_duration_since(self.arrived_at);
+        let longest = self.deadline.saturating_duration_since(self.arrived_at);
+        caller_needs(&self.route, self.inbound.max_output, longest, waited)
+    }
+
     /// Returns whether the request continues a stream that another one began.
     pub(crate) fn continues_stream(&self) -> bool {
         continues_stream(&self.route, &self.inbound)
@@ -116,8 +123,32 @@
     if !matches!(route.kind, RouteKind::Stream { .. }) {
         return false;
     }
-    let caller_timeout = caller_ttft_timeout(route.latency_target, route.gap_target, longest);
-    predicted > caller_timeout.mul_f64(MAX_PREDICTED_FRACTION)
+    predicted > give_up_time(route, longest)
+}
+
+/// Returns the time after which a caller of a route, who waits for `longest` at most, is likely to
+/// give up if no first chunk has arrived.
+fn give_up_time(route: &Route, longest: Duration) -> Duration {
+    let timeout = caller_ttft_timeout(route.latency_target, route.gap_target, longest);
+    timeout.mul_f64(MAX_PREDICTED_FRACTION)
+}
+
+/// Returns what a caller of a route needs that has waited for `waited` of `longest`.
+pub(crate) fn caller_needs(
+    route: &Route,
+    max_output: Option<u32>,
+    longest: Duration,
+    waited: Duration,
+) -> AnswerNeeds {
+    AnswerNeeds {
+        output_tokens: max_output,
+        event_tokens: None,
+        waited,
+        first_target: Some(route.latency_target),
+        gap_target: route.gap_target,
+        first_within: give_up_time(route, longest).saturating_sub(waited),
+        end_within: longest.saturating_sub(waited),
+    }
 }
 
 fn continues_stream(route: &Route, inbound: &Inbound) -> bool {
--- a/crates/pomeloridge_gateway/src/route_explain.rs
+++ b/crates/pomeloridge_gateway/src/route_explain.rs
@@ -16,7 +16,8 @@
     Candidate, DispatchRequest, Dispatcher, Explanation, Plan, PromptShape, TargetInfo, TargetKey,
 };
 
-use crate::accept::{DEFAULT_CALLER_TIMEOUT, gives_up_before, shared_parts};
+use crate::accept::{DEFAULT_CALLER_TIMEOUT, caller_needs, gives_up_before, shared_parts};
+use crate::attempt::with_usual_answer;
 use crate::config::{Route, RouteKind, ServingConfig};
 use crate::part_quarantine;
 use crate::state::State;
@@ -35,6 +36,7 @@
     path: String,
     account: Option<Name>,
     prompt: Option<PromptShape>,
+    max_output: Option<u32>,
 }
 
 /// Why the request would be refused.
@@ -185,12 +187,15 @@
 /// Chooses the servers, and notes why none of them would be sent the request.
 fn choose(state: &State, route: &Route, service: &Name, question: &Question, answer: &mut Answer) {
     let now = state.now();
+    let longest = route.timeout.min(DEFAULT_CALLER_TIMEOUT);
+    let needs = caller_needs(route, question.max_output, longest, Duration::ZERO);
     let request = DispatchRequest {
         service,
         prompt: question.prompt.as_ref(),
         tried: &[],
         allow_separate_prefill: true,
         version: None,
+        needs: with_usual_answer(state, route, service, needs),
     };
     let dispatcher = state.dispatcher.borrow();
     let Explanation {
@@ -220,7 +225,6 @@
         }),
         Some(plan) => {
             answer.choice = Some(name_choice(&dispatcher, plan));
-            let longest = route.timeout.min(DEFAULT_CALLER_TIMEOUT);
             let gives_up = gives_up_before(route, longest, plan.ttft);
             let reason = "the caller would time out before the first chunk";
             gives_up.then(|| Refused::new(ErrorKind::Overloaded, reason))
--- a/crates/pomeloridge_gateway/src/route_explain/wire.rs
+++ b/crates/pomeloridge_gateway/src/route_explain/wire.rs
@@ -107,6 +107,7 @@
                 path: wire.path,
                 account: wire.account.map(Name::from),
                 prompt,
+                max_output: wire.tokens.map(|(_, output)| output as u32),
             }),
             _ => Err(problems),
         }
@@ -185,6 +186,7 @@
     cached_tokens: u64,
     reported_running: Option<u32>,
     reported_waiting: Option<u32>,
+    reported_slowdown: Option<f64>,
     report_age_ms: Option<u64>,
 }
 
@@ -247,6 +249,7 @@
             cached_tokens: candidate.cached_tokens,
             reported_running: report.map(|report| report.running),
             reported_waiting: report.map(|report| report.waiting),
+            reported_slowdown: report.and_then(|report| report.slowdown),
             report_age_ms: report_age.map(whole_ms),
         }
     }
--- a/crates/pomeloridge_policy/src/dispatch/explain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/explain.rs
@@ -10,7 +10,7 @@
 
 use super::load::ReportedLoad;
 use super::target::{Target, TargetKey};
-use super::{DispatchRequest, Dispatcher, Draw, Plan, PromptShape};
+use super::{DispatchRequest, Dispatcher, Draw, Plan, Selection};
 
 /// Why a server takes no request now.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -138,10 +138,9 @@
     /// Explains what [`Dispatcher::choose`] would return now.
     pub fn explain(&self, request: &DispatchRequest<'_>, now: Instant) -> Explanation {
         let _next = NextDraw::new(&self.draw);
-        let usual = self.plan(request, now, false);
-        let is_last_resort = usual.is_none();
-        let plan = usual.or_else(|| self.plan(request, now, true));
-        let compared = self.compared(request, now, is_last_resort);
+        let decided = self.decide(request, now);
+        let selection = decided.map_or(Selection::LastResort, |(_, selection)| selection);
+        let compared = self.compared(request, selection, now);
         let of_service = self.targets.iter();
         let of_service = of_service.filter(|(_, target)| target.info.service == *request.service);
         let mut holders = BTreeMap::new();
@@ -152,11 +151,13 @@
                     server: key,
                     bars: bars(key, target, request, now).collect(),
                     is_compared: compared.contains(&key),
-                    predicted: self.predicted(key, prompt, &mut holders, now),
+                    predicted: self.predicted(key, request, &mut holders, now),
                     cached_tokens: prompt.map_or(0, |prompt| {
                         target.prompt_cache.leading_tokens(&prompt.parts)
                     }),
-                    speed: self.learned_pace(target, now),
+                    speed: self
+                        .learned_pace(target, now)
+                        .or_else(|| self.learned_speed(target, now)),
                     running: target.running(now),
                     prefill_tokens: target.prefill_tokens(now),
                     report: target.report,
@@ -165,8 +166,8 @@
             .collect();
         candidates.sort_by_key(|candidate| (!candidate.is_compared, candidate.predicted));
         Explanation {
-            is_last_resort: is_last_resort && plan.is_some(),
-            plan,
+            is_last_resort: decided.is_some() && selection == Selection::LastResort,
+            plan: decided.map(|(plan, _)| plan),
             candidates,
         }
     }
@@ -175,17 +176,17 @@
     fn compared(
         &self,
         request: &DispatchRequest<'_>,
+        selection: Selection,
         now: Instant,
-        last_resort: bool,
     ) -> Vec<TargetKey> {
-        let eligible = self.eligible(request, now, last_resort);
+        let eligible = self.eligible(request, now, selection == Selection::LastResort);
         let Some(prompt) = request.prompt else {
-            return self.draw_plain(&eligible);
+            return self.select_plain(eligible, selection);
         };
         let groups = self.group_by_version(eligible).into_values();
         let compared = groups.flat_map(|engines| {
             let home = self.home_engine(prompt, &engines);
-            let sample = self.sample_targets(engines);
+            let sample = self.select(engines, selection);
             let home = home.filter(|home| !sample.contains(home));
             sample.into_iter().chain(home)
         });
@@ -197,18 +198,19 @@
     fn predicted(
         &self,
         key: TargetKey,
-        prompt: Option<&PromptShape>,
+        request: &DispatchRequest<'_>,
         holders: &mut BTreeMap<Name, Option<(TargetKey, u64)>>,
         now: Instant,
     ) -> Duration {
         let target = &self.targets[key];
-        let Some(prompt) = prompt else {
+        let Some(prompt) = request.prompt else {
             return self.answer_time(target, now);
         };
         let version = &target.info.version;
         let holder = holders.entry(version.clone());
         let holder = *holder.or_insert_with(|| self.best_cache_holder(prompt, version, now));
-        let plan = self.lowest_ttft(prompt, &[key], holder, None, now);
-        plan.map_or(Duration::MAX, |plan| plan.ttft)
+        let keys = [key];
+        let mut plans = self.prefill_plans(prompt, &request.needs, &keys, holder, None, now);
+        plans.next().map_or(Duration::MAX, |plan| plan.ttft)
     }
 }
--- a/crates/pomeloridge_policy/src/dispatch/plain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/plain.rs
@@ -10,7 +10,7 @@
 
 use super::explain::LearnedSpeed;
 use super::target::{Target, TargetKey};
-use super::{Dispatcher, Plan};
+use super::{Dispatcher, Plan, Selection};
 use crate::hash::splitmix64;
 
 /// Answer time assumed of a service before any was measured.
@@ -76,26 +76,39 @@
 }
 
 impl Dispatcher {
-    /// Chooses among the servers of a plain service that may take a request.
-    pub(super) fn fastest_answer(&self, eligible: &[TargetKey], now: Instant) -> Option<Plan> {
-        let drawn = self.draw_plain(eligible);
+    /// Chooses among servers of a plain service.
+    pub(super) fn fastest_answer(&self, keys: Vec<TargetKey>, now: Instant) -> Option<Plan> {
         let cost = |key: &TargetKey| {
             let target = &self.targets[*key];
             (self.answer_time(target, now), self.draw_number(target))
         };
-        let server = drawn.into_iter().min_by_key(cost)?;
+        let server = keys.into_iter().min_by_key(cost)?;
+        let time = self.answer_time(&self.targets[server], now);
         Some(Plan {
             server,
             prefill: None,
             fetch_from: None,
             prefill_tokens: 0,
-            ttft: self.answer_time(&self.targets[server], now),
+            ttft: time,
+            end: time,
+            cost: time,
         })
     }
 
+    /// Selects the plain servers that are compared for the next request.
+    pub(super) fn select_plain(
+        &self,
+        eligible: Vec<TargetKey>,
+        selection: Selection,
+    ) -> Vec<TargetKey> {
+        match selection {
+            Selection::All => eligible,
+            Selection::Sample | Selection::LastResort => self.draw_plain(eligible),
+        }
+    }
+
     /// Draws the servers that are compared for the next request.
-    pub(super) fn draw_plain(&self, eligible: &[TargetKey]) -> Vec<TargetKey> {
-        let mut keys = eligible.to_vec();
+    fn draw_plain(&self, mut keys: Vec<TargetKey>) -> Vec<TargetKey> {
         keys.sort_unstable_by_key(|key| self.draw_number(&self.targets[*key]));
         let is_local = |key: &TargetKey| self.targets[*key].info.data_centre == self.data_centre;
         let (mut drawn, remote): (Vec<_>, Vec<_>) = keys.into_iter().partition(is_local);
--- a/crates/pomeloridge_policy/tests/policy/plain_services.rs
+++ b/crates/pomeloridge_policy/tests/policy/plain_services.rs
@@ -4,8 +4,8 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::dispatch::{
-    DispatchRequest, Dispatcher, EngineModel, NodeLoad, PeerLoad, ReportedLoad, Stage, TargetInfo,
-    TargetKey,
+    AnswerNeeds, DispatchRequest, Dispatcher, EngineModel, NodeLoad, PeerLoad, ReportedLoad, Stage,
+    TargetInfo, TargetKey,
 };
 use yare::parameterized;
 
@@ -60,6 +60,7 @@
         tried: &[],
         allow_separate_prefill: false,
         version: None,
+        needs: AnswerNeeds::default(),
     };
     node.choose(&request, now).unwrap().server
 }
--- a/crates/pomeloridge_policy/tests/policy/route_explain.rs
+++ b/crates/pomeloridge_policy/tests/policy/route_explain.rs
@@ -5,8 +5,8 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::dispatch::{
-    Bar, Candidate, DispatchRequest, Dispatcher, EngineModel, Explanation, PromptShape,
-    ReportedLoad, Stage, TargetInfo, TargetKey,
+    AnswerNeeds, Bar, Candidate, DispatchRequest, Dispatcher, EngineModel, Explanation,
+    PromptShape, ReportedLoad, Stage, TargetInfo, TargetKey,
 };
 use pomeloridge_policy::prompt_cache::PromptPart;
 use pomeloridge_policy::rate_limit::RateLimit;
@@ -54,6 +54,7 @@
         tried: &[],
         allow_separate_prefill: true,
         version: None,
+        needs: AnswerNeeds::default(),
     }
 }
 
