Tell operators first that a gateway is cut off

A gateway that is cut off refuses all requests before it looks for a route. The explanation named an unknown route first.

--- a/crates/pomeloridge_gateway/src/route_explain.rs
+++ b/crates/pomeloridge_gateway/src/route_explain.rs
@@ -94,6 +94,13 @@
     left_out: usize,
 }
 
+impl Answer {
+    /// Notes why the request would be refused, unless something refuses it before.
+    fn refuse(&mut self, refused: Refused) {
+        self.refused.get_or_insert(refused);
+    }
+}
+
 /// Answers an operator's question.
 pub(crate) fn respond(state: &State, request: &Request) -> Response {
     let tokens = state.settings().tokens("operator", "tokens");
@@ -163,9 +170,10 @@
         answer.refused = Some(ErrorKind::NoConfig.into());
         return answer;
     };
+    answer.refused = state.is_cut_off().then(|| ErrorKind::CutOff.into());
     let route = config.route(&question.host, &question.path).cloned();
     let Some(route) = route else {
-        answer.refused = Some(ErrorKind::UnknownPath.into());
+        answer.refuse(ErrorKind::UnknownPath.into());
         return answer;
     };
     answer.route = Some(route.name.clone());
@@ -175,9 +183,11 @@
     let services = shares.iter().take(MAX_SERVICES);
     let services = services.map(|share| format!("{}:{}", share.service, share.weight));
     answer.services = services.collect();
-    answer.refused = admission(state, &config, &route, question).err();
+    if let Err(refused) = admission(state, &config, &route, question) {
+        answer.refuse(refused);
+    }
     let Some(service) = shares.first().map(|share| &share.service) else {
-        answer.refused.get_or_insert(ErrorKind::NoServer.into());
+        answer.refuse(ErrorKind::NoServer.into());
         return answer;
     };
     choose(state, &route, service, question, &mut answer);
@@ -230,12 +240,12 @@
             gives_up.then(|| Refused::new(ErrorKind::Overloaded, reason))
         }
     };
-    if answer.refused.is_none() {
-        answer.refused = refused;
+    if let Some(refused) = refused {
+        answer.refuse(refused);
     }
 }
 
-/// Checks what decides before a server is chosen, in the order of the gateway. The check of an
+/// Checks what decides between the route and the servers, in the order of the gateway. The check of an
 /// account's allotment belongs after that of the account.
 fn admission(
     state: &State,
@@ -243,9 +253,6 @@
     route: &Route,
     question: &Question,
 ) -> Result<(), Refused> {
-    if state.is_cut_off() {
-        return Err(ErrorKind::CutOff.into());
-    }
     check_account(config, route, question)?;
     let now = state.now();
     if state.lifecycle.admit(now + route.timeout, now).is_none() {
