--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -9,7 +9,7 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
-use pomeloridge_policy::dispatch::{PromptShape, TargetKey};
+use pomeloridge_policy::dispatch::{AnswerNeeds, PromptShape, TargetKey};
 use pomeloridge_policy::part_crashes::{PartId, PartRunKey};
 use pomeloridge_policy::stream_versions::StreamId;
 use pomeloridge_policy::suspicion::Fingerprint;
@@ -20,7 +20,7 @@
 use crate::state::State;
 
 /// Time that a caller is assumed to wait if its request has no deadline.
-const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
+pub(crate) const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 8;
 /// Priority of requests that continue a stream.
@@ -83,13 +83,15 @@
     /// Whether the caller is likely to give up before a first chunk that arrives after
     /// `predicted`.
     pub(crate) fn caller_gives_up_before(&self, predicted: Duration) -> bool {
-        if !matches!(self.route.kind, RouteKind::Stream { .. }) {
-            return false;
-        }
         let longest = self.deadline.saturating_duration_since(self.arrived_at);
-        let caller_timeout =
-            caller_ttft_timeout(self.route.latency_target, self.route.gap_target, longest);
-        predicted > caller_timeout.mul_f64(MAX_PREDICTED_FRACTION)
+        gives_up_before(&self.route, longest, predicted)
+    }
+
+    /// Returns what the caller needs from now on.
+    pub(crate) fn needs(&self, now: Instant) -> AnswerNeeds {
+        let waited = now.saturating_duration_since(self.arrived_at);
+        let longest = self.deadline.saturating_duration_since(self.arrived_at);
+        caller_needs(&self.route, self.inbound.max_output, longest, waited)
     }
 
     /// Returns whether the request continues a stream that another one began.
@@ -129,6 +131,40 @@
     }
 }
 
+/// Returns whether a caller of a route, who waits for `longest` at most, is likely to give up
+/// before a first chunk that arrives after `predicted`.
+pub(crate) fn gives_up_before(route: &Route, longest: Duration, predicted: Duration) -> bool {
+    if !matches!(route.kind, RouteKind::Stream { .. }) {
+        return false;
+    }
+    predicted > give_up_time(route, longest)
+}
+
+/// Returns the time after which a caller of a route, who waits for `longest` at most, is likely to
+/// give up if no first chunk has arrived.
+fn give_up_time(route: &Route, longest: Duration) -> Duration {
+    let timeout = caller_ttft_timeout(route.latency_target, route.gap_target, longest);
+    timeout.mul_f64(MAX_PREDICTED_FRACTION)
+}
+
+/// Returns what a caller of a route needs that has waited for `waited` of `longest`.
+pub(crate) fn caller_needs(
+    route: &Route,
+    max_output: Option<u32>,
+    longest: Duration,
+    waited: Duration,
+) -> AnswerNeeds {
+    AnswerNeeds {
+        output_tokens: max_output,
+        event_tokens: None,
+        waited,
+        first_target: Some(route.latency_target),
+        gap_target: route.gap_target,
+        first_within: give_up_time(route, longest).saturating_sub(waited),
+        end_within: longest.saturating_sub(waited),
+    }
+}
+
 fn continues_stream(route: &Route, inbound: &Inbound) -> bool {
     route.kind.is_resumable() && inbound.last_event.is_some()
 }
@@ -166,7 +202,7 @@
                 priority,
                 deadline,
                 caller_deadline: arrived_at + caller_timeout,
-                shared_parts: shared_parts(&inbound),
+                shared_parts: shared_parts(inbound.prompt.as_ref()),
                 trial: Cell::default(),
                 part_runs: RefCell::default(),
                 inbound,
@@ -181,8 +217,7 @@
 }
 
 /// Returns each prompt part that other requests may share once, in order.
-fn shared_parts(inbound: &Inbound) -> Vec<PartId> {
-    let prompt = inbound.prompt.as_ref();
+pub(crate) fn shared_parts(prompt: Option<&PromptShape>) -> Vec<PartId> {
     let parts = prompt.map_or(&[][..], PromptShape::shared_parts).iter();
     let mut seen = HashSet::new();
     let parts = parts.map(|part| part.id);
--- a/crates/pomeloridge_gateway/src/attempt/other.rs
+++ b/crates/pomeloridge_gateway/src/attempt/other.rs
@@ -4,6 +4,8 @@
 //! It is kept apart from the attempts that follow one another, and counted with them once the
 //! attempt that goes on has failed, too.
 
+use std::time::Instant;
+
 use pomeloridge_policy::dispatch::{DispatchRequest, TargetKey};
 
 use super::{Attempts, MAX_REFUSED_SENDS};
@@ -34,13 +36,18 @@
     }
 
     /// Returns what decides where the request may run next, on one server.
-    pub(crate) fn request_beside<'b>(&'b self, tried: &'b [TargetKey]) -> DispatchRequest<'b> {
+    pub(crate) fn request_beside<'b>(
+        &'b self,
+        tried: &'b [TargetKey],
+        now: Instant,
+    ) -> DispatchRequest<'b> {
         DispatchRequest {
             service: &self.accepted.service,
             prompt: self.accepted.inbound.prompt.as_ref(),
             tried,
             allow_separate_prefill: false,
             version: self.version.get(),
+            needs: self.needs(now),
         }
     }
 
--- a/crates/pomeloridge_gateway/src/hedge.rs
+++ b/crates/pomeloridge_gateway/src/hedge.rs
@@ -266,7 +266,7 @@
         hedging.check(&accepted.service, server, load, now)?;
         drop(hedging);
         let tried = attempts.tried_with(server);
-        let plan = dispatcher.plan_second(&attempts.request_beside(&tried), now);
+        let plan = dispatcher.plan_second(&attempts.request_beside(&tried, now), now);
         let plan = plan.ok_or(HedgeDenial::Servers)?;
         drop(dispatcher);
         let charged_at = charge(state, accepted).ok_or(HedgeDenial::Budget)?;
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod ports;
 mod prefill;
 mod request;
+mod route_explain;
 mod scale_duty;
 mod server_limits;
 mod server_list;
@@ -49,7 +50,9 @@
 pub use events::{Event, EventSplitter};
 pub use fleet_clock::FleetClock;
 pub use node::run;
-pub use request::{Dispatch, Inbound, KvHandle, KvSource, Notice, ResponseHead, SendStage};
+pub use request::{
+    Dispatch, Inbound, KvHandle, KvSource, Notice, ResponseHead, SendStage, ServerLoad,
+};
 pub use server_list::{ApplyOutcome, ServerList, ServerListDelta};
 pub use server_registry::ServerRegistry;
 pub use settings::ReloadSettings;
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -4,7 +4,7 @@
 //! is resumable, another server continues after the last event within the same response;
 //! otherwise the response ends truncated.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::http::{Fault, Responder, Response};
+use pomeloridge_base::id::Name;
 use pomeloridge_base::meter::{Counter, Timer};
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::crashes::RunOutcome;
@@ -55,6 +56,8 @@
     pub(crate) first_chunk: Option<Duration>,
     /// Longest time between two chunks.
     pub(crate) longest_gap: Duration,
+    /// Number of events that were forwarded.
+    pub(crate) events: u64,
 }
 
 enum AttemptError {
@@ -86,6 +89,8 @@
     last_event: Option<u64>,
     last_chunk_at: Option<Instant>,
     timing: StreamTiming,
+    /// Servers to which the request was sent, in order.
+    servers: RefCell<Vec<Name>>,
     /// Number of tokens that the service's engines put into one event.
     tokens_per_event: u64,
 }
@@ -108,6 +113,7 @@
             last_event: accepted.inbound.last_event,
             last_chunk_at: None,
             timing: StreamTiming::default(),
+            servers: RefCell::default(),
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
         }
     }
@@ -260,6 +266,9 @@
         };
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
+        self.servers
+            .borrow_mut()
+            .push(self.state.server_name(plan.server));
         let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, attempts);
         in_flight.watch_parts(accepted);
         let mut watch = SilenceWatch {
@@ -438,7 +447,7 @@
         if !events.is_empty() {
             return Err(AttemptError::Server(Failure::InvalidResponse));
         }
-        in_flight.record_output(rate, is_continuation);
+        in_flight.record_output(&self.accepted.route.name, rate, is_continuation);
         in_flight.set_outcome(RunOutcome::Answered);
         self.send_head(responder).await?;
         responder.finish().await.map_err(AttemptError::CallerGone)?;
@@ -470,6 +479,7 @@
             }
             self.is_unnumbered |= event.id.is_none();
             self.last_event = event.id.or(self.last_event);
+            self.timing.events += 1;
             bytes.extend_from_slice(&event.bytes);
         }
         if !bytes.is_empty() {
@@ -486,6 +496,12 @@
         Ok(tokens)
     }
 
+    /// Returns the servers to which the request was sent, for the log.
+    pub(crate) fn server_labels(&self) -> String {
+        let names = self.servers.borrow();
+        names.iter().map(Name::as_str).collect::<Vec<_>>().join(",")
+    }
+
     pub(crate) fn timing(&self) -> StreamTiming {
         self.timing
     }
--- a/crates/pomeloridge_policy/src/dispatch/spare.rs
+++ b/crates/pomeloridge_policy/src/dispatch/spare.rs
@@ -4,7 +4,7 @@
 
 use pomeloridge_base::id::Name;
 
-use super::{DispatchRequest, Dispatcher, Plan, Stage};
+use super::{DispatchRequest, Dispatcher, Plan, Selection, Stage};
 
 /// Requests in flight per slot of a server up to which it takes second attempts.
 const MAX_SERVER_USE: f64 = 0.5;
@@ -15,7 +15,7 @@
     /// Plans a second attempt beside one that is running, at a server with room. Nothing is
     /// reserved, and no ejected server is probed by it.
     pub fn plan_second(&self, request: &DispatchRequest<'_>, now: Instant) -> Option<Plan> {
-        let plan = self.plan(request, now, false)?;
+        let plan = self.plan(request, Selection::Sample, now)?;
         let target = self.target(plan.server)?;
         let room = f64::from(target.info.slots) * MAX_SERVER_USE;
         let has_room = f64::from(target.running(now) + 1) <= room;
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -9,6 +9,8 @@
 
 use super::SampleKind;
 use super::load::{NodeLoad, PeerLoads, ReportedLoad};
+use super::plain::AnswerPace;
+use super::speed::ServerSpeed;
 use crate::crashes::ServerIncarnation;
 use crate::ejection::Ejection;
 use crate::prompt_cache::PromptCache;
@@ -90,6 +92,9 @@
     pub(super) own_load: NodeLoad,
     pub(super) peer_loads: PeerLoads,
     pub(super) report: Option<ReportedLoad>,
+    /// Time that its answers take, if it belongs to a plain service.
+    pub(super) pace: Option<AnswerPace>,
+    pub(super) speed: ServerSpeed,
     pub(super) ejection: Ejection,
     /// Until when it is assumed to be changing its stage.
     pub(super) stage_change_until: Option<Instant>,
@@ -116,6 +121,8 @@
             own_load: NodeLoad::default(),
             peer_loads: PeerLoads::default(),
             report: None,
+            pace: None,
+            speed: ServerSpeed::default(),
             ejection: Ejection::default(),
             stage_change_until: None,
             announced_leaving: false,
@@ -150,6 +157,12 @@
         self.own_load.prefill_tokens + self.peer_loads.sum(now).prefill_tokens
     }
 
+    /// Returns the factor by which work takes longer at this moment, as the server itself reported,
+    /// and the age of the report; `None` if it is too old or there is none.
+    pub fn slowdown(&self, now: Instant) -> Option<(f64, Duration)> {
+        self.report.as_ref()?.slowdown(now)
+    }
+
     /// Returns which speed the latency of a request sent now would show, if any.
     pub(super) fn sample_kind(
         &self,
@@ -171,6 +184,13 @@
         }
     }
 
+    /// Returns what the time of an answer to a request without a prompt sent now would show, if
+    /// anything.
+    pub(super) fn answer_sample_kind(&self, now: Instant) -> Option<SampleKind> {
+        let has_free_slot = self.running(now) < self.info.slots;
+        (self.info.stage == Stage::Unified && has_free_slot).then_some(SampleKind::Answer)
+    }
+
     /// Returns the hash of its identity, the same on every node.
     pub fn hash(&self) -> u32 {
         self.id_hash
