Send an engine no more tokens than it has room for

Cause: an engine whose requests exceed its memory crashes, and nothing counted the tokens that requests hold; only slots bounded what was sent.

An engine without room is not chosen; without any, the request is refused as not run. - Callers whose needs no drawn engine meets get all engines compared, also where no drawn one has room. - At most 16 measurements of speeds go into a heartbeat (64 before): with 240 nodes in a data centre the span of a round would fill it, at 80 words a second. - The number of peers is updated also while there is none to send to. - The chance to miss the gap target grows with the eighth power, that of the others with the fourth: where engines are equal, prompts were read apart for harm that did not come.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -184,6 +184,8 @@
         monoio::time::sleep(settings.time("peers", "pause_ms")).await;
         let fan_out = settings.number("peers", "fan_out") as usize;
         server_limits::refresh(&state);
+        let peer_count = state.peers.borrow().live_count(state.now());
+        state.dispatcher.borrow_mut().set_peer_count(peer_count);
         let plan = RoundPlan::new(&state, fan_out);
         let [local, remote] = state
             .peers
@@ -315,10 +317,6 @@
 fn heartbeat(state: &State, plan: &RoundPlan, fan_out: usize) -> PeerMessage {
     let now = state.now();
     let peers = state.peers.borrow();
-    state
-        .dispatcher
-        .borrow_mut()
-        .set_peer_count(peers.live_count(now));
     // Each peer receives one heartbeat in this many rounds; one more round covers a loss.
     let rounds = peers.rounds_to_cover(fan_out, plan.is_awaited) + 1;
     let pause = state.settings().time("peers", "pause_ms");
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -455,6 +455,9 @@
     prefill_tokens: Vec<u64>,
     #[prost(uint32, repeated, tag = "3")]
     running: Vec<u32>,
+    /// Tokens that the requests hold on the servers; empty from a former build.
+    #[prost(uint64, repeated, tag = "4")]
+    held_tokens: Vec<u64>,
 }
 
 impl FromIterator<(u32, NodeLoad)> for LoadsWire {
@@ -464,6 +467,7 @@
             wire.servers.push(server);
             wire.prefill_tokens.push(load.prefill_tokens);
             wire.running.push(load.running);
+            wire.held_tokens.push(load.held_tokens);
         }
         wire
     }
@@ -472,11 +476,15 @@
 impl LoadsWire {
     /// Returns the loads by server hash, as received at a time.
     pub(super) fn into_peer_loads(self, at: Instant) -> Vec<(u32, PeerLoad)> {
+        let held_tokens = self.held_tokens.into_iter().chain(std::iter::repeat(0));
         let loads = self.prefill_tokens.into_iter().zip(self.running);
-        let loads = loads.map(|(prefill_tokens, running)| NodeLoad {
-            prefill_tokens,
-            running,
-        });
+        let loads = loads
+            .zip(held_tokens)
+            .map(|((prefill_tokens, running), held_tokens)| NodeLoad {
+                prefill_tokens,
+                running,
+                held_tokens,
+            });
         let by_server = self.servers.into_iter().zip(loads);
         by_server
             .map(|(server, load)| (server, PeerLoad { load, at }))
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -6,7 +6,8 @@
 //! engine followed by a transfer of the KV cache to a decode engine, or the whole
 //! request on one decode engine. A prediction includes the prompt tokens queued on
 //! the engine, as counted by this node and last reported by its peers, and leaves
-//! out the shared prompt parts that the engine has cached.
+//! out the shared prompt parts that the engine has cached. An engine whose requests exceed its
+//! memory crashes, so that none is sent more tokens than it has room for.
 
 mod answer;
 mod calibration;
@@ -113,6 +114,7 @@
 struct InFlight {
     target: TargetKey,
     prefill_tokens: u64,
+    held_tokens: u64,
     /// Measurement to take once its prefill is done, if any.
     sample: Option<SpeedSample>,
 }
@@ -296,16 +298,15 @@
     pub fn choose(&mut self, request: &DispatchRequest<'_>, now: Instant) -> Option<Plan> {
         self.rotation = self.rotation.wrapping_add(1);
         self.random_state = splitmix64(self.random_state);
-        // As a last resort, ejected servers and those changing their stage are considered.
-        let plan = self
-            .plan(request, now, false)
+        let is_good = |plan: &Plan| request.needs.are_met_by(plan.ttft, plan.end);
+        // Servers that were not drawn may be idle. As a last resort, ejected servers and those
+        // changing their stage are considered.
+        let drawn = self.plan(request, now, false);
+        let plan = drawn
+            .filter(is_good)
+            .or_else(|| self.plan_all(request, now))
+            .or(drawn)
             .or_else(|| self.plan(request, now, true))?;
-        let plan = if request.needs.are_met_by(plan.ttft, plan.end) {
-            plan
-        } else {
-            // Servers that were not drawn may be idle.
-            self.plan_all(request, now).unwrap_or(plan)
-        };
         for key in [Some(plan.server), plan.prefill].into_iter().flatten() {
             if let Some(target) = self.targets.get_mut(key) {
                 target.ejection.take_due_probe(now);
@@ -364,7 +365,9 @@
         if let Some(request) = self.in_flight.remove(key)
             && let Some(target) = self.targets.get_mut(request.target)
         {
-            target.own_load.running = target.own_load.running.saturating_sub(1);
+            let load = &mut target.own_load;
+            load.running = load.running.saturating_sub(1);
+            load.held_tokens = load.held_tokens.saturating_sub(request.held_tokens);
         }
     }
 
@@ -416,11 +419,7 @@
     pub fn loads_including(&self, peers: &HashSet<Name>, now: Instant) -> Vec<(u32, NodeLoad)> {
         let loads = self.targets.values().map(|target| {
             let others = target.peer_loads.sum_of(|name| peers.contains(name), now);
-            let load = NodeLoad {
-                prefill_tokens: target.own_load.prefill_tokens + others.prefill_tokens,
-                running: target.own_load.running + others.running,
-            };
-            (target.id_hash, load)
+            (target.id_hash, target.own_load.plus(others))
         });
         loads.filter(|(_, load)| load.running > 0).collect()
     }
--- a/crates/pomeloridge_policy/src/dispatch/answer.rs
+++ b/crates/pomeloridge_policy/src/dispatch/answer.rs
@@ -14,8 +14,12 @@
 use super::engine_model::EngineModel;
 use super::target::{Stage, Target};
 
-/// Power of the used share with which the chance to miss a target grows.
+/// Power of the used share with which the chance to miss the first event's target or the deadline
+/// grows.
 const MISS_POWER: i32 = 4;
+/// The same for the gap target. Gaps are bounded by the batch and by the prompt tokens read in a
+/// step, so that they are less often far from their prediction.
+const GAP_MISS_POWER: i32 = 8;
 /// Shortest target that shares are taken of.
 const MIN_TARGET: Duration = Duration::from_millis(1);
 
@@ -65,16 +69,17 @@
         let Some(first_target) = self.first_target else {
             return Duration::ZERO;
         };
-        let chances = miss_chance(self.waited + times.first, self.first_target)
-            + miss_chance(times.gap, self.gap_target)
-            + miss_chance(times.end, Some(self.end_within));
+        let first = self.waited + times.first;
+        let chances = miss_chance(first, self.first_target, MISS_POWER)
+            + miss_chance(times.gap, self.gap_target, GAP_MISS_POWER)
+            + miss_chance(times.end, Some(self.end_within), MISS_POWER);
         first_target.mul_f64(chances)
     }
 }
 
-fn miss_chance(time: Duration, target: Option<Duration>) -> f64 {
+fn miss_chance(time: Duration, target: Option<Duration>, power: i32) -> f64 {
     let target = target.map(|target| target.max(MIN_TARGET).as_secs_f64());
-    target.map_or(0.0, |target| (time.as_secs_f64() / target).powi(MISS_POWER))
+    target.map_or(0.0, |target| (time.as_secs_f64() / target).powi(power))
 }
 
 /// The predicted times of an answer on an engine.
--- a/crates/pomeloridge_policy/src/dispatch/load.rs
+++ b/crates/pomeloridge_policy/src/dispatch/load.rs
@@ -18,6 +18,20 @@
     pub prefill_tokens: u64,
     /// Requests in flight.
     pub running: u32,
+    /// Tokens that these requests hold in the server's KV cache, with the expected output.
+    pub held_tokens: u64,
+}
+
+impl NodeLoad {
+    /// Returns the sum of two loads.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            prefill_tokens: self.prefill_tokens + other.prefill_tokens,
+            running: self.running + other.running,
+            held_tokens: self.held_tokens + other.held_tokens,
+        }
+    }
 }
 
 /// The load of a peer on a server.
@@ -83,9 +97,6 @@
             .0
             .iter()
             .filter(|(name, load)| recent(load) && includes(name));
-        recent.fold(NodeLoad::default(), |sum, (_, peer)| NodeLoad {
-            prefill_tokens: sum.prefill_tokens + peer.load.prefill_tokens,
-            running: sum.running + peer.load.running,
-        })
+        recent.fold(NodeLoad::default(), |sum, (_, peer)| sum.plus(peer.load))
     }
 }
--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -92,7 +92,11 @@
         };
         let choose = |last_resort| {
             let mut usable = self.sample_targets(self.eligible(&request, now, last_resort));
-            usable.retain(|key| self.targets[*key].info.stage != Stage::Prefill);
+            let tokens = tokens + u64::from(needs.output_tokens.unwrap_or_default());
+            usable.retain(|key| {
+                let target = &self.targets[*key];
+                target.info.stage != Stage::Prefill && target.has_room(tokens, now)
+            });
             let read = ReadPrompt {
                 engine: prefill_engine,
                 tokens,
@@ -161,9 +165,14 @@
             holder,
         } = engines;
         let needs = &request.needs;
+        let output_tokens = needs.output_tokens.unwrap_or_default();
+        let tokens = prompt.tokens + u64::from(output_tokens);
         let of_stage = |stage: Stage| {
             let keys = usable.iter().copied();
-            keys.filter(move |key| self.targets[*key].info.stage == stage)
+            keys.filter(move |key| {
+                let target = &self.targets[*key];
+                target.info.stage == stage && target.has_room(tokens, now)
+            })
         };
         let prefill_engines: Vec<TargetKey> = of_stage(Stage::Prefill).collect();
         let decode_engines: Vec<TargetKey> = of_stage(Stage::Decode)
--- a/crates/pomeloridge_policy/src/dispatch/requests.rs
+++ b/crates/pomeloridge_policy/src/dispatch/requests.rs
@@ -30,9 +30,14 @@
                 .sample_kind(prefill_tokens, prompt.tokens, now)?;
             Some(SpeedSample { sent_at: now, kind })
         });
+        let output_tokens = self.targets.get(key).map_or(0, |target| {
+            u64::from(self.model(&target.info.service).output_tokens)
+        });
+        let held_tokens = prompt.map_or(0, |prompt| prompt.tokens + output_tokens);
         if let Some(target) = self.targets.get_mut(key) {
             target.own_load.running += 1;
             target.own_load.prefill_tokens += prefill_tokens;
+            target.own_load.held_tokens += held_tokens;
             if let Some(prompt) = prompt {
                 let server = target.id_hash;
                 // Peers already know of parts that the server holds.
@@ -46,6 +51,7 @@
         self.in_flight.insert(InFlight {
             target: key,
             prefill_tokens,
+            held_tokens,
             sample,
         })
     }
--- a/crates/pomeloridge_policy/src/dispatch/speed.rs
+++ b/crates/pomeloridge_policy/src/dispatch/speed.rs
@@ -23,7 +23,7 @@
 /// Time without measurements after which an estimate counts half.
 const HALF_LIFE: Duration = Duration::from_secs(20);
 /// Maximum number of latest measurements that are told to peers.
-const MAX_REPORTS: usize = 64;
+const MAX_REPORTS: usize = 16;
 /// Steps of a quantised ratio in which it changes by the factor e.
 const STEPS_PER_E: f64 = 16.0;
 
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -148,6 +148,13 @@
         sent.max(reported)
     }
 
+    /// Returns whether the requests that are known to be on the server leave memory for this many
+    /// more tokens.
+    pub fn has_room(&self, tokens: u64, now: Instant) -> bool {
+        let held = self.own_load.plus(self.peer_loads.sum(now)).held_tokens;
+        self.info.kv_capacity == 0 || held + tokens <= self.info.kv_capacity
+    }
+
     /// Returns the prompt tokens that nodes have sent and the server has not prefilled.
     pub fn prefill_tokens(&self, now: Instant) -> u64 {
         self.own_load.prefill_tokens + self.peer_loads.sum(now).prefill_tokens
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -120,6 +120,7 @@
         load: NodeLoad {
             prefill_tokens: 50_000,
             running: 20,
+            ..NodeLoad::default()
         },
         at: now,
     };
--- a/crates/pomeloridge_policy/tests/policy/dispatch_versions.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch_versions.rs
@@ -56,6 +56,7 @@
         load: NodeLoad {
             prefill_tokens: 400_000,
             running: 60,
+            ..NodeLoad::default()
         },
         at: now,
     };
