Weigh gaps by how steady the service's engines are

Cause: how often a gap misses its target when a share of it is predicted depends on how far decode times are off their predictions, and engines with slow moments are off by much more than steady ones. The power now follows from the measured spread of decode times, each relative to the speed of its engine.

--- a/crates/pomeloridge_policy/src/dispatch/answer.rs
+++ b/crates/pomeloridge_policy/src/dispatch/answer.rs
@@ -16,10 +16,12 @@
 
 /// Power of the used share with which the chance to miss the first event's target or the deadline
 /// grows.
-const MISS_POWER: i32 = 4;
-/// The same for the gap target. Gaps are bounded by the batch and by the prompt tokens read in a
-/// step, so that they are less often far from their prediction.
-const GAP_MISS_POWER: i32 = 8;
+const MISS_POWER: f64 = 4.0;
+/// Product of the spread of decode times and the power for the gap target, by which the logistic
+/// curve comes closest to the normal distribution.
+const LOGISTIC_SCALE: f64 = 1.7;
+/// Plausible spreads of decode times.
+const SPREADS: std::ops::RangeInclusive<f64> = 0.1..=0.6;
 /// Shortest target that shares are taken of.
 const MIN_TARGET: Duration = Duration::from_millis(1);
 
@@ -65,21 +67,21 @@
 
     /// Returns the chances to miss the gap target and the deadline, and a first event later than
     /// its target, as a time.
-    fn miss_cost(&self, times: &AnswerTimes) -> Duration {
+    fn miss_cost(&self, times: &AnswerTimes, gap_power: f64) -> Duration {
         let Some(first_target) = self.first_target else {
             return Duration::ZERO;
         };
         let first = self.waited + times.first;
         let chances = miss_chance(first, self.first_target, MISS_POWER)
-            + miss_chance(times.gap, self.gap_target, GAP_MISS_POWER)
+            + miss_chance(times.gap, self.gap_target, gap_power)
             + miss_chance(times.end, Some(self.end_within), MISS_POWER);
         first_target.mul_f64(chances)
     }
 }
 
-fn miss_chance(time: Duration, target: Option<Duration>, power: i32) -> f64 {
+fn miss_chance(time: Duration, target: Option<Duration>, power: f64) -> f64 {
     let target = target.map(|target| target.max(MIN_TARGET).as_secs_f64());
-    target.map_or(0.0, |target| (time.as_secs_f64() / target).powi(power))
+    target.map_or(0.0, |target| (time.as_secs_f64() / target).powf(power))
 }
 
 /// The predicted times of an answer on an engine.
@@ -94,6 +96,17 @@
 }
 
 impl EngineModel {
+    /// Returns the power with which the chance to miss the gap target grows. The more alike the
+    /// gaps are, the less happens before the target is near.
+    fn gap_power(&self) -> f64 {
+        LOGISTIC_SCALE / self.decode_spread.clamp(*SPREADS.start(), *SPREADS.end())
+    }
+
+    /// Returns the cost of an answer with these times to its caller.
+    pub(super) fn cost(&self, needs: &AnswerNeeds, times: &AnswerTimes) -> Duration {
+        times.first + needs.miss_cost(times, self.gap_power())
+    }
+
     /// Predicts the times of an answer whose first event comes after `first`.
     pub(super) fn answer_times(
         &self,
@@ -139,15 +152,13 @@
             gap: gap.min(longest_gap),
             end,
         };
-        let before = needs.miss_cost(&times(gap + queued, end));
-        let after = needs.miss_cost(&times(gap + queued + reading, end + reading));
+        let before = needs.miss_cost(&times(gap + queued, end), self.gap_power());
+        let after = needs.miss_cost(
+            &times(gap + queued + reading, end + reading),
+            self.gap_power(),
+        );
         // An answer can miss its targets only once.
         let most = needs.first_target.unwrap_or_default();
         after.min(most).saturating_sub(before) * running
     }
 }
-
-/// Returns the cost of an answer with these times to its caller.
-pub(super) fn cost(needs: &AnswerNeeds, times: &AnswerTimes) -> Duration {
-    times.first + needs.miss_cost(times)
-}
--- a/crates/pomeloridge_policy/src/dispatch/calibration.rs
+++ b/crates/pomeloridge_policy/src/dispatch/calibration.rs
@@ -15,6 +15,8 @@
 const MAX_SAMPLES: usize = 31;
 /// Number of samples below which the base model's value is used.
 const MIN_SAMPLES: usize = 5;
+/// Share of the samples between the median and one standard deviation, if they are normal.
+const ONE_SIGMA_SHARE: f64 = 0.34;
 /// Plausible ratios of measured to predicted time; samples outside are discarded.
 pub(super) const PLAUSIBLE_RATIOS: std::ops::RangeInclusive<f64> = 0.1..=20.0;
 
@@ -25,6 +27,8 @@
     decode_ratio: Samples,
     first_token_seconds: Samples,
     output_tokens: Samples,
+    /// Logarithms of measured to predicted decode times, each with the speed of its engine.
+    decode_errors: Samples,
 }
 
 impl Calibration {
@@ -38,6 +42,20 @@
         self.decode_ratio.add_ratio(measured, predicted);
     }
 
+    /// Records by which factor a decode time was off its prediction.
+    pub(super) fn record_decode_error(&mut self, factor: f64) {
+        if PLAUSIBLE_RATIOS.contains(&factor) {
+            self.decode_errors.add(factor.ln());
+        }
+    }
+
+    /// Returns the standard deviation of the logarithm of decode times from their predictions.
+    fn decode_spread(&self) -> Option<f64> {
+        let low = self.decode_errors.quantile(0.5 - ONE_SIGMA_SHARE)?;
+        let high = self.decode_errors.quantile(0.5 + ONE_SIGMA_SHARE)?;
+        Some((high - low) / 2.0)
+    }
+
     /// Records the time from the end of a prefill to the first piece of the answer.
     pub(super) fn record_first_token(&mut self, measured: Duration) {
         self.first_token_seconds.add(measured.as_secs_f64());
@@ -63,6 +81,7 @@
             decode_scale: self.decode_ratio.median().unwrap_or(model.decode_scale),
             first_token_delay: first_token_delay.unwrap_or(model.first_token_delay),
             output_tokens: output_tokens.unwrap_or(model.output_tokens).max(1),
+            decode_spread: self.decode_spread().unwrap_or(model.decode_spread),
             ..model
         }
     }
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -48,6 +48,8 @@
     pub prefill_scale: f64,
     /// Factor on the decode time, from measurements.
     pub decode_scale: f64,
+    /// Standard deviation of the logarithm of decode times from their predictions.
+    pub decode_spread: f64,
 }
 
 /// Largest batch, in requests, that keeps decode steps short.
@@ -77,6 +79,7 @@
             transfer_per_token: Duration::from_nanos(520),
             prefill_scale: 1.0,
             decode_scale: 1.0,
+            decode_spread: 0.3,
         }
     }
 }
--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -6,7 +6,7 @@
 
 use pomeloridge_base::id::Name;
 
-use super::answer::{AnswerNeeds, cost};
+use super::answer::AnswerNeeds;
 use super::{DispatchRequest, Dispatcher, Plan, PromptShape, Stage, TargetKey};
 use crate::hash::splitmix64;
 
@@ -126,7 +126,7 @@
                 + transfer
                 + self.distance_penalty(target);
             let times = model.answer_times(needs, target, ttft, now);
-            let cost = cost(needs, &times) + model.piece_gap_increase(target.running(now));
+            let cost = model.cost(needs, &times) + model.piece_gap_increase(target.running(now));
             Plan {
                 server: *key,
                 prefill: Some(read.engine),
@@ -254,7 +254,7 @@
                 prefill_tokens,
                 ttft,
                 end: times.end,
-                cost: cost(needs, &times) + harm,
+                cost: model.cost(needs, &times) + harm,
             }
         })
     }
--- a/crates/pomeloridge_policy/src/dispatch/requests.rs
+++ b/crates/pomeloridge_policy/src/dispatch/requests.rs
@@ -99,11 +99,15 @@
             .base_model
             .decode_time(target.running(now), tokens as u32);
         let service = target.info.service.clone();
+        let expected = self
+            .engine_model(target, now)
+            .decode_time(target.running(now), tokens as u32);
         if tokens >= MIN_DECODE_PIECES * u64::from(self.base_model.piece_tokens) {
             self.record_speed(key, Work::Decode, (span, predicted), now);
         }
         self.calibrate(&service, |calibration| {
             calibration.record_decode(span, predicted);
+            calibration.record_decode_error(span.as_secs_f64() / expected.as_secs_f64());
         });
     }
 
--- a/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
+++ b/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
@@ -362,3 +362,24 @@
     dispatcher.end(sent[0]);
     assert!(choose(&mut dispatcher, 12_000, needs(300), now).is_some());
 }
+
+/// Where engines have slow moments, a prompt that is read between the decode steps makes answers
+/// late that would stay within their targets on steady engines.
+#[parameterized(
+    steady = { &[960], false },
+    with_slow_moments = { &[480, 960, 1920], true },
+)]
+fn a_prompt_waits_for_a_prefill_engine_if_gaps_are_uncertain(times: &[u64], is_split: bool) {
+    let now = Instant::now();
+    let list = [engine("p", Stage::Prefill), engine("d", Stage::Decode)];
+    let mut dispatcher = dispatcher(&list, 7);
+    let decode = key(&dispatcher, "d");
+    for time in times.iter().cycle().take(15) {
+        dispatcher.record_decode(decode, 300, ms(*time), now);
+    }
+    put_load(&mut dispatcher, "d", 20, now);
+    let prefill = key(&dispatcher, "p");
+    dispatcher.begin(prefill, 30_000, None, now);
+    let plan = choose(&mut dispatcher, 6_000, needs(300), now).unwrap();
+    assert_eq!(plan.prefill.is_some(), is_split);
+}
