--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -6,7 +6,8 @@
 //! engine followed by a transfer of the KV cache to a decode engine, or the whole
 //! request on one decode engine. A prediction includes the prompt tokens queued on
 //! the engine, as counted by this node and last reported by its peers, and leaves
-//! out the shared prompt parts that the engine has cached. Servers of plain
+//! out the shared prompt parts that the engine has cached. An engine whose requests exceed its
+//! memory crashes, so that none is sent more tokens than it has room for. Servers of plain
 //! services are chosen by the predicted time of their answers; see `plain`.
 
 mod answer;
@@ -119,6 +120,7 @@
 struct InFlight {
     target: TargetKey,
     prefill_tokens: u64,
+    held_tokens: u64,
     /// Measurement to take once its prefill is done, if any.
     sample: Option<SpeedSample>,
 }
@@ -345,13 +347,15 @@
     /// Returns the plan of a choice, and how its servers were selected.
     fn decide(&self, request: &DispatchRequest<'_>, now: Instant) -> Option<(Plan, Selection)> {
         let plan = |selection| Some((self.plan(request, selection, now)?, selection));
-        let usual = plan(Selection::Sample).or_else(|| plan(Selection::LastResort))?;
-        if request.needs.are_met_by(usual.0.ttft, usual.0.end) {
-            Some(usual)
-        } else {
-            // Servers that were not drawn may be idle.
-            plan(Selection::All).or(Some(usual))
-        }
+        let is_good = |(plan, _): &(Plan, _)| request.needs.are_met_by(plan.ttft, plan.end);
+        // Servers that were not drawn may be idle. As a last resort, ejected servers and those
+        // changing their stage are considered.
+        let drawn = plan(Selection::Sample);
+        drawn
+            .filter(is_good)
+            .or_else(|| plan(Selection::All))
+            .or(drawn)
+            .or_else(|| plan(Selection::LastResort))
     }
 
     /// Returns whether a server may take a request now, other than as a last resort.
@@ -393,7 +397,9 @@
         if let Some(request) = self.in_flight.remove(key)
             && let Some(target) = self.targets.get_mut(request.target)
         {
-            target.own_load.running = target.own_load.running.saturating_sub(1);
+            let load = &mut target.own_load;
+            load.running = load.running.saturating_sub(1);
+            load.held_tokens = load.held_tokens.saturating_sub(request.held_tokens);
         }
     }
 
@@ -445,11 +451,7 @@
     pub fn loads_including(&self, peers: &HashSet<Name>, now: Instant) -> Vec<(u32, NodeLoad)> {
         let loads = self.targets.values().map(|target| {
             let others = target.peer_loads.sum_of(|name| peers.contains(name), now);
-            let load = NodeLoad {
-                prefill_tokens: target.own_load.prefill_tokens + others.prefill_tokens,
-                running: target.own_load.running + others.running,
-            };
-            (target.id_hash, load)
+            (target.id_hash, target.own_load.plus(others))
         });
         loads.filter(|(_, load)| load.running > 0).collect()
     }
--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -6,7 +6,7 @@
 
 use pomeloridge_base::id::Name;
 
-use super::answer::{AnswerNeeds, cost};
+use super::answer::AnswerNeeds;
 use super::{DispatchRequest, Dispatcher, Plan, PromptShape, Stage, TargetKey};
 use crate::hash::splitmix64;
 
@@ -92,7 +92,11 @@
         };
         let choose = |last_resort| {
             let mut usable = self.sample_targets(self.eligible(&request, now, last_resort));
-            usable.retain(|key| self.targets[*key].info.stage != Stage::Prefill);
+            let tokens = tokens + u64::from(needs.output_tokens.unwrap_or_default());
+            usable.retain(|key| {
+                let target = &self.targets[*key];
+                target.info.stage != Stage::Prefill && target.has_room(tokens, now)
+            });
             let read = ReadPrompt {
                 engine: prefill_engine,
                 tokens,
@@ -122,7 +126,7 @@
                 + transfer
                 + self.distance_penalty(target);
             let times = model.answer_times(needs, target, ttft, now);
-            let cost = cost(needs, &times) + model.piece_gap_increase(target.running(now));
+            let cost = model.cost(needs, &times) + model.piece_gap_increase(target.running(now));
             Plan {
                 server: *key,
                 prefill: Some(read.engine),
@@ -162,9 +166,14 @@
             holder,
         } = engines;
         let needs = &request.needs;
+        let output_tokens = needs.output_tokens.unwrap_or_default();
+        let tokens = prompt.tokens + u64::from(output_tokens);
         let of_stage = |stage: Stage| {
             let keys = usable.iter().copied();
-            keys.filter(move |key| self.targets[*key].info.stage == stage)
+            keys.filter(move |key| {
+                let target = &self.targets[*key];
+                target.info.stage == stage && target.has_room(tokens, now)
+            })
         };
         let prefill_engines: Vec<TargetKey> = of_stage(Stage::Prefill).collect();
         let decode_engines: Vec<TargetKey> = of_stage(Stage::Decode)
@@ -246,7 +255,7 @@
                 prefill_tokens,
                 ttft,
                 end: times.end,
-                cost: cost(needs, &times) + harm,
+                cost: model.cost(needs, &times) + harm,
             }
         })
     }
--- a/crates/pomeloridge_policy/src/dispatch/requests.rs
+++ b/crates/pomeloridge_policy/src/dispatch/requests.rs
@@ -33,9 +33,14 @@
                 kind: kind?,
             })
         });
+        let output_tokens = self.targets.get(key).map_or(0, |target| {
+            u64::from(self.model(&target.info.service).output_tokens)
+        });
+        let held_tokens = prompt.map_or(0, |prompt| prompt.tokens + output_tokens);
         if let Some(target) = self.targets.get_mut(key) {
             target.own_load.running += 1;
             target.own_load.prefill_tokens += prefill_tokens;
+            target.own_load.held_tokens += held_tokens;
             if let Some(prompt) = prompt {
                 let server = target.id_hash;
                 // Peers already know of parts that the server holds.
@@ -49,6 +54,7 @@
         self.in_flight.insert(InFlight {
             target: key,
             prefill_tokens,
+            held_tokens,
             sample,
         })
     }
@@ -98,11 +104,15 @@
             .base_model
             .decode_time(target.running(now), tokens as u32);
         let service = target.info.service.clone();
+        let expected = self
+            .engine_model(target, now)
+            .decode_time(target.running(now), tokens as u32);
         if tokens >= MIN_DECODE_PIECES * u64::from(self.base_model.piece_tokens) {
             self.record_speed(key, Work::Decode, (span, predicted), now);
         }
         self.calibrate(&service, |calibration| {
             calibration.record_decode(span, predicted);
+            calibration.record_decode_error(span.as_secs_f64() / expected.as_secs_f64());
         });
     }
 
