--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -348,11 +348,15 @@
     /// Returns the plan of a choice, and how its servers were selected.
     fn decide(&self, request: &DispatchRequest<'_>, now: Instant) -> Option<(Plan, Selection)> {
         let plan = |selection| Some((self.plan(request, selection, now)?, selection));
+        let is_good = |(plan, _): &(Plan, _)| request.needs.are_met_by(plan.ttft, plan.end);
+        // Servers that were not drawn may be idle. As a last resort, ejected servers and those
+        // changing their stage are considered.
         let drawn = plan(Selection::Sample);
-        let is_good = |(plan, _): &(Plan, Selection)| request.needs.are_met_by(plan.ttft, plan.end);
-        // Servers that were not drawn may be idle.
-        let usual = drawn.filter(is_good).or_else(|| plan(Selection::All));
-        usual.or(drawn).or_else(|| plan(Selection::LastResort))
+        drawn
+            .filter(is_good)
+            .or_else(|| plan(Selection::All))
+            .or(drawn)
+            .or_else(|| plan(Selection::LastResort))
     }
 
     /// Returns whether a server may take a request now, other than as a last resort.
--- a/crates/pomeloridge_policy/src/dispatch/explain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/explain.rs
@@ -36,6 +36,9 @@
     /// It is assumed to be changing its stage.
     #[display("stage_change")]
     StageChange,
+    /// Its memory has no room for the request's tokens.
+    #[display("memory")]
+    Memory,
 }
 
 impl Bar {
@@ -79,6 +82,13 @@
     pub age: Duration,
 }
 
+/// Returns the bar of an engine whose free memory is too small for a prompt and its output.
+fn memory_bar(target: &Target, request: &DispatchRequest<'_>, now: Instant) -> Option<Bar> {
+    let output_tokens = request.needs.output_tokens.unwrap_or_default();
+    let tokens = request.prompt?.tokens + u64::from(output_tokens);
+    (!target.has_room(tokens, now)).then_some(Bar::Memory)
+}
+
 /// A server of the request's service, as the choice sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -149,7 +159,9 @@
                 let prompt = request.prompt;
                 Candidate {
                     server: key,
-                    bars: bars(key, target, request, now).collect(),
+                    bars: bars(key, target, request, now)
+                        .chain(memory_bar(target, request, now))
+                        .collect(),
                     is_compared: compared.contains(&key),
                     predicted: self.predicted(key, request, &mut holders, now),
                     cached_tokens: prompt.map_or(0, |prompt| {
