--- a/crates/pomeloridge_base/tests/settings.rs
+++ b/crates/pomeloridge_base/tests/settings.rs
@@ -119,6 +119,9 @@
     negative = { "[repeats]\nslack = -1\n", "line 13: [repeats] slack: `-1` is not a number of at least 0; write for example `slack = 50`" },
     endless = { "[repeats]\nslack = inf\n", "line 13: [repeats] slack: `inf` is not a number of at least 0; write for example `slack = 50`" },
     zero = { "[usage]\nwindow_s = 0\n", "line 13: [usage] window_s: `0` is not a number of seconds from 0.001 to 86400; write for example `window_s = 5`" },
+    share_above_one = { "[hedge]\nshare = 1.5\n", "line 13: [hedge] share: `1.5` is not a number from 0 to 1; write for example `share = 0.05`" },
+    share_of_no_number = { "[hedge]\nshare = nan\n", "line 13: [hedge] share: `nan` is not a number from 0 to 1; write for example `share = 0.05`" },
+    none_at_once = { "[hedge]\nmost = 0\n", "line 13: [hedge] most: `0` is not a whole number of at least 1; write for example `most = 100`" },
     huge = { "[usage]\nlate_s = 1e300\n", "line 13: [usage] late_s: `1e300` is not a number of seconds from 0.001 to 86400; write for example `late_s = 10`" },
 )]
 fn a_value_out_of_range_names_line_and_fix(more: &str, expected: &str) {
--- a/crates/pomeloridge_policy/tests/policy/fleet_retry_budget.rs
+++ b/crates/pomeloridge_policy/tests/policy/fleet_retry_budget.rs
@@ -66,6 +66,20 @@
     assert!(!spend(&mut budget, last));
 }
 
+/// Guards against retries that are not needed and take the room of those that are.
+#[test]
+fn half_of_the_budget_is_kept_for_needed_retries() {
+    let now = Instant::now();
+    let mut budget = FleetRetryBudget::new(LIMITS);
+    let spare = (0..100)
+        .filter(|_| budget.try_spend_spare(share(6, now), now))
+        .count();
+    let needed = (0..100)
+        .filter(|_| budget.try_spend(share(6, now), now))
+        .count();
+    assert_eq!((spare, needed), (2, 2));
+}
+
 #[test]
 fn denied_retries_do_not_count() {
     let now = Instant::now();
--- a/crates/pomeloridge_policy/tests/policy/hedging.rs
+++ b/crates/pomeloridge_policy/tests/policy/hedging.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
-use pomeloridge_policy::dispatch::TargetKey;
+use pomeloridge_policy::dispatch::{
+    DispatchRequest, Dispatcher, EngineModel, Stage, TargetInfo, TargetKey,
+};
 use pomeloridge_policy::hedging::{
     HedgeDenial, HedgeKind, HedgeLimits, HedgeLoad, Hedging, MAX_HEDGE_TIME, SlowAttempt, part_of,
 };
@@ -353,3 +355,66 @@
     assert_eq!([logged(10), logged(20), logged(999)], [None; 3]);
     assert_eq!(logged(1000), Some(4));
 }
+
+/// Returns a dispatcher for two plain servers, with their keys: one that runs a request, and one
+/// that may run it, too.
+fn two_servers() -> (Dispatcher, [TargetKey; 2]) {
+    let mut dispatcher = Dispatcher::new(name("a"), EngineModel::default(), 7);
+    let server = |number: u16| TargetInfo {
+        id: Name::from(format!("s{number}")),
+        started_unix_ms: 1,
+        address: ([10, 0, 0, 1], number).into(),
+        data_centre: name("a"),
+        service: service(),
+        version: name("v1"),
+        slots: 6,
+        kv_capacity: 0,
+        stage: Stage::Unified,
+        leaving: false,
+        leaves_in: None,
+        preemptible: false,
+    };
+    dispatcher.sync(vec![server(1), server(2)]);
+    let keys: Vec<TargetKey> = dispatcher.targets().map(|(key, _)| key).collect();
+    (dispatcher, [keys[0], keys[1]])
+}
+
+/// Guards against second attempts at servers that must not have them, or are needed by others.
+#[parameterized(
+    idle = { |_, _, _| {}, true },
+    in_use = { |servers, other, now| begin(servers, other, 2, now), true },
+    busy = { |servers, other, now| begin(servers, other, 3, now), false },
+    leaving = { |servers, other, _| assert!(servers.mark_leaving(other)), false },
+    asked_for_a_pause = { |servers, other, now| servers.set_backoff(other, ms(500), now), false },
+    ejected = { |servers, other, now| assert!(servers.eject(other, now)), false },
+    ejected_and_due_for_a_probe = {
+        |servers, other, now| assert!(servers.eject(other, now.checked_sub(Duration::from_secs(5)).unwrap())),
+        false
+    },
+)]
+fn a_second_attempt_goes_to_a_sound_server_with_room(
+    change: fn(&mut Dispatcher, TargetKey, Instant),
+    is_allowed: bool,
+) {
+    let now = Instant::now();
+    let (mut dispatcher, [first, other]) = two_servers();
+    begin(&mut dispatcher, first, 1, now);
+    change(&mut dispatcher, other, now);
+    let (service, tried) = (service(), [first]);
+    let request = DispatchRequest {
+        service: &service,
+        prompt: None,
+        tried: &tried,
+        allow_separate_prefill: false,
+        version: None,
+    };
+    let plan = dispatcher.plan_second(&request, now);
+    let expected = is_allowed.then_some(other);
+    assert_eq!(plan.map(|plan| plan.server), expected);
+}
+
+fn begin(dispatcher: &mut Dispatcher, server: TargetKey, count: usize, now: Instant) {
+    for _ in 0..count {
+        dispatcher.begin(server, 0, None, now);
+    }
+}
