--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -1,4 +1,4 @@
-//! Chooses backend servers for requests by predicted time to first token.
+//! Chooses backend servers for requests by what the answer costs its caller and others.
 //!
 //! An engine is in the prefill or the decode stage. A decode engine can also
 //! prefill prompts, but more slowly, because it does so between the decode steps
--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -92,10 +92,10 @@
         };
         let choose = |last_resort| {
             let mut usable = self.sample_targets(self.eligible(&request, now, last_resort));
-            let tokens = tokens + u64::from(needs.output_tokens.unwrap_or_default());
+            let held = tokens + u64::from(needs.output_tokens.unwrap_or_default());
             usable.retain(|key| {
                 let target = &self.targets[*key];
-                target.info.stage != Stage::Prefill && target.has_room(tokens, now)
+                target.info.stage != Stage::Prefill && target.has_room(held, now)
             });
             let read = ReadPrompt {
                 engine: prefill_engine,
