Keep to the allotments of client accounts over all VMs

Cause: nothing kept the allotments; the configuration's ratePerS, burst, unit and plainTokens were not read.

Change: up to eight holders of an account, chosen by rendezvous hashing over the known nodes, grant credit for each run by datagram, each within its part, by a ledger of what it granted in the last window and half a second. Decisions are in pomeloridge_policy::account_quota, without a network; the gateway's account_quota asks and waits.

Ruled out in the model: parts of a request from any holder (60 nodes that ask for seven times the allotment got 243,000 of 2,100,000 tokens, as parts lapsed), and a token bucket, which pays the burst once and refused an account that sent between its rate and what a window allows.

--- a/crates/pomeloridge_base/src/error.rs
+++ b/crates/pomeloridge_base/src/error.rs
@@ -91,6 +91,9 @@
     ClaimMismatch: 422, "claim_mismatch", NotRun, NO_RETRY, "the idempotency key was used before with another request";
     Quarantined: 422, "quarantined", NotRun, RETRY_60S, "this request crashed two backend servers and is refused for a time";
     AccountBusy: 429, "account_busy", NotRun, RETRY_1S, "the client account has too many requests waiting";
+    AllotmentUsed: 429, "allotment_used", NotRun, RETRY_1S, "the client account's allotment is used up for the moment";
+    AllotmentTooSmall: 429, "allotment_too_small", NotRun, NO_RETRY, "the request is larger than what the client account's allotment has room for at any time";
+    AllotmentUnknown: 503, "allotment_unknown", NotRun, RETRY_1S, "none of the nodes that keep the client account's allotment answers";
     Overloaded: 503, "overloaded", NotRun, RETRY_1S, "the wait would be longer than the request's deadline";
     NoServer: 503, "no_server", NotRun, RETRY_5S, "no backend server for this route can take work";
     UnknownVersion: 503, "unknown_version", NotRun, RETRY_1S, "this node can't tell which software version began the stream; another may";
--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -47,6 +47,10 @@
         RoleChanges: "pomeloridge_role_changes", "Role changes ordered.";
         ServerOrders: "pomeloridge_server_orders", "Orders for backend servers given to the platform.";
         Panics: "pomeloridge_panics", "Tasks that ended by a panic.";
+        AllotmentRefused: "pomeloridge_allotment_refused", "Requests refused since their client account's allotment was used up.";
+        AllotmentUnknown: "pomeloridge_allotment_unknown", "Requests refused since no holder of their client account's allotment answered.";
+        AllotmentAsks: "pomeloridge_allotment_asks", "Messages that asked other nodes for a client account's credit.";
+        AllotmentSilent: "pomeloridge_allotment_silent", "Such messages that were not answered in time.";
         UnreplicatedUsage: "pomeloridge_usage_unreplicated", "Usage lines that no peer acknowledged in time.";
     }
 }
@@ -58,6 +62,7 @@
         TokenGap: "pomeloridge_token_gap_seconds", "Time between two tokens of a stream.";
         Request: "pomeloridge_request_seconds", "Time from a request's arrival to the end of its answer.";
         AdmissionWait: "pomeloridge_admission_wait_seconds", "Time a request waited for its turn.";
+        AllotmentWait: "pomeloridge_allotment_wait_seconds", "Time a request waited for credit of its client account's allotment, if it was asked for.";
         StoreCall: "pomeloridge_store_call_seconds", "Time of a gateway's call to the object service, watches aside.";
         DutyCall: "pomeloridge_duty_call_seconds", "Time of a gateway's call that orders servers or stages, or reports usage.";
     }
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -130,6 +130,8 @@
     "repeats" "window_s" Seconds, Some("10"), "Window over which retries are counted.", "Equals the platform's window.", "10";
     "usage" "window_s" Seconds, Some("5"), "Length of a usage window.", "Equals the platform's window.", "5";
     "usage" "late_s" Seconds, Some("10"), "Time after a window's end within which its report is due.", "Later reports count as missing.", "10";
+    "quota" "slack" Amount, Some("0"), "Requests or tokens that the platform tolerates beyond a client account's allotment in a window.", "Nodes use a part of it for requests that are larger than the allotment's burst.", "140000";
+    "quota" "window_s" Seconds, Some("8"), "Window over which the platform counts an allotment.", "A node that takes the place of another grants nothing for so long.", "8";
     "peers" "pause_ms" Millis, Some("100"), "Interval between datagrams to a peer.", "A shorter interval gives more recent loads and costs processor time.", "100";
     "peers" "fan_out" Count, Some("8"), "Maximum number of peers to which a datagram is sent per round.", "Bounds a node's cost as the fleet grows.", "8";
     "log" "format" Choice(&["text", "json"]), Some("text"), "Format of log lines.", "`json` suits log collectors, `text` people.", "json";
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use pomeloridge_policy::part_crashes::PartRunKey;
 
 use crate::accept::{Accepted, Trial};
+use crate::account_quota::RunCredits;
 use crate::crash_detection;
 use crate::exchange::Failure;
 use crate::part_quarantine;
@@ -155,6 +156,9 @@
     /// This node's part of the service's retry budget is spent.
     #[display("budget")]
     Budget,
+    /// Its client account's allotment has no room for one more run.
+    #[display("allotment")]
+    Allotment,
     /// It is quarantined, and so is sent to no other server.
     #[display("quarantine")]
     Quarantine,
@@ -187,6 +191,8 @@
     next_charge: Cell<Option<Instant>>,
     /// The same for the running or latest attempt.
     charge: Option<Instant>,
+    /// Credit of its client account for the runs.
+    pub(crate) credits: RunCredits<'a>,
     /// Software version at which the request may run, once it is bound to one.
     version: OnceCell<Name>,
 }
@@ -215,6 +221,7 @@
             last_sent_at: accepted.arrived_at,
             next_charge: Cell::default(),
             charge: None,
+            credits: RunCredits::new(state, accepted),
             version: OnceCell::new(),
         }
     }
@@ -243,6 +250,18 @@
         self.accepted.inbound.label()
     }
 
+    /// Takes the credit for the next run, unless it is there, or returns the final refusal.
+    pub(crate) async fn charge_run(&self) -> Result<(), Refusal> {
+        self.credits.charge().await.map_err(|refusal| {
+            let own = self.refusal(refusal.kind);
+            if own.kind == refusal.kind {
+                refusal
+            } else {
+                own
+            }
+        })
+    }
+
     /// Chooses the server of the next attempt, or returns the final refusal.
     pub(crate) fn choose(&mut self) -> Result<Plan, Refusal> {
         let (state, accepted) = (self.state, self.accepted);
@@ -374,7 +393,10 @@
         failure: Failure,
     ) -> Result<(), Refusal> {
         self.probe_for_crash(server, failure).await;
-        let retry = self.check_retry(server, failure);
+        let mut retry = self.check_retry(server, failure);
+        if retry.is_ok() && self.credits.charge().await.is_err() {
+            retry = Err(RetryBlocker::Allotment);
+        }
         log::info!(
             "request id={} print={} server={} failure={failure} again={}{} parts={}",
             self.accepted.inbound.label(),
@@ -485,6 +507,9 @@
         if !state.dispatcher.borrow().has_server(&request, now) {
             return Err(RetryBlocker::Servers);
         }
+        if !self.credits.may_charge() {
+            return Err(RetryBlocker::Allotment);
+        }
         if !state.has_retry(&accepted.service) || !self.charge_next() {
             return Err(RetryBlocker::Budget);
         }
@@ -534,6 +559,7 @@
 
     /// Counts a failed attempt and ejects the server if it appears to be dead.
     fn record_failure(&mut self, server: TargetKey, failure: Failure) {
+        self.credits.end_run(failure.not_run());
         if failure != Failure::StaleConnection {
             self.tried.push(server);
         }
--- a/crates/pomeloridge_gateway/src/config.rs
+++ b/crates/pomeloridge_gateway/src/config.rs
@@ -6,6 +6,7 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_base::secret::KeyHash;
+use pomeloridge_policy::account_quota::AccountLimit;
 use pomeloridge_policy::dispatch::EngineSpec;
 use pomeloridge_policy::stream_versions::StreamId;
 
@@ -123,12 +124,14 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Account {
     /// Name.
     pub name: Name,
     /// Priority that overrides the route's.
     pub priority: Option<u8>,
+    /// What the whole fleet may run for it; `None` if that is not limited.
+    pub limit: Option<AccountLimit>,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! Decisions, state and recovery are implemented here and in the policy crate.
 
 mod accept;
+mod account_quota;
 mod active_config;
 mod attempt;
 mod compression;
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -7,6 +7,7 @@
 
 mod crash_news;
 mod node_object;
+mod quota;
 mod table;
 mod wire;
 
@@ -29,10 +30,11 @@
 use crate::server_list::{ApplyOutcome, ServerListDelta};
 use crate::state::State;
 use crate::usage::{Counts, UsageSource};
-use crate::{internal, server_limits, versions, watch};
+use crate::{account_quota, internal, server_limits, versions, watch};
 
 pub(crate) use crash_news::announce_crashes;
 pub(crate) use node_object::{ListedRecords, read_records, relevant_records};
+pub(crate) use quota::send_asks;
 use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
 use wire::{LimitWire, PeerMessage, ServerListDeltaWire, UsageWire, WorkWire};
@@ -184,6 +186,7 @@
         monoio::time::sleep(settings.time("peers", "pause_ms")).await;
         let fan_out = settings.number("peers", "fan_out") as usize;
         server_limits::refresh(&state);
+        account_quota::refresh(&state);
         let plan = RoundPlan::new(&state, fan_out);
         let [local, remote] = state
             .peers
@@ -504,6 +507,7 @@
     if let Some(by) = correction {
         log::info!("time choice=correct by_ms={by} reason=\"median of all nodes' clocks\"");
     }
+    quota::handle(state, &mut message, address);
     crash_news::handle(state, &mut message, &name);
     handle_limits(state, std::mem::take(&mut message.limits), &name);
     if let Some(table) = &message.version_table {
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -221,6 +221,7 @@
     if wire.life == state.incarnation {
         return set_first(state);
     }
+    state.account_quota.record_restart();
     let era = wire.versions.as_ref().map(|record| Era(record.era));
     let is_latest = era == Some(object.version.era());
     let record = wire.versions.and_then(|mut wire| {
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -115,6 +115,15 @@
     pub(super) data_centre_hash: u32,
 }
 
+/// A peer and the time since it was heard, or listed if it never was.
+pub(crate) struct KnownPeer {
+    pub(crate) name: Name,
+    pub(crate) address: SocketAddr,
+    /// Whether it is in the same data centre.
+    pub(crate) is_local: bool,
+    pub(crate) silence: Duration,
+}
+
 /// The known other nodes, by name.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -341,6 +350,16 @@
         hashes
     }
 
+    /// Returns the known peers with the times since they were heard.
+    pub(crate) fn known_peers(&self, now: Instant) -> impl Iterator<Item = KnownPeer> {
+        self.by_name.iter().map(move |(name, peer)| KnownPeer {
+            name: name.clone(),
+            address: peer.address,
+            is_local: peer.data_centre_hash == self.data_centre_hash,
+            silence: self.silence(name, now).unwrap_or_default(),
+        })
+    }
+
     /// Returns the addresses of all peers.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.by_name.values().map(|peer| peer.address).collect()
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -4,6 +4,7 @@
 
 use pomeloridge_base::id::{Name, Revision};
 use pomeloridge_platform::Event;
+use pomeloridge_policy::account_quota::{AccountId, Ask, Grant, SentAsk};
 use pomeloridge_policy::crashes::{CrashReport, ServerIncarnation};
 use pomeloridge_policy::dispatch::{NodeLoad, PartPlacement, PeerLoad};
 use pomeloridge_policy::part_crashes::{PartCrash, PartReport, Suspect};
@@ -94,6 +95,89 @@
     /// of, in milliseconds.
     #[prost(uint64, optional, tag = "26")]
     pub(super) confirmed_ms: Option<u64>,
+    /// Ask for credit of a client account's allotment.
+    #[prost(message, optional, tag = "27")]
+    pub(super) quota_ask: Option<QuotaAskWire>,
+    /// Answer to such an ask.
+    #[prost(message, optional, tag = "28")]
+    pub(super) quota_grant: Option<QuotaGrantWire>,
+}
+
+/// An ask for credit of a client account's allotment.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct QuotaAskWire {
+    /// Number by which the answer names the ask.
+    #[prost(uint64, tag = "1")]
+    pub(super) id: u64,
+    /// Hash of the account's name.
+    #[prost(fixed64, tag = "2")]
+    pub(super) account: u64,
+    #[prost(uint64, tag = "3")]
+    needed: u64,
+    /// Units for requests that are expected.
+    #[prost(uint64, tag = "4")]
+    extra: u64,
+}
+
+impl QuotaAskWire {
+    pub(super) fn new(sent: &SentAsk, account: AccountId) -> Self {
+        Self {
+            id: sent.id.0,
+            account: account.0,
+            needed: sent.ask.needed,
+            extra: sent.ask.extra,
+        }
+    }
+}
+
+impl From<&QuotaAskWire> for Ask {
+    fn from(wire: &QuotaAskWire) -> Self {
+        Self {
+            needed: wire.needed,
+            extra: wire.extra,
+        }
+    }
+}
+
+/// A grant of credit of a client account's allotment.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct QuotaGrantWire {
+    /// Number of the ask.
+    #[prost(uint64, tag = "1")]
+    pub(super) id: u64,
+    /// Incarnation of the node that asked, as the numbers begin anew with each process.
+    #[prost(fixed64, tag = "2")]
+    pub(super) asker: u64,
+    #[prost(uint64, tag = "3")]
+    amount: u64,
+    /// Units that the holder has left.
+    #[prost(uint64, tag = "4")]
+    balance: u64,
+    /// Whether the holder grants nothing for now.
+    #[prost(bool, tag = "5")]
+    is_closed: bool,
+}
+
+impl QuotaGrantWire {
+    pub(super) fn new(id: u64, asker: u64, grant: Grant) -> Self {
+        Self {
+            id,
+            asker,
+            amount: grant.amount,
+            balance: grant.balance,
+            is_closed: grant.is_closed,
+        }
+    }
+}
+
+impl From<&QuotaGrantWire> for Grant {
+    fn from(wire: &QuotaGrantWire) -> Self {
+        Self {
+            amount: wire.amount,
+            balance: wire.balance,
+            is_closed: wire.is_closed,
+        }
+    }
 }
 
 /// Crashes with the prompt parts that are suspects, and answers, stored by column.
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -28,6 +28,8 @@
     pub caller_timeout: Option<Duration>,
     /// Prompt; `None` for requests to plain services.
     pub prompt: Option<PromptShape>,
+    /// Maximum number of output tokens, if the caller names it.
+    pub output_tokens: Option<u64>,
     /// Last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
     /// Identifier of the attempt that brought the first event of the stream that is continued.
@@ -42,6 +44,13 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// Returns the number of prompt and output tokens; `None` for requests to plain services.
+    pub fn total_tokens(&self) -> Option<u64> {
+        let prompt = self.prompt.as_ref()?;
+        let output = self.output_tokens.unwrap_or_default();
+        Some(prompt.tokens.saturating_add(output))
+    }
+
     /// Returns the identifier as text for the log.
     pub fn label(&self) -> &str {
         std::str::from_utf8(&self.id).unwrap_or("?")
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -25,6 +25,7 @@
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::accept::Accepted;
+use crate::account_quota::QuotaState;
 use crate::active_config::ActiveConfig;
 use crate::config::ServingConfig;
 use crate::crash_detection::{self, CrashProbes};
@@ -120,6 +121,8 @@
     /// Time from which this node may spend its share of the fixed retry allowance.
     pub(crate) allowance_from: Cell<Instant>,
     pub(crate) retry_budgets: RefCell<HashMap<Name, FleetRetryBudget>>,
+    /// Allotments of client accounts.
+    pub(crate) account_quota: QuotaState,
     pub(crate) pool: Pool,
     /// Requests that may have crashed servers.
     pub(crate) crashes: RefCell<CrashTracker>,
@@ -223,6 +226,7 @@
             )),
             allowance_from: Cell::new(retry_limits(&settings).allowance_from(now)),
             retry_budgets: RefCell::default(),
+            account_quota: QuotaState::new(&name, &settings),
             pool: Pool::default(),
             crashes: RefCell::default(),
             parts: RefCell::default(),
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -117,6 +117,9 @@
         }
         let mut last_failure = Failure::Unreachable;
         loop {
+            if let Err(outcome) = self.charge_run(&attempts, last_failure, responder).await {
+                return outcome;
+            }
             let plan = match attempts.choose() {
                 Ok(plan) => plan,
                 Err(refusal) => return self.final_outcome(refusal, last_failure),
@@ -128,6 +131,10 @@
                 Ok(prompt) => prompt,
                 Err(outcome) => return outcome,
             };
+            // The credit may have lapsed during the prefill.
+            if let Err(outcome) = self.charge_run(&attempts, last_failure, responder).await {
+                return outcome;
+            }
             let plan = match &prompt {
                 Some(_) => attempts.choose_decode_engine(plan),
                 None => plan,
@@ -152,6 +159,21 @@
         }
     }
 
+    /// Takes the credit for the next run, unless it is there.
+    async fn charge_run(
+        &self,
+        attempts: &Attempts<'_>,
+        last_failure: Failure,
+        responder: &mut Responder,
+    ) -> Result<(), StreamOutcome> {
+        monoio::select! {
+            charged = attempts.charge_run() => {
+                charged.map_err(|refusal| self.final_outcome(refusal, last_failure))
+            }
+            fault = responder.closed() => Err(StreamOutcome::CallerGone(fault)),
+        }
+    }
+
     /// Binds the request to the software version at which its stream began or must begin, if that
     /// is decided already.
     async fn bind(&self, attempts: &Attempts<'_>) -> Result<(), Refusal> {
@@ -219,6 +241,7 @@
         } else {
             plan.prefill_tokens
         };
+        attempts.credits.begin_run();
         self.state
             .count_work(&accepted.service, plan.prefill_tokens, 0);
         let mut in_flight = InFlightAttempt::new(self.state, plan.server, prefill_tokens, accepted);
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -21,6 +21,7 @@
 pub(crate) async fn run(state: &Rc<State>, accepted: &Accepted) -> Result<Response, Refusal> {
     let mut attempts = Attempts::new(state, accepted);
     loop {
+        attempts.charge_run().await?;
         let plan = attempts.choose()?;
         let failure = match attempt(state, &attempts, plan).await {
             // A server error is retried if allowed; otherwise the caller gets the response.
@@ -46,6 +47,7 @@
     plan: Plan,
 ) -> Result<Response, Failure> {
     let accepted = attempts.accepted();
+    attempts.credits.begin_run();
     let mut in_flight = InFlightAttempt::new(state, plan.server, 0, accepted);
     in_flight.watch_parts(accepted);
     let watch = SilenceWatch {
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -11,6 +11,7 @@
 use pomeloridge_platform::{Event, Object, PlatformError};
 use pomeloridge_policy::dispatch::TargetInfo;
 
+use crate::account_quota;
 use crate::active_config::AdoptOutcome;
 use crate::peers;
 use crate::server_list::{ApplyOutcome, ServerListDelta};
@@ -246,6 +247,7 @@
         object.version
     );
     state.sync_servers();
+    account_quota::sync_limits(state);
 }
 
 /// Reads the server list and follows its changes, until the process ends. After a restart of the
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! no method blocks or calls back into its caller. A task can therefore keep the
 //! types in a `RefCell` and borrow them for each call.
 
+pub mod account_quota;
 pub mod admission;
 pub mod candidate;
 pub mod capacity;
--- a/crates/pomeloridge_policy/src/rules.rs
+++ b/crates/pomeloridge_policy/src/rules.rs
@@ -13,6 +13,11 @@
         "Each account gets its share of the fleet, however many requests it sends, and idle time earns no credit."
         "`weight` of a client account and `weight` of a route in the configuration."
         "Of two accounts with equal weights, one sends 1 request and the other 50: the single request starts second at the latest.";
+    ACCOUNT_ALLOTMENT "allotment of a client account"
+        "A gateway runs a request of a client account that has an allotment only with credit for it: one request, or its prompt and output tokens. Up to 8 nodes, chosen by rendezvous hashing over all known nodes, hold equal parts of the allotment; each gains its part of the rate and grants no more than it has. Every run counts: retries and resumptions take credit again. Credit lapses 500 ms after it was asked for. A request waits for credit at most 250 ms and half of its route's latency target, and only if what is known of the holders says that it suffices; otherwise it is refused at once as not run."
+        "An allotment holds for all nodes together, also while some are cut off, so nobody may run a request of it on a guess."
+        "`unit`, `ratePerS`, `burst` and `plainTokens` of a client account in the configuration; `slack` and `window_s` in section `quota`."
+        "An account has 80000 tokens a second and 8 holders: each gains 10000 a second, and a request of 2000 tokens takes 2000 from one of them.";
     EARLY_REFUSAL "refusal at once"
         "A request that would wait past its deadline, or that finds the queue full, is refused on arrival. A waiting request is refused as soon as its deadline can't be met."
         "A caller that is refused at once can go elsewhere; one that is kept waiting also loses that time."
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -1,5 +1,6 @@
 //! Tests of admission, routing, dispatching and failure handling.
 
+mod account_quota;
 mod admission;
 mod crashes;
 mod demand;
