--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -123,6 +123,7 @@
     "platform" "watch_ms" Millis, Some("2500"), "Time after which a watch is renewed.", "A watch that has gone silent is detected after this time plus the timeout.", "2500";
     "platform" "apply_ms" Millis, Some("2000"), "Time within which every node must act on a change of the configuration.", "Decides how soon a node reads the object service itself when those that watch it fall silent.", "2000";
     "platform" "drain_ms" Millis, Some("2000"), "Time within which every node must stop sending to a leaving server.", "As `apply_ms`; the shorter of both counts.", "2000";
+    "routing" "servers" Choice(&["reported", "uneven"]), Some("reported"), "Which services are taken to have servers that differ in speed: `reported`, those whose servers report how long work takes there; `uneven`, all.", "Servers that differ are compared by the whole answer, their own speeds and their free memory, and those speeds are told to peers; others by the time to the first piece and the load.", "reported";
     "lease" "term_ms" Millis, Some("3000"), "Term of the lease on the duties.", "Must be at least the time within which the platform forbids a change of holder.", "3000";
     "lease" "margin_ms" Millis, Some("500"), "Time added to the term before another node takes the lease.", "Allows for clocks that run at different speeds.", "500";
     "stop" "unready_ms" Millis, Some("3000"), "Delay between becoming unready and refusing connections at shutdown.", "The load balancer checks once a second and needs two failures.", "3000";
@@ -134,6 +135,8 @@
     "hedge" "most" Count, Some("100"), "Maximum number of such attempts at once in the fleet.", "Bounds the extra work at any moment.", "100";
     "usage" "window_s" Seconds, Some("5"), "Length of a usage window.", "Equals the platform's window.", "5";
     "usage" "late_s" Seconds, Some("10"), "Time after a window's end within which its report is due.", "Later reports count as missing.", "10";
+    "quota" "slack" Amount, Some("0"), "Requests or tokens that the platform tolerates beyond a client account's allotment in a window.", "Nodes use a part of it for requests that are larger than the allotment's burst.", "140000";
+    "quota" "window_s" Seconds, Some("8"), "Window over which the platform counts an allotment.", "A node that takes the place of another grants nothing for so long.", "8";
     "peers" "pause_ms" Millis, Some("100"), "Interval between datagrams to a peer.", "A shorter interval gives more recent loads and costs processor time.", "100";
     "peers" "fan_out" Count, Some("8"), "Maximum number of peers to which a datagram is sent per round.", "Bounds a node's cost as the fleet grows.", "8";
     "operator" "tokens" Tokens, Some(""), "Operators' tokens as `NAME:SHA256`.", "Without any, `pomeloridge route explain` is off.", "anna:9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -91,7 +91,7 @@
     pub(crate) fn needs(&self, now: Instant) -> AnswerNeeds {
         let waited = now.saturating_duration_since(self.arrived_at);
         let longest = self.deadline.saturating_duration_since(self.arrived_at);
-        caller_needs(&self.route, self.inbound.max_output, longest, waited)
+        caller_needs(&self.route, self.inbound.output_tokens, longest, waited)
     }
 
     /// Returns whether the request continues a stream that another one began.
@@ -150,12 +150,12 @@
 /// Returns what a caller of a route needs that has waited for `waited` of `longest`.
 pub(crate) fn caller_needs(
     route: &Route,
-    max_output: Option<u32>,
+    output_tokens: Option<u64>,
     longest: Duration,
     waited: Duration,
 ) -> AnswerNeeds {
     AnswerNeeds {
-        output_tokens: max_output,
+        output_tokens: output_tokens.map(|tokens| u32::try_from(tokens).unwrap_or(u32::MAX)),
         event_tokens: None,
         waited,
         first_target: Some(route.latency_target),
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use pomeloridge_policy::part_crashes::PartRunKey;
 
 use crate::accept::{Accepted, Trial};
+use crate::account_quota::RunCredits;
 use crate::config::Route;
 use crate::crash_detection;
 use crate::exchange::Failure;
@@ -173,6 +174,9 @@
     /// This node's part of the service's retry budget is spent.
     #[display("budget")]
     Budget,
+    /// Its client account's allotment has no room for one more run.
+    #[display("allotment")]
+    Allotment,
     /// It is quarantined, and so is sent to no other server.
     #[display("quarantine")]
     Quarantine,
@@ -209,6 +213,8 @@
     other: Cell<Option<OtherAttempt>>,
     /// Server of the attempt that was cancelled as the other one was answered.
     cancelled: Rc<Cell<Option<TargetKey>>>,
+    /// Credit of its client account for the runs.
+    pub(crate) credits: RunCredits<'a>,
     /// Software version at which the request may run, once it is bound to one.
     version: OnceCell<Name>,
 }
@@ -239,6 +245,7 @@
             charge: None,
             other: Cell::default(),
             cancelled: Rc::default(),
+            credits: RunCredits::new(state, accepted),
             version: OnceCell::new(),
         }
     }
@@ -277,6 +284,18 @@
         with_usual_answer(self.state, route, service, self.accepted.needs(now))
     }
 
+    /// Takes the credit for the next run, unless it is there, or returns the final refusal.
+    pub(crate) async fn charge_run(&self) -> Result<(), Refusal> {
+        self.credits.charge().await.map_err(|refusal| {
+            let own = self.refusal(refusal.kind);
+            if own.kind == refusal.kind {
+                refusal
+            } else {
+                own
+            }
+        })
+    }
+
     /// Chooses the server of the next attempt, or returns the final refusal.
     pub(crate) fn choose(&mut self) -> Result<Plan, Refusal> {
         let (state, accepted) = (self.state, self.accepted);
@@ -418,7 +437,10 @@
     ) -> Result<(), Refusal> {
         self.probe_for_crash(server, failure).await;
         self.settle_other();
-        let retry = self.check_retry(server, failure);
+        let mut retry = self.check_retry(server, failure);
+        if retry.is_ok() && self.credits.charge().await.is_err() {
+            retry = Err(RetryBlocker::Allotment);
+        }
         log::info!(
             "request id={} print={} server={} failure={failure} again={}{} parts={}",
             self.accepted.inbound.label(),
@@ -527,6 +549,9 @@
         if !state.dispatcher.borrow().has_server(&request, now) {
             return Err(RetryBlocker::Servers);
         }
+        if !self.credits.may_charge() {
+            return Err(RetryBlocker::Allotment);
+        }
         if !state.has_retry(&accepted.service) || !self.charge_next() {
             return Err(RetryBlocker::Budget);
         }
@@ -581,6 +606,7 @@
     }
 
     fn count_failure(&mut self, server: TargetKey, failure: Failure) {
+        self.credits.end_run(failure.not_run());
         if failure != Failure::StaleConnection {
             self.tried.push(server);
         }
--- a/crates/pomeloridge_gateway/src/hedge.rs
+++ b/crates/pomeloridge_gateway/src/hedge.rs
@@ -228,7 +228,11 @@
         if !left.is_zero() {
             monoio::time::sleep(left).await;
         }
-        match Self::begin(attempts, first, delay) {
+        let begun = match attempts.credits.charge().await {
+            Ok(()) => Self::begin(attempts, first, delay),
+            Err(_) => Err(HedgeDenial::Allotment),
+        };
+        match begun {
             Ok(hedge) => hedge,
             Err(denial) => {
                 record_denial(state, accepted, denial);
@@ -269,7 +273,9 @@
         let plan = dispatcher.plan_second(&attempts.request_beside(&tried, now), now);
         let plan = plan.ok_or(HedgeDenial::Servers)?;
         drop(dispatcher);
-        let charged_at = charge(state, accepted).ok_or(HedgeDenial::Budget)?;
+        let charged_at = state
+            .try_spend_spare(&accepted.service)
+            .ok_or(HedgeDenial::Budget)?;
         state.hedging.borrow_mut().begin();
         state.meter.increment(Counter::Hedges);
         attempts.begin_other(plan.server);
@@ -302,11 +308,6 @@
     }
 }
 
-/// Charges the run of a hedge to all that bounds runs, and returns when; `None` if it must not run.
-fn charge(state: &State, accepted: &Accepted) -> Option<Instant> {
-    state.try_spend_spare(&accepted.service)
-}
-
 /// Returns whether servers may have crashed under the request, so that it must not be spread.
 fn is_suspect(state: &State, accepted: &Accepted) -> bool {
     let now = state.now();
--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -148,7 +148,7 @@
         timing.first_chunk.unwrap_or(total).as_millis(),
         timing.longest_gap.as_millis(),
         timing.events,
-        accepted.inbound.max_output.unwrap_or_default(),
+        accepted.inbound.output_tokens.unwrap_or_default(),
         total.as_millis(),
         accepted.route.latency_target.as_millis()
     );
--- a/crates/pomeloridge_gateway/src/route_explain.rs
+++ b/crates/pomeloridge_gateway/src/route_explain.rs
@@ -36,7 +36,7 @@
     path: String,
     account: Option<Name>,
     prompt: Option<PromptShape>,
-    max_output: Option<u32>,
+    output_tokens: Option<u64>,
 }
 
 /// Why the request would be refused.
@@ -198,7 +198,7 @@
 fn choose(state: &State, route: &Route, service: &Name, question: &Question, answer: &mut Answer) {
     let now = state.now();
     let longest = route.timeout.min(DEFAULT_CALLER_TIMEOUT);
-    let needs = caller_needs(route, question.max_output, longest, Duration::ZERO);
+    let needs = caller_needs(route, question.output_tokens, longest, Duration::ZERO);
     let request = DispatchRequest {
         service,
         prompt: question.prompt.as_ref(),
--- a/crates/pomeloridge_gateway/src/route_explain/wire.rs
+++ b/crates/pomeloridge_gateway/src/route_explain/wire.rs
@@ -107,7 +107,7 @@
                 path: wire.path,
                 account: wire.account.map(Name::from),
                 prompt,
-                max_output: wire.tokens.map(|(_, output)| output as u32),
+                output_tokens: wire.tokens.map(|(_, output)| output),
             }),
             _ => Err(problems),
         }
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -26,6 +26,7 @@
 use pomeloridge_policy::work_meter::{WorkMeter, WorkRates};
 
 use crate::accept::Accepted;
+use crate::account_quota::QuotaState;
 use crate::active_config::ActiveConfig;
 use crate::config::ServingConfig;
 use crate::crash_detection::{self, CrashProbes};
@@ -122,6 +123,8 @@
     pub(crate) allowance_from: Cell<Instant>,
     pub(crate) retry_budgets: RefCell<HashMap<Name, FleetRetryBudget>>,
     pub(crate) hedging: RefCell<Hedging>,
+    /// Allotments of client accounts.
+    pub(crate) account_quota: QuotaState,
     pub(crate) pool: Pool,
     /// Requests that may have crashed servers.
     pub(crate) crashes: RefCell<CrashTracker>,
@@ -197,6 +200,8 @@
             incarnation,
         };
         let now = clock.now();
+        let mut dispatcher = Dispatcher::new(data_centre.clone(), EngineModel::default(), incarnation);
+        dispatcher.expect_uneven_servers(settings.text("routing", "servers") == "uneven");
         let data_centre_hash = peers::name_hash(&data_centre) as u32;
         Rc::new(Self {
             store,
@@ -218,14 +223,11 @@
             is_watcher: Cell::new(false),
             server_list_loaded: Cell::new(false),
             first_list: Cell::new(None),
-            dispatcher: RefCell::new(Dispatcher::new(
-                data_centre,
-                EngineModel::default(),
-                incarnation,
-            )),
+            dispatcher: RefCell::new(dispatcher),
             allowance_from: Cell::new(retry_limits(&settings).allowance_from(now)),
             retry_budgets: RefCell::default(),
             hedging: RefCell::new(Hedging::new(hedge_limits(&settings))),
+            account_quota: QuotaState::new(&name, &settings),
             pool: Pool::default(),
             crashes: RefCell::default(),
             parts: RefCell::default(),
--- a/crates/pomeloridge_gateway/src/unary.rs
+++ b/crates/pomeloridge_gateway/src/unary.rs
@@ -23,6 +23,7 @@
 pub(crate) async fn run(state: &Rc<State>, accepted: &Accepted) -> Result<Response, Refusal> {
     let mut attempts = Attempts::new(state, accepted);
     loop {
+        attempts.charge_run().await?;
         let plan = attempts.choose()?;
         let usage_counted = Cell::new(false);
         let run = async |plan| attempt(state, &attempts, plan, &usage_counted).await;
@@ -51,6 +52,7 @@
     usage_counted: &Cell<bool>,
 ) -> Result<Response, Failure> {
     let accepted = attempts.accepted();
+    attempts.credits.begin_run();
     let mut in_flight = InFlightAttempt::new(state, plan.server, 0, attempts);
     in_flight.watch_parts(accepted);
     let watch = SilenceWatch {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -174,6 +174,10 @@
     speed_count: u64,
     /// Number of other nodes that send to the same servers.
     peer_count: usize,
+    /// Services whose servers report how long work takes there, and so differ.
+    uneven_services: HashSet<Name>,
+    /// Whether the servers of all services are taken to differ.
+    expects_uneven: bool,
     /// Numbers drawn for the latest choice; a cell, as an explanation looks at the next ones.
     draw: Cell<Draw>,
 }
@@ -245,6 +249,8 @@
             speed_reports: VecDeque::new(),
             speed_count: 0,
             peer_count: 0,
+            uneven_services: HashSet::new(),
+            expects_uneven: false,
             draw: Cell::new(Draw {
                 rotation: 0,
                 random_state: seed,
@@ -315,6 +321,18 @@
         learned.map_or(&self.base_model, |learned| &learned.model)
     }
 
+    /// Takes the servers of all services to differ in speed, or only those of services whose
+    /// servers report how long work takes there.
+    pub fn expect_uneven_servers(&mut self, expects_uneven: bool) {
+        self.expects_uneven = expects_uneven;
+    }
+
+    /// Returns whether the servers of a service differ, so that they are compared by the whole
+    /// answer and their own speeds.
+    fn is_uneven(&self, service: &Name) -> bool {
+        self.expects_uneven || self.uneven_services.contains(service)
+    }
+
     /// Returns the speed model of one engine at this moment.
     fn engine_model(&self, target: &Target, now: Instant) -> EngineModel {
         let model = self.model(&target.info.service);
@@ -352,6 +370,9 @@
         // Servers that were not drawn may be idle. As a last resort, ejected servers and those
         // changing their stage are considered.
         let drawn = plan(Selection::Sample);
+        if !self.is_uneven(request.service) {
+            return drawn.or_else(|| plan(Selection::LastResort));
+        }
         drawn
             .filter(is_good)
             .or_else(|| plan(Selection::All))
@@ -372,7 +393,7 @@
     ) -> Option<Plan> {
         let eligible = self.eligible(request, now, selection == Selection::LastResort);
         let Some(prompt) = request.prompt else {
-            return self.fastest_answer(self.select_plain(eligible, selection), now);
+            return self.choose_plain(request.service, eligible, selection, now);
         };
         let plans = self.group_by_version(eligible).into_iter();
         let plans = plans.filter_map(|(version, engines)| {
@@ -406,8 +427,12 @@
 
     /// Records the load that a server reported with a response.
     pub fn record_load_report(&mut self, key: TargetKey, load: ReportedLoad) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.report = Some(load);
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        target.report = Some(load);
+        if load.slowdown.is_some() && !self.uneven_services.contains(&target.info.service) {
+            self.uneven_services.insert(target.info.service.clone());
         }
     }
 
--- a/crates/pomeloridge_policy/src/dispatch/explain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/explain.rs
@@ -82,13 +82,6 @@
     pub age: Duration,
 }
 
-/// Returns the bar of an engine whose free memory is too small for a prompt and its output.
-fn memory_bar(target: &Target, request: &DispatchRequest<'_>, now: Instant) -> Option<Bar> {
-    let output_tokens = request.needs.output_tokens.unwrap_or_default();
-    let tokens = request.prompt?.tokens + u64::from(output_tokens);
-    (!target.has_room(tokens, now)).then_some(Bar::Memory)
-}
-
 /// A server of the request's service, as the choice sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -160,7 +153,7 @@
                 Candidate {
                     server: key,
                     bars: bars(key, target, request, now)
-                        .chain(memory_bar(target, request, now))
+                        .chain(self.memory_bar(target, request, now))
                         .collect(),
                     is_compared: compared.contains(&key),
                     predicted: self.predicted(key, request, &mut holders, now),
@@ -184,6 +177,18 @@
         }
     }
 
+    /// Returns the bar of an engine whose free memory is too small for a prompt and its output.
+    fn memory_bar(
+        &self,
+        target: &Target,
+        request: &DispatchRequest<'_>,
+        now: Instant,
+    ) -> Option<Bar> {
+        let output_tokens = request.needs.output_tokens.unwrap_or_default();
+        let tokens = request.prompt?.tokens + u64::from(output_tokens);
+        (!self.has_room(target, tokens, now)).then_some(Bar::Memory)
+    }
+
     /// Returns the servers that the choice compares.
     fn compared(
         &self,
@@ -193,7 +198,7 @@
     ) -> Vec<TargetKey> {
         let eligible = self.eligible(request, now, selection == Selection::LastResort);
         let Some(prompt) = request.prompt else {
-            return self.select_plain(eligible, selection);
+            return self.select_plain(request.service, eligible, selection);
         };
         let groups = self.group_by_version(eligible).into_values();
         let compared = groups.flat_map(|engines| {
--- a/crates/pomeloridge_policy/src/dispatch/plain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/plain.rs
@@ -8,6 +8,8 @@
 
 use std::time::{Duration, Instant};
 
+use pomeloridge_base::id::Name;
+
 use super::explain::LearnedSpeed;
 use super::target::{Target, TargetKey};
 use super::{Dispatcher, Plan, Selection};
@@ -76,7 +78,48 @@
 }
 
 impl Dispatcher {
-    /// Chooses among servers of a plain service.
+    /// Chooses the server of a plain service among those that may take a request.
+    pub(super) fn choose_plain(
+        &self,
+        service: &Name,
+        eligible: Vec<TargetKey>,
+        selection: Selection,
+        now: Instant,
+    ) -> Option<Plan> {
+        let keys = self.select_plain(service, eligible, selection);
+        if self.is_uneven(service) {
+            self.fastest_answer(keys, now)
+        } else {
+            self.least_loaded(&keys, now)
+        }
+    }
+
+    /// Chooses the server with the fewest requests per slot, the nearest among equals.
+    fn least_loaded(&self, keys: &[TargetKey], now: Instant) -> Option<Plan> {
+        let load = |key: &TargetKey| {
+            let target = &self.targets[*key];
+            let slots = u64::from(target.info.slots.max(1));
+            let ahead = u64::from(target.running(now)) * 1000 / slots;
+            (
+                ahead,
+                self.distance_penalty(target),
+                target.id_hash as usize ^ self.draw.get().rotation,
+            )
+        };
+        let server = keys.iter().copied().min_by_key(load)?;
+        let time = self.distance_penalty(&self.targets[server]);
+        Some(Plan {
+            server,
+            prefill: None,
+            fetch_from: None,
+            prefill_tokens: 0,
+            ttft: time,
+            end: time,
+            cost: time,
+        })
+    }
+
+    /// Chooses among servers of a plain service that differ.
     pub(super) fn fastest_answer(&self, keys: Vec<TargetKey>, now: Instant) -> Option<Plan> {
         let cost = |key: &TargetKey| {
             let target = &self.targets[*key];
@@ -98,11 +141,13 @@
     /// Selects the plain servers that are compared for the next request.
     pub(super) fn select_plain(
         &self,
+        service: &Name,
         eligible: Vec<TargetKey>,
         selection: Selection,
     ) -> Vec<TargetKey> {
         match selection {
             Selection::All => eligible,
+            _ if !self.is_uneven(service) => self.sample_targets(eligible),
             Selection::Sample | Selection::LastResort => self.draw_plain(eligible),
         }
     }
--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -85,7 +85,7 @@
         now: Instant,
     ) -> Option<TargetKey> {
         let tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
-        let needs = &request.needs;
+        let needs = &self.compared_needs(request);
         let request = DispatchRequest {
             version: Some(&self.targets.get(prefill_engine)?.info.version),
             ..*request
@@ -95,7 +95,7 @@
             let held = tokens + u64::from(needs.output_tokens.unwrap_or_default());
             usable.retain(|key| {
                 let target = &self.targets[*key];
-                target.info.stage != Stage::Prefill && target.has_room(held, now)
+                target.info.stage != Stage::Prefill && self.has_room(target, held, now)
             });
             let read = ReadPrompt {
                 engine: prefill_engine,
@@ -142,6 +142,21 @@
         plans.min_by_key(|plan| (plan.cost, rotation(plan) % 64))
     }
 
+    /// Returns the needs by which the engines of a service are compared: engines that are alike
+    /// are compared by the time to the first token alone.
+    fn compared_needs(&self, request: &DispatchRequest<'_>) -> AnswerNeeds {
+        if self.is_uneven(request.service) {
+            request.needs
+        } else {
+            AnswerNeeds::default()
+        }
+    }
+
+    /// Returns whether an engine has room for the tokens of a request, as far as that is counted.
+    pub(super) fn has_room(&self, target: &Target, tokens: u64, now: Instant) -> bool {
+        !self.is_uneven(&target.info.service) || target.has_room(tokens, now)
+    }
+
     /// Predicts the time to transfer the KV cache of this many tokens.
     fn transfer_time(&self, from: TargetKey, to: TargetKey, tokens: u64) -> Duration {
         let centre = |key| self.targets.get(key).map(|target| &target.info.data_centre);
@@ -165,14 +180,14 @@
             home,
             holder,
         } = engines;
-        let needs = &request.needs;
-        let output_tokens = needs.output_tokens.unwrap_or_default();
+        let needs = &self.compared_needs(request);
+        let output_tokens = request.needs.output_tokens.unwrap_or_default();
         let tokens = prompt.tokens + u64::from(output_tokens);
         let of_stage = |stage: Stage| {
             let keys = usable.iter().copied();
             keys.filter(move |key| {
                 let target = &self.targets[*key];
-                target.info.stage == stage && target.has_room(tokens, now)
+                target.info.stage == stage && self.has_room(target, tokens, now)
             })
         };
         let prefill_engines: Vec<TargetKey> = of_stage(Stage::Prefill).collect();
--- a/crates/pomeloridge_policy/src/dispatch/speed.rs
+++ b/crates/pomeloridge_policy/src/dispatch/speed.rs
@@ -207,6 +207,9 @@
     /// Returns the learnt factor by which work takes longer on a server than on a typical one of
     /// its service.
     pub(super) fn speed_factor(&self, target: &Target, now: Instant) -> f64 {
+        if !self.is_uneven(&target.info.service) {
+            return 1.0;
+        }
         let model = self.model(&target.info.service);
         let scales = ServiceScales {
             prefill: model.prefill_scale,
@@ -223,6 +226,10 @@
         (measured, predicted): (Duration, Duration),
         now: Instant,
     ) {
+        let service = self.targets.get(key).map(|target| &target.info.service);
+        if !service.is_some_and(|service| self.is_uneven(service)) {
+            return;
+        }
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
--- a/crates/pomeloridge_policy/src/hedging.rs
+++ b/crates/pomeloridge_policy/src/hedging.rs
@@ -105,6 +105,9 @@
     /// Requests are slow at several servers.
     #[display("slow")]
     Slow,
+    /// The account's allotment has no room for one more run.
+    #[display("allotment")]
+    Allotment,
     /// A retry was denied lately, or retries need what is left of their budget.
     #[display("budget")]
     Budget,
--- a/crates/pomeloridge_policy/tests/policy/hedging.rs
+++ b/crates/pomeloridge_policy/tests/policy/hedging.rs
@@ -4,7 +4,7 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::dispatch::{
-    DispatchRequest, Dispatcher, EngineModel, Stage, TargetInfo, TargetKey,
+    AnswerNeeds, DispatchRequest, Dispatcher, EngineModel, Stage, TargetInfo, TargetKey,
 };
 use pomeloridge_policy::hedging::{
     HedgeDenial, HedgeKind, HedgeLimits, HedgeLoad, Hedging, MAX_HEDGE_TIME, SlowAttempt, part_of,
@@ -407,6 +407,7 @@
         tried: &tried,
         allow_separate_prefill: false,
         version: None,
+        needs: AnswerNeeds::default(),
     };
     let plan = dispatcher.plan_second(&request, now);
     let expected = is_allowed.then_some(other);
--- a/crates/pomeloridge_policy/tests/policy/plain_services.rs
+++ b/crates/pomeloridge_policy/tests/policy/plain_services.rs
@@ -37,6 +37,7 @@
 /// Returns a node in `a` and its servers in these data centres.
 fn node(seed: u64, data_centres: &[&str]) -> (Dispatcher, Vec<TargetKey>) {
     let mut node = Dispatcher::new(Name::from("a"), EngineModel::default(), seed);
+    node.expect_uneven_servers(true);
     let list = data_centres.iter().enumerate();
     let list = list.map(|(number, data_centre)| server(number, 1, data_centre));
     node.sync(list.collect());
--- a/crates/pomeloridge_policy/tests/policy/route_explain.rs
+++ b/crates/pomeloridge_policy/tests/policy/route_explain.rs
@@ -38,6 +38,7 @@
 
 fn dispatcher(count: usize, stage: impl Fn(usize) -> Stage) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default(), SEED);
+    dispatcher.expect_uneven_servers(true);
     let list = (0..count).map(|number| server(number, stage(number)));
     dispatcher.sync(list.collect());
     dispatcher
--- a/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
+++ b/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
@@ -38,6 +38,7 @@
 
 fn dispatcher(list: &[TargetInfo], seed: u64) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(Name::from("a"), EngineModel::default(), seed);
+    dispatcher.expect_uneven_servers(true);
     dispatcher.sync(list.to_vec());
     dispatcher
 }
@@ -149,6 +150,33 @@
     assert_eq!(name(&dispatcher, plan.server), "slow");
 }
 
+/// In a service whose servers report no slowdown, engines are compared as if they were alike. The
+/// first report of one of them shows that they share machines with others.
+#[test]
+fn engines_are_taken_to_be_alike_until_one_reports_a_slowdown() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&decode_engines(&["fast", "slow"]), 7);
+    dispatcher.expect_uneven_servers(false);
+    tell_speed(&mut dispatcher, "fast", 1.0, now);
+    tell_speed(&mut dispatcher, "slow", SLOW, now);
+    put_load(&mut dispatcher, "fast", 20, now);
+    let plan = choose(&mut dispatcher, 300, needs(900), now).unwrap();
+    assert_eq!(name(&dispatcher, plan.server), "slow");
+    let report = |slowdown| ReportedLoad {
+        running: 20,
+        waiting: 0,
+        slowdown,
+        at: now,
+    };
+    let fast = key(&dispatcher, "fast");
+    dispatcher.record_load_report(fast, report(None));
+    let plan = choose(&mut dispatcher, 300, needs(900), now).unwrap();
+    assert_eq!(name(&dispatcher, plan.server), "slow");
+    dispatcher.record_load_report(fast, report(Some(1.0)));
+    let plan = choose(&mut dispatcher, 300, needs(900), now).unwrap();
+    assert_eq!(name(&dispatcher, plan.server), "fast");
+}
+
 /// A restarted engine may run on other hardware.
 #[test]
 fn a_new_incarnation_starts_at_the_speed_of_its_service() {
