Tell callers when to retry a request larger than the allotment

Seen: pomeloridge_base's test config::error_codes_are_unique_and_temporary_refusals_have_a_retry_time failed: allotment_too_small was a 429, not run, without a retry time.

Change: a minute, as for quarantined requests; a change of the limit helps.

--- a/crates/pomeloridge_base/src/error.rs
+++ b/crates/pomeloridge_base/src/error.rs
@@ -92,7 +92,7 @@
     Quarantined: 422, "quarantined", NotRun, RETRY_60S, "this request crashed two backend servers and is refused for a time";
     AccountBusy: 429, "account_busy", NotRun, RETRY_1S, "the client account has too many requests waiting";
     AllotmentUsed: 429, "allotment_used", NotRun, RETRY_1S, "the client account's allotment is used up for the moment";
-    AllotmentTooSmall: 429, "allotment_too_small", NotRun, NO_RETRY, "the request is larger than what the client account's allotment has room for at any time";
+    AllotmentTooSmall: 429, "allotment_too_small", NotRun, RETRY_60S, "the request is larger than what the client account's allotment has room for at any time; ask the operators for a larger one";
     AllotmentUnknown: 503, "allotment_unknown", NotRun, RETRY_1S, "none of the nodes that keep the client account's allotment answers";
     Overloaded: 503, "overloaded", NotRun, RETRY_1S, "the wait would be longer than the request's deadline";
     NoServer: 503, "no_server", NotRun, RETRY_5S, "no backend server for this route can take work";
