--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -200,7 +200,8 @@
             incarnation,
         };
         let now = clock.now();
-        let mut dispatcher = Dispatcher::new(data_centre.clone(), EngineModel::default(), incarnation);
+        let mut dispatcher =
+            Dispatcher::new(data_centre.clone(), EngineModel::default(), incarnation);
         dispatcher.expect_uneven_servers(settings.text("routing", "servers") == "uneven");
         let data_centre_hash = peers::name_hash(&data_centre) as u32;
         Rc::new(Self {
--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -7,7 +7,7 @@
 use pomeloridge_base::id::Name;
 
 use super::answer::AnswerNeeds;
-use super::{DispatchRequest, Dispatcher, Plan, PromptShape, Stage, TargetKey};
+use super::{DispatchRequest, Dispatcher, Plan, PromptShape, Stage, Target, TargetKey};
 use crate::hash::splitmix64;
 
 /// Minimum tokens of a shared prompt part that is assigned a home engine.
--- a/crates/pomeloridge_policy/src/dispatch/sample.rs
+++ b/crates/pomeloridge_policy/src/dispatch/sample.rs
@@ -61,9 +61,7 @@
     /// Puts servers in a random order, another one for each request and on each node.
     fn shuffle(&self, keys: &mut [TargetKey]) {
         let state = self.draw.get().random_state;
-        keys.sort_unstable_by_key(|key| {
-            splitmix64(u64::from(self.targets[*key].id_hash) ^ state)
-        });
+        keys.sort_unstable_by_key(|key| splitmix64(u64::from(self.targets[*key].id_hash) ^ state));
     }
 
     /// Keeps the first servers up to a number, of which `remote_size` are of other data centres
