--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -1,21 +1,20 @@
 //! The attempts of one request: which server it is sent to, whether it is retried, and the
 //! final refusal.
 
+mod in_flight;
 mod other;
+mod retry_blocker;
 
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use derive_more::Display;
-use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::error::{ErrorKind, RunStatus};
 use pomeloridge_base::id::Name;
 use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
-use pomeloridge_policy::crashes::{QUARANTINE_CRASHES, RunKey, RunOutcome};
-use pomeloridge_policy::dispatch::{AnswerNeeds, DispatchRequest, InFlightKey, Plan, TargetKey};
-use pomeloridge_policy::part_crashes::PartRunKey;
+use pomeloridge_policy::crashes::QUARANTINE_CRASHES;
+use pomeloridge_policy::dispatch::{AnswerNeeds, DispatchRequest, Plan, TargetKey};
 
 use crate::accept::{Accepted, Trial};
 use crate::account_quota::RunCredits;
@@ -25,10 +24,11 @@
 use crate::part_quarantine;
 use crate::silence::SilentWork;
 use crate::state::State;
-use crate::token_rate::TokenRate;
 use crate::versions;
 
+pub(crate) use in_flight::InFlightAttempt;
 use other::{OtherAttempt, OtherState};
+pub(crate) use retry_blocker::RetryBlocker;
 
 /// Default and shortest retry delay that a refusal gives the caller.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -37,157 +37,6 @@
 /// Number of server refusals after which a request is no longer retried.
 const MAX_REFUSED_SENDS: usize = 3;
 
-/// Guard that counts a request as in flight on its server until it is dropped.
-pub(crate) struct InFlightAttempt {
-    state: Rc<State>,
-    server: TargetKey,
-    key: InFlightKey,
-    run: Option<RunKey>,
-    /// The run as one of the prompt's parts, if the server is to answer the prompt.
-    part_run: Option<PartRunKey>,
-    outcome: RunOutcome,
-    /// Server whose run this node has cancelled, as another one answered the request.
-    cancelled: Rc<Cell<Option<TargetKey>>>,
-    _in_flight: CountGuard,
-}
-
-impl InFlightAttempt {
-    pub(crate) fn new(
-        state: &Rc<State>,
-        server: TargetKey,
-        prefill_tokens: u64,
-        attempts: &Attempts<'_>,
-    ) -> Self {
-        let now = state.now();
-        let accepted = attempts.accepted;
-        let prompt = accepted.inbound.prompt.as_ref();
-        let mut dispatcher = state.dispatcher.borrow_mut();
-        let key = dispatcher.begin(server, prefill_tokens, prompt, now);
-        let incarnation = dispatcher
-            .target(server)
-            .map(|target| target.info.incarnation());
-        drop(dispatcher);
-        let mut crashes = state.crashes.borrow_mut();
-        Self {
-            state: Rc::clone(state),
-            server,
-            key,
-            run: incarnation
-                .map(|incarnation| crashes.start_run(accepted.fingerprint, incarnation)),
-            part_run: None,
-            outcome: RunOutcome::Lost,
-            cancelled: Rc::clone(&attempts.cancelled),
-            _in_flight: CountGuard::new(&state.in_flight),
-        }
-    }
-
-    /// Records that the server is to answer the prompt, not only to read it.
-    pub(crate) fn watch_parts(&mut self, accepted: &Accepted) {
-        self.part_run = part_quarantine::start_run(&self.state, self.server, accepted);
-        if let Some(run) = self.part_run {
-            accepted.set_part_run(self.server, run);
-        }
-    }
-
-    /// Records that the server has sent whole events of the answer.
-    pub(crate) fn record_events(&self) {
-        if let Some(run) = self.part_run {
-            let now = self.state.now();
-            let cleared = self.state.parts.borrow_mut().record_output(run, now);
-            part_quarantine::record_cleared(&self.state, &cleared);
-        }
-    }
-
-    /// Records that the server has prefilled the prompt.
-    pub(crate) fn record_prefill_done(&self) {
-        let now = self.state.now();
-        let mut dispatcher = self.state.dispatcher.borrow_mut();
-        dispatcher.record_prefill_done(self.key, now);
-        dispatcher.mark_reachable(self.server, now);
-    }
-
-    /// Records the rate at which the server generated tokens, and their number unless the
-    /// stream continues one that another server began.
-    pub(crate) fn record_output(&self, route: &Name, rate: TokenRate, is_continuation: bool) {
-        let now = self.state.now();
-        let mut dispatcher = self.state.dispatcher.borrow_mut();
-        if let Some((tokens, span)) = rate.after_first_chunk() {
-            dispatcher.record_decode(self.server, tokens, span, now);
-        }
-        if !is_continuation {
-            dispatcher.record_output_tokens(self.server, route, rate.total_tokens());
-        }
-    }
-
-    /// Records how the request ended on the server; the default is that it was lost there.
-    pub(crate) fn set_outcome(&mut self, outcome: RunOutcome) {
-        self.outcome = outcome;
-    }
-
-    /// Records a failure; only one that may be a crash counts as a lost run.
-    pub(crate) fn record_failure(&mut self, failure: Failure) {
-        if !failure.may_be_crash() {
-            self.set_outcome(RunOutcome::ServerAlive);
-        }
-    }
-}
-
-impl Drop for InFlightAttempt {
-    fn drop(&mut self) {
-        // The other server's answer shows that the request did not crash this one.
-        if self.outcome == RunOutcome::Lost && self.cancelled.get() == Some(self.server) {
-            self.outcome = RunOutcome::ServerAlive;
-        }
-        self.state.dispatcher.borrow_mut().end(self.key);
-        if let Some(run) = self.run {
-            let now = self.state.now();
-            self.state
-                .crashes
-                .borrow_mut()
-                .finish_run(run, self.outcome, now);
-        }
-        if let Some(run) = self.part_run {
-            let now = self.state.now();
-            let mut parts = self.state.parts.borrow_mut();
-            let cleared = parts.finish_run(run, self.outcome, now);
-            drop(parts);
-            part_quarantine::record_cleared(&self.state, &cleared);
-        }
-    }
-}
-
-/// Why a failed request is not retried.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(crate) enum RetryBlocker {
-    /// It may have run, and the route does not allow it to run twice.
-    #[display("kind")]
-    Kind,
-    /// The route's attempts are used up.
-    #[display("attempts")]
-    Attempts,
-    /// It is running at another server, too.
-    #[display("hedge")]
-    Hedge,
-    /// Too many servers have refused it.
-    #[display("refusals")]
-    Refusals,
-    /// This node's part of the service's retry budget is spent.
-    #[display("budget")]
-    Budget,
-    /// Its client account's allotment has no room for one more run.
-    #[display("allotment")]
-    Allotment,
-    /// It is quarantined, and so is sent to no other server.
-    #[display("quarantine")]
-    Quarantine,
-    /// No other server takes it.
-    #[display("servers")]
-    Servers,
-    /// Its deadline has passed.
-    #[display("deadline")]
-    Deadline,
-}
-
 /// The attempts made so far for one request.
 pub(crate) struct Attempts<'a> {
     state: &'a Rc<State>,
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -41,8 +41,8 @@
 use calibration::{Calibration, Samples};
 use explain::bars;
 use prompt_plan::PromptEngines;
+use sample::{Draw, Selection};
 
-use crate::hash::splitmix64;
 use crate::prompt_cache::PromptPart;
 
 slotmap::new_key_type! {
@@ -182,36 +182,6 @@
     draw: Cell<Draw>,
 }
 
-/// Numbers by which a choice samples servers and decides between equal ones.
-#[derive(Clone, Copy, Debug)]
-struct Draw {
-    /// Counts requests, to alternate between servers of equal cost.
-    rotation: usize,
-    /// State of the random generator that samples servers.
-    random_state: u64,
-}
-
-impl Draw {
-    /// Returns the numbers of the next choice.
-    fn next(self) -> Self {
-        Self {
-            rotation: self.rotation.wrapping_add(1),
-            random_state: splitmix64(self.random_state),
-        }
-    }
-}
-
-/// How servers are selected for a plan.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Selection {
-    /// A sample of those that may take the request.
-    Sample,
-    /// All of those.
-    All,
-    /// A sample that includes ejected servers and those changing their stage.
-    LastResort,
-}
-
 /// A server incarnation that is no longer in the server list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RemovedTarget {
--- a/crates/pomeloridge_policy/src/dispatch/explain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/explain.rs
@@ -9,8 +9,9 @@
 use pomeloridge_base::id::Name;
 
 use super::load::ReportedLoad;
+use super::sample::{Draw, Selection};
 use super::target::{Target, TargetKey};
-use super::{DispatchRequest, Dispatcher, Draw, Plan, Selection};
+use super::{DispatchRequest, Dispatcher, Plan};
 
 /// Why a server takes no request now.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
--- a/crates/pomeloridge_policy/src/dispatch/plain.rs
+++ b/crates/pomeloridge_policy/src/dispatch/plain.rs
@@ -11,8 +11,9 @@
 use pomeloridge_base::id::Name;
 
 use super::explain::LearnedSpeed;
+use super::sample::Selection;
 use super::target::{Target, TargetKey};
-use super::{Dispatcher, Plan, Selection};
+use super::{Dispatcher, Plan};
 use crate::hash::splitmix64;
 
 /// Answer time assumed of a service before any was measured.
--- a/crates/pomeloridge_policy/src/dispatch/sample.rs
+++ b/crates/pomeloridge_policy/src/dispatch/sample.rs
@@ -5,7 +5,7 @@
 //! sample, smaller the more nodes there are: the server that looks best to all of them then gets
 //! only a few times what one node sends.
 
-use super::{Dispatcher, Selection, Stage, TargetKey};
+use super::{Dispatcher, Stage, TargetKey};
 use crate::hash::splitmix64;
 
 /// Fewest servers of a stage that are compared for a request, if there are as many.
@@ -22,6 +22,36 @@
 /// Inverse of the share of other data centres in a sample, if the local one has enough servers.
 const REMOTE_SAMPLE_DIVISOR: usize = 3;
 
+/// Numbers by which a choice samples servers and decides between equal ones.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Draw {
+    /// Counts requests, to alternate between servers of equal cost.
+    pub(super) rotation: usize,
+    /// State of the random generator that samples servers.
+    pub(super) random_state: u64,
+}
+
+impl Draw {
+    /// Returns the numbers of the next choice.
+    pub(super) fn next(self) -> Self {
+        Self {
+            rotation: self.rotation.wrapping_add(1),
+            random_state: splitmix64(self.random_state),
+        }
+    }
+}
+
+/// How servers are selected for a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Selection {
+    /// A sample of those that may take the request.
+    Sample,
+    /// All of those.
+    All,
+    /// A sample that includes ejected servers and those changing their stage.
+    LastResort,
+}
+
 impl Dispatcher {
     /// Sets the number of other nodes that send to the same servers.
     pub fn set_peer_count(&mut self, count: usize) {
--- a/crates/pomeloridge_policy/src/dispatch/spare.rs
+++ b/crates/pomeloridge_policy/src/dispatch/spare.rs
@@ -4,7 +4,8 @@
 
 use pomeloridge_base::id::Name;
 
-use super::{DispatchRequest, Dispatcher, Plan, Selection, Stage};
+use super::sample::Selection;
+use super::{DispatchRequest, Dispatcher, Plan, Stage};
 
 /// Requests in flight per slot of a server up to which it takes second attempts.
 const MAX_SERVER_USE: f64 = 0.5;
