--- a/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
+++ b/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
@@ -151,7 +151,7 @@
 }
 
 /// In a service whose servers report no slowdown, engines are compared as if they were alike. The
-/// first report of one of them shows that they share machines with others.
+/// first report of one of them shows that they share their hosts with others.
 #[test]
 fn engines_are_taken_to_be_alike_until_one_reports_a_slowdown() {
     let now = Instant::now();
