Prefill apart by the time to the first event where engines are alike

The gap that a batch adds counted against a separate prefill, though an engine that does both has the same gap, so that decode engines read too many prompts. The test fails on the former code.

--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -213,10 +213,17 @@
                 ..decode
             })
         });
-        match (unsplit, split) {
-            (Some(unsplit), Some(split)) if split.cost + MIN_SPLIT_GAIN < unsplit.cost => {
-                Some(split)
+        let is_gain = |split: &Plan, unsplit: &Plan| {
+            if self.is_uneven(request.service) {
+                return split.cost + MIN_SPLIT_GAIN < unsplit.cost;
             }
+            // The gap that a batch adds decides between engines that are alike, but not whether
+            // the prompt is prefilled apart: an engine that does both has the same gap.
+            let distance = self.distance_penalty(&self.targets[split.server]);
+            split.ttft + MIN_SPLIT_GAIN < unsplit.ttft + distance
+        };
+        match (unsplit, split) {
+            (Some(unsplit), Some(split)) if is_gain(&split, &unsplit) => Some(split),
             (Some(unsplit), _) => Some(unsplit),
             // Without a decode engine there is no split plan either.
             (None, split) => split,
--- a/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
+++ b/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
@@ -177,6 +177,22 @@
     assert_eq!(name(&dispatcher, plan.server), "fast");
 }
 
+/// Many answers are decoded at engines that are alike. The gap between the events is the same whether
+/// a prompt is prefilled there or apart, where it comes sooner.
+#[test]
+fn a_busy_batch_of_like_engines_keeps_no_prompt_from_the_prefill_engine() {
+    let now = Instant::now();
+    let list = [
+        engine("read", Stage::Prefill),
+        engine("write", Stage::Decode),
+    ];
+    let mut dispatcher = dispatcher(&list, 7);
+    dispatcher.expect_uneven_servers(false);
+    put_load(&mut dispatcher, "write", 60, now);
+    let plan = choose(&mut dispatcher, 700, needs(300), now).unwrap();
+    assert_eq!(plan.prefill, Some(key(&dispatcher, "read")));
+}
+
 /// A restarted engine may run on other hardware.
 #[test]
 fn a_new_incarnation_starts_at_the_speed_of_its_service() {
