--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -129,8 +129,14 @@
 
     /// Returns what the caller needs from now on.
     fn needs(&self, now: Instant) -> AnswerNeeds {
-        let Accepted { route, service, .. } = self.accepted;
-        with_usual_answer(self.state, route, service, self.accepted.needs(now))
+        let Accepted {
+            route,
+            service,
+            inbound,
+            ..
+        } = self.accepted;
+        let needs = self.accepted.needs(now);
+        with_usual_answer(self.state, route, service, inbound.length_estimate, needs)
     }
 
     /// Takes the credit for the next run, unless it is there, or returns the final refusal.
@@ -559,9 +565,11 @@
     state: &State,
     route: &Route,
     service: &Name,
+    length_estimate: Option<u64>,
     needs: AnswerNeeds,
 ) -> AnswerNeeds {
-    let usual = state.dispatcher.borrow().long_answer(&route.name);
+    let dispatcher = state.dispatcher.borrow();
+    let usual = dispatcher.long_answer(&route.name, length_estimate);
     let config = state.config();
     let service = config
         .as_ref()
--- a/crates/pomeloridge_gateway/src/attempt/in_flight.rs
+++ b/crates/pomeloridge_gateway/src/attempt/in_flight.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 
 use pomeloridge_base::count_guard::CountGuard;
-use pomeloridge_base::id::Name;
 use pomeloridge_policy::crashes::{RunKey, RunOutcome};
 use pomeloridge_policy::dispatch::{InFlightKey, TargetKey};
 use pomeloridge_policy::part_crashes::PartRunKey;
@@ -88,14 +87,21 @@
 
     /// Records the rate at which the server generated tokens, and their number unless the
     /// stream continues one that another server began.
-    pub(crate) fn record_output(&self, route: &Name, rate: TokenRate, is_continuation: bool) {
+    pub(crate) fn record_output(
+        &self,
+        accepted: &Accepted,
+        rate: TokenRate,
+        is_continuation: bool,
+    ) {
         let now = self.state.now();
         let mut dispatcher = self.state.dispatcher.borrow_mut();
         if let Some((tokens, span)) = rate.after_first_chunk() {
             dispatcher.record_decode(self.server, tokens, span, now);
         }
         if !is_continuation {
-            dispatcher.record_output_tokens(self.server, route, rate.total_tokens());
+            let estimate = accepted.inbound.length_estimate;
+            let (route, tokens) = (&accepted.route.name, rate.total_tokens());
+            dispatcher.record_output_tokens(self.server, route, tokens, estimate);
         }
     }
 
--- a/crates/pomeloridge_gateway/src/request.rs
+++ b/crates/pomeloridge_gateway/src/request.rs
@@ -30,6 +30,8 @@
     pub prompt: Option<PromptShape>,
     /// Maximum number of output tokens, if the caller names it.
     pub output_tokens: Option<u64>,
+    /// The caller's estimate of the number of output tokens, if it gives one.
+    pub length_estimate: Option<u64>,
     /// Last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
     /// Identifier of the attempt that brought the first event of the stream that is continued.
--- a/crates/pomeloridge_gateway/src/route_explain.rs
+++ b/crates/pomeloridge_gateway/src/route_explain.rs
@@ -37,6 +37,7 @@
     account: Option<Name>,
     prompt: Option<PromptShape>,
     output_tokens: Option<u64>,
+    length_estimate: Option<u64>,
 }
 
 /// Why the request would be refused.
@@ -205,7 +206,7 @@
         tried: &[],
         allow_separate_prefill: true,
         version: None,
-        needs: with_usual_answer(state, route, service, needs),
+        needs: with_usual_answer(state, route, service, question.length_estimate, needs),
     };
     let dispatcher = state.dispatcher.borrow();
     let Explanation {
--- a/crates/pomeloridge_gateway/src/route_explain/wire.rs
+++ b/crates/pomeloridge_gateway/src/route_explain/wire.rs
@@ -30,6 +30,9 @@
     /// Prompt tokens and expected output tokens.
     #[serde(default)]
     tokens: Option<(u64, u64)>,
+    /// The caller's estimate of the number of output tokens.
+    #[serde(default)]
+    estimate: Option<u64>,
     /// Prompt parts in order, each as `ID:TOKENS`.
     #[serde(default)]
     parts: Vec<String>,
@@ -108,6 +111,7 @@
                 account: wire.account.map(Name::from),
                 prompt,
                 output_tokens: wire.tokens.map(|(_, output)| output),
+                length_estimate: wire.estimate,
             }),
             _ => Err(problems),
         }
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -470,7 +470,7 @@
         if !events.is_empty() {
             return Err(AttemptError::Server(Failure::InvalidResponse));
         }
-        in_flight.record_output(&self.accepted.route.name, rate, is_continuation);
+        in_flight.record_output(self.accepted, rate, is_continuation);
         in_flight.set_outcome(RunOutcome::Answered);
         self.send_head(responder).await?;
         responder.finish().await.map_err(AttemptError::CallerGone)?;
--- a/crates/pomeloridge_gateway/src/watch.rs
+++ b/crates/pomeloridge_gateway/src/watch.rs
@@ -3,7 +3,7 @@
 //! Only a few nodes watch at a time; the others receive changes from their peers.
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -247,9 +247,20 @@
         object.version
     );
     state.sync_servers();
+    forget_removed_routes(state);
     account_quota::sync_limits(state);
 }
 
+/// Forgets what was learnt of the answers of routes that are no longer configured.
+fn forget_removed_routes(state: &State) {
+    let Some(config) = state.config() else {
+        return;
+    };
+    let names: HashSet<&Name> = config.routes.iter().map(|route| &route.name).collect();
+    let mut dispatcher = state.dispatcher.borrow_mut();
+    dispatcher.retain_routes(|name| names.contains(name));
+}
+
 /// Reads the server list and follows its changes, until the process ends. After a restart of the
 /// task, the changes since the known revision may have been applied in part.
 pub(crate) async fn follow_server_list(state: Rc<State>, is_restarted: bool) {
--- a/crates/pomeloridge_operator/src/cli/command.rs
+++ b/crates/pomeloridge_operator/src/cli/command.rs
@@ -175,6 +175,9 @@
         /// Prompt tokens and expected output tokens, for a model's route.
         #[arg(long, value_name = "IN,OUT")]
         tokens: Option<TokenCounts>,
+        /// The caller's estimate of the number of output tokens.
+        #[arg(long, value_name = "TOKENS")]
+        estimate: Option<u64>,
         /// Part of the prompt, in order; the last one is the request's own. May be repeated.
         #[arg(long = "part", value_name = "ID:TOKENS")]
         parts: Vec<String>,
--- a/crates/pomeloridge_operator/src/cli/plan.rs
+++ b/crates/pomeloridge_operator/src/cli/plan.rs
@@ -108,6 +108,7 @@
         host,
         account,
         tokens,
+        estimate,
         parts,
     } = command;
     let tokens = tokens.map(|tokens| [tokens.prompt, tokens.output]);
@@ -115,7 +116,7 @@
     Plan {
         request: request.json(&json!({
             "method": method, "path": path, "host": host, "account": account,
-            "tokens": tokens, "parts": parts,
+            "tokens": tokens, "estimate": estimate, "parts": parts,
         })),
         render: render_report,
         is_read: true,
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -11,6 +11,7 @@
 //! services are chosen by the predicted time of their answers; see `plain`.
 
 mod answer;
+mod answer_length;
 mod calibration;
 mod engine_model;
 mod explain;
@@ -38,7 +39,8 @@
 pub use speed::{KnownSpeed, SpeedReport, SpeedReports, TimeRatio, Work};
 pub use target::{Stage, Target, TargetInfo, TargetKey};
 
-use calibration::{Calibration, Samples};
+use answer_length::AnswerLengths;
+use calibration::Calibration;
 use explain::bars;
 use prompt_plan::PromptEngines;
 use sample::{Draw, Selection};
@@ -158,8 +160,7 @@
     /// Speeds assumed before any were measured.
     base_model: EngineModel,
     service_models: HashMap<Name, ServiceModel>,
-    /// Latest numbers of output tokens by route.
-    answer_lengths: HashMap<Name, Samples>,
+    answer_lengths: AnswerLengths,
     targets: SlotMap<TargetKey, Target>,
     /// When this node last received data from each server. A server that is no longer listed stays
     /// here as long as it may still be working on requests.
@@ -210,7 +211,7 @@
             data_centre,
             base_model: model,
             service_models: HashMap::new(),
-            answer_lengths: HashMap::new(),
+            answer_lengths: AnswerLengths::default(),
             targets: SlotMap::with_key(),
             heard: HashMap::new(),
             resumed_at: None,
--- a/crates/pomeloridge_policy/src/dispatch/requests.rs
+++ b/crates/pomeloridge_policy/src/dispatch/requests.rs
@@ -2,8 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::id::Name;
-
 use super::{
     Dispatcher, InFlight, InFlightKey, PartPlacement, PromptShape, SampleKind, SpeedSample, Stage,
     TargetKey, Work,
@@ -11,8 +9,6 @@
 
 /// Fewest pieces whose time shows the speed of an engine; fewer may arrive together.
 const MIN_DECODE_PIECES: u64 = 2;
-/// Share of a route's answers that are no longer than a long answer.
-const LONG_ANSWER_SHARE: f64 = 0.9;
 
 impl Dispatcher {
     /// Records that a request was sent to a server.
@@ -116,23 +112,6 @@
         });
     }
 
-    /// Returns the number of output tokens that few answers of a route exceed, if enough of them
-    /// have been read.
-    pub fn long_answer(&self, route: &Name) -> Option<u32> {
-        let lengths = self.answer_lengths.get(route)?;
-        Some(lengths.quantile(LONG_ANSWER_SHARE)?.ceil() as u32)
-    }
-
-    /// Records the number of output tokens of a completed request of a route.
-    pub fn record_output_tokens(&mut self, key: TargetKey, route: &Name, tokens: u64) {
-        let lengths = self.answer_lengths.entry(route.clone()).or_default();
-        lengths.add(tokens as f64);
-        if let Some(target) = self.targets.get(key) {
-            let service = target.info.service.clone();
-            self.calibrate(&service, |calibration| calibration.record_output(tokens));
-        }
-    }
-
     /// Removes a request's prompt from the tokens queued for prefill on its server.
     pub(super) fn clear_prefill_tokens(&mut self, key: InFlightKey) {
         let Some(request) = self.in_flight.get_mut(key) else {
--- a/crates/pomeloridge_policy/tests/policy/engine_speed.rs
+++ b/crates/pomeloridge_policy/tests/policy/engine_speed.rs
@@ -82,7 +82,7 @@
         dispatcher.record_prefill_done(decode, now);
         now += ms(50).mul_f64(factor);
         dispatcher.record_decode(plan.server, 10, ms(50).mul_f64(factor), now);
-        dispatcher.record_output_tokens(plan.server, &Name::from("chat"), 40);
+        dispatcher.record_output_tokens(plan.server, &Name::from("chat"), 40, None);
         dispatcher.end(decode);
     }
     now
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -2,6 +2,7 @@
 
 mod account_quota;
 mod admission;
+mod answer_length;
 mod crashes;
 mod demand;
 mod dispatch;
