Expect the length that a caller estimates for its answer

The choice prepared each answer for the length of nine of ten answers of its route, so that long and short ones went to slow engines alike.

The chance to miss the deadline is that of a logistic curve, at most one.

--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -156,12 +156,12 @@
 ) -> AnswerNeeds {
     AnswerNeeds {
         output_tokens: output_tokens.map(|tokens| u32::try_from(tokens).unwrap_or(u32::MAX)),
-        event_tokens: None,
         waited,
         first_target: Some(route.latency_target),
         gap_target: route.gap_target,
         first_within: give_up_time(route, longest).saturating_sub(waited),
         end_within: longest.saturating_sub(waited),
+        ..AnswerNeeds::default()
     }
 }
 
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -136,7 +136,7 @@
             ..
         } = self.accepted;
         let needs = self.accepted.needs(now);
-        with_usual_answer(self.state, route, service, inbound.length_estimate, needs)
+        with_expected_answer(self.state, route, service, inbound.length_estimate, needs)
     }
 
     /// Takes the credit for the next run, unless it is there, or returns the final refusal.
@@ -188,6 +188,7 @@
             version: self.version.get(),
             needs: self.needs(now),
         };
+        let expected_tokens = request.needs.output_tokens;
         let plan = state.dispatcher.borrow_mut().choose(&request, now);
         let Some(plan) = plan else {
             log::info!(
@@ -226,7 +227,8 @@
         let speed = state.dispatcher.borrow().known_speed(plan.server, now);
         log::info!(
             "request id={} print={} choice=send route={} service={} server={} version={} \
-             prefill={} unread={} fetch={} predicted_ms={} predicted_end_ms={} running={} \
+             prefill={} unread={} fetch={} predicted_ms={} predicted_end_ms={} \
+             expected_tokens={} running={} \
              speed={:.2} slowdown={} attempt={} left_ms={} parts={}",
             accepted.inbound.label(),
             accepted.fingerprint,
@@ -243,6 +245,7 @@
                 .unwrap_or_default(),
             plan.ttft.as_millis(),
             plan.end.as_millis(),
+            expected_tokens.unwrap_or_default(),
             speed.running,
             speed.factor,
             speed.slowdown_label(),
@@ -560,8 +563,8 @@
     }
 }
 
-/// Adds to a caller's needs what is known of the answers of its route.
-pub(crate) fn with_usual_answer(
+/// Adds to a caller's needs the expected length of its answer.
+pub(crate) fn with_expected_answer(
     state: &State,
     route: &Route,
     service: &Name,
@@ -569,14 +572,16 @@
     needs: AnswerNeeds,
 ) -> AnswerNeeds {
     let dispatcher = state.dispatcher.borrow();
-    let usual = dispatcher.long_answer(&route.name, length_estimate);
+    let expected = dispatcher.expected_length(&route.name, length_estimate);
     let config = state.config();
     let service = config
         .as_ref()
         .and_then(|config| config.services.get(service));
     let engine = service.and_then(|service| service.engine);
+    let tokens = expected.map(|expected| expected.tokens);
     AnswerNeeds {
-        output_tokens: usual.into_iter().chain(needs.output_tokens).min(),
+        output_tokens: tokens.into_iter().chain(needs.output_tokens).min(),
+        length_spread: expected.map_or(needs.length_spread, |expected| expected.spread),
         event_tokens: engine.map(|engine| engine.tokens_per_event as u32),
         ..needs
     }
--- a/crates/pomeloridge_gateway/src/route_explain.rs
+++ b/crates/pomeloridge_gateway/src/route_explain.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::accept::{DEFAULT_CALLER_TIMEOUT, caller_needs, gives_up_before, shared_parts};
-use crate::attempt::with_usual_answer;
+use crate::attempt::with_expected_answer;
 use crate::config::{Route, RouteKind, ServingConfig};
 use crate::part_quarantine;
 use crate::state::State;
@@ -206,7 +206,7 @@
         tried: &[],
         allow_separate_prefill: true,
         version: None,
-        needs: with_usual_answer(state, route, service, question.length_estimate, needs),
+        needs: with_expected_answer(state, route, service, question.length_estimate, needs),
     };
     let dispatcher = state.dispatcher.borrow();
     let Explanation {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -33,6 +33,7 @@
 use slotmap::SlotMap;
 
 pub use answer::{AnswerNeeds, AnswerTimes};
+pub use answer_length::ExpectedLength;
 pub use engine_model::{EngineModel, EngineSpec};
 pub use explain::{Bar, Candidate, Explanation, LearnedSpeed};
 pub use load::{NodeLoad, PeerLoad, ReportedLoad};
--- a/crates/pomeloridge_policy/src/dispatch/answer.rs
+++ b/crates/pomeloridge_policy/src/dispatch/answer.rs
@@ -7,18 +7,20 @@
 //! first event, one for the gap between events, and a deadline. Predictions are off by a
 //! factor, so the chance to miss one of them grows with the share of it that is predicted to be
 //! used up. The cost is the time to the first event plus these chances, each counted as the
-//! target for the first event.
+//! target for the first event. The length of an answer is uncertain, too: a request whose answer
+//! would hardly end in time anywhere costs about the same on each engine, and leaves the fast ones
+//! to those that they help.
 
 use std::time::{Duration, Instant};
 
+use super::answer_length::ASSUMED_SPREAD;
 use super::engine_model::EngineModel;
 use super::target::{Stage, Target};
 
-/// Power of the used share with which the chance to miss the first event's target or the deadline
-/// grows.
+/// Power of the used share with which the chance to miss the first event's target grows.
 const MISS_POWER: f64 = 4.0;
-/// Product of the spread of decode times and the power for the gap target, by which the logistic
-/// curve comes closest to the normal distribution.
+/// Product of a spread and the power of the used share, by which the logistic curve comes closest
+/// to the normal distribution.
 const LOGISTIC_SCALE: f64 = 1.7;
 /// Plausible spreads of decode times.
 const SPREADS: std::ops::RangeInclusive<f64> = 0.1..=0.6;
@@ -26,10 +28,12 @@
 const MIN_TARGET: Duration = Duration::from_millis(1);
 
 /// What the caller of a request needs. The default needs nothing by any time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AnswerNeeds {
-    /// Number of output tokens to be prepared for, if known.
+    /// Expected number of output tokens, if known.
     pub output_tokens: Option<u32>,
+    /// Standard deviation of the logarithm of the number of output tokens.
+    pub length_spread: f64,
     /// Output tokens in an event, if known.
     pub event_tokens: Option<u32>,
     /// Time that the caller has waited already.
@@ -48,6 +52,7 @@
     fn default() -> Self {
         Self {
             output_tokens: None,
+            length_spread: ASSUMED_SPREAD,
             event_tokens: None,
             waited: Duration::ZERO,
             first_target: None,
@@ -66,15 +71,18 @@
     }
 
     /// Returns the chances to miss the gap target and the deadline, and a first event later than
-    /// its target, as a time.
-    fn miss_cost(&self, times: &AnswerTimes, gap_power: f64) -> Duration {
+    /// its target, as a time. `spread` is that of decode times.
+    fn miss_cost(&self, times: &AnswerTimes, spread: f64) -> Duration {
         let Some(first_target) = self.first_target else {
             return Duration::ZERO;
         };
         let first = self.waited + times.first;
+        let gap_power = LOGISTIC_SCALE / spread;
+        let end_power = LOGISTIC_SCALE / spread.hypot(self.length_spread);
+        let end_odds = miss_chance(times.end, Some(self.end_within), end_power);
         let chances = miss_chance(first, self.first_target, MISS_POWER)
             + miss_chance(times.gap, self.gap_target, gap_power)
-            + miss_chance(times.end, Some(self.end_within), MISS_POWER);
+            + chance_of(end_odds);
         first_target.mul_f64(chances)
     }
 }
@@ -84,6 +92,15 @@
     target.map_or(0.0, |target| (time.as_secs_f64() / target).powf(power))
 }
 
+/// Returns the chance with these odds.
+fn chance_of(odds: f64) -> f64 {
+    if odds.is_finite() {
+        odds / (1.0 + odds)
+    } else {
+        1.0
+    }
+}
+
 /// The predicted times of an answer on an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AnswerTimes {
@@ -96,15 +113,15 @@
 }
 
 impl EngineModel {
-    /// Returns the power with which the chance to miss the gap target grows. The more alike the
-    /// gaps are, the less happens before the target is near.
-    fn gap_power(&self) -> f64 {
-        LOGISTIC_SCALE / self.decode_spread.clamp(*SPREADS.start(), *SPREADS.end())
+    /// Returns the spread of decode times. The more alike they are, the less happens before a target
+    /// is near.
+    fn plausible_spread(&self) -> f64 {
+        self.decode_spread.clamp(*SPREADS.start(), *SPREADS.end())
     }
 
     /// Returns the cost of an answer with these times to its caller.
     pub(super) fn cost(&self, needs: &AnswerNeeds, times: &AnswerTimes) -> Duration {
-        times.first + needs.miss_cost(times, self.gap_power())
+        times.first + needs.miss_cost(times, self.plausible_spread())
     }
 
     /// Predicts the times of an answer whose first event comes after `first`.
@@ -152,11 +169,9 @@
             gap: gap.min(longest_gap),
             end,
         };
-        let before = needs.miss_cost(&times(gap + queued, end), self.gap_power());
-        let after = needs.miss_cost(
-            &times(gap + queued + reading, end + reading),
-            self.gap_power(),
-        );
+        let spread = self.plausible_spread();
+        let before = needs.miss_cost(&times(gap + queued, end), spread);
+        let after = needs.miss_cost(&times(gap + queued + reading, end + reading), spread);
         // An answer can miss its targets only once.
         let most = needs.first_target.unwrap_or_default();
         after.min(most).saturating_sub(before) * running
--- a/crates/pomeloridge_policy/src/dispatch/answer_length.rs
+++ b/crates/pomeloridge_policy/src/dispatch/answer_length.rs
@@ -1,6 +1,6 @@
-//! How long an answer may become, in output tokens.
+//! How long an answer is expected to be, in output tokens.
 //!
-//! A caller may estimate the length of its answer. Such estimates are right in the middle and often
+//! A caller may estimate the length of its answer. Such estimates are right on average and often
 //! far off, so the ratios of the lengths to their estimates are learnt for each route. Where a
 //! caller gives no estimate, the lengths of the route's answers stand in for it.
 
@@ -12,15 +12,25 @@
 use super::calibration::Samples;
 use super::target::TargetKey;
 
-/// Share of a route's answers that are no longer than a long answer.
-const LONG_ANSWER_SHARE: f64 = 0.9;
-/// Ratio of a long answer's length to its estimate that is assumed until enough were read.
-const ASSUMED_RATIO: f64 = 2.0;
+/// Share of the answers that are longer than expected by at most one standard deviation of the
+/// logarithm.
+const ONE_SIGMA_SHARE: f64 = 0.84;
+/// Spread of lengths that is assumed until enough answers were read.
+pub(super) const ASSUMED_SPREAD: f64 = 0.5;
 /// Plausible ratios of a length to its estimate; others are not learnt.
 const PLAUSIBLE_RATIOS: std::ops::RangeInclusive<f64> = 0.05..=20.0;
 /// Maximum number of routes whose answers are remembered.
 const MAX_ROUTES: usize = 4096;
 
+/// Expected length of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectedLength {
+    /// Number of tokens that half of such answers exceed.
+    pub tokens: u32,
+    /// Standard deviation of the logarithm of their lengths.
+    pub spread: f64,
+}
+
 /// Latest answers of one route.
 #[derive(Clone, Debug, Default)]
 struct RouteAnswers {
@@ -48,16 +58,20 @@
         }
     }
 
-    /// Returns the number of tokens that few answers exceed of those with this estimate.
-    fn long_answer(&self, route: &Name, estimate: Option<u64>) -> Option<u32> {
+    /// Returns the expected length of an answer with this estimate.
+    fn expected(&self, route: &Name, estimate: Option<u64>) -> Option<ExpectedLength> {
         let answers = self.0.get(route);
-        let tokens = if let Some(estimate) = estimate {
-            let ratio = answers.and_then(|answers| answers.ratios.quantile(LONG_ANSWER_SHARE));
-            estimate.max(1) as f64 * ratio.unwrap_or(ASSUMED_RATIO)
-        } else {
-            answers?.lengths.quantile(LONG_ANSWER_SHARE)?
+        let Some(estimate) = estimate else {
+            let lengths = &answers?.lengths;
+            return length_of(lengths.quantile(0.5)?, lengths.quantile(ONE_SIGMA_SHARE)?);
         };
-        Some(tokens.ceil() as u32)
+        let learned = answers.and_then(|answers| {
+            let ratios = &answers.ratios;
+            Some((ratios.quantile(0.5)?, ratios.quantile(ONE_SIGMA_SHARE)?))
+        });
+        let (ratio, high) = learned.unwrap_or((1.0, ASSUMED_SPREAD.exp()));
+        let estimate = estimate.max(1) as f64;
+        length_of(estimate * ratio, estimate * high)
     }
 
     /// Forgets the routes that are no longer configured.
@@ -66,11 +80,19 @@
     }
 }
 
+/// Returns the length with these quantiles, if there is one.
+fn length_of(median: f64, high: f64) -> Option<ExpectedLength> {
+    (median > 0.0).then(|| ExpectedLength {
+        tokens: median.ceil() as u32,
+        spread: (high / median).ln(),
+    })
+}
+
 impl Dispatcher {
-    /// Returns the number of output tokens that few answers of a route exceed, of those with the
-    /// caller's estimate if there is one; `None` if nothing is known.
-    pub fn long_answer(&self, route: &Name, estimate: Option<u64>) -> Option<u32> {
-        self.answer_lengths.long_answer(route, estimate)
+    /// Returns the expected length of an answer of a route, with the caller's estimate in tokens if
+    /// there is one; `None` if nothing is known.
+    pub fn expected_length(&self, route: &Name, estimate: Option<u64>) -> Option<ExpectedLength> {
+        self.answer_lengths.expected(route, estimate)
     }
 
     /// Records the number of output tokens of a completed request of a route, and what its caller
--- a/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
+++ b/crates/pomeloridge_policy/tests/policy/uneven_engines.rs
@@ -427,3 +427,24 @@
     let plan = choose(&mut dispatcher, 6_000, needs(300), now).unwrap();
     assert_eq!(plan.prefill.is_some(), is_split);
 }
+
+/// The fast engine has a queue. It is left to the answers that end in time only there: one that is
+/// far too long for any engine gains nothing by waiting for it.
+#[parameterized(
+    only_there = { 250, "fast" },
+    nowhere = { 4_000, "slow" },
+)]
+fn fast_engines_are_left_to_the_answers_that_they_help(output_tokens: u32, expected: &str) {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(&decode_engines(&["fast", "slow"]), 7);
+    tell_speed(&mut dispatcher, "fast", 1.0, now);
+    tell_speed(&mut dispatcher, "slow", 4.0, now);
+    put_load(&mut dispatcher, "fast", 70, now);
+    let needs = AnswerNeeds {
+        length_spread: 0.3,
+        end_within: ms(3000),
+        ..needs(output_tokens)
+    };
+    let plan = choose(&mut dispatcher, 300, needs, now).unwrap();
+    assert_eq!(name(&dispatcher, plan.server), expected);
+}
