Keep the headroom of a sold-out data centre in the others

Cause: the base number was ordered for each data centre that is not sold out, however many those were, and a data centre counted as sold out only until its backoff ended.

Change: the base number of all data centres is divided over those that have servers, and a data centre counts as sold out until an order there has been met.

--- a/crates/pomeloridge_gateway/src/scale_duty.rs
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -52,7 +52,7 @@
 
 impl LastOrder {
     /// Returns whether the backoff after an order without available servers is still running.
-    fn is_sold_out(&self, now: Instant) -> bool {
+    fn is_backing_off(&self, now: Instant) -> bool {
         let doublings = self
             .sold_out_orders
             .saturating_sub(1)
@@ -157,7 +157,7 @@
             // The limits apply to both kinds together: a lower number of on-demand servers makes
             // room for preemptible ones, and is ordered first.
             for preemptible in [false, true] {
-                if preemptible && centre.sold_out {
+                if preemptible && centre.sold_out && !centre.retry_due {
                     continue;
                 }
                 let desired = if preemptible {
@@ -190,7 +190,7 @@
     ) -> bool {
         match self.last_orders.get(pool) {
             None => desired != ready,
-            Some(last) if last.sold_out_orders > 0 => desired != ready && !last.is_sold_out(now),
+            Some(last) if last.sold_out_orders > 0 => desired != ready && !last.is_backing_off(now),
             Some(last) if last.servers != desired => true,
             Some(last) => {
                 let age = now.saturating_duration_since(last.at);
@@ -199,9 +199,10 @@
         }
     }
 
-    fn is_sold_out(&self, pool: &PoolKey, now: Instant) -> bool {
-        let last = self.last_orders.get(pool);
-        last.is_some_and(|last| last.is_sold_out(now))
+    /// Returns the latest order for a pool if it was not met.
+    fn unmet_order(&self, pool: &PoolKey) -> Option<&LastOrder> {
+        let last = self.last_orders.get(pool)?;
+        (last.sold_out_orders > 0).then_some(last)
     }
 
     /// Orders a total number of servers for a pool.
@@ -283,15 +284,16 @@
                 expected: pending.map_or(ready, |last| last.servers.max(ready)),
             }
         };
-        let data_centres = scaling
-            .prices
-            .iter()
-            .map(|(data_centre, _)| DataCentreView {
+        let data_centres = scaling.prices.iter().map(|(data_centre, _)| {
+            let unmet = self.unmet_order(&PoolKey::new(service, data_centre, true));
+            DataCentreView {
                 data_centre: data_centre.clone(),
                 on_demand: count(data_centre, false),
                 preemptible: count(data_centre, true),
-                sold_out: self.is_sold_out(&PoolKey::new(service, data_centre, true), now),
-            });
+                sold_out: unmet.is_some(),
+                retry_due: unmet.is_some_and(|order| !order.is_backing_off(now)),
+            }
+        });
         ScalingView {
             data_centres: data_centres.collect(),
             min: scaling.min,
--- a/crates/pomeloridge_policy/src/scaling.rs
+++ b/crates/pomeloridge_policy/src/scaling.rs
@@ -4,7 +4,7 @@
 //! data centre may be reclaimed at once. They are spread so that the loss of any one data
 //! centre leaves enough. On-demand servers are released once preemptible servers replace
 //! them, and ordered where preemptible servers are not available. While a data centre is
-//! sold out, the others take its share.
+//! sold out, the others take its share, and keep it until an order there has been met.
 
 use pomeloridge_base::id::Name;
 
@@ -34,8 +34,10 @@
     pub on_demand: ServerCount,
     /// Servers that may be reclaimed.
     pub preemptible: ServerCount,
-    /// Whether the platform currently has no more preemptible servers there.
+    /// Whether the latest order for preemptible servers there was not met.
     pub sold_out: bool,
+    /// Whether such an order may be tried again.
+    pub retry_due: bool,
 }
 
 /// The state on which the decision is based.
@@ -107,7 +109,7 @@
         DataCentreTarget {
             data_centre: centre.data_centre.clone(),
             on_demand,
-            preemptible: if centre.sold_out {
+            preemptible: if centre.sold_out && !centre.retry_due {
                 centre.preemptible.ready
             } else {
                 preemptible_each.min(view.max.saturating_sub(on_demand))
@@ -119,9 +121,14 @@
 
 /// Returns the number of preemptible servers for each data centre that is not sold out.
 fn preemptible_per_data_centre(view: &ScalingView) -> u32 {
-    let available = view.data_centres.iter().filter(|centre| !centre.sold_out);
-    let centres = available.count().max(1) as u32;
+    let (sold_out, available): (Vec<_>, Vec<_>) =
+        view.data_centres.iter().partition(|centre| centre.sold_out);
+    let centres = available.len().max(1) as u32;
+    let left: u32 = sold_out.iter().map(|centre| centre.preemptible.ready).sum();
     let base = (f64::from(view.max) * BASE_PREEMPTIBLE_SHARE).ceil() as u32;
+    let base = (base * view.data_centres.len() as u32)
+        .saturating_sub(left)
+        .div_ceil(centres);
     let even = servers_needed(view.load, TARGET_UTILIZATION).div_ceil(centres);
     let after_loss =
         servers_needed(view.load, LOSS_UTILIZATION).div_ceil(centres.saturating_sub(1).max(1));
--- a/crates/pomeloridge_policy/tests/policy/scaling.rs
+++ b/crates/pomeloridge_policy/tests/policy/scaling.rs
@@ -22,6 +22,7 @@
         on_demand: ready(*on_demand),
         preemptible: ready(*preemptible),
         sold_out: false,
+        retry_due: false,
     });
     ScalingView {
         data_centres: centres.collect(),
@@ -79,6 +80,30 @@
     );
 }
 
+/// A data centre is sold out at a time of little load. What was kept there for bursts is kept in
+/// the others: they must carry the next burst and the next reclaim without it.
+#[test]
+fn headroom_moves_to_the_data_centres_that_have_servers() {
+    let mut view = view(&[(0, 9), (0, 9), (0, 0)], 3.0);
+    view.max = 12;
+    view.data_centres[2].sold_out = true;
+    let ordered = numbers(&plan_server_counts(&view));
+    assert_eq!(ordered, [(0, 12), (0, 12), (1, 0)]);
+}
+
+/// Every few seconds an order is tried again where servers were sold out. The others must not
+/// release theirs before it is met.
+#[test]
+fn a_repeated_order_releases_no_servers_elsewhere() {
+    let mut view = view(&[(0, 12), (0, 12), (1, 0)], 3.0);
+    view.max = 12;
+    view.data_centres[2].sold_out = true;
+    view.data_centres[2].retry_due = true;
+    let ordered = numbers(&plan_server_counts(&view));
+    assert_eq!((ordered[0], ordered[1]), ((0, 12), (0, 12)));
+    assert!(ordered[2].1 >= 9, "{ordered:?}");
+}
+
 /// All preemptible servers of a data centre are reclaimed, and no others are available.
 #[test]
 fn after_a_reclaim_missing_capacity_is_ordered_on_demand() {
