Count the work that callers ask for as the demand for servers

Cause: the load by which servers are ordered and divided over the stages counted output tokens when engines made them. An engine that is overloaded makes no more, so that the load never exceeded what the servers left could do.

Change: a run counts with the output tokens expected of it when it is sent. The log line of an order names the load.

--- a/crates/pomeloridge_gateway/src/scale_duty.rs
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -137,7 +137,7 @@
         for (data_centre, _) in &scaling.prices {
             let pool = PoolKey::new(service, data_centre, true);
             if !self.last_orders.contains_key(&pool) {
-                self.order(state, authority, pool, servers).await?;
+                self.order(state, authority, pool, servers, 0.0).await?;
             }
         }
         Ok(())
@@ -172,7 +172,8 @@
                     centre.on_demand
                 };
                 if self.is_due(&pool, desired, count.ready, scaling, state.now()) {
-                    self.order(state, authority, pool, desired).await?;
+                    self.order(state, authority, pool, desired, view.load)
+                        .await?;
                 }
             }
         }
@@ -205,13 +206,15 @@
         (last.sold_out_orders > 0).then_some(last)
     }
 
-    /// Orders a total number of servers for a pool.
+    /// Orders a total number of servers for a pool; the load, as a number of servers that it would
+    /// fully use, is logged.
     async fn order(
         &mut self,
         state: &State,
         authority: &Authority,
         pool: PoolKey,
         servers: u32,
+        load: f64,
     ) -> Result<(), PlatformError> {
         let permit = authority.permit().ok_or(PlatformError::Lapsed)?;
         let now = state.now();
@@ -230,7 +233,8 @@
         // same status. A token whose holder still has its lease is not stale.
         let sold_out = matches!(outcome, Err(PlatformError::Stale)) && authority.holds();
         log::info!(
-            "scale service={} data_centre={} cheap={} servers={servers} epoch={} outcome={}",
+            "scale service={} data_centre={} cheap={} servers={servers} load={load:.1} epoch={} \
+             outcome={}",
             pool.service,
             pool.data_centre,
             pool.preemptible,
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -332,7 +332,8 @@
         left.or_else(|| part_quarantine::left(self, accepted))
     }
 
-    /// Counts work of a service's engines: prompt tokens to prefill and generated output tokens.
+    /// Counts work demanded of a service's engines: prompt tokens to prefill and output tokens to
+    /// decode.
     pub(crate) fn count_work(&self, service: &Name, prompt_tokens: u64, output_tokens: u64) {
         let now = self.now();
         let mut meters = self.work_meters.borrow_mut();
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -287,8 +287,7 @@
             plan.prefill_tokens
         };
         attempts.credits.begin_run();
-        self.state
-            .count_work(&accepted.service, plan.prefill_tokens, 0);
+        self.count_demand(plan);
         self.servers
             .borrow_mut()
             .push(self.state.server_name(plan.server));
@@ -507,7 +506,6 @@
         }
         if !bytes.is_empty() {
             bind();
-            self.state.count_work(&self.accepted.service, 0, tokens);
             self.send_head(responder).await?;
             self.record_chunk();
             let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
@@ -519,6 +517,26 @@
         Ok(tokens)
     }
 
+    /// Counts the work that a run is expected to be.
+    fn count_demand(&self, plan: Plan) {
+        let Accepted {
+            service,
+            route,
+            inbound,
+            ..
+        } = self.accepted;
+        let events = self.last_event.unwrap_or_default();
+        let done = events.saturating_mul(self.tokens_per_event);
+        let decode_tokens = self.state.dispatcher.borrow().expected_decode_tokens(
+            service,
+            &route.name,
+            inbound.length_estimate,
+            done,
+        );
+        self.state
+            .count_work(service, plan.prefill_tokens, decode_tokens);
+    }
+
     /// Returns the servers to which the request was sent, for the log.
     pub(crate) fn server_labels(&self) -> String {
         let names = self.servers.borrow();
--- a/crates/pomeloridge_policy/src/dispatch/answer_length.rs
+++ b/crates/pomeloridge_policy/src/dispatch/answer_length.rs
@@ -31,6 +31,14 @@
     pub spread: f64,
 }
 
+impl ExpectedLength {
+    /// Returns the mean number of tokens of such answers.
+    fn mean_tokens(&self) -> u64 {
+        let mean = f64::from(self.tokens) * (self.spread * self.spread / 2.0).exp();
+        mean.round() as u64
+    }
+}
+
 /// Latest answers of one route.
 #[derive(Clone, Debug, Default)]
 struct RouteAnswers {
@@ -95,6 +103,24 @@
         self.answer_lengths.expected(route, estimate)
     }
 
+    /// Returns the number of output tokens that a run is expected to decode, beyond the first
+    /// `done` tokens of its answer. The work that engines have done tells less of the demand the
+    /// busier they are.
+    pub fn expected_decode_tokens(
+        &self,
+        service: &Name,
+        route: &Name,
+        estimate: Option<u64>,
+        done: u64,
+    ) -> u64 {
+        let expected = self.expected_length(route, estimate);
+        let tokens = expected.map_or_else(
+            || u64::from(self.model(service).output_tokens),
+            |expected| expected.mean_tokens(),
+        );
+        tokens.saturating_sub(done)
+    }
+
     /// Records the number of output tokens of a completed request of a route, and what its caller
     /// had estimated.
     pub fn record_output_tokens(
--- a/crates/pomeloridge_policy/src/work_meter.rs
+++ b/crates/pomeloridge_policy/src/work_meter.rs
@@ -8,9 +8,9 @@
 /// The work rates of a service, in tokens per second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkRates {
-    /// Prompt tokens prefilled per second.
+    /// Prompt tokens to prefill per second.
     pub prefill: f64,
-    /// Output tokens decoded per second.
+    /// Output tokens to decode per second.
     pub decode: f64,
 }
 
--- a/crates/pomeloridge_policy/tests/policy/answer_length.rs
+++ b/crates/pomeloridge_policy/tests/policy/answer_length.rs
@@ -98,3 +98,41 @@
     dispatcher.retain_routes(|name| name.as_str() != "chat");
     assert_eq!(expected(&dispatcher, None), None);
 }
+
+/// Engines are overloaded, and their answers take several times as long as usual. The demand by which
+/// servers are ordered is what callers ask for, not what the engines have produced by now.
+#[parameterized(
+    estimated = { Some(200), 0, 200 },
+    not_estimated = { None, 0, 100 },
+    half_done = { Some(200), 120, 80 },
+    longer_than_expected = { Some(200), 500, 0 },
+)]
+fn demand_is_the_work_that_callers_ask_for(estimate: Option<u64>, done: u64, expected: u64) {
+    let mut dispatcher = dispatcher();
+    answer(&mut dispatcher, &[(100, Some(100)); 20]);
+    let (service, route) = (Name::from("model"), Name::from("chat"));
+    let tokens = dispatcher.expected_decode_tokens(&service, &route, estimate, done);
+    assert_eq!(tokens, expected);
+}
+
+/// Lengths that are off by a factor either way are longer on average than in the middle.
+#[test]
+fn demand_is_a_mean_over_long_and_short_answers() {
+    let mut dispatcher = dispatcher();
+    let answers: Vec<_> = [25, 50, 100, 100, 100, 200, 400]
+        .map(|tokens| (tokens, Some(100)))
+        .to_vec();
+    answer(&mut dispatcher, &answers);
+    let (service, route) = (Name::from("model"), Name::from("chat"));
+    let tokens = dispatcher.expected_decode_tokens(&service, &route, Some(100), 0);
+    assert!((110..150).contains(&tokens), "{tokens}");
+}
+
+/// Nothing is known of a route yet: its answers count as those of the service's model.
+#[test]
+fn demand_of_an_unknown_route_is_that_of_the_model() {
+    let dispatcher = dispatcher();
+    let (service, route) = (Name::from("model"), Name::from("chat"));
+    let tokens = dispatcher.expected_decode_tokens(&service, &route, None, 0);
+    assert_eq!(tokens, u64::from(EngineModel::default().output_tokens));
+}
