Tell the other nodes that a request was answered before its crashes

Cause: a request that has been answered is not quarantined for crashes that a request without any answer explains. Only the node that answered knew of the answer. Reports of crashes and the objects of the nodes told the crashes without it, so that the other nodes, and after a kill of all nodes each one that reads the objects, refused the request for up to 10 minutes.

The report and the object carry the time of the last answer. Both new cases of `nodes_learn_that_a_request_was_answered_before_its_crashes` fail on the former code (refused for 599.95 s).

--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -99,6 +99,9 @@
     print: String,
     /// Crashes of servers that were running it.
     ends: Vec<CrashWire>,
+    /// Time of its last complete answer in milliseconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    answered: Option<u64>,
 }
 
 /// The stored form of a server crash.
@@ -111,11 +114,21 @@
     at: u64,
 }
 
+/// Returns the time that was `age` ago.
+fn unix_ms_before(now_ms: u64, age: Duration) -> u64 {
+    now_ms.saturating_sub(age.as_millis() as u64)
+}
+
+/// Returns the time since `at`.
+fn age_at(now_ms: u64, at: u64) -> Duration {
+    Duration::from_millis(now_ms.saturating_sub(at))
+}
+
 impl CrashWire {
     fn new(server: ServerIncarnation, age: Duration, now_ms: u64) -> Self {
         Self {
             start: format!("{:x}", server.0),
-            at: now_ms.saturating_sub(age.as_millis() as u64),
+            at: unix_ms_before(now_ms, age),
         }
     }
 
@@ -123,8 +136,7 @@
     /// malformed.
     fn decode(&self, now_ms: u64) -> Option<(ServerIncarnation, Duration)> {
         let start = u64::from_str_radix(&self.start, 16).ok()?;
-        let age = Duration::from_millis(now_ms.saturating_sub(self.at));
-        Some((ServerIncarnation(start), age))
+        Some((ServerIncarnation(start), age_at(now_ms, self.at)))
     }
 }
 
@@ -135,6 +147,7 @@
         Self {
             print: hex::encode(report.fingerprint.0),
             ends: crashes.collect(),
+            answered: report.cleared.map(|age| unix_ms_before(now_ms, age)),
         }
     }
 
@@ -146,7 +159,7 @@
         Some(CrashReport {
             fingerprint,
             crashes: crashes.collect::<Option<_>>()?,
-            cleared: None,
+            cleared: self.answered.map(|at| age_at(now_ms, at)),
         })
     }
 }
--- a/crates/pomeloridge_policy/src/crashes.rs
+++ b/crates/pomeloridge_policy/src/crashes.rs
@@ -7,8 +7,8 @@
 //! A request is quarantined once several servers have crashed under it without a complete
 //! answer in between. A complete answer clears its crashes: requests that only shared a
 //! server with the crashing one get answered elsewhere. Where crashes follow one another too
-//! closely for that, a request that has been answered before is not quarantined for crashes under
-//! another one that never was.
+//! closely for that, a request that has been answered before, at any node, is not quarantined for
+//! crashes under another one that never was.
 //!
 //! For the project's own interface, [`crate::suspicion`] isolates suspects from one
 //! another and so needs one crash less. Here retries are too few and too urgent to wait
@@ -80,7 +80,7 @@
     pub fingerprint: Fingerprint,
     /// Servers that crashed while running it, with the time since each crash.
     pub crashes: Vec<(ServerIncarnation, Duration)>,
-    /// Time since the last complete answer that cleared earlier crashes.
+    /// Time since the last complete answer, if it is known. Later crashes count.
     pub cleared: Option<Duration>,
 }
 
@@ -270,6 +270,7 @@
             .records
             .iter()
             .filter(|(_, record)| is_included(record));
+        let answered = |fingerprint| self.answers.get(fingerprint).copied();
         let reports = records.map(|(fingerprint, record)| CrashReport {
             fingerprint: *fingerprint,
             crashes: record
@@ -278,7 +279,7 @@
                 .filter(|(_, at)| record.is_uncleared(*at) && age(*at) < CRASH_TTL)
                 .map(|(server, at)| (*server, age(*at)))
                 .collect(),
-            cleared: record.cleared.map(age),
+            cleared: record.cleared.max(answered(fingerprint)).map(age),
         });
         reports.collect()
     }
--- a/crates/pomeloridge_policy/tests/policy/crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/crashes.rs
@@ -200,6 +200,35 @@
     assert_eq!(restarted.quarantine_left(&fingerprint("q"), now), None);
 }
 
+/// Guards against refusing what everybody asks for at the nodes that have not answered it
+/// themselves, such as all that restart after a kill and read the objects that were left.
+#[parameterized(
+    from_a_peer = { CrashTracker::export },
+    from_its_object = { CrashTracker::export_quarantined },
+)]
+fn nodes_learn_that_a_request_was_answered_before_its_crashes(
+    export: fn(&CrashTracker, Instant) -> Vec<CrashReport>,
+) {
+    let start = Instant::now();
+    let (mut here, mut there) = (CrashTracker::default(), CrashTracker::default());
+    answer(&mut here, "read", start);
+    let now = start + ms(10);
+    for server in 0..QUARANTINE_CRASHES as u64 {
+        crash(&mut here, server, &["read", "deadly"], now);
+    }
+    let later = now + ms(50);
+    there.merge(&export(&here, later), later);
+    assert_eq!(there.quarantine_left(&fingerprint("read"), later), None);
+    assert_eq!(
+        there.crash_count(&fingerprint("read"), later),
+        QUARANTINE_CRASHES
+    );
+    let is_quarantined = there
+        .quarantine_left(&fingerprint("deadly"), later)
+        .is_some();
+    assert!(is_quarantined);
+}
+
 /// Guards against nodes that refresh each other's crash records without end.
 #[test]
 fn a_crash_exchanged_back_and_forth_still_expires() {
