Send the soak's last requests under a path of their own as well

The check after the faults sent `GET /read/x?q=1`, the path that the callers repeat through the run.

Each key is now asked under a path of its own, which must have the status of the configuration, and under the shared one, where only an answer `quarantined` is allowed beside it. Any other 503 still counts on both. A violation shows the body of the answer.

--- a/crates/pomeloridge_dev/src/soak/verdict/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/mod.rs
@@ -9,6 +9,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use derive_more::Display;
+use pomeloridge_base::http::Response;
 use pomeloridge_fleet_standin::caller::{KEY, event_ids, is_not_run, with_key};
 use pomeloridge_fleet_standin::history::{Entry, count_over_limits};
 use serde_json::Value;
@@ -132,6 +134,29 @@
     violations
 }
 
+/// Path of a request that is sent after the faults.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "lowercase")]
+enum ProbePath {
+    /// No other request has it.
+    Own,
+    /// That of the callers' repeated requests, under which servers may have crashed.
+    Shared,
+}
+
+impl ProbePath {
+    /// Returns whether an answer has the status that the configuration calls for. A repeated
+    /// request may be quarantined instead.
+    fn allows(self, answer: Result<&Response, &String>, status: u16) -> bool {
+        let Ok(answer) = answer else {
+            return false;
+        };
+        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let is_quarantined = answer.status == 503 && body["error"] == "quarantined";
+        answer.status == status || (self == Self::Shared && status == 200 && is_quarantined)
+    }
+}
+
 /// Returns the violations after all faults have ended: every gateway must serve by the
 /// last configuration, and stop on SIGTERM.
 pub(super) fn check_recovery(
@@ -156,13 +181,18 @@
     ];
     for (index, gateway) in fleet.gateways.iter().enumerate() {
         for (key, status) in keys {
-            // Ends with the key, which tells the account.
-            let message = request(Route::Read, &format!("after-{index}-{key}"));
-            let message = with_key(message, key);
-            let answer = send_once(gateway.caller, &message);
-            let actual = answer.as_ref().map(|answer| answer.status.as_u16());
-            if actual != Ok(status) {
-                violations.push(format!("gateway {index}, {key}: {actual:?}, not {status}"));
+            for path in [ProbePath::Own, ProbePath::Shared] {
+                // Ends with the key, which tells the account.
+                let attempt = format!("after-{path}-{index}-{key}");
+                let mut message = with_key(request(Route::Read, &attempt), key);
+                if path == ProbePath::Own {
+                    message.target = format!("/{}/{attempt}", Route::Read);
+                }
+                let answer = send_once(gateway.caller, &message);
+                if !path.allows(answer.as_ref(), status) {
+                    let answer = answer.map(|answer| (answer.status.as_u16(), answer.body));
+                    violations.push(format!("{attempt}: {answer:?}, not {status}"));
+                }
             }
         }
     }
