--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -653,7 +653,7 @@
         for _ in 0..rounds {
             dispatcher.sync(list.clone());
         }
-        processor_time() - start
+        processor_time().saturating_sub(start)
     };
     let (small, large) = (cost(300, 200), cost(3000, 20));
     assert!(large < small * 4, "{small:?} for 300, {large:?} for 3,000");
