Write a node's object again when a peer's answer ends a quarantine

Cause: twelve engines crash at 14.1, so that the part with which all prompts of the route begin is quarantined at 70 gateways. One sees an answer 0.4 s later; the others merge it and lift the quarantine, but their objects keep the crashes. After the loss of all VMs every gateway restores them, and none knows of the answer. Found by following one part through all lines.

Ruled out: new crashes (none after 17.7) and a lack of servers (no late first event from 43 to 49).

Change: merging a report returns the quarantines that it ended beside those that it began. The gateway logs them and has its object written again. The new policy test can't be built on the former code, which returned only the latter.

--- a/crates/pomeloridge_gateway/src/part_quarantine.rs
+++ b/crates/pomeloridge_gateway/src/part_quarantine.rs
@@ -51,8 +51,14 @@
 
 /// Merges a peer's report.
 pub(crate) fn merge(state: &State, report: &PartReport, by: &str, now: Instant) {
-    let quarantined = state.parts.borrow_mut().merge(report, now);
-    record_quarantined(state, &quarantined, by);
+    let changes = state.parts.borrow_mut().merge(report, now);
+    record_quarantined(state, &changes.begun, by);
+    // The object must not keep the crashes: after a restart of all nodes, none knows of the answer
+    // that cleared them.
+    for part in changes.ended {
+        log::info!("part id={part:x} choice=lift by={by}");
+        state.quarantine_changed.set(true);
+    }
 }
 
 fn record_quarantined(state: &State, parts: &[PartId], by: &str) {
--- a/crates/pomeloridge_policy/src/part_crashes.rs
+++ b/crates/pomeloridge_policy/src/part_crashes.rs
@@ -100,6 +100,15 @@
     pub quarantined: Vec<PartId>,
 }
 
+/// Quarantines that a report of another node began and ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuarantineChanges {
+    /// Parts that are newly quarantined.
+    pub begun: Vec<PartId>,
+    /// Parts that no longer are.
+    pub ended: Vec<PartId>,
+}
+
 /// Whether a request may be sent, given its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartVerdict {
@@ -328,8 +337,8 @@
         self.evidence.export_quarantined(now)
     }
 
-    /// Merges another node's report; returns the parts that are newly quarantined.
-    pub fn merge(&mut self, report: &PartReport, now: Instant) -> Vec<PartId> {
+    /// Merges another node's report.
+    pub fn merge(&mut self, report: &PartReport, now: Instant) -> QuarantineChanges {
         self.evidence.merge(report, now)
     }
 
--- a/crates/pomeloridge_policy/src/part_crashes/evidence.rs
+++ b/crates/pomeloridge_policy/src/part_crashes/evidence.rs
@@ -5,7 +5,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use super::{PartCrash, PartId, PartReport, PartSuspects, Suspect, UNREAD_DEPTH, WHOLE_DEPTH};
+use super::{
+    PartCrash, PartId, PartReport, PartSuspects, QuarantineChanges, Suspect, UNREAD_DEPTH,
+    WHOLE_DEPTH,
+};
 use crate::crashes::{QUARANTINE_CRASHES, ServerIncarnation};
 use crate::hash::splitmix64;
 use crate::suspicion::QUARANTINE_TTL;
@@ -148,7 +151,7 @@
         });
         crash.add(server, &suspects);
         crash.updated = Some(now);
-        let quarantined = self.update();
+        let quarantined = self.update().begun;
         let count = |Suspect { part, .. }| Some((part, self.count(part)?));
         PartSuspects {
             counts: suspects.into_iter().filter_map(count).collect(),
@@ -246,10 +249,10 @@
         }
     }
 
-    /// Merges another node's report; returns the parts that are newly quarantined.
-    pub(super) fn merge(&mut self, report: &PartReport, now: Instant) -> Vec<PartId> {
+    /// Merges another node's report.
+    pub(super) fn merge(&mut self, report: &PartReport, now: Instant) -> QuarantineChanges {
         if *report == PartReport::default() {
-            return Vec::new();
+            return QuarantineChanges::default();
         }
         for (part, age) in &report.answers {
             let Some(at) = now.checked_sub(*age) else {
@@ -311,15 +314,15 @@
             .collect()
     }
 
-    /// Derives the quarantines anew; returns the added ones.
-    fn update(&mut self) -> Vec<PartId> {
+    /// Derives the quarantines anew.
+    fn update(&mut self) -> QuarantineChanges {
         let before = self.quarantines.clone();
         self.evict_crashes();
         self.derive();
-        let mut added: Vec<PartId> = self.quarantines.keys().copied().collect();
-        added.retain(|part| !before.contains_key(part));
-        added.sort_unstable();
-        added
+        QuarantineChanges {
+            begun: only_in(&self.quarantines, &before),
+            ended: only_in(&before, &self.quarantines),
+        }
     }
 
     /// Returns the latest crashes of each quarantined part, enough to quarantine it elsewhere.
@@ -555,6 +558,17 @@
     }
 }
 
+/// Returns the parts that only the first of two maps contains.
+fn only_in(
+    quarantines: &HashMap<PartId, Quarantine>,
+    others: &HashMap<PartId, Quarantine>,
+) -> Vec<PartId> {
+    let parts = quarantines.keys().copied();
+    let mut parts: Vec<PartId> = parts.filter(|part| !others.contains_key(part)).collect();
+    parts.sort_unstable();
+    parts
+}
+
 impl Crash {
     fn report(&self, server: ServerIncarnation, suspects: Vec<Suspect>, now: Instant) -> PartCrash {
         PartCrash {
--- a/crates/pomeloridge_policy/tests/policy/part_crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/part_crashes.rs
@@ -4,8 +4,8 @@
 
 use pomeloridge_policy::crashes::{RunOutcome, ServerIncarnation};
 use pomeloridge_policy::part_crashes::{
-    CONFIRM_TIME, PartCrash, PartId, PartReport, PartTracker, PartVerdict, RECENT_GRACE,
-    SEPARATE_TIME, Suspect, UNREAD_DEPTH, trial_turn,
+    CONFIRM_TIME, PartCrash, PartId, PartReport, PartTracker, PartVerdict, QuarantineChanges,
+    RECENT_GRACE, SEPARATE_TIME, Suspect, UNREAD_DEPTH, trial_turn,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -73,6 +73,32 @@
     assert!(is_allowed(&tracker, &[SYSTEM], now));
 }
 
+/// Guards against restoring a quarantine that has ended: where a domain of engines crashes under the
+/// part that all prompts of a route share, one node sees the answer that clears it, and the others
+/// have stored the crashes.
+#[test]
+fn a_quarantine_that_a_peers_answer_ends_is_no_longer_stored() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(100);
+    let (mut here, mut there) = (PartTracker::default(), PartTracker::default());
+    for server in 1..=12 {
+        crash(&mut there, server, &[&[SYSTEM, SOUND + server]], now);
+    }
+    let begun = here.merge(&there.export(now), now).begun;
+    assert_eq!(begun, [SYSTEM]);
+    assert!(!here.export_quarantined(now).crashes.is_empty());
+
+    let later = now + ms(200);
+    answer(&mut there, &[SYSTEM, DEADLY], later);
+    let changes = here.merge(&there.export(later), later);
+    assert_eq!(changes.ended, [SYSTEM]);
+    assert!(changes.begun.is_empty());
+    assert_eq!(here.export_quarantined(later), PartReport::default());
+    // A report that comes again changes nothing.
+    let changes = here.merge(&there.export(later), later);
+    assert_eq!(changes, QuarantineChanges::default());
+}
+
 /// Guards against barring the part that all prompts share while no engine is up to clear it.
 #[parameterized(
     never_answered = { None },
