Let the soak check an account's allotment, and log each charge

A request's log did not tell what it was charged, so that the share of an allotment refused below it could not be worked out.

The runs at the servers are counted against it in every window, and each gateway must serve the account again after the faults. `set_allotment` of the stand-in names its account. Each charge of an account with a limit is logged.

--- a/crates/pomeloridge_dev/src/main.rs
+++ b/crates/pomeloridge_dev/src/main.rs
@@ -69,6 +69,9 @@
         /// Has software versions come and leave, and kills all gateways at once.
         #[arg(long)]
         versions: bool,
+        /// Has an account ask for more than its allotment, beside the faults.
+        #[arg(long, conflicts_with = "versions")]
+        allotments: bool,
     },
     /// Runs deployments under faults and checks their histories; exits with code 1 if a
     /// guarantee was violated.
@@ -113,9 +116,12 @@
             first,
             gateways,
             versions,
+            allotments,
         } => {
             let plan = if versions {
                 Plan::Versions
+            } else if allotments {
+                Plan::Allotments
             } else {
                 Plan::Faults
             };
--- a/crates/pomeloridge_dev/src/soak/callers.rs
+++ b/crates/pomeloridge_dev/src/soak/callers.rs
@@ -280,7 +280,7 @@
     calls
 }
 
-fn classify(fault: &Fault) -> Failure {
+pub(super) fn classify(fault: &Fault) -> Failure {
     match fault {
         Fault::Connect(_) => Failure::Unreachable,
         Fault::Timeout => Failure::GaveUp,
--- a/crates/pomeloridge_dev/src/soak/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/mod.rs
@@ -6,10 +6,12 @@
 //! changes the configuration, several times in a row; servers name request rates as their
 //! limits, fall silent, refuse requests for a while, leave, and answer without a length; the
 //! object store comes back from an older copy; some requests crash servers; faults overlap. Runs
-//! with versions have servers of several software versions, and kill all gateways at once. The
+//! with versions have servers of several software versions, and kill all gateways at once. Runs
+//! with allotments have an account that asks for more than the fleet may run for it. The
 //! answers that callers received and the requests that servers received are then checked against
 //! the guarantees.
 
+mod allotments;
 mod callers;
 mod changes;
 mod conditions;
@@ -32,6 +34,7 @@
 use serde_json::Value;
 
 use crate::launch::{Fleet, get_json};
+pub use allotments::{Allotment, check as check_allotment};
 pub use callers::{Call, Effect, Failure, Route};
 use events::Clock;
 pub use events::{Event, EventKind};
@@ -89,11 +92,13 @@
     /// Versions that come and leave, and ends of all gateways at once; on even seeds beside the
     /// faults.
     Versions,
+    /// The faults, and an account that asks for more than its allotment.
+    Allotments,
 }
 
 impl Plan {
     fn has_faults(self, seed: u64) -> bool {
-        self == Self::Faults || seed.is_multiple_of(2)
+        self != Self::Versions || seed.is_multiple_of(2)
     }
 }
 
@@ -105,6 +110,10 @@
     if !callers::wait_until_ready(ready.collect(), START_TIMEOUT)? {
         return Err("the gateways are not ready".to_owned());
     }
+    let allotment = (plan == Plan::Allotments).then(|| Allotment::draw(seed));
+    if let Some(allotment) = allotment {
+        allotments::configure(&fleet, allotment)?;
+    }
     let done = Arc::new(AtomicBool::new(false));
     let addresses = fleet.gateways.iter().map(|gateway| gateway.caller);
     let callers = ((gateways * CALLERS_PER_GATEWAY) as u64).min(MAX_CALLERS);
@@ -112,6 +121,8 @@
     let (clock, start) = (Clock::read(&fleet)?, Instant::now());
     let streams = (plan == Plan::Versions)
         .then(|| versions::start(addresses.clone(), seed, Arc::clone(&done)));
+    let limited =
+        allotment.map(|_| allotments::start(addresses.clone(), seed, clock, Arc::clone(&done)));
     let thread = callers::start(addresses, seed, callers, clock, Arc::clone(&done));
     let injected = injector::inject(&mut fleet, seed, plan, clock);
     if callers::deadly_part(seed).is_some() {
@@ -121,15 +132,21 @@
     let joined = thread
         .join()
         .map_err(|_| "the callers panicked".to_owned())?;
-    let calls: Vec<Call> = joined?;
+    let mut calls: Vec<Call> = joined?;
+    let limited = limited.map(JoinHandle::join).transpose();
+    let limited = limited.map_err(|_| "the callers of the account panicked".to_owned())?;
+    calls.extend(limited.into_iter().flatten());
     let streams = streams.map(JoinHandle::join).transpose();
     let streams = streams.map_err(|_| "the callers of streams panicked".to_owned())?;
     let injected = injected?;
-    let unserved = if plan.has_faults(seed) {
+    let mut unserved = if plan.has_faults(seed) {
         limits::wait_for_end(&fleet, &limits::plan(seed))
     } else {
         Vec::new()
     };
+    if allotment.is_some() {
+        unserved.extend(allotments::wait_until_served(&fleet));
+    }
     let recovery = verdict::check_recovery(&mut fleet, &injected)?;
     let history: Value = get_json(fleet.duties, "/-/history")?;
     let streams = streams.unwrap_or_default();
@@ -137,6 +154,11 @@
     let history = history.as_array().cloned().unwrap_or_default();
     let mut violations = verdict::check(&calls, &history, &injected.events);
     violations.extend(versions::check(&streams, seed, !plan.has_faults(seed)));
+    violations.extend(
+        allotment
+            .into_iter()
+            .flat_map(|allotment| check_allotment(&history, allotment)),
+    );
     violations.extend(unserved);
     violations.extend(recovery);
     let mut statuses = BTreeMap::new();
--- a/crates/pomeloridge_dev/src/soak/verdict/mod.rs
+++ b/crates/pomeloridge_dev/src/soak/verdict/mod.rs
@@ -13,6 +13,7 @@
 use pomeloridge_fleet_standin::history::{Entry, count_over_limits};
 use serde_json::Value;
 
+use super::allotments;
 use super::callers::{Call, Route, request, send_once, wait_until_ready};
 use super::changes::{SPARE_ACCOUNT, SPARE_ACCOUNT_KEY, SPARE_KEY};
 use super::events::{CONTACT_TIME, Event};
@@ -68,6 +69,8 @@
 fn expected_account(attempt: &str) -> &'static str {
     if attempt.ends_with(SPARE_ACCOUNT_KEY) {
         SPARE_ACCOUNT
+    } else if attempt.ends_with(allotments::KEY) {
+        allotments::ACCOUNT
     } else {
         ACCOUNT
     }
--- a/crates/pomeloridge_dev/tests/account_quota.rs
+++ b/crates/pomeloridge_dev/tests/account_quota.rs
@@ -81,7 +81,7 @@
     // New gateways grant nothing in the first window.
     std::thread::sleep(WINDOW);
     let config: Value = get_json(fleet.duties, "/-/config").unwrap();
-    let config = set_allotment(&config, PER_SECOND, BURST);
+    let config = set_allotment(&config, ACCOUNT, PER_SECOND, BURST);
     post_json(fleet.duties, "/-/config", &config).unwrap();
     std::thread::sleep(Duration::from_secs(2));
     let limited = runs_of(&history(&fleet), ACCOUNT).len();
--- a/crates/pomeloridge_dev/tests/soak.rs
+++ b/crates/pomeloridge_dev/tests/soak.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use pomeloridge_base::http::Response;
-use pomeloridge_dev::soak::{self, Call, Effect, Event, EventKind, Failure, Plan, Route, check};
+use pomeloridge_dev::soak::{
+    self, Allotment, Call, Effect, Event, EventKind, Failure, Plan, Route, check, check_allotment,
+};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -145,6 +147,35 @@
     assert_eq!(check(&[], &limited(gap, restart), &[]).len(), violations);
 }
 
+/// Returns the history of an account whose requests reach servers each `gap` ms for 20 s.
+fn limited_account(account: &str, gap: u64, stage: &str) -> Vec<Value> {
+    let times = (1000..21_000).step_by(gap as usize);
+    let sent = times.map(|at| {
+        let mut sent = sent_entry("a");
+        sent["tenant"] = json!(account);
+        sent["at"] = json!(at);
+        sent["stage"] = json!(stage);
+        sent
+    });
+    sent.collect()
+}
+
+/// In 8 s, 99 runs are allowed.
+#[parameterized(
+    within_the_allotment = { "carla", 81, "", 0 },
+    over_the_allotment = { "carla", 80, "", 1 },
+    prefills_are_no_runs = { "carla", 40, "prefill", 0 },
+    another_account = { "anna", 40, "", 0 },
+)]
+fn runs_over_an_allotment_are_reported(account: &str, gap: u64, stage: &str, violations: usize) {
+    let allotment = Allotment {
+        rate: 10,
+        burst: 10,
+    };
+    let history = limited_account(account, gap, stage);
+    assert_eq!(check_allotment(&history, allotment).len(), violations);
+}
+
 /// A server of the fake.
 const SERVER: &str = "assistant-decode-0";
 
@@ -487,3 +518,20 @@
         outcome.folder
     );
 }
+
+/// Guards against gateways that together run more of an account than its allotment while they are
+/// killed, paused and cut off, and against ones that no longer serve it.
+#[parameterized(
+    kills_and_pauses = { 1 },
+    cuts_and_stops = { 2 },
+)]
+fn an_account_keeps_to_its_allotment(seed: u64) {
+    let outcome = soak::run(seed, soak::GATEWAYS, Plan::Allotments).expect("the deployment runs");
+    assert!(
+        outcome.violations.is_empty(),
+        "seed {seed}: {:#?}; faults {:?}; see {}",
+        outcome.violations,
+        outcome.faults,
+        outcome.folder
+    );
+}
--- a/crates/pomeloridge_gateway/src/account_quota.rs
+++ b/crates/pomeloridge_gateway/src/account_quota.rs
@@ -212,10 +212,18 @@
         let step = quota.borrow_mut().next_step(&mut claim, state.now());
         match step {
             Step::Run(credit) => {
-                if claim.asked().0 > 0 {
-                    let waited = state.now().saturating_duration_since(since);
+                let waited = state.now().saturating_duration_since(since);
+                let (rounds, answers) = claim.asked();
+                if rounds > 0 {
                     state.meter.record(Timer::AllotmentWait, waited);
                 }
+                log::info!(
+                    "request id={} choice=charge account={} limit=\"{limit}\" cost={cost} \
+                     rounds={rounds} answers={answers} waited_ms={}",
+                    accepted.inbound.label(),
+                    accepted.account.clone().unwrap_or_default(),
+                    waited.as_millis()
+                );
                 return Ok(Some(credit));
             }
             Step::Ask(asks) => ask_holders(state, accepted, &mut claim, &asks).await,
--- a/crates/pomeloridge_policy/tests/policy/account_quota.rs
+++ b/crates/pomeloridge_policy/tests/policy/account_quota.rs
@@ -100,6 +100,8 @@
     runs: Vec<(Instant, u64)>,
     refused: u64,
     unanswered: u64,
+    /// Units of all refused requests, and when they were refused.
+    refusals: Vec<(Instant, u64)>,
     asks: u64,
 }
 
@@ -121,6 +123,7 @@
             runs: Vec::new(),
             refused: 0,
             unanswered: 0,
+            refusals: Vec::new(),
             asks: 0,
         };
         for index in 0..count {
@@ -251,8 +254,15 @@
                     request.until = self.now + time;
                     self.nodes[index].requests.push(request);
                 }
-                Step::Refuse(Denial::Unanswered) => self.unanswered += request.claim.cost,
-                Step::Refuse(_) => self.refused += request.claim.cost,
+                Step::Refuse(denial) => {
+                    let cost = request.claim.cost;
+                    let sum = match denial {
+                        Denial::Unanswered => &mut self.unanswered,
+                        _ => &mut self.refused,
+                    };
+                    *sum += cost;
+                    self.refusals.push((self.now, cost));
+                }
             }
         }
     }
@@ -289,6 +299,19 @@
         runs.map(|(_, cost)| *cost).sum()
     }
 
+    /// Returns the units refused in the window from `from`, as far as the limit had room for them,
+    /// and what the limit allows in it.
+    fn refused_below_limit(&self, burst: f64, from: Instant) -> (f64, f64) {
+        let sum = |units: &[(Instant, u64)]| {
+            let inside = units.iter();
+            let inside = inside.filter(|(at, _)| (from..from + WINDOW).contains(at));
+            inside.map(|(_, cost)| *cost).sum::<u64>() as f64
+        };
+        let allowed = self.limit.rate() * WINDOW.as_secs_f64() + burst;
+        let room = (allowed - sum(&self.runs)).max(0.0);
+        (sum(&self.refusals).min(room), allowed)
+    }
+
     /// Checks the users' rule for windows that begin at a run. Requests are sent up to `delay` after
     /// their runs were charged.
     fn check(&self, limit: AccountLimit, burst: f64, from: Instant) {
@@ -369,6 +392,67 @@
     fleet.check(fleet.limit, burst, fleet.started);
 }
 
+/// Guards against a large request that asks each holder in turn at a node that knows none of them,
+/// and is then refused although they have it together.
+#[parameterized(from_several_holders = { 25_950 }, from_one_after_a_wait = { 13_000 })]
+fn a_node_that_knows_no_holder_finds_what_they_have(cost: u64) {
+    let rate = 214_211.0;
+    let mut fleet = Fleet::new(60, tokens(rate, rate));
+    fleet.run(Duration::from_secs(4), load(4.0 * rate, 1_000, 1..4));
+    // Each of eight holders gains 8,000 tokens.
+    fleet.run(Duration::from_millis(300), |_| {});
+    let (refused, used) = (fleet.refused, fleet.used());
+    fleet.request(30, cost);
+    fleet.run(2 * PATIENCE, |_| {});
+    assert_eq!((fleet.refused, fleet.used()), (refused, used + cost));
+    fleet.check(fleet.limit, rate, fleet.started);
+}
+
+/// Tokens of the requests of an account with prompts of three kinds.
+const MIXED_COSTS: [u64; 3] = [12_000, 2_400, 850];
+
+/// Guards against an account whose callers are refused in windows whose limit has room for them:
+/// the load, as a multiple of what a window allows with its burst, comes from all nodes in
+/// requests of mixed sizes, also in surges of two seconds.
+#[parameterized(
+    just_below = { 0.97, 100_000.0, 360_000.0, false },
+    at_the_limit = { 1.0, 100_000.0, 360_000.0, false },
+    just_above = { 1.1, 100_000.0, 360_000.0, false },
+    far_above = { 7.5, 100_000.0, 360_000.0, false },
+    surges_below = { 0.9, 100_000.0, 360_000.0, true },
+    surges_far_above = { 4.0, 100_000.0, 360_000.0, true },
+    smallest_account = { 1.0, 36_000.0, 36_000.0, false },
+    smallest_account_far_above = { 7.5, 36_000.0, 36_000.0, false },
+    large_account = { 1.0, 500_000.0, 1_800_000.0, false },
+)]
+fn little_is_refused_in_windows_with_room(load: f64, rate: f64, burst: f64, has_surges: bool) {
+    let mut fleet = Fleet::new(60, tokens(rate, burst));
+    let allowed = rate + burst / WINDOW.as_secs_f64();
+    let (mut due, mut random) = (0.0, StdRng::seed_from_u64(97));
+    let started = fleet.now;
+    fleet.run(5 * WINDOW, |fleet| {
+        let second = fleet.now.saturating_duration_since(started).as_secs();
+        // Surges hold the load of their eight seconds in two.
+        let factor = match (has_surges, second % 8) {
+            (false, _) => 1.0,
+            (true, 0 | 1) => 4.0,
+            (true, _) => 0.0,
+        };
+        due += load * factor * allowed * STEP.as_secs_f64();
+        while due > 0.0 {
+            let cost = MIXED_COSTS[random.random_range(0..MIXED_COSTS.len())];
+            due -= cost as f64;
+            fleet.request(random.random_range(0..60), cost);
+        }
+    });
+    let windows = (0..4).map(|window| fleet.refused_below_limit(burst, started + window * WINDOW));
+    let windows: Vec<(f64, f64)> = windows.collect();
+    let lost: f64 = windows.iter().map(|(lost, _)| lost).sum();
+    let allowed: f64 = windows.iter().map(|(_, allowed)| allowed).sum();
+    assert!(lost <= MAX_LOST * allowed, "{windows:?}");
+    fleet.check(fleet.limit, burst, fleet.started);
+}
+
 #[test]
 fn a_used_up_allotment_is_not_asked_for_again_and_again() {
     let mut fleet = Fleet::new(60, tokens(RATE, RATE));
