Give a request more rounds of asks than an account has holders

Cause: a node that does not know what the holders have asks one after the other, a round each. With eight holders and eight rounds at most the request was refused as it knew them all (`rounds=8 waited_ms=21`, holders with 54,000 tokens together for a request of 20,073), without a wait or an ask of several.

Ruled out: silent or closed holders (all answered, none paused).

Change: as many rounds again.

Before: `a_node_that_knows_no_holder_finds_what_they_have::from_several_holders` and `little_is_refused_in_windows_with_room::at_the_limit` fail (143,850 of 4,640,000 refused with room). After: 53 pass. The case `from_one_after_a_wait` was mended after its only run on the code before (it asked for more than a wait gives) and has not been run on that code as it stands.

--- a/crates/pomeloridge_policy/src/account_quota/requester.rs
+++ b/crates/pomeloridge_policy/src/account_quota/requester.rs
@@ -6,7 +6,9 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use super::{AccountId, AccountLimit, Ask, CREDIT_LIFE, Grant, NodeId, Part, QuotaTerms};
+use super::{
+    AccountId, AccountLimit, Ask, CREDIT_LIFE, Grant, MAX_HOLDERS, NodeId, Part, QuotaTerms,
+};
 
 /// Time for which a holder that was silent is not asked, doubled with each further silence.
 const SILENCE_PAUSE: Duration = Duration::from_millis(200);
@@ -14,8 +16,9 @@
 const MAX_SILENCE_PAUSE: Duration = Duration::from_secs(2);
 /// Time for which a holder that grants nothing is not asked.
 const CLOSED_PAUSE: Duration = Duration::from_millis(500);
-/// Number of times that one request asks holders.
-const MAX_ROUNDS: u32 = 8;
+/// Number of times that one request asks holders: each of them once, which tells what they have,
+/// and as often again.
+const MAX_ROUNDS: u32 = 2 * MAX_HOLDERS as u32;
 /// Time whose expected requests credit is asked for in advance.
 const ADVANCE_TIME: Duration = Duration::from_millis(200);
 /// Number of requests that must be expected in that time; with fewer, too much credit would lapse.
