Order no stage change of an engine that can't be reached

The duty takes ejected engines in, and a crashed one has no requests running, so that it is picked first as the least busy until it leaves the list.

Leaving ejected engines out of the input was ruled out: the count of a stage would follow each crash, and sound engines would be changed for it and back. The test of that fails if they are filtered out.

EngineView says whether an engine is ejected; such an engine counts in its stage and is not picked.

engines_that_crash_while_the_mix_shifts_are_not_picked failed before (e-3 in place of e-5) and passes.

--- a/crates/pomeloridge_gateway/src/stage_duty.rs
+++ b/crates/pomeloridge_gateway/src/stage_duty.rs
@@ -103,6 +103,7 @@
             stage: new_stage.unwrap_or(target.info.stage),
             running: target.running(now),
             changing: new_stage.is_some_and(|stage| stage != target.info.stage),
+            ejected: target.is_ejected(),
         }
     });
     views.collect()
--- a/crates/pomeloridge_policy/src/stage_assignment.rs
+++ b/crates/pomeloridge_policy/src/stage_assignment.rs
@@ -31,6 +31,9 @@
     pub running: u32,
     /// Whether a stage change is in progress.
     pub changing: bool,
+    /// Whether this node can't reach it. It counts in its stage, as it may be back soon, but takes
+    /// no order.
+    pub ejected: bool,
 }
 
 /// Load as the number of engines that it would fully use.
@@ -115,8 +118,9 @@
             let planned = picked.iter().filter(|e| e.data_centre == *centre);
             existing.count() + planned.count()
         };
-        let candidates = of_stage(engines, from)
-            .filter(|engine| !engine.changing && !picked.iter().any(|t| t.id == engine.id));
+        let candidates = of_stage(engines, from).filter(|engine| {
+            !engine.changing && !engine.ejected && !picked.iter().any(|t| t.id == engine.id)
+        });
         let best = candidates.min_by_key(|engine| (in_centre(&engine.data_centre), engine.running));
         let Some(best) = best else { break };
         picked.push(best);
--- a/crates/pomeloridge_policy/tests/policy/scaling.rs
+++ b/crates/pomeloridge_policy/tests/policy/scaling.rs
@@ -149,6 +149,7 @@
         stage: *stage,
         running: index as u32,
         changing: false,
+        ejected: false,
     });
     engines.collect()
 }
@@ -195,6 +196,43 @@
     assert!(plan_stage_changes(&engines, load).is_empty());
 }
 
+/// Engines crash while the mix shifts to long prompts. A crashed engine is the least busy one, and
+/// stays in the list for seconds.
+#[test]
+fn engines_that_crash_while_the_mix_shifts_are_not_picked() {
+    let load = StageLoad {
+        prefill: 6.0,
+        decode: 2.0,
+    };
+    let mut engines = engines(&[P, P, P, D, D, D, D, D, D]);
+    for index in [3, 4] {
+        engines[index].ejected = true;
+        engines[index].running = 0;
+    }
+    let ordered = plan_stage_changes(&engines, load);
+    assert_eq!(ordered.len(), 1);
+    assert_eq!((ordered[0].id.as_str(), ordered[0].stage), ("e-5", P));
+    for engine in &mut engines[3..] {
+        engine.ejected = true;
+    }
+    assert!(plan_stage_changes(&engines, load).is_empty());
+}
+
+/// Most decode engines crash at once, and are soon back. If they didn't count, a prefill engine
+/// would be changed in their place, and then back again.
+#[test]
+fn crashed_engines_count_in_their_stage() {
+    let load = StageLoad {
+        prefill: 3.0,
+        decode: 9.0,
+    };
+    let mut engines = engines(&[P, P, P, D, D, D, D, D, D, D, D, D]);
+    for engine in &mut engines[3..9] {
+        engine.ejected = true;
+    }
+    assert!(plan_stage_changes(&engines, load).is_empty());
+}
+
 #[test]
 fn a_small_imbalance_changes_nothing() {
     let load = StageLoad {
