Eject servers that have crashed according to peers

Crash news name the incarnation of the crashed server, but were used for quarantines only.

Ruled out, by reading: that a request that crashes servers has sound ones ejected. A crash is counted only for a server that refuses a new connection, is listed with a new start, or could not be reached and left the list (crash_detection), and only that incarnation is in the news.

Dispatcher::eject_crashed ejects listed incarnations on news under 2 s old, unless this node has heard from the server since the crash, or has yet to read what arrived during a pause. The probe after 500 ms ends the ejection of a server that runs. What peers say of old crashes, and what is restored from the store, ejects nothing.

Three of the five new tests failed with a method that ejects nothing, and all pass; with the age limit doubled, and without the checks of silence, of a pause and of several ages, one test failed each time. The lookup by incarnation was not tried so.

Left: a crash that is the first of its requests and parts travels with the next heartbeat, as before.

--- a/crates/pomeloridge_gateway/src/peers/crash_news.rs
+++ b/crates/pomeloridge_gateway/src/peers/crash_news.rs
@@ -1,4 +1,5 @@
-//! What nodes tell one another of the requests and prompt parts that crash servers.
+//! What nodes tell one another of the requests and prompt parts that crash servers, and of the
+//! servers that have crashed.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,6 +7,7 @@
 
 use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::id::Name;
+use pomeloridge_policy::crashes::CrashReport;
 use pomeloridge_policy::part_crashes::PartReport;
 
 use super::wire::{CrashesWire, PartsWire, PeerMessage};
@@ -72,11 +74,18 @@
                 None
             }
         });
-    let reports: Vec<_> = reports.collect();
+    let reports: Vec<CrashReport> = reports.collect();
+    let parts = message.parts.take().map(PartReport::from);
     let now = state.now();
+    let of_requests = reports
+        .iter()
+        .flat_map(|report| report.crashes.iter().copied());
+    let of_parts = parts.iter().flat_map(|report| &report.crashes);
+    let of_parts = of_parts.map(|crash| (crash.server, crash.age));
+    state.eject_crashed(of_requests.chain(of_parts), name, now);
     node_object::merge_crashes(state, &reports, name.as_str(), now);
-    if let Some(parts) = message.parts.take() {
-        part_quarantine::merge(state, &parts.into(), name.as_str(), now);
+    if let Some(parts) = parts {
+        part_quarantine::merge(state, &parts, name.as_str(), now);
     }
     if message.knows_crashes {
         state.peers.borrow_mut().has_crash_news = true;
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -14,7 +14,7 @@
 use pomeloridge_base::meter::{Counter, Meter, Timer};
 use pomeloridge_base::settings::SettingValues;
 use pomeloridge_platform::{CallKind, Client};
-use pomeloridge_policy::crashes::CrashTracker;
+use pomeloridge_policy::crashes::{CrashTracker, ServerIncarnation};
 use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
 use pomeloridge_policy::fleet_retry_budget::FleetRetryBudget;
 use pomeloridge_policy::freshness::FreshnessTimes;
@@ -529,6 +529,21 @@
         }
     }
 
+    /// Ejects servers that have crashed according to a peer.
+    pub(crate) fn eject_crashed(
+        &self,
+        crashes: impl IntoIterator<Item = (ServerIncarnation, Duration)>,
+        by: &Name,
+        now: Instant,
+    ) {
+        let ejected = self.dispatcher.borrow_mut().eject_crashed(crashes, now);
+        for server in ejected {
+            self.meter.increment(Counter::Ejections);
+            let id = self.server_name(server);
+            log::info!("server id={id} choice=eject reason=crash_news by={by}");
+        }
+    }
+
     /// Makes a call that is reserved to the holder of the duties lease, and records its duration.
     pub(crate) async fn timed_duty_call<T>(&self, call: impl Future<Output = T>) -> T {
         let started_at = self.now();
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod answer_length;
 mod calibration;
+mod crash_news;
 mod engine_model;
 mod explain;
 mod limits;
--- a/crates/pomeloridge_policy/tests/policy/dispatch.rs
+++ b/crates/pomeloridge_policy/tests/policy/dispatch.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
+use pomeloridge_policy::crashes::ServerIncarnation;
 use pomeloridge_policy::dispatch::{
     AnswerNeeds, DispatchRequest, Dispatcher, EngineModel, NodeLoad, PeerLoad, Plan, PromptShape,
     Stage, TargetInfo, TargetKey,
@@ -658,3 +659,95 @@
     let (small, large) = (cost(300, 200), cost(3000, 20));
     assert!(large < small * 4, "{small:?} for 300, {large:?} for 3,000");
 }
+
+const CRASH_AGE: Duration = Duration::from_millis(300);
+
+fn incarnation(dispatcher: &Dispatcher, key: TargetKey) -> ServerIncarnation {
+    dispatcher.target(key).unwrap().info.incarnation()
+}
+
+/// Many engines crash at once under requests of many nodes, each of which loses requests on all
+/// of them until it knows.
+#[test]
+fn engines_that_crashed_at_other_nodes_get_no_requests() {
+    let mut dispatcher = dispatcher(&[
+        ("d1", Stage::Decode),
+        ("d2", Stage::Decode),
+        ("d3", Stage::Decode),
+    ]);
+    let [d1, d2, d3] = ["d1", "d2", "d3"].map(|id| key(&dispatcher, id));
+    let crashes = [d1, d2].map(|key| (incarnation(&dispatcher, key), CRASH_AGE));
+    let now = Instant::now();
+    let before_crash = now.checked_sub(CRASH_AGE * 2).unwrap();
+    dispatcher.record_activity(d1, before_crash);
+    let mut ejected = dispatcher.eject_crashed(crashes, now);
+    ejected.sort_unstable();
+    assert_eq!(ejected, [d1, d2]);
+    for private in 0..20 {
+        let plan = choose(&mut dispatcher, &prompt(300, None, private), &[]).unwrap();
+        assert_eq!(plan.server, d3);
+    }
+    // Other peers tell the same.
+    assert!(dispatcher.eject_crashed(crashes, now).is_empty());
+}
+
+/// Peers repeat crashes for as long as a request or prompt part is quarantined for them.
+#[test]
+fn old_crash_news_ejects_no_server() {
+    let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
+    let d = key(&dispatcher, "d");
+    let crash = (incarnation(&dispatcher, d), Duration::from_secs(2));
+    assert!(dispatcher.eject_crashed([crash], Instant::now()).is_empty());
+    assert!(!dispatcher.target(d).unwrap().is_ejected());
+}
+
+/// The server is back, and the list shows its new start before the news of its crash arrives.
+#[test]
+fn crash_news_of_an_earlier_start_ejects_no_server() {
+    let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
+    let crashed = incarnation(&dispatcher, key(&dispatcher, "d"));
+    dispatcher.sync(vec![TargetInfo {
+        started_unix_ms: 2,
+        ..engine("d", Stage::Decode)
+    }]);
+    let d = key(&dispatcher, "d");
+    assert!(
+        dispatcher
+            .eject_crashed([(crashed, CRASH_AGE)], Instant::now())
+            .is_empty()
+    );
+    assert!(!dispatcher.target(d).unwrap().is_ejected());
+}
+
+/// A peer is wrong about a crash, and several messages repeat it, the later ones with its age then.
+#[test]
+fn crash_news_ejects_no_server_that_was_heard_since() {
+    let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
+    let d = key(&dispatcher, "d");
+    let server = incarnation(&dispatcher, d);
+    let now = Instant::now();
+    assert_eq!(dispatcher.eject_crashed([(server, CRASH_AGE)], now), [d]);
+    // A probe finds it running.
+    let probed = now + Duration::from_millis(500);
+    assert!(dispatcher.mark_reachable(d, probed));
+    let later = probed + Duration::from_millis(100);
+    let age = CRASH_AGE + (later - now);
+    assert!(dispatcher.eject_crashed([(server, age)], later).is_empty());
+    // The oldest of several ages counts.
+    let ages = [(server, age), (server, Duration::from_millis(50))];
+    assert!(dispatcher.eject_crashed(ages, later).is_empty());
+    assert!(!dispatcher.target(d).unwrap().is_ejected());
+}
+
+/// What the server has sent during a pause of this process is not yet read when the news is.
+#[test]
+fn crash_news_read_right_after_a_pause_ejects_no_server() {
+    let mut dispatcher = dispatcher(&[("d", Stage::Decode)]);
+    let d = key(&dispatcher, "d");
+    let crash = (incarnation(&dispatcher, d), CRASH_AGE);
+    let resumed = Instant::now();
+    dispatcher.record_resumed(resumed);
+    assert!(dispatcher.eject_crashed([crash], resumed).is_empty());
+    let read = resumed + Duration::from_millis(100);
+    assert_eq!(dispatcher.eject_crashed([crash], read), [d]);
+}
