--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -224,6 +224,12 @@
         self.last_sent_at = now;
         self.charge = self.next_charge.take();
         self.prefill_tried |= plan.prefill.is_some();
+        self.log_send(&plan, expected_tokens, now);
+        Ok(plan)
+    }
+
+    fn log_send(&self, plan: &Plan, expected_tokens: Option<u32>, now: Instant) {
+        let (state, accepted) = (self.state, self.accepted);
         let speed = state.dispatcher.borrow().known_speed(plan.server, now);
         log::info!(
             "request id={} print={} choice=send route={} service={} server={} version={} \
@@ -253,7 +259,6 @@
             accepted.time_left(now).as_millis(),
             accepted.part_labels()
         );
-        Ok(plan)
     }
 
     /// Chooses the engine that generates the output after a separate prefill.
