--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -43,6 +43,8 @@
         Hedges: "pomeloridge_hedges", "Second attempts begun while the first one was slow.";
         HedgesWon: "pomeloridge_hedges_won", "Second attempts whose answer was delivered.";
         HedgesDenied: "pomeloridge_hedges_denied", "Slow requests that got no second attempt.";
+        Moves: "pomeloridge_moves", "Runs that began to move to another engine while they went on.";
+        Moved: "pomeloridge_moved", "Runs that another engine continued after a move.";
         Resumed: "pomeloridge_resumed", "Generations continued on another engine.";
         UnknownVersions: "pomeloridge_unknown_versions", "Streams not continued since the software version that began them was not known.";
         OutputTokens: "pomeloridge_output_tokens", "Output tokens sent to callers.";
--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -128,7 +128,7 @@
     }
 
     /// Returns what the caller needs from now on.
-    fn needs(&self, now: Instant) -> AnswerNeeds {
+    pub(crate) fn needs(&self, now: Instant) -> AnswerNeeds {
         let Accepted {
             route,
             service,
--- a/crates/pomeloridge_gateway/src/attempt/in_flight.rs
+++ b/crates/pomeloridge_gateway/src/attempt/in_flight.rs
@@ -85,6 +85,15 @@
         dispatcher.mark_reachable(self.server, now);
     }
 
+    /// Records the rate at which the server generated the tokens of a run that moved on.
+    pub(crate) fn record_pace(&self, rate: TokenRate) {
+        let now = self.state.now();
+        if let Some((tokens, span)) = rate.after_first_chunk() {
+            let mut dispatcher = self.state.dispatcher.borrow_mut();
+            dispatcher.record_decode(self.server, tokens, span, now);
+        }
+    }
+
     /// Records the rate at which the server generated tokens, and their number unless the
     /// stream continues one that another server began.
     pub(crate) fn record_output(
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod pool;
 pub mod ports;
 mod prefill;
+mod relief;
 mod request;
 mod route_explain;
 mod scale_duty;
--- a/crates/pomeloridge_gateway/src/ports.rs
+++ b/crates/pomeloridge_gateway/src/ports.rs
@@ -1,6 +1,9 @@
 //! The ports to a platform: functions that translate between the platform's messages and the
 //! gateway's types.
 
+use std::net::SocketAddr;
+
+use bytes::Bytes;
 use pomeloridge_base::LocalFuture;
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::http::{HttpResponseHead, OutgoingRequest, Request, Response};
@@ -36,6 +39,10 @@
     pub handle: fn(&[u8]) -> Option<KvHandle>,
     /// Encodes a call that frees the memory of a prefill that no decode has taken over.
     pub release: fn(&str) -> OutgoingRequest,
+    /// Encodes a call that moves a run's KV cache to another engine.
+    pub move_run: fn(&RunMove) -> OutgoingRequest,
+    /// Decodes the response to such a call.
+    pub moved: fn(&Response) -> MoveAnswer,
     /// Encodes a query of an engine's state.
     pub report: fn() -> OutgoingRequest,
     /// Decodes an engine's state.
@@ -63,6 +70,29 @@
     pub server_name: fn(&Event) -> Name,
 }
 
+/// A call that copies the KV cache of a run to another engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunMove {
+    /// Name of the engine on which the request runs.
+    pub server: Name,
+    /// Identifier of the caller's attempt that runs there.
+    pub attempt: Bytes,
+    /// Address of the other engine.
+    pub target: SocketAddr,
+    /// Whether the run is stopped first; otherwise it goes on.
+    pub stops: bool,
+}
+
+/// The response to a call that moves a run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MoveAnswer {
+    /// Whether the other engine has the KV cache.
+    pub is_done: bool,
+    /// Identifier by which the run can be continued. In the response to a call that stops the run,
+    /// it says that the run has stopped.
+    pub handle: Option<String>,
+}
+
 /// The state that an engine reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineState {
--- a/crates/pomeloridge_gateway/src/prefill.rs
+++ b/crates/pomeloridge_gateway/src/prefill.rs
@@ -28,6 +28,14 @@
 }
 
 impl PrefilledPrompt {
+    pub(crate) fn new(state: Rc<State>, source: KvSource) -> Self {
+        Self {
+            state,
+            source,
+            taken: false,
+        }
+    }
+
     /// Returns the engine and handle that the KV cache can be taken from.
     pub(crate) fn source(&self) -> KvSource {
         self.source.clone()
@@ -120,12 +128,9 @@
     let handle = handle.ok_or(Failure::InvalidResponse)?;
     in_flight.record_prefill_done();
     in_flight.set_outcome(RunOutcome::ServerAlive);
-    Ok(PrefilledPrompt {
-        state: Rc::clone(state),
-        source: KvSource {
-            address,
-            handle: handle.id,
-        },
-        taken: false,
-    })
+    let source = KvSource {
+        address,
+        handle: handle.id,
+    };
+    Ok(PrefilledPrompt::new(Rc::clone(state), source))
 }
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -142,6 +142,8 @@
     pub(crate) crash_announcements: Rc<Cell<usize>>,
     /// Whether requests were quarantined that this node's object does not contain yet.
     pub(crate) quarantine_changed: Cell<bool>,
+    /// Number of runs that this node is moving to other engines.
+    pub(crate) moves: Rc<Cell<usize>>,
     /// Number of attempts in flight.
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) usage: RefCell<UsageLedger>,
@@ -240,6 +242,7 @@
             crash_news: Cell::new(false),
             crash_announcements: Rc::default(),
             quarantine_changed: Cell::new(false),
+            moves: Rc::default(),
             in_flight: Rc::default(),
             usage: RefCell::new(UsageLedger::new(source)),
             fleet_clock: RefCell::new(FleetClock::new(now, clock.unix_ms())),
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -17,7 +17,7 @@
 use pomeloridge_base::meter::{Counter, Timer};
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::crashes::RunOutcome;
-use pomeloridge_policy::dispatch::Plan;
+use pomeloridge_policy::dispatch::{Plan, TargetKey};
 
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, InFlightAttempt};
@@ -25,6 +25,7 @@
 use crate::exchange::{Exchange, Failure, SendParams, exchange};
 use crate::hedge::{self, Raced};
 use crate::prefill::{PrefilledPrompt, prefill};
+use crate::relief::{Handover, Relief};
 use crate::request::SendStage;
 use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
@@ -62,6 +63,8 @@
 
 enum AttemptError {
     Server(Failure),
+    /// The run was stopped on its engine, so that another one continues it.
+    Moved(Box<Handover>),
     CallerGone(Fault),
 }
 
@@ -134,6 +137,7 @@
             }
         }
         let mut last_failure = Failure::Unreachable;
+        let mut has_moved = false;
         loop {
             if let Err(outcome) = self.charge_run(&attempts, last_failure, responder).await {
                 return outcome;
@@ -142,7 +146,7 @@
                 Ok(plan) => plan,
                 Err(refusal) => return self.final_outcome(refusal, last_failure),
             };
-            let prompt = match self
+            let mut prompt = match self
                 .prefill_if_planned(plan, &mut attempts, responder)
                 .await
             {
@@ -157,26 +161,39 @@
                 Some(_) => attempts.choose_decode_engine(plan),
                 None => plan,
             };
-            let opening = self.open_first(plan, prompt, &attempts);
-            let raced = monoio::select! {
-                raced = opening => raced,
-                fault = responder.closed() => return StreamOutcome::CallerGone(fault),
-            };
-            let Raced { server, outcome } = raced;
-            let delivered = match outcome {
-                Ok(opened) => self.deliver(opened, responder).await,
-                Err(failure) => Err(AttemptError::Server(failure)),
-            };
-            let failure = match delivered {
-                Ok(None) => return StreamOutcome::Complete,
-                Ok(Some(response)) => return StreamOutcome::NotStreamed(response),
-                Err(AttemptError::CallerGone(fault)) => return StreamOutcome::CallerGone(fault),
-                Err(AttemptError::Server(failure)) => failure,
+            let mut handover: Option<Box<Handover>> = None;
+            let (server, failure) = loop {
+                let raced = monoio::select! {
+                    raced = self.open_next(plan, &mut prompt, handover.as_deref_mut(), &attempts) => raced,
+                    fault = responder.closed() => return StreamOutcome::CallerGone(fault),
+                };
+                let Raced { server, outcome } = raced;
+                handover = None;
+                let delivered = match outcome {
+                    Ok(opened) => self.deliver(opened, responder).await,
+                    Err(failure) => Err(AttemptError::Server(failure)),
+                };
+                match delivered {
+                    Ok(None) => return StreamOutcome::Complete,
+                    Ok(Some(response)) => return StreamOutcome::NotStreamed(response),
+                    Err(AttemptError::CallerGone(fault)) => {
+                        return StreamOutcome::CallerGone(fault);
+                    }
+                    Err(AttemptError::Moved(stopped)) => {
+                        has_moved = true;
+                        handover = Some(stopped);
+                    }
+                    Err(AttemptError::Server(failure)) => break (server, failure),
+                }
             };
             if let Err(refusal) = attempts.handle_failure(server, failure).await {
                 return self.final_outcome(refusal, failure);
             }
             last_failure = failure;
+            // A server that refuses to continue a moved run has not run it, but another one has.
+            if has_moved && !self.accepted.route.kind.is_resumable() {
+                return StreamOutcome::Truncated(failure);
+            }
             if self.is_unnumbered {
                 log::info!(
                     "request id={} choice=cut reason=\"the events have no ids\"",
@@ -260,7 +277,7 @@
     async fn open_first<'b>(
         &self,
         plan: Plan,
-        prompt: Option<PrefilledPrompt>,
+        prompt: Option<&mut PrefilledPrompt>,
         attempts: &'b Attempts<'b>,
     ) -> Raced<Opened<'b>> {
         if prompt.is_some() || self.head_sent || self.last_event.is_some() {
@@ -273,10 +290,65 @@
         hedge::race(attempts, plan, open, |opened| opened.exchanged.head.status).await
     }
 
+    /// Begins the next part of the stream: the planned attempt, or the rest of a run that moved.
+    async fn open_next<'b>(
+        &self,
+        plan: Plan,
+        prompt: &mut Option<PrefilledPrompt>,
+        handover: Option<&mut Handover>,
+        attempts: &'b Attempts<'b>,
+    ) -> Raced<Opened<'b>> {
+        let Some(handover) = handover else {
+            return self.open_first(plan, prompt.as_mut(), attempts).await;
+        };
+        let (plan, source) = (handover.plan, handover.source);
+        let outcome = self.open(plan, Some(&mut handover.prompt), attempts).await;
+        self.record_move(plan.server, &outcome);
+        match outcome {
+            Ok(opened) => {
+                handover.mark_used();
+                Raced {
+                    server: plan.server,
+                    outcome: Ok(opened),
+                }
+            }
+            // The engine that stopped the run still has its KV cache.
+            Err(failure) if failure.not_run() => {
+                let plan = Plan {
+                    server: source,
+                    ..plan
+                };
+                let outcome = self.open(plan, Some(&mut handover.prompt), attempts).await;
+                self.record_move(source, &outcome);
+                Raced {
+                    server: source,
+                    outcome,
+                }
+            }
+            Err(failure) => Raced {
+                server: plan.server,
+                outcome: Err(failure),
+            },
+        }
+    }
+
+    fn record_move(&self, server: TargetKey, outcome: &Result<Opened<'_>, Failure>) {
+        let failure = outcome.as_ref().err();
+        if failure.is_none() {
+            self.state.meter.increment(Counter::Moved);
+        }
+        log::info!(
+            "request id={} choice=continue_moved server={} outcome={}",
+            self.accepted.inbound.label(),
+            self.state.server_name(server),
+            failure.map_or_else(|| "begun".to_owned(), Failure::to_string)
+        );
+    }
+
     async fn open<'b>(
         &self,
         plan: Plan,
-        mut prompt: Option<PrefilledPrompt>,
+        prompt: Option<&mut PrefilledPrompt>,
         attempts: &'b Attempts<'b>,
     ) -> Result<Opened<'b>, Failure> {
         let accepted = self.accepted;
@@ -310,7 +382,7 @@
         };
         let exchanged = exchange(self.state, accepted, params).await;
         let mut exchanged = exchanged.inspect_err(|failure| in_flight.record_failure(*failure))?;
-        if let Some(prompt) = &mut prompt {
+        if let Some(prompt) = prompt {
             prompt.mark_taken();
         }
         let is_stream = exchanged.head.status.is_success();
@@ -422,6 +494,7 @@
         let is_continuation = self.last_event.is_some();
         let is_resumed = self.head_sent;
         let is_resumable = self.accepted.route.kind.is_resumable();
+        let mut relief = Relief::new(watch.attempts, watch.server, &server);
         while let Some(chunk) = next {
             in_flight.record_prefill_done();
             self.count_usage_once();
@@ -460,11 +533,22 @@
             let kept = connection.keep(events.buffered());
             kept.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
             rate.record(tokens, self.state.now());
+            if !self.is_unnumbered {
+                relief.advance(self.timing.events, self.timing.longest_gap);
+            }
             let chunk = monoio::select! {
                 chunk = connection.read_chunk(self.accepted.deadline) => chunk,
                 () = watch.given_up(self.state) => Err(Fault::Timeout),
                 fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
             };
+            // A stopped run ends its stream, which may look like its end.
+            if !matches!(chunk, Ok(Some(_)) | Err(Fault::Timeout))
+                && let Some(handover) = relief.handover().await
+            {
+                in_flight.record_pace(rate);
+                in_flight.set_outcome(RunOutcome::ServerAlive);
+                return Err(AttemptError::Moved(Box::new(handover)));
+            }
             next = chunk.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
         }
         if !events.is_empty() {
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -23,6 +23,7 @@
 mod sample;
 mod spare;
 mod speed;
+mod takeover;
 mod target;
 
 use std::cell::Cell;
--- a/crates/pomeloridge_policy/src/dispatch/engine_model.rs
+++ b/crates/pomeloridge_policy/src/dispatch/engine_model.rs
@@ -21,6 +21,8 @@
     pub tokens_per_event: u64,
     /// Maximum number of concurrent requests on an engine.
     pub slots: u32,
+    /// Whether an engine can move the KV cache of a running request to another one.
+    pub moves: bool,
 }
 
 /// Speeds of a service's engines, on which predictions are based.
--- a/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
+++ b/crates/pomeloridge_policy/src/dispatch/prompt_plan.rs
@@ -158,7 +158,7 @@
     }
 
     /// Predicts the time to transfer the KV cache of this many tokens.
-    fn transfer_time(&self, from: TargetKey, to: TargetKey, tokens: u64) -> Duration {
+    pub(super) fn transfer_time(&self, from: TargetKey, to: TargetKey, tokens: u64) -> Duration {
         let centre = |key| self.targets.get(key).map(|target| &target.info.data_centre);
         let time = self.base_model.transfer_time(tokens);
         if centre(from) == centre(to) {
--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod prompt_cache;
 pub(crate) mod queue;
 pub mod rate_limit;
+pub mod relief;
 pub mod retry;
 pub mod routing;
 pub mod rules;
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -17,6 +17,7 @@
 mod plain_services;
 mod prefix;
 mod rate_limit;
+mod relief;
 mod retry;
 mod route_explain;
 mod routing;
