--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -168,7 +168,7 @@
                     fault = responder.closed() => return StreamOutcome::CallerGone(fault),
                 };
                 let Raced { server, outcome } = raced;
-                handover = None;
+                drop(handover.take());
                 let delivered = match outcome {
                     Ok(opened) => self.deliver(opened, responder).await,
                     Err(failure) => Err(AttemptError::Server(failure)),
