--- a/crates/pomeloridge_gateway/src/relief.rs
+++ b/crates/pomeloridge_gateway/src/relief.rs
@@ -66,15 +66,28 @@
     /// The KV cache is being copied while the run goes on.
     Copying(Move<TargetKey>, Reservation, JoinHandle<()>, Copied),
     /// The run is being stopped.
-    Stopping(
-        Move<TargetKey>,
-        Reservation,
-        JoinHandle<Option<PrefilledPrompt>>,
-    ),
+    Stopping(Move<TargetKey>, Reservation, JoinHandle<StopResult>),
     /// The move was tried, or is switched off.
     Over,
 }
 
+/// What is known of a run whose stream has ended.
+pub(crate) enum RunEnd {
+    /// The run has ended, or broken off, by itself.
+    OnItsOwn,
+    /// It was stopped, and another engine is to continue it.
+    Moved(Box<Handover>),
+    /// It may have been stopped.
+    Unknown,
+}
+
+/// Result of the call that stops a run.
+enum StopResult {
+    Stopped(PrefilledPrompt),
+    NotStopped,
+    Unknown,
+}
+
 /// Watches the run of one stream on one engine.
 pub(crate) struct Relief<'a> {
     attempts: &'a Attempts<'a>,
@@ -132,15 +145,19 @@
         }
     }
 
-    /// Returns the handover if the stream has ended because its run was stopped to move.
-    pub(crate) async fn handover(&mut self) -> Option<Handover> {
+    /// Returns how the run ended whose stream has ended.
+    pub(crate) async fn run_end(&mut self) -> RunEnd {
         let Phase::Stopping(chosen, reserved, task) =
             std::mem::replace(&mut self.phase, Phase::Over)
         else {
-            return None;
+            return RunEnd::OnItsOwn;
+        };
+        let prompt = match task.await {
+            StopResult::Stopped(prompt) => prompt,
+            StopResult::NotStopped => return RunEnd::OnItsOwn,
+            StopResult::Unknown => return RunEnd::Unknown,
         };
-        let prompt = task.await?;
-        Some(Handover {
+        RunEnd::Moved(Box::new(Handover {
             plan: Plan {
                 server: chosen.engine,
                 prefill: None,
@@ -153,7 +170,7 @@
             source: self.source,
             prompt,
             reserved,
-        })
+        }))
     }
 
     fn record(&mut self, events: u64) {
@@ -309,7 +326,7 @@
         let label = self.attempts.label().to_owned();
         let task = monoio::spawn(async move {
             let answer = call.await;
-            let reason = match answer {
+            match answer {
                 // A handle says that the run has stopped, also if the copy is not complete.
                 Ok(MoveAnswer {
                     handle: Some(handle),
@@ -320,13 +337,17 @@
                         address: source,
                         handle,
                     };
-                    return Some(PrefilledPrompt::new(stop_state, source));
+                    StopResult::Stopped(PrefilledPrompt::new(stop_state, source))
                 }
-                Ok(_) => "not stopped".to_owned(),
-                Err(reason) => reason,
-            };
-            log::info!("request id={label} choice=stay reason=\"{reason}\"");
-            None
+                Ok(_) => {
+                    log::info!("request id={label} choice=stay reason=\"not stopped\"");
+                    StopResult::NotStopped
+                }
+                Err(reason) => {
+                    log::info!("request id={label} choice=stay reason=\"{reason}\"");
+                    StopResult::Unknown
+                }
+            }
         });
         self.phase = Phase::Stopping(chosen, reserved, task);
     }
@@ -346,17 +367,22 @@
             stops,
         });
         async move {
+            // What is not sent moves nothing.
             let Some(max_open) = state.begin_call(address) else {
-                return Err("the engine takes no call".to_owned());
+                return Ok(MoveAnswer::default());
             };
             let needs = ConnectionNeeds {
                 is_fresh: true,
                 max_open,
             };
             let deadline = state.now() + MOVE_TIMEOUT;
-            let connected = state.pool.connect(address, needs, deadline, state.now());
-            let Connected { mut connection, .. } =
-                connected.await.map_err(|error| error.to_string())?;
+            let connected = state
+                .pool
+                .connect(address, needs, deadline, state.now())
+                .await;
+            let Ok(Connected { mut connection, .. }) = connected else {
+                return Ok(MoveAnswer::default());
+            };
             let response = connection.exchange(&message, deadline).await;
             let response = response.map_err(|fault| fault.to_string())?;
             state.pool.put(connection, None, state.now());
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -25,7 +25,7 @@
 use crate::exchange::{Exchange, Failure, SendParams, exchange};
 use crate::hedge::{self, Raced};
 use crate::prefill::{PrefilledPrompt, prefill};
-use crate::relief::{Handover, Relief};
+use crate::relief::{Handover, Relief, RunEnd};
 use crate::request::SendStage;
 use crate::silence::{SilenceWatch, SilentWork};
 use crate::state::State;
@@ -541,13 +541,21 @@
                 () = watch.given_up(self.state) => Err(Fault::Timeout),
                 fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
             };
-            // A stopped run ends its stream, which may look like its end.
-            if !matches!(chunk, Ok(Some(_)) | Err(Fault::Timeout))
-                && let Some(handover) = relief.handover().await
-            {
-                in_flight.record_pace(rate);
-                in_flight.set_outcome(RunOutcome::ServerAlive);
-                return Err(AttemptError::Moved(Box::new(handover)));
+            // A stopped run ends its stream, which may look as if it were complete.
+            if !matches!(chunk, Ok(Some(_)) | Err(Fault::Timeout)) {
+                match relief.run_end().await {
+                    RunEnd::OnItsOwn => {}
+                    RunEnd::Moved(handover) => {
+                        in_flight.record_pace(rate);
+                        in_flight.set_outcome(RunOutcome::ServerAlive);
+                        return Err(AttemptError::Moved(handover));
+                    }
+                    // The end of a framed answer is that of its run.
+                    RunEnd::Unknown if connection.reusable() => {}
+                    RunEnd::Unknown => {
+                        return Err(AttemptError::Server(Failure::ConnectionLost));
+                    }
+                }
             }
             next = chunk.map_err(|fault| AttemptError::Server(Failure::after_write(&fault)))?;
         }
