--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -133,7 +133,7 @@
     "repeats" "window_s" Seconds, Some("10"), "Window over which retries are counted.", "Equals the platform's window.", "10";
     "hedge" "share" Share, Some("0"), "Second attempts that the fleet may begin per request that may be repeated, while the first one is slow; 0 turns them off.", "Cuts the slowest answers for some extra work on the servers.", "0.05";
     "hedge" "most" Count, Some("100"), "Maximum number of such attempts at once in the fleet.", "Bounds the extra work at any moment.", "100";
-    "relief" "moves" Choice(&["on", "off"]), Some("on"), "Whether a run moves to another engine if it would end too late, or its engine leaves before.", "Takes effect where the configuration says that engines can move runs and the service's servers differ in speed.", "on";
+    "relief" "moves" Choice(&["on", "off"]), Some("off"), "Whether a run moves to another engine if it would end too late, or its engine leaves before.", "Takes effect where the configuration says that engines can move runs and the service's servers differ in speed.", "on";
     "relief" "most" Count, Some("4"), "Maximum number of runs that a node moves at once.", "Bounds the load on the links between engines; each move is also charged to the retry budget.", "4";
     "usage" "window_s" Seconds, Some("5"), "Length of a usage window.", "Equals the platform's window.", "5";
     "usage" "late_s" Seconds, Some("10"), "Time after a window's end within which its report is due.", "Later reports count as missing.", "10";
--- a/crates/pomeloridge_gateway/src/relief.rs
+++ b/crates/pomeloridge_gateway/src/relief.rs
@@ -27,7 +27,7 @@
 /// Number of latest events over which the pace of a run is measured.
 const PACE_EVENTS: usize = 4;
 /// Timeout of a call that moves a run's KV cache.
-const MOVE_TIMEOUT: Duration = Duration::from_millis(1000);
+const MOVE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A stopped run and the engine that is to continue it.
 pub(crate) struct Handover {
