--- a/crates/pomeloridge_gateway/src/relief.rs
+++ b/crates/pomeloridge_gateway/src/relief.rs
@@ -315,7 +315,9 @@
         let state = self.attempts.state();
         let target = state.dispatcher.borrow();
         let target = target.target(chosen.engine).map(|target| {
-            let is_open = !target.is_leaving() && target.backoff(state.now()).is_none();
+            let is_open = !target.is_leaving()
+                && !target.is_ejected()
+                && target.backoff(state.now()).is_none();
             (target.info.address, is_open)
         });
         let Some((address, true)) = target else {
