Notice that the caller leaves while a stop is awaited

The answer to the call that stops a run was awaited for up to a second without watching the caller, so that its run and copy were kept as long. Found by reading; no run shows it.

--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -543,7 +543,11 @@
             };
             // A stopped run ends its stream, which may look as if it were complete.
             if !matches!(chunk, Ok(Some(_)) | Err(Fault::Timeout)) {
-                match relief.run_end().await {
+                let end = monoio::select! {
+                    end = relief.run_end() => end,
+                    fault = responder.closed() => return Err(AttemptError::CallerGone(fault)),
+                };
+                match end {
                     RunEnd::OnItsOwn => {}
                     RunEnd::Moved(handover) => {
                         in_flight.record_pace(rate);
