--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -228,8 +228,7 @@
         log::info!(
             "request id={} print={} choice=send route={} service={} server={} version={} \
              prefill={} unread={} fetch={} predicted_ms={} predicted_end_ms={} \
-             expected_tokens={} running={} \
-             speed={:.2} slowdown={} attempt={} left_ms={} parts={}",
+             expected_tokens={} running={} speed={:.2} slowdown={} attempt={} left_ms={} parts={}",
             accepted.inbound.label(),
             accepted.fingerprint,
             accepted.route.name,
