Don't take a stopped run's end for the answer's if its handle is missing

Callers got an unframed stream that ended early as a whole answer: a stop that is answered with 200 but without a handle counted as not carried out, and the end of the connection as the end of the stream. Evidence: tests/relief.rs a_stop_without_a_handle_is_no_end_of_a_stream, which got events 1 to 4 of 8 before and all of them now.

--- a/crates/pomeloridge_gateway/src/relief.rs
+++ b/crates/pomeloridge_gateway/src/relief.rs
@@ -341,6 +341,11 @@
                     };
                     StopResult::Stopped(PrefilledPrompt::new(stop_state, source))
                 }
+                // The run has stopped, but nothing can continue it.
+                Ok(MoveAnswer { is_done: true, .. }) => {
+                    log::info!("request id={label} choice=stay reason=\"no handle\"");
+                    StopResult::Unknown
+                }
                 Ok(_) => {
                     log::info!("request id={label} choice=stay reason=\"not stopped\"");
                     StopResult::NotStopped
