--- a/crates/pomeloridge_dev/tests/relief.rs
+++ b/crates/pomeloridge_dev/tests/relief.rs
@@ -3,13 +3,17 @@
 
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::http::{OutgoingRequest, Response};
+use http::Method;
+use monoio::time::sleep;
+use pomeloridge_base::http::{ConnectOptions, Connection, OutgoingRequest, Response, call};
 use pomeloridge_dev::launch::{Fleet, block_on, get_json};
 use pomeloridge_fleet_standin::caller::{event_ids, generation, is_ready, send_request};
-use serde_json::Value;
+use serde_json::{Value, json};
 use yare::parameterized;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time in which the gateway calls the engine after an event; a late copy takes longer.
+const CALL_TIME: Duration = Duration::from_millis(150);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Prompt that needs no separate prefill, in tokens.
 const SHORT_PROMPT: u64 = 200;
@@ -22,11 +26,7 @@
 fn start(name: &str, settings: &str) -> Fleet {
     let fleet = Fleet::start_set(&format!("relief-{name}"), 1, &["--moves"], settings).unwrap();
     let ready = fleet.gateways[0].ready;
-    let end = Instant::now() + TIMEOUT;
-    while !block_on(is_ready(ready)) {
-        assert!(Instant::now() < end, "the gateway was not ready in time");
-        std::thread::sleep(POLL_INTERVAL);
-    }
+    wait_until(|| block_on(is_ready(ready)));
     assert_eq!(
         event_ids(&send(&fleet, &long_generation("note", "warm"))),
         ALL_EVENTS
@@ -34,6 +34,14 @@
     fleet
 }
 
+fn wait_until(mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < end, "the condition was not met in time");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
 /// Returns a request whose answer is predicted to be longer than it is, so that a slow engine seems
 /// to miss its deadline and does not.
 fn long_generation(route: &str, attempt: &str) -> OutgoingRequest {
@@ -122,6 +130,63 @@
     assert_eq!(is_first, expected, "{runs:?}");
 }
 
+/// Guards against streams that end early because their engines are lost in the midst of a move.
+#[test]
+fn an_engine_that_crashes_during_a_copy_is_replaced() {
+    let fleet = start("crash", ON);
+    let message = long_generation("ask", "c1").with_header("x-fault", SLOW);
+    let answer = send(&fleet, &message.with_header("x-move", "crash"));
+    assert_eq!(answer.status, 200);
+    assert_eq!(event_ids(&answer), ALL_EVENTS);
+    let runs = runs(&fleet, "c1");
+    assert_eq!(runs.len(), 2, "{runs:?}");
+    assert_ne!(runs[0].0, runs[1].0);
+}
+
+/// Guards against the end of a stopped run that passes for that of the answer.
+#[test]
+fn a_stop_without_a_handle_is_no_end_of_a_stream() {
+    let fleet = start("unnamed", ON);
+    for engine in ["assistant-decode-0", "assistant-decode-1"] {
+        let order = json!({ "server": engine, "condition": "unframed", "for_ms": 60_000 });
+        let message = OutgoingRequest::new(Method::POST, "/-/condition").json(&order);
+        assert_eq!(
+            block_on(call(fleet.duties, &message, TIMEOUT))
+                .unwrap()
+                .status,
+            200
+        );
+    }
+    let message = long_generation("ask", "u1").with_header("x-fault", SLOW);
+    let answer = send(&fleet, &message.with_header("x-move", "unnamed"));
+    assert_eq!(moves(&fleet, "u1"), [(false, 200), (true, 200)]);
+    assert_eq!(event_ids(&answer), ALL_EVENTS);
+}
+
+/// Guards against copies that occupy memory after their callers have left.
+#[test]
+fn the_copy_of_a_run_whose_caller_leaves_is_released() {
+    let fleet = start("leaves", ON);
+    let message = long_generation("note", "l1").with_header("x-fault", SLOW);
+    let message = message.with_header("x-move", "late");
+    block_on(async {
+        let gateway = fleet.gateways[0].caller;
+        let options = ConnectOptions::default();
+        let mut connection = Connection::open(gateway, options).await.unwrap();
+        let end = Instant::now() + TIMEOUT;
+        connection.send(&message, end).await.unwrap();
+        connection.read_head(end).await.unwrap();
+        let mut text = Vec::new();
+        while !String::from_utf8_lossy(&text).contains("id: 3\n") {
+            text.extend(connection.read_chunk(end).await.unwrap().unwrap());
+        }
+        sleep(CALL_TIME).await;
+    });
+    let is_released = |entry: &Value| entry["released"] == "move-1";
+    wait_until(|| history(&fleet).iter().any(is_released));
+    assert_eq!(moves(&fleet, "l1"), [(false, 200)]);
+}
+
 /// Guards against moves that operators did not ask for.
 #[test]
 fn nothing_moves_by_default() {
