--- a/crates/pomeloridge_gateway/src/attempt.rs
+++ b/crates/pomeloridge_gateway/src/attempt.rs
@@ -128,7 +128,7 @@
     }
 
     /// Returns what the caller needs from now on.
-    fn needs(&self, now: Instant) -> AnswerNeeds {
+    pub(crate) fn needs(&self, now: Instant) -> AnswerNeeds {
         let Accepted {
             route,
             service,
@@ -234,8 +234,7 @@
         log::info!(
             "request id={} print={} choice=send route={} service={} server={} version={} \
              prefill={} unread={} fetch={} predicted_ms={} predicted_end_ms={} \
-             expected_tokens={} running={} \
-             speed={:.2} slowdown={} attempt={} left_ms={} parts={}",
+             expected_tokens={} running={} speed={:.2} slowdown={} attempt={} left_ms={} parts={}",
             accepted.inbound.label(),
             accepted.fingerprint,
             accepted.route.name,
