--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -4,6 +4,9 @@
 //! is resumable, another server continues after the last event within the same response;
 //! otherwise the response ends truncated.
 
+mod accounting;
+mod continuation;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,10 +17,10 @@
 use pomeloridge_base::error::ErrorKind;
 use pomeloridge_base::http::{Fault, Responder, Response};
 use pomeloridge_base::id::Name;
-use pomeloridge_base::meter::{Counter, Timer};
+use pomeloridge_base::meter::Counter;
 use pomeloridge_base::refusal::Refusal;
 use pomeloridge_policy::crashes::RunOutcome;
-use pomeloridge_policy::dispatch::{Plan, TargetKey};
+use pomeloridge_policy::dispatch::Plan;
 
 use crate::accept::Accepted;
 use crate::attempt::{Attempts, InFlightAttempt};
@@ -290,61 +293,6 @@
         hedge::race(attempts, plan, open, |opened| opened.exchanged.head.status).await
     }
 
-    /// Begins the next part of the stream: the planned attempt, or the rest of a run that moved.
-    async fn open_next<'b>(
-        &self,
-        plan: Plan,
-        prompt: &mut Option<PrefilledPrompt>,
-        handover: Option<&mut Handover>,
-        attempts: &'b Attempts<'b>,
-    ) -> Raced<Opened<'b>> {
-        let Some(handover) = handover else {
-            return self.open_first(plan, prompt.as_mut(), attempts).await;
-        };
-        let (plan, source) = (handover.plan, handover.source);
-        let outcome = self.open(plan, Some(&mut handover.prompt), attempts).await;
-        self.record_move(plan.server, &outcome);
-        match outcome {
-            Ok(opened) => {
-                handover.mark_used();
-                Raced {
-                    server: plan.server,
-                    outcome: Ok(opened),
-                }
-            }
-            // The engine that stopped the run still has its KV cache.
-            Err(failure) if failure.not_run() => {
-                let plan = Plan {
-                    server: source,
-                    ..plan
-                };
-                let outcome = self.open(plan, Some(&mut handover.prompt), attempts).await;
-                self.record_move(source, &outcome);
-                Raced {
-                    server: source,
-                    outcome,
-                }
-            }
-            Err(failure) => Raced {
-                server: plan.server,
-                outcome: Err(failure),
-            },
-        }
-    }
-
-    fn record_move(&self, server: TargetKey, outcome: &Result<Opened<'_>, Failure>) {
-        let failure = outcome.as_ref().err();
-        if failure.is_none() {
-            self.state.meter.increment(Counter::Moved);
-        }
-        log::info!(
-            "request id={} choice=continue_moved server={} outcome={}",
-            self.accepted.inbound.label(),
-            self.state.server_name(server),
-            failure.map_or_else(|| "begun".to_owned(), Failure::to_string)
-        );
-    }
-
     async fn open<'b>(
         &self,
         plan: Plan,
@@ -613,54 +561,6 @@
         Ok(tokens)
     }
 
-    /// Counts the work of a run: the prompt that it reads, and at the first run also the output that
-    /// is expected of the request.
-    fn count_demand(&self, plan: Plan) {
-        let Accepted {
-            service,
-            route,
-            inbound,
-            ..
-        } = self.accepted;
-        let decode_tokens = if self.servers.borrow().is_empty() {
-            let expected = self.state.dispatcher.borrow().expected_decode_tokens(
-                service,
-                &route.name,
-                inbound.length_estimate,
-                inbound.output_tokens,
-            );
-            let events = inbound.last_event.unwrap_or_default();
-            expected.saturating_sub(events.saturating_mul(self.tokens_per_event))
-        } else {
-            0
-        };
-        self.state
-            .count_work(service, plan.prefill_tokens, decode_tokens);
-    }
-
-    /// Returns the servers to which the request was sent, for the log.
-    pub(crate) fn server_labels(&self) -> String {
-        let names = self.servers.borrow();
-        names.iter().map(Name::as_str).collect::<Vec<_>>().join(",")
-    }
-
-    pub(crate) fn timing(&self) -> StreamTiming {
-        self.timing
-    }
-
-    fn record_chunk(&mut self) {
-        let now = self.state.now();
-        if let Some(last) = self.last_chunk_at.replace(now) {
-            let gap = now.saturating_duration_since(last);
-            self.timing.longest_gap = self.timing.longest_gap.max(gap);
-            self.state.meter.record(Timer::TokenGap, gap);
-        } else {
-            let first = now.saturating_duration_since(self.accepted.arrived_at);
-            self.timing.first_chunk = Some(first);
-            self.state.meter.record(Timer::FirstToken, first);
-        }
-    }
-
     /// Sends the response head if it has not been sent yet.
     async fn send_head(&mut self, responder: &mut Responder) -> Result<(), AttemptError> {
         if let Some((status, headers)) = self.head.take() {
@@ -671,11 +571,4 @@
         }
         Ok(())
     }
-
-    /// Counts the request for its client account, at most once over all attempts.
-    fn count_usage_once(&self) {
-        if !self.usage_counted.replace(true) {
-            self.state.count_usage(self.accepted.account.as_ref());
-        }
-    }
 }
