Decide which transfers to slow readers are cut

Callers who read nothing keep an answer of up to 8 MiB in memory each, for 10 s, and nothing bounds their sum; nothing chose among them. Found by reading the code (docs/design/slow-readers.md).

The module chooses: a transfer without progress for the limit, and over the process's bound one that does not move, of the account for which such ones hold most. Progress is counted in bytes and in time that the process ran. It is not wired yet.

--- a/crates/pomeloridge_policy/src/lib.rs
+++ b/crates/pomeloridge_policy/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod server;
 pub mod server_table;
 pub mod slot_share;
+pub mod slow_readers;
 pub mod stage_assignment;
 pub mod stream_versions;
 pub mod suspicion;
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -24,6 +24,7 @@
 mod rules;
 mod scaling;
 mod server_table;
+mod slow_readers;
 mod stream_versions;
 mod support;
 mod suspicion;
