Cut transfers to callers and servers that read too slowly

An engine wrote for a caller that did not read until it cut the caller off.

A body that was read completely counted for nothing while it was written, and nothing chose among those who held it back (by reading the code).

With [slow_readers] unread_s, off by default, each answer and each sending of a long request is a transfer of pomeloridge_policy::slow_readers; a cut drops the request's task, and with it its connections and its engine's run. Watched writes have no timeout of their own and count what the peer acknowledges, as the kernel takes nothing more for a slow reader until a large part of its buffer is free.

--- a/crates/pomeloridge/src/metrics.rs
+++ b/crates/pomeloridge/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use opentelemetry::metrics::{Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use pomeloridge_base::meter::{Counter, Meter, Timer};
+use pomeloridge_base::meter::{Counter, Gauge, Meter, Timer};
 use prometheus::{Registry, TextEncoder};
 
 /// Upper bounds of the histograms' buckets, in seconds.
@@ -49,10 +49,18 @@
                 builder.with_boundaries(BUCKET_BOUNDS.to_vec()).build(),
             );
         }
+        let mut gauges = HashMap::new();
+        for gauge in Gauge::ALL {
+            let builder = otel_meter.u64_gauge(gauge.name());
+            let created = builder.with_description(gauge.description()).build();
+            created.record(0, &[]);
+            gauges.insert(*gauge, created);
+        }
         let meter = Meter::new(
             move |counter, amount| counters[&counter].add(amount, &[]),
             move |timer, time| timers[&timer].record(time.as_secs_f64(), &[]),
-        );
+        )
+        .with_gauges(move |gauge, value| gauges[&gauge].record(value, &[]));
         Ok(Self {
             registry,
             _provider: provider,
--- a/crates/pomeloridge_base/src/http/buffered.rs
+++ b/crates/pomeloridge_base/src/http/buffered.rs
@@ -2,22 +2,30 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
 use monoio::net::TcpStream;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
 use super::Fault;
 use super::memory::HeldBytes;
+use crate::net;
 use crate::pacing::Turn;
 
 /// Maximum length of the line with a chunk's size; 64 bits have 16 digits.
 const MAX_SIZE_LINE_BYTES: usize = 18;
 /// Buffer size of a read.
 const READ_BYTES: usize = 16 * 1024;
+/// Largest part that a watched write passes to the kernel at a time.
+pub(super) const WRITE_BYTES: usize = 16 * 1024;
+/// Interval at which a watched write that waits asks the kernel what the peer has acknowledged.
+const ACKNOWLEDGE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Told of the number of bytes that the peer of a write has taken.
+pub(super) type RecordTaken = Box<dyn Fn(usize)>;
 
 /// Part of a message body that has not been read yet.
 pub(super) enum Remaining {
@@ -122,6 +130,39 @@
         Ok(())
     }
 
+    /// Writes as [`Self::write`] does, without a deadline if there is none, and tells `taken` what
+    /// the peer takes. While the peer reads slowly, the kernel accepts nothing until a large part of
+    /// its buffer is free, so that what the peer acknowledges meanwhile counts as taken.
+    pub(super) async fn write_watched(
+        &mut self,
+        mut bytes: Bytes,
+        deadline: Option<Instant>,
+        taken: &RecordTaken,
+    ) -> Result<(), Fault> {
+        let mut queued = None;
+        while !bytes.is_empty() {
+            let part = bytes.slice(..bytes.len().min(WRITE_BYTES));
+            let left = deadline.map(time_left).transpose()?;
+            let time = left.map_or(ACKNOWLEDGE_INTERVAL, |left| left.min(ACKNOWLEDGE_INTERVAL));
+            // Dropping the write loses no bytes: the epoll driver writes only when the future
+            // completes.
+            if let Ok((written, _)) = monoio::time::timeout(time, self.stream.write(part)).await {
+                let count = written?;
+                if count == 0 {
+                    return Err(Fault::Closed);
+                }
+                bytes.advance(count);
+                taken(count);
+                queued = None;
+            } else {
+                let now_queued = net::unacknowledged(&self.stream)?;
+                let before = queued.replace(now_queued).unwrap_or(now_queued);
+                taken(before.saturating_sub(now_queued));
+            }
+        }
+        Ok(())
+    }
+
     /// Reads and decodes a head; returns `None` if the peer closed the connection before its first
     /// byte. The limit holds for the line breaks before the head, too.
     pub(super) async fn read_head<D: Decoder>(
--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use monoio_http::h1::codec::decoder::ResponseHeadDecoder;
 
-use super::buffered::{BufferedStream, Remaining, framing, time_left};
+use super::buffered::{BufferedStream, RecordTaken, Remaining, framing, time_left};
 use super::{Fault, Response};
 use crate::count_guard::CountGuard;
 use crate::net;
@@ -278,6 +278,21 @@
         self.send_if(request, deadline, || true).await
     }
 
+    /// Sends a request as [`Self::send`] does, and tells `taken` how many bytes of it the server
+    /// takes.
+    pub async fn send_watched(
+        &mut self,
+        request: &OutgoingRequest,
+        deadline: Instant,
+        taken: impl Fn(usize) + 'static,
+    ) -> Result<(), Fault> {
+        let bytes = request.encode(self.address);
+        self.begin_send(deadline)?;
+        let taken: RecordTaken = Box::new(taken);
+        let written = self.stream.write_watched(bytes, Some(deadline), &taken);
+        written.await
+    }
+
     /// Sends a request if `allowed` returns true directly before the write; fails with a timeout
     /// otherwise.
     pub async fn send_if(
@@ -291,10 +306,16 @@
         if !allowed() {
             return Err(Fault::Timeout);
         }
+        self.begin_send(deadline)?;
+        self.stream.write(bytes, deadline).await
+    }
+
+    fn begin_send(&mut self, deadline: Instant) -> Result<(), Fault> {
+        self.written = false;
         self.set_user_timeout(deadline)?;
         self.complete = false;
         self.written = true;
-        self.stream.write(bytes, deadline).await
+        Ok(())
     }
 
     /// Makes the kernel drop unacknowledged bytes at the deadline, as this process may be frozen
--- a/crates/pomeloridge_base/src/http/server.rs
+++ b/crates/pomeloridge_base/src/http/server.rs
@@ -18,7 +18,7 @@
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::{FixedPayload, Payload};
 
-use super::buffered::{BufferedStream, Remaining, framing, time_left};
+use super::buffered::{BufferedStream, RecordTaken, Remaining, WRITE_BYTES, framing, time_left};
 use super::{Fault, Limits, Request, Response};
 use crate::count_guard::CountGuard;
 use crate::net;
@@ -261,6 +261,8 @@
     close_check: Option<Box<dyn Fn() -> bool>>,
     progress: Progress,
     write_time: Duration,
+    /// Told of what the peer takes of the response.
+    taken: Option<RecordTaken>,
 }
 
 impl Responder {
@@ -271,12 +273,14 @@
             close_check: None,
             progress: Progress::NotStarted,
             write_time,
+            taken: None,
         }
     }
 
     fn reset(&mut self, close: bool) {
         self.close |= close;
         self.close_check = None;
+        self.taken = None;
         self.progress = Progress::NotStarted;
     }
 
@@ -316,6 +320,24 @@
         self.close_check = Some(Box::new(check));
     }
 
+    /// Tells `taken` how many bytes of this response the peer takes. Writes then have no timeout:
+    /// whoever watches them drops those that make no progress.
+    pub fn watch_writes(&mut self, taken: impl Fn(usize) + 'static) {
+        self.taken = Some(Box::new(taken));
+    }
+
+    /// Resets the connection when it is dropped, so that the kernel keeps nothing of the response
+    /// for the peer.
+    pub fn abort(&mut self) {
+        self.close = true;
+        self.progress = Progress::Interrupted;
+        let socket = net::socket(&self.stream.stream);
+        let reset = socket2::SockRef::from(&socket).set_linger(Some(Duration::ZERO));
+        if let Err(error) = reset {
+            log::warn!("connection choice=abort outcome=\"{error}\"");
+        }
+    }
+
     /// Returns whether the head that is about to be written announces that the connection closes.
     fn announces_close(&mut self) -> bool {
         self.close |= self.close_check.as_ref().is_some_and(|check| check());
@@ -324,6 +346,9 @@
 
     /// Writes a complete response.
     pub async fn send(&mut self, response: Response) -> Result<(), Fault> {
+        if self.taken.is_some() && response.body.len() > WRITE_BYTES {
+            return self.send_watched(response).await;
+        }
         let mut message = http::Response::new(Payload::<Bytes, HttpError>::from(
             FixedPayload::new(response.body),
         ));
@@ -344,15 +369,27 @@
         Ok(())
     }
 
-    /// Writes the head of a streamed response.
-    ///
-    /// The library's encoder buffers small chunks, which would delay tokens, so the heads and
-    /// chunks of streams are encoded here.
-    pub async fn start(&mut self, status: StatusCode, headers: &HeaderMap) -> Result<(), Fault> {
+    /// Writes a complete response in parts, which the library's encoder does not.
+    async fn send_watched(&mut self, response: Response) -> Result<(), Fault> {
+        let length = format!("content-length: {}\r\n", response.body.len());
+        let mut headers = response.headers;
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.remove(http::header::TRANSFER_ENCODING);
+        let head = self.encode_head(response.status, &length, &headers);
+        self.progress = Progress::Interrupted;
+        self.write(head).await?;
+        self.write(response.body).await?;
+        self.progress = Progress::Done;
+        Ok(())
+    }
+
+    /// Encodes a head; `framing` is the header line that frames the body.
+    fn encode_head(&mut self, status: StatusCode, framing: &str, headers: &HeaderMap) -> Bytes {
         let mut head = BytesMut::with_capacity(512);
         head.put_slice(b"HTTP/1.1 ");
         head.put_slice(status.as_str().as_bytes());
-        head.put_slice(b" \r\ntransfer-encoding: chunked\r\n");
+        head.put_slice(b" \r\n");
+        head.put_slice(framing.as_bytes());
         if self.announces_close() {
             head.put_slice(b"connection: close\r\n");
         }
@@ -363,8 +400,17 @@
             head.put_slice(b"\r\n");
         }
         head.put_slice(b"\r\n");
+        head.freeze()
+    }
+
+    /// Writes the head of a streamed response.
+    ///
+    /// The library's encoder buffers small chunks, which would delay tokens, so the heads and
+    /// chunks of streams are encoded here.
+    pub async fn start(&mut self, status: StatusCode, headers: &HeaderMap) -> Result<(), Fault> {
+        let head = self.encode_head(status, "transfer-encoding: chunked\r\n", headers);
         self.progress = Progress::Interrupted;
-        self.write(head.freeze()).await?;
+        self.write(head).await?;
         self.progress = Progress::Streaming;
         Ok(())
     }
@@ -426,6 +472,9 @@
     }
 
     async fn write(&mut self, bytes: Bytes) -> Result<(), Fault> {
+        if let Some(taken) = &self.taken {
+            return self.stream.write_watched(bytes, None, taken).await;
+        }
         self.stream
             .write(bytes, Instant::now() + self.write_time)
             .await
--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -56,6 +56,8 @@
         AllotmentUnknown: "pomeloridge_allotment_unknown", "Requests refused since no holder of their client account's allotment answered.";
         AllotmentAsks: "pomeloridge_allotment_asks", "Messages that asked other nodes for a client account's credit.";
         AllotmentSilent: "pomeloridge_allotment_silent", "Such messages that were not answered in time.";
+        SlowUnread: "pomeloridge_slow_readers_unread", "Transfers cut since their caller or server took too little of them for too long.";
+        SlowMemory: "pomeloridge_slow_readers_memory", "Transfers to slow readers cut since messages held too many bytes.";
         UnreplicatedUsage: "pomeloridge_usage_unreplicated", "Usage lines that no peer acknowledged in time.";
     }
 }
@@ -73,6 +75,14 @@
     }
 }
 
+metrics! {
+    /// Values at a moment.
+    Gauge {
+        HeldBytes: "pomeloridge_held_bytes", "Bytes that messages hold which are being read or written; 0 while slow readers are not cut.";
+    }
+}
+
+type RecordLevel = dyn Fn(Gauge, u64);
 type RecordCount = dyn Fn(Counter, u64);
 type RecordTime = dyn Fn(Timer, Duration);
 
@@ -81,6 +91,7 @@
 pub struct Meter {
     count: Rc<RecordCount>,
     time: Rc<RecordTime>,
+    level: Rc<RecordLevel>,
 }
 
 impl Meter {
@@ -92,6 +103,16 @@
         Self {
             count: Rc::new(count),
             time: Rc::new(time),
+            level: Rc::new(|_, _| {}),
+        }
+    }
+
+    /// Passes the values of gauges to a closure; without it they are discarded.
+    #[must_use]
+    pub fn with_gauges(self, level: impl Fn(Gauge, u64) + 'static) -> Self {
+        Self {
+            level: Rc::new(level),
+            ..self
         }
     }
 
@@ -110,6 +131,11 @@
         (self.count)(counter, amount);
     }
 
+    /// Sets a gauge.
+    pub fn set(&self, gauge: Gauge, value: u64) {
+        (self.level)(gauge, value);
+    }
+
     /// Records a duration.
     pub fn record(&self, timer: Timer, time: Duration) {
         (self.time)(timer, time);
--- a/crates/pomeloridge_base/src/settings/check.rs
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -90,7 +90,9 @@
     /// Like the methods below, panics if the key is not in the table or is of another kind.
     pub fn time(&self, section: &str, key: &str) -> Duration {
         match self.find(section, key).0.kind {
-            SettingKind::Seconds => Duration::from_secs_f64(self.amount(section, key)),
+            SettingKind::Seconds | SettingKind::SecondsOrOff => {
+                Duration::from_secs_f64(self.amount(section, key))
+            }
             _ => Duration::from_millis(self.number(section, key)),
         }
     }
@@ -359,6 +361,14 @@
                 SECONDS_RANGE.end()
             )),
         },
+        SettingKind::SecondsOrOff => match text.parse::<f64>() {
+            Ok(seconds) if seconds == 0.0 || SECONDS_RANGE.contains(&seconds) => None,
+            _ => Some(format!(
+                "`{text}` is neither 0 nor a number of seconds from {} to {}",
+                SECONDS_RANGE.start(),
+                SECONDS_RANGE.end()
+            )),
+        },
         SettingKind::Amount => match text.parse::<f64>() {
             Ok(amount) if amount >= 0.0 && amount.is_finite() => None,
             _ => Some(format!("`{text}` is not a number of at least 0")),
--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -17,6 +17,8 @@
     Bytes,
     /// A number of seconds from 0.001 to 86400; may have a fraction.
     Seconds,
+    /// 0, or a number of seconds from 0.001 to 86400; may have a fraction.
+    SecondsOrOff,
     /// A number of at least 0; may have a fraction.
     Amount,
     /// A number from 0 to 1; may have a fraction.
@@ -64,7 +66,8 @@
 }
 
 use SettingKind::{
-    Address, Addresses, Amount, Bytes, Choice, Count, Millis, Seconds, Secret, Share, Text, Tokens,
+    Address, Addresses, Amount, Bytes, Choice, Count, Millis, Seconds, SecondsOrOff, Secret, Share,
+    Text, Tokens,
 };
 
 settings! {
@@ -139,6 +142,8 @@
     "usage" "late_s" Seconds, Some("10"), "Time after a window's end within which its report is due.", "Later reports count as missing.", "10";
     "quota" "slack" Amount, Some("0"), "Requests or tokens that the platform tolerates beyond a client account's allotment in a window.", "Nodes use a part of it for requests that are larger than the allotment's burst.", "140000";
     "quota" "window_s" Seconds, Some("8"), "Window over which the platform counts an allotment.", "A node that takes the place of another grants nothing for so long.", "8";
+    "slow_readers" "unread_s" SecondsOrOff, Some("0"), "Time after which a response, or a request's body, is cut of which its reader has taken neither 16 KiB nor the rest; 0 turns all cuts of slow readers off.", "Less than the time after which engines cut off an answer that stays unread, so that the gateway ends the run first.", "3";
+    "slow_readers" "process_mb" Count, Some("48"), "Mebibytes that all messages being read or written may hold; beyond that, transfers are cut, first those that their readers do not take.", "Bounds a gateway's memory; messages that are being read alone hold up to 32.", "48";
     "peers" "pause_ms" Millis, Some("100"), "Interval between datagrams to a peer.", "A shorter interval gives more recent loads and costs processor time.", "100";
     "peers" "fan_out" Count, Some("8"), "Maximum number of peers to which a datagram is sent per round.", "Bounds a node's cost as the fleet grows.", "8";
     "operator" "tokens" Tokens, Some(""), "Operators' tokens as `NAME:SHA256`.", "Without any, `pomeloridge route explain` is off.", "anna:9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
--- a/crates/pomeloridge_base/tests/settings.rs
+++ b/crates/pomeloridge_base/tests/settings.rs
@@ -96,6 +96,21 @@
 duties = 127.0.0.1:7001
 ";
 
+/// Guards against cuts that nobody asked for, and against a limit of no time.
+#[test]
+fn cuts_of_slow_readers_are_off_unless_they_are_set() {
+    let unread = |values: &str| {
+        let settings = parse_table(&format!("{GATEWAY}{values}"), GATEWAY_SETTINGS);
+        settings.map(|settings| settings.time("slow_readers", "unread_s"))
+    };
+    assert_eq!(unread(""), Ok(Duration::ZERO));
+    let set = |value: &str| unread(&format!("[slow_readers]\nunread_s = {value}\n"));
+    assert_eq!(set("2.5"), Ok(Duration::from_millis(2500)));
+    for value in ["-1", "0.0001", "1e9", "NaN", ""] {
+        assert!(set(value).is_err(), "{value}");
+    }
+}
+
 /// Guards against gateways that do not start because a value given by the platform is not a
 /// whole number.
 #[test]
--- a/crates/pomeloridge_dev/src/reference.rs
+++ b/crates/pomeloridge_dev/src/reference.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use pomeloridge_base::error::ErrorKind;
-use pomeloridge_base::meter::{Counter, Timer};
+use pomeloridge_base::meter::{Counter, Gauge, Timer};
 use pomeloridge_base::settings::{GATEWAY_SETTINGS, SETTINGS, Setting, SettingKind};
 use pomeloridge_policy::rules::Rule;
 
@@ -100,6 +100,7 @@
         SettingKind::Count => "a whole number of at least 1".to_owned(),
         SettingKind::Bytes => "bytes, a whole number of at least 1".to_owned(),
         SettingKind::Seconds => "seconds; may have a fraction".to_owned(),
+        SettingKind::SecondsOrOff => "0, or seconds; may have a fraction".to_owned(),
         SettingKind::Amount => "a number of at least 0; may have a fraction".to_owned(),
         SettingKind::Share => "a number from 0 to 1; may have a fraction".to_owned(),
         SettingKind::Choice(choices) => {
@@ -223,6 +224,10 @@
     for counter in Counter::ALL {
         let _ = writeln!(page, "| `{}` | {} |", counter.name(), counter.description());
     }
+    page.push_str("\n## Gauges\n\n| name | meaning |\n|---|---|\n");
+    for gauge in Gauge::ALL {
+        let _ = writeln!(page, "| `{}` | {} |", gauge.name(), gauge.description());
+    }
     page.push_str("\n## Histograms, in seconds\n\n| name | meaning |\n|---|---|\n");
     for timer in Timer::ALL {
         let _ = writeln!(page, "| `{}` | {} |", timer.name(), timer.description());
--- a/crates/pomeloridge_gateway/src/accept.rs
+++ b/crates/pomeloridge_gateway/src/accept.rs
@@ -17,6 +17,7 @@
 
 use crate::config::{Account, Route, RouteKind, ServingConfig};
 use crate::request::Inbound;
+use crate::slow_readers::Transfer;
 use crate::state::State;
 
 /// Time that a caller is assumed to wait if its request has no deadline.
@@ -46,6 +47,8 @@
     pub(crate) trial: Cell<Trial>,
     /// The latest run of the request at each server that is to answer it.
     pub(crate) part_runs: RefCell<Vec<(TargetKey, PartRunKey)>>,
+    /// What is held of the answer for the caller; `None` if slow readers are not cut.
+    pub(crate) transfer: Option<Transfer>,
 }
 
 /// Whether a request may be sent in spite of a quarantined part.
@@ -125,6 +128,13 @@
         run.map(|(_, run)| *run)
     }
 
+    /// Sets the number of bytes that are held for the caller.
+    pub(crate) fn hold_answer(&self, bytes: usize) {
+        if let Some(transfer) = &self.transfer {
+            transfer.hold(bytes);
+        }
+    }
+
     /// Returns the time until the request's deadline.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -205,6 +215,7 @@
                 shared_parts: shared_parts(inbound.prompt.as_ref()),
                 trial: Cell::default(),
                 part_runs: RefCell::default(),
+                transfer: None,
                 inbound,
                 route,
                 service,
--- a/crates/pomeloridge_gateway/src/exchange.rs
+++ b/crates/pomeloridge_gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one server and reads the head of the response.
 
+use std::future::pending;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,8 +8,9 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use http::StatusCode;
-use pomeloridge_base::http::{Connection, Fault, RefusalMark};
+use pomeloridge_base::http::{Connection, Fault, OutgoingRequest, RefusalMark};
 use pomeloridge_policy::dispatch::{TargetInfo, TargetKey};
+use pomeloridge_policy::slow_readers::{CutReason, PROGRESS_BYTES, Reader};
 
 use crate::accept::Accepted;
 use crate::part_quarantine;
@@ -16,6 +18,7 @@
 use crate::request::{Dispatch, Notice, ResponseHead, SendStage};
 use crate::server_limits;
 use crate::silence::SilenceWatch;
+use crate::slow_readers::{Transfer, cut_of, record_cut};
 use crate::state::State;
 
 /// Number of late responses to earlier requests that are skipped on one connection.
@@ -211,10 +214,7 @@
         priority: accepted.priority,
     };
     let message = (state.ports.server.encode)(&accepted.inbound, &dispatch);
-    let written = connection.send(&message, deadline).await;
-    if let Err(fault) = written {
-        return Err(stale_if_reused(is_reused, Failure::after_write(&fault)));
-    }
+    send(state, accepted, &mut connection, &message, is_reused).await?;
     let head = monoio::select! {
         head = read_head(state, accepted, &mut connection, is_reused) => head,
         () = watch.given_up(state) => Err(Failure::TimedOut),
@@ -254,6 +254,39 @@
     })
 }
 
+/// Sends a request, unless the server reads its body too slowly.
+async fn send(
+    state: &Rc<State>,
+    accepted: &Accepted,
+    connection: &mut Connection,
+    message: &OutgoingRequest,
+    is_reused: bool,
+) -> Result<(), Failure> {
+    let is_long = message.body.len() > PROGRESS_BYTES;
+    let transfer = is_long.then(|| Transfer::begin(state, accepted, Reader::Server));
+    let Some(transfer) = transfer.flatten() else {
+        let written = connection.send(message, accepted.deadline).await;
+        let failure = written.map_err(|fault| Failure::after_write(&fault));
+        return failure.map_err(|failure| stale_if_reused(is_reused, failure));
+    };
+    // The body and its copy behind the head.
+    transfer.hold(2 * message.body.len());
+    let cut = monoio::select! {
+        written = connection.send_watched(message, accepted.deadline, transfer.taken()) => {
+            let failure = written.map_err(|fault| Failure::after_write(&fault));
+            return failure.map_err(|failure| stale_if_reused(is_reused, failure));
+        }
+        cut = cut_of(Some(&transfer)) => cut,
+    };
+    record_cut(state, accepted, &cut);
+    // A further attempt would hold as much again, so that the request ends.
+    if let (CutReason::Memory, Some(request)) = (cut.reason, &accepted.transfer) {
+        request.cut_with(&cut);
+        return pending().await;
+    }
+    Err(Failure::TimedOut)
+}
+
 /// Reads the body of a response, of at most `limit` bytes, unless the server falls silent and is
 /// given up.
 pub(crate) async fn read_body(
--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -8,10 +8,12 @@
 use pomeloridge_base::http::{Fault, Request, Responder, Response};
 use pomeloridge_base::meter::{Counter, Timer};
 use pomeloridge_base::refusal::Refusal;
+use pomeloridge_policy::slow_readers::{Cut, Reader};
 
 use crate::accept::{Accepted, accept};
 use crate::config::RouteKind;
 use crate::request::Inbound;
+use crate::slow_readers::{self, Transfer, cut_of};
 use crate::state::State;
 use crate::stream::{Stream, StreamOutcome, StreamTiming};
 use crate::unary;
@@ -39,7 +41,7 @@
             return refuse(state, &kind.into(), None, responder).await;
         }
     };
-    let accepted = match accept(state, inbound) {
+    let mut accepted = match accept(state, inbound) {
         Ok(accepted) => accepted,
         Err(refused) => {
             let (kind, inbound) = *refused;
@@ -62,15 +64,32 @@
     if responder.is_closed() {
         return record_caller_gone(state, &accepted, &Fault::Closed);
     }
-    let is_served = monoio::select! {
-        () = serve(state, &accepted, responder) => true,
-        () = state.lifecycle.out_of_time() => false,
+    accepted.transfer = Transfer::begin(state, &accepted, Reader::Caller);
+    if let Some(transfer) = &accepted.transfer {
+        responder.watch_writes(transfer.taken());
+    }
+    let ending = monoio::select! {
+        () = serve(state, &accepted, responder) => Ending::Served,
+        () = state.lifecycle.out_of_time() => Ending::OutOfTime,
+        cut = cut_of(accepted.transfer.as_ref()) => Ending::Cut(cut),
     };
-    if !is_served {
-        end(state, &accepted, responder).await;
+    match ending {
+        Ending::Served => {}
+        Ending::OutOfTime => end(state, &accepted, responder).await,
+        Ending::Cut(cut) => cut_reader(state, &accepted, &cut, responder).await,
     }
 }
 
+/// How the handling of a request ended.
+enum Ending {
+    /// By itself.
+    Served,
+    /// The process is about to be killed.
+    OutOfTime,
+    /// Its reader was too slow.
+    Cut(Cut),
+}
+
 async fn serve(state: &Rc<State>, accepted: &Accepted, responder: &mut Responder) {
     if let RouteKind::Stream { .. } = accepted.route.kind {
         handle_stream(state, accepted, responder).await;
@@ -93,6 +112,19 @@
     refuse(state, &refusal, Some(&accepted.inbound), responder).await;
 }
 
+/// Ends a request whose caller or server read too slowly. Servers may have run it.
+async fn cut_reader(state: &State, accepted: &Accepted, cut: &Cut, responder: &mut Responder) {
+    if cut.reader == Reader::Caller {
+        slow_readers::record_cut(state, accepted, cut);
+    }
+    if responder.started() {
+        responder.abort();
+        return record_cut(state, accepted, cut.reason);
+    }
+    let refusal = ErrorKind::ServerLost.into();
+    refuse(state, &refusal, Some(&accepted.inbound), responder).await;
+}
+
 async fn handle_unary(state: &Rc<State>, accepted: &Accepted, responder: &mut Responder) {
     let outcome = monoio::select! {
         outcome = unary::run(state, accepted) => outcome,
@@ -130,6 +162,7 @@
     responder: &mut Responder,
 ) {
     let status = response.status;
+    accepted.hold_answer(response.body.len());
     match responder.send(response).await {
         Ok(()) => record_answered(state, accepted, status, StreamTiming::default()),
         Err(fault) => record_caller_gone(state, accepted, &fault),
--- a/crates/pomeloridge_gateway/src/lib.rs
+++ b/crates/pomeloridge_gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod server_registry;
 mod settings;
 mod silence;
+mod slow_readers;
 mod stage_duty;
 mod state;
 mod stream;
--- a/crates/pomeloridge_gateway/src/node.rs
+++ b/crates/pomeloridge_gateway/src/node.rs
@@ -11,7 +11,9 @@
 use pomeloridge_base::task::{catch_panic, keep_running};
 
 use crate::state::{GatewayParts, State};
-use crate::{crash_detection, duties, ingress, internal, lifecycle, peers, versions, watch};
+use crate::{
+    crash_detection, duties, ingress, internal, lifecycle, peers, slow_readers, versions, watch,
+};
 
 /// Interval of the housekeeping.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
@@ -64,6 +66,9 @@
     spawn(&state, "expire_servers", watch::expire_servers);
     spawn(&state, "follow_versions", versions::follow_table);
     spawn(&state, "watch_pauses", lifecycle::watch_pauses);
+    if state.transfers.is_some() {
+        spawn(&state, "cut_slow_readers", slow_readers::watch);
+    }
     spawn(&state, "discover_nodes", peers::discover);
     let sender = Rc::clone(&socket);
     spawn(&state, "send_heartbeats", move |state| {
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -43,6 +43,7 @@
 use crate::server_list::ServerList;
 use crate::server_registry::{REMOVAL_GRACE, ServerRegistry};
 use crate::settings::{LiveSettings, ReloadSettings};
+use crate::slow_readers::Transfers;
 use crate::usage::{UsageLedger, UsageSource};
 use crate::versions::{self, SharedRead, StreamVersions};
 
@@ -144,6 +145,8 @@
     pub(crate) quarantine_changed: Cell<bool>,
     /// Number of runs that this node is moving to other engines.
     pub(crate) moves: Rc<Cell<usize>>,
+    /// Transfers to callers and servers; `None` if slow readers are not cut.
+    pub(crate) transfers: Option<Transfers>,
     /// Number of attempts in flight.
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) usage: RefCell<UsageLedger>,
@@ -243,6 +246,7 @@
             crash_announcements: Rc::default(),
             quarantine_changed: Cell::new(false),
             moves: Rc::default(),
+            transfers: Transfers::new(&settings, now),
             in_flight: Rc::default(),
             usage: RefCell::new(UsageLedger::new(source)),
             fleet_clock: RefCell::new(FleetClock::new(now, clock.unix_ms())),
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -552,7 +552,11 @@
             bind();
             self.send_head(responder).await?;
             self.record_chunk();
+            // The events and their copy with the frame of a chunk.
+            self.accepted
+                .hold_answer(2 * bytes.len() + events.buffered());
             let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
+            self.accepted.hold_answer(0);
             sent.map_err(AttemptError::CallerGone)?;
         }
         if is_foreign {
--- a/crates/pomeloridge_policy/src/slow_readers.rs
+++ b/crates/pomeloridge_policy/src/slow_readers.rs
@@ -75,6 +75,8 @@
     pub held: usize,
     /// Time that the process ran since its latest progress.
     pub idle: Duration,
+    /// Bytes that all messages held, besides transfers that were cut before.
+    pub all: usize,
 }
 
 /// A message that is being written.
@@ -182,15 +184,21 @@
         self.held
     }
 
+    /// Returns whether transfers must be cut to free memory. `reading` is the number of bytes that
+    /// messages hold which are being read.
+    pub fn is_over(&self, reading: usize) -> bool {
+        self.all(reading) > self.limits.process_bytes
+    }
+
     /// Returns a transfer that is to be cut, each one once; `None` if there is no further one.
     /// `reading` is the number of bytes that messages hold which are being read.
     pub fn next_cut(&mut self, reading: usize, now: Instant) -> Option<Cut> {
         self.advance(now);
+        let all = self.all(reading);
         let unread = self.unread().map(|key| (key, CutReason::Unread));
         let (key, reason) = unread.or_else(|| {
-            let held = reading.saturating_add(self.held - self.cut);
-            let is_over = held > self.limits.process_bytes;
-            Some((self.heaviest().filter(|_| is_over)?, CutReason::Memory))
+            let heaviest = self.is_over(reading).then(|| self.heaviest()).flatten();
+            Some((heaviest?, CutReason::Memory))
         })?;
         let transfer = self.transfers.get_mut(key)?;
         transfer.is_cut = true;
@@ -202,9 +210,15 @@
             reason,
             held: transfer.held,
             idle: transfer.idle(self.ran),
+            all,
         })
     }
 
+    /// Returns the number of bytes that messages hold, besides transfers that are cut.
+    fn all(&self, reading: usize) -> usize {
+        reading.saturating_add(self.held - self.cut)
+    }
+
     /// Returns the transfers that wait for their peers and are not cut.
     fn waiting(&self) -> impl Iterator<Item = (TransferKey, &Transfer)> {
         let transfers = self.transfers.iter();
--- a/crates/pomeloridge_policy/tests/policy/slow_readers.rs
+++ b/crates/pomeloridge_policy/tests/policy/slow_readers.rs
@@ -112,7 +112,9 @@
         .map(|_| process.hold("quick", Reader::Caller, 5 * MIB))
         .collect();
     process.run(ms(2000), |process| {
-        quick.iter().for_each(|key| process.take(*key, MIB));
+        for key in &quick {
+            process.take(*key, MIB);
+        }
     });
     // 45 MiB are held; one more answer for the quick account is too much.
     let last = process.hold("quick", Reader::Caller, 5 * MIB);
@@ -156,7 +158,7 @@
     let mut process = Process::new();
     let key = process.hold("a", Reader::Caller, LARGEST);
     process.run(LIMITS.unread * 3, |process| {
-        process.take(key, bytes_per_check)
+        process.take(key, bytes_per_check);
     });
     assert_eq!(process.is_cut(key), is_cut);
     if is_cut {
@@ -171,7 +173,7 @@
     let mut process = Process::new();
     let key = process.hold("a", Reader::Caller, 200);
     for _ in 0..5 {
-        process.run(LIMITS.unread - ms(500), |_| {});
+        process.run(ms(3500), |_| {});
         process.readers.hold(key, 0, process.now);
         // The next part comes long after.
         process.run(LIMITS.unread * 2, |_| {});
@@ -189,11 +191,13 @@
     process.now += LIMITS.unread * 10;
     process.cut();
     assert_eq!(process.cuts, []);
-    process.run(LIMITS.unread - ms(2000), |process| {
-        process.take(reads_on, MIB)
+    process.run(ms(2000), |process| {
+        process.take(reads_on, MIB);
     });
     assert_eq!(process.cuts, []);
-    process.run(ms(2000), |process| process.take(reads_on, MIB));
+    process.run(ms(2000), |process| {
+        process.take(reads_on, MIB);
+    });
     assert!(process.is_cut(reads_nothing) && !process.is_cut(reads_on));
 }
 
@@ -202,7 +206,7 @@
 fn a_server_that_reads_nothing_is_cut() {
     let mut process = Process::new();
     let key = process.hold("a", Reader::Server, MIB);
-    process.run(LIMITS.unread - ms(250), |_| {});
+    process.run(ms(3750), |_| {});
     assert_eq!(process.cuts, []);
     process.run(ms(250), |_| {});
     assert!(process.is_cut(key));
@@ -243,7 +247,11 @@
                     let account = ["a", "b", "c"][usize::from(account)];
                     open.push((process.hold(account, Reader::Caller, bytes), bytes));
                 }
-                1 => open.iter().for_each(|(key, _)| process.take(*key, bytes)),
+                1 => {
+                    for (key, _) in &open {
+                        process.take(*key, bytes);
+                    }
+                }
                 _ if open.is_empty() => {}
                 _ => process.readers.end(open.swap_remove(bytes % open.len()).0),
             }
