--- a/crates/pomeloridge_dev/tests/slow_readers.rs
+++ b/crates/pomeloridge_dev/tests/slow_readers.rs
@@ -344,3 +344,16 @@
     assert!(matches!(status, Ok(502 | 504)), "{status:?}");
     assert_eq!(count("lodged"), 1);
 }
+
+// Guards against cutting callers since the gateway itself stood still.
+#[test]
+fn a_pause_of_the_gateway_cuts_no_caller() {
+    let (fleet, _) = start("pause", CUT);
+    let mut caller = begin(&fleet, &request(Method::GET, "open", "paused"));
+    fleet.gateways[0].process.pause();
+    std::thread::sleep(UNREAD * 2);
+    fleet.gateways[0].process.resume();
+    std::thread::sleep(UNREAD / 2);
+    read_whole(&mut caller, || {});
+    assert_eq!(cuts(&fleet), Vec::<String>::new());
+}
