Wait for the log line of an explained request

The test read the gateway's log once, right after the answer, though a thread of its own writes the log. It now waits for the whole line, and compares the server as before.

--- a/crates/pomeloridge_dev/tests/route_explain.rs
+++ b/crates/pomeloridge_dev/tests/route_explain.rs
@@ -119,12 +119,22 @@
         request(fleet.gateways[0].caller, &message).unwrap().status,
         200
     );
-    let log = std::fs::read_to_string(fleet.folder.join("front-0.out")).unwrap();
-    let sent = log
-        .lines()
-        .find(|line| line.contains("id=e1") && line.contains("choice=send"));
-    let server = format!("server={}", plain["server"].as_str().unwrap());
-    assert!(sent.unwrap().contains(&server), "{plain}\n{sent:?}");
+    // The log is written after the answer.
+    let mut sent = None;
+    wait_until(|| {
+        let log = std::fs::read_to_string(fleet.folder.join("front-0.out")).unwrap();
+        let mut lines = log
+            .split_inclusive('\n')
+            .filter(|line| line.ends_with('\n'));
+        let line = lines.find(|line| line.contains("id=e1") && line.contains("choice=send"));
+        sent = line.map(str::to_owned);
+        sent.is_some()
+    });
+    let (sent, server) = (sent.unwrap(), plain["server"].as_str().unwrap());
+    assert!(
+        sent.contains(&format!("server={server}")),
+        "{plain}\n{sent}"
+    );
 }
 
 #[test]
