Tell a restored object service by its lease

The service came back from a copy, as its gateways were killed, with era 1 after a first era of 0. Era 1 is also the first one of other services, so the new process took it for one that has lost nothing, and sealed a window anew whose seal the copy lacked.

Each lease now names the lowest era in which it was held, as far as its holders know. A process that reads a lower one than the present era counts the service as restored, as it does from era 2 on: a window whose seal may be lost is then not sealed again. It need not have seen the lease of the earlier era itself. A former version ignores the field and drops it; the lease then counts from the era of its epoch. No further calls.

Ruled out: counting every service in era 1 as restored. Each change of holders would then skip the windows that ended before the new process started, in deployments that never lost anything.

Left: if the copy is older than the first lease, nothing shows the restore.

--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -137,6 +137,18 @@
         }
     }
 
+    /// Records that the object service was restored before this client knew any era of it.
+    pub(crate) fn record_restored(&self) {
+        if self.lost_before.get().is_none() {
+            self.lost_before.set(Some(self.clock.now()));
+            log::warn!(
+                "store era={} choice=expect_losses reason=\"the service was restored before this \
+                 process started\"",
+                self.era()
+            );
+        }
+    }
+
     /// Returns the era of a response. One that names none counts as of the known era.
     fn era_of(&self, response: &Response) -> Era {
         let named = (self.codec.era)(response);
--- a/crates/pomeloridge_platform/src/lease.rs
+++ b/crates/pomeloridge_platform/src/lease.rs
@@ -9,6 +9,10 @@
 //! before the restore. Another node therefore waits for a term and a margin from when it first
 //! sees the new era, and writes an epoch of that era, higher than all before. The holder itself
 //! need not wait while it has authority, as no other node can have taken the lease meanwhile.
+//!
+//! The first era of a service is 0 or 1, so era 1 alone does not tell whether the service was
+//! restored. Each lease therefore names the lowest era in which it was held. A node that finds a
+//! lower one than the present era knows that the service may have lost changes.
 
 use std::time::Duration;
 
@@ -31,6 +35,8 @@
     pub term: Duration,
     /// Identifies this write.
     pub nonce: String,
+    /// Lowest era of the object service in which the lease was held.
+    pub first_era: Era,
 }
 
 /// Configuration of a node's lease on one duty.
@@ -66,13 +72,14 @@
         format!("lease/{}", self.duty)
     }
 
-    pub(crate) fn lease(&self, epoch: Epoch, nonce: String) -> Lease {
+    pub(crate) fn lease(&self, epoch: Epoch, nonce: String, first_era: Era) -> Lease {
         Lease {
             holder: self.holder.clone(),
             incarnation: self.incarnation,
             epoch,
             term: self.term,
             nonce,
+            first_era: first_era.min(epoch.era()),
         }
     }
 }
@@ -127,6 +134,11 @@
     lease.epoch.era() != version.era()
 }
 
+/// Returns whether the service was restored since the lease was first held.
+pub fn shows_restore(lease: &Lease, version: Revision) -> bool {
+    lease.first_era < version.era()
+}
+
 /// Returns whether a lease that a restored service has lost or holds as it was may be taken over,
 /// once the service has been seen in its era for `seen_for`.
 pub fn may_take_lost(lease: Option<&Lease>, config: &LeaseConfig, seen_for: Duration) -> bool {
--- a/crates/pomeloridge_platform/src/lease_manager.rs
+++ b/crates/pomeloridge_platform/src/lease_manager.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pomeloridge_base::clock::Stamp;
-use pomeloridge_base::id::{Epoch, Name, Revision};
+use pomeloridge_base::id::{Epoch, Era, Name, Revision};
 
 use crate::authority::Authority;
 use crate::client::Client;
@@ -11,7 +11,7 @@
 use crate::error::PlatformError;
 use crate::lease::{
     Lease, LeaseConfig, MissingLease, Ownership, SentWrite, is_outdated, is_renewal_due, may_take,
-    may_take_lost, next_epoch, ownership,
+    may_take_lost, next_epoch, ownership, shows_restore,
 };
 use crate::object::{Expect, Object};
 use crate::observation::Observation;
@@ -47,6 +47,8 @@
     sent: Vec<SentWrite>,
     /// Highest epoch seen, so that epochs increase even if the object is deleted.
     highest: Epoch,
+    /// Lowest era in which the lease was held, as far as is known.
+    first_era: Era,
     /// Whether the last step failed.
     is_failing: bool,
 }
@@ -72,6 +74,7 @@
             observation: Observation::default(),
             sent: Vec::new(),
             highest: Epoch::default(),
+            first_era: Era::MAX,
             is_failing: false,
         }
     }
@@ -129,7 +132,9 @@
         let Some(held) = &self.held else {
             return Ok(());
         };
-        let lease = self.config.lease(held.lease.epoch, new_nonce());
+        let lease = self
+            .config
+            .lease(held.lease.epoch, new_nonce(), self.first_era);
         let (expect, old_term) = (Expect::Version(held.version), held.old_term);
         self.write_own(lease, expect, old_term).await
     }
@@ -165,7 +170,7 @@
             unchanged_for.as_millis(),
             old_term.as_millis()
         );
-        let own = self.config.lease(epoch, new_nonce());
+        let own = self.config.lease(epoch, new_nonce(), self.first_era);
         self.write_own(own, Expect::unchanged(found.as_ref()), old_term)
             .await
     }
@@ -226,6 +231,10 @@
     fn apply(&mut self, object: &Object) -> Result<Option<Lease>, PlatformError> {
         let lease = Lease::from(parse::<LeaseRecord>(&object.value)?);
         self.highest = self.highest.max(lease.epoch);
+        self.first_era = self.first_era.min(lease.first_era);
+        if shows_restore(&lease, object.version) {
+            self.client.record_restored();
+        }
         if is_outdated(&lease, object.version) {
             self.drop_outdated();
             return Ok(Some(lease));
@@ -246,6 +255,7 @@
 
     fn hold(&mut self, version: Revision, lease: Lease, stamp: Option<Stamp>, old_term: Duration) {
         self.highest = self.highest.max(lease.epoch);
+        self.first_era = self.first_era.min(lease.first_era);
         if self.authority.epoch() != lease.epoch {
             let duty = &self.config.duty;
             log::info!("lease duty={duty} epoch={} choice=hold", lease.epoch);
--- a/crates/pomeloridge_platform/src/records.rs
+++ b/crates/pomeloridge_platform/src/records.rs
@@ -19,6 +19,9 @@
     epoch: Epoch,
     term_ms: u64,
     nonce: String,
+    /// Missing in records of former versions.
+    #[serde(default)]
+    first_era: Option<u64>,
 }
 
 impl From<&Lease> for LeaseRecord {
@@ -29,18 +32,21 @@
             epoch: lease.epoch,
             term_ms: millis(lease.term),
             nonce: lease.nonce.clone(),
+            first_era: Some(lease.first_era.0),
         }
     }
 }
 
 impl From<LeaseRecord> for Lease {
     fn from(record: LeaseRecord) -> Self {
+        let era = record.epoch.era();
         Self {
             holder: record.holder,
             incarnation: record.incarnation,
             epoch: record.epoch,
             term: Duration::from_millis(record.term_ms),
             nonce: record.nonce,
+            first_era: record.first_era.map_or(era, |first| era.min(Era(first))),
         }
     }
 }
--- a/crates/pomeloridge_platform/tests/decisions.rs
+++ b/crates/pomeloridge_platform/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pomeloridge_base::id::{Epoch, Incarnation, Name, Revision};
+use pomeloridge_base::id::{Epoch, Era, Incarnation, Name, Revision};
 use pomeloridge_platform::intent::{Intent, IntentState, SlotStatus, slot_status};
 use pomeloridge_platform::lease::{
     Lease, LeaseConfig, Ownership, is_renewal_due, may_take, ownership,
@@ -35,6 +35,7 @@
         epoch: Epoch(4),
         term: secs(10),
         nonce: "n".to_owned(),
+        first_era: Era::default(),
     }
 }
 
--- a/crates/pomeloridge_platform/tests/lease.rs
+++ b/crates/pomeloridge_platform/tests/lease.rs
@@ -12,6 +12,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
 use support::{Fake, Loss, MARGIN, Node, TERM, run};
+use yare::parameterized;
 
 /// Seed of the schedules.
 const SEED: u64 = 0x706f_6d65;
@@ -302,6 +303,68 @@
     });
 }
 
+/// Guards against a process that starts after a restore and takes the service for one that has lost
+/// nothing, as its first era may be 1: it would seal windows anew that were reported before.
+#[test]
+fn a_lease_shows_later_processes_that_the_service_was_restored() {
+    run(async |fake, address| {
+        let mut a = Node::eager(&fake, address, "a", 1);
+        a.lease.step().await;
+        assert!(a.holds());
+        assert!(a.client.lost_before().is_none());
+        fake.restore(&fake.copy());
+        let mut b = Node::eager(&fake, address, "b", 1);
+        b.lease.step().await;
+        fake.advance(TERM + MARGIN);
+        b.lease.step().await;
+        assert!(b.holds() && b.client.lost_before().is_some());
+        b.lease.step().await;
+        // It need not have seen the lease of the earlier era.
+        fake.advance(TERM / 2);
+        b.lease.step().await;
+        b.lease.release().await;
+        let mut c = Node::eager(&fake, address, "c", 1);
+        c.lease.step().await;
+        assert!(c.holds() && c.client.lost_before().is_some());
+    });
+}
+
+/// Guards against windows that are not reported after each change of holders, as a service that
+/// lost nothing is taken for a restored one.
+#[parameterized(
+    without_eras = { 0 },
+    first_of_a_service_with_eras = { 1 },
+)]
+fn a_lease_of_the_first_era_shows_no_restore(era: u64) {
+    run(async |fake, address| {
+        fake.era.set(era);
+        let mut a = Node::eager(&fake, address, "a", 1);
+        a.lease.step().await;
+        a.lease.release().await;
+        let mut b = Node::eager(&fake, address, "b", 1);
+        b.lease.step().await;
+        assert!(b.holds() && b.client.lost_before().is_none());
+    });
+}
+
+/// Guards against a lease that is not taken, or taken for one of a restored service, as a former
+/// version wrote it.
+#[test]
+fn a_lease_without_its_first_era_counts_from_its_epoch() {
+    run(async |fake, address| {
+        fake.era.set(1);
+        let mut a = Node::eager(&fake, address, "a", 1);
+        a.lease.step().await;
+        a.lease.release().await;
+        let mut record = fake.value("lease/placement");
+        record.as_object_mut().unwrap().remove("first_era");
+        fake.set("lease/placement", record);
+        let mut b = Node::eager(&fake, address, "b", 1);
+        b.lease.step().await;
+        assert!(b.holds() && b.client.lost_before().is_none());
+    });
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Op {
     Step(usize),
