--- a/crates/pomeloridge_policy/src/account_quota/requester.rs
+++ b/crates/pomeloridge_policy/src/account_quota/requester.rs
@@ -27,8 +27,7 @@
 const DEMAND_SPAN: Duration = Duration::from_millis(500);
 /// Most time into the future for which refused requests are given their turns.
 const MAX_QUEUE_TIME: Duration = Duration::from_secs(3);
-/// Fraction of what a holder has at most above which a request is put together from several even
-/// while others are refused: a single one would rarely have as much.
+/// Largest fraction of what a holder has at most that is asked of a single one.
 const MAX_SINGLE_FRACTION: f64 = 0.5;
 /// Shortest wait for a holder to gain what a request lacks.
 const MIN_WAIT: Duration = Duration::from_millis(2);
@@ -259,8 +258,6 @@
     demand: Demand,
     /// Turn of the latest refused request.
     next_turn: Instant,
-    /// When a request was last refused.
-    refused_at: Option<Instant>,
     used_at: Instant,
 }
 
@@ -277,7 +274,6 @@
                 last: (0, 0),
             },
             next_turn: now,
-            refused_at: None,
             used_at: now,
         }
     }
@@ -350,14 +346,14 @@
             .collect();
         let total = estimates.iter().map(|(_, estimate)| *estimate);
         let total = total.fold(0, u64::saturating_add);
-        let may_split = self.may_split(needed, part, terms, now);
-        let asks = self.choose(needed, may_split, &estimates);
+        let asks = self.choose(needed, part, &estimates);
         if total < wanted || asks.is_empty() || is_late {
             let rate = part.rate * candidates.len() as f64;
             let lacking = wanted.saturating_sub(total) as f64;
             let most = estimates.iter().map(|(_, estimate)| *estimate).max();
             let single = needed.saturating_sub(most.unwrap_or_default()) as f64;
-            let seconds = if may_split {
+            let is_split = is_split(needed, part);
+            let seconds = if is_split {
                 lacking / rate
             } else {
                 (lacking / rate).max(single / part.rate)
@@ -396,30 +392,17 @@
             .collect()
     }
 
-    /// Returns whether a request may be put together from several holders. What they grant to
-    /// requests that don't get the rest would lapse, which happens often only while requests are
-    /// refused.
-    fn may_split(&self, needed: u64, part: Part, terms: QuotaTerms, now: Instant) -> bool {
-        let age = |at| now.saturating_duration_since(at);
-        let is_short = self.refused_at.is_some_and(|at| age(at) < terms.window);
-        !is_short || needed as f64 > part.capacity * MAX_SINGLE_FRACTION
-    }
-
-    /// Chooses the preferred holder that has what is needed, or else as few as possible that have
-    /// it together, if the request may be split.
-    fn choose(
-        &self,
-        needed: u64,
-        may_split: bool,
-        estimates: &[(usize, u64)],
-    ) -> Vec<(NodeId, Ask)> {
+    /// Chooses the preferred holder that has what is needed, or for a large request as few as
+    /// possible that have it together. What several holders grant to requests that don't get the
+    /// rest would lapse.
+    fn choose(&self, needed: u64, part: Part, estimates: &[(usize, u64)]) -> Vec<(NodeId, Ask)> {
         let single = estimates.iter().find(|(_, estimate)| *estimate >= needed);
         if let Some((index, _)) = single {
             let extra = self.demand.expected();
             let ask = Ask { needed, extra };
             return vec![(self.holders[*index].id, ask)];
         }
-        if !may_split {
+        if !is_split(needed, part) {
             return Vec::new();
         }
         let mut estimates = estimates.to_vec();
@@ -447,7 +430,6 @@
         limit: AccountLimit,
         now: Instant,
     ) -> Duration {
-        self.refused_at = Some(now);
         let latest = now + MAX_QUEUE_TIME;
         let turn = self.next_turn.max(now + wait).min(latest);
         let time = Duration::try_from_secs_f64(needed as f64 / limit.rate());
@@ -560,3 +542,8 @@
         total >= cost
     }
 }
+
+/// Returns whether several holders are asked for the parts of what a request needs.
+fn is_split(needed: u64, part: Part) -> bool {
+    needed as f64 > part.capacity * MAX_SINGLE_FRACTION
+}
