Read only the missed changes of the server list from a peer

Cause: a node that hears of a newer revision than its own reads the whole list of a peer: 3,001 entries, encoded and compressed anew for each reader, decoded and compared by the reader. Servers come and go all the time, so that the load that the lists cause delays the changes and leads to more of them.

Change: a reader names the revision that it has; the peer answers with what was written and removed since, status 206.

--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -27,6 +27,7 @@
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
+use crate::internal::PeerServers;
 use crate::server_list::{ApplyOutcome, ServerListDelta};
 use crate::state::State;
 use crate::usage::{Counts, UsageSource};
@@ -38,6 +39,7 @@
 use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
 use wire::{LimitWire, PeerMessage, ServerListDeltaWire, SpeedsWire, UsageWire, WorkWire};
+pub(crate) use wire::{decode_change, encode_change};
 
 /// Interval between reads of the node objects. It may be long, as a node that starts announces
 /// itself to the others.
@@ -730,8 +732,15 @@
             if !is_server_list_behind(&task_state, revision) {
                 return Ok(());
             }
-            let (revision, objects) = internal::read_servers(address).await?;
-            watch::replace_server_list(&task_state, revision, &objects);
+            let known = task_state.server_list.borrow().revision();
+            match internal::read_servers(address, known).await? {
+                PeerServers::List(revision, objects) => {
+                    watch::replace_server_list(&task_state, revision, &objects);
+                }
+                PeerServers::Changes(change) => {
+                    watch::apply_server_delta(&task_state, &change);
+                }
+            }
             Ok(())
         },
     );
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -432,7 +432,7 @@
 
 /// An error in encoding or decoding server list changes.
 #[derive(Debug, derive_more::Display, derive_more::From)]
-pub(super) enum ChangeError {
+pub(crate) enum ChangeError {
     /// Compression or decompression failed.
     Compression(std::io::Error),
     /// The decompressed bytes are not a valid message.
@@ -486,6 +486,16 @@
     }
 }
 
+/// Encodes changes of the server list.
+pub(crate) fn encode_change(change: &ServerListDelta) -> Result<Vec<u8>, ChangeError> {
+    Ok(ServerListDeltaWire::try_from(change)?.encode_to_vec())
+}
+
+/// Decodes changes of the server list.
+pub(crate) fn decode_change(bytes: &[u8]) -> Result<ServerListDelta, ChangeError> {
+    ServerListDeltaWire::decode(bytes)?.try_into()
+}
+
 /// Rates of a service's work requested at the sender.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WorkWire {
