--- a/crates/pomeloridge_slopes/src/fixture.rs
+++ b/crates/pomeloridge_slopes/src/fixture.rs
@@ -44,7 +44,8 @@
     Name::from(format!("engine-{index:05}"))
 }
 
-fn address(index: usize) -> SocketAddr {
+/// Returns the address of a node or server.
+pub fn address(index: usize) -> SocketAddr {
     let [.., high, low] = (index as u32).to_be_bytes();
     ([10, 0, high, low], 7000).into()
 }
--- a/crates/pomeloridge_slopes/src/lib.rs
+++ b/crates/pomeloridge_slopes/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fit;
 pub mod fixture;
 pub mod fleet;
+pub mod gateway;
 pub mod heartbeat;
 pub mod hints;
 pub mod membership;
--- a/crates/pomeloridge_slopes/src/main.rs
+++ b/crates/pomeloridge_slopes/src/main.rs
@@ -5,7 +5,9 @@
 use pomeloridge_slopes::fixture::SEED;
 use pomeloridge_slopes::row::Row;
 use pomeloridge_slopes::table::render;
-use pomeloridge_slopes::{admission, config, exchange, fleet, heartbeat, hints, membership, usage};
+use pomeloridge_slopes::{
+    admission, config, exchange, fleet, gateway, heartbeat, hints, membership, usage,
+};
 
 #[global_allocator]
 static ALLOCATOR: CountingAllocator = CountingAllocator;
@@ -25,9 +27,10 @@
 type Part = (&'static str, fn() -> Vec<Row>);
 
 /// All parts, in the order of the report.
-const PARTS: [Part; 8] = [
+const PARTS: [Part; 9] = [
     ("config", config::rows),
     ("fleet", fleet::rows),
+    ("gateway", gateway::rows),
     ("admission", admission::rows),
     ("membership", membership::rows),
     ("heartbeat", heartbeat::rows),
