Take a whole server list in time that grows with the list, not with its square

Change: the listed names are looked up by their hash; removals are also kept by time, so that only outdated ones are looked at.

--- a/crates/pomeloridge_gateway/src/server_registry.rs
+++ b/crates/pomeloridge_gateway/src/server_registry.rs
@@ -9,7 +9,7 @@
 //! have left since, or that have restarted. Servers write their entries again within the same
 //! time. Until then, an entry that would bring such a server back is withheld.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
@@ -50,6 +50,8 @@
     withheld: HashMap<Name, TargetInfo>,
     /// Servers that were removed lately.
     removed: HashMap<Name, Removed>,
+    /// Removals by time, including those of servers that are back.
+    removals: VecDeque<(Instant, Name)>,
 }
 
 impl ServerRegistry {
@@ -119,17 +121,27 @@
         let Some(entry) = self.entries.remove(name) else {
             return false;
         };
-        let is_recent =
-            |removed: &Removed| now.saturating_duration_since(removed.at) < REMOVAL_MEMORY;
-        self.removed.retain(|_, removed| is_recent(removed));
+        self.forget_removals(now);
         let removed = Removed {
             started_unix_ms: entry.info.started_unix_ms,
             at: now,
         };
         self.removed.insert(name.clone(), removed);
+        self.removals.push_back((now, name.clone()));
         true
     }
 
+    /// Forgets the removals that are older than [`REMOVAL_MEMORY`].
+    fn forget_removals(&mut self, now: Instant) {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= REMOVAL_MEMORY;
+        while let Some((at, name)) = self.removals.pop_front_if(|(at, _)| is_old(*at)) {
+            let latest = self.removed.get(&name);
+            if latest.is_some_and(|latest| latest.at == at) {
+                self.removed.remove(&name);
+            }
+        }
+    }
+
     /// Returns whether a listed entry is older than what is known of its server, so that it would
     /// bring back a server that had left.
     fn is_outdated(&self, name: &Name, info: &TargetInfo) -> bool {
@@ -147,11 +159,10 @@
     ///
     /// In the grace time after a restore, entries that would bring servers back are withheld.
     pub fn replace(&mut self, list: Vec<(Name, TargetInfo)>, now: Instant) -> bool {
+        let listed: HashSet<&Name> = list.iter().map(|(name, _)| name).collect();
         let missing = self.entries.keys();
-        let missing: Vec<Name> = missing
-            .filter(|name| !list.iter().any(|(listed, _)| listed == *name))
-            .cloned()
-            .collect();
+        let missing = missing.filter(|name| !listed.contains(name));
+        let missing: Vec<Name> = missing.cloned().collect();
         let mut changed = false;
         for name in missing {
             changed |= self.remove(&name, now);
--- a/crates/pomeloridge_gateway/tests/server_registry.rs
+++ b/crates/pomeloridge_gateway/tests/server_registry.rs
@@ -1,10 +1,12 @@
 //! Tests of the server registry, in particular around outages of the object service.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use pomeloridge_base::id::Name;
 use pomeloridge_gateway::ServerRegistry;
 use pomeloridge_policy::dispatch::{Stage, TargetInfo};
+use proptest::prelude::*;
 
 fn server(id: &str) -> (Name, TargetInfo) {
     let info = TargetInfo {
@@ -235,3 +237,71 @@
     let mut servers = registry.servers();
     assert!(servers.all(|info| info.started_unix_ms == 2));
 }
+
+/// What becomes of one of a few servers.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Write(u8),
+    Remove(u8),
+    Wait(u64),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        (0_u8..4).prop_map(Change::Write),
+        (0_u8..4).prop_map(Change::Remove),
+        (1_u64..40).prop_map(Change::Wait),
+    ]
+}
+
+proptest! {
+    /// Servers that come and go by thousands are remembered as by a look at all removals for each:
+    /// a restored service brings none of them back.
+    #[test]
+    fn removals_are_remembered_as_by_a_full_scan(changes in prop::collection::vec(change(), 0..40)) {
+        let mut registry = ServerRegistry::default();
+        let mut now = Instant::now();
+        let mut present: BTreeSet<u8> = BTreeSet::new();
+        let mut removed: BTreeMap<u8, Instant> = BTreeMap::new();
+        for change in changes {
+            match change {
+                Change::Write(id) => {
+                    let (name, info) = server(&id.to_string());
+                    registry.upsert(name, info);
+                    present.insert(id);
+                    removed.remove(&id);
+                }
+                Change::Remove(id) => {
+                    registry.remove(&Name::from(id.to_string()), now);
+                    if present.remove(&id) {
+                        removed.retain(|_, at| now.duration_since(*at) < Duration::from_mins(1));
+                        removed.insert(id, now);
+                    }
+                }
+                Change::Wait(seconds) => now += Duration::from_secs(seconds),
+            }
+        }
+        registry.store_restored(now);
+        let list = (0_u8..4).map(|id| server(&id.to_string()));
+        registry.replace(list.collect(), now);
+        let expected = (0_u8..4).filter(|id| !removed.contains_key(id));
+        prop_assert_eq!(ids(&registry), expected.map(|id| id.to_string()).collect::<Vec<_>>());
+    }
+
+    /// A whole list leaves what it names, and removes the rest.
+    #[test]
+    fn replace_leaves_what_is_listed(
+        before in prop::collection::btree_set(0_u8..20, 0..20),
+        listed in prop::collection::btree_set(0_u8..20, 0..20),
+    ) {
+        let list = |ids: &BTreeSet<u8>| ids.iter().map(|id| server(&id.to_string())).collect();
+        let mut registry = ServerRegistry::default();
+        let now = Instant::now();
+        registry.replace(list(&before), now);
+        let changed = registry.replace(list(&listed), now);
+        prop_assert_eq!(changed, before != listed);
+        let mut expected: Vec<String> = listed.iter().map(u8::to_string).collect();
+        expected.sort();
+        prop_assert_eq!(ids(&registry), expected);
+    }
+}
