Sync the dispatcher with a server list without copies of its names

It copied the names of each server twice, and built three tables over the list.

Change: incarnations are compared by reference in one table; what is needed for removed servers is built only if there are any.

--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -28,7 +28,6 @@
 mod target;
 
 use std::cell::Cell;
-use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -209,6 +208,18 @@
     pub part: PromptPart,
 }
 
+/// Marks the removed servers of which another incarnation is listed.
+fn mark_replaced(removed: &mut [RemovedTarget], list: &[TargetInfo]) {
+    if removed.is_empty() {
+        return;
+    }
+    let ids: HashSet<&Name> = list.iter().map(|info| &info.id).collect();
+    let addresses: HashSet<SocketAddr> = list.iter().map(|info| info.address).collect();
+    for RemovedTarget { info, replaced, .. } in removed {
+        *replaced = ids.contains(&info.id) || addresses.contains(&info.address);
+    }
+}
+
 impl Dispatcher {
     /// Creates a dispatcher without servers for a node in `data_centre`. Each node passes a
     /// different seed.
@@ -238,37 +249,38 @@
     /// Replaces the server list and returns the incarnations that it no longer contains.
     /// The state of the others is kept.
     pub fn sync(&mut self, list: Vec<TargetInfo>) -> Vec<RemovedTarget> {
-        let ids: HashSet<&Name> = list.iter().map(|info| &info.id).collect();
-        let addresses: HashSet<SocketAddr> = list.iter().map(|info| info.address).collect();
-        let listed: HashSet<ListedStart> = list.iter().map(TargetInfo::listed_start).collect();
+        let mut positions: HashMap<ListedStart<'_>, usize> = HashMap::with_capacity(list.len());
+        // Position of the first entry of each entry's incarnation.
+        let mut firsts = Vec::with_capacity(list.len());
+        for (position, info) in list.iter().enumerate() {
+            firsts.push(*positions.entry(info.listed_start()).or_insert(position));
+        }
+        let mut keys: Vec<Option<TargetKey>> = vec![None; list.len()];
         let mut removed = Vec::new();
-        let mut known = HashMap::new();
         self.targets.retain(|key, target| {
-            let info = &target.info;
-            let start = info.listed_start();
-            let is_listed = listed.contains(&start);
-            if is_listed {
-                known.insert(start, key);
+            let position = positions.get(&target.info.listed_start());
+            if let Some(position) = position {
+                keys[*position] = Some(key);
             } else {
                 removed.push(RemovedTarget {
                     leaving: target.is_leaving(),
-                    info: info.clone(),
-                    replaced: ids.contains(&info.id) || addresses.contains(&info.address),
+                    info: target.info.clone(),
+                    replaced: false,
                 });
             }
-            is_listed
+            position.is_some()
         });
+        mark_replaced(&mut removed, &list);
         let targets = &self.targets;
         let sent = self.in_flight.values().map(|sent| sent.target);
         let in_use: HashSet<TargetKey> = sent.collect();
         self.heard
             .retain(|key, _| targets.contains_key(*key) || in_use.contains(key));
-        for info in list {
-            match known.entry(info.listed_start()) {
-                Entry::Occupied(entry) => self.targets[*entry.get()].update(info),
-                Entry::Vacant(entry) => {
-                    entry.insert(self.targets.insert(Target::new(info)));
-                }
+        for (info, first) in list.into_iter().zip(firsts) {
+            let key = &mut keys[first];
+            match *key {
+                Some(key) => self.targets[key].update(info),
+                None => *key = Some(self.targets.insert(Target::new(info))),
             }
         }
         removed
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -68,12 +68,12 @@
 }
 
 /// What identifies one incarnation of a server in the server list.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct ListedStart {
-    id: Name,
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct ListedStart<'a> {
+    id: &'a Name,
     started_unix_ms: u64,
     address: SocketAddr,
-    version: Name,
+    version: &'a Name,
 }
 
 impl TargetInfo {
@@ -89,12 +89,12 @@
         self.listed_start() == other.listed_start()
     }
 
-    pub(super) fn listed_start(&self) -> ListedStart {
+    pub(super) fn listed_start(&self) -> ListedStart<'_> {
         ListedStart {
-            id: self.id.clone(),
+            id: &self.id,
             started_unix_ms: self.started_unix_ms,
             address: self.address,
-            version: self.version.clone(),
+            version: &self.version,
         }
     }
 }
