--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -530,6 +530,9 @@
     /// Excludes engines that were ordered to change their stage until the server list shows
     /// the new stage.
     pub fn mark_stage_changing(&mut self, servers: &[u32], now: Instant) {
+        if servers.is_empty() {
+            return;
+        }
         for target in self.targets.values_mut() {
             if servers.contains(&target.id_hash) {
                 target
