Take over the duties a term after the last renewal, not after the loss is noticed

Cause: gateways that hear the holder don't read its lease, and count the term only from their first read after they no longer hear it.

Change: the holder tells the version of its lease in its datagrams, and after each renewal at once to the first candidates. A told version counts as one that was read when the message came; the takeover still needs a read of the same version a term and a margin later. No further calls of the store; a former build ignores the field, and beside it the takeover is as before.

Weighed: standbys that read the lease each second, 60 calls a minute each.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -47,34 +47,58 @@
     monoio::spawn(stage_duty::run(Rc::clone(state), authority));
 }
 
-/// Acquires and renews the lease. Nodes that receive messages of its holder make no lease calls.
+/// Acquires and renews the lease. Nodes that receive messages of its holder make no lease calls,
+/// except that the first candidates read it once its term has passed since the version that the
+/// holder told last.
 async fn maintain_lease(state: Rc<State>, mut lease: LeaseManager) {
     let authority = lease.authority();
     let mut free_since = None;
     while !state.lifecycle.is_stopping() {
         let (now, is_held) = (state.now(), authority.holds());
+        let told = state.peers.borrow().told_lease();
+        if let Some((version, heard)) = told {
+            lease.record_told(version, heard);
+        }
         let is_free = !is_held && !state.peers.borrow().has_live_duty_holder(now);
         free_since = is_free.then(|| free_since.unwrap_or(now));
-        let should_claim = free_since
-            .is_some_and(|since| state.is_duty_candidate(now.saturating_duration_since(since)));
+        let is_overdue = !is_held && told.is_some() && lease.takeover_delay().is_zero();
+        let unheld_for = match free_since {
+            Some(since) => Some(now.saturating_duration_since(since)),
+            None => is_overdue.then_some(Duration::ZERO),
+        };
+        let should_claim = unheld_for.is_some_and(|time| state.is_duty_candidate(time));
         if is_held || should_claim {
             lease.step().await;
         }
-        let epoch = authority.holds().then(|| authority.epoch());
-        if state.duty_epoch.replace(epoch) != epoch && epoch.is_some() {
-            peers::announce(&state);
-        }
+        publish_tenure(&state, &lease, &authority);
         let interval = match (is_held, should_claim) {
             (true, _) => HELD_INTERVAL,
             (false, true) => FREE_INTERVAL.max(state.retry_delay()),
-            (false, false) => FREE_INTERVAL,
+            (false, false) => match lease.takeover_delay() {
+                Duration::ZERO => FREE_INTERVAL,
+                delay => FREE_INTERVAL.min(delay),
+            },
         };
         monoio::time::sleep(interval).await;
     }
     state.duty_epoch.set(None);
+    state.duty_lease.set(None);
     lease.release().await;
 }
 
+/// Tells all peers that this node has acquired the lease, and the first candidates for it that it
+/// was renewed.
+fn publish_tenure(state: &Rc<State>, lease: &LeaseManager, authority: &Authority) {
+    let epoch = authority.holds().then(|| authority.epoch());
+    let version = lease.written_version();
+    let is_written = state.duty_lease.replace(version) != version && version.is_some();
+    if state.duty_epoch.replace(epoch) != epoch && epoch.is_some() {
+        peers::announce(state);
+    } else if is_written {
+        peers::tell_lease(state);
+    }
+}
+
 /// Reports each usage window after its end, while this node holds the duties.
 async fn report_usage(state: Rc<State>, authority: Authority) {
     let mut reported = BTreeSet::new();
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -357,6 +357,7 @@
         unix_ms: state.fleet_clock.borrow().unix_ms(now),
         config: state.config().map_or(0, |config| config.version),
         duty: state.duty_epoch.get().map_or(0, |epoch| epoch.0),
+        lease: state.duty_lease.get().map_or(0, |version| version.0),
         answered_ms: answered_ms(state, now),
         lost_store: state.server_registry.borrow().in_grace(),
         era: state.server_list_era().map(Era::into),
@@ -426,6 +427,13 @@
     send_to(state, base_message(state), addresses);
 }
 
+/// Tells the peers that would be the first to take over the duties of this node's lease, which it
+/// has just written.
+pub(crate) fn tell_lease(state: &Rc<State>) {
+    let addresses = state.peers.borrow().first_callers(state.now());
+    send_to(state, base_message(state), addresses);
+}
+
 /// Sends the table of versions, which this node has just written, to all peers at once.
 pub(crate) fn announce_versions(state: &Rc<State>) {
     let table = versions::encoded_table(state);
@@ -519,6 +527,7 @@
         return;
     }
     let duty = (message.duty > 0).then_some(Epoch(message.duty));
+    let lease = (message.lease > 0).then_some(Revision(message.lease));
     let mut peers = state.peers.borrow_mut();
     let is_new = !peers.has_heard_from(&name);
     let peer = peers.record_heard(&name, address, now);
@@ -527,7 +536,7 @@
         peer.speeds_seen = 0;
     }
     peer.incarnation = message.incarnation;
-    peer.record_duty(duty, now);
+    peer.record_duty(duty, lease, now);
     peer.data_centre_hash = message.data_centre_hash;
     if !message.work.is_empty() {
         let work = std::mem::take(&mut message.work);
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -5,12 +5,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::id::{Epoch, Era, Name};
+use pomeloridge_base::id::{Epoch, Era, Name, Revision};
 use pomeloridge_policy::freshness::Freshness;
 use pomeloridge_policy::heartbeat_schedule::{
     is_large_fleet, peers_for_round, peers_per_round, rounds_to_cover,
 };
-use pomeloridge_policy::watchers::{LivePeer, RankedNode, caller_count, notifies, watcher_ranks};
+use pomeloridge_policy::watchers::{
+    LivePeer, RankedNode, caller_count, first_callers, notifies, watcher_ranks,
+};
 use pomeloridge_policy::work_meter::WorkRates;
 
 use super::ROUNDS_PER_USAGE_MESSAGE;
@@ -48,6 +50,17 @@
     pub(super) restored: bool,
 }
 
+/// A peer's claim to hold the duties.
+#[derive(Clone, Copy, Debug)]
+struct DutyClaim {
+    /// Fencing token of the duties.
+    epoch: Epoch,
+    /// Since when the peer claims to hold them.
+    since: Instant,
+    /// Version of the lease that it last told of, and when that was first received.
+    lease: Option<(Revision, Instant)>,
+}
+
 /// State of a peer, as known to this node.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -67,8 +80,8 @@
     first_listed: Option<Instant>,
     /// Hash of the name of its data centre; 0 until it is known.
     pub(super) data_centre_hash: u32,
-    /// Fencing token under which the peer claims to hold the duties, and since when.
-    duty: Option<(Epoch, Instant)>,
+    /// Its claim to hold the duties.
+    duty: Option<DutyClaim>,
     /// Its work rates by service.
     pub(super) work: Vec<(Name, WorkRates)>,
     /// Its view of the object service.
@@ -103,10 +116,24 @@
         }
     }
 
-    /// Records the fencing token under which the peer claims to hold the duties.
-    pub(super) fn record_duty(&mut self, epoch: Option<Epoch>, now: Instant) {
-        let since = self.duty.filter(|(known, _)| Some(*known) == epoch);
-        self.duty = epoch.map(|epoch| (epoch, since.map_or(now, |(_, since)| since)));
+    /// Records the fencing token under which the peer claims to hold the duties, and the version
+    /// of its lease if it tells that.
+    pub(super) fn record_duty(
+        &mut self,
+        epoch: Option<Epoch>,
+        lease: Option<Revision>,
+        now: Instant,
+    ) {
+        let known = self.duty.filter(|known| Some(known.epoch) == epoch);
+        let known_lease = known.and_then(|known| known.lease);
+        // Datagrams may arrive out of order.
+        let is_newer = |lease: &Revision| known_lease.is_none_or(|(known, _)| *lease > known);
+        let new_lease = lease.filter(is_newer).map(|lease| (lease, now));
+        self.duty = epoch.map(|epoch| DutyClaim {
+            epoch,
+            since: known.map_or(now, |known| known.since),
+            lease: new_lease.or(known_lease),
+        });
     }
 }
 
@@ -285,6 +312,22 @@
         live.any(|peer| peer.duty.is_some())
     }
 
+    /// Returns the latest version of the duties' lease that a holder has told of, and when that was
+    /// received.
+    pub(crate) fn told_lease(&self) -> Option<(Revision, Instant)> {
+        let claims = self.by_name.values().filter_map(|peer| peer.duty);
+        claims.filter_map(|claim| claim.lease).max()
+    }
+
+    /// Returns the addresses of the peers that would be the first to take over the duties from
+    /// this node.
+    pub(super) fn first_callers(&self, now: Instant) -> Vec<SocketAddr> {
+        let first = first_callers(&self.ranked_peers(now));
+        let peers = self.by_name.iter();
+        let peers = peers.filter(|(name, _)| first.contains(&name_hash(name)));
+        peers.map(|(_, peer)| peer.address).collect()
+    }
+
     /// Starts the next round and returns its recipients in this data centre and in others:
     /// a bounded number in each round, in rotation. Remote peers receive more from nodes whose
     /// messages they depend on (`is_awaited`).
@@ -388,7 +431,7 @@
     /// Returns whether there is a new duty holder, which may lack the counts of earlier windows.
     pub(super) fn has_new_duty_holder(&self, now: Instant) -> bool {
         let mut holders = self.by_name.values().filter_map(|peer| peer.duty);
-        holders.any(|(_, since)| now.saturating_duration_since(since) < NEW_HOLDER_TIME)
+        holders.any(|claim| now.saturating_duration_since(claim.since) < NEW_HOLDER_TIME)
     }
 
     /// Returns the recipients of usage counts in this round: the duty holder, which reports
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -106,6 +106,10 @@
     /// Answer to such an ask.
     #[prost(message, optional, tag = "29")]
     pub(super) quota_grant: Option<QuotaGrantWire>,
+    /// Version of the duties' lease that the sender holds; 0 if it holds none, or from a former
+    /// build.
+    #[prost(uint64, tag = "30")]
+    pub(super) lease: u64,
 }
 
 /// Measurements of servers, stored by column.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -173,6 +173,8 @@
     pub(crate) changing_engines: RefCell<Vec<u32>>,
     /// Fencing token of the duties lease while this node holds it.
     pub(crate) duty_epoch: Cell<Option<Epoch>>,
+    /// Version of the duties' lease while this node holds it.
+    pub(crate) duty_lease: Cell<Option<Revision>>,
 }
 
 impl State {
@@ -259,6 +261,7 @@
             record_reads: SharedRead::new(versions::RECORDS_READ_INTERVAL),
             changing_engines: RefCell::default(),
             duty_epoch: Cell::new(None),
+            duty_lease: Cell::new(None),
             settings: LiveSettings::new(settings, reload_settings),
             clock,
             ports,
--- a/crates/pomeloridge_platform/src/lease.rs
+++ b/crates/pomeloridge_platform/src/lease.rs
@@ -2,7 +2,8 @@
 //!
 //! Clocks are not compared between VMs. A holder measures its term on its own clock.
 //! Another node takes the lease over once the object has stayed at the same version for
-//! the term plus a margin, on that node's own clock.
+//! the term plus a margin, on that node's own clock. The node counts from when it first read the
+//! version, or from when the holder told of it.
 //!
 //! A service that is restored from an older copy may have lost any write of a lease, so what it
 //! holds says nothing about who held the lease last. That holder's authority counts from a write
--- a/crates/pomeloridge_platform/src/lease_manager.rs
+++ b/crates/pomeloridge_platform/src/lease_manager.rs
@@ -1,6 +1,6 @@
 //! Acquires, renews and releases the lease of one duty.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pomeloridge_base::clock::Stamp;
 use pomeloridge_base::id::{Epoch, Name, Revision};
@@ -81,6 +81,29 @@
         self.authority.clone()
     }
 
+    /// Returns the latest version of the lease that this node has written, for the nodes that may
+    /// take it over; `None` without authority.
+    pub fn written_version(&self) -> Option<Revision> {
+        let held = self.held.as_ref().filter(|_| self.authority.holds());
+        held.map(|held| held.version)
+    }
+
+    /// Records a version of the lease that its holder has told of, received at `heard`.
+    ///
+    /// It counts like one that was read at that time: if a later read finds the same version, the
+    /// lease has not been written in between.
+    pub fn record_told(&mut self, version: Revision, heard: Instant) {
+        self.observation.record_told(version, heard);
+    }
+
+    /// Returns the time until the lease may be taken over if it stays at the version that was
+    /// last seen.
+    pub fn takeover_delay(&self) -> Duration {
+        let unchanged_for = self.observation.unchanged_for(self.client.clock().now());
+        let wait = self.config.term.saturating_add(self.config.margin);
+        wait.saturating_sub(unchanged_for)
+    }
+
     /// Renews the lease if it is held and due; acquires it if it is free.
     pub async fn step(&mut self) {
         let clock = self.client.clock().clone();
--- a/crates/pomeloridge_platform/src/observation.rs
+++ b/crates/pomeloridge_platform/src/observation.rs
@@ -20,6 +20,15 @@
         }
     }
 
+    /// Records a version that the node which wrote it has told of; `now` must be monotonic time
+    /// taken after the message was received. Messages may be late: older versions are ignored, and
+    /// so is what was received before the latest change was seen.
+    pub fn record_told(&mut self, version: Revision, now: Instant) {
+        if self.0.is_none_or(|(seen, at)| seen < version && at < now) {
+            self.0 = Some((version, now));
+        }
+    }
+
     /// Returns the time since the version was first seen; zero if none was recorded.
     pub fn unchanged_for(&self, now: Instant) -> Duration {
         self.0
--- a/crates/pomeloridge_platform/tests/lease.rs
+++ b/crates/pomeloridge_platform/tests/lease.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pomeloridge_base::id::Revision;
 use pomeloridge_platform::maintain_lease;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestCaseError, TestRunner};
@@ -41,6 +42,66 @@
     });
 }
 
+/// Guards against a long gap between two holders: a node that begins to read the lease only once it
+/// no longer hears the holder would wait for another term.
+#[test]
+fn a_told_version_counts_like_one_that_was_read() {
+    run(async |fake, address| {
+        let mut a = Node::new(&fake, address, "a");
+        let mut b = Node::new(&fake, address, "b");
+        a.take(&fake).await;
+        b.hear(a.lease.written_version().unwrap(), Duration::ZERO);
+        assert_eq!(b.lease.takeover_delay(), TERM + MARGIN);
+        fake.advance((TERM + MARGIN).saturating_sub(SLICE));
+        b.lease.step().await;
+        assert!(!b.holds());
+        assert!(!a.holds() && a.lease.written_version().is_none());
+        fake.advance(SLICE);
+        b.lease.step().await;
+        assert!(b.holds());
+    });
+}
+
+#[test]
+fn a_lease_that_was_renewed_after_the_last_message_is_not_taken() {
+    run(async |fake, address| {
+        let mut a = Node::new(&fake, address, "a");
+        let mut b = Node::new(&fake, address, "b");
+        a.take(&fake).await;
+        let first = a.lease.written_version().unwrap();
+        b.hear(first, Duration::ZERO);
+        fake.advance(TERM / 2);
+        a.lease.step().await;
+        fake.advance(TERM / 2 + MARGIN);
+        assert!(b.lease.takeover_delay().is_zero());
+        b.lease.step().await;
+        assert!(a.holds() && !b.holds());
+        // A late message tells nothing new.
+        b.hear(first, Duration::ZERO);
+        assert_eq!(b.lease.takeover_delay(), TERM + MARGIN);
+    });
+}
+
+/// Guards against a version that the service has lost and that is told again and again: the lease
+/// would never count as unchanged.
+#[test]
+fn a_message_from_before_a_read_does_not_replace_what_was_read() {
+    run(async |fake, address| {
+        let mut a = Node::new(&fake, address, "a");
+        let mut b = Node::new(&fake, address, "b");
+        a.take(&fake).await;
+        let told = Revision(a.lease.written_version().unwrap().0 + 100);
+        let heard = b.client.clock().now();
+        fake.advance(SLICE);
+        b.lease.step().await;
+        b.lease.record_told(told, heard);
+        fake.advance(TERM + MARGIN);
+        b.lease.record_told(told, heard);
+        b.lease.step().await;
+        assert!(b.holds());
+    });
+}
+
 #[test]
 fn a_suspended_holder_has_no_authority_when_it_resumes() {
     run(async |fake, address| {
@@ -321,6 +382,11 @@
     Restore,
     /// A node starts anew, without memory.
     Restart(usize),
+    /// The node sends the version of its lease to the other one, if it has authority.
+    Tell(usize),
+    /// The node receives the message that was sent last, as if some time ago. It may receive it
+    /// again.
+    Hear(usize, Duration),
 }
 
 fn ops() -> impl Strategy<Value = Vec<Op>> {
@@ -337,6 +403,26 @@
     prop::collection::vec(op, 10..60)
 }
 
+/// Puts messages about the lease between other operations.
+fn ops_with_messages(
+    ops: impl Strategy<Value = Vec<Op>>,
+    ago: Duration,
+) -> impl Strategy<Value = Vec<Op>> {
+    let message = prop_oneof![
+        (0..2usize).prop_map(|node| vec![Op::Tell(node)]),
+        (0..2usize).prop_map(move |node| vec![Op::Hear(node, ago)]),
+        // Most messages arrive at once.
+        (0..2usize).prop_map(move |node| vec![Op::Tell(node), Op::Hear(1 - node, ago)]),
+        Just(vec![]),
+    ];
+    let messages = prop::collection::vec(message, 60);
+    (ops, messages).prop_map(|(ops, messages)| {
+        let pairs = ops.into_iter().zip(messages);
+        let chained = pairs.map(|(op, messages)| [vec![op], messages].concat());
+        chained.collect::<Vec<_>>().concat()
+    })
+}
+
 fn op() -> impl Strategy<Value = Op> {
     let loss = prop_oneof![Just(Loss::Response), Just(Loss::Write), Just(Loss::Late)];
     prop_oneof![
@@ -444,6 +530,15 @@
         }
         Op::Deliver => fake.deliver(),
         Op::Outage(outage) => fake.outage.set(outage),
+        Op::Tell(node) => {
+            let version = nodes[node].lease.written_version();
+            nodes[1 - node].told = version.or(nodes[1 - node].told);
+        }
+        Op::Hear(node, ago) => {
+            if let Some(version) = nodes[node].told {
+                nodes[node].hear(version, ago);
+            }
+        }
         Op::Copy | Op::Restore | Op::Restart(_) => {}
     }
 }
@@ -454,6 +549,13 @@
         .map_err(|error| error.to_string())
 }
 
+/// Runs schedules in which messages count as received some time before they were.
+fn schedules_with_messages(ago: Duration) -> Result<(), String> {
+    runner(200)
+        .run(&ops_with_messages(ops(), ago), |ops| schedule(&ops, 0))
+        .map_err(|error| error.to_string())
+}
+
 fn runner(cases: u32) -> TestRunner {
     println!("seed {SEED:#x}");
     TestRunner::new(Config {
@@ -475,9 +577,27 @@
     assert!(error.contains("two holders"), "{error}");
 }
 
+#[test]
+fn no_schedule_with_messages_leads_to_two_holders() {
+    schedules_with_messages(Duration::ZERO).unwrap();
+}
+
+#[test]
+fn schedules_with_messages_find_two_holders_when_these_count_from_too_early() {
+    let error = schedules_with_messages(TERM).unwrap_err();
+    assert!(error.contains("two holders"), "{error}");
+}
+
 /// Guards against two holders, or two with one fencing token, once the service has lost leases.
 #[test]
 fn no_schedule_with_restores_leads_to_two_holders() {
     let outcome = runner(1000).run(&ops_with_restores(), |ops| schedule_with_restores(&ops));
     outcome.unwrap();
 }
+
+#[test]
+fn no_schedule_with_restores_and_messages_leads_to_two_holders() {
+    let ops = ops_with_messages(ops_with_restores(), Duration::ZERO);
+    let outcome = runner(1000).run(&ops, |ops| schedule_with_restores(&ops));
+    outcome.unwrap();
+}
--- a/crates/pomeloridge_platform/tests/support/mod.rs
+++ b/crates/pomeloridge_platform/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pomeloridge_base::clock::ManualClock;
+use pomeloridge_base::clock::{Clock as _, ManualClock};
 use pomeloridge_base::http::{Limits, Request, Responder, Response, Server};
 use pomeloridge_base::id::{Era, Incarnation, Name, Revision};
 use pomeloridge_platform::lease::LeaseConfig;
@@ -313,6 +313,8 @@
     pub clock: Rc<ManualClock>,
     pub client: Client,
     pub lease: LeaseManager,
+    /// Version of the lease in the message that was sent to this node last.
+    pub told: Option<Revision>,
 }
 
 impl Node {
@@ -338,6 +340,7 @@
             clock,
             client,
             lease,
+            told: None,
         }
     }
 
@@ -345,6 +348,13 @@
         self.lease.authority().holds()
     }
 
+    /// Receives a message about the lease, as if some time ago.
+    pub fn hear(&mut self, version: Revision, ago: Duration) {
+        let now = self.clock.now();
+        let heard = now.checked_sub(ago).unwrap_or(now);
+        self.lease.record_told(version, heard);
+    }
+
     pub fn epoch(&self) -> u64 {
         self.lease.authority().epoch().0
     }
--- a/crates/pomeloridge_policy/src/watchers.rs
+++ b/crates/pomeloridge_policy/src/watchers.rs
@@ -45,26 +45,35 @@
     pub last_answer_age: Option<Duration>,
 }
 
-/// Returns the peers ranked before a node: the first of each data centre, then the second
-/// of each, and so on.
-fn peers_before(own: RankedNode, peers: &[LivePeer]) -> impl Iterator<Item = &LivePeer> {
-    let mut nodes: Vec<(RankedNode, Option<&LivePeer>)> = peers
-        .iter()
-        .map(|peer| (peer.node, Some(peer)))
-        .chain([(own, None)])
-        .collect();
+/// Returns nodes in their ranking: the first of each data centre, then the second of each, and
+/// so on.
+fn ranking<T>(nodes: impl Iterator<Item = (RankedNode, T)>) -> impl Iterator<Item = T> {
+    let mut nodes: Vec<(RankedNode, T)> = nodes.collect();
     nodes.sort_unstable_by_key(|(node, _)| node.rank);
     let mut counts: HashMap<u32, usize> = HashMap::new();
-    let mut ordered: Vec<(usize, u64, Option<&LivePeer>)> = nodes
+    let mut ordered: Vec<(usize, u64, T)> = nodes
         .into_iter()
-        .map(|(node, peer)| {
+        .map(|(node, item)| {
             let position = counts.entry(node.data_centre_hash).or_default();
             *position += 1;
-            (*position, node.rank, peer)
+            (*position, node.rank, item)
         })
         .collect();
     ordered.sort_unstable_by_key(|(position, rank, _)| (*position, *rank));
-    ordered.into_iter().map_while(|(.., peer)| peer)
+    ordered.into_iter().map(|(.., item)| item)
+}
+
+/// Returns the peers ranked before a node.
+fn peers_before(own: RankedNode, peers: &[LivePeer]) -> impl Iterator<Item = &LivePeer> {
+    let others = peers.iter().map(|peer| (peer.node, Some(peer)));
+    ranking(others.chain([(own, None)])).map_while(|peer| peer)
+}
+
+/// Returns the ranks of the peers that are the first to call the object service once this node
+/// no longer does.
+pub fn first_callers(peers: &[LivePeer]) -> Vec<u64> {
+    let ranked = ranking(peers.iter().map(|peer| (peer.node, peer.node.rank)));
+    ranked.take(caller_count(peers)).collect()
 }
 
 /// Returns whether too few of the nodes ranked before this one watch the object service.
--- a/crates/pomeloridge_policy/tests/policy/watchers.rs
+++ b/crates/pomeloridge_policy/tests/policy/watchers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use pomeloridge_policy::watchers::{
-    LivePeer, RankedNode, is_cut_off, lacks_watchers, must_call_store, notifies, retry_delay,
-    watcher_ranks,
+    LivePeer, RankedNode, caller_count, first_callers, is_cut_off, lacks_watchers, must_call_store,
+    notifies, retry_delay, watcher_ranks,
 };
 use yare::parameterized;
 
@@ -146,3 +146,38 @@
     let alone = watcher_ranks(3, &peers(7, 3, |_| None));
     assert!((0..7).all(|peer| notifies(3, &alone, peer)));
 }
+
+/// Guards against a long gap without a holder of the duties: the nodes that try to take them first
+/// must be among those that the holder tells of its lease, whatever nodes there are.
+#[test]
+fn the_first_to_call_after_a_node_are_among_its_first_callers() {
+    for (nodes, data_centres) in [(1, 1), (2, 2), (9, 3), (60, 4), (60, 1), (1000, 10)] {
+        let node = |rank: u64| RankedNode {
+            rank,
+            data_centre_hash: (rank * 7 % data_centres) as u32,
+        };
+        let others = |own: u64| {
+            let others = (0..nodes).filter(move |rank| *rank != own);
+            let views = others.map(|rank| LivePeer {
+                node: node(rank),
+                last_answer_age: None,
+            });
+            views.collect::<Vec<_>>()
+        };
+        for holder in (0..nodes).step_by(nodes as usize / 9 + 1) {
+            let peers = others(holder);
+            let told = first_callers(&peers);
+            assert_eq!(told.len(), caller_count(&peers).min(peers.len()));
+            let centres = told.iter().map(|rank| node(*rank).data_centre_hash);
+            let mut centres: Vec<u32> = centres.collect();
+            centres.sort_unstable();
+            centres.dedup();
+            assert!(centres.len() >= told.len().min(data_centres as usize).min(2));
+            let first = (0..nodes).filter(|rank| *rank != holder);
+            for rank in first.step_by(nodes as usize / 100 + 1) {
+                let is_first = must_call_store(node(rank), &others(rank), Duration::ZERO);
+                assert!(!is_first || told.contains(&rank), "{rank} after {holder}");
+            }
+        }
+    }
+}
