Don't keep the crashes of a request whose quarantine an answer has ended

Callers would see requests refused as quarantined after the loss of all nodes, though they had been answered since.

Cause: an answer, own or of a peer, clears a whole request's crashes in memory; the node object is not written again and keeps them.

Change: CrashTracker tells the quarantines that an answer ends. The node logs them (choice=lift), writes its object again and, for its own answer, tells its peers at once.

A node that is cut off when a peer's answer ends the quarantine keeps the crashes in its object until it hears of the answer. At most one write of an object for each node and ended quarantine.

The test of merge reads the changes that begin, as before. Over processes: not run.

--- a/crates/pomeloridge_gateway/src/attempt/in_flight.rs
+++ b/crates/pomeloridge_gateway/src/attempt/in_flight.rs
@@ -12,9 +12,9 @@
 use super::Attempts;
 use crate::accept::Accepted;
 use crate::exchange::Failure;
-use crate::part_quarantine;
 use crate::state::State;
 use crate::token_rate::TokenRate;
+use crate::{crash_detection, part_quarantine};
 
 /// Guard that counts a request as in flight on its server until it is dropped.
 pub(crate) struct InFlightAttempt {
@@ -136,10 +136,12 @@
         self.state.dispatcher.borrow_mut().end(self.key);
         if let Some(run) = self.run {
             let now = self.state.now();
-            self.state
-                .crashes
-                .borrow_mut()
-                .finish_run(run, self.outcome, now);
+            let mut crashes = self.state.crashes.borrow_mut();
+            let ended = crashes.finish_run(run, self.outcome, now);
+            drop(crashes);
+            if let Some(fingerprint) = ended {
+                crash_detection::record_answered(&self.state, &fingerprint);
+            }
         }
         if let Some(run) = self.part_run {
             let now = self.state.now();
--- a/crates/pomeloridge_gateway/src/crash_detection.rs
+++ b/crates/pomeloridge_gateway/src/crash_detection.rs
@@ -14,6 +14,7 @@
 use pomeloridge_base::meter::Counter;
 use pomeloridge_policy::crashes::{QUARANTINE_CRASHES, ServerIncarnation};
 use pomeloridge_policy::dispatch::{RemovedTarget, TargetInfo, TargetKey};
+use pomeloridge_policy::suspicion::Fingerprint;
 
 use crate::exchange::Failure;
 use crate::part_quarantine;
@@ -128,6 +129,13 @@
     count_crash(state, &info, "not listening");
 }
 
+/// Records that an answer at this node has ended a request's quarantine, and tells peers at once.
+pub(crate) fn record_answered(state: &Rc<State>, fingerprint: &Fingerprint) {
+    log::info!("request print={fingerprint} choice=lift reason=\"answered\"");
+    state.quarantine_changed.set(true);
+    peers::announce_crashes(state);
+}
+
 /// Records crashes of servers that the server list no longer contains.
 pub(crate) fn record_removed(state: &Rc<State>, removed: &[RemovedTarget]) {
     for RemovedTarget { info, replaced, .. } in removed.iter().filter(|server| !server.leaving) {
--- a/crates/pomeloridge_gateway/src/peers/node_object.rs
+++ b/crates/pomeloridge_gateway/src/peers/node_object.rs
@@ -394,7 +394,13 @@
 
 /// Merges another node's reports of requests that crashed servers.
 pub(super) fn merge_crashes(state: &State, reports: &[CrashReport], by: &str, now: Instant) {
-    for fingerprint in state.crashes.borrow_mut().merge(reports, now) {
+    let changes = state.crashes.borrow_mut().merge(reports, now);
+    for fingerprint in changes.begun {
         log::info!("request print={fingerprint} choice=bar by={by}");
     }
+    // The object must not keep the crashes, as with prompt parts.
+    for fingerprint in changes.ended {
+        log::info!("request print={fingerprint} choice=lift by={by}");
+        state.quarantine_changed.set(true);
+    }
 }
--- a/crates/pomeloridge_policy/src/crashes.rs
+++ b/crates/pomeloridge_policy/src/crashes.rs
@@ -73,6 +73,15 @@
     Lost,
 }
 
+/// How a report changed which requests are quarantined.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuarantineChanges {
+    /// Requests that are newly quarantined.
+    pub begun: Vec<Fingerprint>,
+    /// Requests that no longer are, as a peer has answered them.
+    pub ended: Vec<Fingerprint>,
+}
+
 /// Crashes of one request, as exchanged between nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
@@ -161,31 +170,35 @@
         })
     }
 
-    /// Records the outcome of a run.
+    /// Records the outcome of a run; returns the request if an answer has ended its quarantine.
     ///
     /// A lost run is kept for a while, as its server may turn out to have crashed.
-    pub fn finish_run(&mut self, key: RunKey, outcome: RunOutcome, now: Instant) {
+    pub fn finish_run(
+        &mut self,
+        key: RunKey,
+        outcome: RunOutcome,
+        now: Instant,
+    ) -> Option<Fingerprint> {
         if outcome == RunOutcome::Lost && self.lost_count < MAX_LOST_RUNS {
             if let Some(run) = self.runs.get_mut(key) {
                 run.lost_at = Some(now);
                 self.lost_count += 1;
             }
-            return;
+            return None;
         }
-        let Some(run) = self.runs.remove(key) else {
-            return;
-        };
-        if outcome == RunOutcome::Answered {
-            self.answers.insert(run.fingerprint, now);
-            self.evict_answers();
+        let run = self.runs.remove(key)?;
+        if outcome != RunOutcome::Answered {
+            return None;
         }
-        if outcome == RunOutcome::Answered
-            && let Some(record) = self.records.get_mut(&run.fingerprint)
-            && !record.crash_ages(now).is_empty()
-        {
+        self.answers.insert(run.fingerprint, now);
+        self.evict_answers();
+        let record = self.records.get_mut(&run.fingerprint)?;
+        let was_quarantined = record.quarantine_left(now).is_some();
+        if !record.crash_ages(now).is_empty() {
             record.cleared = Some(now);
             record.updated = Some(now);
         }
+        was_quarantined.then_some(run.fingerprint)
     }
 
     /// Records that a server's process ended unexpectedly; returns the requests that were
@@ -288,9 +301,9 @@
         reports.collect()
     }
 
-    /// Merges another node's records; returns the requests that are newly quarantined.
-    pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> Vec<Fingerprint> {
-        let mut quarantined = Vec::new();
+    /// Merges another node's records.
+    pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> QuarantineChanges {
+        let mut changes = QuarantineChanges::default();
         for report in reports {
             let record = self.records.entry(report.fingerprint).or_default();
             let was_quarantined = record.quarantine_left(now).is_some();
@@ -319,12 +332,14 @@
                 record.cleared = record.cleared.max(Some(*answered));
                 record.updated = Some(now);
             }
-            if !was_quarantined && record.quarantine_left(now).is_some() {
-                quarantined.push(report.fingerprint);
+            match (was_quarantined, record.quarantine_left(now).is_some()) {
+                (false, true) => changes.begun.push(report.fingerprint),
+                (true, false) => changes.ended.push(report.fingerprint),
+                _ => {}
             }
         }
         self.evict_excess(now);
-        quarantined
+        changes
     }
 
     /// Removes expired runs and records.
--- a/crates/pomeloridge_policy/tests/policy/crashes.rs
+++ b/crates/pomeloridge_policy/tests/policy/crashes.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use pomeloridge_policy::crashes::{
-    CrashReport, CrashTracker, QUARANTINE_CRASHES, RunOutcome, ServerIncarnation,
+    CrashReport, CrashTracker, QUARANTINE_CRASHES, QuarantineChanges, RunOutcome, ServerIncarnation,
 };
 use pomeloridge_policy::suspicion::{Fingerprint, QUARANTINE_TTL};
 use proptest::prelude::*;
@@ -146,7 +146,7 @@
     for node in &mut nodes {
         let quarantined: Vec<_> = reports
             .iter()
-            .flat_map(|reports| node.merge(reports, now))
+            .flat_map(|reports| node.merge(reports, now).begun)
             .collect();
         assert_eq!(quarantined, [fingerprint("p")]);
     }
@@ -174,6 +174,36 @@
     assert_eq!(here.crash_count(&fingerprint("q"), now + ms(20)), 0);
 }
 
+/// Guards against restoring a quarantine that has ended: a domain of servers crashes under a request
+/// that many callers repeat, a run that was begun before is answered, and the nodes have stored the
+/// crashes.
+#[test]
+fn a_quarantine_that_an_answer_ends_is_no_longer_stored() {
+    let now = Instant::now() + Duration::from_secs(100);
+    let (mut here, mut there) = (CrashTracker::default(), CrashTracker::default());
+    let begun_before = there.start_run(fingerprint("q"), ServerIncarnation(99));
+    for server in 1..=QUARANTINE_CRASHES as u64 {
+        crash(&mut there, server, &["q"], now);
+    }
+    let changes = here.merge(&there.export(now), now);
+    assert_eq!(changes.begun, [fingerprint("q")]);
+    assert_eq!(here.export_quarantined(now).len(), 1);
+
+    let later = now + ms(400);
+    let ended = there.finish_run(begun_before, RunOutcome::Answered, later);
+    assert_eq!(ended, Some(fingerprint("q")));
+    assert!(there.export_quarantined(later).is_empty());
+    let changes = here.merge(&there.export(later), later);
+    assert_eq!(changes.ended, [fingerprint("q")]);
+    assert!(changes.begun.is_empty());
+    assert!(here.export_quarantined(later).is_empty());
+    // A report that comes again changes nothing, nor does another answer.
+    let changes = here.merge(&there.export(later), later);
+    assert_eq!(changes, QuarantineChanges::default());
+    let run = there.start_run(fingerprint("q"), ServerIncarnation(98));
+    assert_eq!(there.finish_run(run, RunOutcome::Answered, later), None);
+}
+
 /// Guards against a restarted node that refuses what the others serve, on crashes that it read
 /// from an old object (KNOWN-RED.txt, `read` at a gateway that had been killed).
 #[parameterized(
