Release no server before the load of all nodes is known

Cause: the work meter starts at zero and reaches two thirds after 6 s, and a new holder plans at once with the rates that it has heard.

In its first 2 s a holder orders what is missing and releases nothing.

--- a/crates/pomeloridge_gateway/src/scale_duty.rs
+++ b/crates/pomeloridge_gateway/src/scale_duty.rs
@@ -23,6 +23,10 @@
 /// Time after the first server entry is seen by which the entries of all live servers are there.
 const LIST_SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Time after which a new holder of the duties has been told the work rates of all nodes, also if
+/// some datagrams are lost.
+const LOAD_SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// The unit of orders: a service's servers in one data centre, either preemptible or on demand.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 struct PoolKey {
@@ -66,6 +70,8 @@
 struct Scaler {
     /// When the first server entry was seen.
     first_seen: Option<Instant>,
+    /// Since when this node has held the duties.
+    held_since: Option<Instant>,
     last_orders: HashMap<PoolKey, LastOrder>,
 }
 
@@ -82,6 +88,7 @@
         }
         if epoch.replace(authority.epoch()) != Some(authority.epoch()) {
             scaler.last_orders.clear();
+            scaler.held_since = Some(state.now());
         }
         let Some(config) = state.config() else {
             continue;
@@ -317,6 +324,9 @@
             max: scaling.max,
             has_preemptible: scaling.preemptible_price_ratio.is_some(),
             load: state.stage_load(&service.name).total(),
+            load_known: self
+                .held_since
+                .is_some_and(|since| now.saturating_duration_since(since) >= LOAD_SETTLE_TIME),
         }
     }
 }
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -345,7 +345,7 @@
         let mut meters = self.work_meters.borrow_mut();
         let meter = meters
             .entry(service.clone())
-            .or_insert_with(|| WorkMeter::new(now));
+            .or_insert_with(|| WorkMeter::new(self.started));
         meter.add(prompt_tokens, output_tokens, now);
     }
 
--- a/crates/pomeloridge_policy/src/scaling.rs
+++ b/crates/pomeloridge_policy/src/scaling.rs
@@ -53,6 +53,9 @@
     pub has_preemptible: bool,
     /// Load as the number of servers that it would fully use.
     pub load: f64,
+    /// Whether the load of all nodes is known. Until then it may be higher, and no server is
+    /// released.
+    pub load_known: bool,
 }
 
 /// The numbers of servers to order in a data centre.
@@ -87,7 +90,7 @@
     let mut target = |centre: &DataCentreView| {
         let min_on_demand = view.min.saturating_sub(centre.preemptible.ready);
         // On-demand servers are released only as far as the current load allows.
-        let released = if view.has_preemptible {
+        let released = if view.has_preemptible && view.load_known {
             centre
                 .on_demand
                 .ready
@@ -111,8 +114,8 @@
             data_centre: centre.data_centre.clone(),
             on_demand,
             preemptible: match (centre.sold_out, centre.retry_due) {
-                (false, _) => wanted,
-                (true, true) => wanted.max(centre.preemptible.ready),
+                (false, _) if view.load_known => wanted,
+                (false, _) | (true, true) => wanted.max(centre.preemptible.ready),
                 (true, false) => centre.preemptible.ready,
             },
         }
--- a/crates/pomeloridge_policy/tests/policy/fleet_retry_budget.rs
+++ b/crates/pomeloridge_policy/tests/policy/fleet_retry_budget.rs
@@ -200,6 +200,29 @@
     assert_eq!(cache.leading_tokens(&[prompt_part(1, 100)]), 0);
 }
 
+/// Guards against a load that seems to be a fraction of what it is after the loss of all nodes: the
+/// new holder of the duties would release servers that are needed.
+#[test]
+fn rates_are_right_soon_after_the_start() {
+    let start = Instant::now();
+    let mut meter = WorkMeter::new(start);
+    for tenth in 1..=60 {
+        let now = start + Duration::from_millis(tenth * 100);
+        meter.add(1000, 100, now);
+        let rates = meter.rates(now);
+        assert!(rates.prefill < 11_000.0, "{rates:?} after {tenth}");
+        if tenth >= 20 {
+            assert!(rates.prefill > 9_500.0, "{rates:?} after {tenth}");
+            assert!(rates.decode > 950.0, "{rates:?} after {tenth}");
+        }
+    }
+    // Work that begins long after the start counts as before.
+    let mut meter = WorkMeter::new(start);
+    let later = start + Duration::from_mins(1);
+    meter.add(6000, 0, later);
+    assert!((meter.rates(later).prefill - 1000.0).abs() < 1.0);
+}
+
 #[test]
 fn rates_follow_the_work_and_decay() {
     let start = Instant::now();
--- a/crates/pomeloridge_policy/tests/policy/scaling.rs
+++ b/crates/pomeloridge_policy/tests/policy/scaling.rs
@@ -30,9 +30,32 @@
         max: 6,
         has_preemptible: true,
         load,
+        load_known: true,
     }
 }
 
+/// Guards against a new holder of the duties that takes the load of the few nodes it has heard for
+/// that of all, and releases the servers that carry it.
+#[test]
+fn no_server_is_released_before_the_load_is_known() {
+    let mut view = view(&[(4, 0), (0, 4), (2, 2)], 1.0);
+    view.load_known = false;
+    let ordered = numbers(&plan_server_counts(&view));
+    for ((on_demand, preemptible), before) in ordered.iter().zip(&view.data_centres) {
+        assert!(*on_demand >= before.on_demand.ready, "{ordered:?}");
+        assert!(*preemptible >= before.preemptible.ready, "{ordered:?}");
+    }
+    view.load_known = true;
+    let ordered = numbers(&plan_server_counts(&view));
+    assert!(ordered[0].0 < 4, "{ordered:?}");
+    // What is missing is ordered at once.
+    view.load_known = false;
+    view.load = 20.0;
+    let ordered = numbers(&plan_server_counts(&view));
+    let total: u32 = ordered.iter().map(|(on_demand, _)| on_demand).sum();
+    assert!(total > 6, "{ordered:?}");
+}
+
 fn numbers(targets: &[DataCentreTarget]) -> Vec<(u32, u32)> {
     targets
         .iter()
