--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -176,6 +176,8 @@
     pub(crate) changing_engines: RefCell<Vec<u32>>,
     /// Fencing token of the duties lease while this node holds it.
     pub(crate) duty_epoch: Cell<Option<Epoch>>,
+    /// Version of the duties' lease while this node holds it.
+    pub(crate) duty_lease: Cell<Option<Revision>>,
 }
 
 impl State {
@@ -263,6 +265,7 @@
             record_reads: SharedRead::new(versions::RECORDS_READ_INTERVAL),
             changing_engines: RefCell::default(),
             duty_epoch: Cell::new(None),
+            duty_lease: Cell::new(None),
             settings: LiveSettings::new(settings, reload_settings),
             clock,
             ports,
@@ -346,7 +349,7 @@
         let mut meters = self.work_meters.borrow_mut();
         let meter = meters
             .entry(service.clone())
-            .or_insert_with(|| WorkMeter::new(now));
+            .or_insert_with(|| WorkMeter::new(self.started));
         meter.add(prompt_tokens, output_tokens, now);
     }
 
