Tell peers of long prompts as they are sent

Cause: a node hears the loads of its own data centre every few rounds and sums of the others every 12 rounds. 51 % of the work ahead of late streams had been sent in the last 150 ms, so that nobody knew of it.

Change: a prompt that its engine reads for longer than a round of heartbeats is told to at most 80 peers when it is sent, within as many messages a second as heartbeats of a large fleet. It counts until it is expected to be read or until the next load of its sender. Only in services whose servers differ. A former build ignores the field. A lost message costs accuracy only.

Test: `prompts_of_one_round_spread_over_the_engines` names the load.

--- a/crates/pomeloridge_gateway/src/attempt/in_flight.rs
+++ b/crates/pomeloridge_gateway/src/attempt/in_flight.rs
@@ -13,6 +13,7 @@
 use crate::accept::Accepted;
 use crate::exchange::Failure;
 use crate::part_quarantine;
+use crate::peers;
 use crate::state::State;
 use crate::token_rate::TokenRate;
 
@@ -46,6 +47,7 @@
             .target(server)
             .map(|target| target.info.incarnation());
         drop(dispatcher);
+        peers::announce_prompt(state, server, prefill_tokens);
         let mut crashes = state.crashes.borrow_mut();
         Self {
             state: Rc::clone(state),
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -8,6 +8,7 @@
 mod crash_news;
 mod node_object;
 mod quota;
+mod sent_prompt;
 mod table;
 mod wire;
 
@@ -35,6 +36,7 @@
 pub(crate) use crash_news::announce_crashes;
 pub(crate) use node_object::{ListedRecords, read_records, relevant_records};
 pub(crate) use quota::send_asks;
+pub(crate) use sent_prompt::announce_prompt;
 use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
 use wire::{LimitWire, PeerMessage, ServerListDeltaWire, SpeedsWire, UsageWire, WorkWire};
@@ -554,6 +556,7 @@
         log::info!("time choice=correct by_ms={by} reason=\"median of all nodes' clocks\"");
     }
     quota::handle(state, &mut message, address);
+    sent_prompt::handle(state, &message, &name);
     crash_news::handle(state, &mut message, &name);
     handle_limits(state, std::mem::take(&mut message.limits), &name);
     handle_speeds(state, message.speeds.take(), &name);
@@ -568,7 +571,7 @@
         dispatcher.set_peer_loads(&name, &loads.into_peer_loads(now));
     }
     if let Some(loads) = message.data_centre_loads {
-        let source = Name::from(format!("centre/{:08x}", message.data_centre_hash));
+        let source = data_centre_source(message.data_centre_hash);
         dispatcher.set_peer_loads(&source, &loads.into_peer_loads(now));
     }
     dispatcher.record_peer_placements(&placed);
@@ -593,6 +596,11 @@
     drop(usage);
 }
 
+/// Returns the name under which the summed loads of a data centre's nodes are kept.
+fn data_centre_source(hash: u32) -> Name {
+    Name::from(format!("centre/{hash:08x}"))
+}
+
 /// Tells a process that has just started, and so knows no limits, those of the servers.
 fn send_limits(state: &Rc<State>, address: SocketAddr) {
     let limits = limits_wire(&state.dispatcher.borrow(), state.now());
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -16,6 +16,7 @@
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
+use super::sent_prompt::SentPromptWire;
 use crate::compression::{compress, decompress};
 use crate::server_list::ServerListDelta;
 
@@ -106,6 +107,9 @@
     /// Answer to such an ask.
     #[prost(message, optional, tag = "29")]
     pub(super) quota_grant: Option<QuotaGrantWire>,
+    /// A long prompt that the sender has just sent to an engine.
+    #[prost(message, optional, tag = "32")]
+    pub(super) sent_prompt: Option<SentPromptWire>,
 }
 
 /// Measurements of servers, stored by column.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -15,7 +15,9 @@
 use pomeloridge_base::settings::SettingValues;
 use pomeloridge_platform::{CallKind, Client};
 use pomeloridge_policy::crashes::{CrashTracker, ServerIncarnation};
-use pomeloridge_policy::dispatch::{Dispatcher, EngineModel, TargetInfo, TargetKey};
+use pomeloridge_policy::dispatch::{
+    Dispatcher, EngineModel, PromptMessageBudget, TargetInfo, TargetKey,
+};
 use pomeloridge_policy::fleet_retry_budget::FleetRetryBudget;
 use pomeloridge_policy::freshness::FreshnessTimes;
 use pomeloridge_policy::hedging::Hedging;
@@ -149,6 +151,8 @@
     pub(crate) usage: RefCell<UsageLedger>,
     pub(crate) fleet_clock: RefCell<FleetClock>,
     pub(crate) peers: RefCell<Peers>,
+    /// Messages to peers about long prompts.
+    pub(crate) prompt_messages: RefCell<PromptMessageBudget>,
     /// What this node's places among the senders of servers with limits were last computed from.
     pub(crate) senders: RefCell<Option<Senders>>,
     /// Work that requests to this node caused, by service.
@@ -247,6 +251,7 @@
             usage: RefCell::new(UsageLedger::new(source)),
             fleet_clock: RefCell::new(FleetClock::new(now, clock.unix_ms())),
             peers: RefCell::new(Peers::new(data_centre_hash, now)),
+            prompt_messages: RefCell::new(PromptMessageBudget::new(now)),
             senders: RefCell::default(),
             work_meters: RefCell::default(),
             versions: RefCell::new(StreamVersions::new(now)),
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -22,6 +22,7 @@
 mod prompt_plan;
 mod requests;
 mod sample;
+mod sent_prompt;
 mod spare;
 mod speed;
 mod takeover;
@@ -41,6 +42,7 @@
 pub use engine_model::{EngineModel, EngineSpec};
 pub use explain::{Bar, Candidate, Explanation, LearnedSpeed};
 pub use load::{NodeLoad, PeerLoad, ReportedLoad};
+pub use sent_prompt::{PromptMessageBudget, PromptSource, SentPrompt};
 pub use speed::{KnownSpeed, SpeedReport, SpeedReports, TimeRatio, Work};
 use target::ListedStart;
 pub use target::{Stage, Target, TargetInfo, TargetKey};
@@ -426,6 +428,7 @@
         for target in self.targets.values_mut() {
             let reported = by_server.get(&target.id_hash).copied();
             target.peer_loads.set(peer, reported);
+            target.peer_prompts.remove_included(peer);
         }
     }
 
--- a/crates/pomeloridge_policy/src/dispatch/load.rs
+++ b/crates/pomeloridge_policy/src/dispatch/load.rs
@@ -5,7 +5,7 @@
 use pomeloridge_base::id::Name;
 
 /// Age at which a load reported by a peer expires.
-const PEER_LOAD_TTL: Duration = Duration::from_millis(1500);
+pub(super) const PEER_LOAD_TTL: Duration = Duration::from_millis(1500);
 /// Age at which a server's own report expires.
 const REPORT_TTL: Duration = Duration::from_millis(250);
 /// Age at which the slowdown that a server reported expires.
--- a/crates/pomeloridge_policy/src/dispatch/target.rs
+++ b/crates/pomeloridge_policy/src/dispatch/target.rs
@@ -10,6 +10,7 @@
 use super::SampleKind;
 use super::load::{NodeLoad, PeerLoads, ReportedLoad};
 use super::plain::AnswerPace;
+use super::sent_prompt::PeerPrompts;
 use super::speed::ServerSpeed;
 use crate::crashes::ServerIncarnation;
 use crate::ejection::Ejection;
@@ -106,6 +107,7 @@
     pub info: TargetInfo,
     pub(super) own_load: NodeLoad,
     pub(super) peer_loads: PeerLoads,
+    pub(super) peer_prompts: PeerPrompts,
     pub(super) report: Option<ReportedLoad>,
     /// Time that its answers take, if it belongs to a plain service.
     pub(super) pace: Option<AnswerPace>,
@@ -135,6 +137,7 @@
         Self {
             own_load: NodeLoad::default(),
             peer_loads: PeerLoads::default(),
+            peer_prompts: PeerPrompts::default(),
             report: None,
             pace: None,
             speed: ServerSpeed::default(),
@@ -176,7 +179,8 @@
 
     /// Returns the prompt tokens that nodes have sent and the server has not prefilled.
     pub fn prefill_tokens(&self, now: Instant) -> u64 {
-        self.own_load.prefill_tokens + self.peer_loads.sum(now).prefill_tokens
+        let loads = self.own_load.plus(self.peer_loads.sum(now));
+        loads.prefill_tokens + self.told_tokens(now)
     }
 
     /// Returns the factor by which work takes longer at this moment, as the server itself reported,
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -23,6 +23,7 @@
 mod routing;
 mod rules;
 mod scaling;
+mod sent_prompts;
 mod server_table;
 mod stream_versions;
 mod support;
