Lessen the prompts in peers' loads with their age

Cause: what a peer has told counts in full until its next load, or for 1.5 s. So engines that had read their prompts were avoided.

Change: the prompts in a load lessen in proportion to its age, to none when the engine has read all that was known to be ahead as the load came. Only where servers differ.

Tests: `engines_that_have_read_their_prompts_are_not_avoided` names the load; it and two cases of `the_load_of_a_peer_lessens_as_the_engine_reads` fail without the change.

--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -430,6 +430,29 @@
             target.peer_loads.set(peer, reported);
             target.peer_prompts.remove_included(peer);
         }
+        self.set_read_times(peer, &by_server);
+    }
+
+    /// Predicts when the servers will have read the prompts that a peer has just told of. The
+    /// peer's next load may come much later.
+    fn set_read_times(&mut self, peer: &Name, loads: &HashMap<u32, PeerLoad>) {
+        let mut times = Vec::with_capacity(loads.len());
+        for (key, target) in &self.targets {
+            let load = loads.get(&target.id_hash);
+            let Some(load) = load.filter(|load| load.load.prefill_tokens > 0) else {
+                continue;
+            };
+            if !self.is_uneven(&target.info.service) {
+                continue;
+            }
+            let model = self.model(&target.info.service);
+            let (stage, running) = (target.info.stage, target.running(load.at));
+            let tokens = target.prefill_tokens(load.at);
+            times.push((key, model.prefill_time(stage, running, tokens)));
+        }
+        for (key, read_in) in times {
+            self.targets[key].peer_loads.set_read_in(peer, read_in);
+        }
     }
 
     /// Returns the shared parts that this node placed within `span`, to send to peers.
--- a/crates/pomeloridge_policy/src/dispatch/load.rs
+++ b/crates/pomeloridge_policy/src/dispatch/load.rs
@@ -1,4 +1,8 @@
 //! The load on a server, as sent by nodes and as reported by the server itself.
+//!
+//! A load that a peer has told may be over a second old, while an engine reads most prompts in a
+//! fraction of one. Where servers differ, the prompts in it lessen with its age, to none when the
+//! engine has read all that was known to be ahead.
 
 use std::time::{Duration, Instant};
 
@@ -74,15 +78,57 @@
     }
 }
 
+/// A load of a peer, and what becomes of it.
+#[derive(Clone, Copy, Debug)]
+struct KnownLoad {
+    told: PeerLoad,
+    /// Time in which the server reads all prompts that were known to be ahead; `None` if the load
+    /// is taken to stay as it is.
+    read_in: Option<Duration>,
+}
+
+impl KnownLoad {
+    /// Returns the load that is left, or `None` if it has expired.
+    fn at(&self, now: Instant) -> Option<NodeLoad> {
+        let age = now.saturating_duration_since(self.told.at);
+        let load = self.told.load;
+        let prefill_tokens = match self.read_in {
+            Some(read_in) if age < read_in => {
+                let left = 1.0 - age.as_secs_f64() / read_in.as_secs_f64();
+                (load.prefill_tokens as f64 * left) as u64
+            }
+            Some(_) => 0,
+            None => load.prefill_tokens,
+        };
+        (age < PEER_LOAD_TTL).then_some(NodeLoad {
+            prefill_tokens,
+            ..load
+        })
+    }
+}
+
 /// The loads of all peers on one server.
 #[derive(Clone, Debug, Default)]
-pub struct PeerLoads(Vec<(Name, PeerLoad)>);
+pub struct PeerLoads(Vec<(Name, KnownLoad)>);
 
 impl PeerLoads {
     pub(super) fn set(&mut self, peer: &Name, load: Option<PeerLoad>) {
         self.0.retain(|(name, _)| name != peer);
-        if let Some(load) = load {
-            self.0.push((peer.clone(), load));
+        if let Some(told) = load {
+            let known = KnownLoad {
+                told,
+                read_in: None,
+            };
+            self.0.push((peer.clone(), known));
+        }
+    }
+
+    /// Sets the time in which the server reads all prompts that are known now, for the load that
+    /// a peer has just told.
+    pub(super) fn set_read_in(&mut self, peer: &Name, read_in: Duration) {
+        let known = self.0.iter_mut().find(|(name, _)| name == peer);
+        if let Some((_, known)) = known {
+            known.read_in = Some(read_in);
         }
     }
 
@@ -92,11 +138,8 @@
 
     /// Returns the summed load of the peers whose names match.
     pub(super) fn sum_of(&self, includes: impl Fn(&Name) -> bool, now: Instant) -> NodeLoad {
-        let recent = |load: &PeerLoad| now.saturating_duration_since(load.at) < PEER_LOAD_TTL;
-        let recent = self
-            .0
-            .iter()
-            .filter(|(name, load)| recent(load) && includes(name));
-        recent.fold(NodeLoad::default(), |sum, (_, peer)| sum.plus(peer.load))
+        let matching = self.0.iter().filter(|(name, _)| includes(name));
+        let loads = matching.filter_map(|(_, load)| load.at(now));
+        loads.fold(NodeLoad::default(), NodeLoad::plus)
     }
 }
--- a/crates/pomeloridge_policy/tests/policy/sent_prompts.rs
+++ b/crates/pomeloridge_policy/tests/policy/sent_prompts.rs
@@ -237,3 +237,51 @@
     assert_eq!(counts[0], peers.min(80));
     assert!(counts.iter().sum::<usize>() <= most);
 }
+
+/// Load: the sums of another data centre come once in more than a second, while each engine reads
+/// what it had within some 350 ms. Engines that have read it are idle again.
+#[test]
+fn engines_that_have_read_their_prompts_are_not_avoided() {
+    let started = Instant::now();
+    let mut node = dispatcher(1, true);
+    let hash = |id: &str| node.target(key(&node, id)).unwrap().hash();
+    let mut loads: Vec<(u32, PeerLoad)> = (1..PREFILL_ENGINES)
+        .map(|number| (hash(&format!("e{number}")), load(30_000, started)))
+        .collect();
+    let busy = hash("e0");
+    loads.push((busy, load(0, started)));
+    node.set_peer_loads(&Name::from("centre/1"), &loads);
+    // All but one had to read 30,000 tokens. Now that one has 10,000, and all others are free.
+    let now = started + ms(600);
+    node.set_peer_loads(&Name::from("b"), &[(busy, load(10_000, now))]);
+    let (reader, _) = send_long(&mut node, 1, now);
+    assert_ne!(reader, key(&node, "e0"));
+}
+
+#[parameterized(
+    at_once = { 0, 30_000..=30_000 },
+    halfway = { 175, 13_000..=17_000 },
+    read = { 400, 0..=0 },
+)]
+fn the_load_of_a_peer_lessens_as_the_engine_reads(
+    after_ms: u64,
+    expected: std::ops::RangeInclusive<u64>,
+) {
+    let now = Instant::now();
+    let mut node = dispatcher(1, true);
+    let server = sent(&node, 0).server;
+    node.set_peer_loads(&Name::from("b"), &[(server, load(30_000, now))]);
+    let known = known_tokens(&node, now + ms(after_ms));
+    assert!(expected.contains(&known), "{known}");
+}
+
+/// Deployments whose servers are alike are served as before.
+#[test]
+fn the_load_on_servers_that_are_alike_stays_until_it_expires() {
+    let now = Instant::now();
+    let mut node = dispatcher(1, false);
+    let server = sent(&node, 0).server;
+    node.set_peer_loads(&Name::from("b"), &[(server, load(30_000, now))]);
+    assert_eq!(known_tokens(&node, now + ms(1499)), 30_000);
+    assert_eq!(known_tokens(&node, now + ms(1500)), 0);
+}
