--- a/crates/pomeloridge_gateway/src/attempt/in_flight.rs
+++ b/crates/pomeloridge_gateway/src/attempt/in_flight.rs
@@ -14,7 +14,7 @@
 use crate::exchange::Failure;
 use crate::state::State;
 use crate::token_rate::TokenRate;
-use crate::{crash_detection, part_quarantine};
+use crate::{crash_detection, part_quarantine, peers};
 
 /// Guard that counts a request as in flight on its server until it is dropped.
 pub(crate) struct InFlightAttempt {
@@ -46,6 +46,7 @@
             .target(server)
             .map(|target| target.info.incarnation());
         drop(dispatcher);
+        peers::announce_prompt(state, server, prefill_tokens);
         let mut crashes = state.crashes.borrow_mut();
         Self {
             state: Rc::clone(state),
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -16,6 +16,7 @@
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
+use super::sent_prompt::SentPromptWire;
 use crate::compression::{compress, decompress};
 use crate::server_list::ServerListDelta;
 
@@ -110,6 +111,9 @@
     /// build.
     #[prost(uint64, tag = "30")]
     pub(super) lease: u64,
+    /// A long prompt that the sender has just sent to an engine.
+    #[prost(message, optional, tag = "32")]
+    pub(super) sent_prompt: Option<SentPromptWire>,
 }
 
 /// Measurements of servers, stored by column.
--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -22,6 +22,7 @@
 mod prompt_plan;
 mod requests;
 mod sample;
+mod sent_prompt;
 mod spare;
 mod speed;
 mod takeover;
@@ -40,6 +41,7 @@
 pub use engine_model::{EngineModel, EngineSpec};
 pub use explain::{Bar, Candidate, Explanation, LearnedSpeed};
 pub use load::{NodeLoad, PeerLoad, ReportedLoad};
+pub use sent_prompt::{PromptMessageBudget, PromptSource, SentPrompt};
 pub use speed::{KnownSpeed, SpeedReport, SpeedReports, TimeRatio, Work};
 use target::ListedStart;
 pub use target::{Stage, Target, TargetInfo, TargetKey};
@@ -438,6 +440,30 @@
         for target in self.targets.values_mut() {
             let reported = by_server.get(&target.id_hash).copied();
             target.peer_loads.set(peer, reported);
+            target.peer_prompts.remove_included(peer);
+        }
+        self.set_read_times(peer, &by_server);
+    }
+
+    /// Predicts when the servers will have read the prompts that a peer has just told of. The
+    /// peer's next load may come much later.
+    fn set_read_times(&mut self, peer: &Name, loads: &HashMap<u32, PeerLoad>) {
+        let mut times = Vec::with_capacity(loads.len());
+        for (key, target) in &self.targets {
+            let load = loads.get(&target.id_hash);
+            let Some(load) = load.filter(|load| load.load.prefill_tokens > 0) else {
+                continue;
+            };
+            if !self.is_uneven(&target.info.service) {
+                continue;
+            }
+            let model = self.model(&target.info.service);
+            let (stage, running) = (target.info.stage, target.running(load.at));
+            let tokens = target.prefill_tokens(load.at);
+            times.push((key, model.prefill_time(stage, running, tokens)));
+        }
+        for (key, read_in) in times {
+            self.targets[key].peer_loads.set_read_in(peer, read_in);
         }
     }
 
--- a/crates/pomeloridge_policy/tests/policy/main.rs
+++ b/crates/pomeloridge_policy/tests/policy/main.rs
@@ -23,6 +23,7 @@
 mod routing;
 mod rules;
 mod scaling;
+mod sent_prompts;
 mod server_sync;
 mod server_table;
 mod slow_readers;
