--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -56,6 +56,8 @@
         AllotmentUnknown: "pomeloridge_allotment_unknown", "Requests refused since no holder of their client account's allotment answered.";
         AllotmentAsks: "pomeloridge_allotment_asks", "Messages that asked other nodes for a client account's credit.";
         AllotmentSilent: "pomeloridge_allotment_silent", "Such messages that were not answered in time.";
+        PromptsTold: "pomeloridge_prompts_told", "Messages that told other nodes of long prompts as they were sent.";
+        PromptsHeard: "pomeloridge_prompts_heard", "Such messages that this node received.";
         SlowUnread: "pomeloridge_slow_readers_unread", "Transfers cut since their caller or server took too little of them for too long.";
         SlowMemory: "pomeloridge_slow_readers_memory", "Transfers to slow readers cut since messages held too many bytes.";
         UnreplicatedUsage: "pomeloridge_usage_unreplicated", "Usage lines that no peer acknowledged in time.";
--- a/crates/pomeloridge_gateway/src/peers/sent_prompt.rs
+++ b/crates/pomeloridge_gateway/src/peers/sent_prompt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use pomeloridge_base::id::Name;
+use pomeloridge_base::meter::Counter;
 use pomeloridge_policy::dispatch::{PromptSource, SentPrompt, TargetKey};
 use prost::Message;
 use rand::seq::SliceRandom;
@@ -72,6 +73,9 @@
     if addresses.is_empty() {
         return;
     }
+    state
+        .meter
+        .add(Counter::PromptsTold, addresses.len() as u64);
     log::debug!(
         "prompt server={} tokens={} read_ms={} choice=tell peers={count}",
         state.server_name(server),
@@ -90,6 +94,7 @@
     let Some(wire) = message.sent_prompt else {
         return;
     };
+    state.meter.increment(Counter::PromptsHeard);
     let fan_out = state.settings().number("peers", "fan_out") as usize;
     let is_local = message.data_centre_hash == state.data_centre_hash;
     let source = if is_local || !state.peers.borrow().is_large_fleet(fan_out) {
