Mend what the review of slow readers found

Moving transfers of a few hundred bytes were cut while messages being read were over the bound (small_transfers_that_move_are_kept_while_reading_is_over_the_bound); process_mb must be over what these may hold. Where cuts are on, large buffers are returned at once.

--- a/crates/pomeloridge_base/src/http/memory.rs
+++ b/crates/pomeloridge_base/src/http/memory.rs
@@ -11,6 +11,9 @@
 
 /// Bytes that all messages together may hold, besides small ones.
 pub const MAX_HELD_BYTES: usize = 32 * 1024 * 1024;
+/// Size from which a freed buffer is returned to the kernel at once.
+#[cfg(target_env = "gnu")]
+const LARGE_BUFFER_BYTES: libc::c_int = 128 * 1024;
 /// Bytes that a message may hold in any case.
 const SMALL_BYTES: usize = 32 * 1024;
 
@@ -18,6 +21,21 @@
     static HELD: Cell<usize> = const { Cell::new(0) };
 }
 
+/// Makes the allocator return large buffers to the kernel as soon as they are freed, so that the
+/// memory of the process follows what messages hold.
+#[cfg(target_env = "gnu")]
+pub fn return_freed_buffers() {
+    // SAFETY: the call sets a parameter of the allocator and touches no memory of the caller.
+    let is_set = unsafe { libc::mallopt(libc::M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES) } == 1;
+    if !is_set {
+        log::warn!("memory choice=keep_allocator reason=\"the allocator refused its parameter\"");
+    }
+}
+
+/// Does nothing, as the allocator has no such parameter.
+#[cfg(not(target_env = "gnu"))]
+pub fn return_freed_buffers() {}
+
 /// Returns the number of bytes that messages hold which this thread is reading.
 pub fn held_bytes() -> usize {
     HELD.get()
--- a/crates/pomeloridge_base/src/http/mod.rs
+++ b/crates/pomeloridge_base/src/http/mod.rs
@@ -15,6 +15,6 @@
     ConnectOptions, Connection, HttpResponseHead, OutgoingRequest, RefusalMark, Unframed, call,
 };
 pub use fault::Fault;
-pub use memory::{MAX_HELD_BYTES, held_bytes};
+pub use memory::{MAX_HELD_BYTES, held_bytes, return_freed_buffers};
 pub use message::{Limits, Request, Response};
 pub use server::{Responder, Server};
--- a/crates/pomeloridge_base/src/settings/check.rs
+++ b/crates/pomeloridge_base/src/settings/check.rs
@@ -9,10 +9,13 @@
 
 use super::reader::{Value, Values, read};
 use super::table::{SETTINGS, Setting, SettingKind};
+use crate::http::MAX_HELD_BYTES;
 use crate::id::Name;
 use crate::operator_tokens::OperatorTokens;
 use crate::secret::KeyHash;
 
+/// Bytes in a mebibyte.
+const MEBIBYTE: usize = 1024 * 1024;
 /// Minimum length of the fleet secret.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -237,7 +240,29 @@
 
 /// Checks settings against a table and returns all problems.
 pub fn parse_table(text: &str, table: &'static [Setting]) -> Result<SettingValues, Vec<Problem>> {
-    check(text, table).map(|(values, _)| values)
+    let (values, given) = check(text, table)?;
+    match reader_memory_problem(&values, &given) {
+        Some(problem) => Err(vec![problem]),
+        None => Ok(values),
+    }
+}
+
+/// Returns a problem if slow readers would be cut for messages that are only being read.
+fn reader_memory_problem(values: &SettingValues, given: &Values) -> Option<Problem> {
+    let of = |(setting, _): &&(&'static Setting, String)| {
+        setting.section == "slow_readers" && setting.key == "process_mb"
+    };
+    let (setting, text) = values.0.iter().find(of)?;
+    let reading_mb = MAX_HELD_BYTES / MEBIBYTE;
+    let is_over = text.parse::<usize>().is_ok_and(|value| value > reading_mb);
+    let place = (setting.section.to_owned(), setting.key.to_owned());
+    (!is_over).then(|| Problem {
+        section: place.0.clone(),
+        key: place.1.clone(),
+        line: given.values.get(&place).map_or(0, |value| value.line),
+        fault: format!("`{text}` is not over the {reading_mb} that messages being read may hold"),
+        fix: format!("raise it, for example to {}", setting.example),
+    })
 }
 
 fn check(text: &str, table: &'static [Setting]) -> Result<(SettingValues, Values), Vec<Problem>> {
--- a/crates/pomeloridge_base/tests/settings.rs
+++ b/crates/pomeloridge_base/tests/settings.rs
@@ -170,3 +170,15 @@
         assert!(malformed.parse::<GivenSetting>().is_err(), "{malformed}");
     }
 }
+
+#[test]
+fn memory_for_slow_readers_is_over_what_messages_being_read_may_hold() {
+    let problems = |mebibytes: u32| {
+        let text = format!("{GATEWAY}[slow_readers]\nprocess_mb = {mebibytes}\n");
+        let settings = parse_table(&text, GATEWAY_SETTINGS);
+        settings.err().map(|problems| format!("{problems:?}"))
+    };
+    assert_eq!(problems(33), None);
+    let problem = problems(32).unwrap();
+    assert!(problem.contains("is not over the 32"), "{problem}");
+}
--- a/crates/pomeloridge_gateway/src/ingress.rs
+++ b/crates/pomeloridge_gateway/src/ingress.rs
@@ -162,7 +162,7 @@
     responder: &mut Responder,
 ) {
     let status = response.status;
-    accepted.hold_answer(response.body.len());
+    accepted.hold_answer(response.body.len().max(1));
     match responder.send(response).await {
         Ok(()) => record_answered(state, accepted, status, StreamTiming::default()),
         Err(fault) => record_caller_gone(state, accepted, &fault),
--- a/crates/pomeloridge_gateway/src/slow_readers.rs
+++ b/crates/pomeloridge_gateway/src/slow_readers.rs
@@ -9,7 +9,7 @@
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
-use pomeloridge_base::http::held_bytes;
+use pomeloridge_base::http::{held_bytes, return_freed_buffers};
 use pomeloridge_base::meter::{Counter, Gauge};
 use pomeloridge_base::settings::SettingValues;
 use pomeloridge_policy::slow_readers::{
@@ -50,7 +50,11 @@
                 .unwrap_or(usize::MAX)
                 .saturating_mul(MEBIBYTE),
         };
-        (!unread.is_zero()).then(|| Self {
+        if unread.is_zero() {
+            return None;
+        }
+        return_freed_buffers();
+        Some(Self {
             readers: RefCell::new(SlowReaders::new(limits, now)),
             cuts: RefCell::default(),
             wakers: RefCell::default(),
--- a/crates/pomeloridge_gateway/src/stream.rs
+++ b/crates/pomeloridge_gateway/src/stream.rs
@@ -39,6 +39,9 @@
 /// Maximum number of bytes of a stream from one event with a new id to the next.
 const MAX_IDLE_BYTES: usize = 1024 * 1024;
 
+/// Bytes that count as held while the head or the end of a stream is written.
+const SMALL_WRITE: usize = 1;
+
 /// How a stream ended.
 pub(crate) enum StreamOutcome {
     /// The whole stream was forwarded.
@@ -516,7 +519,7 @@
         in_flight.record_output(self.accepted, rate, is_continuation);
         in_flight.set_outcome(RunOutcome::Answered);
         self.send_head(responder).await?;
-        responder.finish().await.map_err(AttemptError::CallerGone)?;
+        self.write_held(SMALL_WRITE, responder.finish()).await?;
         self.state.pool.put(connection, head.idle, self.state.now());
         Ok(())
     }
@@ -553,11 +556,8 @@
             self.send_head(responder).await?;
             self.record_chunk();
             // The events and their copy with the frame of a chunk.
-            self.accepted
-                .hold_answer(2 * bytes.len() + events.buffered());
-            let sent: Result<(), Fault> = responder.send_chunk(&bytes).await;
-            self.accepted.hold_answer(0);
-            sent.map_err(AttemptError::CallerGone)?;
+            let held = 2 * bytes.len() + events.buffered();
+            self.write_held(held, responder.send_chunk(&bytes)).await?;
         }
         if is_foreign {
             return Err(AttemptError::Server(Failure::InvalidResponse));
@@ -569,10 +569,22 @@
     async fn send_head(&mut self, responder: &mut Responder) -> Result<(), AttemptError> {
         if let Some((status, headers)) = self.head.take() {
             self.content_type = headers.get(CONTENT_TYPE).cloned();
-            let sent = responder.start(status, &headers).await;
-            sent.map_err(AttemptError::CallerGone)?;
+            self.write_held(SMALL_WRITE, responder.start(status, &headers))
+                .await?;
             self.head_sent = true;
         }
         Ok(())
     }
+
+    /// Writes a part of the answer, for which these bytes are held. Only what holds some is cut.
+    async fn write_held(
+        &self,
+        bytes: usize,
+        write: impl Future<Output = Result<(), Fault>>,
+    ) -> Result<(), AttemptError> {
+        self.accepted.hold_answer(bytes);
+        let sent = write.await;
+        self.accepted.hold_answer(0);
+        sent.map_err(AttemptError::CallerGone)
+    }
 }
--- a/crates/pomeloridge_policy/src/slow_readers.rs
+++ b/crates/pomeloridge_policy/src/slow_readers.rs
@@ -235,13 +235,17 @@
 
     /// Returns the transfer that is cut first to free memory: one that does not move, if there is
     /// any, of the account for which such ones hold most, by bytes times time without progress.
+    /// Small ones that move are kept, as they free next to nothing.
     fn heaviest(&self) -> Option<TransferKey> {
         let has_stalled = self
             .waiting()
             .any(|(_, transfer)| !transfer.is_moving(self.ran));
         let candidates = || {
             let waiting = self.waiting();
-            waiting.filter(move |(_, transfer)| !(has_stalled && transfer.is_moving(self.ran)))
+            waiting.filter(move |(_, transfer)| {
+                let frees_little = has_stalled || transfer.held <= PROGRESS_BYTES;
+                !(frees_little && transfer.is_moving(self.ran))
+            })
         };
         let mut by_account: BTreeMap<Option<&Name>, usize> = BTreeMap::new();
         for (_, transfer) in candidates() {
--- a/crates/pomeloridge_policy/tests/policy/slow_readers.rs
+++ b/crates/pomeloridge_policy/tests/policy/slow_readers.rs
@@ -262,3 +262,15 @@
         }
     }
 }
+
+/// Load: messages that are being read hold more than the process may, beside a hundred streams
+/// whose callers read them.
+#[test]
+fn small_transfers_that_move_are_kept_while_reading_is_over_the_bound() {
+    let mut process = Process::new();
+    for number in 0..100 {
+        process.hold(&format!("account{}", number % 5), Reader::Caller, 400);
+    }
+    let reading = LIMITS.process_bytes + 1;
+    assert_eq!(process.readers.next_cut(reading, process.now), None);
+}
