--- a/crates/pomeloridge_platform/src/client.rs
+++ b/crates/pomeloridge_platform/src/client.rs
@@ -48,6 +48,8 @@
     era: Rc<Cell<Option<Era>>>,
     /// When the era was first seen, if the service may have lost changes before.
     lost_before: Rc<Cell<Option<Instant>>>,
+    /// When the first era was seen.
+    era_since: Rc<Cell<Option<Instant>>>,
 }
 
 impl Client {
@@ -72,6 +74,7 @@
             observer: None,
             era: Rc::default(),
             lost_before: Rc::default(),
+            era_since: Rc::default(),
         }
     }
 
@@ -126,6 +129,9 @@
             return;
         }
         self.era.set(Some(era));
+        if known.is_none() {
+            self.era_since.set(Some(self.clock.now()));
+        }
         if known.is_some() || era.is_restored() {
             self.lost_before.set(Some(self.clock.now()));
         }
@@ -140,7 +146,8 @@
     /// Records that the object service was restored before this client knew any era of it.
     pub(crate) fn record_restored(&self) {
         if self.lost_before.get().is_none() {
-            self.lost_before.set(Some(self.clock.now()));
+            let since = self.era_since.get().unwrap_or_else(|| self.clock.now());
+            self.lost_before.set(Some(since));
             log::warn!(
                 "store era={} choice=expect_losses reason=\"the service was restored before this \
                  process started\"",
--- a/crates/pomeloridge_platform/tests/lease.rs
+++ b/crates/pomeloridge_platform/tests/lease.rs
@@ -664,3 +664,22 @@
     let outcome = runner(1000).run(&ops, |ops| schedule_with_restores(&ops));
     outcome.unwrap();
 }
+
+/// Guards against windows that are left out for good, since a process that has heard the duties'
+/// holder for long reads the lease only as it takes it over: nothing is lost after its first
+/// contact.
+#[test]
+fn losses_of_a_restore_end_at_the_first_contact() {
+    run(async |fake, address| {
+        let mut a = Node::eager(&fake, address, "a", 1);
+        a.lease.step().await;
+        fake.restore(&fake.copy());
+        let mut b = Node::eager(&fake, address, "b", 1);
+        b.client.list("servers/").await.unwrap();
+        let seen = b.client.clock().now();
+        fake.advance(TERM * 100);
+        b.lease.step().await;
+        let lost = b.client.lost_before().unwrap();
+        assert!(lost <= seen, "{:?} later", lost - seen);
+    });
+}
