Read the lease once a renewal is overdue

The holder may be lost after a renewal took effect and before it told of it; candidates then found an unknown version 3.5 s later and waited once more. They read it now from half a term after the version they were told on, so that the wait begins sooner. The rule of the takeover is the same.

The lost word itself was not brought about.

--- a/crates/pomeloridge_gateway/src/duties.rs
+++ b/crates/pomeloridge_gateway/src/duties.rs
@@ -21,6 +21,9 @@
 
 /// Interval between lease checks while this node holds the lease.
 const HELD_INTERVAL: Duration = Duration::from_millis(250);
+/// Part of the lease's term after which a renewal that the holder has not told of is overdue; it
+/// renews each third of the term.
+const RENEWAL_PATIENCE_DIVISOR: u32 = 2;
 /// Interval between lease checks while this node does not hold the lease.
 const FREE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between checks for windows that are due.
@@ -48,8 +51,8 @@
 }
 
 /// Acquires and renews the lease. Nodes that receive messages of its holder make no lease calls,
-/// except that the first candidates read it once its term has passed since the version that the
-/// holder told last.
+/// except that the first candidates read it while a renewal is overdue: the holder may have been
+/// lost before it told of one.
 async fn maintain_lease(state: Rc<State>, mut lease: LeaseManager) {
     let authority = lease.authority();
     let mut free_since = None;
@@ -61,7 +64,9 @@
         }
         let is_free = !is_held && !state.peers.borrow().has_live_duty_holder(now);
         free_since = is_free.then(|| free_since.unwrap_or(now));
-        let is_overdue = !is_held && told.is_some() && lease.takeover_delay().is_zero();
+        let patience = state.settings().time("lease", "term_ms") / RENEWAL_PATIENCE_DIVISOR;
+        let is_overdue = !is_held
+            && told.is_some_and(|(_, heard)| now.saturating_duration_since(heard) >= patience);
         let unheld_for = match free_since {
             Some(since) => Some(now.saturating_duration_since(since)),
             None => is_overdue.then_some(Duration::ZERO),
@@ -73,11 +78,8 @@
         publish_tenure(&state, &lease, &authority);
         let interval = match (is_held, should_claim) {
             (true, _) => HELD_INTERVAL,
-            (false, true) => FREE_INTERVAL.max(state.retry_delay()),
-            (false, false) => match lease.takeover_delay() {
-                Duration::ZERO => FREE_INTERVAL,
-                delay => FREE_INTERVAL.min(delay),
-            },
+            (false, true) => wait_for_takeover(&lease).max(state.retry_delay()),
+            (false, false) => wait_for_takeover(&lease),
         };
         monoio::time::sleep(interval).await;
     }
@@ -86,6 +88,14 @@
     lease.release().await;
 }
 
+/// Returns the time until the lease is checked again by a node that does not hold it.
+fn wait_for_takeover(lease: &LeaseManager) -> Duration {
+    match lease.takeover_delay() {
+        Duration::ZERO => FREE_INTERVAL,
+        delay => FREE_INTERVAL.min(delay),
+    }
+}
+
 /// Tells all peers that this node has acquired the lease, and the first candidates for it that it
 /// was renewed.
 fn publish_tenure(state: &Rc<State>, lease: &LeaseManager, authority: &Authority) {
