Bound the sizes that messages of peers may name

Found by review: two told prompts of 2^64-1 tokens, or such a load, overflowed in the choice of engines (sizes_beyond_any_engine_do_not_overflow panicked). A node whose servers are alike counted prompts that others told it (a_node_whose_servers_are_alike_counts_no_prompt_that_it_is_told failed).

--- a/crates/pomeloridge_policy/src/dispatch.rs
+++ b/crates/pomeloridge_policy/src/dispatch.rs
@@ -435,7 +435,11 @@
     pub fn set_peer_loads(&mut self, peer: &Name, loads: &[(u32, PeerLoad)]) {
         let mut by_server = HashMap::with_capacity(loads.len());
         for (hash, load) in loads {
-            by_server.entry(*hash).or_insert(*load);
+            let load = PeerLoad {
+                load: load.load.clamped(),
+                at: load.at,
+            };
+            by_server.entry(*hash).or_insert(load);
         }
         for target in self.targets.values_mut() {
             let reported = by_server.get(&target.id_hash).copied();
--- a/crates/pomeloridge_policy/src/dispatch/load.rs
+++ b/crates/pomeloridge_policy/src/dispatch/load.rs
@@ -10,6 +10,11 @@
 
 /// Age at which a load reported by a peer expires.
 pub(super) const PEER_LOAD_TTL: Duration = Duration::from_millis(1500);
+/// Most tokens that a message of a peer may name; more than any engine holds, and few enough to be
+/// added up.
+pub(super) const MAX_PEER_TOKENS: u64 = u32::MAX as u64;
+/// Most running requests that it may name.
+const MAX_PEER_RUNNING: u32 = u16::MAX as u32;
 /// Age at which a server's own report expires.
 const REPORT_TTL: Duration = Duration::from_millis(250);
 /// Age at which the slowdown that a server reported expires.
@@ -38,6 +43,17 @@
     }
 }
 
+impl NodeLoad {
+    /// Limits a load that a message has named.
+    pub(super) fn clamped(self) -> Self {
+        Self {
+            prefill_tokens: self.prefill_tokens.min(MAX_PEER_TOKENS),
+            running: self.running.min(MAX_PEER_RUNNING),
+            held_tokens: self.held_tokens.min(MAX_PEER_TOKENS),
+        }
+    }
+}
+
 /// The load of a peer on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerLoad {
--- a/crates/pomeloridge_policy/src/dispatch/sent_prompt.rs
+++ b/crates/pomeloridge_policy/src/dispatch/sent_prompt.rs
@@ -14,7 +14,7 @@
 
 use pomeloridge_base::id::Name;
 
-use super::load::PEER_LOAD_TTL;
+use super::load::{MAX_PEER_TOKENS, PEER_LOAD_TTL};
 use super::{Dispatcher, Target, TargetKey};
 
 /// Maximum number of peers that are told of a prompt.
@@ -131,11 +131,16 @@
 
     /// Records a prompt that a peer has just sent.
     pub fn record_peer_prompt(&mut self, source: PromptSource, sent: SentPrompt, now: Instant) {
-        let target = self.targets.values_mut().find(|t| t.id_hash == sent.server);
-        if let Some(target) = target {
+        let mut targets = self.targets.iter();
+        let found = targets.find(|(_, target)| target.id_hash == sent.server);
+        let Some((key, _)) = found.filter(|(_, target)| self.is_uneven(&target.info.service))
+        else {
+            return;
+        };
+        if let Some(target) = self.targets.get_mut(key) {
             let prompt = PeerPrompt {
                 source,
-                tokens: sent.tokens,
+                tokens: sent.tokens.min(MAX_PEER_TOKENS),
                 read_at: now + sent.read_in.min(PEER_LOAD_TTL),
             };
             target.peer_prompts.record(prompt, now);
--- a/crates/pomeloridge_policy/tests/policy/sent_prompts.rs
+++ b/crates/pomeloridge_policy/tests/policy/sent_prompts.rs
@@ -285,3 +285,44 @@
     assert_eq!(known_tokens(&node, now + ms(1499)), 30_000);
     assert_eq!(known_tokens(&node, now + ms(1500)), 0);
 }
+
+/// Load: messages whose sizes no engine could hold.
+#[parameterized(
+    of_peers = { PromptSource::Peer },
+    of_data_centres = { PromptSource::DataCentre },
+)]
+fn sizes_beyond_any_engine_do_not_overflow(source: fn(Name) -> PromptSource) {
+    let now = Instant::now();
+    let mut node = dispatcher(1, true);
+    let huge = SentPrompt {
+        read_in: Duration::from_millis(u64::MAX),
+        ..sent(&node, u64::MAX)
+    };
+    for _ in 0..2 {
+        node.record_peer_prompt(source(Name::from("b")), huge, now);
+    }
+    let load = PeerLoad {
+        load: NodeLoad {
+            prefill_tokens: u64::MAX,
+            running: u32::MAX,
+            held_tokens: u64::MAX,
+        },
+        at: now,
+    };
+    let decode = node.target(key(&node, "e100")).unwrap().hash();
+    for peer in ["c", "d"] {
+        let loads = [(huge.server, load), (decode, load)];
+        node.set_peer_loads(&Name::from(peer), &loads);
+    }
+    assert!(known_tokens(&node, now) > 1_000_000);
+    send_long(&mut node, 1, now);
+}
+
+/// Guards against prompts that count where servers are alike, as another node takes them to differ.
+#[test]
+fn a_node_whose_servers_are_alike_counts_no_prompt_that_it_is_told() {
+    let now = Instant::now();
+    let mut node = dispatcher(1, false);
+    node.record_peer_prompt(told_by("b"), sent(&node, 5_000), now);
+    assert_eq!(known_tokens(&node, now), 0);
+}
