--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -6,41 +6,42 @@
 //! receive fewer messages.
 
 mod crash_news;
+mod fetch;
+mod limits;
 mod node_object;
 mod quota;
 mod sent_prompt;
 mod table;
 mod wire;
 
-use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use monoio::net::udp::UdpSocket;
-use pomeloridge_base::count_guard::CountGuard;
 use pomeloridge_base::id::{Epoch, Era, Name, Revision};
 use pomeloridge_base::pacing::Turn;
 use pomeloridge_base::task::catch_panic;
 use pomeloridge_platform::PutOutcome;
-use pomeloridge_policy::dispatch::{Dispatcher, PartPlacement, SpeedReports};
+use pomeloridge_policy::dispatch::{PartPlacement, SpeedReports};
 use pomeloridge_policy::work_meter::WorkRates;
 use prost::Message;
 
-use crate::internal::PeerServers;
 use crate::server_list::{ApplyOutcome, ServerListDelta};
 use crate::state::State;
 use crate::usage::{Counts, UsageSource};
-use crate::{account_quota, internal, server_limits, versions, watch};
+use crate::{account_quota, server_limits, versions, watch};
 
 pub(crate) use crash_news::announce_crashes;
+use fetch::{fetch_config, fetch_servers, fetch_versions, is_server_list_behind, read_delay};
+use limits::{handle_limits, limits_wire, send_limits};
 pub(crate) use node_object::{ListedRecords, read_records, relevant_records};
 pub(crate) use quota::send_asks;
 pub(crate) use sent_prompt::announce_prompt;
 use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
-use wire::{LimitWire, PeerMessage, ServerListDeltaWire, SpeedsWire, UsageWire, WorkWire};
+use wire::{PeerMessage, ServerListDeltaWire, SpeedsWire, UsageWire, WorkWire};
 pub(crate) use wire::{decode_change, encode_change};
 
 /// Interval between reads of the node objects. It may be long, as a node that starts announces
@@ -57,15 +58,9 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Number of heartbeat rounds from one message with usage counts and work rates to the next.
 const ROUNDS_PER_USAGE_MESSAGE: u64 = 4;
-/// Time to wait for changes of the server list that arrive out of order.
-const REORDER_WAIT: Duration = Duration::from_millis(200);
 /// Further time for which a node that watches the object service waits for its own watch before it
 /// reads from a peer what that peer has and it lacks.
 const WATCH_DELAY: Duration = Duration::from_millis(300);
-/// Maximum random delay of a read from a peer in another data centre.
-const REMOTE_READ_JITTER: Duration = Duration::from_millis(500);
-/// Delay after a failed read; the next message of a peer then starts another.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time after a usage window's end for which its counts are still sent.
 const USAGE_RESEND_TIME: Duration = Duration::from_secs(3);
 /// Maximum age of a peer's last answer from the object service for the service to count as
@@ -402,11 +397,6 @@
     }
 }
 
-fn limits_wire(dispatcher: &Dispatcher, now: Instant) -> Vec<LimitWire> {
-    let reports = dispatcher.limit_reports(now);
-    reports.into_iter().map(LimitWire::from).collect()
-}
-
 fn speeds_wire(speeds: SpeedReports) -> Option<SpeedsWire> {
     (!speeds.reports.is_empty()).then(|| speeds.into())
 }
@@ -614,32 +604,6 @@
     Name::from(format!("centre/{hash:08x}"))
 }
 
-/// Tells a process that has just started, and so knows no limits, those of the servers.
-fn send_limits(state: &Rc<State>, address: SocketAddr) {
-    let limits = limits_wire(&state.dispatcher.borrow(), state.now());
-    if limits.is_empty() {
-        return;
-    }
-    let message = PeerMessage {
-        limits,
-        ..base_message(state)
-    };
-    send_to(state, message, vec![address]);
-}
-
-/// Handles a peer's reports of the limits that servers named.
-fn handle_limits(state: &State, limits: Vec<LimitWire>, name: &Name) {
-    let reports = limits.into_iter().filter_map(|wire| {
-        let report = wire.try_into();
-        report
-            .inspect_err(|error| {
-                log::warn!("limits from={name} choice=ignore reason=\"{error}\"");
-            })
-            .ok()
-    });
-    server_limits::merge(state, &reports.collect::<Vec<_>>(), name);
-}
-
 /// Handles a peer's view of the object service: whether the service answers the peer, and the
 /// peer's versions of the configuration and the server list. Reads what is newer.
 fn handle_store_state(state: &Rc<State>, message: &PeerMessage, name: &Name, address: SocketAddr) {
@@ -709,124 +673,3 @@
     let by_revision = (message.servers > 0).then(|| Revision(message.servers).era());
     message.era.map(Era).or(by_revision)
 }
-
-/// Returns whether this node's server list is older than a revision.
-fn is_server_list_behind(state: &State, revision: Revision) -> bool {
-    let known = state.server_list.borrow().revision();
-    revision > known.unwrap_or_default()
-}
-
-/// Returns the delay before a read from a peer. In a large fleet, nodes spread their reads from
-/// another data centre: a message with the changes may arrive meanwhile, or a peer in their own
-/// data centre may have the object first.
-fn read_delay(state: &State, is_local: bool) -> Duration {
-    let fan_out = state.settings().number("peers", "fan_out") as usize;
-    if is_local || !state.peers.borrow().is_large_fleet(fan_out) {
-        return Duration::ZERO;
-    }
-    rand::random_range(Duration::ZERO..REMOTE_READ_JITTER)
-}
-
-/// Reads the server list from a peer that has a newer one, unless the missing changes arrive
-/// meanwhile. `change` is a change that arrived before the changes it builds on.
-fn fetch_servers(
-    state: &Rc<State>,
-    address: SocketAddr,
-    revision: Revision,
-    change: Option<ServerListDelta>,
-    delay: Duration,
-) {
-    let task_state = Rc::clone(state);
-    let delay = REORDER_WAIT + delay;
-    spawn_read(
-        state,
-        &state.server_list_reads,
-        "servers",
-        address,
-        async move {
-            monoio::time::sleep(delay).await;
-            if let Some(change) = change {
-                watch::apply_server_delta(&task_state, &change);
-            }
-            if !is_server_list_behind(&task_state, revision) {
-                return Ok(());
-            }
-            let known = task_state.server_list.borrow().revision();
-            match internal::read_servers(address, known).await? {
-                PeerServers::List(revision, objects) => {
-                    watch::replace_server_list(&task_state, revision, &objects);
-                }
-                PeerServers::Changes(change) => {
-                    watch::apply_server_delta(&task_state, &change);
-                }
-            }
-            Ok(())
-        },
-    );
-}
-
-/// Reads a newer configuration from a peer, as the object service may be unreachable.
-fn fetch_config(state: &Rc<State>, address: SocketAddr, version: u64, is_local: bool) {
-    let task_state = Rc::clone(state);
-    let delay = read_delay(state, is_local);
-    spawn_read(state, &state.config_reads, "config", address, async move {
-        monoio::time::sleep(delay).await;
-        if task_state
-            .config()
-            .is_some_and(|config| config.version >= version)
-        {
-            return Ok(());
-        }
-        let object = internal::read_config(address).await?;
-        watch::adopt_config(&task_state, &object);
-        Ok(())
-    });
-}
-
-/// Reads a newer table of versions that a peer has named, from the object service or else from the
-/// peer.
-fn fetch_versions(state: &Rc<State>, address: SocketAddr, number: u64, is_local: bool) {
-    let task_state = Rc::clone(state);
-    let delay = read_delay(state, is_local);
-    let in_flight = &state.newer_versions_reads;
-    spawn_read(state, in_flight, "versions", address, async move {
-        monoio::time::sleep(delay).await;
-        let is_behind = || task_state.versions.borrow().table().number < number;
-        if is_behind()
-            && let Err(error) =
-                versions::read_table(&task_state, versions::TABLE_READ_TIMEOUT).await
-        {
-            log::debug!("versions table not read: {error}");
-        }
-        if is_behind() {
-            let table = internal::read_versions(address).await?;
-            versions::adopt(&task_state, table, "peer");
-        }
-        Ok(())
-    });
-}
-
-/// Runs a read from a peer in its own task. Only one read per `in_flight` counter runs at a
-/// time, since messages of several peers may ask for the same read.
-fn spawn_read(
-    state: &State,
-    in_flight: &Rc<Cell<usize>>,
-    what: &'static str,
-    address: SocketAddr,
-    read: impl Future<Output = Result<(), String>> + 'static,
-) {
-    let Some(read_guard) = CountGuard::try_new(in_flight, 1) else {
-        return;
-    };
-    let meter = state.meter.clone();
-    monoio::spawn(async move {
-        let outcome = catch_panic(what, &meter, read).await;
-        if let Some(Err(error)) = &outcome {
-            log::debug!("{what} from {address} not read: {error}");
-        }
-        if outcome.is_none_or(|outcome| outcome.is_err()) {
-            monoio::time::sleep(READ_RETRY_DELAY).await;
-        }
-        drop(read_guard);
-    });
-}
