Review case 9: a usage window reported with two counts (ONE)

Promise: ONE, the platform accepts two usage reports for one window with different counts.

Order of events: windows are reported; in a drill the store is away and all gateways are killed; it comes back in era 1 from a copy that is older than the first lease; a gateway that starts then takes the missing lease, seals a reported window anew and reports it with other counts.

Code: crates/pomeloridge_platform/src/client.rs, record_era, and Era::is_restored; report in crates/pomeloridge_gateway/src/duties.rs.

--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -11,6 +11,7 @@
 
 mod memory;
 mod takeup;
+mod usage;
 mod versions;
 
 use std::path::PathBuf;
@@ -73,6 +74,7 @@
                 "versions" => versions::run,
                 "memory" => memory::run,
                 "takeup" => takeup::run,
+                "usage" => usage::run,
                 _ => {
                     eprintln!("no such case: {case}");
                     exit(2)
