--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -12,7 +12,6 @@
 mod memory;
 mod takeup;
 mod usage;
-mod versions;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -71,7 +70,6 @@
     let verdict = match setup {
         Ok(setup) => {
             let run = match case.as_str() {
-                "versions" => versions::run,
                 "memory" => memory::run,
                 "takeup" => takeup::run,
                 "usage" => usage::run,
--- a/review/harness-2/src/platform.rs
+++ b/review/harness-2/src/platform.rs
@@ -175,15 +175,6 @@
         lost.len()
     }
 
-    /// Returns the objects of a kind by name.
-    pub fn objects(&self, kind: &str) -> BTreeMap<String, Value> {
-        let inner = self.inner.lock().unwrap();
-        let found = inner.objects.iter().filter(|(key, _)| key.0 == kind);
-        found
-            .map(|(key, (_, spec))| (key.1.clone(), spec.clone()))
-            .collect()
-    }
-
     fn respond(&self, request: &Request) -> (u16, Value) {
         let Some(path) = request.path().strip_prefix("/-/objects/") else {
             return (404, Value::Null);
