--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -10,6 +10,7 @@
 mod server;
 
 mod memory;
+mod stop;
 mod takeup;
 mod usage;
 
@@ -71,6 +72,7 @@
         Ok(setup) => {
             let run = match case.as_str() {
                 "memory" => memory::run,
+                "stop" => stop::run,
                 "takeup" => takeup::run,
                 "usage" => usage::run,
                 _ => {
