--- a/crates/pomeloridge_base/src/settings/table.rs
+++ b/crates/pomeloridge_base/src/settings/table.rs
@@ -129,7 +129,7 @@
     "routing" "servers" Choice(&["reported", "uneven"]), Some("reported"), "Which services are taken to have servers that differ in speed: `reported`, those whose servers report how long work takes there; `uneven`, all.", "Servers that differ are compared by the whole answer, their own speeds and their free memory, and those speeds are told to peers; others by the time to the first piece and the load.", "reported";
     "lease" "term_ms" Millis, Some("3000"), "Term of the lease on the duties.", "Must be at least the time within which the platform forbids a change of holder.", "3000";
     "lease" "margin_ms" Millis, Some("500"), "Time added to the term before another node takes the lease.", "Allows for clocks that run at different speeds.", "500";
-    "stop" "unready_ms" Millis, Some("3000"), "Delay between becoming unready and refusing connections at shutdown.", "The load balancer checks once a second and needs two failures.", "3000";
+    "stop" "unready_ms" Millis, Some("3000"), "Delay from the signal to stop until connections, and requests that may outlast the grace time, are refused; at most half of `grace_s`.", "The load balancer checks once a second and needs two failures.", "3000";
     "stop" "grace_s" Seconds, Some("8"), "Time from SIGTERM until the platform kills the process.", "Requests in flight are answered before it ends.", "8";
     "repeats" "ratio" Amount, Some("0.2"), "Retries that the fleet may send per request.", "Bounds the extra load on an overloaded service.", "0.2";
     "repeats" "slack" Amount, Some("50"), "Retries that the fleet may send in a window in addition to the ratio.", "Allows retries when there are few requests.", "50";
--- a/crates/pomeloridge_dev/tests/late_grace.rs
+++ b/crates/pomeloridge_dev/tests/late_grace.rs
@@ -26,6 +26,11 @@
 const SIGNAL_DELAY: Duration = Duration::from_secs(1);
 /// Time after SIGTERM at which a gateway is closing.
 const CLOSING: Duration = Duration::from_secs(4);
+/// Time after SIGTERM from which requests are refused that may outlast the grace time.
+const REFUSAL: Duration = Duration::from_secs(3);
+/// Number of requests that are sent from then on, and the time from one to the next.
+const CROSSING_REQUESTS: u32 = 30;
+const CROSSING_INTERVAL: Duration = Duration::from_millis(3);
 /// Silence of two servers that outlasts the grace time.
 const SILENT: &str = "pause-0-60000,pause-0-60000";
 /// Silence amid a stream that no other server may continue.
@@ -95,14 +100,15 @@
 }
 
 /// Sends requests on connections that have served another one. Says through `opened` when one has,
-/// and sends on it at the time that `at` then gives.
+/// and sends on it at the time that `at` then gives, each later than the one before by `interval`.
 async fn send_at(
     gateway: SocketAddr,
     opened: Sender<()>,
     at: Arc<OnceLock<Instant>>,
+    interval: Duration,
     requests: Vec<(String, OutgoingRequest)>,
 ) -> Vec<(String, Result<Response, String>)> {
-    let running = requests.into_iter().map(|(id, message)| {
+    let running = requests.into_iter().zip(0..).map(|((id, message), index)| {
         let (opened, at) = (opened.clone(), Arc::clone(&at));
         monoio::spawn(async move {
             let mut connection = Connection::open(gateway, ConnectOptions::default())
@@ -114,7 +120,7 @@
             opened.send(()).unwrap();
             let at = loop {
                 match at.get() {
-                    Some(at) => break *at,
+                    Some(at) => break *at + interval * index,
                     None => monoio::time::sleep(POLL_INTERVAL).await,
                 }
             };
@@ -147,7 +153,9 @@
     let (count, (opened, all_opened)) = (requests.len(), channel());
     let send_time = Arc::new(OnceLock::new());
     let at = Arc::clone(&send_time);
-    let sent = std::thread::spawn(move || block_on(send_at(gateway, opened, at, requests)));
+    let sent = std::thread::spawn(move || {
+        block_on(send_at(gateway, opened, at, Duration::ZERO, requests))
+    });
     // The connections are opened before the signal.
     for _ in 0..count {
         all_opened.recv_timeout(TIMEOUT).unwrap();
@@ -176,6 +184,57 @@
     }
 }
 
+/// Guards against streams that are taken too late to end and cut in the middle (review/9, LOST): the
+/// process notices its signal late, at its next look or after a pause.
+#[parameterized(
+    at_the_next_look = { Duration::ZERO },
+    after_a_pause = { Duration::from_millis(400) },
+)]
+fn no_long_stream_is_taken_after_the_unready_time(pause: Duration) {
+    let label = format!("crossing-{}", pause.as_millis());
+    let mut fleet = start(&label);
+    let gateway = fleet.gateways[0].caller;
+    let requests = (0..CROSSING_REQUESTS).map(|index| {
+        let id = format!("{label}-{index}");
+        let mut message = generation("note", &id, 200).with_header("x-fault", MIDWAY);
+        let time = HeaderValue::from(CALLER_TIME.as_millis() as u64);
+        message.headers.insert("pomeloridge-deadline-ms", time);
+        (id, message)
+    });
+    let requests: Vec<_> = requests.collect();
+    let (opened, all_opened) = channel();
+    let send_time = Arc::new(OnceLock::new());
+    let at = Arc::clone(&send_time);
+    let sending = send_at(gateway, opened, at, CROSSING_INTERVAL, requests);
+    let sent = std::thread::spawn(move || block_on(sending));
+    for _ in 0..CROSSING_REQUESTS {
+        all_opened.recv_timeout(TIMEOUT).unwrap();
+    }
+    let process = &mut fleet.gateways[0].process;
+    if !pause.is_zero() {
+        process.pause();
+    }
+    process.stop();
+    send_time.set(Instant::now() + REFUSAL).unwrap();
+    std::thread::sleep(pause);
+    process.resume();
+    let outcomes = sent.join().unwrap();
+    assert!(fleet.gateways[0].process.wait(GRACE_TIME).is_some());
+    let history: Value = get_json(fleet.duties, "/-/history").unwrap();
+    let received = history.as_array().unwrap().iter();
+    let received: Vec<&str> = received
+        .filter_map(|entry| entry["attempt"].as_str())
+        .collect();
+    for (id, answer) in outcomes {
+        assert!(!received.contains(&id.as_str()), "{id} was sent on");
+        // A connection that is closed first has not been read from.
+        if let Ok(answer) = answer {
+            assert_eq!(answer.status, 503, "{id}: {answer:?}");
+            assert_eq!(answer.headers["connection"], "close");
+        }
+    }
+}
+
 /// Guards against sending on requests that arrive while a gateway closes and outlast its grace
 /// time, and against refusing those that do not.
 #[parameterized(
--- a/crates/pomeloridge_gateway/src/lifecycle.rs
+++ b/crates/pomeloridge_gateway/src/lifecycle.rs
@@ -11,6 +11,7 @@
 use pomeloridge_base::pacing::take_largest_source;
 
 use crate::state::State;
+use crate::stop_schedule::{SignalTime, StopSchedule, serving_time};
 
 /// Interval at which the signal flags are polled.
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -24,9 +25,6 @@
 /// Interval at which a closing gateway logs what is still in flight.
 const CLOSING_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Part of the grace time that remains after the latest deadline of a request.
-const REMAINING_GRACE: f64 = 0.1;
-
 /// Time after the latest deadline for the requests that end by themselves, and then for writing
 /// the answers to the others.
 const END_DELAY: Duration = Duration::from_millis(200);
@@ -53,8 +51,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Lifecycle {
     phase: Rc<Cell<Phase>>,
-    /// Latest deadline of a request, once the gateway is stopping.
-    latest_deadline: Rc<Cell<Option<Instant>>>,
+    /// The times of the stop, once the gateway is stopping.
+    schedule: Rc<Cell<Option<StopSchedule>>>,
+    /// When requests that are still in flight are ended, once the gateway is stopping.
+    ends_at: Rc<Cell<Option<Instant>>>,
 }
 
 impl Lifecycle {
@@ -63,29 +63,24 @@
     }
 
     /// Returns the deadline of a request that arrives at `now` and whose caller waits until
-    /// `deadline`, or `None` if the request is to be refused.
-    ///
-    /// While the gateway drains, the deadline is moved to before the process is killed. A closing
-    /// gateway refuses the request instead, as its caller then reaches another gateway.
+    /// `deadline`, or `None` if the request is to be refused as the gateway is stopping.
     pub(crate) fn admit(&self, deadline: Instant, now: Instant) -> Option<Instant> {
-        let Some(latest) = self.latest_deadline.get() else {
-            return Some(deadline);
-        };
-        let is_admitted = now < latest && (deadline <= latest || !self.is_closing());
-        is_admitted.then(|| deadline.min(latest))
+        match self.schedule.get() {
+            Some(schedule) => schedule.admit(deadline, now),
+            None => Some(deadline),
+        }
     }
 
     /// Waits until requests that are still in flight must be ended, as the process is about to be
     /// killed.
     pub(crate) async fn out_of_time(&self) {
-        let latest = loop {
-            if let Some(latest) = self.latest_deadline.get() {
-                break latest;
+        let ends_at = loop {
+            if let Some(ends_at) = self.ends_at.get() {
+                break ends_at;
             }
             monoio::time::sleep(STOP_CHECK_INTERVAL).await;
         };
-        let left = (latest + END_DELAY).saturating_duration_since(Instant::now());
-        monoio::time::sleep(left).await;
+        monoio::time::sleep(ends_at.saturating_duration_since(Instant::now())).await;
     }
 
     /// Waits until the process must end.
@@ -119,17 +114,21 @@
     let reload = flag(&[signal_hook::consts::SIGHUP])?;
     let state = Rc::clone(state);
     monoio::spawn(async move {
-        for poll in 1.. {
-            if stop.load(Ordering::Relaxed) {
-                break;
+        let mut signal_time = SignalTime::new(state.now());
+        let mut poll = 0;
+        let signalled_at = loop {
+            let now = state.now();
+            if let Some(earliest) = signal_time.look(|| stop.load(Ordering::Relaxed), now) {
+                break earliest;
             }
+            poll += 1;
             let requested = reload.swap(false, Ordering::Relaxed);
             if requested || poll % POLLS_PER_RELOAD == 0 {
                 state.reload(requested);
             }
             monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
-        }
-        drain(&state).await;
+        };
+        drain(&state, signalled_at).await;
     });
     Ok(())
 }
@@ -160,20 +159,35 @@
 }
 
 /// Reports the gateway as not ready at once, and refuses connections after the delay that the
-/// load balancer needs to notice.
-async fn drain(state: &State) {
-    let in_flight = state.in_flight.get();
-    let grace_time = state.settings().time("stop", "grace_s");
-    let serving_time = grace_time.mul_f64(1.0 - REMAINING_GRACE);
-    log::info!(
-        "stop phase=draining running={in_flight} serving_ms={}",
-        serving_time.as_millis()
+/// load balancer needs to notice. The signal was sent at `signalled_at` or later.
+async fn drain(state: &State, signalled_at: Instant) {
+    let settings = state.settings();
+    let grace_time = settings.time("stop", "grace_s");
+    let schedule = StopSchedule::new(
+        signalled_at,
+        settings.time("stop", "unready_ms"),
+        grace_time,
     );
+    let now = state.now();
     let lifecycle = &state.lifecycle;
-    let latest = state.now() + serving_time;
-    lifecycle.latest_deadline.set(Some(latest));
+    lifecycle.schedule.set(Some(schedule));
+    // What is in flight may go on for as long as the latest time of the signal allows.
+    lifecycle
+        .ends_at
+        .set(Some(now + serving_time(grace_time) + END_DELAY));
     lifecycle.phase.set(Phase::Draining);
-    monoio::time::sleep(state.settings().time("stop", "unready_ms")).await;
+    let closing_time = schedule.closing_at.saturating_duration_since(now);
+    log::info!(
+        "stop phase=draining running={} noticed_ms={} closing_ms={} serving_ms={}",
+        state.in_flight.get(),
+        now.saturating_duration_since(signalled_at).as_millis(),
+        closing_time.as_millis(),
+        schedule
+            .latest_deadline
+            .saturating_duration_since(now)
+            .as_millis()
+    );
+    monoio::time::sleep(closing_time).await;
     log::info!("stop phase=closing running={}", state.in_flight.get());
     lifecycle.phase.set(Phase::Closing);
     loop {
