--- a/crates/pomeloridge_base/src/meter.rs
+++ b/crates/pomeloridge_base/src/meter.rs
@@ -47,6 +47,8 @@
         Moved: "pomeloridge_moved", "Runs that another engine continued after a move.";
         Resumed: "pomeloridge_resumed", "Generations continued on another engine.";
         UnknownVersions: "pomeloridge_unknown_versions", "Streams not continued since the software version that began them was not known.";
+        StreamCopies: "pomeloridge_stream_copies", "Messages that told other nodes of the software version of a stream as it began.";
+        StreamCopyAsks: "pomeloridge_stream_copy_asks", "Messages that asked other nodes for the software version of a stream.";
         OutputTokens: "pomeloridge_output_tokens", "Output tokens sent to callers.";
         Ejections: "pomeloridge_ejections", "Backend servers taken out of routing after a failure.";
         RoleChanges: "pomeloridge_role_changes", "Role changes ordered.";
--- a/crates/pomeloridge_dev/tests/versions.rs
+++ b/crates/pomeloridge_dev/tests/versions.rs
@@ -429,20 +429,23 @@
     );
 }
 
-/// Time from the kill of a gateway to that of the next one.
-const SECOND_KILL: Duration = Duration::from_secs(13);
+/// Time from the kill of a gateway after which no stream of it is continued.
+const SETTLED: Duration = Duration::from_secs(13);
 /// Grace time of a planned stop.
 const GRACE_TIME: Duration = Duration::from_secs(8);
 
 /// Guards against streams that nobody takes up, as a gateway that has ended never acknowledges the
-/// versions that came after it.
+/// versions that came after it. One that was killed just before may have begun any stream in a
+/// moved slot (review/7, LOST).
 #[parameterized(
-    planned = { 1, true },
-    two_planned = { 2, true },
-    killed = { 1, false },
+    planned = { 1, true, Duration::ZERO },
+    two_planned = { 2, true, Duration::ZERO },
+    killed = { 1, false, SETTLED },
+    killed_just_before = { 1, false, Duration::ZERO },
+    two_killed_just_before = { 2, false, Duration::ZERO },
 )]
-fn streams_go_on_after_a_gateway_has_ended(ended: usize, is_planned: bool) {
-    let name = format!("ended-{ended}-{is_planned}");
+fn streams_go_on_after_a_gateway_has_ended(ended: usize, is_planned: bool, second_kill: Duration) {
+    let name = format!("ended-{ended}-{is_planned}-{}", second_kill.as_secs());
     let mut fleet = start(&name, ended + 2, OLD.len());
     let gateways = callers(&fleet);
     wait_until(|| {
@@ -477,10 +480,7 @@
         order(&fleet, "/-/leave", &leave);
     }
     wait_until_sole(gateways[ended], "v2");
-    if !is_planned {
-        let left = (ended_at + SECOND_KILL).saturating_duration_since(Instant::now());
-        std::thread::sleep(left);
-    }
+    std::thread::sleep((ended_at + second_kill).saturating_duration_since(Instant::now()));
     let streams = send("e", STREAMS, with_fault(SLOW), move |_, sent| {
         gateways[ended + sent.min(1)]
     });
@@ -491,6 +491,41 @@
     check_taken_up(&streams, STREAMS / 2);
 }
 
+/// Guards against streams that nobody takes up because those that knew them are killed together:
+/// the gateway that began them and most of the others, one of which was killed just before.
+#[test]
+fn streams_go_on_after_several_gateways_are_killed_together() {
+    const GATEWAYS: usize = 6;
+    const BEGINNER: usize = 1;
+    const LEFT: usize = 4;
+    let mut fleet = start("together", GATEWAYS, OLD.len());
+    let gateways = callers(&fleet);
+    wait_until_sole(gateways[BEGINNER], "v1");
+    fleet.gateways[0].process.kill();
+    for server in NEW {
+        add(&fleet, server, "decode", "v2");
+    }
+    for server in OLD {
+        let leave = json!({ "server": server, "listed": true, "for_ms": 200 });
+        order(&fleet, "/-/leave", &leave);
+    }
+    wait_until_sole(gateways[BEGINNER], "v2");
+    let streams = send("g", STREAMS, with_fault(SLOW), move |number, sent| {
+        if sent == 0 {
+            gateways[BEGINNER]
+        } else {
+            gateways[LEFT + (number + sent) % (GATEWAYS - LEFT)]
+        }
+    });
+    wait_until_begun(&fleet, "g", STREAMS);
+    for gateway in &fleet.gateways[BEGINNER..LEFT] {
+        gateway.process.signal(libc::SIGKILL);
+    }
+    let streams = streams.join().unwrap();
+    check(&fleet, &streams);
+    check_taken_up(&streams, STREAMS / 2);
+}
+
 /// Guards against take-ups at a gateway that stood still and is cut off while servers of a new
 /// version joined: it would have them go on at the only version that it knows.
 #[test]
--- a/crates/pomeloridge_gateway/src/peers.rs
+++ b/crates/pomeloridge_gateway/src/peers.rs
@@ -11,6 +11,7 @@
 mod node_object;
 mod quota;
 mod sent_prompt;
+mod stream_copies;
 mod table;
 mod wire;
 
@@ -39,6 +40,7 @@
 pub(crate) use node_object::{ListedRecords, read_records, relevant_records};
 pub(crate) use quota::send_asks;
 pub(crate) use sent_prompt::announce_prompt;
+pub(crate) use stream_copies::{ask_for_copy, send_copies};
 use table::StoreView;
 pub(crate) use table::{Peers, name_hash};
 use wire::{PeerMessage, ServerListDeltaWire, SpeedsWire, UsageWire, WorkWire};
@@ -560,6 +562,7 @@
     }
     quota::handle(state, &mut message, address);
     sent_prompt::handle(state, &message, &name);
+    stream_copies::handle(state, &mut message, address);
     crash_news::handle(state, &mut message, &name);
     handle_limits(state, std::mem::take(&mut message.limits), &name);
     handle_speeds(state, message.speeds.take(), &name);
--- a/crates/pomeloridge_gateway/src/peers/table.rs
+++ b/crates/pomeloridge_gateway/src/peers/table.rs
@@ -10,6 +10,7 @@
 use pomeloridge_policy::heartbeat_schedule::{
     is_large_fleet, peers_for_round, peers_per_round, rounds_to_cover,
 };
+use pomeloridge_policy::stream_versions::{CopyNode, StreamId, copy_nodes};
 use pomeloridge_policy::watchers::{
     LivePeer, RankedNode, caller_count, first_callers, notifies, watcher_ranks,
 };
@@ -423,6 +424,23 @@
         })
     }
 
+    /// Returns the addresses of the first `count` peers that keep copies of a stream's version.
+    pub(super) fn copy_addresses(
+        &self,
+        stream: StreamId,
+        count: usize,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let ranked = self.by_name.iter();
+        let ranked = ranked.filter(|(_, peer)| self.is_ranked(peer, now) || is_new(peer, now));
+        let nodes = ranked.map(|(name, peer)| CopyNode {
+            key: peer.address,
+            name_hash: name_hash(name),
+            data_centre_hash: peer.data_centre_hash,
+        });
+        copy_nodes(stream, nodes, count)
+    }
+
     /// Returns the addresses of all peers.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.by_name.values().map(|peer| peer.address).collect()
--- a/crates/pomeloridge_gateway/src/peers/wire.rs
+++ b/crates/pomeloridge_gateway/src/peers/wire.rs
@@ -17,6 +17,7 @@
 use prost::Message;
 
 use super::sent_prompt::SentPromptWire;
+use super::stream_copies::StreamCopyWire;
 use crate::compression::{compress, decompress};
 use crate::server_list::ServerListDelta;
 
@@ -114,6 +115,12 @@
     /// A long prompt that the sender has just sent to an engine.
     #[prost(message, optional, tag = "32")]
     pub(super) sent_prompt: Option<SentPromptWire>,
+    /// Versions of streams that the sender has begun or knows.
+    #[prost(message, repeated, tag = "33")]
+    pub(super) stream_copies: Vec<StreamCopyWire>,
+    /// Identifiers of streams whose versions the sender asks for.
+    #[prost(fixed64, repeated, tag = "34")]
+    pub(super) wanted_streams: Vec<u64>,
 }
 
 /// Measurements of servers, stored by column.
--- a/crates/pomeloridge_gateway/src/state.rs
+++ b/crates/pomeloridge_gateway/src/state.rs
@@ -170,6 +170,8 @@
     pub(crate) last_record_written: Cell<bool>,
     /// Number of running changes of the table of versions.
     pub(crate) versions_writes: Rc<Cell<usize>>,
+    /// Number of streams whose versions are asked for at other nodes.
+    pub(crate) copy_lookups: Rc<Cell<usize>>,
     /// Number of running reads of the table of versions that a peer has named.
     pub(crate) newer_versions_reads: Rc<Cell<usize>>,
     /// Reads of the table of versions for lookups.
@@ -265,6 +267,7 @@
             versions_checked: Cell::new(None),
             last_record_written: Cell::new(false),
             versions_writes: Rc::default(),
+            copy_lookups: Rc::default(),
             newer_versions_reads: Rc::default(),
             table_reads: SharedRead::new(versions::TABLE_READ_INTERVAL),
             record_reads: SharedRead::new(versions::RECORDS_READ_INTERVAL),
--- a/crates/pomeloridge_gateway/src/versions.rs
+++ b/crates/pomeloridge_gateway/src/versions.rs
@@ -2,6 +2,7 @@
 //! node's record of the streams that the table does not explain, and the version of a stream that
 //! this node did not begin.
 
+mod copies;
 mod known;
 mod lookup;
 mod shared_read;
@@ -13,15 +14,17 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::stream_versions::{
-    MAX_UNCONFIRMED, StreamId, StreamVersion, UnknownVersion, VersionTable,
+    BegunStream, MAX_UNCONFIRMED, StreamId, StreamVersion, UnknownVersion, VersionTable,
 };
 use prost::Message;
 
+use crate::peers;
 use crate::state::State;
 
 pub use known::StreamVersions;
 pub use wire::{InvalidStreamIds, RecordWire, SlotsWire, TableWire};
 
+pub(crate) use copies::{handle_copy, known_stream};
 pub(crate) use lookup::{
     RECORDS_READ_INTERVAL, TABLE_READ_INTERVAL, TABLE_READ_TIMEOUT, version_of_resumed,
 };
@@ -122,7 +125,7 @@
 
 /// Records that a stream has begun or is continued at a server of a version.
 pub(crate) fn record_begun(
-    state: &State,
+    state: &Rc<State>,
     service: &Name,
     attempt: &[u8],
     version: &Name,
@@ -132,10 +135,15 @@
         service: service.clone(),
         version: version.clone(),
     };
-    let now = state.now();
+    let (id, now) = (StreamId::of(attempt), state.now());
     let mut versions = state.versions.borrow_mut();
     versions.extend_longest(expires.saturating_duration_since(now), now);
-    versions.record(StreamId::of(attempt), version, expires, now);
+    versions.record(id, version.clone(), expires, now);
+    let needs_copies = versions.needs_copies(service, now);
+    drop(versions);
+    if needs_copies {
+        peers::send_copies(state, id, &BegunStream { version, expires });
+    }
 }
 
 /// Adopts a table if it is newer than the one in force. Returns whether it was.
--- a/crates/pomeloridge_gateway/src/versions/known.rs
+++ b/crates/pomeloridge_gateway/src/versions/known.rs
@@ -32,6 +32,8 @@
     /// When the slots of each service were seen to change, initially the start.
     changed: HashMap<Name, Vec<Instant>>,
     memory: StreamMemory,
+    /// Streams that other nodes have begun or continued, as they told this node.
+    copies: StreamMemory,
     /// Number of the table that the former process had acknowledged; none if there was no such
     /// process, or its streams can't be continued any more.
     inherited: Option<u64>,
@@ -60,6 +62,7 @@
             heard: None,
             changed: HashMap::new(),
             memory: StreamMemory::default(),
+            copies: StreamMemory::default(),
             inherited: None,
             inherited_until: now,
             longest: MIN_LONGEST,
@@ -155,9 +158,40 @@
         self.memory.version(service, id, now)
     }
 
-    /// Returns whether this node has begun or continued a stream at another service.
+    /// Returns whether a stream was begun or continued at another service, by this node or by one
+    /// that told it.
     pub fn is_elsewhere(&self, service: &Name, id: StreamId, now: Instant) -> bool {
-        self.memory.is_elsewhere(service, id, now)
+        let known = [&self.memory, &self.copies];
+        known
+            .iter()
+            .any(|memory| memory.is_elsewhere(service, id, now))
+    }
+
+    /// Returns whether other nodes must be told of the streams of a service that begin now: the
+    /// table may not tell their version to a node that continues them.
+    pub fn needs_copies(&self, service: &Name, now: Instant) -> bool {
+        let slots = self.table.services.get(service);
+        let changed = self.changed.get(service).into_iter().flatten();
+        let last = changed.max();
+        slots.is_some_and(|slots| slots.sole_version().is_none())
+            && last.is_some_and(|at| now.saturating_duration_since(*at) < SETTLE_TIME)
+    }
+
+    /// Records the version of a stream that another node has begun or continued. The first one that
+    /// was told stays.
+    pub fn record_copy(&mut self, id: StreamId, stream: BegunStream, now: Instant) {
+        self.copies.record(id, stream, now);
+    }
+
+    /// Returns the version of a stream of which another node has told this one.
+    pub fn copied(&self, service: &Name, id: StreamId, now: Instant) -> Option<&Name> {
+        self.copies.version(service, id, now)
+    }
+
+    /// Returns a stream that this node knows, from its own memory or from another node.
+    pub fn known_stream(&self, id: StreamId, now: Instant) -> Option<&BegunStream> {
+        let own = self.memory.get(id, now);
+        own.or_else(|| self.copies.get(id, now))
     }
 
     /// Remembers the version at which a stream is about to begin. A table that is adopted before
@@ -279,6 +313,7 @@
     /// Drops streams that can't be continued any more.
     pub fn sweep(&mut self, now: Instant) {
         self.memory.sweep(now);
+        self.copies.sweep(now);
         if now >= self.inherited_until
             && let Some(inherited) = self.inherited.take()
             && inherited < self.table.number
--- a/crates/pomeloridge_gateway/src/versions/lookup.rs
+++ b/crates/pomeloridge_gateway/src/versions/lookup.rs
@@ -10,7 +10,7 @@
     version_by_table,
 };
 
-use super::{read_table, table};
+use super::{copies, read_table, table};
 use crate::peers;
 use crate::state::State;
 
@@ -36,6 +36,9 @@
     /// The records of the nodes.
     #[display("records")]
     Records,
+    /// A copy that the node that began the stream or has continued it sent to others.
+    #[display("copy")]
+    Copy,
 }
 
 /// Returns the version of the stream that `attempt` began and a caller continues.
@@ -80,10 +83,33 @@
         if let Some(version) = versions.remembered(service, stream, now) {
             return Ok((version.clone(), Source::Memory));
         }
+        if let Some(version) = versions.copied(service, stream, now) {
+            return Ok((version.clone(), Source::Copy));
+        }
         if versions.is_elsewhere(service, stream, now) {
             return Err(UnknownVersion::OtherService);
         }
     }
+    let found = resolve_shared(state, service, stream).await;
+    let (Err(reason), Some(stream)) = (&found, stream) else {
+        return found;
+    };
+    if !reason.is_lack_of_proof() {
+        return found;
+    }
+    // What a node tells of the stream itself holds whatever this one lacks.
+    match copies::ask(state, service, stream).await {
+        Some(version) => Ok((version, Source::Copy)),
+        None => found,
+    }
+}
+
+/// Returns the version of a stream that this node does not know, by what all nodes share.
+async fn resolve_shared(
+    state: &Rc<State>,
+    service: &Name,
+    stream: Option<StreamId>,
+) -> Result<(Name, Source), UnknownVersion> {
     // Without the object service, the own copy counts only if most nodes would have told a newer
     // number by now: in an outage of the service the table can't change.
     if !refresh_table(state).await && !state.hears_majority() {
--- a/crates/pomeloridge_gateway/tests/versions.rs
+++ b/crates/pomeloridge_gateway/tests/versions.rs
@@ -7,8 +7,8 @@
 use pomeloridge_base::id::Name;
 use pomeloridge_gateway::{InvalidStreamIds, RecordWire, StreamVersions, TableWire};
 use pomeloridge_policy::stream_versions::{
-    MAX_STREAM_AGE, SETTLE_TIME, ServiceCapacities, StreamId, StreamRecord, StreamVersion,
-    VersionTable,
+    BegunStream, MAX_STREAM_AGE, SETTLE_TIME, ServiceCapacities, StreamId, StreamRecord,
+    StreamVersion, VersionTable,
 };
 use proptest::prelude::*;
 use prost::Message;
@@ -273,6 +273,52 @@
     assert_eq!(inherited, [true, false]);
 }
 
+/// Guards against copies of streams without end: other nodes are told only while the table may not
+/// tell a stream's version.
+#[test]
+fn copies_are_sent_while_the_table_has_changed_lately() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let service = Name::from(SERVICE);
+    let [first, second, _] = tables();
+    let mut versions = StreamVersions::new(start);
+    assert!(!versions.needs_copies(&service, start));
+    versions.adopt(first, at(1));
+    assert!(!versions.needs_copies(&service, at(1)), "one version only");
+    versions.adopt(second, at(10));
+    assert!(versions.needs_copies(&service, at(10)));
+    assert!(versions.needs_copies(&service, at(44)));
+    assert!(!versions.needs_copies(&service, at(45)));
+    assert!(!versions.needs_copies(&Name::from("other"), at(10)));
+}
+
+/// Guards against a copy that replaces what is known already, outlives its stream, or gets into this
+/// node's record, which speaks for its own streams.
+#[test]
+fn a_copy_tells_the_version_of_a_stream_while_it_may_be_continued() {
+    let now = Instant::now();
+    let [first, second, _] = tables();
+    let service = Name::from(SERVICE);
+    let mut versions = StreamVersions::new(now);
+    versions.adopt(first, now);
+    versions.adopt(second, now);
+    let id = StreamId(5);
+    let copy = |name| BegunStream {
+        version: version(name),
+        expires: now + MAX_STREAM_AGE,
+    };
+    versions.record_copy(id, copy("c"), now);
+    versions.record_copy(id, copy("a"), now);
+    assert_eq!(versions.copied(&service, id, now), Some(&Name::from("c")));
+    assert_eq!(versions.remembered(&service, id, now), None);
+    assert!(versions.is_elsewhere(&Name::from("other"), id, now));
+    assert_eq!(versions.known_stream(id, now), Some(&copy("c")));
+    assert!(versions.own_record(now).unwrap().streams.is_empty());
+    let later = now + MAX_STREAM_AGE;
+    assert_eq!(versions.copied(&service, id, later), None);
+    assert_eq!(versions.known_stream(id, later), None);
+}
+
 /// Returns a table of `services` services whose places have moved between three versions often.
 fn scattered_table(services: usize) -> VersionTable {
     let mut table = VersionTable::default();
--- a/crates/pomeloridge_policy/src/stream_versions.rs
+++ b/crates/pomeloridge_policy/src/stream_versions.rs
@@ -5,9 +5,12 @@
 //! table gives each slot a version. Each node remembers the streams that it began. When the table
 //! changes, it records those that the new table does not explain, and acknowledges the table. A
 //! node that has neither begun a stream nor finds it in a record knows its version if all nodes
-//! have acknowledged the table in which the slot changed last.
+//! have acknowledged the table in which the slot changed last. A node that has ended acknowledges
+//! nothing; while the table has changed lately, each node therefore sends a copy of the version of
+//! each stream that it begins to a few others.
 
 mod memory;
+mod placement;
 mod table;
 
 use std::collections::HashMap;
@@ -20,6 +23,7 @@
 use crate::prefix::leading_number;
 
 pub use memory::{BegunStream, MAX_STREAMS, StreamMemory};
+pub use placement::{ASKED, COPIES, CopyNode, copy_nodes};
 pub use table::{InvalidSlots, SLOTS, ServiceCapacities, Slot, VersionSlots, VersionTable};
 
 /// Longest time from a stream's first event until its caller stops trying to continue it.
@@ -125,6 +129,19 @@
     NoRecords,
 }
 
+impl UnknownVersion {
+    /// Returns whether the version is unknown only for want of proof, so that another node may
+    /// know the stream.
+    pub fn is_lack_of_proof(self) -> bool {
+        match self {
+            Self::NoTable | Self::Outdated | Self::CutOff | Self::SlotChanged | Self::NoRecords => {
+                true
+            }
+            Self::NoAttempt | Self::OtherService | Self::Conflict => false,
+        }
+    }
+}
+
 /// The records of all nodes; `None` for a node that writes none.
 pub type StreamRecords = HashMap<Name, Option<StreamRecord>>;
 
--- a/crates/pomeloridge_policy/src/stream_versions/memory.rs
+++ b/crates/pomeloridge_policy/src/stream_versions/memory.rs
@@ -64,18 +64,22 @@
         self.streams.insert(id, Entry { stream, has_begun });
     }
 
+    /// Returns a stream that its caller may still continue.
+    pub fn get(&self, id: StreamId, now: Instant) -> Option<&BegunStream> {
+        let stream = &self.streams.get(&id)?.stream;
+        (now < stream.expires).then_some(stream)
+    }
+
     /// Returns the version of a stream of a service.
     pub fn version(&self, service: &Name, id: StreamId, now: Instant) -> Option<&Name> {
-        let stream = &self.streams.get(&id)?.stream;
-        let is_valid = stream.version.service == *service && now < stream.expires;
-        is_valid.then_some(&stream.version.version)
+        let stream = self.get(id, now)?;
+        (stream.version.service == *service).then_some(&stream.version.version)
     }
 
     /// Returns whether a stream belongs to another service.
     pub fn is_elsewhere(&self, service: &Name, id: StreamId, now: Instant) -> bool {
-        self.streams.get(&id).is_some_and(|entry| {
-            entry.stream.version.service != *service && now < entry.stream.expires
-        })
+        let stream = self.get(id, now);
+        stream.is_some_and(|stream| stream.version.service != *service)
     }
 
     /// Returns the streams whose version a table does not give.
--- a/crates/pomeloridge_policy/tests/policy/stream_versions.rs
+++ b/crates/pomeloridge_policy/tests/policy/stream_versions.rs
@@ -5,9 +5,10 @@
 
 use pomeloridge_base::id::Name;
 use pomeloridge_policy::stream_versions::{
-    BegunStream, MAX_STREAM_AGE, MAX_STREAMS, MAX_UNCONFIRMED, SETTLE_TIME, SLOTS,
-    ServiceCapacities, Slot, StreamId, StreamMemory, StreamRecord, StreamRecords, StreamVersion,
-    UnknownVersion, VersionSlots, VersionTable, version_by_records, version_by_table,
+    ASKED, BegunStream, COPIES, CopyNode, MAX_STREAM_AGE, MAX_STREAMS, MAX_UNCONFIRMED,
+    SETTLE_TIME, SLOTS, ServiceCapacities, Slot, StreamId, StreamMemory, StreamRecord,
+    StreamRecords, StreamVersion, UnknownVersion, VersionSlots, VersionTable, copy_nodes,
+    version_by_records, version_by_table,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -517,3 +518,63 @@
     assert!(settled < Duration::from_secs(16), "{settled:?}");
     assert_eq!(longest(MAX_STREAM_AGE).settle_time(), SETTLE_TIME);
 }
+
+/// Returns nodes that are spread over data centres, with their numbers as keys.
+fn copy_candidates(nodes: u64, data_centres: u32) -> Vec<CopyNode<u64>> {
+    let nodes = (0..nodes).map(|key| CopyNode {
+        key,
+        name_hash: StreamId::of(format!("front-{key}").as_bytes()).0,
+        data_centre_hash: key as u32 % data_centres,
+    });
+    nodes.collect()
+}
+
+/// Guards against copies that nobody finds: the node that asks does not know the one that sent them
+/// or was killed with others, and knows some that the sender did not.
+#[parameterized(
+    six_nodes = { 6, 4, 1 },
+    eighty_nodes = { 80, 4, 2 },
+    a_thousand_nodes = { 1000, 10, 2 },
+)]
+fn copies_are_found_by_a_node_that_knows_other_nodes(nodes: u64, data_centres: u32, gone: usize) {
+    let all = copy_candidates(nodes, data_centres);
+    for number in 0..500_u64 {
+        let stream = StreamId::of(&number.to_be_bytes());
+        let (sender, asker) = (number % nodes, (number + 1) % nodes);
+        let known = |own: u64| all.iter().filter(move |node| node.key != own).copied();
+        let sent = copy_nodes(stream, known(sender), COPIES);
+        // The asker knows the sender still, and nodes that have just started, but not those that
+        // have just been killed.
+        let asked = known(asker).filter(|node| !sent[..gone].contains(&node.key));
+        let asked = copy_nodes(stream, asked, ASKED);
+        let left = sent[gone..].iter().filter(|key| **key != asker);
+        let mut left = left.peekable();
+        if left.peek().is_some() {
+            assert!(left.any(|key| asked.contains(key)), "{sent:?} {asked:?}");
+        }
+    }
+}
+
+/// Guards against copies that are all lost with one data centre.
+#[test]
+fn copies_are_in_several_data_centres() {
+    let all = copy_candidates(80, 3);
+    let mut held = HashMap::new();
+    for number in 0..2000_u64 {
+        let stream = StreamId::of(&number.to_be_bytes());
+        let sent = copy_nodes(stream, all.iter().copied(), COPIES);
+        let mut centres: Vec<u64> = sent.iter().map(|key| key % 3).collect();
+        centres.sort_unstable();
+        assert_eq!(centres, [0, 1, 2]);
+        for key in sent {
+            *held.entry(key).or_insert(0) += 1;
+        }
+    }
+    // 75 each on average.
+    assert_eq!(held.len(), 80);
+    assert!(
+        held.values().all(|count| (30..150).contains(count)),
+        "{held:?}"
+    );
+    assert!(copy_nodes(StreamId(1), std::iter::empty::<CopyNode<u64>>(), COPIES).is_empty());
+}
