--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -19,6 +19,8 @@
 
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Highest status code of HTTP.
+const MAX_STATUS: u16 = 599;
 /// Maximum number of interim heads before a response.
 const MAX_INTERIM_HEADS: usize = 16;
 /// Minimum for `TCP_USER_TIMEOUT`, since 0 disables it.
@@ -346,6 +348,9 @@
             }
             let close = |value: &http::HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
             let headers = &head.headers;
+            if head.status.as_u16() > MAX_STATUS {
+                return Err(Fault::Malformed("a status that HTTP does not define"));
+            }
             self.keep_alive &= !headers.get(http::header::CONNECTION).is_some_and(close);
             self.remaining = match response_framing(head.status, headers)? {
                 Some(remaining) => remaining,
