--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -152,6 +152,8 @@
     address: SocketAddr,
     remaining: Remaining,
     written: bool,
+    /// Whether the latest request has been written whole.
+    is_sent: bool,
     /// Whether no exchange is incomplete.
     complete: bool,
     keep_alive: bool,
@@ -212,6 +214,7 @@
             address,
             remaining: Remaining::None,
             written: false,
+            is_sent: true,
             complete: true,
             keep_alive: true,
             unframed: options.unframed,
@@ -292,7 +295,9 @@
         self.begin_send(deadline)?;
         let taken: RecordTaken = Box::new(taken);
         let written = self.stream.write_watched(bytes, Some(deadline), &taken);
-        written.await
+        written.await?;
+        self.is_sent = true;
+        Ok(())
     }
 
     /// Sends a request if `allowed` returns true directly before the write; fails with a timeout
@@ -309,13 +314,16 @@
             return Err(Fault::Timeout);
         }
         self.begin_send(deadline)?;
-        self.stream.write(bytes, deadline).await
+        self.stream.write(bytes, deadline).await?;
+        self.is_sent = true;
+        Ok(())
     }
 
     fn begin_send(&mut self, deadline: Instant) -> Result<(), Fault> {
         self.written = false;
         self.set_user_timeout(deadline)?;
         self.complete = false;
+        self.is_sent = false;
         self.written = true;
         Ok(())
     }
@@ -336,7 +344,13 @@
     }
 
     /// Reads the head of the response.
+    ///
+    /// Fails if the request was not written whole: the kernel reports a reset once, to the write,
+    /// so that a part of a response that the reset has cut would look as if it had ended cleanly.
     pub async fn read_head(&mut self, deadline: Instant) -> Result<HttpResponseHead, Fault> {
+        if !self.is_sent {
+            return Err(Fault::Closed);
+        }
         for _ in 0..=MAX_INTERIM_HEADS {
             let head = self
                 .stream
--- a/crates/pomeloridge_base/tests/odd_answers.rs
+++ b/crates/pomeloridge_base/tests/odd_answers.rs
@@ -30,6 +30,8 @@
 const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nServer-Seal: 3e1b\r\n\r\nthe first part";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n";
 const LENGTH: &str = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nthe first part";
+/// An answer that is whole by its own account.
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
 
 /// How much of a request a server reads before it answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,6 +131,42 @@
     }
 }
 
+/// Guards against a reset that the kernel reports to a write, and not to the read after it, which
+/// then sees a clean end: whatever comes after a request that was not written whole is no answer.
+#[parameterized(
+    reset_at_once = { UNFRAMED, End::Reset },
+    reset_late = { UNFRAMED, End::LateReset },
+    closed_first = { UNFRAMED, End::CloseThenReset },
+    whole = { WHOLE, End::CloseThenReset },
+)]
+fn nothing_is_read_after_a_failed_write(answer: &'static str, end: End) {
+    let address = serve(answer, Stage::Body, end, LONG_REQUEST);
+    let received = run(async {
+        let mut connection = connect(address).await;
+        let deadline = Instant::now() + TIMEOUT;
+        let sent = connection.send(&upload(LONG_REQUEST), deadline).await;
+        assert!(sent.is_err());
+        connection.read_response(deadline).await
+    });
+    assert!(received.is_err(), "{received:?}");
+}
+
+/// Guards against the same after a write that was given up.
+#[test]
+fn nothing_is_read_after_an_abandoned_write() {
+    let address = serve(WHOLE, Stage::Body, End::LateReset, LONG_REQUEST);
+    let received = run(async {
+        let mut connection = connect(address).await;
+        let deadline = Instant::now() + TIMEOUT;
+        let request = upload(LONG_REQUEST);
+        let sending = connection.send(&request, deadline);
+        let sent = monoio::time::timeout(READ_TIME / 2, sending).await;
+        assert!(sent.is_err(), "the request was written whole");
+        connection.read_response(deadline).await
+    });
+    assert!(received.is_err(), "{received:?}");
+}
+
 /// Guards against passing on a status that HTTP does not define.
 #[parameterized(
     zeros = { "000" },
