--- a/crates/pomeloridge_base/tests/odd_answers.rs
+++ b/crates/pomeloridge_base/tests/odd_answers.rs
@@ -8,7 +8,7 @@
 mod runtime;
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 use http::Method;
