--- a/crates/pomeloridge_dev/tests/unframed.rs
+++ b/crates/pomeloridge_dev/tests/unframed.rs
@@ -1,4 +1,5 @@
-//! Answers of servers with neither a length nor chunks, which end with their connection.
+//! Answers of servers with neither a length nor chunks, which end with their connection, also while
+//! the request is still being written; and answers with a status that HTTP does not define.
 //!
 //! The servers are part of the test and registered in the object service of the fleet's fake.
 
@@ -10,7 +11,7 @@
 
 use http::Method;
 use pomeloridge_base::http::{OutgoingRequest, Response};
-use pomeloridge_dev::launch::{Fleet, block_on, post_json};
+use pomeloridge_dev::launch::{Fleet, block_on, get_json, post_json};
 use pomeloridge_fleet_standin::caller::{event_ids, generation, is_ready, request, send_request};
 use serde_json::json;
 use yare::parameterized;
@@ -23,6 +24,8 @@
 const CUT_AFTER: u64 = 3;
 /// Time after which the gateway has read what was sent before a reset.
 const READ_TIME: Duration = Duration::from_millis(100);
+/// Size of a body that does not fit into the buffers of the kernel.
+const UPLOAD: usize = 8_000_000;
 
 /// How a server ends the answer to the first sending of a request.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -33,6 +36,10 @@
     Inside,
     /// Resets it.
     Reset,
+    /// Answers once it has the request's head, and resets the connection.
+    Early,
+    /// Closes it after the whole answer, which has this status.
+    Status(&'static str),
 }
 
 /// Starts a fleet whose only servers end their first answers like this.
@@ -101,7 +108,7 @@
 
 /// Answers one request, and ends its connection.
 fn answer(mut connection: TcpStream, end: End, answered: &AtomicBool) {
-    let Some(head) = read_request(&mut connection) else {
+    let Some((head, body_read)) = read_head(&mut connection) else {
         return;
     };
     let header = |name: &str| {
@@ -117,23 +124,32 @@
         None if attempt.starts_with("first") && is_first(&attempt) => end,
         _ => End::Whole,
     };
+    if end != End::Early && !read_body(&mut connection, &header, body_read) {
+        return;
+    }
+    let status = if let End::Status(status) = end {
+        status
+    } else {
+        "200"
+    };
+    let is_whole = matches!(end, End::Whole | End::Status(_));
     let mut text = format!(
-        "HTTP/1.1 200 OK\r\npomeloridge-attempt-id: {attempt}\r\n\
+        "HTTP/1.1 {status} OK\r\npomeloridge-attempt-id: {attempt}\r\n\
          pomeloridge-server-seal: seal\r\ncontent-type: text/event-stream\r\n\r\n"
     );
     if is_stream {
-        let last = if end == End::Whole { EVENTS } else { CUT_AFTER };
+        let last = if is_whole { EVENTS } else { CUT_AFTER };
         let events = last_event.unwrap_or(0) + 1..=last;
         text.extend(events.map(|event| format!("id: {event}\ndata: t{event}\n\n")));
         if end == End::Inside {
             text.push_str("id: 4\nda");
         }
     } else {
-        text.push_str(if end == End::Whole { "done" } else { "do" });
+        text.push_str(if is_whole { "done" } else { "do" });
     }
     let is_written = connection.write_all(text.as_bytes()).is_ok();
     answered.fetch_or(is_written, Ordering::Relaxed);
-    if is_written && end == End::Reset {
+    if is_written && matches!(end, End::Reset | End::Early) {
         std::thread::sleep(READ_TIME);
         let socket = socket2::SockRef::from(&connection);
         socket.set_linger(Some(Duration::ZERO)).unwrap();
@@ -149,19 +165,15 @@
     is_first
 }
 
-/// Reads a request and returns its head; `None` if the connection ends before.
-fn read_request(connection: &mut TcpStream) -> Option<String> {
+/// Reads the head of a request and the beginning of its body. Returns the head and the number of
+/// bytes of the body; `None` if the connection ends before.
+fn read_head(connection: &mut TcpStream) -> Option<(String, usize)> {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4096];
     loop {
         if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-            let lines = head.lines().filter_map(|line| line.split_once(": "));
-            let mut lengths = lines.filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
-            let length = lengths.next().and_then(|(_, value)| value.parse().ok());
-            if bytes.len() >= end + 4 + length.unwrap_or(0) {
-                return Some(head);
-            }
+            return Some((head, bytes.len() - end - 4));
         }
         match connection.read(&mut chunk) {
             Ok(0) | Err(_) => return None,
@@ -170,6 +182,23 @@
     }
 }
 
+/// Reads the rest of a request's body. Returns false if the connection ends before.
+fn read_body(
+    connection: &mut TcpStream,
+    header: &impl Fn(&str) -> Option<String>,
+    mut count: usize,
+) -> bool {
+    let length = header("content-length").and_then(|length| length.parse().ok());
+    let mut chunk = [0; 4096];
+    while count < length.unwrap_or(0) {
+        match connection.read(&mut chunk) {
+            Ok(0) | Err(_) => return false,
+            Ok(read) => count += read,
+        }
+    }
+    true
+}
+
 /// Guards against streams that end, or look complete, where an answer without a length breaks
 /// off inside an event or is reset.
 #[parameterized(
@@ -206,3 +235,44 @@
     let message = request(Method::GET, "lodge", &format!("first-{name}-lodge"));
     assert_eq!(send(&fleet, &message).unwrap().status, status);
 }
+
+/// Guards against a part as a whole answer, where a server answers a long upload at once, without a
+/// length, and resets the connection while it is being written; and against passing on a status that
+/// HTTP does not define (MIXED). What may be repeated is answered by another server.
+#[parameterized(
+    early = { "early", End::Early },
+    zeros = { "000", End::Status("000") },
+    below = { "099", End::Status("099") },
+    above = { "600", End::Status("600") },
+    highest = { "999", End::Status("999") },
+)]
+fn an_odd_answer_is_not_passed_on(name: &str, end: End) {
+    let fleet = start(&format!("odd-{name}"), end);
+    let mut config = get_json(fleet.duties, "/-/config").unwrap();
+    config["version"] = json!(config["version"].as_u64().unwrap() + 1);
+    config["limits"]["maxBodyBytes"] = json!(2 * UPLOAD);
+    post_json(fleet.duties, "/-/config", &config).unwrap();
+    let mut number = 0;
+    wait_until(|| {
+        number += 1;
+        let probe = request(Method::PUT, "open", &format!("limit{number}"));
+        send(&fleet, &probe.body(vec![b'x'; UPLOAD]))
+            .unwrap()
+            .status
+            == 200
+    });
+    let id = |route: &str| format!("first-odd-{name}-{route}");
+    let upload = || vec![b'x'; if end == End::Early { UPLOAD } else { 100 }];
+    let call = |route: &str| request(Method::PUT, route, &id(route)).body(upload());
+    let read = send(&fleet, &call("read")).unwrap();
+    assert_eq!((read.status.as_u16(), &read.body[..]), (200, &b"done"[..]));
+    let lodge = send(&fleet, &call("lodge")).unwrap();
+    assert_eq!(lodge.status, 502);
+    let generation = |route: &str| generation(route, &id(route), 200).body(upload());
+    let ask = send(&fleet, &generation("ask")).unwrap();
+    assert_eq!(ask.status, 200);
+    assert_eq!(event_ids(&ask), [1, 2, 3, 4, 5, 6, 7, 8]);
+    // A stream that must run once at most.
+    let note = send(&fleet, &generation("note")).unwrap();
+    assert_eq!(note.status, 502);
+}
