Keep what was written of a request in one field

The client's connection had four flags, which the lints reject. Whether a byte of the latest request may have reached the server, and whether all of it was written, are one state.

--- a/crates/pomeloridge_base/src/http/client.rs
+++ b/crates/pomeloridge_base/src/http/client.rs
@@ -151,9 +151,7 @@
     stream: BufferedStream,
     address: SocketAddr,
     remaining: Remaining,
-    written: bool,
-    /// Whether the latest request has been written whole.
-    is_sent: bool,
+    sent: SentPart,
     /// Whether no exchange is incomplete.
     complete: bool,
     keep_alive: bool,
@@ -169,6 +167,15 @@
     count: Option<CountGuard>,
 }
 
+/// How much of the latest request has been written, at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SentPart {
+    Nothing,
+    /// The write is going on, has failed or was given up.
+    Some,
+    Whole,
+}
+
 /// How a refusal says which request it belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalMark {
@@ -213,8 +220,7 @@
             stream: BufferedStream::new(stream),
             address,
             remaining: Remaining::None,
-            written: false,
-            is_sent: true,
+            sent: SentPart::Nothing,
             complete: true,
             keep_alive: true,
             unframed: options.unframed,
@@ -238,7 +244,7 @@
 
     /// Returns whether a byte of the current request may have reached the server.
     pub fn written(&self) -> bool {
-        self.written
+        self.sent != SentPart::Nothing
     }
 
     /// Returns whether the connection may be used for another request.
@@ -296,7 +302,7 @@
         let taken: RecordTaken = Box::new(taken);
         let written = self.stream.write_watched(bytes, Some(deadline), &taken);
         written.await?;
-        self.is_sent = true;
+        self.sent = SentPart::Whole;
         Ok(())
     }
 
@@ -309,22 +315,21 @@
         allowed: impl FnOnce() -> bool,
     ) -> Result<(), Fault> {
         let bytes = request.encode(self.address);
-        self.written = false;
+        self.sent = SentPart::Nothing;
         if !allowed() {
             return Err(Fault::Timeout);
         }
         self.begin_send(deadline)?;
         self.stream.write(bytes, deadline).await?;
-        self.is_sent = true;
+        self.sent = SentPart::Whole;
         Ok(())
     }
 
     fn begin_send(&mut self, deadline: Instant) -> Result<(), Fault> {
-        self.written = false;
+        self.sent = SentPart::Nothing;
         self.set_user_timeout(deadline)?;
         self.complete = false;
-        self.is_sent = false;
-        self.written = true;
+        self.sent = SentPart::Some;
         Ok(())
     }
 
@@ -348,7 +353,7 @@
     /// Fails if the request was not written whole: the kernel reports a reset once, to the write,
     /// so that a part of a response that the reset has cut would look as if it had ended cleanly.
     pub async fn read_head(&mut self, deadline: Instant) -> Result<HttpResponseHead, Fault> {
-        if !self.is_sent {
+        if self.sent == SentPart::Some {
             return Err(Fault::Closed);
         }
         for _ in 0..=MAX_INTERIM_HEADS {
