Show that a server that has left gets requests after a restore of the store

Order of events: a server says in its answers that it leaves, and its entry is removed; the store comes back from a copy that still lists it as ready; 2.4 s later the gateway sends to it.

Code: ServerRegistry::accept_withheld takes entries that would bring removed servers back once the grace time is over; Dispatcher::sync has dropped what the server said of itself.

--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -21,6 +21,10 @@
     current: BTreeMap<Key, (u64, u64, Value)>,
     /// Revision, key and object; `true` for a removal.
     changes: Vec<(u64, Key, Value, bool)>,
+    /// Times of the changes, in milliseconds of the record.
+    times: Vec<u64>,
+    /// Number of the era: how often the store came back from a copy, and one.
+    era: u64,
 }
 
 /// The store; it answers 503 while it is down.
@@ -42,6 +46,7 @@
             duties: duties.local_addr().unwrap(),
             objects: Mutex::new(Objects {
                 revision: 1,
+                era: 1,
                 ..Objects::default()
             }),
             changed: Condvar::new(),
@@ -74,6 +79,35 @@
         self.is_down.load(Ordering::SeqCst)
     }
 
+    /// Brings the store back as it was at a time of the record, in the next era.
+    pub fn restore(&self, copied_ms: u64) {
+        let mut objects = self.objects.lock().unwrap();
+        let kept = objects.times.partition_point(|at| *at <= copied_ms);
+        objects.times.truncate(kept);
+        objects.changes.truncate(kept);
+        let changes = std::mem::take(&mut objects.changes);
+        objects.current.clear();
+        objects.revision = 1;
+        for (revision, key, object, is_removal) in &changes {
+            objects.revision = *revision;
+            if *is_removal {
+                objects.current.remove(key);
+            } else {
+                let created = object["metadata"]["createRev"].as_u64().unwrap_or(*revision);
+                let found = (created, *revision, object["spec"].clone());
+                objects.current.insert(key.clone(), found);
+            }
+        }
+        objects.changes = changes;
+        objects.era += 1;
+        record::line(&format!(
+            "store: back from a copy of {copied_ms} ms, revision {}, Store-Era {}",
+            objects.revision, objects.era
+        ));
+        drop(objects);
+        self.set_down(false);
+    }
+
     /// Writes an object for the operator or a backend server.
     pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
         let mut objects = self.objects.lock().unwrap();
@@ -100,11 +134,11 @@
 
     fn handle(&self, request: &Message, stream: &mut TcpStream) -> bool {
         if self.is_down() {
-            return answer(stream, 503, &Value::Null);
+            return self.answer(stream, 503, &Value::Null);
         }
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let Some(path) = path.strip_prefix("/-/objects/") else {
-            return answer(stream, 404, &Value::Null);
+            return self.answer(stream, 404, &Value::Null);
         };
         let number = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -128,7 +162,7 @@
                         "items": items, "truncated": false, "currentRev": objects.revision,
                     });
                     drop(objects);
-                    answer(stream, 200, &list)
+                    self.answer(stream, 200, &list)
                 }
             },
             ("GET", false) => {
@@ -136,15 +170,15 @@
                 let found = objects.current.get(&key).map(|found| object(&key, found));
                 drop(objects);
                 match found {
-                    Some(found) => answer(stream, 200, &found),
-                    None => answer(stream, 404, &Value::Null),
+                    Some(found) => self.answer(stream, 200, &found),
+                    None => self.answer(stream, 404, &Value::Null),
                 }
             }
             ("POST" | "PUT" | "DELETE", _) => {
                 let (status, found) = self.write(request.method(), kind, name, &body, number("revision"));
-                answer(stream, status, &found)
+                self.answer(stream, status, &found)
             }
-            _ => answer(stream, 400, &Value::Null),
+            _ => self.answer(stream, 400, &Value::Null),
         }
     }
 
@@ -184,17 +218,24 @@
         (status, found.unwrap_or_default())
     }
 
+    fn answer(&self, stream: &mut TcpStream, status: u16, body: &Value) -> bool {
+        let era = self.objects.lock().unwrap().era.to_string();
+        let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+        http::respond(stream, status, &headers, body.to_string().as_bytes()).is_ok()
+    }
+
     fn watch(&self, kind: &str, after: u64, wait_ms: u64, stream: &mut TcpStream) -> bool {
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let mut objects = self.objects.lock().unwrap();
+        let era = objects.era;
         loop {
-            if self.is_down() {
+            if self.is_down() || objects.era != era {
                 drop(objects);
-                return answer(stream, 503, &Value::Null);
+                return self.answer(stream, 503, &Value::Null);
             }
             if after > objects.revision {
                 drop(objects);
-                return answer(stream, 410, &Value::Null);
+                return self.answer(stream, 410, &Value::Null);
             }
             let events: Vec<Value> = objects
                 .changes
@@ -206,7 +247,7 @@
             if !events.is_empty() || left.is_zero() {
                 let list = json!({ "events": events, "currentRev": objects.revision });
                 drop(objects);
-                return answer(stream, 200, &list);
+                return self.answer(stream, 200, &list);
             }
             objects = self.changed.wait_timeout(objects, left).unwrap().0;
         }
@@ -230,6 +271,7 @@
     let changed = object(&key, &found);
     objects.current.insert(key.clone(), found);
     objects.changes.push((revision, key, changed, false));
+    objects.times.push(record::now_ms());
     revision
 }
 
@@ -239,12 +281,9 @@
     };
     objects.revision += 1;
     let removed = object(key, &(created, objects.revision, spec));
-    objects.changes.push((objects.revision, key.clone(), removed, true));
-}
-
-fn answer(stream: &mut TcpStream, status: u16, body: &Value) -> bool {
-    let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
-    http::respond(stream, status, &headers, body.to_string().as_bytes()).is_ok()
+    let revision = objects.revision;
+    objects.changes.push((revision, key.clone(), removed, true));
+    objects.times.push(record::now_ms());
 }
 
 /// Serves each connection on a thread of its own until the handler returns false.
