--- a/review/harness-3/src/bin/restart_version.rs
+++ b/review/harness-3/src/bin/restart_version.rs
@@ -1,8 +1,9 @@
-//! ORDER: a server that has ended starts again under its id and address with another software
-//! version while the store is down. Streams of the former version go on there.
+//! ORDER: a server that is cut off from the store ends behind the cut and starts again under its id
+//! and address with another software version. Streams of the former version go on there.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 use review_harness_3::gateway::{Gateway, finish};
@@ -12,82 +13,123 @@
 use review_harness_3::{client, pause, record, sleep_until, trouble};
 use serde_json::{Value, json};
 
-const ID: &str = "model-a";
-const CLIENTS: usize = 6;
+/// Servers: model-0 is of version 1, the others are of version 2.
+const SERVERS: usize = 5;
+const CLIENTS: usize = 40;
 const EVENTS: u64 = 25;
 const EVENT_MS: u64 = 100;
-/// The store is down in this span, with the disruption.
-const DOWN_MS: std::ops::Range<u64> = 3500..8000;
-/// When the server's process ends, and when it starts again.
-const ENDED_MS: u64 = 4000;
-const STARTED_MS: u64 = 5500;
+/// Interval of the status reports (heartbeatMs).
+const REPORT_MS: u64 = 1200;
+/// model-0 is cut off from the store in this span, with the disruption.
+const CUT_MS: std::ops::Range<u64> = 4000..9000;
+/// When its process ends, and when it starts again.
+const ENDED_MS: u64 = 4300;
+const STARTED_MS: u64 = 5800;
+const BEGIN_MS: u64 = 3200;
 const CLIENT_MS: u64 = 10_000;
 
 fn main() {
     record::open();
     let store = Store::start();
     store.put("config", "main", config());
-    let mut server = start(([127, 0, 0, 1], 0).into(), "1");
-    let address = server.address;
-    store.put("servers", ID, with_stage(entry("recall-model", address, "1", unix_ms(), 64)));
-    record::line(&format!("store: {ID} is listed with version 1"));
+    let mut servers: Vec<Runner> = (0..SERVERS).map(start_first).collect();
+    for (number, server) in servers.iter().enumerate() {
+        let (store, address) = (Arc::clone(&store), server.address);
+        std::thread::spawn(move || report(&store, number, address));
+    }
     let gateway = Gateway::start("front-1", "zone-a", &store);
     gateway.wait_ready();
-    sleep_until(3000);
+    sleep_until(BEGIN_MS);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let caller = gateway.caller;
             std::thread::spawn(move || follow(number, caller))
         })
         .collect();
-    sleep_until(DOWN_MS.start);
     if trouble() {
-        store.set_down(true);
-        record::line("store: down");
+        sleep_until(CUT_MS.start);
+        record::line("model-0: cut off from the store");
     }
     sleep_until(ENDED_MS);
-    server.kill();
-    record::line(&format!("{ID}: its process has ended"));
+    let address = servers[0].address;
+    servers[0].kill();
+    record::line("model-0: its process has ended");
     sleep_until(STARTED_MS);
-    let written = json!(entry("recall-model", address, "2", unix_ms(), 64));
-    if !store.is_down() {
-        store.put("servers", ID, with_stage(written.clone()));
-        record::line(&format!("store: {ID} is listed with version 2"));
-    }
-    let _second = start(address, "2");
-    record::line(&format!("{ID}: started again under its id and address, with version 2"));
-    sleep_until(DOWN_MS.end);
-    if store.is_down() {
-        store.set_down(false);
-        record::line("store: up again");
-        store.put("servers", ID, with_stage(written));
-        record::line(&format!("store: {ID} is listed with version 2"));
+    if !trouble() {
+        // It writes its entry as it starts.
+        put(&store, 0, address, "2", unix_ms(), 1);
+        pause(100);
     }
+    let _second = start(0, address, "2");
+    record::line("model-0: started again under its id and address, with version 2");
     let streams: Vec<Vec<(u64, String)>> =
         clients.into_iter().filter_map(|client| client.join().ok()).collect();
-    let texts = ["id=model-a choice=eject", "request id=c0", "state="];
+    let texts = ["id=model-0 choice=", "versions table"];
     for line in gateway.log_lines(&texts) {
         record::line(&format!("log of front-1: {line}"));
     }
     let mut joined = 0;
-    let mut begun = 0;
+    let mut begun = [0, 0];
     for (number, events) in streams.iter().enumerate() {
         let mut versions: Vec<&str> = events.iter().map(|(_, text)| text.as_str()).collect();
         versions.dedup();
-        begun += usize::from(!events.is_empty());
+        if let Some(first) = versions.first() {
+            begun[usize::from(*first == "2")] += 1;
+        }
         joined += usize::from(versions.len() > 1);
-        record::say(&format!(
-            "stream c{number}: {} events, of versions {versions:?}",
-            events.len()
-        ));
+        if versions != ["2"] {
+            record::say(&format!("stream c{number}: {} events, of versions {versions:?}", events.len()));
+        }
     }
+    record::say(&format!("{} streams began at version 1, {} at version 2", begun[0], begun[1]));
     record::say(&format!("{joined} streams hold events of two versions; the rule allows 2"));
-    if begun < CLIENTS {
+    if begun[0] < 3 {
         finish(2);
     }
     finish(i32::from(joined > 2))
 }
 
+fn first_version(number: usize) -> &'static str {
+    if number == 0 { "1" } else { "2" }
+}
+
+fn start_first(number: usize) -> Runner {
+    start(number, ([127, 0, 0, 1], 0).into(), first_version(number))
+}
+
+fn put(store: &Store, number: usize, address: SocketAddr, version: &str, born: u64, sequence: u64) {
+    let mut listed = entry("recall-model", address, version, born, 64);
+    listed["stage"] = json!("decode");
+    listed["sequence"] = json!(sequence);
+    store.put("servers", &format!("model-{number}"), listed);
+    if sequence == 1 {
+        record::line(&format!("store: model-{number} is listed with version {version}"));
+    }
+}
+
+/// Reports of a server. The store removes a silent server's entry after three intervals.
+fn report(store: &Store, number: usize, address: SocketAddr) {
+    let born = unix_ms();
+    let mut reported = 0;
+    for sequence in 1.. {
+        let now = record::now_ms();
+        if number == 0 && now >= CUT_MS.start.min(ENDED_MS) {
+            break;
+        }
+        put(store, number, address, first_version(number), born, sequence);
+        reported = now;
+        pause(REPORT_MS);
+    }
+    if !trouble() {
+        return;
+    }
+    sleep_until(reported + 3 * REPORT_MS);
+    store.remove("servers", "model-0");
+    record::line("store: model-0 removed after 3 intervals of silence");
+    sleep_until(CUT_MS.end);
+    put(store, 0, address, "2", unix_ms() - (CUT_MS.end - STARTED_MS), 1);
+}
+
 /// Follows a stream over several tries. Returns its events with the versions that wrote them.
 fn follow(number: usize, gateway: SocketAddr) -> Vec<(u64, String)> {
     let begin = record::now_ms();
@@ -131,15 +173,16 @@
 }
 
 /// Starts a process of the server, which writes events of its version.
-fn start(address: SocketAddr, version: &'static str) -> Runner {
+fn start(number: usize, address: SocketAddr, version: &'static str) -> Runner {
+    let id = format!("model-{number}");
     Runner::start(address, move |request: &Message, stream: &mut TcpStream| {
         let attempt = request.header("pomeloridge-attempt-id").unwrap_or("none").to_owned();
-        if request.header("pomeloridge-expect-instance") != Some(ID) {
+        if request.header("pomeloridge-expect-instance") != Some(&id) {
             return stream.write_all(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
         }
         let last = request.header("last-event-id");
         let last: u64 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
-        record::line(&format!("{ID} (version {version}) runs {attempt} after event {last}"));
+        record::line(&format!("{id} (version {version}) runs {attempt} after event {last}"));
         let mut headers = sealed(request);
         headers.push(("Pomeloridge-Server-Load".to_owned(), "1,0,64".to_owned()));
         begin_stream(stream, &headers)?;
@@ -151,11 +194,6 @@
     })
 }
 
-fn with_stage(mut entry: Value) -> Value {
-    entry["stage"] = json!("decode");
-    entry
-}
-
 fn config() -> Value {
     json!({
         "version": 4,
