Show that a server's wish for quiet is forgotten with its entry, with what is lost

Order of events: a server answers 503 with Retry-After 20; it is cut off from the store for 5 s, its entry lapses and is back with the same id, start and address; the gateway sends to it at once; the server's process ends within the time, with bookings in hand.

Code: Dispatcher::sync drops the state of a server whose entry is gone, with backoff_until in it.

--- a/review/harness-3/src/bin/retry_after.rs
+++ b/review/harness-3/src/bin/retry_after.rs
@@ -1,6 +1,7 @@
-//! BUDGET: a server that has asked a gateway to send nothing for 20 s gets requests from it as soon
-//! as its entry in the store has lapsed and come back.
+//! BUDGET: a server that has asked a gateway to send nothing for 20 s gets bookings from it as soon as
+//! its entry in the store has lapsed and come back. Those in hand are lost as its process ends.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -18,7 +19,10 @@
 const QUIET_MS: u64 = 20_000;
 /// The server's reports fail in this span, with the disruption.
 const SILENT_MS: std::ops::Range<u64> = 4000..9000;
-const END_MS: u64 = 22_000;
+/// When the server's process ends.
+const ENDED_MS: u64 = 14_000;
+const WORK_MS: u64 = 100;
+const END_MS: u64 = 16_000;
 
 fn main() {
     record::open();
@@ -27,9 +31,13 @@
     // When the server first asked for quiet, and the requests that reached it later.
     let asked: Arc<Mutex<Option<u64>>> = Arc::default();
     let late: Arc<Mutex<Vec<u64>>> = Arc::default();
+    // Bookings that desk-a has begun to run.
+    let begun: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let mut tired = None;
     let mut servers = Vec::new();
-    for id in ["desk-a", "desk-b", "desk-c", "desk-d", "desk-e"] {
+    for id in ["desk-a", "desk-b", "desk-c", "desk-d", "desk-e", "desk-f", "desk-g"] {
         let (asked, late) = (Arc::clone(&asked), Arc::clone(&late));
+        let begun = Arc::clone(&begun);
         let is_tired = id == "desk-a";
         let server = Runner::start(([127, 0, 0, 1], 0).into(), move |request, stream| {
             let attempt = request.header("pomeloridge-attempt-id").unwrap_or("none").to_owned();
@@ -54,14 +62,21 @@
                 ];
                 return http::respond(stream, 503, &headers, b"full");
             }
-            pause(30);
+            if is_tired {
+                begun.lock().unwrap().insert(attempt.clone());
+            }
+            pause(WORK_MS);
             let headers = sealed(request);
             let headers: Vec<(&str, &str)> =
                 headers.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
             http::respond(stream, 200, &headers, b"booked")
         });
         servers.push((id, server.address));
-        std::mem::forget(server);
+        if is_tired {
+            tired = Some(server);
+        } else {
+            std::mem::forget(server);
+        }
     }
     let born = unix_ms();
     // Each server writes its entry at each report; the store removes it after three without one.
@@ -72,6 +87,9 @@
             let mut is_listed = false;
             loop {
                 let now = record::now_ms();
+                if id == "desk-a" && now >= ENDED_MS {
+                    return;
+                }
                 let is_silent = id == "desk-a" && trouble() && SILENT_MS.contains(&now);
                 if !is_silent {
                     sequence += 1;
@@ -95,9 +113,11 @@
     gateway.wait_ready();
     sleep_until(2000);
     let served = Arc::new(AtomicUsize::new(0));
+    let lost: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut clients = Vec::new();
-    for number in 0..12 {
+    for number in 0..14 {
         let (caller, served) = (gateway.caller, Arc::clone(&served));
+        let (begun, lost) = (Arc::clone(&begun), Arc::clone(&lost));
         clients.push(std::thread::spawn(move || {
             for count in 0.. {
                 if record::now_ms() > END_MS {
@@ -110,43 +130,54 @@
                     ("Pomeloridge-Deadline-Ms", "2500"),
                     ("Pomeloridge-Key", "key-of-anna"),
                 ];
-                let got = client::send(caller, "GET /look/up", &headers, "", Duration::from_secs(3));
+                let gap = Duration::from_secs(3);
+                let got = client::send(caller, "POST /book/visit", &headers, "house 7", gap);
                 if got.status == 200 {
                     served.fetch_add(1, Ordering::SeqCst);
                 } else {
                     record::line(&format!("client: {id} got {}", got.status));
+                    if begun.lock().unwrap().contains(&id) {
+                        lost.lock().unwrap().push(id);
+                    }
                 }
-                pause(100);
+                pause(20);
             }
             0
         }));
     }
+    sleep_until(ENDED_MS);
+    if let Some(mut server) = tired {
+        record::line("desk-a: its process has ended");
+        server.kill();
+    }
     let sent: usize = clients.into_iter().filter_map(|client| client.join().ok()).sum();
     for line in gateway.log_lines(&["id=desk-a choice=", "lapsed"]) {
         record::line(&format!("log of front-1: {line}"));
     }
     let (asked, late) = (*asked.lock().unwrap(), late.lock().unwrap());
-    record::say(&format!("clients sent {sent} requests, {} were served", served.load(Ordering::SeqCst)));
+    record::say(&format!("clients sent {sent} bookings, {} were answered 200", served.load(Ordering::SeqCst)));
     let Some(asked) = asked else {
         record::say("desk-a never asked for quiet");
         finish(2);
     };
     record::say(&format!(
-        "desk-a asked front-1 at {asked} ms to send nothing until {} ms; from {} ms on {} requests \
+        "desk-a asked front-1 at {asked} ms to send nothing until {} ms; from {} ms on {} bookings \
          reached it, the first at {:?} ms; the rule allows 2",
         asked + QUIET_MS,
         asked + 500,
         late.len(),
         late.first()
     ));
+    let lost = lost.lock().unwrap();
+    record::say(&format!("bookings that desk-a had begun and that were lost with it: {lost:?}"));
     finish(i32::from(late.len() > 2))
 }
 
 fn config() -> serde_json::Value {
     json!({
         "version": 4,
-        "routes": [{ "name": "look", "host": "desk.example", "pathPrefix": "/look/",
-                     "routeType": "idempotent", "timeoutMs": 2500, "targetLatencyMs": 150,
+        "routes": [{ "name": "book", "host": "desk.example", "pathPrefix": "/book/",
+                     "routeType": "non_idempotent", "timeoutMs": 2500, "targetLatencyMs": 150,
                      "priority": 2, "service": "visit-desk", "maxAttempts": 2 }],
         "services": [{ "name": "visit-desk", "healthPath": "/health", "maxConnections": 100 }],
         "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
