--- a/review/harness-3/src/bin/retry_after.rs
+++ b/review/harness-3/src/bin/retry_after.rs
@@ -1,7 +1,7 @@
 //! BUDGET: a server that has asked a gateway to send nothing for 20 s gets bookings from it as soon as
 //! its entry in the store has lapsed and come back. Those in hand are lost as its process ends.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -31,13 +31,15 @@
     // When the server first asked for quiet, and the requests that reached it later.
     let asked: Arc<Mutex<Option<u64>>> = Arc::default();
     let late: Arc<Mutex<Vec<u64>>> = Arc::default();
+    // When the clients sent their bookings.
+    let sent_at: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
     // Bookings that desk-a has begun to run.
     let begun: Arc<Mutex<BTreeSet<String>>> = Arc::default();
     let mut tired = None;
     let mut servers = Vec::new();
     for id in ["desk-a", "desk-b", "desk-c", "desk-d", "desk-e", "desk-f", "desk-g"] {
         let (asked, late) = (Arc::clone(&asked), Arc::clone(&late));
-        let begun = Arc::clone(&begun);
+        let (begun, sent_at) = (Arc::clone(&begun), Arc::clone(&sent_at));
         let is_tired = id == "desk-a";
         let server = Runner::start(([127, 0, 0, 1], 0).into(), move |request, stream| {
             let attempt = request.header("pomeloridge-attempt-id").unwrap_or("none").to_owned();
@@ -46,7 +48,10 @@
                 let asked_at = *asked.lock().unwrap();
                 if asked_at.is_some_and(|at| now > at + 500 && now < at + QUIET_MS) {
                     late.lock().unwrap().push(now);
-                    record::line(&format!("desk-a got {attempt} {} in its quiet time", request.first));
+                    let sent_at = sent_at.lock().unwrap().get(&attempt).copied().unwrap_or_default();
+                    record::line(&format!(
+                        "desk-a gets {attempt} in its quiet time, sent by its client at {sent_at} ms"
+                    ));
                 }
             }
             if is_tired && FULL_MS.contains(&now) {
@@ -118,6 +123,7 @@
     for number in 0..14 {
         let (caller, served) = (gateway.caller, Arc::clone(&served));
         let (begun, lost) = (Arc::clone(&begun), Arc::clone(&lost));
+        let sent_at = Arc::clone(&sent_at);
         clients.push(std::thread::spawn(move || {
             for count in 0.. {
                 if record::now_ms() > END_MS {
@@ -131,6 +137,7 @@
                     ("Pomeloridge-Key", "key-of-anna"),
                 ];
                 let gap = Duration::from_secs(3);
+                sent_at.lock().unwrap().insert(id.clone(), record::now_ms());
                 let got = client::send(caller, "POST /book/visit", &headers, "house 7", gap);
                 if got.status == 200 {
                     served.fetch_add(1, Ordering::SeqCst);
